--- /dev/null
+++ b/schema/messages.thrift
@@ -0,0 +1,269 @@
+// Messages between lacewinggw processes, and the rows the platform's table keeps for them.
+// Regenerate with `make schema`; field numbers are never reused.
+namespace py lacewinggw.generated.messages
+
+// ---- identity -------------------------------------------------------------------------
+
+enum Role { ENTRY = 1, AGENT = 2, OPERATOR = 3 }
+
+// First frame on a connection, in both directions.
+struct Hello {
+  1: string host
+  2: Role role
+  3: string place
+  4: string incarnation      // random per process start
+  5: binary nonce
+  6: string address          // the sender's own peer listener, "ip:port"
+}
+
+// Second frame: keyed digest over the other side's nonce and one's own Hello.
+struct Proof { 1: binary digest }
+
+// A refusal. `outcome` is "not-run" or "unknown" where the call was a request.
+struct Failure {
+  1: string code
+  2: string reason
+  3: string remedy
+  4: i64 retry_after_ms = 0
+  5: string outcome = ""
+}
+
+struct Done { 1: string note = "" }
+
+// ---- configuration --------------------------------------------------------------------
+
+enum ServiceKind { MODEL = 1, PLAIN = 2 }
+enum Prefer { TIME = 1, ORIGIN_BYTES = 2 }
+
+struct Release {
+  1: string name
+  2: string digest           // hex SHA-256 over the ordered chunk hashes: the release's identity
+  3: i64 size_bytes
+  4: i32 chunk_count
+}
+
+struct ReplicaGoal { 1: string release, 2: i32 replicas }
+
+struct Service {
+  1: string name
+  2: ServiceKind kind
+  3: list<ReplicaGoal> goals         // a plain service has one goal with an empty release
+  4: Prefer prefer = Prefer.TIME
+  5: i32 floor_percent = 50          // share of declared replicas kept serving during a change
+  6: bool repeatable = false         // default for requests that do not say
+  7: list<string> unrepeatable_paths
+  8: i64 revision = 0                // last revision that changed it
+}
+
+struct CreateRelease { 1: Release release }
+struct PutService { 1: Service declared }
+struct RemoveService { 1: string service_name }
+struct WithdrawRelease { 1: string release }
+struct SetDrain { 1: string host, 2: bool draining }
+
+// One host's part in a placement: which release it serves for which service ("" release: plain).
+struct Assignment { 1: string host, 2: string service_name, 3: string release }
+// Placement of one service, whole; replaces the one before.
+struct Place { 1: string service_name, 2: list<Assignment> assignments, 3: string cause }
+
+union Change {
+  1: CreateRelease create_release
+  2: PutService put_service
+  3: RemoveService remove_service
+  4: WithdrawRelease withdraw_release
+  5: SetDrain set_drain
+  6: Place place
+}
+
+// The row `log/<revision>`; created only if absent, never rewritten.
+struct LogEntry {
+  1: i64 revision
+  2: string command_id
+  3: string author
+  4: i64 accepted_at_ms          // wall clock of the writer, for people only
+  5: i64 read_revision           // what the author had seen
+  6: list<Change> changes
+  7: string words                // the command as written
+}
+
+// Whole state at a revision: a snapshot in the object store, and the bootstrap from a peer.
+struct Snapshot {
+  1: i64 revision
+  2: list<Release> releases
+  3: list<Service> services
+  4: list<string> draining
+  5: list<Place> placements
+  6: list<LogEntry> recent       // newest entries, for `show history` and command look-up
+}
+
+struct FetchLog { 1: i64 after, 2: i32 limit }
+struct LogRows { 1: list<LogEntry> entries, 2: i64 head }
+struct FetchSnapshot { 1: i64 at_least = 0 }
+// From agent to entry, or entry to entry: send me each new entry from here on.
+struct Subscribe { 1: i64 after }
+struct LogNews { 1: list<LogEntry> entries, 2: i64 head }
+
+// ---- weights --------------------------------------------------------------------------
+
+struct Manifest {
+  1: string name
+  2: string digest
+  3: list<binary> chunk_hashes   // SHA-256 each
+  4: list<i64> chunk_sizes       // bytes each
+}
+
+struct FetchManifest { 1: string digest }
+struct ManifestData { 1: Manifest manifest }
+
+// Which chunks the sender holds, whole (bitmap) or as a delta (added); one-way.
+struct Have {
+  1: string digest
+  2: i64 sequence
+  3: optional binary bitmap
+  4: list<i32> added
+  5: bool wants_reply = false
+}
+struct FetchChunk { 1: string digest, 2: i32 index, 3: bool endgame = false }
+struct ChunkData { 1: string digest, 2: i32 index, 3: binary data }
+struct CancelChunk { 1: string digest, 2: i32 index }
+
+struct SpreadReport {
+  1: string release
+  2: string digest
+  3: i32 chunks_held
+  4: i32 chunk_count
+  5: i64 origin_bytes
+  6: i64 store_bytes
+  7: i64 downloaded_bytes
+  8: i64 uploaded_bytes
+  9: i64 cross_place_bytes
+  10: i32 stalls
+  11: i32 corrupt_chunks
+  12: list<string> bad_sources
+  13: double rate_bytes_per_s
+  14: string held_up_by          // "" while it goes on; else reason and remedy
+}
+
+// ---- targets and load -----------------------------------------------------------------
+
+enum TargetState { STARTING = 1, FETCHING = 2, LOADING = 3, SERVING = 4, DRAINING = 5, FAILED = 6 }
+
+struct Load {
+  1: i32 running
+  2: i32 queued
+  3: i32 capacity
+  4: i64 age_ms                  // age of the target's own report
+  5: double queue_delay_ms = 0
+}
+
+// From agent to each entry that deals with it: on change, and when idle.
+struct Heartbeat {
+  1: string host
+  2: string place
+  3: string incarnation
+  4: string service_name
+  5: string release
+  6: string digest               // read back from the target; "" when nothing is active
+  7: TargetState state
+  8: Load load
+  9: list<SpreadReport> spreads
+  10: i64 sequence
+}
+struct Watch { 1: string entry }  // from entry to agent: send me heartbeats on this connection
+
+// ---- requests -------------------------------------------------------------------------
+
+enum Priority { URGENT = 1, NORMAL = 2, BULK = 3 }
+
+struct RequestHead {
+  1: string request_id
+  2: string service_name
+  3: string account
+  4: Priority priority = Priority.NORMAL
+  5: i64 deadline_ms             // time left when sent
+  6: bool repeatable = false
+  7: string path = "/"
+  8: bool stream = false
+  9: string idempotency_key = ""
+  10: list<string> prefix_blocks // hashes of the prompt's leading blocks
+  11: string digest = ""         // run only on this digest, when set
+  12: i64 resume_from = 0        // pieces already delivered
+}
+
+// Reserve and start in one step; for repeatable requests, and for tickets being redeemed.
+struct Offer { 1: RequestHead head, 2: binary body, 3: string nonce = "" }
+struct Reserve { 1: RequestHead head }
+struct Reservation {
+  1: string nonce
+  2: string host
+  3: string incarnation
+  4: i64 expires_in_ms
+  5: string digest
+}
+struct Start { 1: string nonce, 2: RequestHead head, 3: binary body }
+struct Withdraw { 1: string nonce, 2: string request_id, 3: string incarnation }
+enum Standing { NEVER_STARTED = 1, STARTED = 2, FINISHED = 3, UNKNOWN = 4 }
+struct Withdrawal { 1: Standing standing, 2: string incarnation, 3: optional Finish finish }
+
+// Several ready pieces travel together; `first` is the index of pieces[0].
+struct Pieces { 1: i64 first, 2: list<binary> pieces }
+struct Finish {
+  1: i64 pieces                  // how many there were in all
+  2: string content_digest       // hex SHA-256 over all the pieces
+  3: string weights_digest       // release that answered, "" for a plain service
+  4: i32 status = 200
+  5: string content_type = "application/json"
+  6: Load load
+}
+struct Credit { 1: i64 pieces }    // on a call's way back: how many more pieces may be sent
+struct Cancel { 1: string reason }
+
+// ---- limits ---------------------------------------------------------------------------
+
+struct AccountDemand { 1: string account, 2: double offered_per_s, 3: double admitted_per_s, 4: i32 running }
+struct Demand { 1: string entry, 2: i64 sequence, 3: list<AccountDemand> accounts }
+
+// ---- frame ----------------------------------------------------------------------------
+
+union Body {
+  1: Hello hello
+  2: Proof proof
+  3: Failure failure
+  4: Done done
+  10: FetchLog fetch_log
+  11: LogRows log_rows
+  12: FetchSnapshot fetch_snapshot
+  13: Snapshot snapshot
+  14: Subscribe subscribe
+  15: LogNews log_news
+  20: FetchManifest fetch_manifest
+  21: ManifestData manifest_data
+  22: Have have
+  23: FetchChunk fetch_chunk
+  24: ChunkData chunk_data
+  25: CancelChunk cancel_chunk
+  30: Heartbeat heartbeat
+  31: Watch watch
+  40: Offer offer
+  41: Reserve reserve
+  42: Reservation reservation
+  43: Start start
+  44: Withdraw withdraw
+  45: Withdrawal withdrawal
+  46: Pieces pieces
+  47: Finish finish
+  48: Credit credit
+  49: Cancel cancel
+  60: Demand demand
+}
+
+// NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
+// FOLLOW travels from the caller to the handler of a call that is going on (Credit, Cancel).
+enum FrameKind { NOTIFY = 1, REQUEST = 2, REPLY = 3, LAST = 4, FOLLOW = 5 }
+
+struct Frame {
+  1: i64 call
+  2: FrameKind kind
+  3: i64 revision                // highest configuration revision the sender has applied
+  4: Body body
+}
--- /dev/null
+++ b/schema/settings.thrift
@@ -0,0 +1,106 @@
+// Settings of every lacewinggw process, with defaults. Each struct is an INI section; a field's
+// suffix gives its unit: _ms and _s (time), _bytes (size), _bytes_per_s (rate), _percent (share).
+// The INI key has no suffix and the value carries the unit: `patience_ms` is `patience = 400ms`.
+// A required field has no default. Addresses are "ip:port".
+namespace py lacewinggw.generated.settings
+
+struct ProcessSettings {
+  1: required string host                      // this host's id
+  2: required string place                     // its place (availability zone)
+  3: required string fleet_key                 // shared by all processes of the fleet
+  4: string log_format = "json"                // json or text
+  5: string log_level = "info"
+}
+
+struct PlatformSettings {
+  1: required string table                     // address of the table service
+  2: required string objects                   // object store
+  3: required string origin                    // origin of weights
+  4: required string weight_store              // rate-limited weight store
+  5: required string membership                // list of hosts
+  6: i64 timeout_ms = 2000                     // one call to the platform
+  7: i64 membership_poll_ms = 1000
+}
+
+struct EntrySettings {
+  1: required string caller_listen             // HTTP for callers
+  2: required string operator_listen           // HTTP for operators, /metrics and /healthz
+  3: required string peer_listen               // thrift frames
+  4: string caller_address = ""                // as told to callers; caller_listen when empty
+  5: i64 address_ttl_ms = 10000                // how long callers may keep an address answer
+  6: i32 addresses_per_answer = 3
+  7: i64 drain_limit_ms = 60000                // longest wait for requests in progress at exit
+  8: i64 body_limit_bytes = 4194304
+  9: list<string> operator_tokens              // "name:token"
+  10: list<string> accounts                    // "account:token:requests-per-second:concurrency"
+}
+
+struct AgentSettings {
+  1: required string peer_listen
+  2: required string operator_listen           // /metrics and /healthz
+  3: required string target                    // address of the target on this host
+  4: string target_kind = "engine"             // engine or plain
+  5: string service_name = ""                       // a plain target's service
+  6: bool target_fences = false                // the target refuses orders with an old fence
+  7: i64 link_bytes_per_s = 125000000          // this host's link, each direction
+  8: i32 weights_share_percent = 70            // most of the link that weights may take
+  9: i64 drain_limit_ms = 60000
+  10: i64 heartbeat_ms = 1000
+  11: i32 concurrency = 8                      // requests running on the target at once
+  12: i32 queue_length = 64
+}
+
+struct SpreadSettings {
+  1: i32 neighbours = 6                        // in the same place
+  2: i32 remote_neighbours = 2                 // in other places
+  3: i32 in_flight = 4                         // chunk requests per neighbour
+  4: i64 patience_ms = 400                     // per rank, before the next rank goes to the origin
+  5: i32 ranks = 3                             // ranks that may go to the origin at all
+  6: i64 stall_ms = 2000                       // no progress for so long: ask another
+  7: i32 corrupt_limit = 3                     // bad chunks from one source before it is left
+  8: i64 silence_ms = 15000                    // nobody has it for so long: any rank may ask
+}
+
+struct RequestSettings {
+  1: i64 deadline_ms = 30000                   // when the caller names none
+  2: i64 reservation_ms = 5000
+  3: i64 answer_keep_ms = 3600000              // recorded answers in the object store
+  4: i64 claim_batch_ms = 5                    // claims written together
+  5: i32 piece_window = 256                    // pieces in flight to one caller
+}
+
+struct RoutingSettings {
+  1: i32 subset = 64                           // targets per service one entry deals with
+  2: i32 retry_percent = 10                    // retries as a share of requests
+  3: i32 eject_after = 5                       // failures in a row
+  4: i64 eject_ms = 5000
+  5: i32 eject_limit_percent = 50              // most targets out at once
+  6: i64 slow_start_ms = 5000
+  7: i64 dead_after_ms = 5000                  // silence before a target is taken for dead
+  8: i32 urgent_percent = 20                   // share kept for urgent requests
+}
+
+struct ConfigurationSettings {
+  1: i64 poll_ms = 1000                        // reading the log's tail
+  2: i32 snapshot_every = 100                  // revisions between snapshots
+  3: i64 placement_delay_ms = 500              // per rank, before the next entry places
+  4: i64 dead_host_ms = 10000                  // missing from the list and silent for so long
+}
+
+struct OperatorSettings {
+  1: list<string> entries                      // operator addresses of entries
+  2: string token = ""
+  3: i64 timeout_ms = 10000
+}
+
+struct Settings {
+  1: ProcessSettings process
+  2: PlatformSettings platform
+  3: EntrySettings entry
+  4: AgentSettings agent
+  5: SpreadSettings spread
+  6: RequestSettings requests
+  7: RoutingSettings routing
+  8: ConfigurationSettings configuration
+  9: OperatorSettings operator
+}
--- /dev/null
+++ b/src/lacewinggw/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure policy: state and events in, actions out; no I/O and no clock of its own."""
--- /dev/null
+++ b/src/lacewinggw/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load, faults and experiments on loopback."""
--- /dev/null
+++ b/src/lacewinggw/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The query and command language, plans and declarations."""
--- /dev/null
+++ b/src/lacewinggw/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's services: table, objects, weights, membership."""
--- /dev/null
+++ b/src/lacewinggw/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Networks, HTTP and frames: how processes talk."""
