Streams, HTTP and frames between processes

One Network interface carries everything, over TCP or in memory, so that whole fleets run under virtual time with the code that runs on sockets. HTTP is h11 on both sides with a size and time limit on every read; frames are thrift in the compact protocol, with many calls on one link, follow-ups for flow control, and lanes so that bulk data does not hold up calls. Links prove the fleet key by a keyed digest over the other side's nonce and refuse their own greeting reflected back.

--- /dev/null
+++ b/src/lacewinggw/wire/http.py
@@ -0,0 +1,409 @@
+"""HTTP/1.1 over any `Network`, by h11 on both sides.
+
+Every read has a size and a time limit. A handler turns a `Request` into a `Response`, whose body is
+bytes or an asynchronous iterator of pieces, sent chunked as they come. When such an iterator fails,
+the connection is cut, so that the caller can tell a truncated body from a whole one.
+"""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import h11
+
+from lacewinggw.wire.network import Listener, Network, Stream
+
+READ_BYTES = 1 << 16
+IDLE_CONNECTIONS = 32
+JSON_TYPE = "application/json"
+
+Headers = dict[str, str]
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on one side of a connection: bytes of a body and of the head, and seconds idle."""
+
+    body_bytes: int = 64 << 20
+    head_bytes: int = 32 << 10
+    idle_s: float = 120.0
+    read_s: float = 30.0
+
+
+@dataclass(frozen=True)
+class Request:
+    """A request as received; header names are in lower case, the path is decoded."""
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    headers: Headers = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class Response:
+    """A response to send, or as received whole."""
+
+    status: int
+    headers: Headers = field(default_factory=dict)
+    body: bytes | AsyncIterator[bytes] = b""
+
+    @property
+    def content(self) -> bytes:
+        """The body, of a response that is whole."""
+        assert isinstance(self.body, bytes), "the body of this response is a stream"
+        return self.body
+
+    def json(self) -> Any:
+        """Return the body decoded as JSON."""
+        return json.loads(self.content)
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class HttpError(Exception):
+    """The other side broke the protocol or a limit; `status` is the refusal that fits."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+
+
+def json_response(status: int, value: Any, headers: Headers | None = None) -> Response:
+    """Return a response whose body is `value` as JSON."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return Response(status, {"content-type": JSON_TYPE, **(headers or {})}, body)
+
+
+def _decode_headers(raw: Any) -> Headers:
+    return {name.decode("ascii"): value.decode("latin-1") for name, value in raw}
+
+
+def _encode_headers(headers: Headers) -> list[tuple[str, str]]:
+    return [(name, value) for name, value in headers.items()]
+
+
+async def _next_event(connection: h11.Connection, stream: Stream, timeout_s: float) -> Any:
+    """Return the next h11 event, reading from the stream as needed."""
+    while True:
+        event = connection.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        async with asyncio.timeout(timeout_s):
+            connection.receive_data(await stream.read(READ_BYTES))
+
+
+async def _read_body(
+    connection: h11.Connection, stream: Stream, limits: HttpLimits, timeout_s: float
+) -> bytes:
+    """Read a body to its end; raise `HttpError` 413 once it passes the limit."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = await _next_event(connection, stream, timeout_s)
+        if isinstance(event, h11.EndOfMessage):
+            return b"".join(parts)
+        if not isinstance(event, h11.Data):
+            raise ConnectionResetError("the connection ended inside a body")
+        size += len(event.data)
+        if size > limits.body_bytes:
+            raise HttpError(413, f"the body is over {limits.body_bytes} bytes")
+        parts.append(bytes(event.data))
+
+
+class HttpServer:
+    """Serve one handler at one address.
+
+    `close(grace_s)` stops accepting, lets requests in progress end for up to `grace_s` seconds,
+    then cuts what is left.
+    """
+
+    def __init__(
+        self, network: Network, address: str, handler: Handler, limits: HttpLimits | None = None
+    ) -> None:
+        self._network = network
+        self._asked_address = address
+        self._handler = handler
+        self._limits = limits or HttpLimits()
+        self._listener: Listener | None = None
+        self._connections: dict[asyncio.Task[Any], Stream] = {}
+        self._busy: set[asyncio.Task[Any]] = set()
+        self._closing = False
+
+    @property
+    def address(self) -> str:
+        """The bound address, once started."""
+        assert self._listener is not None, "start() comes first"
+        return self._listener.address
+
+    async def start(self) -> None:
+        """Bind and accept."""
+        self._listener = await self._network.listen(self._asked_address, self._accept)
+
+    async def close(self, grace_s: float = 0.0) -> None:
+        """Stop accepting, wait for requests in progress, then cut the rest."""
+        self._closing = True
+        if self._listener is not None:
+            await self._listener.close()
+        for task in [task for task in self._connections if task not in self._busy]:
+            task.cancel()
+        if self._busy and grace_s > 0:
+            await asyncio.wait(set(self._busy), timeout=grace_s)
+        remaining = list(self._connections)
+        for task in remaining:
+            task.cancel()
+        if remaining:
+            await asyncio.wait(remaining)
+
+    async def _accept(self, stream: Stream) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections[task] = stream
+        try:
+            await self._serve(stream, task)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, h11.LocalProtocolError):
+            return
+        except asyncio.CancelledError:
+            if not self._closing:
+                raise
+        finally:
+            self._connections.pop(task, None)
+            self._busy.discard(task)
+            stream.close()
+
+    async def _serve(self, stream: Stream, task: "asyncio.Task[Any]") -> None:
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
+        while not self._closing:
+            try:
+                event = await _next_event(connection, stream, self._limits.idle_s)
+                if not isinstance(event, h11.Request):
+                    return
+                self._busy.add(task)
+                request = await self._read_request(connection, stream, event)
+            except h11.RemoteProtocolError as error:
+                await self._refuse(connection, stream, error.error_status_hint, str(error))
+                return
+            except HttpError as error:
+                await self._refuse(connection, stream, error.status, str(error))
+                return
+            response = await self._handler(request)
+            await self._send(connection, stream, request, response)
+            self._busy.discard(task)
+            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _read_request(
+        self, connection: h11.Connection, stream: Stream, event: h11.Request
+    ) -> Request:
+        headers = _decode_headers(event.headers)
+        if connection.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            stream.write(connection.send(go_on) or b"")
+        body = await _read_body(connection, stream, self._limits, self._limits.read_s)
+        parts = urlsplit(event.target.decode("latin-1"))
+        query = dict(parse_qsl(parts.query, keep_blank_values=True))
+        return Request(event.method.decode("ascii"), unquote(parts.path), query, headers, body)
+
+    async def _refuse(
+        self, connection: h11.Connection, stream: Stream, status: int, reason: str
+    ) -> None:
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        problem = json_response(status, {"status": status, "detail": reason})
+        problem.headers["connection"] = "close"
+        await self._send(connection, stream, Request("GET", "/"), problem)
+
+    async def _send(
+        self, connection: h11.Connection, stream: Stream, request: Request, response: Response
+    ) -> None:
+        headers = dict(response.headers)
+        if self._closing:
+            headers["connection"] = "close"
+        if isinstance(response.body, bytes):
+            headers["content-length"] = str(len(response.body))
+            head = h11.Response(status_code=response.status, headers=_encode_headers(headers))
+            data = connection.send(head) or b""
+            if response.body and request.method != "HEAD":
+                data += connection.send(h11.Data(data=response.body)) or b""
+            data += connection.send(h11.EndOfMessage()) or b""
+            stream.write(data)
+            await stream.drain()
+            return
+        headers["transfer-encoding"] = "chunked"
+        head = h11.Response(status_code=response.status, headers=_encode_headers(headers))
+        stream.write(connection.send(head) or b"")
+        async for piece in response.body:
+            stream.write(connection.send(h11.Data(data=piece)) or b"")
+            await stream.drain()
+        stream.write(connection.send(h11.EndOfMessage()) or b"")
+        await stream.drain()
+
+
+class StreamedResponse:
+    """A response whose body is still arriving; `aclose` gives it up."""
+
+    def __init__(
+        self,
+        status: int,
+        headers: Headers,
+        connection: h11.Connection,
+        stream: Stream,
+        read_timeout_s: float,
+        release: Callable[[Stream, h11.Connection], None],
+    ) -> None:
+        self.status = status
+        self.headers = headers
+        self._connection = connection
+        self._stream = stream
+        self._read_timeout_s = read_timeout_s
+        self._release = release
+        self._ended = False
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives; raise `OSError` when it is cut short."""
+        while True:
+            event = await _next_event(self._connection, self._stream, self._read_timeout_s)
+            if isinstance(event, h11.EndOfMessage):
+                self._ended = True
+                self._release(self._stream, self._connection)
+                return
+            if not isinstance(event, h11.Data):
+                raise ConnectionResetError("the connection ended inside a body")
+            yield bytes(event.data)
+
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return the whole body; raise `HttpError` 413 past the limit."""
+        parts: list[bytes] = []
+        size = 0
+        async for piece in self.pieces():
+            size += len(piece)
+            if size > limit_bytes:
+                await self.aclose()
+                raise HttpError(413, f"the body is over {limit_bytes} bytes")
+            parts.append(piece)
+        return b"".join(parts)
+
+    async def aclose(self) -> None:
+        """Cut the connection unless the body was read to its end."""
+        if not self._ended:
+            self._ended = True
+            self._stream.close()
+
+
+class HttpClient:
+    """Make requests, keeping idle connections per address for reuse.
+
+    Raises `OSError` (connection refused, reset, cut short), `TimeoutError`, and `HttpError` when
+    the other side breaks the protocol. No request is ever sent twice: callers decide on retries.
+    """
+
+    def __init__(self, network: Network, limits: HttpLimits | None = None) -> None:
+        self._network = network
+        self._limits = limits or HttpLimits()
+        self._idle: dict[str, list[tuple[Stream, h11.Connection]]] = {}
+        self._closed = False
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        self._closed = True
+        for kept in self._idle.values():
+            for stream, _ in kept:
+                stream.close()
+        self._idle.clear()
+
+    async def request(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> Response:
+        """Make a request and return its response whole, within `timeout_s` seconds."""
+        async with asyncio.timeout(timeout_s):
+            reply = await self.stream(address, method, path, headers, body, timeout_s)
+            try:
+                content = await reply.read(self._limits.body_bytes)
+            except BaseException:
+                await reply.aclose()
+                raise
+        return Response(reply.status, reply.headers, content)
+
+    async def stream(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        headers: Headers | None = None,
+        body: bytes = b"",
+        timeout_s: float = 5.0,
+    ) -> StreamedResponse:
+        """Make a request and return once its head is there; each read waits up to `timeout_s`."""
+        stream, connection = await self._take(address)
+        try:
+            self._send_request(stream, connection, address, method, path, headers, body)
+            await stream.drain()
+            event = await _next_event(connection, stream, timeout_s)
+            while isinstance(event, h11.InformationalResponse):
+                event = await _next_event(connection, stream, timeout_s)
+            if not isinstance(event, h11.Response):
+                raise ConnectionResetError(f"{address} closed the connection without an answer")
+        except h11.RemoteProtocolError as error:
+            stream.close()
+            raise HttpError(502, f"{address} broke HTTP: {error}") from error
+        except BaseException:
+            stream.close()
+            raise
+        received = _decode_headers(event.headers)
+
+        def release(stream: Stream, connection: h11.Connection) -> None:
+            self._keep(address, stream, connection)
+
+        return StreamedResponse(event.status_code, received, connection, stream, timeout_s, release)
+
+    def _send_request(
+        self,
+        stream: Stream,
+        connection: h11.Connection,
+        address: str,
+        method: str,
+        path: str,
+        headers: Headers | None,
+        body: bytes,
+    ) -> None:
+        fields = {"host": address, **(headers or {})}
+        if body or method in ("POST", "PUT"):
+            fields["content-length"] = str(len(body))
+        head = h11.Request(method=method, target=path, headers=_encode_headers(fields))
+        data = connection.send(head) or b""
+        if body:
+            data += connection.send(h11.Data(data=body)) or b""
+        data += connection.send(h11.EndOfMessage()) or b""
+        stream.write(data)
+
+    async def _take(self, address: str) -> tuple[Stream, h11.Connection]:
+        kept = self._idle.get(address, [])
+        while kept:
+            stream, connection = kept.pop()
+            if not stream.ended:
+                return stream, connection
+            stream.close()
+        stream = await self._network.connect(address)
+        limit = self._limits.head_bytes
+        return stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=limit)
+
+    def _keep(self, address: str, stream: Stream, connection: h11.Connection) -> None:
+        kept = self._idle.setdefault(address, [])
+        done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
+        if not done or self._closed or len(kept) >= IDLE_CONNECTIONS:
+            stream.close()
+            return
+        connection.start_next_cycle()
+        kept.append((stream, connection))
--- /dev/null
+++ b/src/lacewinggw/wire/network.py
@@ -0,0 +1,156 @@
+"""Byte streams between processes, over TCP or in memory.
+
+Everything that talks does so through a `Network`, so that the same code runs on sockets in a
+process and on in-memory streams under virtual time in a test.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+READ_BUFFER_BYTES = 1 << 18
+CONNECT_TIMEOUT_S = 3.0
+
+
+class Stream(Protocol):
+    """One ordered byte stream in both directions."""
+
+    @property
+    def ended(self) -> bool:
+        """Whether either side has already closed it."""
+
+    async def read(self, limit: int) -> bytes:
+        """Return up to `limit` bytes, or `b""` at the end of the stream."""
+
+    async def readexactly(self, count: int) -> bytes:
+        """Return `count` bytes; raise `asyncio.IncompleteReadError` when the stream ends first."""
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes to be sent."""
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to be sent is short again."""
+
+    def close(self) -> None:
+        """Close the stream at once; what is queued may still be sent."""
+
+    async def wait_closed(self) -> None:
+        """Wait until the stream is closed."""
+
+
+Accept = Callable[[Stream], Awaitable[None]]
+
+
+class Listener(Protocol):
+    """A bound address at which connections are accepted."""
+
+    @property
+    def address(self) -> str:
+        """The bound address, with the port that the system chose where 0 was asked for."""
+
+    async def close(self) -> None:
+        """Stop accepting; streams already accepted go on."""
+
+
+class Network(Protocol):
+    """A way to listen and to connect."""
+
+    async def listen(self, address: str, accept: Accept) -> Listener:
+        """Accept connections at `address`; each runs `accept` in a task of its own."""
+
+    async def connect(self, address: str) -> Stream:
+        """Connect; raise `OSError` when nobody listens there or no answer comes in time."""
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split "ip:port" into its parts."""
+    ip, _, port = address.rpartition(":")
+    return ip, int(port)
+
+
+class TcpStream:
+    """A `Stream` over one TCP connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    @property
+    def ended(self) -> bool:
+        """Whether either side has already closed it."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    async def read(self, limit: int) -> bytes:
+        """Return up to `limit` bytes, or `b""` at the end of the stream."""
+        return await self._reader.read(limit)
+
+    async def readexactly(self, count: int) -> bytes:
+        """Return `count` bytes; raise `asyncio.IncompleteReadError` when the stream ends first."""
+        return await self._reader.readexactly(count)
+
+    def write(self, data: bytes) -> None:
+        """Queue bytes to be sent."""
+        self._writer.write(data)
+
+    async def drain(self) -> None:
+        """Wait until the queue of bytes to be sent is short again."""
+        await self._writer.drain()
+
+    def close(self) -> None:
+        """Close the stream at once; what is queued may still be sent."""
+        self._writer.close()
+
+    async def wait_closed(self) -> None:
+        """Wait until the stream is closed, however it ended."""
+        try:
+            await self._writer.wait_closed()
+        except OSError:
+            return
+
+
+class TcpListener:
+    """A `Listener` over one listening socket."""
+
+    def __init__(self, server: asyncio.Server) -> None:
+        self._server = server
+
+    @property
+    def address(self) -> str:
+        """The bound address."""
+        ip, port = self._server.sockets[0].getsockname()[:2]
+        return f"{ip}:{port}"
+
+    async def close(self) -> None:
+        """Stop accepting; streams already accepted go on."""
+        self._server.close()
+
+
+class TcpNetwork:
+    """The network of the operating system.
+
+    Addresses are "ip:port" with IP numbers; port 0 asks the system to choose one.
+    """
+
+    def __init__(self, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self._connect_timeout_s = connect_timeout_s
+
+    async def listen(self, address: str, accept: Accept) -> Listener:
+        """Accept connections at `address`; each runs `accept` in a task of its own."""
+        ip, port = split_address(address)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            stream = TcpStream(reader, writer)
+            try:
+                await accept(stream)
+            finally:
+                stream.close()
+
+        server = await asyncio.start_server(serve, ip, port, limit=READ_BUFFER_BYTES, backlog=1024)
+        return TcpListener(server)
+
+    async def connect(self, address: str) -> Stream:
+        """Connect; raise `OSError` when nobody listens there or no answer comes in time."""
+        ip, port = split_address(address)
+        opening = asyncio.open_connection(ip, port, limit=READ_BUFFER_BYTES)
+        reader, writer = await asyncio.wait_for(opening, self._connect_timeout_s)
+        return TcpStream(reader, writer)
--- /dev/null
+++ b/src/lacewinggw/wire/peers.py
@@ -0,0 +1,473 @@
+"""Calls between lacewinggw processes: many at once on one connection, in both directions.
+
+A `PeerNode` listens, connects and keeps one `PeerLink` per address and lane. Either side of a link
+may call the other. A call has one last reply and any number before it; while it goes on its caller
+may send it follow-ups (credit, cancel). Every frame carries the sender's configuration revision.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import itertools
+import secrets
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+
+from lacewinggw.errors import (
+    BadFleetKey,
+    CallTimedOut,
+    ConnectionLost,
+    LacewingError,
+    ProtocolViolation,
+    error_from_failure,
+)
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.messages.ttypes import FrameKind
+from lacewinggw.log import get_logger
+from lacewinggw.wire.frames import (
+    FRAME_LIMIT_BYTES,
+    Message,
+    encode_frame,
+    encode_struct,
+    message_of,
+    read_frame,
+)
+from lacewinggw.wire.network import Listener, Network, Stream
+
+HANDSHAKE_TIMEOUT_S = 5.0
+HANDSHAKE_LIMIT_BYTES = 4096
+NONCE_BYTES = 16
+FOLLOW_LIMIT = 1024
+
+log = get_logger(__name__)
+
+
+@dataclass(frozen=True)
+class Identity:
+    """Who a process is: its host, role, place, incarnation and peer address ("" if none)."""
+
+    host: str
+    role: messages.Role
+    place: str
+    incarnation: str
+    address: str = ""
+
+    @classmethod
+    def from_hello(cls, hello: messages.Hello) -> "Identity":
+        """Read an identity off the first frame of a connection."""
+        role = messages.Role(hello.role)
+        return cls(hello.host, role, hello.place, hello.incarnation, hello.address)
+
+    def to_hello(self, nonce: bytes) -> messages.Hello:
+        """Return the first frame that tells this identity."""
+        return messages.Hello(
+            self.host, self.role, self.place, self.incarnation, nonce, self.address
+        )
+
+
+class Exchange:
+    """One incoming call or notification, as its handler sees it."""
+
+    def __init__(self, link: "PeerLink", call: int, message: Message, wants_reply: bool) -> None:
+        self.link = link
+        self.message = message
+        self.wants_reply = wants_reply
+        self.done = not wants_reply
+        self._call = call
+        self._follow_ups: asyncio.Queue[Message] = asyncio.Queue(FOLLOW_LIMIT)
+
+    def reply(self, message: Message) -> None:
+        """Send a reply that is not the last."""
+        self.link.send(self._call, FrameKind.REPLY, message)
+
+    def finish(self, message: Message) -> None:
+        """Send the last reply; only the first call of this counts."""
+        if self.done:
+            return
+        self.done = True
+        self.link.send(self._call, FrameKind.LAST, message)
+
+    async def follow_up(self) -> Message:
+        """Wait for the caller's next follow-up."""
+        return await self._follow_ups.get()
+
+    def take_follow_up(self, message: Message) -> None:
+        """Queue a follow-up that arrived; one too many is a breach of the protocol."""
+        try:
+            self._follow_ups.put_nowait(message)
+        except asyncio.QueueFull as error:
+            raise ProtocolViolation("too many follow-ups on one call") from error
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class OutgoingCall:
+    """One call in progress, as its caller sees it.
+
+    Iterate over it for the replies, the last one included; `result` waits for the last alone.
+    """
+
+    def __init__(self, link: "PeerLink", call: int) -> None:
+        self._link = link
+        self._call = call
+        self._replies: asyncio.Queue[tuple[Message, bool] | LacewingError] = asyncio.Queue()
+        self._ended = False
+
+    def follow(self, message: Message) -> None:
+        """Send a follow-up to the handler of this call."""
+        if not self._ended:
+            self._link.send(self._call, FrameKind.FOLLOW, message)
+
+    async def replies(self) -> AsyncIterator[Message]:
+        """Yield each reply; raise the typed error that the other side sent, or `ConnectionLost`."""
+        while not self._ended:
+            item = await self._replies.get()
+            if isinstance(item, LacewingError):
+                self.abandon()
+                raise item
+            message, last = item
+            if last:
+                self.abandon()
+            if isinstance(message, messages.Failure):
+                raise error_from_failure(message)
+            yield message
+
+    async def result(self, timeout_s: float) -> Message:
+        """Return the last reply; raise `CallTimedOut` after `timeout_s` seconds."""
+        message: Message = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for message in self.replies():
+                    pass
+        except TimeoutError as error:
+            self.follow(messages.Cancel("timed out"))
+            raise CallTimedOut(f"no answer from {self._link.remote.host}") from error
+        finally:
+            self.abandon()
+        return message
+
+    def abandon(self) -> None:
+        """Stop taking replies."""
+        self._ended = True
+        self._link.forget(self._call)
+
+    def take(self, item: tuple[Message, bool] | LacewingError) -> None:
+        """Queue a reply that arrived, or the loss of the connection."""
+        self._replies.put_nowait(item)
+
+
+class PeerLink:
+    """One authenticated connection to another process."""
+
+    def __init__(self, node: "PeerNode", stream: Stream, remote: Identity) -> None:
+        self.remote = remote
+        self.revision = 0
+        self.closed = asyncio.Event()
+        self._node = node
+        self._stream = stream
+        self._numbers = itertools.count(1)
+        self._calls: dict[int, OutgoingCall] = {}
+        self._exchanges: dict[int, tuple[Exchange, asyncio.Task[None]]] = {}
+        self._unsent: list[bytes] = []
+
+    def notify(self, message: Message) -> None:
+        """Send a message that has no answer; lost without a word if the link is closed."""
+        self.send(0, FrameKind.NOTIFY, message)
+
+    def open(self, message: Message) -> OutgoingCall:
+        """Start a call; raise `ConnectionLost` when the link is closed already."""
+        if self.closed.is_set():
+            raise ConnectionLost(f"the link to {self.remote.host} is closed")
+        number = next(self._numbers)
+        call = OutgoingCall(self, number)
+        self._calls[number] = call
+        self.send(number, FrameKind.REQUEST, message)
+        return call
+
+    async def call(self, message: Message, timeout_s: float) -> Message:
+        """Make a call with one reply and return it.
+
+        Raises the typed error of the other side, `CallTimedOut` or `ConnectionLost`; after either
+        of these two the call may have been carried out.
+        """
+        return await self.open(message).result(timeout_s)
+
+    def send(self, call: int, kind: FrameKind, message: Message) -> None:
+        """Queue a frame; frames queued in one turn of the loop leave in one write."""
+        if self.closed.is_set():
+            return
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(encode_frame(call, kind, self._node.revision(), message))
+
+    async def drain(self) -> None:
+        """Wait until little is queued, so that a fast sender cannot fill the memory."""
+        self._flush()
+        try:
+            await self._stream.drain()
+        except OSError as error:
+            raise ConnectionLost(f"the link to {self.remote.host} broke") from error
+
+    def forget(self, call: int) -> None:
+        """Drop a call that is over."""
+        self._calls.pop(call, None)
+
+    def close(self) -> None:
+        """Send what is queued, then close; calls in progress raise `ConnectionLost`."""
+        if self.closed.is_set():
+            return
+        self._flush()
+        self._end()
+
+    async def run(self) -> None:
+        """Read frames until the link ends."""
+        try:
+            while True:
+                self._dispatch(await read_frame(self._stream))
+        except (OSError, EOFError, TimeoutError):
+            pass
+        except ProtocolViolation as error:
+            log.warning("peer_protocol_violation", peer=self.remote.host, reason=error.reason)
+        finally:
+            self._end()
+
+    def _flush(self) -> None:
+        if not self._unsent or self.closed.is_set():
+            return
+        data = b"".join(self._unsent)
+        self._unsent.clear()
+        try:
+            self._stream.write(data)
+        except OSError:
+            self._end()
+
+    def _end(self) -> None:
+        if self.closed.is_set():
+            return
+        self.closed.set()
+        self._stream.close()
+        for call in list(self._calls.values()):
+            call.take(ConnectionLost(f"the link to {self.remote.host} broke"))
+        for _, task in list(self._exchanges.values()):
+            task.cancel()
+
+    def _dispatch(self, frame: messages.Frame) -> None:
+        message = message_of(frame)
+        if frame.revision and frame.revision > self.revision:
+            self.revision = frame.revision
+            self._node.saw_revision(self, frame.revision)
+        match frame.kind:
+            case FrameKind.REPLY | FrameKind.LAST:
+                call = self._calls.get(frame.call)
+                if call is not None:
+                    call.take((message, frame.kind == FrameKind.LAST))
+            case FrameKind.REQUEST | FrameKind.NOTIFY:
+                self._begin(frame, message)
+            case FrameKind.FOLLOW:
+                running = self._exchanges.get(frame.call)
+                if running is not None:
+                    running[0].take_follow_up(message)
+            case _:
+                raise ProtocolViolation(f"a frame of unknown kind {frame.kind}")
+
+    def _begin(self, frame: messages.Frame, message: Message) -> None:
+        wants_reply = frame.kind == FrameKind.REQUEST
+        exchange = Exchange(self, frame.call, message, wants_reply)
+        task = asyncio.get_running_loop().create_task(self._handle(exchange))
+        key = frame.call if wants_reply else -next(self._numbers)
+        self._exchanges[key] = (exchange, task)
+        task.add_done_callback(lambda _: self._exchanges.pop(key, None))
+
+    async def _handle(self, exchange: Exchange) -> None:
+        try:
+            await self._node.handler(exchange)
+            if not exchange.done:
+                exchange.finish(messages.Done())
+        except LacewingError as error:
+            exchange.finish(error.to_failure())
+        except Exception as error:
+            kind = type(exchange.message).__name__
+            log.exception("peer_handler_failed", peer=self.remote.host, message=kind)
+            exchange.finish(
+                ProtocolViolation(f"{kind} could not be handled: {error!r}").to_failure()
+            )
+
+
+class PeerNode:
+    """This process among the others: its listener, its links and its handler.
+
+    node = PeerNode(network, identity, fleet_key, handler, revision=lambda: 0)
+    await node.start("10.0.0.1:7000")
+    link = await node.link("10.0.0.2:7000")
+    reply = await link.call(messages.FetchLog(0, 100), timeout_s=2.0)
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        identity: Identity,
+        fleet_key: str,
+        handler: Handler,
+        revision: Callable[[], int] = lambda: 0,
+        on_revision: Callable[[PeerLink, int], None] | None = None,
+        on_link: Callable[[PeerLink], None] | None = None,
+    ) -> None:
+        self.identity = identity
+        self.handler = handler
+        self.revision = revision
+        self._network = network
+        self._key = fleet_key.encode()
+        self._on_revision = on_revision
+        self._on_link = on_link
+        self._listener: Listener | None = None
+        self._links: dict[tuple[str, str], PeerLink] = {}
+        self._opening: dict[tuple[str, str], asyncio.Task[PeerLink]] = {}
+        self._all_links: set[PeerLink] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    @property
+    def address(self) -> str:
+        """The bound address of the listener."""
+        assert self._listener is not None, "start() comes first"
+        return self._listener.address
+
+    @property
+    def links(self) -> frozenset[PeerLink]:
+        """Every open link, in either direction."""
+        return frozenset(self._all_links)
+
+    async def start(self, address: str) -> None:
+        """Listen for other processes."""
+        self._listener = await self._network.listen(address, self._accept)
+        identity = self.identity
+        self.identity = Identity(
+            identity.host, identity.role, identity.place, identity.incarnation, self.address
+        )
+
+    async def stop_listening(self) -> None:
+        """Accept no new links; open ones go on."""
+        if self._listener is not None:
+            await self._listener.close()
+
+    async def close(self) -> None:
+        """Close the listener and every link."""
+        self._closing = True
+        await self.stop_listening()
+        for task in list(self._opening.values()):
+            task.cancel()
+        for link in list(self._all_links):
+            link.close()
+        if self._tasks:
+            await asyncio.wait(set(self._tasks), timeout=HANDSHAKE_TIMEOUT_S)
+
+    async def link(self, address: str, lane: str = "") -> PeerLink:
+        """Return an open link to `address`, connecting if there is none.
+
+        Lanes are separate connections: bulk data on one does not hold up calls on another. Raises
+        `ConnectionLost` when nobody answers and `BadFleetKey` when the other side's key differs.
+        """
+        key = (address, lane)
+        known = self._links.get(key)
+        if known is not None and not known.closed.is_set():
+            return known
+        opening = self._opening.get(key)
+        if opening is None:
+            opening = asyncio.get_running_loop().create_task(self._connect(address))
+            self._opening[key] = opening
+            opening.add_done_callback(lambda _: self._opening.pop(key, None))
+        link = await asyncio.shield(opening)
+        self._links[key] = link
+        return link
+
+    async def call(
+        self, address: str, message: Message, timeout_s: float, lane: str = ""
+    ) -> Message:
+        """Link to `address` if need be, and make a call there."""
+        link = await self.link(address, lane)
+        return await link.call(message, timeout_s)
+
+    def saw_revision(self, link: PeerLink, revision: int) -> None:
+        """Tell whoever follows the configuration that `link` has seen `revision`."""
+        if self._on_revision is not None and revision > self.revision():
+            self._on_revision(link, revision)
+
+    async def _connect(self, address: str) -> PeerLink:
+        try:
+            stream = await self._network.connect(address)
+        except (OSError, TimeoutError) as error:
+            raise ConnectionLost(f"nobody answers at {address}: {error}") from error
+        remote = await self._shake_hands(stream, address)
+        return self._run_link(stream, remote)
+
+    async def _accept(self, stream: Stream) -> None:
+        try:
+            remote = await self._shake_hands(stream, "a caller")
+        except LacewingError as error:
+            log.warning("peer_refused", code=error.code, reason=error.reason)
+            return
+        link = self._run_link(stream, remote)
+        await link.closed.wait()
+
+    def _run_link(self, stream: Stream, remote: Identity) -> PeerLink:
+        link = PeerLink(self, stream, remote)
+        if self._closing:
+            link.close()
+            return link
+        self._all_links.add(link)
+        task = asyncio.get_running_loop().create_task(link.run())
+        self._tasks.add(task)
+
+        def ended(task: asyncio.Task[None]) -> None:
+            self._tasks.discard(task)
+            self._all_links.discard(link)
+
+        task.add_done_callback(ended)
+        if self._on_link is not None:
+            self._on_link(link)
+        return link
+
+    async def _shake_hands(self, stream: Stream, whom: str) -> Identity:
+        nonce = secrets.token_bytes(NONCE_BYTES)
+        hello = self.identity.to_hello(nonce)
+        try:
+            async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
+                stream.write(encode_frame(0, FrameKind.NOTIFY, 0, hello))
+                theirs = await self._read_greeting(stream, messages.Hello)
+                proof = messages.Proof(self._prove(theirs.nonce, hello))
+                stream.write(encode_frame(0, FrameKind.NOTIFY, 0, proof))
+                answer = await self._read_greeting(stream, messages.Proof)
+        except (OSError, EOFError, TimeoutError) as error:
+            stream.close()
+            raise ConnectionLost(f"{whom} broke off the greeting: {error!r}") from error
+        except LacewingError:
+            stream.close()
+            raise
+        if theirs.incarnation == self.identity.incarnation:
+            stream.close()
+            raise BadFleetKey(f"{whom} sent back this process's own greeting")
+        if not hmac.compare_digest(answer.digest or b"", self._prove(nonce, theirs)):
+            stream.close()
+            raise BadFleetKey(f"{whom} does not know this fleet's key")
+        return Identity.from_hello(theirs)
+
+    async def _read_greeting(self, stream: Stream, kind: type[Message]) -> Message:
+        message = message_of(await read_frame(stream, HANDSHAKE_LIMIT_BYTES))
+        if not isinstance(message, kind):
+            raise ProtocolViolation(f"expected a {kind.__name__} to open the connection")
+        return message
+
+    def _prove(self, nonce: bytes | None, hello: messages.Hello) -> bytes:
+        return hmac.digest(self._key, (nonce or b"") + encode_struct(hello), hashlib.sha256)
+
+
+__all__ = [
+    "FRAME_LIMIT_BYTES",
+    "Exchange",
+    "Handler",
+    "Identity",
+    "OutgoingCall",
+    "PeerLink",
+    "PeerNode",
+]
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -55,11 +55,11 @@
     fields = [spec for spec in struct.thrift_spec or () if spec is not None]
     yield f"class {struct.__name__}:"
     parameters = ["self"]
-    for _, kind, name, details, default in fields:
+    for _, kind, name, details, _ in fields:
         annotation = type_name(kind, details)
         yield f"    {name}: {annotation}"
-        parameters.append(f"{name}: {annotation} | None = {default!r}")
-    yield f"    thrift_spec: ClassVar[tuple[Any, ...]]"
+        parameters.append(f"{name}: {annotation} | None = ...")
+    yield "    thrift_spec: ClassVar[tuple[Any, ...]]"
     yield f"    def __init__({', '.join(parameters)}) -> None: ..."
     yield "    def read(self, iprot: Any) -> None: ..."
     yield "    def write(self, oprot: Any) -> None: ..."
