Settings, errors, logs, metrics and the command line

Every process needs the same base: settings checked against the schema, one hierarchy of errors with stable codes and remedies, structured logs, counters for each refusal and retry reason, HDR latencies, and a command line whose exit code tells refused, bad input and unknown apart.

Refusals and retry reasons are enumerations, each counted from 0.

--- /dev/null
+++ b/src/lacewinggw/cli.py
@@ -0,0 +1,233 @@
+"""lacewinggw: a weight distribution system for bursts.
+
+Usage:
+  lacewinggw entry --settings FILE
+  lacewinggw agent --settings FILE
+  lacewinggw check FILE [--role ROLE]
+  lacewinggw ask [options] WORDS...
+  lacewinggw plan [options] DIR [--check]
+  lacewinggw apply [options] DIR
+  lacewinggw --help
+  lacewinggw --version
+
+Commands:
+  entry  Run the process that answers callers and operators, until SIGTERM.
+  agent  Run the process that stands before a target, until SIGTERM.
+  check  Check a settings file, and say what is wrong with it.
+  ask    Put a query or a command to the fleet, as in: lacewinggw ask show services
+  plan   Show what the declarations in DIR would change.
+  apply  Change it, as one revision, all or nothing.
+
+Options:
+  --settings FILE  INI file of settings; docs/SETTINGS.md lists the keys. For ask, plan and apply
+                   its section [operator] gives the entries and the token.
+  --role ROLE      Check as entry, agent or operator; else as the file's sections show.
+  --entry ADDR     Operator address of an entry; several with commas between.
+  --token TOKEN    Operator's token.
+  --json           Print JSON instead of a table.
+  --check          Exit with 1 when there is anything to change.
+  -h --help        Show this text.
+  --version        Show the version.
+
+Exit status: 0 done, 1 refused or failed, 2 bad input, 3 outcome unknown.
+"""
+
+import asyncio
+import os
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from pathlib import Path
+from typing import Any
+
+from docopt import DocoptExit, docopt
+
+from lacewinggw import __version__
+from lacewinggw.errors import BadUsage, LacewingError, LanguageError, Outcome, SettingsError
+from lacewinggw.generated.settings.ttypes import OperatorSettings
+from lacewinggw.ids import Address
+from lacewinggw.log import LogFormat, configure_log, get_logger
+from lacewinggw.settings import (
+    SECTIONS,
+    ProcessKind,
+    default_settings,
+    kind_of_file,
+    load_settings,
+    parse_settings,
+)
+
+MILLISECONDS = 1000
+SHELL_LOG_LEVEL = "warning"  # entry and agent set their own, from their settings
+
+
+class ExitCode(IntEnum):
+    """How a command ended."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    UNKNOWN = 3
+
+
+@dataclass(frozen=True)
+class ShellOptions:
+    """What `ask`, `plan` and `apply` need to reach the fleet, and how to print."""
+
+    entries: tuple[Address, ...]  # operator addresses, tried in turn
+    token: str
+    timeout_s: float
+    json: bool
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code; errors go to standard error, in one line."""
+    configure_log(LogFormat.TEXT, SHELL_LOG_LEVEL)
+    try:
+        return run_command(parse_arguments(sys.argv[1:] if argv is None else argv))
+    except LacewingError as error:
+        print(f"lacewinggw: {error}", file=sys.stderr)
+        return exit_code(error)
+    except KeyboardInterrupt:
+        return ExitCode.FAILED
+    except BrokenPipeError:
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.FAILED  # the reader of our output left
+    except Exception as error:
+        internal = LacewingError(f"{type(error).__name__}: {error}")
+        print(f"lacewinggw: {internal}", file=sys.stderr)
+        get_logger(__name__).info("crashed", exc_info=error)
+        return ExitCode.FAILED
+
+
+def exit_code(error: LacewingError) -> ExitCode:
+    """Return the exit code that stands for an error."""
+    if error.outcome is Outcome.UNKNOWN:
+        return ExitCode.UNKNOWN
+    if isinstance(error, SettingsError | LanguageError):
+        return ExitCode.BAD_INPUT
+    return ExitCode.FAILED
+
+
+def parse_arguments(argv: Sequence[str]) -> dict[str, Any]:
+    """Return the options of a command line; raise `BadUsage` when it fits no usage."""
+    words = list(argv)
+    if "--version" in words[:1]:
+        return {"--version": True}
+    try:
+        return dict(docopt(__doc__ or "", words, version=__version__))
+    except DocoptExit as error:
+        given = " ".join(words) or "nothing"
+        raise BadUsage(f"the command line does not fit: {given}") from error
+
+
+def run_command(options: dict[str, Any]) -> int:
+    """Run the command that the options name and return its exit code."""
+    match options:
+        case {"--version": True}:
+            print(f"lacewinggw {__version__}")
+            return ExitCode.OK
+        case {"entry": True, "--settings": file}:
+            return run_entry_process(file)
+        case {"agent": True, "--settings": file}:
+            return run_agent_process(file)
+        case {"check": True, "FILE": file, "--role": role}:
+            return check_settings(file, role)
+        case {"ask": True, "WORDS": words}:
+            return ask(shell_options(options), words)
+        case {"plan": True, "DIR": folder, "--check": check}:
+            return plan(shell_options(options), Path(folder), check)
+        case {"apply": True, "DIR": folder}:
+            return apply(shell_options(options), Path(folder))
+        case _:
+            raise BadUsage("no command is named")
+
+
+def run_entry_process(file: str) -> int:
+    """Run an entry until it has drained."""
+    from lacewinggw.entry.process import run_entry
+
+    settings = load_settings(file, SECTIONS[ProcessKind.ENTRY])
+    asyncio.run(run_entry(settings))
+    return ExitCode.OK
+
+
+def run_agent_process(file: str) -> int:
+    """Run an agent until it has drained."""
+    from lacewinggw.agent.process import run_agent
+
+    settings = load_settings(file, SECTIONS[ProcessKind.AGENT])
+    asyncio.run(run_agent(settings))
+    return ExitCode.OK
+
+
+def check_settings(file: str, role: str | None) -> int:
+    """Check a settings file for a role, or for the one that its sections show."""
+    kind = _role_of(file, role)
+    load_settings(file, SECTIONS[kind])
+    print(f"{file}: good settings for {kind.value}")
+    return ExitCode.OK
+
+
+def _role_of(file: str, role: str | None) -> ProcessKind:
+    if role is None:
+        return kind_of_file(file)
+    try:
+        return ProcessKind(role)
+    except ValueError:
+        known = ", ".join(kind.value for kind in ProcessKind)
+        raise BadUsage(f"{role!r} is not a role", remedy=f"take one of: {known}") from None
+
+
+def shell_options(options: dict[str, Any]) -> ShellOptions:
+    """Return where the fleet is: from the command line, else from the settings file."""
+    operator = _operator_settings(options.get("--settings"))
+    entries = operator.entries
+    if options["--entry"]:
+        entries = _parse_entries(options["--entry"])
+    if not entries:
+        remedy = "give --entry IP:PORT, or --settings FILE with `entries` below [operator]"
+        raise BadUsage("no entry is known", remedy=remedy)
+    return ShellOptions(
+        entries=tuple(Address(entry) for entry in entries),
+        token=options["--token"] or operator.token,
+        timeout_s=operator.timeout_ms / MILLISECONDS,
+        json=options["--json"],
+    )
+
+
+def _operator_settings(file: str | None) -> OperatorSettings:
+    if file is None:
+        return default_settings().operator
+    return load_settings(file, SECTIONS[ProcessKind.OPERATOR]).operator
+
+
+def _parse_entries(text: str) -> list[str]:
+    """Check the addresses of `--entry` as if they stood in a settings file."""
+    ini = f"[operator]\nentries = {text}\n"
+    return parse_settings(ini, "--entry", ()).operator.entries
+
+
+def ask(options: ShellOptions, words: list[str]) -> int:
+    """Put a query or command to an entry and print the answer."""
+    from lacewinggw.operators.shell import ask_command
+
+    return int(ask_command(options, " ".join(words)))
+
+
+def plan(options: ShellOptions, folder: Path, check: bool) -> int:
+    """Print what the declarations in a folder would change."""
+    from lacewinggw.operators.shell import plan_command
+
+    return int(plan_command(options, folder, check))
+
+
+def apply(options: ShellOptions, folder: Path) -> int:
+    """Carry out the declarations in a folder as one revision."""
+    from lacewinggw.operators.shell import apply_command
+
+    return int(apply_command(options, folder))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/lacewinggw/errors.py
@@ -0,0 +1,845 @@
+"""Errors: one hierarchy, a stable code for each kind, and messages that name the remedy.
+
+A class is one kind of error. Its docstring says what it means, its `remedy` what to do. The same
+error travels between processes as a `Failure` message and comes back as the same class:
+
+    try:
+        ...
+    except NoTarget as error:
+        failure = error.to_failure()
+    raise LacewingError.from_failure(failure)
+
+docs/ERRORS.md is generated from the classes here. A code is never reused.
+"""
+
+from collections.abc import Iterator
+from enum import Enum
+from typing import ClassVar, Self
+
+from lacewinggw.generated.messages.ttypes import Failure
+
+
+class Outcome(Enum):
+    """What is known of a request that got no answer."""
+
+    NONE = ""  # the error is not about a request
+    NOT_RUN = "not-run"  # proved: the request did not run
+    UNKNOWN = "unknown"  # it may have run
+
+
+class Refusal(Enum):
+    """Why a request was refused without being run; counted one by one."""
+
+    NO_TARGET = "no-target"
+    OVERLOADED = "overloaded"
+    ACCOUNT_LIMIT = "account-limit"
+    DRAINING = "draining"
+    DEADLINE = "deadline"
+    KEY_REUSED = "key-reused"
+    STORE_DOWN = "store-down"
+    UNKNOWN_SERVICE = "unknown-service"
+    TICKET_EXPIRED = "ticket-expired"
+    WITHDRAWN = "withdrawn"
+    RELEASE_MOVED = "release-moved"
+    TARGET_REFUSED = "target-refused"
+    RETRY_BUDGET = "retry-budget"
+    CALLER_LEFT = "caller-left"
+    NOT_READY = "not-ready"
+
+
+_BY_CODE: dict[str, type["LacewingError"]] = {}
+
+
+class LacewingError(Exception):
+    """Anything that lacewinggw reports as an error.
+
+    `reason` says what was met, `remedy` what to do about it. `retry_after_ms` is how long to wait
+    before asking again, in milliseconds, 0 when waiting does not help.
+    """
+
+    code: ClassVar[str] = "LW-0001"
+    kind: ClassVar[str] = "internal"
+    outcome: ClassVar[Outcome] = Outcome.NONE
+    http_status: ClassVar[int] = 500
+    default_remedy: ClassVar[str] = "report it, with the log of the process that said so"
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        remedy: str = "",
+        retry_after_ms: int = 0,
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.remedy = remedy or self.default_remedy
+        self.retry_after_ms = retry_after_ms
+
+    def __init_subclass__(cls) -> None:
+        """Register the class by its code; a family base has none of its own."""
+        super().__init_subclass__()
+        code = cls.__dict__.get("code")
+        if code is None:
+            return
+        if code in _BY_CODE:
+            raise TypeError(f"{cls.__name__} has the code of {_BY_CODE[code].__name__}: {code}")
+        _BY_CODE[code] = cls
+
+    def __str__(self) -> str:
+        return f"{self.code} {self.kind}: {self.reason}; remedy: {self.remedy}"
+
+    def to_failure(self) -> Failure:
+        """Return the error as a message."""
+        return Failure(
+            code=self.code,
+            reason=self.reason,
+            remedy=self.remedy,
+            retry_after_ms=self.retry_after_ms,
+            outcome=self.outcome.value,
+        )
+
+    @classmethod
+    def from_failure(cls, failure: Failure) -> "LacewingError":
+        """Return the error that a message stands for.
+
+        An unknown code, from a newer process, becomes the general error of the same outcome, so
+        that no "unknown" is ever taken for "not run".
+        """
+        found = _BY_CODE.get(failure.code) or _general_class(failure.outcome)
+        return found(
+            failure.reason,
+            remedy=failure.remedy,
+            retry_after_ms=failure.retry_after_ms,
+        )
+
+
+def _general_class(outcome: str) -> type[LacewingError]:
+    match outcome:
+        case Outcome.NOT_RUN.value:
+            return RequestRefused
+        case Outcome.UNKNOWN.value:
+            return RequestUnknown
+        case _:
+            return LacewingError
+
+
+def error_classes() -> Iterator[type[LacewingError]]:
+    """Yield each kind of error, in the order of the codes."""
+    yield LacewingError
+    for _, found in sorted(_BY_CODE.items()):
+        yield found
+
+
+# ---- settings ------------------------------------------------------------------------------
+
+
+class SettingsError(LacewingError):
+    """Settings or command line that cannot be used."""
+
+    http_status = 400
+    default_remedy = "correct the settings file; docs/SETTINGS.md lists every key"
+
+    @classmethod
+    def at(cls, file: str, section: str, key: str, met: str, remedy: str = "") -> Self:
+        """Return the error for one place in a settings file: "FILE [section] key: what was met"."""
+        where = f"{file} [{section}]" if section else file
+        return cls(f"{where} {key}: {met}" if key else f"{where}: {met}", remedy=remedy)
+
+
+class SettingsUnreadable(SettingsError):
+    """The settings file cannot be read, or is not INI."""
+
+    code = "LW-1001"
+    kind = "settings-unreadable"
+
+
+class UnknownSection(SettingsError):
+    """A section that the schema does not have."""
+
+    code = "LW-1002"
+    kind = "unknown-section"
+
+
+class UnknownKey(SettingsError):
+    """A key that its section does not have."""
+
+    code = "LW-1003"
+    kind = "unknown-key"
+
+
+class MissingValue(SettingsError):
+    """A key without a default is left out or empty."""
+
+    code = "LW-1004"
+    kind = "missing-value"
+
+
+class WrongUnit(SettingsError):
+    """A value without its unit, or with one of another measure."""
+
+    code = "LW-1005"
+    kind = "wrong-unit"
+
+
+class BadValue(SettingsError):
+    """A value that is not of the key's type, or out of its range."""
+
+    code = "LW-1006"
+    kind = "bad-value"
+
+
+class BadAddress(SettingsError):
+    """An address that is not an IP number and a port."""
+
+    code = "LW-1007"
+    kind = "bad-address"
+
+
+class AddressClash(SettingsError):
+    """Two listeners of one process have the same address."""
+
+    code = "LW-1008"
+    kind = "address-clash"
+
+
+class BadUsage(SettingsError):
+    """A command line that cannot be understood."""
+
+    code = "LW-1009"
+    kind = "bad-usage"
+    default_remedy = "see `lacewinggw --help`"
+
+
+class ListenFailed(SettingsError):
+    """A listener could not be opened on the address that the settings give."""
+
+    code = "LW-1010"
+    kind = "listen-failed"
+    default_remedy = "free the address, or give another in the settings"
+
+
+# ---- connections ---------------------------------------------------------------------------
+
+
+class WireError(LacewingError):
+    """Trouble on one connection, or with what came in on it."""
+
+    http_status = 502
+
+
+class FrameTooLarge(WireError):
+    """A frame is longer than the limit; the connection is closed before it costs memory."""
+
+    code = "LW-2001"
+    kind = "frame-too-large"
+    default_remedy = "send less at once; if both ends are ours, give them the same version"
+
+
+class ProtocolViolation(WireError):
+    """The other side sent what the protocol does not allow there."""
+
+    code = "LW-2002"
+    kind = "protocol-violation"
+    http_status = 400
+    default_remedy = "run the same version of lacewinggw on both sides"
+
+
+class BadFleetKey(WireError):
+    """The other side could not prove the fleet key."""
+
+    code = "LW-2003"
+    kind = "bad-fleet-key"
+    http_status = 403
+    default_remedy = "give every process of the fleet the same `fleet_key`"
+
+
+class ConnectionLost(WireError):
+    """The connection ended while something was still to come."""
+
+    code = "LW-2004"
+    kind = "connection-lost"
+    default_remedy = "see whether the other host is up; it is tried again by itself"
+
+
+class TimedOut(WireError):
+    """The other side took longer than the time limit."""
+
+    code = "LW-2005"
+    kind = "timeout"
+    http_status = 504
+    default_remedy = "see whether the other host is overloaded or cut off"
+
+
+class BodyTooLarge(WireError):
+    """The body of an HTTP message is longer than the limit."""
+
+    code = "LW-2006"
+    kind = "body-too-large"
+    http_status = 413
+    outcome = Outcome.NOT_RUN
+    default_remedy = "send a shorter body, or raise `body_limit` in [entry]"
+
+
+class MalformedHttp(WireError):
+    """An HTTP request that cannot be understood."""
+
+    code = "LW-2007"
+    kind = "malformed-request"
+    http_status = 400
+    outcome = Outcome.NOT_RUN
+    default_remedy = "correct the request; docs/CALLERS.md shows each with an example"
+
+
+class UnknownPath(WireError):
+    """No such path, or not with that method."""
+
+    code = "LW-2008"
+    kind = "unknown-path"
+    http_status = 404
+    outcome = Outcome.NOT_RUN
+    default_remedy = "docs/CALLERS.md lists the paths for callers"
+
+
+class Unreachable(WireError):
+    """No connection could be made: nothing was sent."""
+
+    code = "LW-2009"
+    kind = "unreachable"
+    http_status = 503
+    default_remedy = "see whether the other process runs and listens there"
+
+
+class UnsupportedMessage(WireError):
+    """A message that this process has no handler for."""
+
+    code = "LW-2010"
+    kind = "unsupported-message"
+    http_status = 501
+    default_remedy = "run the same version of lacewinggw on both sides"
+
+
+class BadToken(WireError):
+    """The token is missing, unknown, or not good for this listener."""
+
+    code = "LW-2011"
+    kind = "bad-token"
+    http_status = 401
+    outcome = Outcome.NOT_RUN
+    default_remedy = "send `Authorization: Bearer TOKEN` with the token that the entries know"
+
+
+# ---- platform ------------------------------------------------------------------------------
+
+
+class PlatformError(LacewingError):
+    """A service of the platform did not do what it was asked."""
+
+    http_status = 503
+
+
+class PlatformUnavailable(PlatformError):
+    """The service is down, unreachable, or said no; nothing was written."""
+
+    code = "LW-3001"
+    kind = "platform-unavailable"
+    default_remedy = "see to the platform's service; work goes on with what is known meanwhile"
+
+
+class CompareAndSetFailed(PlatformError):
+    """The row is not what the writer expected it to be; nothing was written."""
+
+    code = "LW-3002"
+    kind = "compare-and-set-failed"
+    http_status = 409
+    default_remedy = "read the row again and decide anew"
+
+
+class WriteUnknown(PlatformError):
+    """The write was sent and no reply came: it may or may not be in effect."""
+
+    code = "LW-3003"
+    kind = "write-unknown"
+    default_remedy = "read the row back before deciding"
+
+
+class RowMissing(PlatformError):
+    """There is no such row or object."""
+
+    code = "LW-3004"
+    kind = "not-found"
+    http_status = 404
+    default_remedy = "check the name; it may have been removed"
+
+
+class PlatformThrottled(PlatformError):
+    """The service is over its rate and asks to wait."""
+
+    code = "LW-3005"
+    kind = "platform-throttled"
+    http_status = 429
+    default_remedy = "wait the given time; if it goes on, give the service more capacity"
+
+
+class BadPlatformAnswer(PlatformError):
+    """The service answered what cannot be understood."""
+
+    code = "LW-3006"
+    kind = "bad-platform-answer"
+    http_status = 502
+    default_remedy = "check that the address in [platform] is that of the right service"
+
+
+# ---- configuration -------------------------------------------------------------------------
+
+
+class ConfigurationError(LacewingError):
+    """A command that was not accepted, or not known to be."""
+
+    http_status = 400
+
+
+class ConfigurationConflict(ConfigurationError):
+    """The configuration moved since the command's author read it."""
+
+    code = "LW-4001"
+    kind = "stale-revision"
+    http_status = 409
+    default_remedy = "read the present value, decide, and give the command again"
+
+    @classmethod
+    def between(cls, name: str, wanted: str, current: str, revision: int) -> Self:
+        """Return the error that shows both values of what two operators set at once."""
+        return cls(f"{name} changed at revision {revision}: yours is {wanted}, now is {current}")
+
+
+class UnknownName(ConfigurationError):
+    """A service, release or host that the configuration does not have."""
+
+    code = "LW-4002"
+    kind = "unknown-name"
+    http_status = 404
+    default_remedy = "check the spelling; `show` lists the names"
+
+
+class NoConfiguration(ConfigurationError):
+    """The process has no configuration yet and serves nothing."""
+
+    code = "LW-4003"
+    kind = "no-configuration"
+    http_status = 503
+    default_remedy = "see whether the platform's table or any other entry can be reached"
+
+
+class AcceptanceUnknown(ConfigurationError):
+    """Whether the command was accepted cannot be told now."""
+
+    code = "LW-4004"
+    kind = "acceptance-unknown"
+    http_status = 504
+    outcome = Outcome.UNKNOWN
+    default_remedy = "ask `show command ID` once the platform's table is up again"
+
+
+class InvalidChange(ConfigurationError):
+    """A command that contradicts the configuration."""
+
+    code = "LW-4005"
+    kind = "invalid-change"
+    default_remedy = "correct the command"
+
+
+class AlreadyExists(ConfigurationError):
+    """The name is taken by something else."""
+
+    code = "LW-4006"
+    kind = "already-exists"
+    http_status = 409
+    default_remedy = "take another name, or change what exists with `set`"
+
+
+class StillInUse(ConfigurationError):
+    """What is to be removed is still in use."""
+
+    code = "LW-4007"
+    kind = "still-in-use"
+    http_status = 409
+    default_remedy = "move the services that use it first"
+
+
+class BadDeclaration(ConfigurationError):
+    """A declaration file that cannot be used."""
+
+    code = "LW-4008"
+    kind = "bad-declaration"
+    default_remedy = "correct the file; docs/operators/LANGUAGE.md shows the keys"
+
+
+# ---- language ------------------------------------------------------------------------------
+
+
+class LanguageError(LacewingError):
+    """A command or query that cannot be understood."""
+
+    code = "LW-5001"
+    kind = "syntax-error"
+    http_status = 400
+    default_remedy = "docs/operators/LANGUAGE.md lists the commands"
+
+    position: int = 0
+    expected: tuple[str, ...] = ()
+    nearest: str = ""
+
+    @classmethod
+    def at(cls, words: str, position: int, expected: tuple[str, ...], nearest: str = "") -> Self:
+        """Return the error that points at the character `position` of `words`."""
+        met = words[position:].split(maxsplit=1)
+        found = repr(met[0]) if met else "the end"
+        reason = f"at character {position + 1}: met {found}, expected {' or '.join(expected)}"
+        error = cls(reason, remedy=f"did you mean {nearest!r}?" if nearest else "")
+        error.position = position
+        error.expected = expected
+        error.nearest = nearest
+        return error
+
+
+class UnknownColumn(LanguageError):
+    """A query names a column that its table does not have."""
+
+    code = "LW-5002"
+    kind = "unknown-column"
+
+
+# ---- requests that did not run -------------------------------------------------------------
+
+
+class RequestRefused(LacewingError):
+    """A request that did not run; it may be sent again without risk."""
+
+    code = "LW-6000"
+    kind = "refused"
+    http_status = 503
+    outcome = Outcome.NOT_RUN
+    default_remedy = "send the request again after the given time"
+
+    refusal: ClassVar[Refusal | None] = None
+
+    @classmethod
+    def because(cls, refusal: Refusal, reason: str, retry_after_ms: int = 0) -> "RequestRefused":
+        """Return the error of the class that stands for `refusal`."""
+        return _BY_REFUSAL[refusal](reason, retry_after_ms=retry_after_ms)
+
+
+class NoTarget(RequestRefused):
+    """No target that may be used serves the service now."""
+
+    code = "LW-6001"
+    kind = Refusal.NO_TARGET.value
+    refusal = Refusal.NO_TARGET
+
+
+class Overloaded(RequestRefused):
+    """The queues are full; the request would wait too long."""
+
+    code = "LW-6002"
+    kind = Refusal.OVERLOADED.value
+    refusal = Refusal.OVERLOADED
+
+
+class AccountLimit(RequestRefused):
+    """The client account is over its rate or its number of requests at once."""
+
+    code = "LW-6003"
+    kind = Refusal.ACCOUNT_LIMIT.value
+    refusal = Refusal.ACCOUNT_LIMIT
+    http_status = 429
+    default_remedy = "slow down to the account's limit, or ask an operator to raise it"
+
+
+class Draining(RequestRefused):
+    """The process or the target is leaving and takes no new work."""
+
+    code = "LW-6004"
+    kind = Refusal.DRAINING.value
+    refusal = Refusal.DRAINING
+    default_remedy = "ask for addresses again and send the request to another"
+
+
+class DeadlineTooNear(RequestRefused):
+    """The request's deadline has passed, or would before it could run."""
+
+    code = "LW-6005"
+    kind = Refusal.DEADLINE.value
+    refusal = Refusal.DEADLINE
+    default_remedy = "give the request more time, or send it again after the given time"
+
+
+class KeyReused(RequestRefused):
+    """The idempotency key belongs to a request with another content."""
+
+    code = "LW-6006"
+    kind = Refusal.KEY_REUSED.value
+    refusal = Refusal.KEY_REUSED
+    http_status = 422
+    default_remedy = "take a fresh idempotency key for each new request"
+
+
+class StoreDown(RequestRefused):
+    """The claim of a keyed request cannot be written while the store is down."""
+
+    code = "LW-6007"
+    kind = Refusal.STORE_DOWN.value
+    refusal = Refusal.STORE_DOWN
+    default_remedy = "take a ticket, which needs no store, or send it again after the given time"
+
+
+class UnknownService(RequestRefused):
+    """The configuration has no such service."""
+
+    code = "LW-6008"
+    kind = Refusal.UNKNOWN_SERVICE.value
+    refusal = Refusal.UNKNOWN_SERVICE
+    http_status = 404
+    default_remedy = "check the name of the service"
+
+
+class TicketExpired(RequestRefused):
+    """The reservation or ticket was not used in time, or was used already without a start."""
+
+    code = "LW-6009"
+    kind = Refusal.TICKET_EXPIRED.value
+    refusal = Refusal.TICKET_EXPIRED
+    default_remedy = "take a new ticket"
+
+
+class Withdrawn(RequestRefused):
+    """The request was withdrawn before it started."""
+
+    code = "LW-6010"
+    kind = Refusal.WITHDRAWN.value
+    refusal = Refusal.WITHDRAWN
+
+
+class ReleaseMoved(RequestRefused):
+    """The target does not serve the weights that the request asks for."""
+
+    code = "LW-6011"
+    kind = Refusal.RELEASE_MOVED.value
+    refusal = Refusal.RELEASE_MOVED
+
+
+class TargetRefused(RequestRefused):
+    """The target itself said that it did not run the request."""
+
+    code = "LW-6012"
+    kind = Refusal.TARGET_REFUSED.value
+    refusal = Refusal.TARGET_REFUSED
+
+
+class RetryBudgetSpent(RequestRefused):
+    """The first try did not run, and retries are at their share of all requests."""
+
+    code = "LW-6013"
+    kind = Refusal.RETRY_BUDGET.value
+    refusal = Refusal.RETRY_BUDGET
+
+
+class CallerLeft(RequestRefused):
+    """The caller closed the connection before the request started."""
+
+    code = "LW-6014"
+    kind = Refusal.CALLER_LEFT.value
+    refusal = Refusal.CALLER_LEFT
+    http_status = 499
+
+
+class NotReady(RequestRefused):
+    """The process has no configuration yet."""
+
+    code = "LW-6015"
+    kind = Refusal.NOT_READY.value
+    refusal = Refusal.NOT_READY
+    default_remedy = "send the request to another address, or again after the given time"
+
+
+# ---- requests that may have run ------------------------------------------------------------
+
+
+class RequestUnknown(LacewingError):
+    """A request that may have run; only an idempotent one may be sent again without risk."""
+
+    code = "LW-7000"
+    kind = "unknown"
+    http_status = 502
+    outcome = Outcome.UNKNOWN
+    default_remedy = "ask `GET /v1/requests/ID` for its outcome; repeat it only if idempotent"
+
+
+class AgentLost(RequestUnknown):
+    """The connection to the agent was lost after the request was offered."""
+
+    code = "LW-7001"
+    kind = "agent-lost"
+
+
+class DeadlinePassed(RequestUnknown):
+    """The deadline passed while the request was running."""
+
+    code = "LW-7002"
+    kind = "deadline-passed"
+    http_status = 504
+
+
+class TargetFailed(RequestUnknown):
+    """The target failed while it ran the request."""
+
+    code = "LW-7003"
+    kind = "target-failed"
+
+
+class AnswerIncomplete(RequestUnknown):
+    """The answer broke off, or its pieces do not match their count and digest."""
+
+    code = "LW-7004"
+    kind = "answer-incomplete"
+
+
+class HolderGone(RequestUnknown):
+    """The agent that held the request's claim is gone, and with it what it knew."""
+
+    code = "LW-7005"
+    kind = "holder-gone"
+    default_remedy = "find out at the target's own records whether it ran, before a new key"
+
+
+class KeyInProgress(RequestUnknown):
+    """An earlier request with the same idempotency key has not ended yet."""
+
+    code = "LW-7006"
+    kind = "key-in-progress"
+    http_status = 409
+    default_remedy = "ask again with the same key after the given time for its answer"
+
+
+class AnswerGone(RequestUnknown):
+    """The request with this key ran, but its answer is not kept any more."""
+
+    code = "LW-7007"
+    kind = "answer-gone"
+    http_status = 410
+    default_remedy = "do not repeat it: it ran; raise `answer_keep` to keep answers longer"
+
+
+# ---- weights -------------------------------------------------------------------------------
+
+
+class WeightsError(LacewingError):
+    """Weights that cannot be had whole."""
+
+    http_status = 503
+
+
+class CorruptChunk(WeightsError):
+    """A chunk does not match its hash and was dropped."""
+
+    code = "LW-8001"
+    kind = "corrupt-chunk"
+    default_remedy = "nothing at once: it is fetched elsewhere; look at a source that repeats it"
+
+
+class WeightsIncomplete(WeightsError):
+    """Not all chunks of a release are here and verified."""
+
+    code = "LW-8002"
+    kind = "weights-incomplete"
+    default_remedy = "wait for the spread; `show spread` says what holds it up"
+
+
+class UnknownDigest(WeightsError):
+    """No manifest is known for the digest."""
+
+    code = "LW-8003"
+    kind = "unknown-digest"
+    http_status = 404
+    default_remedy = "put the release's manifest at the origin, or correct the digest"
+
+
+class NoSource(WeightsError):
+    """No neighbour, origin or weight store gives a chunk."""
+
+    code = "LW-8004"
+    kind = "no-source"
+    default_remedy = "see whether the origin holds the release whole and can be reached"
+
+
+class ManifestMismatch(WeightsError):
+    """A manifest does not match the digest it was asked by."""
+
+    code = "LW-8005"
+    kind = "manifest-mismatch"
+    default_remedy = "publish the manifest again at the origin"
+
+
+class ChunkNotHeld(WeightsError):
+    """The host does not hold the chunk that it was asked for."""
+
+    code = "LW-8006"
+    kind = "chunk-not-held"
+    http_status = 404
+    default_remedy = "nothing: another source is asked"
+
+
+class LinkBusy(WeightsError):
+    """The source has no upload to spare now."""
+
+    code = "LW-8007"
+    kind = "link-busy"
+    default_remedy = "nothing: another source is asked, or the same one later"
+
+
+# ---- orders to targets ---------------------------------------------------------------------
+
+
+class OrderError(LacewingError):
+    """An order to a target that was not carried out."""
+
+    http_status = 409
+
+
+class StaleFence(OrderError):
+    """The order carries an older revision than one that was carried out."""
+
+    code = "LW-9001"
+    kind = "stale-fence"
+    default_remedy = "nothing: a newer order stands"
+
+
+class OrderRefused(OrderError):
+    """The target refused the order."""
+
+    code = "LW-9002"
+    kind = "order-refused"
+    default_remedy = "look at the target's own log"
+
+
+class ReadBackMismatch(OrderError):
+    """The target reports another state than the one that was ordered."""
+
+    code = "LW-9003"
+    kind = "read-back-mismatch"
+    default_remedy = "nothing at once: the order is given again; then look at the target's log"
+
+
+class TargetUnreachable(OrderError):
+    """The target does not answer on the address that the settings give."""
+
+    code = "LW-9004"
+    kind = "target-unreachable"
+    http_status = 503
+    default_remedy = "start the target, or correct `target` in [agent]"
+
+
+_BY_REFUSAL = {
+    found.refusal: found
+    for found in _BY_CODE.values()
+    if issubclass(found, RequestRefused) and found.refusal is not None
+}
--- /dev/null
+++ b/src/lacewinggw/ids.py
@@ -0,0 +1,68 @@
+"""Identifiers: one `NewType` each, so that mypy tells a host from a place."""
+
+import random
+from typing import NewType
+
+HostId = NewType("HostId", str)
+Place = NewType("Place", str)
+Address = NewType("Address", str)  # "ip:port"
+ServiceName = NewType("ServiceName", str)
+ReleaseName = NewType("ReleaseName", str)
+Digest = NewType("Digest", str)  # lower-case hexadecimal SHA-256
+Incarnation = NewType("Incarnation", str)
+RequestId = NewType("RequestId", str)
+Account = NewType("Account", str)
+CommandId = NewType("CommandId", str)
+Revision = NewType("Revision", int)
+Nonce = NewType("Nonce", bytes)
+
+ID_BITS = 96
+NONCE_BYTES = 16
+
+
+def _hex_id(source: random.Random) -> str:
+    return f"{source.getrandbits(ID_BITS):0{ID_BITS // 4}x}"
+
+
+def new_incarnation(source: random.Random) -> Incarnation:
+    """Return a fresh incarnation, drawn once per process start."""
+    return Incarnation(_hex_id(source))
+
+
+def new_request_id(source: random.Random) -> RequestId:
+    """Return a fresh request id."""
+    return RequestId(_hex_id(source))
+
+
+def new_command_id(source: random.Random) -> CommandId:
+    """Return a fresh command id, by which a lost reply is resolved."""
+    return CommandId(_hex_id(source))
+
+
+def new_nonce(source: random.Random) -> Nonce:
+    """Return a fresh nonce. For real use the source must be `random.SystemRandom()`."""
+    return Nonce(source.randbytes(NONCE_BYTES))
+
+
+def new_nonce_text(source: random.Random) -> str:
+    """Return a fresh nonce as hexadecimal text, for reservations and tickets."""
+    return new_nonce(source).hex()
+
+
+def split_address(address: Address | str) -> tuple[str, int]:
+    """Split "ip:port" into its parts.
+
+    >>> split_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+
+    An IPv6 number stands in brackets. Raise `ValueError` when there is no port number.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal():
+        raise ValueError(f"{address!r} is not an address; write ip:port, as in 127.0.0.1:8080")
+    return host.removeprefix("[").removesuffix("]"), int(port)
+
+
+def join_address(host: str, port: int) -> Address:
+    """Join an IP number and a port into "ip:port"."""
+    return Address(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
--- /dev/null
+++ b/src/lacewinggw/log.py
@@ -0,0 +1,98 @@
+"""Structured logs: one event name for each event, as JSON lines or as text for people.
+
+    log = get_logger(__name__)
+    log.info("request_refused", request_id=request_id, reason=error.kind)
+
+Event names are lower-case words joined by underscores; what varies goes into fields.
+"""
+
+import logging
+import sys
+from enum import Enum
+from typing import Any, TextIO
+
+import structlog
+
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.settings.ttypes import ProcessSettings
+
+Logger = structlog.typing.FilteringBoundLogger
+
+
+class LogFormat(Enum):
+    """How a line is written."""
+
+    JSON = "json"
+    TEXT = "text"
+
+
+def configure_log(
+    log_format: LogFormat,
+    level: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Set logging up for the process; to `stream`, or to standard error."""
+    out = stream or sys.stderr
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            _expand_error,
+            structlog.processors.format_exc_info,
+            _renderer(log_format),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(_level_number(level)),
+        logger_factory=structlog.WriteLoggerFactory(file=out),
+        cache_logger_on_first_use=False,
+    )
+
+
+def configure_process_log(
+    settings: ProcessSettings,
+    role: str,
+    incarnation: str,
+    stream: TextIO | None = None,
+) -> None:
+    """Set logging up from settings, with host, place, role and incarnation on every line."""
+    configure_log(LogFormat(settings.log_format), settings.log_level, stream)
+    structlog.contextvars.clear_contextvars()
+    structlog.contextvars.bind_contextvars(
+        host=settings.host,
+        place=settings.place,
+        role=role,
+        incarnation=incarnation,
+    )
+
+
+def get_logger(module: str = "", **fields: Any) -> Logger:
+    """Return a logger with the module's name, if given, and `fields` on each of its lines."""
+    if module:
+        fields["module"] = module.removeprefix("lacewinggw.")
+    logger: Logger = structlog.get_logger(**fields)
+    return logger
+
+
+def _level_number(level: str) -> int:
+    return logging.getLevelNamesMapping()[level.upper()]
+
+
+def _renderer(log_format: LogFormat) -> Any:
+    match log_format:
+        case LogFormat.JSON:
+            return structlog.processors.JSONRenderer(default=str)
+        case LogFormat.TEXT:
+            return structlog.dev.ConsoleRenderer(colors=False)
+
+
+def _expand_error(_: Any, __: str, event: Any) -> Any:
+    """Turn a field `error` that holds one of our errors into code, kind, reason and remedy."""
+    error = event.get("error")
+    if isinstance(error, LacewingError):
+        event["error"] = error.kind
+        event["code"] = error.code
+        event["reason"] = error.reason
+        event["remedy"] = error.remedy
+    elif isinstance(error, BaseException):
+        event["error"] = f"{type(error).__name__}: {error}"
+    return event
--- /dev/null
+++ b/src/lacewinggw/metrics.py
@@ -0,0 +1,263 @@
+"""Metrics: counters, gauges and latencies of one process, in Prometheus text format.
+
+Every refusal and every retry is counted by its reason, and each reason is there from the start
+with 0, so that an operator sees what can be counted. Latencies go into HDR histograms.
+
+    metrics = Metrics()
+    metrics.refuse(Refusal.NO_TARGET)
+    served = metrics.counter("requests", outcome="answered")  # once
+    served.add()                                              # on the hot path
+    metrics.latency("request").record(0.012)
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Generic, TypeVar
+
+from hdrh.histogram import HdrHistogram
+
+from lacewinggw.errors import Refusal
+
+PREFIX = "lacewinggw_"
+MICROSECONDS = 1_000_000
+LOWEST_US = 1
+HIGHEST_US = 3600 * MICROSECONDS
+SIGNIFICANT_FIGURES = 2
+QUANTILES = (0.5, 0.95, 0.99, 1.0)
+SERIES_LIMIT = 512  # of one name; what comes after is counted together as "other"
+OTHER = "other"
+
+LabelValue = str | Enum
+Labels = tuple[tuple[str, str], ...]
+
+
+class RetryReason(Enum):
+    """Why something was tried again."""
+
+    TARGET_REFUSED = "target-refused"
+    TARGET_OVERLOADED = "target-overloaded"
+    TARGET_DRAINING = "target-draining"
+    TARGET_UNREACHABLE = "target-unreachable"
+    TARGET_FAILED = "target-failed"
+    WITHDRAWN = "withdrawn"
+    RESERVATION_LAPSED = "reservation-lapsed"
+    RELEASE_MOVED = "release-moved"
+    STREAM_RESUMED = "stream-resumed"
+    STREAM_RESTARTED = "stream-restarted"
+    PEER_LOST = "peer-lost"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    PLATFORM_THROTTLED = "platform-throttled"
+    WRITE_UNKNOWN = "write-unknown"
+    COMPARE_AND_SET = "compare-and-set"
+    CHUNK_CORRUPT = "chunk-corrupt"
+    CHUNK_STALLED = "chunk-stalled"
+    SOURCE_LOST = "source-lost"
+    SOURCE_BUSY = "source-busy"
+    ORIGIN_FAILED = "origin-failed"
+    ORDER_FAILED = "order-failed"
+    READ_BACK = "read-back"
+
+
+class Counter:
+    """A number that only rises."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value: int = 0
+
+    def add(self, amount: int = 1) -> None:
+        """Raise the counter."""
+        self.value += amount
+
+
+class Gauge:
+    """A number that rises and falls, set or read when rendered."""
+
+    __slots__ = ("read", "value")
+
+    def __init__(self) -> None:
+        self.value: float = 0
+        self.read: Callable[[], float] | None = None
+
+    def set(self, value: float) -> None:
+        """Set the gauge."""
+        self.value = value
+
+    def current(self) -> float:
+        """Return the value now."""
+        return self.value if self.read is None else self.read()
+
+
+class Latency:
+    """A distribution of durations, to two significant figures, from a microsecond to an hour."""
+
+    __slots__ = ("_histogram", "_total_us")
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_FIGURES)
+        self._total_us = 0
+
+    @property
+    def count(self) -> int:
+        """How many durations were recorded."""
+        return int(self._histogram.get_total_count())
+
+    @property
+    def total_s(self) -> float:
+        """The sum of the durations, in seconds."""
+        return self._total_us / MICROSECONDS
+
+    def record(self, seconds: float) -> None:
+        """Record one duration, in seconds; out of range counts as the nearest that is in."""
+        microseconds = min(max(int(seconds * MICROSECONDS), LOWEST_US), HIGHEST_US)
+        self._histogram.record_value(microseconds)
+        self._total_us += microseconds
+
+    def quantile(self, share: float) -> float:
+        """Return the duration, in seconds, that `share` (0 to 1) of all stay within."""
+        return float(self._histogram.get_value_at_percentile(share * 100)) / MICROSECONDS
+
+
+Series = TypeVar("Series", Counter, Gauge, Latency)
+
+
+class _Family(Generic[Series]):
+    """All series of one name, told apart by their labels, up to a limit."""
+
+    def __init__(self, make: Callable[[], Series]) -> None:
+        self._make: Callable[[], Series] = make
+        self.series: dict[Labels, Series] = {}
+
+    def get(self, labels: Labels) -> Series:
+        found = self.series.get(labels)
+        if found is None:
+            if len(self.series) >= SERIES_LIMIT:
+                labels = tuple((name, OTHER) for name, _ in labels)
+            found = self.series.setdefault(labels, self._make())
+        return found
+
+
+@dataclass(frozen=True)
+class Quantiles:
+    """What a snapshot says of one latency, in seconds."""
+
+    count: int
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    max_s: float
+
+
+@dataclass(frozen=True)
+class MetricsSnapshot:
+    """All metrics at one moment; a series is named as in Prometheus text."""
+
+    counters: dict[str, int]
+    gauges: dict[str, float]
+    latencies: dict[str, Quantiles]
+
+
+class Metrics:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        self._counters: dict[str, _Family[Counter]] = {}
+        self._gauges: dict[str, _Family[Gauge]] = {}
+        self._latencies: dict[str, _Family[Latency]] = {}
+        for refusal in Refusal:
+            self.counter("refusals", reason=refusal)
+        for retry in RetryReason:
+            self.counter("retries", reason=retry)
+
+    def counter(self, name: str, **labels: LabelValue) -> Counter:
+        """Return the counter of that name and labels, at 0 when it is new."""
+        return self._counters.setdefault(name, _Family(Counter)).get(_label_key(labels))
+
+    def gauge(self, name: str, **labels: LabelValue) -> Gauge:
+        """Return the gauge of that name and labels, at 0 when it is new."""
+        return self._gauges.setdefault(name, _Family(Gauge)).get(_label_key(labels))
+
+    def latency(self, name: str, **labels: LabelValue) -> Latency:
+        """Return the latency of that name and labels, empty when it is new."""
+        return self._latencies.setdefault(name, _Family(Latency)).get(_label_key(labels))
+
+    def count(self, name: str, amount: int = 1, **labels: LabelValue) -> None:
+        """Raise a counter; on a hot path keep the `counter` instead."""
+        self.counter(name, **labels).add(amount)
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Count a request that was refused as not run."""
+        self.counter("refusals", reason=refusal).add()
+
+    def retry(self, reason: RetryReason) -> None:
+        """Count something that is tried again."""
+        self.counter("retries", reason=reason).add()
+
+    def read_gauge(self, name: str, read: Callable[[], float], **labels: LabelValue) -> None:
+        """Have a gauge read from a function each time it is rendered."""
+        self.gauge(name, **labels).read = read
+
+    def render(self) -> str:
+        """Return all metrics in Prometheus text format."""
+        return "".join(f"{line}\n" for line in self._lines())
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return all metrics as typed values."""
+        return MetricsSnapshot(
+            counters={name: counter.value for name, counter in _named(self._counters)},
+            gauges={name: gauge.current() for name, gauge in _named(self._gauges)},
+            latencies={name: _quantiles(latency) for name, latency in _named(self._latencies)},
+        )
+
+    def _lines(self) -> Iterator[str]:
+        for name, counters in sorted(self._counters.items()):
+            yield f"# TYPE {PREFIX}{name}_total counter"
+            for labels, counter in counters.series.items():
+                yield f"{PREFIX}{_series_name(f'{name}_total', labels)} {counter.value}"
+        for name, gauges in sorted(self._gauges.items()):
+            yield f"# TYPE {PREFIX}{name} gauge"
+            for labels, gauge in gauges.series.items():
+                yield f"{PREFIX}{_series_name(name, labels)} {gauge.current():g}"
+        for name, latencies in sorted(self._latencies.items()):
+            yield f"# TYPE {PREFIX}{name}_seconds summary"
+            for labels, latency in latencies.series.items():
+                yield from _latency_lines(f"{name}_seconds", labels, latency)
+
+
+def _latency_lines(name: str, labels: Labels, latency: Latency) -> Iterator[str]:
+    for share in QUANTILES:
+        series = _series_name(name, (*labels, ("quantile", f"{share:g}")))
+        yield f"{PREFIX}{series} {latency.quantile(share):.6f}"
+    yield f"{PREFIX}{_series_name(f'{name}_sum', labels)} {latency.total_s:.6f}"
+    yield f"{PREFIX}{_series_name(f'{name}_count', labels)} {latency.count}"
+
+
+def _named(families: dict[str, _Family[Series]]) -> Iterator[tuple[str, Series]]:
+    for name, family in families.items():
+        for labels, series in family.series.items():
+            yield _series_name(name, labels), series
+
+
+def _quantiles(latency: Latency) -> Quantiles:
+    p50, p95, p99, highest = (latency.quantile(share) for share in QUANTILES)
+    return Quantiles(latency.count, p50, p95, p99, highest)
+
+
+def _label_key(labels: dict[str, LabelValue]) -> Labels:
+    return tuple(
+        (name, str(value.value) if isinstance(value, Enum) else value)
+        for name, value in sorted(labels.items())
+    )
+
+
+def _series_name(name: str, labels: Labels) -> str:
+    if not labels:
+        return name
+    pairs = ",".join(f'{label}="{_escape(value)}"' for label, value in labels)
+    return f"{name}{{{pairs}}}"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- /dev/null
+++ b/src/lacewinggw/service.py
@@ -0,0 +1,58 @@
+"""Run a process until a signal asks it to leave, then let it drain."""
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from lacewinggw.log import get_logger
+
+Step = Callable[[], Awaitable[None]]
+LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+async def run_until_signalled(start: Step, close: Step) -> None:
+    """Await `start`, wait for SIGTERM or SIGINT, then await `close`, which drains.
+
+    A signal while starting cancels `start`; a second one while draining cancels `close`. `close`
+    is awaited too when `start` fails half-way, so that what was opened is closed.
+    """
+    loop = asyncio.get_running_loop()
+    leaving = asyncio.Event()
+    for number in LEAVE_SIGNALS:
+        loop.add_signal_handler(number, leaving.set)
+    try:
+        await _run(start, close, leaving)
+    finally:
+        for number in LEAVE_SIGNALS:
+            loop.remove_signal_handler(number)
+
+
+async def _run(start: Step, close: Step, leaving: asyncio.Event) -> None:
+    log = get_logger(__name__)
+    try:
+        if await _finish_unless(start, leaving):
+            log.info("started")
+            await leaving.wait()
+        leaving.clear()
+        log.info("draining")
+    finally:
+        if not await _finish_unless(close, leaving):
+            log.warning("drain_cut_short")
+    log.info("closed")
+
+
+async def _finish_unless(step: Step, signalled: asyncio.Event) -> bool:
+    """Await `step`, but cancel it once `signalled`; tell whether it finished."""
+    running = asyncio.ensure_future(step())
+    waiting = asyncio.ensure_future(signalled.wait())
+    try:
+        await asyncio.wait((running, waiting), return_when=asyncio.FIRST_COMPLETED)
+        if running.done():
+            running.result()
+            return True
+        running.cancel()
+        await asyncio.wait((running,))
+        return False
+    finally:
+        running.cancel()
+        waiting.cancel()
