--- a/src/lacewinggw/wire/frames.py
+++ b/src/lacewinggw/wire/frames.py
@@ -6,7 +6,7 @@
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
-from lacewinggw.errors import ProtocolViolation
+from lacewinggw.errors import FrameTooLarge, ProtocolViolation
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.wire.network import Stream
 
@@ -70,8 +70,8 @@
 
 
 async def read_frame(stream: Stream, limit_bytes: int = FRAME_LIMIT_BYTES) -> messages.Frame:
-    """Read the next frame; raise `ProtocolViolation` before an oversized one costs memory."""
+    """Read the next frame; raise `FrameTooLarge` before it costs memory."""
     size = int.from_bytes(await stream.readexactly(LENGTH_BYTES), "big")
     if size > limit_bytes:
-        raise ProtocolViolation(f"a frame of {size} bytes is over the limit of {limit_bytes}")
+        raise FrameTooLarge(f"a frame of {size} bytes is over the limit of {limit_bytes}")
     return decode_frame(await stream.readexactly(size))
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -15,17 +15,17 @@
 
 from lacewinggw.errors import (
     BadFleetKey,
-    CallTimedOut,
     ConnectionLost,
     LacewingError,
     ProtocolViolation,
-    error_from_failure,
+    TimedOut,
+    Unreachable,
+    WireError,
 )
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import FrameKind
 from lacewinggw.log import get_logger
 from lacewinggw.wire.frames import (
-    FRAME_LIMIT_BYTES,
     Message,
     encode_frame,
     encode_struct,
@@ -130,11 +130,11 @@
             if last:
                 self.abandon()
             if isinstance(message, messages.Failure):
-                raise error_from_failure(message)
+                raise LacewingError.from_failure(message)
             yield message
 
     async def result(self, timeout_s: float) -> Message:
-        """Return the last reply; raise `CallTimedOut` after `timeout_s` seconds."""
+        """Return the last reply; raise `TimedOut` after `timeout_s` seconds."""
         message: Message = None
         try:
             async with asyncio.timeout(timeout_s):
@@ -142,7 +142,7 @@
                     pass
         except TimeoutError as error:
             self.follow(messages.Cancel("timed out"))
-            raise CallTimedOut(f"no answer from {self._link.remote.host}") from error
+            raise TimedOut(f"no answer from {self._link.remote.host}") from error
         finally:
             self.abandon()
         return message
@@ -188,7 +188,7 @@
     async def call(self, message: Message, timeout_s: float) -> Message:
         """Make a call with one reply and return it.
 
-        Raises the typed error of the other side, `CallTimedOut` or `ConnectionLost`; after either
+        Raises the typed error of the other side, `TimedOut` or `ConnectionLost`; after either
         of these two the call may have been carried out.
         """
         return await self.open(message).result(timeout_s)
@@ -227,8 +227,8 @@
                 self._dispatch(await read_frame(self._stream))
         except (OSError, EOFError, TimeoutError):
             pass
-        except ProtocolViolation as error:
-            log.warning("peer_protocol_violation", peer=self.remote.host, reason=error.reason)
+        except WireError as error:
+            log.warning("peer-protocol-violation", peer=self.remote.host, reason=error.reason)
         finally:
             self._end()
 
@@ -288,7 +288,7 @@
             exchange.finish(error.to_failure())
         except Exception as error:
             kind = type(exchange.message).__name__
-            log.exception("peer_handler_failed", peer=self.remote.host, message=kind)
+            log.exception("peer-handler-failed", peer=self.remote.host, message=kind)
             exchange.finish(
                 ProtocolViolation(f"{kind} could not be handled: {error!r}").to_failure()
             )
@@ -366,7 +366,7 @@
         """Return an open link to `address`, connecting if there is none.
 
         Lanes are separate connections: bulk data on one does not hold up calls on another. Raises
-        `ConnectionLost` when nobody answers and `BadFleetKey` when the other side's key differs.
+        `Unreachable` when nobody answers and `BadFleetKey` when the other side's key differs.
         """
         key = (address, lane)
         known = self._links.get(key)
@@ -397,7 +397,7 @@
         try:
             stream = await self._network.connect(address)
         except (OSError, TimeoutError) as error:
-            raise ConnectionLost(f"nobody answers at {address}: {error}") from error
+            raise Unreachable(f"nobody answers at {address}: {error}") from error
         remote = await self._shake_hands(stream, address)
         return self._run_link(stream, remote)
 
@@ -405,7 +405,7 @@
         try:
             remote = await self._shake_hands(stream, "a caller")
         except LacewingError as error:
-            log.warning("peer_refused", code=error.code, reason=error.reason)
+            log.warning("peer-refused", code=error.code, reason=error.reason)
             return
         link = self._run_link(stream, remote)
         await link.closed.wait()
@@ -461,13 +461,3 @@
     def _prove(self, nonce: bytes | None, hello: messages.Hello) -> bytes:
         return hmac.digest(self._key, (nonce or b"") + encode_struct(hello), hashlib.sha256)
 
-
-__all__ = [
-    "FRAME_LIMIT_BYTES",
-    "Exchange",
-    "Handler",
-    "Identity",
-    "OutgoingCall",
-    "PeerLink",
-    "PeerNode",
-]
