--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -135,17 +135,17 @@
 
     async def result(self, timeout_s: float) -> Message:
         """Return the last reply; raise `TimedOut` after `timeout_s` seconds."""
-        message: Message = None
+        last: Message = None
         try:
             async with asyncio.timeout(timeout_s):
                 async for message in self.replies():
-                    pass
+                    last = message
         except TimeoutError as error:
             self.follow(messages.Cancel("timed out"))
             raise TimedOut(f"no answer from {self._link.remote.host}") from error
         finally:
             self.abandon()
-        return message
+        return last
 
     def abandon(self) -> None:
         """Stop taking replies."""
@@ -460,4 +460,3 @@
 
     def _prove(self, nonce: bytes | None, hello: messages.Hello) -> bytes:
         return hmac.digest(self._key, (nonce or b"") + encode_struct(hello), hashlib.sha256)
-
