Keep the order of bytes on an in-memory stream

Cause: each write to a stream arrives by a timer of its own, and asyncio keeps timers due at the same moment in no set order, so that two writes in one step could arrive swapped. A chunked body's terminator overtook its last piece and the answer looked whole without it. Change: what is sent waits in a queue, and each timer takes whatever was sent first.

--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from collections.abc import Callable
 
 from lacewinggw.wire.network import Accept, Listener, Stream, split_address
@@ -17,12 +18,17 @@
 
 
 class _Pipe:
-    """One direction of a stream: bytes in flight, and the reader that they arrive at."""
+    """One direction of a stream: bytes in flight, and the reader that they arrive at.
+
+    Arrivals are timers, and timers due at the same moment fire in no set order, so each takes
+    whatever was sent first; `None` stands for the end of the stream.
+    """
 
     def __init__(self, latency_s: float) -> None:
         self.reader = asyncio.StreamReader(limit=WINDOW_BYTES)
         self._latency_s = latency_s
         self._in_flight = 0
+        self._queue: deque[bytes | None] = deque()
         self._room = asyncio.Event()
         self._room.set()
         self._ended = False
@@ -37,13 +43,15 @@
         self._in_flight += len(data)
         if self._in_flight > WINDOW_BYTES:
             self._room.clear()
-        asyncio.get_running_loop().call_later(self._latency_s, self._arrive, data)
+        self._queue.append(data)
+        asyncio.get_running_loop().call_later(self._latency_s, self._arrive)
 
     def end(self) -> None:
         if self._ended:
             return
         self._ended = True
-        asyncio.get_running_loop().call_later(self._latency_s, self._finish)
+        self._queue.append(None)
+        asyncio.get_running_loop().call_later(self._latency_s, self._arrive)
 
     def break_off(self) -> None:
         self._ended = True
@@ -56,7 +64,11 @@
         if self._ended:
             raise ConnectionResetError("the stream is closed")
 
-    def _arrive(self, data: bytes) -> None:
+    def _arrive(self) -> None:
+        data = self._queue.popleft()
+        if data is None:
+            self._finish()
+            return
         self._in_flight -= len(data)
         if self._in_flight <= WINDOW_BYTES:
             self._room.set()
