Report a body that breaks off as a lost connection

Cause: h11 raises RemoteProtocolError when the connection ends inside a chunked body; it went through StreamedResponse.pieces, which promises OSError. Change: pieces turns it into ConnectionResetError. Shown by: test_a_source_lost_mid_way_is_unavailable and test_refusals_are_told_from_failures, which failed before and pass now.

--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -268,7 +268,7 @@
     async def pieces(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives; raise `OSError` when it is cut short."""
         while True:
-            event = await _next_event(self._connection, self._stream, self._read_timeout_s)
+            event = await self._next_event()
             if isinstance(event, h11.EndOfMessage):
                 self._ended = True
                 self._release(self._stream, self._connection)
@@ -277,6 +277,12 @@
                 raise ConnectionResetError("the connection ended inside a body")
             yield bytes(event.data)
 
+    async def _next_event(self) -> Any:
+        try:
+            return await _next_event(self._connection, self._stream, self._read_timeout_s)
+        except h11.RemoteProtocolError as error:
+            raise ConnectionResetError(f"the body broke off: {error}") from error
+
     async def read(self, limit_bytes: int) -> bytes:
         """Return the whole body; raise `HttpError` 413 past the limit."""
         parts: list[bytes] = []
