Clients of the platform and of targets, and stand-ins to run them against

Clients tell apart what matters of a failure: a write that certainly had no effect, one that may have had, a request that did not run, one that may have. Stand-ins keep all in memory, run on any network, take time from the loop and chance from a seed, and have their faults set while they run: outage (refused, cut, silent), delay, lost replies, stalls, corruption, lag, pauses. The engine does whatever it is told and records which weights each answer came from.

--- /dev/null
+++ b/src/lacewinggw/lab/engine.py
@@ -0,0 +1,339 @@
+"""Stand-in of a model engine: batches, streams, prefix cache, orders, and a record of each run.
+
+It does whatever it is told, half-loaded weights and all, and records for each answer which weights
+it came from, so that a checker can catch what the product should have prevented.
+"""
+
+import asyncio
+import hashlib
+import json
+from collections import Counter
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
+from dataclasses import asdict, dataclass, field
+from typing import Any
+
+from lacewinggw.lab.batch import BatchSlots
+from lacewinggw.lab.loading import EngineWeights
+from lacewinggw.lab.prefixes import PrefixCache, prefix_blocks
+from lacewinggw.lab.standin import LOOPBACK, Faults, Lagged, StandIn, now, refused, wait_while
+from lacewinggw.platform.engine import EVENT_STREAM, STALE_FENCE_REASON, EngineRole
+from lacewinggw.platform.targets import PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER
+from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.network import Network
+
+DEFAULT_PIECES = 16
+MOST_PIECES = 100_000
+NORMAL_PRIORITY = 2
+MS_PER_S = 1000
+LOAD_KEPT_S = 10.0
+STAGING = "/staging/"
+RAN = "/ran/"
+KV = "/kv/"
+REFUSED_RETRY_S = 0.5
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What an engine is like: sizes, and times in seconds.
+
+    A token takes `token_s`, and `batch_cost` of that more for each other request in the batch.
+    The first one takes `prefill_s` less the share of the prompt found in the prefix cache.
+    """
+
+    fences: bool = True
+    batch_limit: int = 8
+    queue_limit: int = 256
+    cache_blocks: int = 512
+    token_s: float = 0.005
+    batch_cost: float = 0.05
+    prefill_s: float = 0.02
+    load_s: float = 0.1
+    activate_s: float = 0.05
+
+
+@dataclass
+class EngineFaults(Faults):
+    """Faults of an engine.
+
+    `slowdown` multiplies its times; `refuse_share` of requests are refused, `cut_share` are cut
+    after their first pieces; `paused` freezes everything until it is lifted. The load report lags
+    `load_lag_s`, cache events `event_lag_s`, and `event_gap_share` of them are lost.
+    """
+
+    slowdown: float = 1.0
+    refuse_share: float = 0.0
+    cut_share: float = 0.0
+    paused: bool = False
+    load_lag_s: float = 0.5
+    event_lag_s: float = 1.0
+    event_gap_share: float = 0.0
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """How many requests ran and waited at some moment."""
+
+    running: int = 0
+    queued: int = 0
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """A request as the engine reads it."""
+
+    request_id: str
+    text: str
+    pieces: int
+    resume_from: int
+    priority: int
+    streamed: bool
+
+    @classmethod
+    def from_request(cls, request: Request) -> "Prompt":
+        """Return what a request asks for; raise `ValueError`, `KeyError` or `TypeError`."""
+        body = json.loads(request.body)
+        pieces = int(body.get("pieces", DEFAULT_PIECES))
+        resume_from = int(request.headers.get(RESUME_HEADER, body.get("resume_from", 0)))
+        if not 0 <= resume_from <= pieces <= MOST_PIECES:
+            raise ValueError(f"pieces must be between resume_from and {MOST_PIECES}")
+        return cls(
+            request_id=request.headers.get(REQUEST_ID_HEADER) or str(body.get("request_id", "")),
+            text=str(body["prompt"]),
+            pieces=pieces,
+            resume_from=resume_from,
+            priority=int(request.headers.get(PRIORITY_HEADER, NORMAL_PRIORITY)),
+            streamed=request.headers.get("accept") == EVENT_STREAM or bool(body.get("stream")),
+        )
+
+
+@dataclass
+class EngineRun:
+    """One run of one request; `weights` are all the digests that had a part in its answer."""
+
+    request_id: str
+    started_at: float
+    resume_from: int
+    pieces: int
+    weights: list[str] = field(default_factory=list)
+    sent: int = 0
+    finished: bool = False
+    whole_weights: bool = True
+
+    def use_weights(self, digest: str) -> None:
+        """Record that these weights had a part in the answer."""
+        if digest not in self.weights:
+            self.weights.append(digest)
+
+
+def piece_text(request_id: str, prompt: str, weights: str, index: int) -> str:
+    """Return the piece that an engine gives, so that a checker can tell what it should be."""
+    source = f"{request_id}\n{weights}\n{index}\n{prompt}"
+    return hashlib.sha256(source.encode()).hexdigest()[:8] + " "
+
+
+class EngineStandIn(StandIn):
+    """A model engine of the lab."""
+
+    faults: EngineFaults
+
+    def __init__(
+        self,
+        network: Network,
+        address: str = LOOPBACK,
+        seed: int = 0,
+        spec: EngineSpec | None = None,
+    ) -> None:
+        super().__init__(network, address, seed)
+        self.spec = spec or EngineSpec()
+        self.faults = EngineFaults()
+        self.weights = EngineWeights()
+        self.runs: list[EngineRun] = []
+        self.refused_orders = 0
+        self.fence = 0
+        self.adapters: set[str] = set()
+        self.role = EngineRole.BOTH
+        self.cache = PrefixCache(self.spec.cache_blocks, self.rng)
+        self._chunks_of: dict[str, tuple[str, ...]] = {}
+        self._started: Counter[str] = Counter()
+        self._finished: Counter[str] = Counter()
+        self._load = Lagged(LoadReport(), LOAD_KEPT_S)
+        self._slots = BatchSlots(self.spec.batch_limit, self._record_load)
+
+    def stats(self) -> dict[str, Any]:
+        """Return counts of runs, and which request ids ran more than once."""
+        return {
+            "runs": len(self.runs),
+            "finished": self._finished.total(),
+            "doubled_requests": [name for name, count in self._started.items() if count > 1],
+            "running": self._slots.running,
+            "queued": self._slots.queued,
+            "refused_orders": self.refused_orders,
+            "staged_bytes": self.weights.staged_bytes,
+            "cache_hits": self.cache.hits,
+            "cache_misses": self.cache.misses,
+            **self.weights.describe(),
+        }
+
+    async def answer(self, request: Request) -> Response:
+        """Answer one request, once the engine is not paused."""
+        await wait_while(lambda: self.faults.paused)
+        match request.method, request.path:
+            case "POST", "/generate":
+                return await self._answer_generate(Prompt.from_request(request))
+            case "POST", "/orders":
+                return await self._answer_order(json.loads(request.body))
+            case "GET", "/state":
+                return json_response(200, self._describe())
+            case "GET", "/runs":
+                return json_response(200, self._describe_runs())
+            case "GET", "/events":
+                after = int(request.query.get("after", 0))
+                events = self.cache.events(after, self.faults.event_lag_s)
+                return json_response(200, {"events": events})
+            case method, path if path.startswith(STAGING):
+                return self._answer_staging(method, path.removeprefix(STAGING), request.body)
+            case method, path if path.startswith(KV):
+                return self._answer_kv(method, path.removeprefix(KV), request.body)
+            case "GET", path if path.startswith(RAN):
+                return self._answer_ran(path.removeprefix(RAN))
+        return refused(404, f"no {request.method} {request.path}")
+
+    # Weights and orders
+
+    def _answer_staging(self, method: str, path: str, body: bytes) -> Response:
+        digest, _, index = path.partition("/chunks/")
+        if method == "PUT" and index:
+            self.weights.stage(digest, int(index), body)
+            return json_response(200, {})
+        return json_response(200, {"chunks": self.weights.staging.get(digest, {})})
+
+    async def _answer_order(self, order: dict[str, Any]) -> Response:
+        fence = int(order.get("fence", 0))
+        if self.spec.fences and fence < self.fence:
+            self.refused_orders += 1
+            return json_response(409, {"reason": STALE_FENCE_REASON, "highest": self.fence})
+        self.fence = max(self.fence, fence)
+        return self.written(await self._carry_out(order))
+
+    async def _carry_out(self, order: dict[str, Any]) -> Response:
+        match order:
+            case {"order": "load", "digest": str(digest), "chunk_count": int(count)}:
+                await self._spend(self.spec.load_s)
+                self.weights.load(digest, count)
+            case {"order": "activate", "digest": str(digest)}:
+                await self._spend(self.spec.activate_s)
+                if not self.weights.activate(digest):
+                    return refused(409, f"nothing is loaded by the digest {digest}")
+            case {"order": "unload", "digest": str(digest)}:
+                self.weights.unload(digest)
+            case {"order": "adapter", "adapter": str(adapter), "loaded": bool(loaded)}:
+                (self.adapters.add if loaded else self.adapters.discard)(adapter)
+            case {"order": "role", "role": str(role)}:
+                self.role = EngineRole(role)
+            case _:
+                return refused(400, "no such order")
+        return json_response(200, {})
+
+    def _describe(self) -> dict[str, Any]:
+        load = self._load.read(self.faults.load_lag_s)
+        return {
+            **self.weights.describe(),
+            "running": load.running,
+            "queued": load.queued,
+            "capacity": self.spec.batch_limit,
+            "load_age_ms": int(self.faults.load_lag_s * MS_PER_S),
+            "adapters": sorted(self.adapters),
+            "role": self.role.value,
+            "fence": self.fence,
+        }
+
+    def _record_load(self, running: int, queued: int) -> None:
+        self._load.set(LoadReport(running, queued))
+
+    # Prefix blocks
+
+    def _answer_kv(self, method: str, block: str, body: bytes) -> Response:
+        weights = self.weights.active_digest
+        if method == "PUT":
+            computed_by = str(json.loads(body)["digest"])
+            self.cache.store(weights, block, computed_by, self.faults.event_gap_share)
+            return json_response(200, {})
+        found = self.cache.computed_by(weights, block)
+        if found is None:
+            return refused(404, f"block {block} is not cached")
+        return json_response(200, {"digest": found, "block": block})
+
+    # Requests
+
+    def _answer_ran(self, request_id: str) -> Response:
+        started, finished = self._started[request_id], self._finished[request_id]
+        return json_response(200, {"started": started, "finished": finished})
+
+    def _describe_runs(self) -> dict[str, Any]:
+        return {"runs": [asdict(run) for run in self.runs], "chunks": self._chunks_of}
+
+    async def _answer_generate(self, prompt: Prompt) -> Response:
+        if self.weights.active is None:
+            return refused(503, "no weights are active", REFUSED_RETRY_S)
+        if self._slots.queued >= self.spec.queue_limit:
+            return refused(429, "the queue is full", REFUSED_RETRY_S)
+        if self.happens(self.faults.refuse_share):
+            return refused(503, "busy", REFUSED_RETRY_S)
+        if prompt.streamed:
+            return Response(200, {"content-type": EVENT_STREAM}, self._stream(prompt))
+        texts = [text async for _, text in self._run(prompt)]
+        answer = {"request_id": prompt.request_id, "text": "".join(texts), "pieces": prompt.pieces}
+        return self.written(json_response(200, {**answer, "digest": self.weights.active_digest}))
+
+    async def _stream(self, prompt: Prompt) -> AsyncIterator[bytes]:
+        async with aclosing(self._run(prompt)) as pieces:
+            async for index, text in pieces:
+                yield b'data: {"i":%d,"text":"%s"}\n\n' % (index, text.encode())
+        end = {"pieces": prompt.pieces, "digest": self.weights.active_digest}
+        yield f"event: end\ndata: {json.dumps(end)}\n\n".encode()
+
+    async def _run(self, prompt: Prompt) -> AsyncGenerator[tuple[int, str], None]:
+        """Run a request in the batch, yielding its pieces; closing it early cancels the run."""
+        await self._slots.acquire(prompt.priority)
+        try:
+            run = self._begin(prompt)
+            await self._prefill(prompt, run)
+            is_cut = self.happens(self.faults.cut_share)
+            for index in range(prompt.resume_from, prompt.pieces):
+                await self._spend(self._token_s())
+                if is_cut and run.sent > 0:
+                    raise ConnectionAbortedError("cut on purpose")
+                weights = self.weights.active_digest
+                run.use_weights(weights)
+                run.sent += 1
+                yield index, piece_text(prompt.request_id, prompt.text, weights, index)
+            run.finished = True
+            self._finished[prompt.request_id] += 1
+        finally:
+            self._slots.release()
+
+    def _begin(self, prompt: Prompt) -> EngineRun:
+        run = EngineRun(prompt.request_id, now(), prompt.resume_from, prompt.pieces)
+        if self.weights.active is not None:
+            run.whole_weights = self.weights.active.whole
+            self._chunks_of[self.weights.active_digest] = self.weights.active.chunk_hashes
+        self.runs.append(run)
+        self._started[prompt.request_id] += 1
+        return run
+
+    async def _prefill(self, prompt: Prompt, run: EngineRun) -> None:
+        blocks = prefix_blocks(prompt.text)
+        gap_share = self.faults.event_gap_share
+        cached, computed_by = self.cache.use(self.weights.active_digest, blocks, gap_share)
+        for digest in sorted(computed_by):
+            run.use_weights(digest)
+        share_left = 1 - cached / len(blocks) if blocks else 1.0
+        await self._spend(self.spec.prefill_s * share_left)
+
+    def _token_s(self) -> float:
+        return self.spec.token_s * (1 + self.spec.batch_cost * (self._slots.running - 1))
+
+    async def _spend(self, seconds: float) -> None:
+        await asyncio.sleep(seconds * self.faults.slowdown)
+        await wait_while(lambda: self.faults.paused)
--- /dev/null
+++ b/src/lacewinggw/platform/calls.py
@@ -0,0 +1,138 @@
+"""One call to a service of the platform, with its failures told apart.
+
+What matters of a failed write is whether it may have taken effect: a refused connection or a
+refusal by status is `PlatformUnavailable` or `PlatformThrottled`, and certainly did not; anything
+else after the request was sent is `WriteUnknown`.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+from lacewinggw.errors import (
+    BadPlatformAnswer,
+    PlatformError,
+    PlatformThrottled,
+    PlatformUnavailable,
+    WriteUnknown,
+)
+from lacewinggw.wire.http import JSON_TYPE, Headers, HttpClient, HttpError, Response
+
+MS_PER_S = 1000
+THROTTLED = 429
+UNAVAILABLE = 503
+SERVER_ERRORS = 500
+
+Query = dict[str, str]
+T = TypeVar("T")
+
+
+def join_path(path: str, query: Query | None = None) -> str:
+    """Return a request target, quoted, with its query."""
+    quoted = quote(path)
+    return f"{quoted}?{urlencode(query)}" if query else quoted
+
+
+def retry_after_ms(response: Response) -> int:
+    """Return how long the other side asks to wait, in milliseconds; 0 when it does not say."""
+    try:
+        return int(float(response.headers.get("retry-after", "0")) * MS_PER_S)
+    except ValueError:
+        return 0
+
+
+def check_status(response: Response, service: str) -> Response:
+    """Return a response that is no refusal; raise the error for one that is."""
+    match response.status:
+        case status if status == THROTTLED:
+            reason = f"the {service} is over its rate"
+            raise PlatformThrottled(reason, retry_after_ms=retry_after_ms(response))
+        case status if status == UNAVAILABLE:
+            reason = f"the {service} is out of service"
+            raise PlatformUnavailable(reason, retry_after_ms=retry_after_ms(response))
+    return response
+
+
+def decode_json(response: Response, service: str, build: Callable[[Any], T]) -> T:
+    """Return what `build` makes of the JSON body; raise `BadPlatformAnswer` when it cannot."""
+    try:
+        return build(json.loads(response.content))
+    except (ValueError, KeyError, TypeError) as error:
+        raise BadPlatformAnswer(
+            f"the {service} answered what is not understood: {error!r}"
+        ) from None
+
+
+class ServiceCalls:
+    """Calls to one address, each with a time limit in seconds.
+
+    Owns no connection: the `HttpClient` belongs to the client that made it.
+    """
+
+    def __init__(self, http: HttpClient, address: str, service: str, timeout_s: float) -> None:
+        self._http = http
+        self._address = address
+        self._service = service
+        self._timeout_s = timeout_s
+
+    @property
+    def service(self) -> str:
+        """The service's name in messages."""
+        return self._service
+
+    async def read(
+        self, path: str, query: Query | None = None, headers: Headers | None = None
+    ) -> Response:
+        """Get; raise `PlatformUnavailable` or `PlatformThrottled` for whatever fails."""
+        target = join_path(path, query)
+        try:
+            response = await self._http.request(
+                self._address, "GET", target, headers=headers, timeout_s=self._timeout_s
+            )
+        except (OSError, TimeoutError, HttpError) as error:
+            raise self._unavailable(error) from error
+        if response.status >= SERVER_ERRORS and response.status != UNAVAILABLE:
+            raise PlatformUnavailable(f"the {self._service} answered {response.status}")
+        return check_status(response, self._service)
+
+    async def write(
+        self, method: str, path: str, body: Any = None, query: Query | None = None
+    ) -> Response:
+        """Change something; raise `WriteUnknown` when it may have taken effect unseen.
+
+        A body of bytes goes as it is, any other as JSON.
+        """
+        data, headers = _encode_body(body)
+        target = join_path(path, query)
+        try:
+            response = await self._http.request(
+                self._address, method, target, headers, data, timeout_s=self._timeout_s
+            )
+        except ConnectionRefusedError as error:
+            raise self._unavailable(error) from error
+        except (OSError, TimeoutError, HttpError) as error:
+            reason = f"the {self._service} gave no reply to a write: {_describe(error)}"
+            raise WriteUnknown(reason) from error
+        if response.status >= SERVER_ERRORS and response.status != UNAVAILABLE:
+            raise WriteUnknown(f"the {self._service} answered a write with {response.status}")
+        return check_status(response, self._service)
+
+    def unexpected(self, response: Response) -> PlatformError:
+        """Return the error for a status that the call has no use for."""
+        return BadPlatformAnswer(f"the {self._service} answered {response.status}")
+
+    def _unavailable(self, error: Exception) -> PlatformUnavailable:
+        return PlatformUnavailable(f"the {self._service} cannot be reached: {_describe(error)}")
+
+
+def _describe(error: Exception) -> str:
+    return str(error) or type(error).__name__
+
+
+def _encode_body(body: Any) -> tuple[bytes, Headers]:
+    if body is None:
+        return b"", {}
+    if isinstance(body, bytes):
+        return body, {"content-type": "application/octet-stream"}
+    return json.dumps(body, separators=(",", ":")).encode(), {"content-type": JSON_TYPE}
--- /dev/null
+++ b/src/lacewinggw/platform/engine.py
@@ -0,0 +1,406 @@
+"""Client of the model engine on this host: weights, orders, requests and KV cache."""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import asdict, dataclass
+from enum import Enum
+from typing import Any
+
+from lacewinggw.errors import (
+    AnswerIncomplete,
+    BadPlatformAnswer,
+    OrderError,
+    OrderRefused,
+    StaleFence,
+    TargetUnreachable,
+)
+from lacewinggw.ids import Digest, ReleaseName, RequestId
+from lacewinggw.platform.calls import decode_json, join_path
+from lacewinggw.platform.targets import (
+    PRIORITY_HEADER,
+    REQUEST_ID_HEADER,
+    RESUME_HEADER,
+    bad_request,
+    describe,
+    lost_before_answer,
+    lost_within_answer,
+    refusal,
+)
+from lacewinggw.wire.http import (
+    JSON_TYPE,
+    Headers,
+    HttpClient,
+    HttpError,
+    Response,
+    StreamedResponse,
+)
+from lacewinggw.wire.network import Network
+
+SERVICE = "engine"
+EVENT_STREAM = "text/event-stream"
+EVENT_END = b"\n\n"
+DATA_FIELD = b"data: "
+END_EVENT = b"event: end\n"
+ORDER_TIMEOUT_S = 60.0
+CALL_TIMEOUT_S = 5.0
+EVENT_LIMIT_BYTES = 1 << 20
+STALE_FENCE_REASON = "stale-fence"
+
+
+class EngineRole(Enum):
+    """Which part of a request an engine runs."""
+
+    BOTH = "both"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+@dataclass(frozen=True)
+class LoadOrder:
+    """Load the chunks staged for a digest beside what is active."""
+
+    digest: Digest
+    release: ReleaseName
+    chunk_count: int
+
+
+@dataclass(frozen=True)
+class ActivateOrder:
+    """Answer with the weights loaded for a digest from now on."""
+
+    digest: Digest
+
+
+@dataclass(frozen=True)
+class UnloadOrder:
+    """Drop what is staged and loaded for a digest."""
+
+    digest: Digest
+
+
+@dataclass(frozen=True)
+class AdapterOrder:
+    """Load an adapter, or drop it."""
+
+    adapter: str
+    loaded: bool = True
+
+
+@dataclass(frozen=True)
+class RoleOrder:
+    """Change the engine's role."""
+
+    role: EngineRole
+
+
+Order = LoadOrder | ActivateOrder | UnloadOrder | AdapterOrder | RoleOrder
+
+
+@dataclass(frozen=True)
+class EngineState:
+    """What the engine says of itself.
+
+    `active` and `loaded` are computed by the engine over the chunks that it holds, whatever it was
+    told they are. The load is as it was `load_age_ms` ago.
+    """
+
+    active: Digest
+    loaded: tuple[Digest, ...]
+    running: int
+    queued: int
+    capacity: int
+    load_age_ms: int
+    adapters: tuple[str, ...]
+    role: EngineRole
+    fence: int
+
+
+@dataclass(frozen=True)
+class Generation:
+    """One request to a model: the caller's body as it came, and how to run it.
+
+    `priority` sorts requests that wait, lowest first; pieces before `resume_from` are not sent.
+    """
+
+    request_id: RequestId
+    body: bytes
+    priority: int = 2
+    resume_from: int = 0
+
+    def to_headers(self, accept: str) -> Headers:
+        """Return the headers that the engine reads."""
+        return {
+            REQUEST_ID_HEADER: self.request_id,
+            PRIORITY_HEADER: str(self.priority),
+            RESUME_HEADER: str(self.resume_from),
+            "content-type": JSON_TYPE,
+            "accept": accept,
+        }
+
+
+@dataclass(frozen=True)
+class PieceBatch:
+    """Pieces that came together; `first` is the index of the first."""
+
+    first: int
+    pieces: list[bytes]
+
+
+@dataclass(frozen=True)
+class AnswerEnd:
+    """The end of a whole answer: how many pieces it has in all, and the weights it came from."""
+
+    pieces: int
+    weights: Digest
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """An answer that was not streamed."""
+
+    content_type: str
+    body: bytes
+    weights: Digest
+
+
+@dataclass(frozen=True)
+class RunCount:
+    """How often a request was started and how often it came to its end."""
+
+    started: int
+    finished: int
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A prefix block stored or evicted; numbers that are missing are events that were lost."""
+
+    number: int
+    stored: bool
+    weights: Digest
+    block: str
+
+
+class EngineClient:
+    """Orders and requests to one engine.
+
+    Orders raise `StaleFence`, `OrderRefused` and `TargetUnreachable`, the last also when a reply is
+    lost: read the state back. Requests raise `TargetRefused` when they certainly did not run,
+    `MalformedHttp` when the engine rejects the content, `TargetFailed` and `AnswerIncomplete` when
+    they may have run.
+    """
+
+    def __init__(self, network: Network, address: str) -> None:
+        self._http = HttpClient(network)
+        self._address = address
+
+    async def start(self) -> None:
+        """Do nothing: connections are made as they are needed."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def stage_chunk(self, digest: Digest, index: int, data: bytes) -> None:
+        """Hand the engine one chunk, to be loaded later."""
+        await self._order_call("PUT", f"/staging/{digest}/chunks/{index}", data, ORDER_TIMEOUT_S)
+
+    async def staged(self, digest: Digest) -> dict[int, str]:
+        """Return the hashes of the chunks staged for a digest, by index."""
+        response = await self._order_call("GET", f"/staging/{digest}")
+        return decode_json(response, SERVICE, _decode_staged)
+
+    async def order(self, order: Order, fence: int) -> None:
+        """Give an order under a fence, which an engine may or may not look at."""
+        body = json.dumps({**_encode_order(order), "fence": fence}).encode()
+        await self._order_call("POST", "/orders", body, ORDER_TIMEOUT_S)
+
+    async def state(self) -> EngineState:
+        """Return what the engine says of itself now."""
+        return decode_json(await self._order_call("GET", "/state"), SERVICE, _decode_state)
+
+    async def ran(self, request_id: RequestId) -> RunCount:
+        """Return whether and how often a request ran."""
+        response = await self._order_call("GET", f"/ran/{request_id}")
+        return decode_json(response, SERVICE, lambda value: RunCount(**value))
+
+    async def cache_events(self, after: int) -> list[CacheEvent]:
+        """Return the events after a number, late and with gaps."""
+        response = await self._order_call("GET", f"/events?after={after}")
+        return decode_json(response, SERVICE, _decode_events)
+
+    async def export_kv(self, block: str) -> bytes | None:
+        """Return the KV cache of a prefix block, or None when it is not cached."""
+        response = await self._order_call("GET", f"/kv/{block}", accepted=(200, 404))
+        return response.content if response.status == 200 else None
+
+    async def import_kv(self, block: str, data: bytes) -> None:
+        """Put an exported prefix block into the engine's cache."""
+        await self._order_call("PUT", f"/kv/{block}", data)
+
+    async def generate(
+        self, generation: Generation, timeout_s: float
+    ) -> AsyncIterator[PieceBatch | AnswerEnd]:
+        """Yield pieces as they come, those that come together in one batch, then the end.
+
+        `timeout_s` bounds the wait for each read. Closing the iterator cancels the request at the
+        engine. An answer that breaks off raises; it never just stops.
+        """
+        headers = generation.to_headers(EVENT_STREAM)
+        try:
+            response = await self._http.stream(
+                self._address, "POST", "/generate", headers, generation.body, timeout_s
+            )
+        except (OSError, TimeoutError, HttpError) as error:
+            raise lost_before_answer(error) from error
+        try:
+            await _check_started(response)
+            async for item in _read_events(response):
+                yield item
+        except (OSError, TimeoutError, HttpError) as error:
+            raise lost_within_answer(error) from error
+        finally:
+            await response.aclose()
+
+    async def answer(self, generation: Generation, timeout_s: float) -> WholeAnswer:
+        """Return the answer whole, within `timeout_s` seconds."""
+        headers = generation.to_headers(JSON_TYPE)
+        try:
+            response = await self._http.request(
+                self._address, "POST", "/generate", headers, generation.body, timeout_s
+            )
+        except (OSError, TimeoutError, HttpError) as error:
+            raise lost_before_answer(error) from error
+        _check_answer_status(response.status, response.headers, response.content)
+        try:
+            weights = decode_json(response, SERVICE, lambda value: Digest(str(value["digest"])))
+        except BadPlatformAnswer as error:
+            raise AnswerIncomplete(error.reason) from error
+        content_type = response.headers.get("content-type", JSON_TYPE)
+        return WholeAnswer(content_type, response.content, weights)
+
+    async def _order_call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CALL_TIMEOUT_S,
+        accepted: tuple[int, ...] = (200,),
+    ) -> Response:
+        path, _, query = path.partition("?")
+        target = f"{join_path(path)}?{query}" if query else join_path(path)
+        try:
+            response = await self._http.request(
+                self._address, method, target, None, body, timeout_s
+            )
+        except (OSError, TimeoutError, HttpError) as error:
+            raise TargetUnreachable(f"the engine gave no reply: {describe(error)}") from error
+        if response.status not in accepted:
+            raise _order_error(response)
+        return response
+
+
+def _encode_order(order: Order) -> dict[str, Any]:
+    match order:
+        case LoadOrder():
+            kind = "load"
+        case ActivateOrder():
+            kind = "activate"
+        case UnloadOrder():
+            kind = "unload"
+        case AdapterOrder():
+            kind = "adapter"
+        case RoleOrder(role):
+            return {"order": "role", "role": role.value}
+    return {"order": kind, **asdict(order)}
+
+
+def _order_error(response: Response) -> OrderError:
+    detail = response.content[:200].decode("utf-8", "replace")
+    if response.status == 409 and STALE_FENCE_REASON in detail:
+        return StaleFence(f"the engine has seen a newer order: {detail}")
+    return OrderRefused(f"the engine answered {response.status}: {detail}")
+
+
+async def _check_started(response: StreamedResponse) -> None:
+    if response.status == 200:
+        return
+    content = await response.read(EVENT_LIMIT_BYTES)
+    _check_answer_status(response.status, response.headers, content)
+
+
+def _check_answer_status(status: int, headers: Headers, content: bytes) -> None:
+    refused = refusal(status, headers)
+    if refused is not None:
+        raise refused
+    if 400 <= status < 500:
+        raise bad_request(status, content)
+    if status != 200:
+        raise AnswerIncomplete(f"the engine answered {status}")
+
+
+async def _read_events(response: StreamedResponse) -> AsyncIterator[PieceBatch | AnswerEnd]:
+    """Yield batches of pieces and the end, checking that no piece is missing or out of order."""
+    buffer = b""
+    upcoming: int | None = None
+    async for data in response.pieces():
+        *events, buffer = (buffer + data).split(EVENT_END)
+        if len(buffer) > EVENT_LIMIT_BYTES:
+            raise AnswerIncomplete(f"an event of the engine is over {EVENT_LIMIT_BYTES} bytes")
+        batch, end = _decode_batch(events)
+        if batch is not None:
+            if upcoming is not None and batch.first != upcoming:
+                raise AnswerIncomplete(f"piece {batch.first} came where {upcoming} was due")
+            upcoming = batch.first + len(batch.pieces)
+            yield batch
+        if end is not None:
+            if upcoming is not None and end.pieces != upcoming:
+                raise AnswerIncomplete(f"{end.pieces} pieces were told, {upcoming} came")
+            yield end
+            return
+    raise AnswerIncomplete("the engine's stream has no final event")
+
+
+def _decode_batch(events: list[bytes]) -> tuple[PieceBatch | None, AnswerEnd | None]:
+    """Decode events that came together; raise `AnswerIncomplete` when one is malformed."""
+    first: int | None = None
+    pieces: list[bytes] = []
+    end: AnswerEnd | None = None
+    try:
+        for event in events:
+            value = json.loads(event.removeprefix(END_EVENT).removeprefix(DATA_FIELD))
+            if event.startswith(END_EVENT):
+                end = AnswerEnd(int(value["pieces"]), Digest(str(value["digest"])))
+                break
+            first = int(value["i"]) if first is None else first
+            if value["i"] != first + len(pieces):
+                raise AnswerIncomplete(f"piece {value['i']} came out of order")
+            pieces.append(str(value["text"]).encode())
+    except (ValueError, KeyError, TypeError) as error:
+        raise AnswerIncomplete(f"an event of the engine is malformed: {error!r}") from error
+    return (PieceBatch(first, pieces) if first is not None else None), end
+
+
+def _decode_staged(value: dict[str, Any]) -> dict[int, str]:
+    return {int(index): str(chunk_hash) for index, chunk_hash in value["chunks"].items()}
+
+
+def _decode_state(value: dict[str, Any]) -> EngineState:
+    return EngineState(
+        active=Digest(str(value["active"])),
+        loaded=tuple(Digest(str(digest)) for digest in value["loaded"]),
+        running=int(value["running"]),
+        queued=int(value["queued"]),
+        capacity=int(value["capacity"]),
+        load_age_ms=int(value["load_age_ms"]),
+        adapters=tuple(value["adapters"]),
+        role=EngineRole(value["role"]),
+        fence=int(value["fence"]),
+    )
+
+
+def _decode_events(value: dict[str, Any]) -> list[CacheEvent]:
+    return [
+        CacheEvent(int(each["n"]), bool(each["stored"]), Digest(each["digest"]), each["block"])
+        for each in value["events"]
+    ]
--- /dev/null
+++ b/src/lacewinggw/platform/plain.py
@@ -0,0 +1,70 @@
+"""Client of a plain service on this host."""
+
+from dataclasses import dataclass
+
+from lacewinggw.ids import RequestId
+from lacewinggw.platform.targets import (
+    KEY_HEADER,
+    REQUEST_ID_HEADER,
+    lost_before_answer,
+    refusal,
+)
+from lacewinggw.wire.http import JSON_TYPE, HttpClient, HttpError
+from lacewinggw.wire.network import Network
+
+
+@dataclass(frozen=True)
+class PlainCall:
+    """One call to a plain service; `key` is its idempotency key, "" for none."""
+
+    request_id: RequestId
+    path: str
+    body: bytes = b""
+    method: str = "POST"
+    key: str = ""
+    content_type: str = JSON_TYPE
+
+
+@dataclass(frozen=True)
+class PlainAnswer:
+    """A whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class PlainClient:
+    """Calls to one plain service.
+
+    Raises `TargetRefused` when the call certainly did not run, `TargetFailed` when it may have.
+    Any status that is no refusal is an answer.
+    """
+
+    def __init__(self, network: Network, address: str) -> None:
+        self._http = HttpClient(network)
+        self._address = address
+
+    async def start(self) -> None:
+        """Do nothing: connections are made as they are needed."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def call(self, call: PlainCall, timeout_s: float) -> PlainAnswer:
+        """Make a call, once, and return its answer whole."""
+        headers = {REQUEST_ID_HEADER: call.request_id, "content-type": call.content_type}
+        if call.key:
+            headers[KEY_HEADER] = call.key
+        try:
+            response = await self._http.request(
+                self._address, call.method, call.path, headers, call.body, timeout_s
+            )
+        except (OSError, TimeoutError, HttpError) as error:
+            raise lost_before_answer(error) from error
+        refused = refusal(response.status, response.headers)
+        if refused is not None:
+            raise refused
+        content_type = response.headers.get("content-type", "application/octet-stream")
+        return PlainAnswer(response.status, content_type, response.content)
--- /dev/null
+++ b/src/lacewinggw/platform/weights.py
@@ -0,0 +1,172 @@
+"""Client of a source of weights: the origin, or the rate-limited weight store."""
+
+import asyncio
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+from lacewinggw.errors import ManifestMismatch, PlatformUnavailable, TimedOut, UnknownDigest
+from lacewinggw.generated.messages.ttypes import Manifest
+from lacewinggw.generated.settings.ttypes import PlatformSettings
+from lacewinggw.ids import Digest, ReleaseName
+from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, check_status, decode_json, join_path
+from lacewinggw.wire.http import HttpClient, HttpError, Response, StreamedResponse
+from lacewinggw.wire.network import Network
+
+ORIGIN = "origin"
+WEIGHT_STORE = "weight store"
+CHUNK_LIMIT_BYTES = 256 << 20
+STALL_S = 2.0
+FLOOR_BYTES_PER_S = 4096
+
+
+def release_digest(chunk_hashes: Iterable[bytes]) -> Digest:
+    """Return the identity of a release: hex SHA-256 over its chunks' hashes, in order."""
+    return Digest(hashlib.sha256(b"".join(chunk_hashes)).hexdigest())
+
+
+class ProgressFloor:
+    """Notice a transfer that stands still, or crawls.
+
+    Over each `stall_s` seconds at least `floor_bytes_per_s` must come in.
+    """
+
+    def __init__(self, started_at: float, stall_s: float, floor_bytes_per_s: int) -> None:
+        self._since = started_at
+        self._stall_s = stall_s
+        self._floor_bytes = floor_bytes_per_s * stall_s
+        self._received = 0
+
+    def is_below(self, now: float, received: int) -> bool:
+        """Count bytes as they come, and tell whether the window now ending had too few."""
+        self._received += received
+        if now - self._since < self._stall_s:
+            return False
+        below = self._received < self._floor_bytes
+        self._since, self._received = now, 0
+        return below
+
+
+class WeightsClient:
+    """Manifests and chunks from one source.
+
+    Raises `PlatformUnavailable`, `PlatformThrottled`, `UnknownDigest` when the source does not
+    have what is asked, and `TimedOut` when a transfer stalls. A manifest is checked against its
+    digest here; a chunk comes as it was sent, and is checked by who asked for it.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        address: str,
+        service: str,
+        timeout_s: float,
+        stall_s: float = STALL_S,
+        floor_bytes_per_s: int = FLOOR_BYTES_PER_S,
+    ) -> None:
+        self._http = HttpClient(network)
+        self._address = address
+        self._service = service
+        self._calls = ServiceCalls(self._http, address, service, timeout_s)
+        self._stall_s = stall_s
+        self._floor_bytes_per_s = floor_bytes_per_s
+
+    @classmethod
+    def for_origin(
+        cls, network: Network, settings: PlatformSettings, stall_s: float = STALL_S
+    ) -> "WeightsClient":
+        """Return the client of the origin that the settings name."""
+        return cls(network, settings.origin, ORIGIN, settings.timeout_ms / MS_PER_S, stall_s)
+
+    @classmethod
+    def for_weight_store(
+        cls, network: Network, settings: PlatformSettings, stall_s: float = STALL_S
+    ) -> "WeightsClient":
+        """Return the client of the weight store that the settings name."""
+        timeout_s = settings.timeout_ms / MS_PER_S
+        return cls(network, settings.weight_store, WEIGHT_STORE, timeout_s, stall_s)
+
+    async def start(self) -> None:
+        """Do nothing: connections are made as they are needed."""
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._http.close()
+
+    async def manifest(self, name: ReleaseName) -> Manifest:
+        """Return the manifest published under a release's name."""
+        return self._decode_manifest(await self._calls.read(f"/releases/{name}/manifest"), name)
+
+    async def manifest_by_digest(self, digest: Digest) -> Manifest:
+        """Return the manifest of a digest."""
+        response = await self._calls.read(f"/manifests/{digest}")
+        manifest = self._decode_manifest(response, digest)
+        if manifest.digest != digest:
+            raise ManifestMismatch(f"the {self._service} has {manifest.digest} for {digest}")
+        return manifest
+
+    async def chunk(self, chunk_hash: str) -> bytes:
+        """Return the bytes that the source sends for a chunk, unchecked."""
+        path = join_path(f"/chunks/{chunk_hash}")
+        try:
+            response = await self._http.stream(self._address, "GET", path, timeout_s=self._stall_s)
+            return await self._receive(response, chunk_hash)
+        except TimeoutError as error:
+            raise TimedOut(f"the {self._service} stalled over chunk {chunk_hash}") from error
+        except (OSError, HttpError) as error:
+            reason = f"the {self._service} broke off over chunk {chunk_hash}: {error}"
+            raise PlatformUnavailable(reason) from error
+
+    async def _receive(self, response: StreamedResponse, chunk_hash: str) -> bytes:
+        try:
+            self._check_chunk_status(Response(response.status, response.headers), chunk_hash)
+            return await self._receive_body(response)
+        finally:
+            await response.aclose()
+
+    async def _receive_body(self, response: StreamedResponse) -> bytes:
+        loop = asyncio.get_running_loop()
+        floor = ProgressFloor(loop.time(), self._stall_s, self._floor_bytes_per_s)
+        received = bytearray()
+        async for piece in response.pieces():
+            received += piece
+            if len(received) > CHUNK_LIMIT_BYTES:
+                raise HttpError(413, f"the chunk is over {CHUNK_LIMIT_BYTES} bytes")
+            if floor.is_below(loop.time(), len(piece)):
+                raise TimeoutError
+        return bytes(received)
+
+    def _check_chunk_status(self, response: Response, chunk_hash: str) -> None:
+        check_status(response, self._service)
+        if response.status == 404:
+            raise UnknownDigest(f"the {self._service} does not have chunk {chunk_hash}")
+        if response.status != 200:
+            raise self._calls.unexpected(response)
+
+    def _decode_manifest(self, response: Response, wanted: str) -> Manifest:
+        if response.status == 404:
+            raise UnknownDigest(f"the {self._service} has no manifest for {wanted}")
+        if response.status != 200:
+            raise self._calls.unexpected(response)
+        manifest = decode_json(response, self._service, _decode_manifest)
+        if release_digest(manifest.chunk_hashes) != manifest.digest:
+            raise ManifestMismatch(f"the manifest for {wanted} does not match its own digest")
+        return manifest
+
+
+def manifest_to_json(manifest: Manifest) -> dict[str, Any]:
+    """Return a manifest as it travels."""
+    return {
+        "name": manifest.name,
+        "digest": manifest.digest,
+        "chunk_hashes": [chunk_hash.hex() for chunk_hash in manifest.chunk_hashes],
+        "chunk_sizes": manifest.chunk_sizes,
+    }
+
+
+def _decode_manifest(value: dict[str, Any]) -> Manifest:
+    hashes = [bytes.fromhex(chunk_hash) for chunk_hash in value["chunk_hashes"]]
+    sizes = [int(size) for size in value["chunk_sizes"]]
+    if len(hashes) != len(sizes) or min(sizes, default=1) <= 0:
+        raise ValueError("chunk hashes and sizes do not fit together")
+    return Manifest(str(value["name"]), str(value["digest"]), hashes, sizes)
