Keep the configuration in a log, follow it, and place replicas by it

Every process needs the same configuration, which must never go back, and no process may lead. An accepted command is one row of the table service, created only if absent; entries follow their neighbours and a few read the log's tail; agents follow two entries. Placements are entries too: any entry works them out, waits by its rank, and a placement computed before anything else was accepted is refused.

A member of the list may name the service of its plain target.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -63,8 +63,14 @@
 
 // One host's part in a placement: which release it serves for which service ("" release: plain).
 struct Assignment { 1: string host, 2: string service_name, 3: string release }
-// Placement of one service, whole; replaces the one before.
-struct Place { 1: string service_name, 2: list<Assignment> assignments, 3: string cause }
+// Placement of one service. `assignments` are added to those before or replace those of the same
+// host; the hosts in `released` lose theirs.
+struct Place {
+  1: string service_name
+  2: list<Assignment> assignments
+  3: string cause
+  4: list<string> released
+}
 
 union Change {
   1: CreateRelease create_release
@@ -93,7 +99,7 @@
   3: list<Service> services
   4: list<string> draining
   5: list<Place> placements
-  6: list<LogEntry> recent       // newest entries, for `show history` and command look-up
+  6: list<LogEntry> recent       // newest entries without assignments: history, command look-up
 }
 
 struct FetchLog { 1: i64 after, 2: i32 limit }
--- /dev/null
+++ b/src/lacewinggw/agent/follower.py
@@ -0,0 +1,134 @@
+"""The configuration as an agent keeps it, heard from two entries.
+
+An agent never reads the store: a restart of thousands of agents costs the store nothing. It starts
+from the higher of two entries' configurations, and applies only rising revisions.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from lacewinggw.configuration.bootstrap import PeerBootstrap
+from lacewinggw.configuration.replica import OnChange, Replica
+from lacewinggw.configuration.upstreams import Upstreams
+from lacewinggw.decisions.pollers import Candidate, upstream_entries
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.settings.ttypes import ConfigurationSettings
+from lacewinggw.ids import Address
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.wire.peers import Exchange, PeerLink, PeerNode
+
+UPSTREAMS = 2
+MS_PER_S = 1000
+
+log = get_logger(__name__)
+
+Entries = Callable[[], Sequence[Candidate]]
+
+
+class Follower:
+    """One agent's copy of the configuration.
+
+    follower = Follower.from_config(settings, node, entries, metrics)
+    await follower.start()
+    follower.state.assignments_of(host)
+    """
+
+    def __init__(
+        self,
+        settings: ConfigurationSettings,
+        node: PeerNode,
+        entries: Entries,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._node = node
+        self._entries = entries
+        self._rng = rng
+        self._replica = Replica(metrics)
+        self._upstreams = Upstreams(node, self._replica, self._addresses, UPSTREAMS, metrics)
+        self._peers = PeerBootstrap(node)
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ConfigurationSettings,
+        node: PeerNode,
+        entries: Entries,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> "Follower":
+        """Return the follower of an agent; `entries` gives all entries as now listed."""
+        return cls(settings, node, entries, metrics, rng or random.Random())
+
+    @property
+    def state(self) -> FleetState:
+        """The configuration as known here."""
+        return self._replica.state
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a configuration to serve by."""
+        return self._replica.ready
+
+    @property
+    def revision(self) -> int:
+        """The highest revision applied here."""
+        return self._replica.revision
+
+    def on_change(self, callback: OnChange) -> None:
+        """Have `callback(state, entries)` called after each change."""
+        self._replica.on_change(callback)
+
+    async def start(self) -> None:
+        """Get a configuration from entries, then follow them. Returns once there is one."""
+        while not await self._bootstrap():  # noqa: ASYNC110
+            await asyncio.sleep(self._poll_s() * self._rng.uniform(0.2, 1.0))
+        self._replica.set_ready()
+        self._task = asyncio.get_running_loop().create_task(self._follow())
+
+    async def close(self) -> None:
+        """Stop following."""
+        self._replica.close()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait((self._task,))
+
+    async def handle(self, exchange: Exchange) -> bool:
+        """Answer a message about the configuration; return False for any other."""
+        return await self._replica.handle(exchange)
+
+    def saw_revision(self, link: PeerLink, revision: int) -> None:
+        """Catch up over a link whose other side is ahead."""
+        self._replica.saw_revision(link, revision)
+
+    async def reached(self, revision: int, timeout_s: float) -> bool:
+        """Wait until `revision` is applied here; return False after `timeout_s` seconds."""
+        return await self._replica.reached(revision, timeout_s)
+
+    def _poll_s(self) -> float:
+        return self._settings.poll_ms / MS_PER_S
+
+    def _addresses(self) -> list[Address]:
+        identity = self._node.identity
+        entries = upstream_entries(identity.host, identity.place, self._entries())
+        return [Address(entry.address) for entry in entries]
+
+    async def _bootstrap(self) -> bool:
+        snapshot = await self._peers.ask(self._addresses())
+        if snapshot is None:
+            return False
+        self._replica.adopt(snapshot)
+        return True
+
+    async def _follow(self) -> None:
+        while True:
+            await asyncio.sleep(self._poll_s() * self._rng.uniform(0.8, 1.2))
+            try:
+                await self._upstreams.tend()
+            except LacewingError as error:
+                log.info("configuration_tail_unread", error=error)
--- /dev/null
+++ b/src/lacewinggw/configuration/bootstrap.py
@@ -0,0 +1,52 @@
+"""A first configuration from other processes: several, so that one that is behind does no harm."""
+
+import asyncio
+from collections.abc import Sequence
+
+from lacewinggw.configuration.replica import PEER_TIMEOUT_S
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.messages.ttypes import FetchSnapshot, Snapshot
+from lacewinggw.ids import Address
+from lacewinggw.log import get_logger
+from lacewinggw.wire.peers import PeerNode
+
+ASKED_AT_ONCE = 4
+ANSWERS_NEEDED = 2
+
+log = get_logger(__name__)
+
+
+class PeerBootstrap:
+    """Ask peers, a few at a time, until enough have answered.
+
+    Two answers are enough; one is, only after every peer of the list was asked.
+    """
+
+    def __init__(self, node: PeerNode) -> None:
+        self._node = node
+        self._asked: set[Address] = set()
+        self._answers: dict[Address, Snapshot] = {}
+
+    async def ask(self, addresses: Sequence[Address]) -> Snapshot | None:
+        """Ask the next few of `addresses`; return the highest configuration once it is enough."""
+        unasked = [address for address in addresses if address not in self._asked]
+        if not unasked:
+            self._asked.clear()
+            unasked = list(addresses)
+        await asyncio.gather(*(self._ask_one(address) for address in unasked[:ASKED_AT_ONCE]))
+        everyone_asked = self._asked.issuperset(addresses)
+        if not self._answers:
+            return None
+        if len(self._answers) < ANSWERS_NEEDED and not everyone_asked:
+            return None
+        return max(self._answers.values(), key=lambda snapshot: snapshot.revision)
+
+    async def _ask_one(self, address: Address) -> None:
+        self._asked.add(address)
+        try:
+            reply = await self._node.call(address, FetchSnapshot(0), PEER_TIMEOUT_S)
+        except LacewingError as error:
+            log.info("configuration_peer_lost", address=address, error=error)
+            return
+        if isinstance(reply, Snapshot):
+            self._answers[address] = reply
--- /dev/null
+++ b/src/lacewinggw/configuration/replica.py
@@ -0,0 +1,220 @@
+"""The copy of the configuration that one process keeps, and how it passes news on.
+
+A replica applies only rising revisions. News comes from the store, from an accepted command, or
+over a link from another process; each entry that is new here goes on to whoever subscribed here.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+from itertools import islice
+
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.errors import LacewingError, NoConfiguration
+from lacewinggw.generated.messages.ttypes import (
+    FetchLog,
+    FetchSnapshot,
+    LogEntry,
+    LogNews,
+    LogRows,
+    Snapshot,
+    Subscribe,
+)
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.wire.frames import encode_struct
+from lacewinggw.wire.peers import Exchange, PeerLink
+
+TAIL_LENGTH = 500
+FETCH_LIMIT = 100
+SMALL_NEWS_BYTES = 4096
+PEER_TIMEOUT_S = 2.0
+NEWS_GRACE_S = 0.02
+
+log = get_logger(__name__)
+
+OnChange = Callable[[FleetState, list[LogEntry]], None]
+
+
+class Replica:
+    """One process's configuration.
+
+    `on_change` callbacks get the state and the entries just applied; the list is empty when the
+    state came whole, from a snapshot.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.ready = False
+        self.state = FleetState()
+        self._metrics = metrics
+        self._tail: deque[LogEntry] = deque(maxlen=TAIL_LENGTH)
+        self._callbacks: list[OnChange] = []
+        self._subscribers: set[PeerLink] = set()
+        self._catching_up: asyncio.Task[None] | None = None
+        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        metrics.read_gauge("configuration_revision", lambda: float(self.revision))
+
+    @property
+    def revision(self) -> int:
+        """The highest revision applied."""
+        return self.state.revision
+
+    def on_change(self, callback: OnChange) -> None:
+        """Have `callback` called after each change."""
+        self._callbacks.append(callback)
+
+    def set_ready(self) -> None:
+        """Declare that the process has a configuration to serve by."""
+        if not self.ready:
+            self.ready = True
+            log.info("configuration_ready", revision=self.revision)
+            self._changed([])
+
+    def close(self) -> None:
+        """Stop catching up."""
+        if self._catching_up is not None:
+            self._catching_up.cancel()
+
+    def offer(self, entries: Sequence[LogEntry]) -> bool:
+        """Apply what follows on the state; return whether a gap was left before the rest."""
+        applied: list[LogEntry] = []
+        gap = False
+        for entry in entries:
+            if entry.revision <= self.revision:
+                continue
+            if entry.revision != self.revision + 1:
+                gap = True
+                break
+            self.state.apply(entry)
+            self._tail.append(entry)
+            applied.append(entry)
+        if applied:
+            self._changed(applied)
+            self._publish(applied)
+        return gap
+
+    def adopt(self, snapshot: Snapshot) -> bool:
+        """Take a whole state over if it is newer; return whether it was."""
+        if snapshot.revision <= self.revision:
+            return False
+        self.state = FleetState.from_snapshot(snapshot)
+        self._tail.clear()
+        self._metrics.count("configuration_snapshots_adopted")
+        self._changed([])
+        self._publish([])
+        return True
+
+    async def reached(self, revision: int, timeout_s: float) -> bool:
+        """Wait until `revision` is applied; return False after `timeout_s` seconds."""
+        if self.revision >= revision:
+            return True
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiters.append((revision, future))
+        try:
+            async with asyncio.timeout(timeout_s):
+                await future
+        except TimeoutError:
+            return False
+        return True
+
+    def saw_revision(self, link: PeerLink, revision: int) -> None:
+        """Catch up over a link whose other side is ahead."""
+        if revision <= self.revision or self._catching_up is not None:
+            return
+        task = asyncio.get_running_loop().create_task(self._catch_up_soon(link, revision))
+        self._catching_up = task
+        task.add_done_callback(self._caught_up)
+
+    async def catch_up(self, link: PeerLink) -> None:
+        """Fetch and apply all that the other side has and this one lacks."""
+        while True:
+            reply = await link.call(FetchLog(self.revision, FETCH_LIMIT), PEER_TIMEOUT_S)
+            if not isinstance(reply, LogRows):
+                return
+            before = self.revision
+            self.offer(reply.entries)
+            if self.revision >= reply.head:
+                return
+            if self.revision == before and not await self._fetch_snapshot(link):
+                return
+
+    async def handle(self, exchange: Exchange) -> bool:
+        """Answer a message about the configuration; return False for any other."""
+        match exchange.message:
+            case FetchLog(after=after, limit=limit):
+                self._require_ready()
+                exchange.finish(self._rows_after(after, limit))
+            case FetchSnapshot():
+                self._require_ready()
+                exchange.finish(self.state.to_snapshot())
+            case Subscribe(after=after):
+                self._require_ready()
+                self._subscribers.add(exchange.link)
+                exchange.finish(self._rows_after(after, FETCH_LIMIT))
+            case LogNews(entries=entries, head=head):
+                self._take_news(exchange.link, entries or [], head)
+            case _:
+                return False
+        return True
+
+    def _require_ready(self) -> None:
+        if not self.ready:
+            raise NoConfiguration("this process has no configuration yet")
+
+    def _rows_after(self, after: int, limit: int) -> LogRows:
+        first = self._tail[0].revision if self._tail else self.revision + 1
+        if after + 1 < first:
+            return LogRows([], self.revision)
+        start = after + 1 - first
+        count = min(max(limit, 1), FETCH_LIMIT)
+        return LogRows(list(islice(self._tail, start, start + count)), self.revision)
+
+    def _take_news(self, link: PeerLink, entries: list[LogEntry], head: int) -> None:
+        if not self.ready:
+            return
+        known = self.revision
+        self.offer(entries)
+        self._metrics.count("configuration_news", kind="new" if self.revision > known else "known")
+        if head > self.revision:
+            self.saw_revision(link, head)
+
+    async def _fetch_snapshot(self, link: PeerLink) -> bool:
+        snapshot = await link.call(FetchSnapshot(self.revision), PEER_TIMEOUT_S)
+        return isinstance(snapshot, Snapshot) and self.adopt(snapshot)
+
+    async def _catch_up_soon(self, link: PeerLink, revision: int) -> None:
+        """Give the news itself, which mostly follows at once, a moment to arrive."""
+        await asyncio.sleep(NEWS_GRACE_S)
+        if self.revision >= revision or not self.ready:
+            return
+        try:
+            await self.catch_up(link)
+        except LacewingError as error:
+            log.info("configuration_catch_up_failed", peer=link.remote.host, error=error)
+
+    def _caught_up(self, _: "asyncio.Task[None]") -> None:
+        self._catching_up = None
+
+    def _changed(self, entries: list[LogEntry]) -> None:
+        waiting = [waiter for waiter in self._waiters if waiter[0] > self.revision]
+        for revision, future in self._waiters:
+            if revision <= self.revision and not future.done():
+                future.set_result(None)
+        self._waiters = waiting
+        for callback in self._callbacks:
+            try:
+                callback(self.state, entries)
+            except Exception as error:
+                log.exception("configuration_callback_failed", error=error)
+
+    def _publish(self, entries: list[LogEntry]) -> None:
+        """Pass news on: small entries themselves, of large ones only that they exist."""
+        if not self._subscribers or not self.ready:
+            return
+        size = sum(len(encode_struct(entry)) for entry in entries)
+        news = LogNews(entries if size <= SMALL_NEWS_BYTES else [], self.revision)
+        for link in list(self._subscribers):
+            if link.closed.is_set():
+                self._subscribers.discard(link)
+                continue
+            link.notify(news)
--- /dev/null
+++ b/src/lacewinggw/decisions/hosts.py
@@ -0,0 +1,71 @@
+"""Which placed hosts count as dead, from a list that lags and heartbeats that reach only some.
+
+A host is dead when it is both missing from the list and silent for long enough; one that is only
+slow to be listed is not. Hosts lost together are reported together, so that their replacement is
+one entry. All times are of one process's own clock, in seconds.
+"""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+MISSING_S = 2.0
+GATHER_S = 2.0
+UNRESPONSIVE_FACTOR = 6
+
+
+@dataclass(frozen=True)
+class Heard:
+    """When each host was last heard from; hosts that nobody here listens to are absent."""
+
+    at: Mapping[str, float]
+
+
+class HostWatch:
+    """Follow the list, and tell which placed hosts are to be replaced."""
+
+    def __init__(self, dead_after_s: float) -> None:
+        self._dead_after_s = dead_after_s
+        self._listed: frozenset[str] = frozenset()
+        self._missing_since: dict[str, float] = {}
+
+    @property
+    def missing(self) -> frozenset[str]:
+        """Placed hosts that the list lacks."""
+        return frozenset(self._missing_since)
+
+    def observe(self, listed: Collection[str], placed: Collection[str], now: float) -> None:
+        """Take the list as it is now; an empty one is not believed."""
+        if not listed:
+            return
+        self._listed = frozenset(listed)
+        gone = {host for host in placed if host not in self._listed}
+        self._missing_since = {host: self._missing_since.get(host, now) for host in gone}
+
+    def lost(self, heard: Heard, placed: Collection[str], now: float) -> set[str]:
+        """Return the hosts to be replaced now; none while this process itself hears nobody."""
+        silent = {host: self._silence(host, heard, now) for host in placed}
+        due = {host for host in placed if self._is_due(host, silent[host], heard, now)}
+        if not due or self._is_cut_off(heard, placed, now):
+            return set()
+        early = self._dead_after_s - GATHER_S
+        beside = {host for host in self._missing_since if silent.get(host, 0.0) >= early}
+        return due | beside
+
+    def _silence(self, host: str, heard: Heard, now: float) -> float:
+        """Return for how long a host has not been heard of, by heartbeat or by the list."""
+        last = heard.at.get(host)
+        if last is not None:
+            return now - last
+        since = self._missing_since.get(host)
+        return now - since if since is not None else 0.0
+
+    def _is_due(self, host: str, silence: float, heard: Heard, now: float) -> bool:
+        since = self._missing_since.get(host)
+        if since is not None:
+            return silence >= self._dead_after_s and now - since >= MISSING_S
+        return host in heard.at and silence >= self._dead_after_s * UNRESPONSIVE_FACTOR
+
+    def _is_cut_off(self, heard: Heard, placed: Collection[str], now: float) -> bool:
+        """Tell whether everyone heard before is silent: then this process may be the cause."""
+        known = [heard.at[host] for host in placed if host in heard.at]
+        return len(known) > 1 and all(now - last >= self._dead_after_s for last in known)
--- /dev/null
+++ b/src/lacewinggw/decisions/pollers.py
@@ -0,0 +1,73 @@
+"""Which entries read the log's tail from the store, and whom each entry hears news from.
+
+Pure, and worked out by each entry from its own view of the list. Views that differ for a while cost
+a few reads more or less, never a change missed: whoever does not read the store asks a neighbour.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+READERS_PER_PLACE = 2
+NEIGHBOURS = 4
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """One process on the list, as far as these choices need it."""
+
+    host: str
+    place: str
+    address: str
+
+
+def weight(purpose: str, host: str) -> int:
+    """Return the rendezvous weight of a host for a purpose."""
+    return xxhash.xxh3_64_intdigest(f"{purpose}\0{host}".encode())
+
+
+def ranked(purpose: str, hosts: Iterable[str]) -> list[str]:
+    """Return hosts in the order in which they are to act for a purpose."""
+    return sorted(hosts, key=lambda host: (-weight(purpose, host), host))
+
+
+def rank_of(purpose: str, host: str, hosts: Iterable[str]) -> int:
+    """Return how many of `hosts` come before `host` for a purpose."""
+    own = (-weight(purpose, host), host)
+    return sum(1 for each in hosts if (-weight(purpose, each), each) < own)
+
+
+def reads_store(host: str, place: str, entries: Sequence[Candidate]) -> bool:
+    """Tell whether an entry is one of the few in its place that read the log's tail."""
+    beside = [entry.host for entry in entries if entry.place == place and entry.host != host]
+    return rank_of("log-reader", host, beside) < READERS_PER_PLACE
+
+
+def neighbours(host: str, entries: Sequence[Candidate]) -> list[Candidate]:
+    """Return all other entries, those to hear news from first.
+
+    The first is the next on the ring of hosts, which alone would reach everyone; the others are
+    drawn by rendezvous hash, which makes the way short.
+    """
+    others = sorted((entry for entry in entries if entry.host != host), key=lambda each: each.host)
+    if not others:
+        return []
+    successor = next((entry for entry in others if entry.host > host), others[0])
+    drawn = sorted(
+        (entry for entry in others if entry is not successor),
+        key=lambda entry: weight(f"news-for-{host}", entry.host),
+    )
+    return [successor, *drawn]
+
+
+def upstream_entries(host: str, place: str, entries: Sequence[Candidate]) -> list[Candidate]:
+    """Return entries in the order in which an agent is to subscribe: one of its place first.
+
+    The second is of another place where there is one, so that the loss of a place leaves news
+    coming.
+    """
+    order = sorted(entries, key=lambda entry: weight(f"news-for-{host}", entry.host))
+    near = [entry for entry in order if entry.place == place]
+    far = [entry for entry in order if entry.place != place]
+    return [*near[:1], *far[:1], *near[1:], *far[1:]]
--- /dev/null
+++ b/src/lacewinggw/decisions/revisions.py
@@ -0,0 +1,277 @@
+"""The configuration at one revision, and how entries of the log change it.
+
+Pure: every process that applies the same entries in the same order has the same state, whatever it
+knew before. Memory is bounded: only the newest entries are remembered, by which a repeated command
+is recognised; what a command may rely on is checked against that window.
+"""
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Self, TypeAlias
+
+from lacewinggw.generated.messages.ttypes import (
+    Assignment,
+    Change,
+    CreateRelease,
+    LogEntry,
+    Place,
+    PutService,
+    Release,
+    RemoveService,
+    Service,
+    SetDrain,
+    Snapshot,
+    WithdrawRelease,
+)
+
+HISTORY_LENGTH = 1000
+
+ChangeContent: TypeAlias = (
+    CreateRelease | PutService | RemoveService | WithdrawRelease | SetDrain | Place
+)
+Assignments: TypeAlias = dict[str, str]  # host -> release, "" for a plain service
+
+
+class RevisionOutOfOrder(Exception):
+    """An entry that does not follow directly on the state it was to be applied to."""
+
+
+@dataclass(frozen=True)
+class Subject:
+    """What a change is about; two changes of one subject can be in conflict."""
+
+    kind: str
+    name: str
+
+
+def content_of(change: Change) -> ChangeContent:
+    """Return the one alternative that a change holds; raise `ValueError` when it holds none."""
+    for spec in Change.thrift_spec:
+        if spec is None:
+            continue
+        content: ChangeContent | None = getattr(change, spec[2])
+        if content is not None:
+            return content
+    raise ValueError("a change of an unknown kind")
+
+
+def change_of(content: ChangeContent) -> Change:
+    """Wrap one alternative as a change."""
+    match content:
+        case CreateRelease():
+            return Change(create_release=content)
+        case PutService():
+            return Change(put_service=content)
+        case RemoveService():
+            return Change(remove_service=content)
+        case WithdrawRelease():
+            return Change(withdraw_release=content)
+        case SetDrain():
+            return Change(set_drain=content)
+        case Place():
+            return Change(place=content)
+
+
+def subject_of(content: ChangeContent) -> Subject:
+    """Return what a change is about."""
+    match content:
+        case CreateRelease():
+            return Subject("release", content.release.name)
+        case WithdrawRelease():
+            return Subject("release", content.release)
+        case PutService():
+            return Subject("service", content.declared.name)
+        case RemoveService():
+            return Subject("service", content.service_name)
+        case SetDrain():
+            return Subject("host", content.host)
+        case Place():
+            return Subject("placement", content.service_name)
+
+
+def is_placement(entry: LogEntry) -> bool:
+    """Tell whether an entry only places, as entries do by themselves."""
+    return all(change.place is not None for change in entry.changes)
+
+
+def for_history(entry: LogEntry) -> LogEntry:
+    """Return an entry without its assignments, which would make the history large."""
+    if not any(change.place is not None for change in entry.changes):
+        return entry
+    changes = [_without_assignments(change) for change in entry.changes]
+    return LogEntry(
+        entry.revision,
+        entry.command_id,
+        entry.author,
+        entry.accepted_at_ms,
+        entry.read_revision,
+        changes,
+        entry.words,
+    )
+
+
+def _without_assignments(change: Change) -> Change:
+    place = change.place
+    if place is None:
+        return change
+    return Change(place=Place(place.service_name, [], place.cause, []))
+
+
+def revised(service: Service, revision: int) -> Service:
+    """Return a copy of a declaration that bears the revision it was accepted at."""
+    return Service(
+        service.name,
+        service.kind,
+        list(service.goals or []),
+        service.prefer,
+        service.floor_percent,
+        service.repeatable,
+        list(service.unrepeatable_paths or []),
+        revision,
+    )
+
+
+class FleetState:
+    """The whole configuration at `revision`.
+
+    `placements` maps each service to its hosts and the release each is to serve, `""` for a plain
+    service. Read it freely; only `apply` changes it.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.releases: dict[str, Release] = {}
+        self.services: dict[str, Service] = {}
+        self.draining: set[str] = set()
+        self.placements: dict[str, Assignments] = {}
+        self.history: deque[LogEntry] = deque()
+        self._by_host: dict[str, Assignments] = {}
+        self._commands: dict[str, int] = {}
+        self._changed: dict[Subject, int] = {}
+
+    @classmethod
+    def from_snapshot(cls, snapshot: Snapshot) -> Self:
+        """Return the state that a snapshot holds."""
+        state = cls()
+        state.revision = snapshot.revision
+        state.releases = {release.name: release for release in snapshot.releases}
+        state.services = {service.name: service for service in snapshot.services}
+        state.draining = set(snapshot.draining)
+        for place in snapshot.placements:
+            state._place(place)
+        for entry in snapshot.recent:
+            state._remember(entry)
+        return state
+
+    def to_snapshot(self) -> Snapshot:
+        """Return the state as a message, the same for the same revision wherever it is made."""
+        return Snapshot(
+            self.revision,
+            [self.releases[name] for name in sorted(self.releases)],
+            [self.services[name] for name in sorted(self.services)],
+            sorted(self.draining),
+            [self._whole_placement(name) for name in sorted(self.placements)],
+            list(self.history),
+        )
+
+    def apply(self, entry: LogEntry) -> None:
+        """Apply the next entry; raise `RevisionOutOfOrder` for any other."""
+        if entry.revision != self.revision + 1:
+            raise RevisionOutOfOrder(f"revision {entry.revision} after {self.revision}")
+        for change in entry.changes:
+            self._apply_content(content_of(change), entry.revision)
+        self.revision = entry.revision
+        self._remember(for_history(entry))
+
+    @property
+    def remembers_after(self) -> int:
+        """The revision after which every command is remembered."""
+        return self.revision - len(self.history)
+
+    def revision_of_command(self, command_id: str) -> int | None:
+        """Return the revision at which a remembered command was accepted."""
+        return self._commands.get(command_id)
+
+    def entry_at(self, revision: int) -> LogEntry | None:
+        """Return a remembered entry, without its assignments."""
+        index = revision - self.remembers_after - 1
+        return self.history[index] if 0 <= index < len(self.history) else None
+
+    def changed_at(self, subject: Subject) -> int:
+        """Return the last remembered revision that changed a subject, 0 for none."""
+        return self._changed.get(subject, 0)
+
+    def assignments_of(self, host: str) -> list[tuple[str, str]]:
+        """Return the (service, release) pairs that a host is to serve."""
+        return list(self._by_host.get(host, {}).items())
+
+    def hosts_of(self, service: str) -> Assignments:
+        """Return the hosts of a service and the release each is to serve."""
+        return self.placements.get(service, {})
+
+    def placed_hosts(self) -> Iterator[str]:
+        """Yield every host that serves anything."""
+        yield from self._by_host
+
+    def release_digest(self, name: str) -> str:
+        """Return the digest of a release, `""` when there is none of that name."""
+        release = self.releases.get(name)
+        return release.digest if release is not None else ""
+
+    def _apply_content(self, content: ChangeContent, revision: int) -> None:
+        match content:
+            case CreateRelease():
+                self.releases[content.release.name] = content.release
+            case WithdrawRelease():
+                self.releases.pop(content.release, None)
+            case PutService():
+                self.services[content.declared.name] = revised(content.declared, revision)
+            case RemoveService():
+                self.services.pop(content.service_name, None)
+                self._release_hosts(content.service_name, list(self.hosts_of(content.service_name)))
+                self.placements.pop(content.service_name, None)
+            case SetDrain(draining=True):
+                self.draining.add(content.host)
+            case SetDrain():
+                self.draining.discard(content.host)
+            case Place():
+                self._place(content)
+
+    def _place(self, place: Place) -> None:
+        service = place.service_name
+        self._release_hosts(service, place.released or [])
+        hosts = self.placements.setdefault(service, {})
+        for assignment in place.assignments:
+            hosts[assignment.host] = assignment.release
+            self._by_host.setdefault(assignment.host, {})[service] = assignment.release
+
+    def _release_hosts(self, service: str, released: list[str]) -> None:
+        hosts = self.placements.get(service, {})
+        for host in released:
+            hosts.pop(host, None)
+            served = self._by_host.get(host, {})
+            served.pop(service, None)
+            if not served:
+                self._by_host.pop(host, None)
+
+    def _whole_placement(self, service: str) -> Place:
+        hosts = self.placements[service]
+        assignments = [Assignment(host, service, hosts[host]) for host in sorted(hosts)]
+        return Place(service, assignments, "", [])
+
+    def _remember(self, entry: LogEntry) -> None:
+        self.history.append(entry)
+        self._commands[entry.command_id] = entry.revision
+        for change in entry.changes:
+            self._changed[subject_of(content_of(change))] = entry.revision
+        if len(self.history) > HISTORY_LENGTH:
+            self._forget(self.history.popleft())
+
+    def _forget(self, entry: LogEntry) -> None:
+        if self._commands.get(entry.command_id) == entry.revision:
+            del self._commands[entry.command_id]
+        for change in entry.changes:
+            subject = subject_of(content_of(change))
+            if self._changed.get(subject) == entry.revision:
+                del self._changed[subject]
--- /dev/null
+++ b/src/lacewinggw/entry/ledger.py
@@ -0,0 +1,316 @@
+"""The configuration as an entry keeps it: accepted into the log, followed, and passed on.
+
+An entry accepts a command by creating the next row of the log. It hears of others' entries from
+its neighbours, and a few entries in each place read the log's tail for all. It serves nothing
+before it has a configuration: from the store, or from several peers when the store is down.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Sequence
+
+from lacewinggw.configuration.bootstrap import PeerBootstrap
+from lacewinggw.configuration.logstore import Appended, LogStore, Outdated, Taken, Truncated
+from lacewinggw.configuration.replica import OnChange, Replica
+from lacewinggw.configuration.upstreams import Upstreams
+from lacewinggw.decisions.commands import accepted_before, check_command
+from lacewinggw.decisions.pollers import NEIGHBOURS, Candidate, neighbours, reads_store
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.errors import (
+    AcceptanceUnknown,
+    LacewingError,
+    NoConfiguration,
+    PlatformError,
+    PlatformThrottled,
+    PlatformUnavailable,
+    WriteUnknown,
+)
+from lacewinggw.generated.messages.ttypes import Change, LogEntry, Snapshot
+from lacewinggw.generated.settings.ttypes import ConfigurationSettings
+from lacewinggw.ids import Address
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
+from lacewinggw.platform.objects import ObjectClient
+from lacewinggw.platform.table import TableClient
+from lacewinggw.wire.peers import Exchange, PeerLink, PeerNode
+
+ACCEPT_LIMIT_S = 8.0
+RETRY_S = 0.1
+SAFETY_READ_TURNS = 15
+MS_PER_S = 1000
+
+log = get_logger(__name__)
+
+Entries = Callable[[], Sequence[Candidate]]
+
+
+class Ledger:
+    """One entry's hold on the configuration.
+
+    ledger = Ledger.from_config(settings, table, objects, metrics, node, entries, rng)
+    await ledger.start()
+    entry = await ledger.accept(changes, words=words, author=author,
+                                read_revision=ledger.revision, command_id=new_command_id(rng))
+    """
+
+    def __init__(
+        self,
+        settings: ConfigurationSettings,
+        store: LogStore,
+        metrics: Metrics,
+        node: PeerNode | None,
+        entries: Entries,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._metrics = metrics
+        self._node = node
+        self._entries = entries
+        self._rng = rng
+        self._replica = Replica(metrics)
+        self._peers = PeerBootstrap(node) if node is not None else None
+        self._upstreams: Upstreams | None = None
+        if node is not None:
+            self._upstreams = Upstreams(
+                node, self._replica, self._neighbour_addresses, NEIGHBOURS, metrics
+            )
+        self._accepting = asyncio.Lock()
+        self._tail_task: asyncio.Task[None] | None = None
+        self._snapshot_task: asyncio.Task[None] | None = None
+        self._turn = rng.randrange(SAFETY_READ_TURNS)
+        self._store_was_reached = False
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ConfigurationSettings,
+        table: TableClient,
+        objects: ObjectClient,
+        metrics: Metrics,
+        node: PeerNode | None = None,
+        entries: Entries = tuple,
+        rng: random.Random | None = None,
+    ) -> "Ledger":
+        """Return the ledger of an entry; `entries` gives all entries as now listed."""
+        store = LogStore(table, objects)
+        return cls(settings, store, metrics, node, entries, rng or random.Random())
+
+    @property
+    def state(self) -> FleetState:
+        """The configuration as known here."""
+        return self._replica.state
+
+    @property
+    def ready(self) -> bool:
+        """Whether there is a configuration to serve by."""
+        return self._replica.ready
+
+    @property
+    def revision(self) -> int:
+        """The highest revision applied here."""
+        return self._replica.revision
+
+    @property
+    def store_reached(self) -> bool:
+        """Whether the last read of the log's tail by this entry succeeded."""
+        return self._store_was_reached
+
+    def on_change(self, callback: OnChange) -> None:
+        """Have `callback(state, entries)` called after each change."""
+        self._replica.on_change(callback)
+
+    async def start(self) -> None:
+        """Get a configuration, then follow the log. Returns once there is one."""
+        while not await self._bootstrap():  # noqa: ASYNC110
+            await asyncio.sleep(self._poll_s() * self._rng.uniform(0.5, 1.0))
+        self._replica.set_ready()
+        self._tail_task = asyncio.get_running_loop().create_task(self._follow())
+
+    async def close(self) -> None:
+        """Stop following."""
+        self._replica.close()
+        for task in (self._tail_task, self._snapshot_task):
+            if task is not None:
+                task.cancel()
+                await asyncio.wait((task,))
+
+    async def handle(self, exchange: Exchange) -> bool:
+        """Answer a message about the configuration; return False for any other."""
+        return await self._replica.handle(exchange)
+
+    def saw_revision(self, link: PeerLink, revision: int) -> None:
+        """Catch up over a link whose other side is ahead."""
+        self._replica.saw_revision(link, revision)
+
+    async def reached(self, revision: int, timeout_s: float) -> bool:
+        """Wait until `revision` is applied here; return False after `timeout_s` seconds."""
+        return await self._replica.reached(revision, timeout_s)
+
+    async def accept(
+        self,
+        changes: Sequence[Change],
+        *,
+        words: str,
+        author: str,
+        read_revision: int,
+        command_id: str,
+    ) -> LogEntry:
+        """Put a command into the log and return its entry; a repeated one returns the first.
+
+        Raises the refusals of `check_command`; `PlatformUnavailable` when it was certainly not
+        accepted because the store cannot be used; `AcceptanceUnknown` when it may have been.
+        """
+        if not self.ready:
+            raise NoConfiguration("this entry has no configuration yet")
+        entry = LogEntry(0, command_id, author, 0, read_revision, list(changes), words)
+        attempt = _Attempt(entry)
+        try:
+            async with asyncio.timeout(ACCEPT_LIMIT_S), self._accepting:
+                while True:
+                    known = accepted_before(self.state, command_id)
+                    if known is not None:
+                        return known
+                    check_command(self.state, changes, read_revision)
+                    await self._append_once(attempt)
+        except TimeoutError as error:
+            if attempt.in_doubt:
+                raise AcceptanceUnknown(f"no answer for command {command_id}") from error
+            raise PlatformUnavailable("the table service gave no definite answer") from error
+
+    async def _append_once(self, attempt: "_Attempt") -> None:
+        """Try to append at the next revision, and learn what stands there when it is taken."""
+        entry = attempt.at(self.revision + 1)
+        doubt_before = attempt.in_doubt
+        attempt.in_doubt = True  # until there is an answer, should this be interrupted
+        try:
+            result = await self._store.append(entry)
+        except WriteUnknown:
+            self._metrics.retry(RetryReason.WRITE_UNKNOWN)
+            await asyncio.sleep(RETRY_S)
+            return
+        except PlatformThrottled as error:
+            attempt.in_doubt = doubt_before
+            self._metrics.retry(RetryReason.PLATFORM_THROTTLED)
+            await asyncio.sleep(max(RETRY_S, error.retry_after_ms / MS_PER_S))
+            return
+        except PlatformError:
+            attempt.in_doubt = doubt_before
+            if not doubt_before:
+                raise
+            self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
+            await asyncio.sleep(RETRY_S)
+            return
+        attempt.in_doubt = False
+        match result:
+            case Appended():
+                self._replica.offer([entry])
+                self._snapshot_if_due()
+            case Taken(entry=other):
+                self._metrics.retry(RetryReason.COMPARE_AND_SET)
+                self._replica.offer([other])
+            case Outdated():
+                await self._read_tail()
+
+    async def _bootstrap(self) -> bool:
+        try:
+            snapshot = await self._store.newest_snapshot()
+            if snapshot is not None:
+                self._replica.adopt(snapshot)
+            await self._read_tail()
+        except LacewingError as error:
+            log.warning("configuration_not_from_store", error=error)
+            return await self._bootstrap_from_peers()
+        return True
+
+    async def _bootstrap_from_peers(self) -> bool:
+        if self._peers is None:
+            return False
+        snapshot = await self._peers.ask(self._neighbour_addresses())
+        if snapshot is None:
+            return False
+        self._replica.adopt(snapshot)
+        return True
+
+    def _neighbour_addresses(self) -> list[Address]:
+        if self._node is None:
+            return []
+        own = self._node.identity.host
+        return [Address(each.address) for each in neighbours(own, self._entries())]
+
+    def _poll_s(self) -> float:
+        return self._settings.poll_ms / MS_PER_S
+
+    async def _follow(self) -> None:
+        while True:
+            await asyncio.sleep(self._poll_s() * self._rng.uniform(0.8, 1.2))
+            try:
+                await self._follow_once()
+            except LacewingError as error:
+                log.info("configuration_tail_unread", error=error)
+
+    async def _follow_once(self) -> None:
+        self._turn += 1
+        answered = self._upstreams is not None and await self._upstreams.tend()
+        if self._is_reader() or not answered or self._turn % SAFETY_READ_TURNS == 0:
+            self._store_was_reached = False
+            await self._read_tail()
+            self._store_was_reached = True
+
+    def _is_reader(self) -> bool:
+        if self._node is None:
+            return True
+        identity = self._node.identity
+        return reads_store(identity.host, identity.place, self._entries())
+
+    async def _read_tail(self) -> None:
+        while True:
+            self._metrics.count("configuration_store_reads")
+            result = await self._store.read_after(self.revision)
+            match result:
+                case Truncated(snapshot=revision):
+                    snapshot = await self._store.load_snapshot(revision)
+                    if snapshot is None or not self._replica.adopt(snapshot):
+                        raise PlatformError(f"the snapshot of revision {revision} is missing")
+                case _:
+                    if not result.entries:
+                        return
+                    self._replica.offer(result.entries)
+
+    def _snapshot_if_due(self) -> None:
+        every = self._settings.snapshot_every
+        if self.revision - self._store.floor.snapshot < every:
+            return
+        if self._snapshot_task is not None and not self._snapshot_task.done():
+            return
+        saving = self._save_snapshot(self.state.to_snapshot())
+        self._snapshot_task = asyncio.get_running_loop().create_task(saving)
+
+    async def _save_snapshot(self, snapshot: Snapshot) -> None:
+        try:
+            await self._store.save_snapshot(snapshot, self._settings.snapshot_every)
+        except LacewingError as error:
+            log.warning("configuration_snapshot_failed", revision=snapshot.revision, error=error)
+
+
+class _Attempt:
+    """The attempts to append one command, and whether one of them may have taken effect."""
+
+    def __init__(self, entry: LogEntry) -> None:
+        self.in_doubt = False
+        self._entry = entry
+
+    def at(self, revision: int) -> LogEntry:
+        """Return the entry for one revision; attempts in flight keep theirs."""
+        now_ms = int(time.time() * MS_PER_S)
+        entry = self._entry
+        return LogEntry(
+            revision,
+            entry.command_id,
+            entry.author,
+            now_ms,
+            entry.read_revision,
+            entry.changes,
+            entry.words,
+        )
--- /dev/null
+++ b/src/lacewinggw/entry/placer.py
@@ -0,0 +1,227 @@
+"""Placement by any entry: work out what is missing, wait one's turn, and commit it to the log.
+
+No entry leads and no lease is held. The entry ranked first acts at once, each further one only if
+the need still stands after a delay that grows with its rank; a second commit of the same need is
+refused by the log. A placement that was computed before anything else was accepted is refused too,
+so that an entry that was paused cannot bring an old one back.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+
+from lacewinggw.decisions.hosts import Heard, HostWatch
+from lacewinggw.decisions.placement import (
+    HostFact,
+    PlacementPlan,
+    Shortfall,
+    plan_placement,
+)
+from lacewinggw.decisions.pollers import rank_of
+from lacewinggw.decisions.revisions import change_of
+from lacewinggw.entry.ledger import Ledger
+from lacewinggw.errors import ConfigurationConflict, LacewingError
+from lacewinggw.generated.messages.ttypes import FetchLog, Place
+from lacewinggw.generated.settings.ttypes import ConfigurationSettings
+from lacewinggw.ids import Address, HostId, new_command_id
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.membership import Member, MemberRole, MemberState
+from lacewinggw.wire.peers import PeerNode
+
+TICK_S = 0.25
+PROBE_TIMEOUT_S = 1.0
+BACK_OFF_S = 2.0
+PURPOSE = "placer"
+MS_PER_S = 1000
+
+log = get_logger(__name__)
+
+Members = Callable[[], Sequence[Member]]
+LastHeard = Callable[[], Heard]
+
+
+class Placer:
+    """One entry's part in placement.
+
+    `members` returns the list as last polled, `last_heard` when each target host was last heard
+    from by this entry.
+    """
+
+    def __init__(
+        self,
+        settings: ConfigurationSettings,
+        ledger: Ledger,
+        node: PeerNode,
+        members: Members,
+        last_heard: LastHeard,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._ledger = ledger
+        self._node = node
+        self._members = members
+        self._last_heard = last_heard
+        self._metrics = metrics
+        self._rng = rng
+        self._watch = HostWatch(settings.dead_host_ms / MS_PER_S)
+        self._addresses: dict[HostId, Address] = {}
+        self._needed_since: float | None = None
+        self._not_before = 0.0
+        self._plan = PlacementPlan()
+        self._planned_for: object = None
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: ConfigurationSettings,
+        ledger: Ledger,
+        node: PeerNode,
+        members: Members,
+        last_heard: LastHeard,
+        metrics: Metrics,
+        rng: random.Random | None = None,
+    ) -> "Placer":
+        """Return the placer of an entry."""
+        source = rng or random.Random()
+        return cls(settings, ledger, node, members, last_heard, metrics, source)
+
+    @property
+    def shortfalls(self) -> list[Shortfall]:
+        """Replicas that cannot be placed for want of hosts."""
+        return self._plan.shortfalls
+
+    @property
+    def missing_hosts(self) -> frozenset[str]:
+        """Placed hosts that the list lacks, whether or not they count as dead yet."""
+        return self._watch.missing
+
+    async def start(self) -> None:
+        """Begin to watch."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop watching."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait((self._task,))
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S * self._rng.uniform(0.8, 1.2))
+            try:
+                await self.consider()
+            except LacewingError as error:
+                log.warning("placement_failed", error=error)
+                self._not_before = self._now() + BACK_OFF_S * self._rng.uniform(0.5, 1.0)
+
+    async def consider(self) -> None:
+        """Look once; commit a placement when one is needed and it is this entry's turn."""
+        members = self._members()
+        if not self._ledger.ready or not members:
+            return
+        now = self._now()
+        hosts = self._target_hosts(members)
+        placed = list(self._ledger.state.placed_hosts())
+        self._watch.observe(hosts, placed, now)
+        lost = self._watch.lost(self._last_heard(), placed, now)
+        plan = self._planned(members, hosts, lost)
+        if not plan.places:
+            self._needed_since = None
+            return
+        if self._needed_since is None:
+            self._needed_since = now
+        if now >= max(self._needed_since + self._delay_s(members), self._not_before):
+            await self._commit(hosts, lost)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _target_hosts(self, members: Sequence[Member]) -> dict[str, HostFact]:
+        hosts: dict[str, HostFact] = {}
+        for member in members:
+            if member.role is not MemberRole.AGENT:
+                continue
+            self._addresses[member.host] = member.address
+            leaving = member.state is MemberState.LEAVING
+            hosts[member.host] = HostFact(member.host, member.place, member.service, leaving)
+        return hosts
+
+    def _planned(
+        self, members: Sequence[Member], hosts: dict[str, HostFact], lost: set[str]
+    ) -> PlacementPlan:
+        """Plan anew only when something that the plan depends on has changed."""
+        basis = (self._ledger.revision, members, lost)
+        if basis != self._planned_for:
+            self._plan = plan_placement(self._ledger.state, hosts, lost)
+            self._planned_for = basis
+        return self._plan
+
+    def _delay_s(self, members: Sequence[Member]) -> float:
+        own = self._node.identity.host
+        entries = [
+            member.host
+            for member in members
+            if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
+        ]
+        rank = rank_of(PURPOSE, own, [host for host in entries if host != own])
+        return rank * self._settings.placement_delay_ms / MS_PER_S
+
+    async def _commit(self, hosts: dict[str, HostFact], lost: set[str]) -> None:
+        dead = {host for host, alive in await self._probe(lost) if not alive}
+        revision = self._ledger.revision
+        places = plan_placement(self._ledger.state, hosts, dead).places
+        self._needed_since = None
+        if not places:
+            self._not_before = self._now() + BACK_OFF_S
+            return
+        try:
+            entry = await self._ledger.accept(
+                [change_of(place) for place in places],
+                words=describe_places(places),
+                author=f"entry {self._node.identity.host}",
+                read_revision=revision,
+                command_id=new_command_id(random.SystemRandom()),
+            )
+        except ConfigurationConflict:
+            self._metrics.count("placements", outcome="overtaken")
+            return
+        self._metrics.count("placements", outcome="accepted")
+        log.info("placement_accepted", revision=entry.revision, words=entry.words)
+
+    async def _probe(self, lost: set[str]) -> list[tuple[str, bool]]:
+        """Try to reach hosts that seem dead, at their last known addresses."""
+        answers = await asyncio.gather(*(self._is_alive(host) for host in sorted(lost)))
+        return list(zip(sorted(lost), answers, strict=True))
+
+    async def _is_alive(self, host: str) -> bool:
+        address = self._addresses.get(HostId(host))
+        if address is None:
+            return False
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                link = await self._node.link(address)
+                await link.call(FetchLog(self._ledger.revision, 1), PROBE_TIMEOUT_S)
+        except (LacewingError, TimeoutError):
+            return False
+        self._metrics.count("placement_probes_answered")
+        return link.remote.host == host
+
+
+def describe_places(places: Sequence[Place]) -> str:
+    """Return a placement in words, for `show history`."""
+    parts = []
+    for place in places:
+        added = ", ".join(
+            f"{each.host} on {each.release or 'itself'}" for each in place.assignments
+        )
+        gone = ", ".join(place.released or [])
+        words = f"place {place.service_name}:"
+        if added:
+            words += f" {added}"
+        if gone:
+            words += f" without {gone}"
+        parts.append(f"{words} ({place.cause})")
+    return "; ".join(parts)
--- a/src/lacewinggw/platform/membership.py
+++ b/src/lacewinggw/platform/membership.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from lacewinggw.generated.settings.ttypes import PlatformSettings
-from lacewinggw.ids import Address, HostId, Place
+from lacewinggw.ids import Address, HostId, Place, ServiceName
 from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.wire.http import HttpClient
 from lacewinggw.wire.network import Network
@@ -31,7 +31,8 @@
 class Member:
     """One host of the list; `address` is that of its peer listener.
 
-    Entries have a `caller_address` too, and both roles an `operator_address`.
+    Entries have a `caller_address` too, and both roles an `operator_address`. `service` names what
+    a plain target serves; it is empty where an engine stands, which can serve any model.
     """
 
     host: HostId
@@ -41,6 +42,7 @@
     operator_address: Address = Address("")
     caller_address: Address = Address("")
     state: MemberState = MemberState.LIVE
+    service: ServiceName = ServiceName("")
 
 
 @dataclass(frozen=True)
@@ -63,6 +65,7 @@
         operator_address=Address(str(value.get("operator_address", ""))),
         caller_address=Address(str(value.get("caller_address", ""))),
         state=MemberState(value.get("state", "live")),
+        service=ServiceName(str(value.get("service", ""))),
     )
 
 
