Run a streamed body's clean-up when its connection is lost

Cause: asyncio keeps the exception of a lost connection on its reader, the exception's traceback keeps the frames, and they keep the response's generator; only garbage collection ended the cycle. An engine's place in its batch stayed taken after the caller had left. In-memory streams raise a fresh exception and so never showed it. Change: the server closes the generator itself, however sending ends.

--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -116,6 +116,12 @@
         parts.append(bytes(event.data))
 
 
+async def _end_body(body: AsyncIterator[bytes]) -> None:
+    """Run a generator's clean-up now: an error may keep it alive until garbage collection."""
+    if isinstance(body, AsyncGenerator):
+        await body.aclose()
+
+
 class HttpServer:
     """Serve one handler at one address.
 
@@ -237,10 +243,13 @@
             return
         headers["transfer-encoding"] = "chunked"
         head = h11.Response(status_code=response.status, headers=_encode_headers(headers))
-        stream.write(connection.send(head) or b"")
-        async for piece in response.body:
-            stream.write(connection.send(h11.Data(data=piece)) or b"")
-            await stream.drain()
+        try:
+            stream.write(connection.send(head) or b"")
+            async for piece in response.body:
+                stream.write(connection.send(h11.Data(data=piece)) or b"")
+                await stream.drain()
+        finally:
+            await _end_body(response.body)
         stream.write(connection.send(h11.EndOfMessage()) or b"")
         await stream.drain()
 
