Spread releases from host to host

A release must reach every host for about one copy of the origin's bytes. Chunks fall into columns; in each place one host per column brings them in, from another place or from the origin, and hosts of a place pass them on over a mesh in which all have the same number of neighbours.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -59,6 +59,7 @@
   6: i64 stall_ms = 2000                       // no progress for so long: ask another
   7: i32 corrupt_limit = 3                     // bad chunks from one source before it is left
   8: i64 silence_ms = 15000                    // nobody has it for so long: any rank may ask
+  9: i32 gateways = 4                          // hosts per place that bring chunks into it
 }
 
 struct RequestSettings {
--- /dev/null
+++ b/src/lacewinggw/agent/chunks.py
@@ -0,0 +1,45 @@
+"""Verified chunks in memory, by their hash, so that releases share what they have in common."""
+
+import asyncio
+import hashlib
+from collections.abc import Iterable
+
+HASH_STEP_BYTES = 1 << 20
+
+
+class ChunkStore:
+    """Chunks whose hash holds. Nothing else ever gets in."""
+
+    def __init__(self) -> None:
+        self._chunks: dict[bytes, bytes] = {}
+        self.held_bytes = 0
+
+    def __contains__(self, chunk_hash: bytes) -> bool:
+        return chunk_hash in self._chunks
+
+    def get(self, chunk_hash: bytes) -> bytes | None:
+        """Return a chunk's bytes, or None when it is not held."""
+        return self._chunks.get(chunk_hash)
+
+    async def put(self, chunk_hash: bytes, data: bytes) -> bool:
+        """Keep a chunk if its hash holds; return whether it does."""
+        if await hash_chunk(data) != chunk_hash:
+            return False
+        if chunk_hash not in self._chunks:
+            self._chunks[chunk_hash] = data
+            self.held_bytes += len(data)
+        return True
+
+    def keep_only(self, hashes: Iterable[bytes]) -> None:
+        """Drop every chunk but these."""
+        for chunk_hash in self._chunks.keys() - set(hashes):
+            self.held_bytes -= len(self._chunks.pop(chunk_hash))
+
+
+async def hash_chunk(data: bytes) -> bytes:
+    """Return the SHA-256 of a chunk, letting the loop run between steps."""
+    digest = hashlib.sha256(data[:HASH_STEP_BYTES])
+    for start in range(HASH_STEP_BYTES, len(data), HASH_STEP_BYTES):
+        await asyncio.sleep(0)
+        digest.update(data[start : start + HASH_STEP_BYTES])
+    return digest.digest()
--- /dev/null
+++ b/src/lacewinggw/agent/downloads.py
@@ -0,0 +1,326 @@
+"""Carry out the spread of one release on this host: asks, cancels, checks and announcements."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from lacewinggw.agent.chunks import ChunkStore
+from lacewinggw.agent.links import Pacer
+from lacewinggw.agent.mesh import Mesh
+from lacewinggw.decisions.sources import (
+    FetchFailure,
+    Neighbour,
+    Origin,
+    Source,
+    SpreadRules,
+    Store,
+)
+from lacewinggw.decisions.spread import Ask, Cancel, ReleaseSpread
+from lacewinggw.decisions.topology import Topology
+from lacewinggw.errors import (
+    CorruptChunk,
+    LacewingError,
+    LinkBusy,
+    PlatformThrottled,
+    TimedOut,
+    WeightsError,
+)
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Digest, HostId, Place
+from lacewinggw.log import get_logger
+
+BITS = 8
+
+log = get_logger(__name__)
+
+
+class WeightSource(Protocol):
+    """The origin, or the weight store."""
+
+    async def manifest_by_digest(self, digest: Digest) -> messages.Manifest:
+        """Return the manifest of a digest."""
+
+    async def chunk(self, chunk_hash: str) -> bytes:
+        """Return the bytes that the source sends for a chunk, unchecked."""
+
+
+@dataclass
+class Traffic:
+    """Bytes of one release that passed this host, by where they came from or went."""
+
+    origin_bytes: int = 0
+    store_bytes: int = 0
+    downloaded_bytes: int = 0
+    uploaded_bytes: int = 0
+    cross_place_bytes: int = 0
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """What the downloads of all releases share."""
+
+    chunks: ChunkStore
+    mesh: Mesh
+    origin: WeightSource
+    store: WeightSource
+    downlink: Pacer
+    place: Place
+    rules: SpreadRules
+    rng: random.Random
+
+
+OnChunk = Callable[[Digest, int], None]
+
+
+class ReleaseDownload:
+    """One release on its way to this host, from the moment its manifest is known."""
+
+    def __init__(
+        self, manifest: messages.Manifest, around: Surroundings, on_chunk: OnChunk
+    ) -> None:
+        self.manifest = manifest
+        self.digest = Digest(manifest.digest)
+        self.traffic = Traffic()
+        self.complete = asyncio.Event()
+        self._around = around
+        self._on_chunk = on_chunk
+        self._spread = ReleaseSpread(
+            manifest.chunk_sizes, around.rules, around.place, around.rng, _now()
+        )
+        self._started_at = _now()
+        self._ended_at: float | None = None
+        self._fetches: dict[tuple[Source, int], asyncio.Task[None]] = {}
+        self._fresh: list[int] = []
+        self._sequence = 0
+        self._closed = False
+
+    @property
+    def spread(self) -> ReleaseSpread:
+        """The policy's view of the release."""
+        return self._spread
+
+    def close(self) -> None:
+        """Stop: nothing more of this release is asked for."""
+        self._closed = True
+        for (source, index), task in list(self._fetches.items()):
+            task.cancel()
+            self._tell_cancelled(source, index)
+        self._fetches.clear()
+
+    def begin(self) -> None:
+        """Count in the chunks that another release brought already."""
+        for index, chunk_hash in enumerate(self.manifest.chunk_hashes):
+            if chunk_hash in self._around.chunks:
+                self._take(None, index)
+
+    def set_topology(self, topology: Topology) -> None:
+        """Take a new view of the hosts due the release."""
+        self._spread.set_topology(topology, _now())
+        self.advance()
+
+    # ---- neighbours -----------------------------------------------------------------------
+
+    def greet(self, host: HostId) -> None:
+        """Tell a neighbour what is here, and ask it for the same."""
+        link = self._around.mesh.link(host)
+        if link is not None:
+            link.notify(self._whole_have(wants_reply=True))
+
+    def greet_silent(self, hosts: frozenset[HostId]) -> None:
+        """Greet those of `hosts` that have not said what they hold."""
+        for host in hosts:
+            state = self._spread.neighbours.get(host)
+            if state is None or not state.told:
+                self.greet(host)
+
+    def neighbour_down(self, host: HostId) -> None:
+        """Forget a neighbour whose link is gone."""
+        self._spread.link_down(host)
+        self.advance()
+
+    def take_have(self, host: HostId, place: Place, have: messages.Have) -> None:
+        """Note what a neighbour says it holds."""
+        self._spread.link_up(host, place)
+        indexes = _bitmap_indexes(have.bitmap) if have.bitmap is not None else have.added or []
+        self._spread.have(host, indexes, _now())
+        link = self._around.mesh.link(host)
+        if have.wants_reply and link is not None:
+            link.notify(self._whole_have(wants_reply=False))
+        self.advance()
+
+    def announce(self) -> None:
+        """Tell the neighbours of the chunks that came since the last time."""
+        fresh, self._fresh = self._fresh, []
+        if not fresh:
+            return
+        for host, state in self._spread.neighbours.items():
+            news = [index for index in fresh if index not in state.chunks]
+            link = self._around.mesh.link(host)
+            if news and link is not None:
+                link.notify(messages.Have(self.digest, self._next_sequence(), added=news))
+
+    def _whole_have(self, wants_reply: bool) -> messages.Have:
+        bitmap = _bitmap(self._spread.held, self._spread.chunk_count)
+        return messages.Have(
+            self.digest, self._next_sequence(), bitmap, added=[], wants_reply=wants_reply
+        )
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    # ---- chunks ---------------------------------------------------------------------------
+
+    def advance(self) -> None:
+        """Carry out whatever is due now."""
+        if self._closed:
+            return
+        for action in self._spread.decide(_now()):
+            match action:
+                case Ask(source, index):
+                    task = asyncio.get_running_loop().create_task(self._fetch(action))
+                    self._fetches[source, index] = task
+                case Cancel(source, index):
+                    self._cancel(source, index)
+
+    async def _fetch(self, ask: Ask) -> None:
+        source, index = ask.source, ask.index
+        try:
+            data = await self._receive(ask)
+            if not await self._around.chunks.put(self.manifest.chunk_hashes[index], data):
+                raise CorruptChunk(f"chunk {index} of {self.digest} from {source}")
+            await self._around.downlink.receive(len(data))
+        except LacewingError as error:
+            self._fetches.pop((source, index), None)
+            self._fail(source, index, error)
+        else:
+            self._fetches.pop((source, index), None)
+            self._count(source, len(data))
+            self._take(source, index)
+        self.advance()
+
+    async def _receive(self, ask: Ask) -> bytes:
+        match ask.source:
+            case Neighbour(host):
+                return await self._receive_from(host, ask)
+            case Origin():
+                source = self._around.origin
+            case Store():
+                source = self._around.store
+        return await source.chunk(self.manifest.chunk_hashes[ask.index].hex())
+
+    async def _receive_from(self, host: HostId, ask: Ask) -> bytes:
+        link = self._around.mesh.link(host)
+        if link is None:
+            raise LinkBusy(f"the link to {host} is gone")
+        size = self.manifest.chunk_sizes[ask.index]
+        call = link.open(messages.FetchChunk(self.digest, ask.index, ask.endgame))
+        received = bytearray()
+        try:
+            async for piece in call.replies():
+                received += piece.data
+                if len(received) > size:
+                    raise CorruptChunk(f"chunk {ask.index} from {host} is too long")
+                self._spread.progress(ask.source, ask.index, _now())
+        finally:
+            call.abandon()
+        return bytes(received)
+
+    def _fail(self, source: Source, index: int, error: LacewingError) -> None:
+        failure = _failure_of(error)
+        log.info("chunk_failed", source=str(source), index=index, reason=failure.value)
+        self._spread.failed(source, index, failure, _now())
+
+    def _take(self, source: Source | None, index: int) -> None:
+        """Count in a verified chunk, wherever in the release its bytes occur."""
+        wanted = self.manifest.chunk_hashes[index]
+        for each, chunk_hash in enumerate(self.manifest.chunk_hashes):
+            if chunk_hash != wanted or each in self._spread.held:
+                continue
+            for cancel in self._spread.arrived(source if each == index else None, each, _now()):
+                self._cancel(cancel.source, cancel.index)
+            self._fresh.append(each)
+            self._on_chunk(self.digest, each)
+        if self._spread.complete and not self.complete.is_set():
+            self._ended_at = _now()
+            self.complete.set()
+
+    def _count(self, source: Source, size: int) -> None:
+        self.traffic.downloaded_bytes += size
+        match source:
+            case Origin():
+                self.traffic.origin_bytes += size
+            case Store():
+                self.traffic.store_bytes += size
+            case Neighbour(host):
+                state = self._spread.neighbours.get(host)
+                if state is not None and state.place != self._around.place:
+                    self.traffic.cross_place_bytes += size
+
+    def _cancel(self, source: Source, index: int) -> None:
+        task = self._fetches.pop((source, index), None)
+        if task is not None:
+            task.cancel()
+        self._tell_cancelled(source, index)
+
+    def _tell_cancelled(self, source: Source, index: int) -> None:
+        if isinstance(source, Neighbour):
+            link = self._around.mesh.link(source.host)
+            if link is not None:
+                link.notify(messages.CancelChunk(self.digest, index))
+
+    # ---- report ---------------------------------------------------------------------------
+
+    def report(self) -> messages.SpreadReport:
+        """Return what is to be told of this release on this host."""
+        end = self._ended_at if self._ended_at is not None else _now()
+        elapsed = max(end - self._started_at, 1e-3)
+        return messages.SpreadReport(
+            release=self.manifest.name,
+            digest=self.digest,
+            chunks_held=len(self._spread.held),
+            chunk_count=self._spread.chunk_count,
+            origin_bytes=self.traffic.origin_bytes,
+            store_bytes=self.traffic.store_bytes,
+            downloaded_bytes=self.traffic.downloaded_bytes,
+            uploaded_bytes=self.traffic.uploaded_bytes,
+            cross_place_bytes=self.traffic.cross_place_bytes,
+            stalls=self._spread.stalls,
+            corrupt_chunks=self._spread.corrupt_chunks,
+            bad_sources=sorted(self._spread.bad_sources),
+            rate_bytes_per_s=self.traffic.downloaded_bytes / elapsed,
+            held_up_by="",
+        )
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def _failure_of(error: LacewingError) -> FetchFailure:
+    match error:
+        case CorruptChunk():
+            return FetchFailure.CORRUPT
+        case LinkBusy() | PlatformThrottled():
+            return FetchFailure.BUSY
+        case TimedOut():
+            return FetchFailure.STALLED
+        case WeightsError():
+            return FetchFailure.REFUSED
+        case _:
+            return FetchFailure.LOST
+
+
+def _bitmap(held: set[int], count: int) -> bytes:
+    bits = bytearray((count + BITS - 1) // BITS)
+    for index in held:
+        bits[index // BITS] |= 1 << index % BITS
+    return bytes(bits)
+
+
+def _bitmap_indexes(bitmap: bytes) -> list[int]:
+    return [
+        at * BITS + bit for at, byte in enumerate(bitmap) for bit in range(BITS) if byte >> bit & 1
+    ]
--- /dev/null
+++ b/src/lacewinggw/agent/links.py
@@ -0,0 +1,56 @@
+"""This host's link: how much of it the spread of weights may take, and when."""
+
+import asyncio
+from collections.abc import Callable
+
+Rate = Callable[[], float]
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+class Pacer:
+    """One direction of the link, as a token bucket that holds no burst.
+
+    Bytes sent wait until the end of their time on the link; bytes received have had theirs, and
+    wait only while earlier ones are still coming in. `rate` gives bytes per second and may change.
+    """
+
+    def __init__(self, rate: Rate) -> None:
+        self._rate = rate
+        self._free_at = 0.0
+
+    async def send(self, size: int) -> None:
+        """Wait until `size` bytes have had their time on the link."""
+        self._free_at = max(_now(), self._free_at) + size / self._rate()
+        await _sleep_until(self._free_at)
+
+    async def receive(self, size: int) -> None:
+        """Wait until `size` bytes that just came in fit what the link carries."""
+        self._free_at = max(_now(), self._free_at + size / self._rate())
+        await _sleep_until(self._free_at)
+
+
+async def _sleep_until(moment: float) -> None:
+    delay = moment - _now()
+    if delay > 0:
+        await asyncio.sleep(delay)
+
+
+class LiveGauge:
+    """What live requests tell of this host's link, so that weights can make room for them."""
+
+    def __init__(self, link_bytes_per_s: float, share: float) -> None:
+        self._link_bytes_per_s = link_bytes_per_s
+        self._share = share
+
+    def note_latency(self, seconds: float) -> None:
+        """Note how long a live request waited for its first byte, in seconds."""
+
+    def note_bytes(self, count: int) -> None:
+        """Note bytes of live requests that passed the link."""
+
+    def weights_rate(self) -> float:
+        """Return what weights may take now, in bytes per second and direction."""
+        return self._link_bytes_per_s * self._share
--- /dev/null
+++ b/src/lacewinggw/agent/manifests.py
@@ -0,0 +1,80 @@
+"""Find the manifest of a release: from the neighbours, or from the origin."""
+
+import asyncio
+import hashlib
+import random
+from collections.abc import Callable
+
+from lacewinggw.agent.downloads import WeightSource
+from lacewinggw.errors import LacewingError, ManifestMismatch
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Digest
+from lacewinggw.wire.peers import PeerLink
+
+RETRY_S = 0.2
+RETRY_LIMIT_S = 5.0
+CALL_S = 2.0
+ORIGIN_AFTER_S = 3.0
+
+
+class ManifestFinder:
+    """Ask a neighbour that says it has the manifest, else the origin when it is this host's turn.
+
+    Hosts that are not first at the origin go there only after `ORIGIN_AFTER_S` to twice that. A
+    manifest counts only when its chunk hashes give the digest.
+    """
+
+    def __init__(self, origin: WeightSource, rng: random.Random) -> None:
+        self.held_up_by = ""
+        self._origin = origin
+        self._rng = rng
+        self._holders: dict[Digest, asyncio.Queue[PeerLink]] = {}
+
+    def hint(self, digest: Digest, link: PeerLink) -> None:
+        """Note that the other side of a link has the manifest of a digest that is looked for."""
+        holders = self._holders.get(digest)
+        if holders is not None:
+            holders.put_nowait(link)
+
+    async def find(self, digest: Digest, is_first: Callable[[], bool]) -> messages.Manifest:
+        """Return the manifest of `digest`, however long it takes."""
+        self._holders[digest] = asyncio.Queue()
+        try:
+            return await self._find(digest, is_first)
+        finally:
+            del self._holders[digest]
+
+    async def _find(self, digest: Digest, is_first: Callable[[], bool]) -> messages.Manifest:
+        loop = asyncio.get_running_loop()
+        origin_at = loop.time() + ORIGIN_AFTER_S * (1.0 + self._rng.random())
+        pause_s = RETRY_S
+        while True:
+            try:
+                if is_first() or loop.time() >= origin_at:
+                    return check_manifest(await self._origin.manifest_by_digest(digest), digest)
+            except LacewingError as error:
+                self._note(error)
+                pause_s = min(2 * pause_s, RETRY_LIMIT_S)
+            try:
+                return await self._ask_holder(digest, pause_s * (0.5 + self._rng.random()))
+            except (LacewingError, TimeoutError) as error:
+                self._note(error)
+
+    async def _ask_holder(self, digest: Digest, timeout_s: float) -> messages.Manifest:
+        async with asyncio.timeout(timeout_s):
+            link = await self._holders[digest].get()
+        reply = await link.call(messages.FetchManifest(digest), CALL_S)
+        self.held_up_by = ""
+        return check_manifest(reply.manifest, digest)
+
+    def _note(self, error: Exception) -> None:
+        if isinstance(error, LacewingError):
+            self.held_up_by = str(error)
+
+
+def check_manifest(manifest: messages.Manifest, digest: Digest) -> messages.Manifest:
+    """Return a manifest whose hashes give the digest; raise `ManifestMismatch` for another."""
+    found = hashlib.sha256(b"".join(manifest.chunk_hashes)).hexdigest()
+    if found != digest or len(manifest.chunk_sizes) != len(manifest.chunk_hashes):
+        raise ManifestMismatch(f"a manifest with {found} was given for {digest}")
+    return manifest
--- /dev/null
+++ b/src/lacewinggw/agent/uploads.py
@@ -0,0 +1,144 @@
+"""Send chunks to the neighbours that ask for them, one at a time over the paced uplink."""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+
+from lacewinggw.agent.links import Pacer
+from lacewinggw.decisions.uploads import UploadQueue, UploadRequest
+from lacewinggw.errors import ChunkNotHeld, ConnectionLost, LacewingError, LinkBusy
+from lacewinggw.generated.messages.ttypes import ChunkData
+from lacewinggw.ids import Digest
+from lacewinggw.metrics import Metrics
+from lacewinggw.wire.peers import Exchange
+
+SLICE_S = 0.05
+SMALLEST_SLICE_BYTES = 16 << 10
+LARGEST_SLICE_BYTES = 256 << 10
+STUCK_S = 0.5
+
+FindChunk = Callable[[Digest, int], bytes | None]
+NoteUpload = Callable[[Digest, int], None]
+
+
+@dataclass
+class _Upload:
+    """A request in the queue, and the exchange that waits for it."""
+
+    exchange: Exchange
+    done: asyncio.Event
+
+
+class Uploader:
+    """The uplink's queue, and the task that serves it.
+
+    `find` gives a verified chunk, `note` is told of each upload with its bytes. A receiver that
+    does not drain its connection for `STUCK_S` loses its turn, so that it holds up nobody else.
+    """
+
+    def __init__(
+        self,
+        pacer: Pacer,
+        rate: Callable[[], float],
+        per_host: int,
+        find: FindChunk,
+        note: NoteUpload,
+        metrics: Metrics,
+    ) -> None:
+        self._pacer = pacer
+        self._rate = rate
+        self._queue = UploadQueue(per_host)
+        self._find = find
+        self._note = note
+        self._stuck = metrics.counter("uploads_stuck")
+        self._waiting: dict[UploadRequest, _Upload] = {}
+        self._arrived = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop serving."""
+        if self._task is not None:
+            self._task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._task
+
+    async def serve(self, exchange: Exchange, request: UploadRequest) -> None:
+        """Queue a request and wait until it was served or given up.
+
+        Raises `ChunkNotHeld` for a chunk that is not held and `LinkBusy` when its host has too
+        many waiting.
+        """
+        if self._find(request.digest, request.index) is None:
+            raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
+        if not self._queue.add(request):
+            raise LinkBusy(f"{request.host} has too many chunks waiting")
+        upload = _Upload(exchange, asyncio.Event())
+        self._waiting[request] = upload
+        self._arrived.set()
+        try:
+            await upload.done.wait()
+        finally:
+            self.cancel(request)
+
+    def cancel(self, request: UploadRequest) -> None:
+        """Drop a request that has not been served."""
+        self._queue.cancel(request)
+        upload = self._waiting.pop(request, None)
+        if upload is not None:
+            upload.done.set()
+
+    def forget(self, digest: Digest) -> None:
+        """Drop all that has to do with a release that is no longer due."""
+        for request in [each for each in self._waiting if each.digest == digest]:
+            self.cancel(request)
+        self._queue.forget(digest)
+
+    async def _run(self) -> None:
+        while True:
+            request = self._queue.take()
+            if request is None:
+                self._arrived.clear()
+                await self._arrived.wait()
+                continue
+            upload = self._waiting[request]
+            try:
+                await self._send(request, upload)
+            except LacewingError as error:
+                upload.exchange.finish(error.to_failure())
+            upload.done.set()
+
+    async def _send(self, request: UploadRequest, upload: _Upload) -> None:
+        data = self._find(request.digest, request.index)
+        if data is None:
+            raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
+        step = self._slice_bytes()
+        for start in range(0, len(data), step):
+            piece = data[start : start + step]
+            await self._pacer.send(len(piece))
+            if upload.done.is_set() or upload.exchange.link.closed.is_set():
+                return
+            message = ChunkData(request.digest, request.index, piece)
+            if start + step >= len(data):
+                upload.exchange.finish(message)
+            else:
+                upload.exchange.reply(message)
+            self._note(request.digest, len(piece))
+            await self._drain(upload)
+
+    async def _drain(self, upload: _Upload) -> None:
+        try:
+            async with asyncio.timeout(STUCK_S):
+                await upload.exchange.link.drain()
+        except TimeoutError:
+            self._stuck.add()
+            host = upload.exchange.link.remote.host
+            raise ConnectionLost(f"{host} does not take what it asked for") from None
+
+    def _slice_bytes(self) -> int:
+        fitting = int(self._rate() * SLICE_S)
+        return max(SMALLEST_SLICE_BYTES, min(LARGEST_SLICE_BYTES, fitting))
--- /dev/null
+++ b/src/lacewinggw/agent/weights.py
@@ -0,0 +1,353 @@
+"""The weights on this host: which releases are due, how far each is, and their chunks.
+
+spreader = Spreader.from_config(settings, node, origin, store, metrics, rng)
+await spreader.start()
+spreader.set_members(members)
+spreader.set_due({digest: DueRelease(name, digest, hosts, Prefer.TIME)})
+manifest = await spreader.complete(digest)
+data = spreader.chunk(digest, 0)
+"""
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+
+from lacewinggw.agent.chunks import ChunkStore
+from lacewinggw.agent.downloads import OnChunk, ReleaseDownload, Surroundings, WeightSource
+from lacewinggw.agent.links import LiveGauge, Pacer
+from lacewinggw.agent.manifests import ManifestFinder
+from lacewinggw.agent.mesh import Mesh
+from lacewinggw.agent.uploads import Uploader
+from lacewinggw.decisions.sources import SpreadRules
+from lacewinggw.decisions.spread import TICK_S
+from lacewinggw.decisions.topology import DueHost, Topology, TopologyPlan
+from lacewinggw.decisions.uploads import UploadRequest
+from lacewinggw.errors import ChunkNotHeld, UnknownDigest
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import Digest, HostId, Place
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.membership import Member
+from lacewinggw.wire.peers import Exchange, PeerNode
+
+MS_PER_S = 1000.0
+PERCENT = 100.0
+ANNOUNCE_S = 0.01
+GREET_S = 1.0
+
+
+@dataclass(frozen=True)
+class DueRelease:
+    """A release that this host is to hold, and all the hosts due it."""
+
+    name: str
+    digest: Digest
+    hosts: tuple[HostId, ...]
+    prefer: messages.Prefer
+
+
+def spread_rules(settings: Settings) -> SpreadRules:
+    """Return the policy's constants as the settings have them."""
+    spread, agent = settings.spread, settings.agent
+    return SpreadRules(
+        link_bytes_per_s=agent.link_bytes_per_s * agent.weights_share_percent / PERCENT,
+        in_flight=spread.in_flight,
+        patience_s=spread.patience_ms / MS_PER_S,
+        stall_s=spread.stall_ms / MS_PER_S,
+        corrupt_limit=spread.corrupt_limit,
+        silence_s=spread.silence_ms / MS_PER_S,
+    )
+
+
+class Spreader:
+    """All releases on this host."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        node: PeerNode,
+        origin: WeightSource,
+        store: WeightSource,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        agent = settings.agent
+        self.live = LiveGauge(agent.link_bytes_per_s, agent.weights_share_percent / PERCENT)
+        self._settings = settings.spread
+        self._node = node
+        self._place = Place(settings.process.place)
+        self._me = DueHost(HostId(settings.process.host), self._place)
+        self._chunks = ChunkStore()
+        self._mesh = Mesh(node, self._link_up, self._link_down)
+        self._around = Surroundings(
+            chunks=self._chunks,
+            mesh=self._mesh,
+            origin=origin,
+            store=store,
+            downlink=Pacer(self.live.weights_rate),
+            place=self._place,
+            rules=spread_rules(settings),
+            rng=rng,
+        )
+        self._uploader = Uploader(
+            Pacer(self.live.weights_rate),
+            self.live.weights_rate,
+            2 * self._settings.in_flight,
+            self._find,
+            self._note_upload,
+            metrics,
+        )
+        self._finder = ManifestFinder(origin, rng)
+        self._members: dict[HostId, Member] = {}
+        self._due: dict[Digest, DueRelease] = {}
+        self._downloads: dict[Digest, ReleaseDownload] = {}
+        self._topologies: dict[Digest, Topology] = {}
+        self._searches: dict[Digest, asyncio.Task[None]] = {}
+        self._begun = asyncio.Condition()
+        self._on_chunk: list[OnChunk] = []
+        self._suspects: frozenset[HostId] = frozenset()
+        self._task: asyncio.Task[None] | None = None
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        node: PeerNode,
+        origin: WeightSource,
+        store: WeightSource,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> "Spreader":
+        """Build the spreader that the settings describe."""
+        return cls(settings, node, origin, store, metrics, rng)
+
+    async def start(self) -> None:
+        """Begin to serve and to fetch."""
+        await self._uploader.start()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop fetching and serving."""
+        for digest in list(self._due):
+            self._stop(digest)
+        self._mesh.close()
+        await self._uploader.close()
+        if self._task is not None:
+            self._task.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._task
+
+    # ---- what is due ----------------------------------------------------------------------
+
+    def set_members(self, members: Sequence[Member]) -> None:
+        """Take the list of live hosts."""
+        self._members = {member.host: member for member in members}
+        self._mesh.set_addresses({member.host: member.address for member in members})
+        self._derive_topologies()
+
+    def set_due(self, due: Mapping[Digest, DueRelease]) -> None:
+        """Take the releases due here. Those no longer due stop at once; chunks that the others
+        share with them stay."""
+        for digest in self._due.keys() - due.keys():
+            self._stop(digest)
+        fresh = due.keys() - self._due.keys()
+        self._due = dict(due)
+        self._derive_topologies()
+        for digest in fresh:
+            task = asyncio.get_running_loop().create_task(self._find_manifest(due[digest]))
+            self._searches[digest] = task
+        self._drop_surplus()
+
+    def _stop(self, digest: Digest) -> None:
+        self._due.pop(digest, None)
+        self._topologies.pop(digest, None)
+        search = self._searches.pop(digest, None)
+        if search is not None:
+            search.cancel()
+        download = self._downloads.pop(digest, None)
+        if download is not None:
+            download.close()
+        self._uploader.forget(digest)
+
+    def _drop_surplus(self) -> None:
+        """Free chunks of releases no longer due, once it is known what the others share."""
+        if self._due.keys() == self._downloads.keys():
+            downloads = self._downloads.values()
+            self._chunks.keep_only(h for each in downloads for h in each.manifest.chunk_hashes)
+
+    async def _find_manifest(self, due: DueRelease) -> None:
+        manifest = await self._finder.find(due.digest, lambda: self._is_first(due.digest))
+        download = ReleaseDownload(manifest, self._around, self._tell_chunk)
+        self._downloads[due.digest] = download
+        self._searches.pop(due.digest, None)
+        download.begin()
+        self._drop_surplus()
+        topology = self._topologies.get(due.digest)
+        if topology is not None:
+            download.set_topology(topology)
+            for host in topology.neighbours:
+                download.greet(host)
+        async with self._begun:
+            self._begun.notify_all()
+
+    def _is_first(self, digest: Digest) -> bool:
+        """Tell whether this host is one of those that ask the origin first."""
+        topology = self._topologies.get(digest)
+        return topology is not None and any(each.at_origin == 0 for each in topology.columns)
+
+    # ---- chunks ---------------------------------------------------------------------------
+
+    async def complete(self, digest: Digest) -> messages.Manifest:
+        """Wait until every chunk of a due release holds its hash, and return its manifest."""
+        async with self._begun:
+            await self._begun.wait_for(lambda: digest in self._downloads)
+        download = self._downloads[digest]
+        await download.complete.wait()
+        return download.manifest
+
+    def chunk(self, digest: Digest, index: int) -> bytes:
+        """Return a verified chunk; raise `ChunkNotHeld` when it is not here."""
+        data = self._find(digest, index)
+        if data is None:
+            raise ChunkNotHeld(f"chunk {index} of {digest} is not here")
+        return data
+
+    def chunk_count(self, digest: Digest) -> int:
+        """Return how many chunks a due release has, 0 until its manifest is known."""
+        download = self._downloads.get(digest)
+        return download.spread.chunk_count if download else 0
+
+    def held(self, digest: Digest) -> frozenset[int]:
+        """Return the indexes of the verified chunks of a release."""
+        download = self._downloads.get(digest)
+        return frozenset(download.spread.held) if download else frozenset()
+
+    def on_chunk(self, callback: OnChunk) -> None:
+        """Call `callback` with digest and index of each chunk that is verified from now on."""
+        self._on_chunk.append(callback)
+
+    def reports(self) -> list[messages.SpreadReport]:
+        """Return what is to be told of each release due here."""
+        return [self._report(due) for due in self._due.values()]
+
+    def _report(self, due: DueRelease) -> messages.SpreadReport:
+        download = self._downloads.get(due.digest)
+        if download is not None:
+            return download.report()
+        return messages.SpreadReport(
+            due.name, due.digest, 0, 0, 0, 0, 0, 0, 0, 0, 0, [], 0.0, self._finder.held_up_by
+        )
+
+    def _find(self, digest: Digest, index: int) -> bytes | None:
+        download = self._downloads.get(digest)
+        if download is None or index not in download.spread.held:
+            return None
+        return self._chunks.get(download.manifest.chunk_hashes[index])
+
+    def _tell_chunk(self, digest: Digest, index: int) -> None:
+        for callback in self._on_chunk:
+            callback(digest, index)
+
+    def _note_upload(self, digest: Digest, size: int) -> None:
+        download = self._downloads.get(digest)
+        if download is not None:
+            download.traffic.uploaded_bytes += size
+
+    # ---- other hosts ----------------------------------------------------------------------
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer another host: manifests, chunks, and what it says it holds."""
+        match exchange.message:
+            case messages.Have() as have:
+                self._take_have(exchange, have)
+            case messages.FetchChunk() as fetch:
+                request = UploadRequest(
+                    HostId(exchange.link.remote.host), Digest(fetch.digest), fetch.index
+                )
+                await self._uploader.serve(exchange, request)
+            case messages.CancelChunk() as cancel:
+                host = HostId(exchange.link.remote.host)
+                self._uploader.cancel(UploadRequest(host, Digest(cancel.digest), cancel.index))
+            case messages.FetchManifest() as fetch:
+                download = self._downloads.get(Digest(fetch.digest))
+                if download is None:
+                    raise UnknownDigest(f"no manifest of {fetch.digest} here yet")
+                exchange.finish(messages.ManifestData(download.manifest))
+
+    def _take_have(self, exchange: Exchange, have: messages.Have) -> None:
+        remote = exchange.link.remote
+        digest = Digest(have.digest)
+        if digest not in self._due:
+            return
+        self._mesh.register(exchange.link)
+        download = self._downloads.get(digest)
+        if download is not None:
+            download.take_have(HostId(remote.host), Place(remote.place), have)
+        elif have.bitmap:
+            self._finder.hint(digest, exchange.link)
+
+    def _link_up(self, host: HostId) -> None:
+        link = self._mesh.link(host)
+        for digest, topology in self._topologies.items():
+            if host not in topology.neighbours or link is None:
+                continue
+            if digest in self._downloads:
+                self._downloads[digest].greet(host)
+            else:
+                link.notify(messages.Have(digest, 0, bitmap=b"", added=[]))
+
+    def _link_down(self, host: HostId) -> None:
+        for download in self._downloads.values():
+            download.neighbour_down(host)
+        self._derive_topologies()
+
+    def _derive_topologies(self) -> None:
+        self._suspects = self._mesh.suspects
+        live = {
+            host: DueHost(host, member.place)
+            for host, member in self._members.items()
+            if host not in self._suspects
+        }
+        for digest, due in self._due.items():
+            plan = TopologyPlan(
+                local=self._settings.neighbours,
+                remote=self._settings.remote_neighbours,
+                columns=self._settings.gateways,
+                ranks=self._settings.ranks,
+                per_place=due.prefer == messages.Prefer.TIME,
+            )
+            hosts = [live[host] for host in due.hosts if host in live]
+            topology = plan.derive(self._me, hosts, digest)
+            self._topologies[digest] = topology
+            if digest in self._downloads:
+                self._downloads[digest].set_topology(topology)
+        self._mesh.want({host for each in self._topologies.values() for host in each.neighbours})
+
+    async def _run(self) -> None:
+        """Announce often, decide at every tick, greet the silent now and then."""
+        loop = asyncio.get_running_loop()
+        tick_at = greet_at = loop.time()
+        while True:
+            await asyncio.sleep(ANNOUNCE_S)
+            for download in list(self._downloads.values()):
+                download.announce()
+            if loop.time() < tick_at:
+                continue
+            tick_at = loop.time() + TICK_S
+            self._tick()
+            if loop.time() >= greet_at:
+                greet_at = loop.time() + GREET_S
+                self._greet_silent()
+
+    def _tick(self) -> None:
+        if self._mesh.suspects != self._suspects:
+            self._derive_topologies()
+        self._mesh.dial()
+        for download in list(self._downloads.values()):
+            download.advance()
+
+    def _greet_silent(self) -> None:
+        for digest, download in self._downloads.items():
+            download.greet_silent(self._topologies[digest].neighbours)
--- /dev/null
+++ b/src/lacewinggw/decisions/spread.py
@@ -0,0 +1,414 @@
+"""How one host gets the chunks of one release: whom to ask for which, and when.
+
+A state machine without I/O or clock. Events go in by methods that carry the time; `decide` returns
+the actions that are now due. Whoever carries them out reports each end with `arrived`, `corrupt`
+or `failed`, and calls `decide` again, at the latest after `TICK_S`.
+"""
+
+import random
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+from typing import TypeAlias
+
+from lacewinggw.decisions.sources import (
+    ORIGIN,
+    STORE,
+    Fetch,
+    FetchFailure,
+    Neighbour,
+    NeighbourState,
+    Origin,
+    Source,
+    SourceState,
+    SpreadRules,
+    Store,
+)
+from lacewinggw.decisions.topology import ColumnRanks, Topology
+from lacewinggw.ids import HostId, Place
+
+TICK_S = 0.1
+SOURCES_PER_CHUNK = 2
+NOBODY = ColumnRanks(None, None)
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Ask a source for a chunk."""
+
+    source: Source
+    index: int
+    endgame: bool = False
+
+
+@dataclass(frozen=True)
+class Cancel:
+    """Give up a chunk that was asked of a source."""
+
+    source: Source
+    index: int
+
+
+Action: TypeAlias = Ask | Cancel
+
+
+class ReleaseSpread:
+    """What one host knows of one release on its way, and what it does next."""
+
+    def __init__(
+        self,
+        sizes: Sequence[int],
+        rules: SpreadRules,
+        place: Place,
+        rng: random.Random,
+        now: float,
+    ) -> None:
+        self.rules = rules
+        self.held: set[int] = set()
+        self.neighbours: dict[HostId, NeighbourState] = {}
+        self.stalls = 0
+        self.corrupt_chunks = 0
+        self.bad_sources: set[str] = set()
+        self._sizes = sizes
+        self._place = place
+        self._rng = rng
+        self._started_at = now
+        self._progress_at = now
+        self._fetches: dict[int, list[Fetch]] = {}
+        self._missing = set(range(len(sizes)))
+        self._seen: set[int] = set()
+        self._local = [0] * len(sizes)
+        self._remote = [0] * len(sizes)
+        self._topology: Topology | None = None
+        self._column_moved_at: list[float] = []
+        self._import_moved_at: list[float] = []
+        self._origin = SourceState()
+        self._store = SourceState()
+        self._fetch_s = 0.0
+
+    @property
+    def chunk_count(self) -> int:
+        """How many chunks the release has."""
+        return len(self._sizes)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every chunk is held."""
+        return not self._missing
+
+    @property
+    def missing(self) -> set[int]:
+        """The chunks not held yet."""
+        return self._missing
+
+    @property
+    def patience_s(self) -> float:
+        """How long a column may stand still before the next in rank steps in, in seconds."""
+        largest = max(self._sizes, default=0)
+        columns = len(self._topology.columns) if self._topology else 1
+        return self.rules.patience_s + 2 * columns * largest / self.rules.link_bytes_per_s
+
+    # ---- events ---------------------------------------------------------------------------
+
+    def set_topology(self, topology: Topology, now: float) -> None:
+        """Take a new view of the hosts due the release."""
+        if self._topology is None:
+            self._column_moved_at = [now] * len(topology.columns)
+            self._import_moved_at = [now] * len(topology.columns)
+        self._topology = topology
+
+    def link_up(self, host: HostId, place: Place) -> None:
+        """Note a neighbour that can now be asked."""
+        self.neighbours.setdefault(host, NeighbourState(place))
+
+    def link_down(self, host: HostId) -> None:
+        """Forget a neighbour and whatever was asked of it."""
+        state = self.neighbours.pop(host, None)
+        if state is None:
+            return
+        counts = self._counts(state)
+        for index in state.chunks:
+            counts[index] -= 1
+        for index in state.asked:
+            self._drop_fetch(index, Neighbour(host))
+
+    def have(self, host: HostId, indexes: Iterable[int], now: float) -> None:
+        """Note chunks that a neighbour holds; indexes out of range are dropped."""
+        state = self.neighbours.get(host)
+        if state is None:
+            return
+        state.told = True
+        counts = self._counts(state)
+        for index in indexes:
+            if not 0 <= index < self.chunk_count or index in state.chunks:
+                continue
+            state.chunks.add(index)
+            counts[index] += 1
+            self._note_seen(index, state.place == self._place, now)
+
+    def progress(self, source: Source, index: int, now: float) -> None:
+        """Note bytes of a chunk that is still on its way."""
+        for fetch in self._fetches.get(index, ()):
+            if fetch.source == source:
+                fetch.moved_at = now
+
+    def arrived(self, source: Source | None, index: int, now: float) -> list[Cancel]:
+        """Note a chunk whose hash holds; return what else is to be given up for it."""
+        fetches = self._fetches.pop(index, [])
+        for fetch in fetches:
+            self._forget_asked(fetch.source, index)
+            if fetch.source == source:
+                self._note_time(now - fetch.asked_at)
+        self.held.add(index)
+        self._missing.discard(index)
+        self._seen.add(index)
+        self._progress_at = now
+        match source:
+            case Neighbour(host) if host in self.neighbours:
+                self.neighbours[host].avoid_until = 0.0
+            case Origin() | Store():
+                self._state_of(source).failures = 0
+        return [Cancel(fetch.source, index) for fetch in fetches if fetch.source != source]
+
+    def failed(self, source: Source, index: int, failure: FetchFailure, now: float) -> None:
+        """Note that a source did not give a chunk, and why."""
+        self._drop_fetch(index, source)
+        if failure is FetchFailure.STALLED:
+            self.stalls += 1
+        if failure is FetchFailure.CORRUPT:
+            self.corrupt_chunks += 1
+            self._blame(source)
+        match source:
+            case Neighbour(host):
+                self._avoid_neighbour(host, index, failure, now)
+            case Origin() | Store():
+                self._avoid_source(self._state_of(source), now)
+
+    # ---- decisions ------------------------------------------------------------------------
+
+    def decide(self, now: float) -> list[Action]:
+        """Return what to ask for now, and note it as asked."""
+        if self.complete or self._topology is None:
+            return []
+        actions: list[Action] = list(self._find_stalls(now))
+        actions += self._import_chunks(now)
+        actions += self._ask_neighbours(now)
+        if not self._fetches and now - self._progress_at > self._silence_s:
+            actions += self._break_silence(now)
+        return actions
+
+    @property
+    def _silence_s(self) -> float:
+        return self.rules.silence_s * (1.0 + self._rng.random())
+
+    def _find_stalls(self, now: float) -> Iterator[Action]:
+        """Give up chunks that do not move; their sources become the last to be asked."""
+        for index, fetches in list(self._fetches.items()):
+            for fetch in list(fetches):
+                if now - fetch.moved_at > self._stall_limit_s(fetch.source):
+                    self.failed(fetch.source, index, FetchFailure.STALLED, now)
+                    yield Cancel(fetch.source, index)
+
+    def _stall_limit_s(self, source: Source) -> float:
+        """Return how long a chunk may stand still; one in a neighbour's queue waits its turn."""
+        if isinstance(source, Neighbour):
+            return max(self.rules.stall_s, 4 * self._fetch_s)
+        return 4 * max(self.rules.stall_s, self.patience_s)
+
+    def _import_chunks(self, now: float) -> Iterator[Action]:
+        """Bring chunks into the place, in the columns where it is this host's turn."""
+        assert self._topology is not None
+        if not self._ready_to_import(now):
+            return
+        for column, ranks in enumerate(self._topology.columns):
+            if ranks.in_place is None and ranks.at_origin is None:
+                continue
+            yield from self._import_from_places(column, ranks, now)
+            yield from self._import_from_origin(column, ranks, now)
+
+    def _ready_to_import(self, now: float) -> bool:
+        """Tell whether the neighbours have said what they hold, or had the time to."""
+        assert self._topology is not None
+        if now - self._started_at >= self.rules.patience_s:
+            return True
+        wished = self._topology.neighbours
+        return all(host in self.neighbours and self.neighbours[host].told for host in wished)
+
+    def _import_from_places(self, column: int, ranks: ColumnRanks, now: float) -> Iterator[Action]:
+        if not self._has_turn(ranks.in_place, self._import_moved_at[column], now):
+            return
+        for index in self._column_missing(column):
+            if self._local[index] or not self._remote[index] or index in self._fetches:
+                continue
+            host = self._pick_holder(index, now, local=False)
+            if host is not None:
+                yield self._ask(Neighbour(host), index, now)
+
+    def _import_from_origin(self, column: int, ranks: ColumnRanks, now: float) -> Iterator[Action]:
+        rank = ranks.at_origin
+        if not self._has_turn(rank, self._column_moved_at[column], now):
+            return
+        if any(self._is_source_fetch(index) for index in self._column_fetches(column)):
+            return
+        unseen = [index for index in self._column_missing(column) if index not in self._seen]
+        unseen = [index for index in unseen if index not in self._fetches]
+        source = self._pick_source(now)
+        if unseen and source is not None:
+            index = self._first_unseen(unseen, rank or 0, column)
+            yield self._ask(source, index, now)
+
+    def _first_unseen(self, unseen: list[int], rank: int, column: int) -> int:
+        """Return the next chunk for the origin: each place begins elsewhere in the column, and a
+        stand-in works from the end, so that two at once rarely fetch the same."""
+        assert self._topology is not None
+        if rank > 0:
+            return unseen[-1]
+        share = self._topology.place_index / self._topology.place_count
+        begin = int(share * self.chunk_count) if self._per_place else 0
+        return next((index for index in unseen if index >= begin), unseen[0])
+
+    @property
+    def _per_place(self) -> bool:
+        assert self._topology is not None
+        return all(ranks.in_place == ranks.at_origin for ranks in self._topology.columns)
+
+    def _ask_neighbours(self, now: float) -> Iterator[Action]:
+        """Ask neighbours in the place for their rarest chunks, while there is room."""
+        wanted = [
+            (self._local[index], self._rng.random(), index)
+            for index in self._missing
+            if self._local[index] and index not in self._fetches
+        ]
+        wanted.sort()
+        for _, _, index in wanted:
+            if len(self._fetches) >= self.rules.in_flight_total:
+                return
+            host = self._pick_holder(index, now, local=True)
+            if host is not None:
+                yield self._ask(Neighbour(host), index, now)
+        if len(self._fetches) < self.rules.in_flight_total:
+            yield from self._ask_again(now)
+
+    def _ask_again(self, now: float) -> Iterator[Action]:
+        """Ask a second source for the last chunks, when they take longer than most."""
+        for index, fetches in sorted(self._fetches.items()):
+            oldest = fetches[0]
+            if len(fetches) >= SOURCES_PER_CHUNK or now - oldest.asked_at < 2 * self._fetch_s:
+                continue
+            if not isinstance(oldest.source, Neighbour):
+                continue
+            host = self._pick_holder(index, now, local=True)
+            if host is not None:
+                yield self._ask(Neighbour(host), index, now, endgame=True)
+
+    def _break_silence(self, now: float) -> Iterator[Action]:
+        """Nobody has shown anything for long: ask whoever may have a chunk, whatever the rank."""
+        self._progress_at = now
+        index = self._rng.choice(sorted(self._missing))
+        host = self._pick_holder(index, now, local=False)
+        source = Neighbour(host) if host is not None else self._pick_source(now)
+        if source is not None:
+            yield self._ask(source, index, now)
+
+    # ---- choices --------------------------------------------------------------------------
+
+    def _has_turn(self, rank: int | None, moved_at: float, now: float) -> bool:
+        if rank is None:
+            return False
+        return rank == 0 or now - moved_at >= rank * self.patience_s
+
+    def _pick_holder(self, index: int, now: float, local: bool) -> HostId | None:
+        """Return the holder of a chunk that was asked for least, in this place or in another."""
+        asked_already = {fetch.source for fetch in self._fetches.get(index, ())}
+        best: tuple[int, float] | None = None
+        chosen = None
+        for host, state in self.neighbours.items():
+            if index not in state.chunks or (state.place == self._place) is not local:
+                continue
+            if len(state.asked) >= self.rules.in_flight or state.avoid_until > now:
+                continue
+            if Neighbour(host) in asked_already or state.corrupt >= self.rules.corrupt_limit:
+                continue
+            score = (len(state.asked), self._rng.random())
+            if best is None or score < best:
+                best, chosen = score, host
+        return chosen
+
+    def _pick_source(self, now: float) -> Source | None:
+        if self._origin.avoid_until <= now:
+            return ORIGIN
+        return STORE if self._store.avoid_until <= now else None
+
+    # ---- book-keeping ---------------------------------------------------------------------
+
+    def _ask(self, source: Source, index: int, now: float, endgame: bool = False) -> Ask:
+        self._fetches.setdefault(index, []).append(Fetch(source, now, now))
+        if isinstance(source, Neighbour):
+            self.neighbours[source.host].asked.add(index)
+        return Ask(source, index, endgame)
+
+    def _drop_fetch(self, index: int, source: Source) -> None:
+        kept = [fetch for fetch in self._fetches.get(index, ()) if fetch.source != source]
+        if kept:
+            self._fetches[index] = kept
+        else:
+            self._fetches.pop(index, None)
+        self._forget_asked(source, index)
+
+    def _forget_asked(self, source: Source, index: int) -> None:
+        if isinstance(source, Neighbour) and source.host in self.neighbours:
+            self.neighbours[source.host].asked.discard(index)
+
+    def _note_seen(self, index: int, local: bool, now: float) -> None:
+        if not self._column_moved_at:
+            return
+        column = index % len(self._column_moved_at)
+        if index not in self._seen:
+            self._seen.add(index)
+            self._progress_at = now
+            self._column_moved_at[column] = now
+        if local and self._local[index] == 1 and index not in self.held:
+            self._import_moved_at[column] = now
+
+    def _note_time(self, seconds: float) -> None:
+        self._fetch_s = seconds if not self._fetch_s else 0.8 * self._fetch_s + 0.2 * seconds
+
+    def _blame(self, source: Source) -> None:
+        name = source.host if isinstance(source, Neighbour) else type(source).__name__.lower()
+        state = self.neighbours.get(HostId(name)) or self._state_of(source)
+        state.corrupt += 1
+        if state.corrupt >= self.rules.corrupt_limit:
+            self.bad_sources.add(name)
+
+    def _avoid_neighbour(self, host: HostId, index: int, failure: FetchFailure, now: float) -> None:
+        state = self.neighbours.get(host)
+        if state is None:
+            return
+        if failure in (FetchFailure.STALLED, FetchFailure.BUSY):
+            state.avoid_until = now + self.rules.stall_s
+        if failure is FetchFailure.REFUSED and index in state.chunks:
+            state.chunks.discard(index)
+            self._counts(state)[index] -= 1
+
+    def _avoid_source(self, state: SourceState, now: float) -> None:
+        state.failures += 1
+        backoff_s = self.rules.source_backoff_s * 2 ** min(state.failures - 1, 10)
+        backoff_s = min(backoff_s, self.rules.source_backoff_limit_s)
+        state.avoid_until = now + backoff_s * (0.5 + self._rng.random())
+
+    def _counts(self, state: NeighbourState) -> list[int]:
+        return self._local if state.place == self._place else self._remote
+
+    def _state_of(self, source: Source) -> SourceState:
+        return self._store if isinstance(source, Store) else self._origin
+
+    def _column_missing(self, column: int) -> list[int]:
+        assert self._topology is not None
+        count = len(self._topology.columns)
+        return [i for i in range(column, self.chunk_count, count) if i in self._missing]
+
+    def _column_fetches(self, column: int) -> list[int]:
+        count = len(self._column_moved_at)
+        return [index for index in self._fetches if index % count == column]
+
+    def _is_source_fetch(self, index: int) -> bool:
+        return any(not isinstance(fetch.source, Neighbour) for fetch in self._fetches[index])
