--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -14,12 +14,15 @@
 
 import h11
 
+from lacewinggw.log import get_logger
 from lacewinggw.wire.network import Listener, Network, Stream
 
 READ_BYTES = 1 << 16
 IDLE_CONNECTIONS = 32
 JSON_TYPE = "application/json"
 
+log = get_logger(__name__)
+
 Headers = dict[str, str]
 
 
@@ -197,13 +200,26 @@
             except HttpError as error:
                 await self._refuse(connection, stream, error.status, str(error))
                 return
-            response = await self._handler(request)
+            response = await self._answer(request)
             await self._send(connection, stream, request, response)
             self._busy.discard(task)
             if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
                 return
             connection.start_next_cycle()
 
+    async def _answer(self, request: Request) -> Response:
+        """Return the handler's response, or a bare 500 when it fails by a fault of its own.
+
+        A handler that raises `OSError` means to lose the connection.
+        """
+        try:
+            return await self._handler(request)
+        except OSError:
+            raise
+        except Exception:
+            log.exception("http_handler_failed", method=request.method, path=request.path)
+            return json_response(500, {"status": 500, "detail": "an internal error; see the log"})
+
     async def _read_request(
         self, connection: h11.Connection, stream: Stream, event: h11.Request
     ) -> Request:
