--- /dev/null
+++ b/Makefile
@@ -0,0 +1,51 @@
+# Each target works in $(VENV), which it makes first when it is missing or out of date.
+PYTHON ?= $(shell command -v python3.11 || command -v python3)
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.made
+CHECKED := src tests tools
+
+.PHONY: venv demo test lint format types schema schema-check docs binary clean
+
+venv: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+# The main job on loopback: weights spread, engines load them, callers get answers.
+demo: venv
+	$(BIN)/lacewinggw-lab demo
+
+test: venv
+	$(BIN)/python -m pytest
+
+lint: venv
+	$(BIN)/black --check --quiet $(CHECKED) || $(BIN)/black --check $(CHECKED)
+	$(BIN)/ruff check $(CHECKED)
+
+format: venv
+	$(BIN)/black $(CHECKED)
+	$(BIN)/ruff check --fix $(CHECKED)
+
+types: venv
+	$(BIN)/mypy
+
+# Both want Debian's thrift-compiler, version 0.17.
+schema: venv
+	$(BIN)/python tools/generate.py
+
+schema-check: venv
+	$(BIN)/python tools/generate.py --check
+
+# docs/ERRORS.md and docs/SETTINGS.md, from the code and the schema.
+docs: venv
+	$(BIN)/python tools/reference.py
+
+# One executable file, dist/lacewinggw; see docs/design/binary.md.
+binary: venv
+	$(BIN)/python tools/binary.py
+
+clean:
+	rm -rf build dist $(VENV)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -8,8 +8,8 @@
   1: required string host                      // this host's id
   2: required string place                     // its place (availability zone)
   3: required string fleet_key                 // shared by all processes of the fleet
-  4: string log_format = "json"                // json or text
-  5: string log_level = "info"
+  4: string log_format = "json"                // how a line is written
+  5: string log_level = "info"                 // least that is logged
 }
 
 struct PlatformSettings {
@@ -19,7 +19,7 @@
   4: required string weight_store              // rate-limited weight store
   5: required string membership                // list of hosts
   6: i64 timeout_ms = 2000                     // one call to the platform
-  7: i64 membership_poll_ms = 1000
+  7: i64 membership_poll_ms = 1000             // reading the list of hosts
 }
 
 struct EntrySettings {
@@ -28,26 +28,26 @@
   3: required string peer_listen               // thrift frames
   4: string caller_address = ""                // as told to callers; caller_listen when empty
   5: i64 address_ttl_ms = 10000                // how long callers may keep an address answer
-  6: i32 addresses_per_answer = 3
+  6: i32 addresses_per_answer = 3              // entries that one answer names
   7: i64 drain_limit_ms = 60000                // longest wait for requests in progress at exit
-  8: i64 body_limit_bytes = 4194304
+  8: i64 body_limit_bytes = 4194304            // longest body of a caller's request
   9: list<string> operator_tokens              // "name:token"
   10: list<string> accounts                    // "account:token:requests-per-second:concurrency"
 }
 
 struct AgentSettings {
-  1: required string peer_listen
+  1: required string peer_listen               // thrift frames
   2: required string operator_listen           // /metrics and /healthz
   3: required string target                    // address of the target on this host
   4: string target_kind = "engine"             // engine or plain
-  5: string service_name = ""                       // a plain target's service
+  5: string service_name = ""               // a plain target's service
   6: bool target_fences = false                // the target refuses orders with an old fence
   7: i64 link_bytes_per_s = 125000000          // this host's link, each direction
   8: i32 weights_share_percent = 70            // most of the link that weights may take
-  9: i64 drain_limit_ms = 60000
-  10: i64 heartbeat_ms = 1000
+  9: i64 drain_limit_ms = 60000                // longest wait for requests in progress at exit
+  10: i64 heartbeat_ms = 1000                  // between heartbeats of an idle target
   11: i32 concurrency = 8                      // requests running on the target at once
-  12: i32 queue_length = 64
+  12: i32 queue_length = 64                    // requests waiting for the target
 }
 
 struct SpreadSettings {
@@ -64,7 +64,7 @@
 
 struct RequestSettings {
   1: i64 deadline_ms = 30000                   // when the caller names none
-  2: i64 reservation_ms = 5000
+  2: i64 reservation_ms = 5000                 // a reservation or ticket lapses after so long
   3: i64 answer_keep_ms = 3600000              // recorded answers in the object store
   4: i64 claim_batch_ms = 5                    // claims written together
   5: i32 piece_window = 256                    // pieces in flight to one caller
@@ -74,9 +74,9 @@
   1: i32 subset = 64                           // targets per service one entry deals with
   2: i32 retry_percent = 10                    // retries as a share of requests
   3: i32 eject_after = 5                       // failures in a row
-  4: i64 eject_ms = 5000
+  4: i64 eject_ms = 5000                       // how long a failing target is left out
   5: i32 eject_limit_percent = 50              // most targets out at once
-  6: i64 slow_start_ms = 5000
+  6: i64 slow_start_ms = 5000                  // until a fresh target gets its full share
   7: i64 dead_after_ms = 5000                  // silence before a target is taken for dead
   8: i32 urgent_percent = 20                   // share kept for urgent requests
 }
@@ -90,8 +90,8 @@
 
 struct OperatorSettings {
   1: list<string> entries                      // operator addresses of entries
-  2: string token = ""
-  3: i64 timeout_ms = 10000
+  2: string token = ""                         // operator's token
+  3: i64 timeout_ms = 10000                    // one call to an entry
 }
 
 struct Settings {
--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -4,9 +4,9 @@
   lacewinggw entry --settings FILE
   lacewinggw agent --settings FILE
   lacewinggw check FILE [--role ROLE]
-  lacewinggw ask [options] WORDS...
-  lacewinggw plan [options] DIR [--check]
-  lacewinggw apply [options] DIR
+  lacewinggw ask [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] WORDS...
+  lacewinggw plan [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--check] DIR
+  lacewinggw apply [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] DIR
   lacewinggw --help
   lacewinggw --version
 
--- a/src/lacewinggw/settings.py
+++ b/src/lacewinggw/settings.py
@@ -67,7 +67,15 @@
     "log_level": ("debug", "info", "warning", "error"),
     "target_kind": ("engine", "plain"),
 }
-MAY_BE_ZERO = {"remote_neighbours", "queue_length", "claim_batch_ms", "slow_start_ms"}
+MAY_BE_ZERO = {
+    "remote_neighbours",
+    "queue_length",
+    "claim_batch_ms",
+    "slow_start_ms",
+    "retry_percent",
+    "urgent_percent",
+    "eject_limit_percent",
+}
 PERCENT_MAXIMUM = 100
 MAXIMUM = {TType.I32: 2**31 - 1, TType.I64: 2**63 - 1}
 PORT_MAXIMUM = 65535
@@ -196,7 +204,6 @@
     ini = configparser.RawConfigParser(
         default_section="\0",  # no section is special
         inline_comment_prefixes=("#",),
-        empty_lines_in_values=False,
     )
     ini.optionxform = str  # type: ignore[assignment, method-assign]
     return ini
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,114 @@
+"""Settings: what is read, and one clear error for each kind of fault."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from syrupy.assertion import SnapshotAssertion
+
+from lacewinggw.cli import ExitCode, main
+from lacewinggw.errors import LacewingError, SettingsError
+from lacewinggw.settings import (
+    SECTIONS,
+    ProcessKind,
+    default_settings,
+    kind_of_file,
+    load_settings,
+    parse_settings,
+    section_keys,
+    section_names,
+    write_settings,
+)
+
+ROOT = Path(__file__).resolve().parent.parent
+BROKEN = Path(__file__).resolve().parent / "data" / "settings"
+EXAMPLES = ROOT / "docs" / "examples"
+ENTRY = SECTIONS[ProcessKind.ENTRY]
+
+
+@pytest.mark.parametrize("name", sorted(path.name for path in BROKEN.glob("*.ini")))
+def test_broken_file_gives_one_error_and_exit_code_2(
+    name: str,
+    snapshot: SnapshotAssertion,
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    monkeypatch.chdir(BROKEN)
+    assert main(["check", name]) == ExitCode.BAD_INPUT
+    out, err = capsys.readouterr()
+    assert out == ""
+    assert err.count("\n") == 1
+    assert name in err
+    assert err == snapshot
+
+
+@pytest.mark.parametrize("kind", list(ProcessKind))
+def test_example_is_good(kind: ProcessKind) -> None:
+    path = EXAMPLES / f"{kind.value}.ini"
+    assert kind_of_file(path) is kind
+    load_settings(path, SECTIONS[kind])
+
+
+def test_values_have_the_units_of_their_fields() -> None:
+    settings = load_settings(EXAMPLES / "agent.ini", SECTIONS[ProcessKind.AGENT])
+    assert settings.agent.link_bytes_per_s == 1_250_000_000
+    assert settings.agent.weights_share_percent == 60
+    assert settings.agent.target_fences is True
+    assert settings.spread.patience_ms == 200
+
+
+def test_list_has_an_item_a_line_or_between_commas() -> None:
+    settings = load_settings(EXAMPLES / "entry.ini", ENTRY)
+    assert settings.entry.accounts == ["radio-desk:secret-1:200:64", "growers:secret-2:50:16"]
+    operator = load_settings(EXAMPLES / "operator.ini", SECTIONS[ProcessKind.OPERATOR]).operator
+    assert operator.entries == ["10.1.1.1:8081", "10.2.1.1:8081"]
+
+
+def test_key_of_another_process_is_not_required() -> None:
+    assert parse_settings("[agent]\ntarget = 127.0.0.1:9\n", "x", ()).agent.peer_listen == ""
+
+
+def test_port_0_clashes_with_nothing() -> None:
+    text = "[entry]\ncaller_listen = 127.0.0.1:0\noperator_listen = 127.0.0.1:0\n"
+    with pytest.raises(SettingsError, match="peer_listen: the value is missing"):
+        parse_settings(text, "x", ("entry",))
+    parse_settings(text + "peer_listen = 127.0.0.1:0\n", "x", ("entry",))
+
+
+def test_missing_file_is_bad_input(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["check", "no-such.ini"]) == ExitCode.BAD_INPUT
+    assert "LW-1001 settings-unreadable: no-such.ini: No such file" in capsys.readouterr().err
+
+
+def test_file_that_is_not_utf8_is_bad_input(tmp_path: Path) -> None:
+    path = tmp_path / "x.ini"
+    path.write_bytes(b"[process]\nhost = \xff\n")
+    with pytest.raises(SettingsError, match="not UTF-8"):
+        load_settings(path, ())
+
+
+def test_written_settings_read_back_the_same() -> None:
+    for kind in ProcessKind:
+        settings = load_settings(EXAMPLES / f"{kind.value}.ini", ())
+        assert parse_settings(write_settings(settings), "x", ()) == settings
+    assert parse_settings(write_settings(default_settings()), "x", ()) == default_settings()
+
+
+def test_no_two_keys_of_a_section_have_one_name() -> None:
+    for section in section_names():
+        names = [key.name for key in section_keys(section)]
+        assert len(names) == len(set(names))
+
+
+def test_message_never_shows_a_token(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["check", str(BROKEN / "bad_account.ini")]) == ExitCode.BAD_INPUT
+    assert "secret" not in capsys.readouterr().err
+
+
+@given(st.text(alphabet="[]=\n #;:%prtocesablg0123.é\0", max_size=200))
+def test_any_text_is_read_or_refused(text: str) -> None:
+    try:
+        parse_settings(f"[process]\n{text}", "x", ())
+    except LacewingError as error:
+        assert isinstance(error, SettingsError)
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -10,8 +10,9 @@
 import subprocess
 import sys
 import tempfile
+from collections.abc import Iterator
 from pathlib import Path
-from typing import Any, Iterator
+from typing import Any
 
 from thrift.Thrift import TType
 
