Stand-ins that restart, and engines that record every piece's weights

Cause: a run that outlived a change of weights recorded the chunks of its first weights only; a stand-in could not be started again at its address; a restarted engine that answers "0 runs" looked like proof that a request had not run. Change: the weights of each piece are recorded, with their chunks; close and start is a restart, at which an engine forgets all and takes a new boot id, told with its state and its counts. Streams must begin at the piece asked for; 8 faulty streams are each refused by a test.

--- a/src/lacewinggw/lab/engine.py
+++ b/src/lacewinggw/lab/engine.py
@@ -88,6 +88,7 @@
     resume_from: int
     priority: int
     streamed: bool
+    adapter: str
 
     @classmethod
     def from_request(cls, request: Request) -> "Prompt":
@@ -104,6 +105,7 @@
             resume_from=resume_from,
             priority=int(request.headers.get(PRIORITY_HEADER, NORMAL_PRIORITY)),
             streamed=request.headers.get("accept") == EVENT_STREAM or bool(body.get("stream")),
+            adapter=str(body.get("adapter", "")),
         )
 
 
@@ -120,8 +122,9 @@
     finished: bool = False
     whole_weights: bool = True
 
-    def use_weights(self, digest: str) -> None:
-        """Record that these weights had a part in the answer."""
+    def use_weights(self, digest: str, whole: bool = True) -> None:
+        """Record that these weights had a part in the answer, and whether they were whole."""
+        self.whole_weights = self.whole_weights and whole
         if digest not in self.weights:
             self.weights.append(digest)
 
@@ -153,19 +156,20 @@
         self.fence = 0
         self.adapters: set[str] = set()
         self.role = EngineRole.BOTH
+        self.boot = f"{self.rng.getrandbits(64):x}"
         self.cache = PrefixCache(self.spec.cache_blocks, self.rng)
-        self._chunks_of: dict[str, tuple[str, ...]] = {}
         self._started: Counter[str] = Counter()
         self._finished: Counter[str] = Counter()
         self._load = Lagged(LoadReport(), LOAD_KEPT_S)
         self._slots = BatchSlots(self.spec.batch_limit, self._record_load)
 
     def stats(self) -> dict[str, Any]:
-        """Return counts of runs, and which request ids ran more than once."""
+        """Return counts of runs, and which request ids ran more than once, over all starts."""
+        started = Counter(run.request_id for run in self.runs)
         return {
             "runs": len(self.runs),
-            "finished": self._finished.total(),
-            "doubled_requests": [name for name, count in self._started.items() if count > 1],
+            "finished": sum(run.finished for run in self.runs),
+            "doubled_requests": [name for name, count in started.items() if count > 1],
             "running": self._slots.running,
             "queued": self._slots.queued,
             "refused_orders": self.refused_orders,
@@ -175,6 +179,18 @@
             **self.weights.describe(),
         }
 
+    async def close(self) -> None:
+        """Stop at once; what is started again later is a fresh process that knows of nothing."""
+        await super().close()
+        self.boot = f"{self.rng.getrandbits(64):x}"
+        self.weights.forget()
+        self.cache = PrefixCache(self.spec.cache_blocks, self.rng)
+        self.adapters.clear()
+        self.role = EngineRole.BOTH
+        self.fence = 0
+        self._started.clear()
+        self._finished.clear()
+
     async def answer(self, request: Request) -> Response:
         """Answer one request, once the engine is not paused."""
         await wait_while(lambda: self.faults.paused)
@@ -246,6 +262,7 @@
             "adapters": sorted(self.adapters),
             "role": self.role.value,
             "fence": self.fence,
+            "boot": self.boot,
         }
 
     def _record_load(self, running: int, queued: int) -> None:
@@ -268,14 +285,17 @@
 
     def _answer_ran(self, request_id: str) -> Response:
         started, finished = self._started[request_id], self._finished[request_id]
-        return json_response(200, {"started": started, "finished": finished})
+        counts = {"started": started, "finished": finished, "boot": self.boot}
+        return json_response(200, counts)
 
     def _describe_runs(self) -> dict[str, Any]:
-        return {"runs": [asdict(run) for run in self.runs], "chunks": self._chunks_of}
+        return {"runs": [asdict(run) for run in self.runs], "chunks": self.weights.activated}
 
     async def _answer_generate(self, prompt: Prompt) -> Response:
         if self.weights.active is None:
             return refused(503, "no weights are active", REFUSED_RETRY_S)
+        if prompt.adapter and prompt.adapter not in self.adapters:
+            return refused(409, f"adapter {prompt.adapter} is not loaded")
         if self._slots.queued >= self.spec.queue_limit:
             return refused(429, "the queue is full", REFUSED_RETRY_S)
         if self.happens(self.faults.refuse_share):
@@ -304,10 +324,8 @@
                 await self._spend(self._token_s())
                 if is_cut and run.sent > 0:
                     raise ConnectionAbortedError("cut on purpose")
-                weights = self.weights.active_digest
-                run.use_weights(weights)
-                run.sent += 1
-                yield index, piece_text(prompt.request_id, prompt.text, weights, index)
+                digest = self._use_weights(run)
+                yield index, piece_text(prompt.request_id, prompt.text, digest, index)
             run.finished = True
             self._finished[prompt.request_id] += 1
         finally:
@@ -315,13 +333,19 @@
 
     def _begin(self, prompt: Prompt) -> EngineRun:
         run = EngineRun(prompt.request_id, now(), prompt.resume_from, prompt.pieces)
-        if self.weights.active is not None:
-            run.whole_weights = self.weights.active.whole
-            self._chunks_of[self.weights.active_digest] = self.weights.active.chunk_hashes
         self.runs.append(run)
         self._started[prompt.request_id] += 1
         return run
 
+    def _use_weights(self, run: EngineRun) -> str:
+        """Compute one piece: record which weights did, and return their digest."""
+        if self.weights.active is None:
+            raise ConnectionAbortedError("the weights were unloaded during a run")
+        digest = self.weights.active.digest
+        run.use_weights(digest, self.weights.active.whole)
+        run.sent += 1
+        return digest
+
     async def _prefill(self, prompt: Prompt, run: EngineRun) -> None:
         blocks = prefix_blocks(prompt.text)
         gap_share = self.faults.event_gap_share
--- a/src/lacewinggw/lab/loading.py
+++ b/src/lacewinggw/lab/loading.py
@@ -32,11 +32,15 @@
 
 @dataclass
 class EngineWeights:
-    """Staging, memory and what is active. Only hashes are kept: no engine runs on them."""
+    """Staging, memory and what is active. Only hashes are kept: no engine runs on them.
+
+    `activated` has, for each digest that was ever active, the chunks that answers came from.
+    """
 
     staging: dict[str, dict[int, str]] = field(default_factory=dict)
     loaded: dict[str, LoadedWeights] = field(default_factory=dict)
     active: LoadedWeights | None = None
+    activated: dict[str, tuple[str, ...]] = field(default_factory=dict)
     staged_bytes: int = 0
 
     @property
@@ -60,6 +64,7 @@
         if digest not in self.loaded:
             return False
         self.active = self.loaded[digest]
+        self.activated[self.active_digest] = self.active.chunk_hashes
         return True
 
     def unload(self, digest: str) -> None:
@@ -69,6 +74,12 @@
         if dropped is not None and dropped is self.active:
             self.active = None
 
+    def forget(self) -> None:
+        """Lose everything, as a process does that starts anew; what answers came from is kept."""
+        self.staging.clear()
+        self.loaded.clear()
+        self.active = None
+
     def describe(self) -> dict[str, Any]:
         """Return what is loaded and active, read back from the chunks."""
         loaded = [weights.digest for weights in self.loaded.values()]
--- a/src/lacewinggw/lab/standin.py
+++ b/src/lacewinggw/lab/standin.py
@@ -7,6 +7,8 @@
     await table.start()
     table.faults.outage = Outage.REFUSE
     await table.close()
+
+`close` and `start` again is a restart at the same address.
 """
 
 import asyncio
@@ -154,20 +156,26 @@
     def __init__(self, network: Network, address: str = LOOPBACK, seed: int = 0) -> None:
         self.rng = Random(seed)
         self.faults = Faults()
-        self._server = HttpServer(network, address, self._handle)
+        self._network = network
+        self._address = address
+        self._server: HttpServer | None = None
 
     @property
     def address(self) -> str:
         """The bound address, once started."""
-        return self._server.address
+        return self._address
 
     async def start(self) -> None:
-        """Bind and serve."""
+        """Bind and serve; after `close`, at the same address as before."""
+        self._server = HttpServer(self._network, self._address, self._handle)
         await self._server.start()
+        self._address = self._server.address
 
     async def close(self) -> None:
         """Stop at once, cutting what is in progress."""
-        await self._server.close()
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
 
     def stats(self) -> dict[str, Any]:
         """Return counts for `GET /stats`."""
--- a/src/lacewinggw/platform/engine.py
+++ b/src/lacewinggw/platform/engine.py
@@ -113,6 +113,7 @@
     adapters: tuple[str, ...]
     role: EngineRole
     fence: int
+    boot: str = ""
 
 
 @dataclass(frozen=True)
@@ -165,10 +166,14 @@
 
 @dataclass(frozen=True)
 class RunCount:
-    """How often a request was started and how often it came to its end."""
+    """How often a request was started and came to its end, since the start named by `boot`.
+
+    An engine that has started since the request was sent proves nothing by a count of 0.
+    """
 
     started: int
     finished: int
+    boot: str = ""
 
 
 @dataclass(frozen=True)
@@ -255,7 +260,7 @@
             raise lost_before_answer(error) from error
         try:
             await _check_started(response)
-            async for item in _read_events(response):
+            async for item in _read_events(response, generation.resume_from):
                 yield item
         except (OSError, TimeoutError, HttpError) as error:
             raise lost_within_answer(error) from error
@@ -339,22 +344,23 @@
         raise AnswerIncomplete(f"the engine answered {status}")
 
 
-async def _read_events(response: StreamedResponse) -> AsyncIterator[PieceBatch | AnswerEnd]:
-    """Yield batches of pieces and the end, checking that no piece is missing or out of order."""
+async def _read_events(
+    response: StreamedResponse, upcoming: int
+) -> AsyncIterator[PieceBatch | AnswerEnd]:
+    """Yield batches of pieces and the end, checking that each piece is the one due."""
     buffer = b""
-    upcoming: int | None = None
     async for data in response.pieces():
         *events, buffer = (buffer + data).split(EVENT_END)
         if len(buffer) > EVENT_LIMIT_BYTES:
             raise AnswerIncomplete(f"an event of the engine is over {EVENT_LIMIT_BYTES} bytes")
         batch, end = _decode_batch(events)
         if batch is not None:
-            if upcoming is not None and batch.first != upcoming:
+            if batch.first != upcoming:
                 raise AnswerIncomplete(f"piece {batch.first} came where {upcoming} was due")
             upcoming = batch.first + len(batch.pieces)
             yield batch
         if end is not None:
-            if upcoming is not None and end.pieces != upcoming:
+            if end.pieces != upcoming:
                 raise AnswerIncomplete(f"{end.pieces} pieces were told, {upcoming} came")
             yield end
             return
@@ -396,6 +402,7 @@
         adapters=tuple(value["adapters"]),
         role=EngineRole(value["role"]),
         fence=int(value["fence"]),
+        boot=str(value.get("boot", "")),
     )
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,13 +1,8 @@
 """The configuration log: acceptance, following, snapshots and recovery, under virtual time."""
 
-import asyncio
 
 import pytest
-
-from config_fleet import Fleet, Node, release, running, service
-from lacewinggw.errors import AcceptanceUnknown, ConfigurationConflict, PlatformUnavailable
-from lacewinggw.generated.messages.ttypes import Role
-from lacewinggw.lab.standin import Outage
+from config_fleet import Fleet, release, running
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -34,6 +34,7 @@
 )
 from lacewinggw.platform.plain import PlainCall, PlainClient
 from lacewinggw.platform.weights import release_digest
+from lacewinggw.wire.http import HttpServer, Request, Response
 
 pytestmark = pytest.mark.looptime
 
@@ -259,3 +260,61 @@
     assert len(service.runs) == 2
     await client.close()
     await service.close()
+
+
+PIECE = 'data: {"i":%d,"text":"x"}\n\n'
+END = 'event: end\ndata: {"pieces":%d,"digest":""}\n\n'
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        PIECE % 0 + PIECE % 1,
+        PIECE % 0 + END % 2,
+        PIECE % 0 + PIECE % 2 + END % 3,
+        PIECE % 1 + PIECE % 0 + END % 2,
+        PIECE % 1 + END % 2,
+        PIECE % 0 + PIECE % 0 + END % 2,
+        PIECE % 0 + "data: {}\n\n" + END % 2,
+        PIECE % 0 + "event: end\ndata: 2\n\n",
+    ],
+)
+async def test_no_stream_with_a_fault_is_taken_for_whole(body: str) -> None:
+    network = MemoryNetwork()
+
+    async def answer(_: Request) -> Response:
+        return Response(200, {}, body.encode())
+
+    server = HttpServer(network, "127.0.0.1:0", answer)
+    await server.start()
+    client = EngineClient(network, server.address)
+    with pytest.raises(AnswerIncomplete):
+        await collect(client, generation())
+    await client.close()
+    await server.close()
+
+
+async def test_restarted_engine_knows_of_nothing_and_says_it_is_another() -> None:
+    async with engine() as target:
+        await target.load(CHUNKS)
+        await collect(target.client, generation())
+        before = await target.client.ran(RequestId("r1"))
+        await target.standin.close()
+        await target.standin.start()
+        after = await target.client.ran(RequestId("r1"))
+        assert (before.started, after.started) == (1, 0)
+        assert before.boot != after.boot == (await target.client.state()).boot
+        assert (await target.client.state()).active == ""
+        assert target.standin.stats()["runs"] == 1
+
+
+async def test_weights_changed_during_a_run_show_in_its_record() -> None:
+    async with engine() as target:
+        await target.load(CHUNKS)
+        running = asyncio.create_task(collect(target.client, generation(pieces=100)))
+        await asyncio.sleep(0.1)
+        await target.load(CHUNKS[:1], OTHER, fence=2)
+        await running
+        run = target.standin.runs[0]
+        assert len(run.weights) == 2 and not run.whole_weights
+        assert set(run.weights) == set(target.standin.weights.activated)
