--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
 """Give every run the same verdict: fixed examples, and the known failures passed over and printed.
 
 Hypothesis draws the same examples each time and judges no durations. KNOWN-RED.txt at the root,
-when there is one, lists tests that fail for a known fault. A line of that file is `test id | cause | issue`. Only the tests named there may fail; a listed
-test that passes, or that does not exist, is printed too, so that its line gets removed.
+when there is one, lists tests that fail for a known fault, one a line: `test id | cause | issue`.
+Only the tests named there may fail; a listed test that passes, or that does not exist, is printed
+too, so that its line gets removed.
 """
 
 from dataclasses import dataclass
