--- /dev/null
+++ b/src/lacewinggw/entry/operators.py
@@ -0,0 +1,251 @@
+"""The operators' listener of an entry: queries, commands and the whole configuration over HTTP.
+
+`POST /v1/query` and `GET /v1/query?words=` answer a query; `POST /v1/commands` puts commands into
+the log, all of one body as one revision; `GET /v1/configuration` gives the declarations, for
+`plan`. Each needs an operator's token.
+"""
+
+import hmac
+import json
+from collections.abc import Callable
+from typing import Any
+
+from lacewinggw.decisions.commands import accepted_before
+from lacewinggw.entry.ledger import Ledger
+from lacewinggw.errors import (
+    BadToken,
+    LacewingError,
+    LanguageError,
+    MalformedHttp,
+    NoConfiguration,
+    UnknownName,
+    UnknownPath,
+)
+from lacewinggw.generated.messages.ttypes import LogEntry, Release
+from lacewinggw.generated.settings.ttypes import EntrySettings
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.operators.changes import changes_of, releases_to_create
+from lacewinggw.operators.declarations import configuration_to_json
+from lacewinggw.operators.language import parse_commands, parse_query
+from lacewinggw.operators.queries import Answer, Lines, Waiting, answer_query
+from lacewinggw.operators.tables import Table
+from lacewinggw.operators.view import FleetView
+from lacewinggw.platform.weights import WeightsClient
+from lacewinggw.wire.http import Request, Response, json_response
+
+BEARER = "bearer "
+COMMAND_ID_LIMIT = 64
+CATCH_UP_S = 3.0
+MS_PER_S = 1000
+OK = 200
+
+log = get_logger(__name__)
+
+NewCommandId = Callable[[], str]
+
+
+class Operators:
+    """Answers operators on behalf of one entry."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        view: FleetView,
+        origin: WeightsClient,
+        tokens: dict[str, str],
+        metrics: Metrics,
+        new_command_id: NewCommandId,
+    ) -> None:
+        self._ledger = ledger
+        self._view = view
+        self._origin = origin
+        self._tokens = tokens
+        self._metrics = metrics
+        self._new_command_id = new_command_id
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: EntrySettings,
+        ledger: Ledger,
+        view: FleetView,
+        origin: WeightsClient,
+        metrics: Metrics,
+        new_command_id: NewCommandId,
+    ) -> "Operators":
+        """Return the operators' side of an entry."""
+        pairs = [each.partition(":") for each in settings.operator_tokens or []]
+        tokens = {name: token for name, _, token in pairs}
+        return cls(ledger, view, origin, tokens, metrics, new_command_id)
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request of an operator; errors become problem JSON."""
+        try:
+            author = self._author(request)
+            return await self._route(request, author)
+        except LacewingError as error:
+            self._metrics.count("operator_refusals", reason=error.kind)
+            return problem_response(error)
+
+    def _author(self, request: Request) -> str:
+        given = request.headers.get("authorization", "")
+        token = given[len(BEARER) :].strip() if given.lower().startswith(BEARER) else ""
+        for name, known in self._tokens.items():
+            if token and hmac.compare_digest(token.encode(), known.encode()):
+                return name
+        raise BadToken("no operator has this token")
+
+    async def _route(self, request: Request, author: str) -> Response:
+        match request.method, request.path:
+            case "GET", "/v1/query":
+                return self._query(str(request.query.get("words", "")))
+            case "POST", "/v1/query":
+                return self._query(_text(_body(request), "words"))
+            case "POST", "/v1/commands":
+                return await self._command(_body(request), author)
+            case "GET", "/v1/configuration":
+                self._require_ready()
+                return json_response(OK, configuration_to_json(self._ledger.state))
+        raise UnknownPath(f"there is no {request.method} {request.path} for operators")
+
+    def _require_ready(self) -> None:
+        if not self._ledger.ready:
+            raise NoConfiguration("this entry has no configuration yet")
+
+    def _query(self, words: str) -> Response:
+        query = parse_query(words)
+        self._require_ready()
+        value = answer_to_json(answer_query(query, self._view))
+        return json_response(OK, {"revision": self._ledger.revision, **value})
+
+    async def _command(self, body: dict[str, Any], author: str) -> Response:
+        words = _text(body, "words")
+        commands = parse_commands(words)
+        self._require_ready()
+        command_id = self._command_id(body)
+        known = accepted_before(self._ledger.state, command_id)
+        if known is not None:
+            return _accepted(known, repeated=True)
+        read_revision = await self._read_revision(body)
+        releases = {name: await self._release(name) for name in releases_to_create(commands)}
+        hosts = [str(member.host) for member in self._view.members()]
+        changes = changes_of(commands, self._ledger.state, releases, hosts)
+        entry = await self._ledger.accept(
+            changes,
+            words=words.strip(),
+            author=author,
+            read_revision=read_revision,
+            command_id=command_id,
+        )
+        log.info("command_accepted", revision=entry.revision, author=author, words=words)
+        return _accepted(entry, repeated=False)
+
+    async def _read_revision(self, body: dict[str, Any]) -> int:
+        """Return the revision a command was based on, once this entry has reached it."""
+        asked = _number(body, "read_revision", self._ledger.revision)
+        if await self._ledger.reached(asked, CATCH_UP_S):
+            return asked
+        raise NoConfiguration(
+            f"this entry is at revision {self._ledger.revision}, the command at {asked}",
+            remedy="give the command to another entry, or again in a moment",
+        )
+
+    def _command_id(self, body: dict[str, Any]) -> str:
+        if "command_id" not in body:
+            return self._new_command_id()
+        command_id = _text(body, "command_id")
+        if "read_revision" not in body:
+            raise MalformedHttp(
+                "a command with an id needs the read_revision it was based on",
+                remedy="add `read_revision`, as any query's answer gives it in `revision`",
+            )
+        if not 0 < len(command_id) <= COMMAND_ID_LIMIT:
+            raise MalformedHttp(f"a command id has 1 to {COMMAND_ID_LIMIT} characters")
+        return command_id
+
+    async def _release(self, name: str) -> Release:
+        try:
+            manifest = await self._origin.manifest(name)  # type: ignore[arg-type]
+        except LacewingError as error:
+            if error.http_status != 404:
+                raise
+            raise UnknownName(
+                f"the origin has no release {name}", remedy="put its weights there first"
+            ) from error
+        sizes = manifest.chunk_sizes
+        return Release(name, manifest.digest, sum(sizes), len(sizes))
+
+
+def answer_to_json(answer: Answer) -> dict[str, Any]:
+    """Return an answer as it travels to the shell."""
+    match answer:
+        case Table():
+            rows = [[row[column] for column in answer.columns] for row in answer.rows]
+            return {"columns": list(answer.columns), "rows": rows}
+        case Lines():
+            return {"lines": list(answer.lines)}
+        case Waiting():
+            hold_ups = [
+                {"subject": each.subject, "reason": each.reason, "remedy": each.remedy}
+                for each in answer.hold_ups
+            ]
+            return {"done": answer.done, "held_up_by": hold_ups}
+
+
+def problem_response(error: LacewingError) -> Response:
+    """Return an error as problem JSON, with where it points if it points at a word."""
+    problem: dict[str, Any] = {
+        "code": error.code,
+        "title": error.kind,
+        "detail": error.reason,
+        "remedy": error.remedy,
+        "outcome": error.outcome.value,
+        "retry_after_ms": error.retry_after_ms,
+        "status": error.http_status,
+    }
+    if isinstance(error, LanguageError):
+        problem["position"] = error.position
+        problem["expected"] = list(error.expected)
+        problem["nearest"] = error.nearest
+    headers = {"content-type": "application/problem+json"}
+    if error.retry_after_ms:
+        headers["retry-after"] = str(-(-error.retry_after_ms // MS_PER_S))
+    return json_response(error.http_status, problem, headers)
+
+
+def _accepted(entry: LogEntry, repeated: bool) -> Response:
+    return json_response(
+        OK,
+        {
+            "revision": entry.revision,
+            "command_id": entry.command_id,
+            "author": entry.author,
+            "words": entry.words,
+            "repeated": repeated,
+        },
+    )
+
+
+def _body(request: Request) -> dict[str, Any]:
+    try:
+        value = json.loads(request.body)
+    except ValueError as error:
+        raise MalformedHttp(f"the body is not JSON: {error}") from error
+    if not isinstance(value, dict):
+        raise MalformedHttp("the body is not a JSON object")
+    return value
+
+
+def _text(body: dict[str, Any], key: str) -> str:
+    value = body.get(key)
+    if not isinstance(value, str):
+        raise MalformedHttp(f"`{key}` is missing or not a string")
+    return value
+
+
+def _number(body: dict[str, Any], key: str, default: int) -> int:
+    value = body.get(key, default)
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise MalformedHttp(f"`{key}` is not a whole number")
+    return value
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -1,16 +1,11 @@
 """The configuration log: acceptance, following, snapshots and recovery, under virtual time."""
 
-
 import pytest
-from config_fleet import Fleet, release, running
+from config_fleet import release, running
 
 pytestmark = pytest.mark.looptime
 
 
-def table_of(fleet: Fleet):
-    return fleet.platform.table
-
-
 async def test_an_accepted_command_is_in_force_everywhere() -> None:
     async with running(entries=8, agents=8) as fleet:
         entry = await fleet.entries[0].accept(release("m1"), command="one")
