Choose the hosts that change over now, above a floor

A wave is one entry of the log, so two entries cannot take more from a service together than its floor allows; the rule is pure and holds for any mix of hosts by property test.

--- /dev/null
+++ b/src/lacewinggw/decisions/waves.py
@@ -0,0 +1,68 @@
+"""Which hosts of a service change over to its next release now.
+
+Hosts load the next release beside the one that they serve, and change over in waves, each one entry
+of the log, so that no two entries can take more from a service together than its floor allows. What
+a host does is judged by what was read back and heard lately: a host not heard of serves nothing.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from math import ceil
+
+from lacewinggw.decisions.pollers import weight
+
+PERCENT = 100
+WAVE_SHARE = 8  # a wave smaller than one in so many hosts waits a little for others
+WAVE_WAIT_S = 1.0
+
+
+@dataclass(frozen=True)
+class HostProgress:
+    """How far one host of a service is.
+
+    `turning` is whether it still serves the old release with the next one to come; `ready` whether
+    that is loaded; `serving` whether it was lately heard to serve what it is now to serve.
+    """
+
+    turning: bool
+    ready: bool
+    serving: bool
+
+
+Progress = Mapping[str, HostProgress]
+
+
+def floor_of(replicas: int, floor_percent: int) -> int:
+    """Return how many hosts have to go on serving; one may always be spared."""
+    return min(ceil(replicas * floor_percent / PERCENT), max(replicas - 1, 0))
+
+
+def choose_wave(
+    service: str, progress: Progress, floor_percent: int, waited_s: float
+) -> tuple[str, ...]:
+    """Return the hosts that change over now, in the order of their rendezvous rank.
+
+    `waited_s` is how long some host has been ready and waiting. A host that is ready and serves
+    nothing costs no capacity, and so changes over at once.
+    """
+    ready = [host for host, each in progress.items() if each.turning and each.ready]
+    if not ready:
+        return ()
+    serving = sum(1 for each in progress.values() if each.serving)
+    spare = serving - floor_of(len(progress), floor_percent)
+    wave = list(_within(ready, progress, spare, service))
+    turning = sum(1 for each in progress.values() if each.turning)
+    enough = min(ceil(len(progress) / WAVE_SHARE), turning, max(spare, 1))
+    if len(wave) < enough and waited_s < WAVE_WAIT_S:
+        return ()
+    return tuple(wave)
+
+
+def _within(ready: list[str], progress: Progress, spare: int, service: str) -> Iterable[str]:
+    """Yield ready hosts, by rank, as long as those that still serve are to spare."""
+    for host in sorted(ready, key=lambda each: (-weight(service, each), each)):
+        if progress[host].serving:
+            if spare <= 0:
+                continue
+            spare -= 1
+        yield host
--- /dev/null
+++ b/tests/test_waves.py
@@ -0,0 +1,64 @@
+"""Waves in which the hosts of a service change over to its next release."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewinggw.decisions.waves import HostProgress, choose_wave, floor_of
+
+WAITING = HostProgress(turning=True, ready=False, serving=True)
+READY = HostProgress(turning=True, ready=True, serving=True)
+READY_IDLE = HostProgress(turning=True, ready=True, serving=False)
+CHANGING = HostProgress(turning=False, ready=False, serving=False)
+DONE = HostProgress(turning=False, ready=False, serving=True)
+
+
+def fleet(*kinds):
+    return {f"host-{number}": kind for number, kind in enumerate(kinds)}
+
+
+def test_floor_spares_at_least_one():
+    assert [floor_of(8, 50), floor_of(8, 100), floor_of(1, 50), floor_of(3, 50)] == [4, 7, 0, 2]
+
+
+def test_nobody_is_ready():
+    assert choose_wave("writer", fleet(WAITING, WAITING), 50, 9.0) == ()
+
+
+def test_half_at_once_at_a_floor_of_half():
+    assert len(choose_wave("writer", fleet(*[READY] * 8), 50, 0.0)) == 4
+
+
+def test_the_next_wave_waits_until_the_last_one_serves():
+    assert choose_wave("writer", fleet(*[CHANGING] * 4, *[READY] * 4), 50, 9.0) == ()
+    assert len(choose_wave("writer", fleet(*[DONE] * 4, *[READY] * 4), 50, 0.0)) == 4
+
+
+def test_a_host_that_fails_after_changing_over_holds_the_rest_up():
+    assert choose_wave("writer", fleet(CHANGING, DONE, READY), 66, 9.0) == ()
+
+
+def test_hosts_that_serve_nothing_cost_nothing():
+    assert choose_wave("writer", fleet(READY_IDLE, CHANGING, READY), 50, 9.0) == ("host-0",)
+
+
+def test_a_single_replica_changes_over():
+    assert choose_wave("writer", fleet(READY), 50, 0.0) == ("host-0",)
+
+
+def test_few_ready_hosts_wait_for_others_a_little():
+    kinds = [READY] + [WAITING] * 31
+    assert choose_wave("writer", fleet(*kinds), 50, 0.0) == ()
+    assert choose_wave("writer", fleet(*kinds), 50, 1.0) == ("host-0",)
+
+
+kinds_of_host = st.sampled_from([WAITING, READY, READY_IDLE, CHANGING, DONE])
+
+
+@given(st.lists(kinds_of_host, max_size=40), st.integers(0, 100), st.floats(0, 10))
+def test_the_floor_holds_whatever_the_hosts_do(kinds, floor_percent, waited_s):
+    progress = fleet(*kinds)
+    wave = choose_wave("writer", progress, floor_percent, waited_s)
+    serving = sum(1 for each in progress.values() if each.serving)
+    taken = sum(1 for host in wave if progress[host].serving)
+    assert all(progress[host].ready and progress[host].turning for host in wave)
+    assert taken == 0 or serving - taken >= floor_of(len(progress), floor_percent)
