--- a/src/lacewinggw/lab/engine.py
+++ b/src/lacewinggw/lab/engine.py
@@ -10,12 +10,13 @@
 from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import aclosing
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from lacewinggw.lab.batch import BatchSlots
 from lacewinggw.lab.loading import EngineWeights
 from lacewinggw.lab.prefixes import PrefixCache, prefix_blocks
+from lacewinggw.lab.runs import Activation, RunRecords, TargetRun
 from lacewinggw.lab.standin import LOOPBACK, Faults, Lagged, StandIn, now, refused, wait_while
 from lacewinggw.platform.engine import EVENT_STREAM, STALE_FENCE_REASON, EngineRole
 from lacewinggw.platform.targets import PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER
@@ -83,6 +84,7 @@
     """A request as the engine reads it."""
 
     request_id: str
+    mark: str
     text: str
     pieces: int
     resume_from: int
@@ -98,8 +100,10 @@
         resume_from = int(request.headers.get(RESUME_HEADER, body.get("resume_from", 0)))
         if not 0 <= resume_from <= pieces <= MOST_PIECES:
             raise ValueError(f"pieces must be between resume_from and {MOST_PIECES}")
+        request_id = request.headers.get(REQUEST_ID_HEADER) or str(body.get("request_id", ""))
         return cls(
-            request_id=request.headers.get(REQUEST_ID_HEADER) or str(body.get("request_id", "")),
+            request_id=request_id,
+            mark=str(body.get("mark") or request_id),
             text=str(body["prompt"]),
             pieces=pieces,
             resume_from=resume_from,
@@ -109,29 +113,9 @@
         )
 
 
-@dataclass
-class EngineRun:
-    """One run of one request; `weights` are all the digests that had a part in its answer."""
-
-    request_id: str
-    started_at: float
-    resume_from: int
-    pieces: int
-    weights: list[str] = field(default_factory=list)
-    sent: int = 0
-    finished: bool = False
-    whole_weights: bool = True
-
-    def use_weights(self, digest: str, whole: bool = True) -> None:
-        """Record that these weights had a part in the answer, and whether they were whole."""
-        self.whole_weights = self.whole_weights and whole
-        if digest not in self.weights:
-            self.weights.append(digest)
-
-
-def piece_text(request_id: str, prompt: str, weights: str, index: int) -> str:
+def piece_text(mark: str, prompt: str, weights: str, index: int) -> str:
     """Return the piece that an engine gives, so that a checker can tell what it should be."""
-    source = f"{request_id}\n{weights}\n{index}\n{prompt}"
+    source = f"{mark}\n{weights}\n{index}\n{prompt}"
     return hashlib.sha256(source.encode()).hexdigest()[:8] + " "
 
 
@@ -151,7 +135,7 @@
         self.spec = spec or EngineSpec()
         self.faults = EngineFaults()
         self.weights = EngineWeights()
-        self.runs: list[EngineRun] = []
+        self.records = RunRecords(f"{self.rng.getrandbits(64):x}")
         self.refused_orders = 0
         self.fence = 0
         self.adapters: set[str] = set()
@@ -163,13 +147,17 @@
         self._load = Lagged(LoadReport(), LOAD_KEPT_S)
         self._slots = BatchSlots(self.spec.batch_limit, self._record_load)
 
+    @property
+    def runs(self) -> list[TargetRun]:
+        """Every run, over all starts."""
+        return self.records.runs
+
     def stats(self) -> dict[str, Any]:
         """Return counts of runs, and which request ids ran more than once, over all starts."""
-        started = Counter(run.request_id for run in self.runs)
         return {
             "runs": len(self.runs),
             "finished": sum(run.finished for run in self.runs),
-            "doubled_requests": [name for name, count in started.items() if count > 1],
+            "doubled_requests": self.records.doubled_requests(),
             "running": self._slots.running,
             "queued": self._slots.queued,
             "refused_orders": self.refused_orders,
@@ -202,7 +190,7 @@
             case "GET", "/state":
                 return json_response(200, self._describe())
             case "GET", "/runs":
-                return json_response(200, self._describe_runs())
+                return json_response(200, self.records.describe(int(request.query.get("after", 0))))
             case "GET", "/events":
                 after = int(request.query.get("after", 0))
                 events = self.cache.events(after, self.faults.event_lag_s)
@@ -241,6 +229,8 @@
                 await self._spend(self.spec.activate_s)
                 if not self.weights.activate(digest):
                     return refused(409, f"nothing is loaded by the digest {digest}")
+                held = self.weights.active_digest
+                self.records.activations.append(Activation(now(), digest, held))
             case {"order": "unload", "digest": str(digest)}:
                 self.weights.unload(digest)
             case {"order": "adapter", "adapter": str(adapter), "loaded": bool(loaded)}:
@@ -288,9 +278,6 @@
         counts = {"started": started, "finished": finished, "boot": self.boot}
         return json_response(200, counts)
 
-    def _describe_runs(self) -> dict[str, Any]:
-        return {"runs": [asdict(run) for run in self.runs], "chunks": self.weights.activated}
-
     async def _answer_generate(self, prompt: Prompt) -> Response:
         if self.weights.active is None:
             return refused(503, "no weights are active", REFUSED_RETRY_S)
@@ -303,7 +290,7 @@
         if prompt.streamed:
             return Response(200, {"content-type": EVENT_STREAM}, self._stream(prompt))
         texts = [text async for _, text in self._run(prompt)]
-        answer = {"request_id": prompt.request_id, "text": "".join(texts), "pieces": prompt.pieces}
+        answer = {"mark": prompt.mark, "text": "".join(texts), "pieces": prompt.pieces}
         return self.written(json_response(200, {**answer, "digest": self.weights.active_digest}))
 
     async def _stream(self, prompt: Prompt) -> AsyncIterator[bytes]:
@@ -319,25 +306,41 @@
         try:
             run = self._begin(prompt)
             await self._prefill(prompt, run)
+            content = self._content_before(prompt)
             is_cut = self.happens(self.faults.cut_share)
             for index in range(prompt.resume_from, prompt.pieces):
                 await self._spend(self._token_s())
                 if is_cut and run.sent > 0:
                     raise ConnectionAbortedError("cut on purpose")
-                digest = self._use_weights(run)
-                yield index, piece_text(prompt.request_id, prompt.text, digest, index)
-            run.finished = True
+                text = piece_text(prompt.mark, prompt.text, self._use_weights(run), index)
+                content.update(text.encode())
+                yield index, text
+            run.end(content.hexdigest())
             self._finished[prompt.request_id] += 1
         finally:
             self._slots.release()
 
-    def _begin(self, prompt: Prompt) -> EngineRun:
-        run = EngineRun(prompt.request_id, now(), prompt.resume_from, prompt.pieces)
-        self.runs.append(run)
+    def _begin(self, prompt: Prompt) -> TargetRun:
         self._started[prompt.request_id] += 1
+        run = self.records.begin(
+            prompt.request_id,
+            prompt.mark,
+            pieces=prompt.pieces,
+            resume_from=prompt.resume_from,
+        )
+        if self.weights.active is not None:
+            run.use_weights(self.weights.active.digest, self.weights.active.whole)
         return run
 
-    def _use_weights(self, run: EngineRun) -> str:
+    def _content_before(self, prompt: Prompt) -> "hashlib._Hash":
+        """Return a hash over the pieces that a resumed answer already has."""
+        content = hashlib.sha256()
+        for index in range(prompt.resume_from):
+            text = piece_text(prompt.mark, prompt.text, self.weights.active_digest, index)
+            content.update(text.encode())
+        return content
+
+    def _use_weights(self, run: TargetRun) -> str:
         """Compute one piece: record which weights did, and return their digest."""
         if self.weights.active is None:
             raise ConnectionAbortedError("the weights were unloaded during a run")
@@ -346,7 +349,7 @@
         run.sent += 1
         return digest
 
-    async def _prefill(self, prompt: Prompt, run: EngineRun) -> None:
+    async def _prefill(self, prompt: Prompt, run: TargetRun) -> None:
         blocks = prefix_blocks(prompt.text)
         gap_share = self.faults.event_gap_share
         cached, computed_by = self.cache.use(self.weights.active_digest, blocks, gap_share)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -18,8 +18,10 @@
 )
 from lacewinggw.ids import Digest, ReleaseName, RequestId
 from lacewinggw.lab.engine import EngineSpec, EngineStandIn, piece_text
+from lacewinggw.lab.history import RunEnded, RunStarted, WeightsActivated
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.plain import PlainStandIn
+from lacewinggw.lab.runs import run_events
 from lacewinggw.platform.engine import (
     ActivateOrder,
     AdapterOrder,
@@ -135,6 +137,8 @@
         assert pieces == [piece_text("r1", prompt, DIGEST, n).encode() for n in range(8)]
         rest, end = await collect(target.client, generation(start=5))
         assert (rest, end.pieces) == (pieces[5:], 8)
+        whole_content = hashlib.sha256(b"".join(pieces)).hexdigest()
+        assert [run.content_digest for run in target.standin.runs] == [whole_content] * 2
         assert (await target.client.ran(RequestId("r1"))).started == 2
         whole = await target.client.answer(generation("r2"), TIMEOUT_S)
         assert whole.weights == DIGEST and json.loads(whole.body)["pieces"] == 8
@@ -226,7 +230,7 @@
         block = (await target.client.cache_events(0))[0].block
         await target.client.import_kv(block, json.dumps({"digest": OTHER}).encode())
         await collect(target.client, generation("mixed"))
-        assert target.standin.runs[-1].weights == [OTHER, DIGEST]
+        assert target.standin.runs[-1].weights == [DIGEST, OTHER]
 
 
 async def test_paused_engine_goes_on_where_it_was(looptime: float) -> None:
@@ -248,7 +252,7 @@
     client = PlainClient(network, service.address)
     call = PlainCall(RequestId("r1"), "/notices", b"{}", key="k1")
     answer = await client.call(call, TIMEOUT_S)
-    assert (answer.status, json.loads(answer.body)["request_id"]) == (200, "r1")
+    assert (answer.status, json.loads(answer.body)["mark"]) == (200, "r1")
     service.faults.lose_next = 1
     with pytest.raises(TargetFailed):
         await client.call(call, TIMEOUT_S)
@@ -318,3 +322,11 @@
         run = target.standin.runs[0]
         assert len(run.weights) == 2 and not run.whole_weights
         assert set(run.weights) == set(target.standin.weights.activated)
+        events = list(run_events("host-1", target.standin.records.describe(0)))
+        told = [
+            (event.told == event.held) for event in events if isinstance(event, WeightsActivated)
+        ]
+        assert told == [True, False]
+        begun, ended = events[2:]
+        assert isinstance(begun, RunStarted) and isinstance(ended, RunEnded)
+        assert begun.weights == DIGEST != ended.weights
