--- a/Makefile
+++ b/Makefile
@@ -32,9 +32,10 @@
 types: venv
 	$(BIN)/mypy
 
-# Both want Debian's thrift-compiler, version 0.17.
+# Both want Debian's thrift-compiler, version 0.17. The pages made from the schema go with it.
 schema: venv
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/reference.py
 
 schema-check: venv
 	$(BIN)/python tools/generate.py --check
