--- a/src/lacewinggw/lab/engine.py
+++ b/src/lacewinggw/lab/engine.py
@@ -16,16 +16,13 @@
 from lacewinggw.lab.batch import BatchSlots
 from lacewinggw.lab.loading import EngineWeights
 from lacewinggw.lab.prefixes import PrefixCache, prefix_blocks
+from lacewinggw.lab.prompts import Prompt, piece_text
 from lacewinggw.lab.runs import Activation, RunRecords, TargetRun
 from lacewinggw.lab.standin import LOOPBACK, Faults, Lagged, StandIn, now, refused, wait_while
 from lacewinggw.platform.engine import EVENT_STREAM, STALE_FENCE_REASON, EngineRole
-from lacewinggw.platform.targets import PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.network import Network
 
-DEFAULT_PIECES = 16
-MOST_PIECES = 100_000
-NORMAL_PRIORITY = 2
 MS_PER_S = 1000
 LOAD_KEPT_S = 10.0
 STAGING = "/staging/"
@@ -79,46 +76,6 @@
     queued: int = 0
 
 
-@dataclass(frozen=True)
-class Prompt:
-    """A request as the engine reads it."""
-
-    request_id: str
-    mark: str
-    text: str
-    pieces: int
-    resume_from: int
-    priority: int
-    streamed: bool
-    adapter: str
-
-    @classmethod
-    def from_request(cls, request: Request) -> "Prompt":
-        """Return what a request asks for; raise `ValueError`, `KeyError` or `TypeError`."""
-        body = json.loads(request.body)
-        pieces = int(body.get("pieces", DEFAULT_PIECES))
-        resume_from = int(request.headers.get(RESUME_HEADER, body.get("resume_from", 0)))
-        if not 0 <= resume_from <= pieces <= MOST_PIECES:
-            raise ValueError(f"pieces must be between resume_from and {MOST_PIECES}")
-        request_id = request.headers.get(REQUEST_ID_HEADER) or str(body.get("request_id", ""))
-        return cls(
-            request_id=request_id,
-            mark=str(body.get("mark") or request_id),
-            text=str(body["prompt"]),
-            pieces=pieces,
-            resume_from=resume_from,
-            priority=int(request.headers.get(PRIORITY_HEADER, NORMAL_PRIORITY)),
-            streamed=request.headers.get("accept") == EVENT_STREAM or bool(body.get("stream")),
-            adapter=str(body.get("adapter", "")),
-        )
-
-
-def piece_text(mark: str, prompt: str, weights: str, index: int) -> str:
-    """Return the piece that an engine gives, so that a checker can tell what it should be."""
-    source = f"{mark}\n{weights}\n{index}\n{prompt}"
-    return hashlib.sha256(source.encode()).hexdigest()[:8] + " "
-
-
 class EngineStandIn(StandIn):
     """A model engine of the lab."""
 
--- a/src/lacewinggw/lab/standins.py
+++ b/src/lacewinggw/lab/standins.py
@@ -4,9 +4,10 @@
 from lacewinggw.generated.settings.ttypes import PlatformSettings
 from lacewinggw.lab.membership import MembershipStandIn
 from lacewinggw.lab.objects import ObjectStandIn
+from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.standin import StandIn
 from lacewinggw.lab.table import TableStandIn
-from lacewinggw.lab.weights import SyntheticRelease, WeightsStandIn
+from lacewinggw.lab.weights import WeightsStandIn
 from lacewinggw.wire.network import Network
 
 STORE_REQUESTS_PER_S = 50
--- a/src/lacewinggw/platform/engine.py
+++ b/src/lacewinggw/platform/engine.py
@@ -2,8 +2,7 @@
 
 import json
 from collections.abc import AsyncIterator
-from dataclasses import asdict, dataclass
-from enum import Enum
+from dataclasses import dataclass
 from typing import Any
 
 from lacewinggw.errors import (
@@ -14,8 +13,19 @@
     StaleFence,
     TargetUnreachable,
 )
-from lacewinggw.ids import Digest, ReleaseName, RequestId
+from lacewinggw.ids import Digest, RequestId
 from lacewinggw.platform.calls import decode_json, join_path
+from lacewinggw.platform.orders import (
+    ActivateOrder,
+    AdapterOrder,
+    EngineRole,
+    LoadOrder,
+    Order,
+    RoleOrder,
+    UnloadOrder,
+    encode_order,
+)
+from lacewinggw.platform.pieces import EVENT_LIMIT_BYTES, AnswerEnd, PieceBatch, read_pieces
 from lacewinggw.platform.targets import (
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
@@ -36,66 +46,31 @@
 )
 from lacewinggw.wire.network import Network
 
+__all__ = [
+    "ActivateOrder",
+    "AdapterOrder",
+    "AnswerEnd",
+    "CacheEvent",
+    "EngineClient",
+    "EngineRole",
+    "EngineState",
+    "Generation",
+    "LoadOrder",
+    "Order",
+    "PieceBatch",
+    "RoleOrder",
+    "RunCount",
+    "UnloadOrder",
+    "WholeAnswer",
+]
+
 SERVICE = "engine"
 EVENT_STREAM = "text/event-stream"
-EVENT_END = b"\n\n"
-DATA_FIELD = b"data: "
-END_EVENT = b"event: end\n"
 ORDER_TIMEOUT_S = 60.0
 CALL_TIMEOUT_S = 5.0
-EVENT_LIMIT_BYTES = 1 << 20
 STALE_FENCE_REASON = "stale-fence"
 
 
-class EngineRole(Enum):
-    """Which part of a request an engine runs."""
-
-    BOTH = "both"
-    PREFILL = "prefill"
-    DECODE = "decode"
-
-
-@dataclass(frozen=True)
-class LoadOrder:
-    """Load the chunks staged for a digest beside what is active."""
-
-    digest: Digest
-    release: ReleaseName
-    chunk_count: int
-
-
-@dataclass(frozen=True)
-class ActivateOrder:
-    """Answer with the weights loaded for a digest from now on."""
-
-    digest: Digest
-
-
-@dataclass(frozen=True)
-class UnloadOrder:
-    """Drop what is staged and loaded for a digest."""
-
-    digest: Digest
-
-
-@dataclass(frozen=True)
-class AdapterOrder:
-    """Load an adapter, or drop it."""
-
-    adapter: str
-    loaded: bool = True
-
-
-@dataclass(frozen=True)
-class RoleOrder:
-    """Change the engine's role."""
-
-    role: EngineRole
-
-
-Order = LoadOrder | ActivateOrder | UnloadOrder | AdapterOrder | RoleOrder
-
-
 @dataclass(frozen=True)
 class EngineState:
     """What the engine says of itself.
@@ -139,22 +114,6 @@
         }
 
 
-@dataclass(frozen=True)
-class PieceBatch:
-    """Pieces that came together; `first` is the index of the first."""
-
-    first: int
-    pieces: list[bytes]
-
-
-@dataclass(frozen=True)
-class AnswerEnd:
-    """The end of a whole answer: how many pieces it has in all, and the weights it came from."""
-
-    pieces: int
-    weights: Digest
-
-
 @dataclass(frozen=True)
 class WholeAnswer:
     """An answer that was not streamed."""
@@ -217,7 +176,7 @@
 
     async def order(self, order: Order, fence: int) -> None:
         """Give an order under a fence, which an engine may or may not look at."""
-        body = json.dumps({**_encode_order(order), "fence": fence}).encode()
+        body = json.dumps({**encode_order(order), "fence": fence}).encode()
         await self._order_call("POST", "/orders", body, ORDER_TIMEOUT_S)
 
     async def state(self) -> EngineState:
@@ -260,7 +219,7 @@
             raise lost_before_answer(error) from error
         try:
             await _check_started(response)
-            async for item in _read_events(response, generation.resume_from):
+            async for item in read_pieces(response, generation.resume_from):
                 yield item
         except (OSError, TimeoutError, HttpError) as error:
             raise lost_within_answer(error) from error
@@ -305,21 +264,6 @@
         return response
 
 
-def _encode_order(order: Order) -> dict[str, Any]:
-    match order:
-        case LoadOrder():
-            kind = "load"
-        case ActivateOrder():
-            kind = "activate"
-        case UnloadOrder():
-            kind = "unload"
-        case AdapterOrder():
-            kind = "adapter"
-        case RoleOrder(role):
-            return {"order": "role", "role": role.value}
-    return {"order": kind, **asdict(order)}
-
-
 def _order_error(response: Response) -> OrderError:
     detail = response.content[:200].decode("utf-8", "replace")
     if response.status == 409 and STALE_FENCE_REASON in detail:
@@ -344,49 +288,6 @@
         raise AnswerIncomplete(f"the engine answered {status}")
 
 
-async def _read_events(
-    response: StreamedResponse, upcoming: int
-) -> AsyncIterator[PieceBatch | AnswerEnd]:
-    """Yield batches of pieces and the end, checking that each piece is the one due."""
-    buffer = b""
-    async for data in response.pieces():
-        *events, buffer = (buffer + data).split(EVENT_END)
-        if len(buffer) > EVENT_LIMIT_BYTES:
-            raise AnswerIncomplete(f"an event of the engine is over {EVENT_LIMIT_BYTES} bytes")
-        batch, end = _decode_batch(events)
-        if batch is not None:
-            if batch.first != upcoming:
-                raise AnswerIncomplete(f"piece {batch.first} came where {upcoming} was due")
-            upcoming = batch.first + len(batch.pieces)
-            yield batch
-        if end is not None:
-            if end.pieces != upcoming:
-                raise AnswerIncomplete(f"{end.pieces} pieces were told, {upcoming} came")
-            yield end
-            return
-    raise AnswerIncomplete("the engine's stream has no final event")
-
-
-def _decode_batch(events: list[bytes]) -> tuple[PieceBatch | None, AnswerEnd | None]:
-    """Decode events that came together; raise `AnswerIncomplete` when one is malformed."""
-    first: int | None = None
-    pieces: list[bytes] = []
-    end: AnswerEnd | None = None
-    try:
-        for event in events:
-            value = json.loads(event.removeprefix(END_EVENT).removeprefix(DATA_FIELD))
-            if event.startswith(END_EVENT):
-                end = AnswerEnd(int(value["pieces"]), Digest(str(value["digest"])))
-                break
-            first = int(value["i"]) if first is None else first
-            if value["i"] != first + len(pieces):
-                raise AnswerIncomplete(f"piece {value['i']} came out of order")
-            pieces.append(str(value["text"]).encode())
-    except (ValueError, KeyError, TypeError) as error:
-        raise AnswerIncomplete(f"an event of the engine is malformed: {error!r}") from error
-    return (PieceBatch(first, pieces) if first is not None else None), end
-
-
 def _decode_staged(value: dict[str, Any]) -> dict[int, str]:
     return {int(index): str(chunk_hash) for index, chunk_hash in value["chunks"].items()}
 
--- /dev/null
+++ b/src/lacewinggw/platform/pieces.py
@@ -0,0 +1,76 @@
+"""The pieces of a streamed answer, read from a model engine's server-sent events."""
+
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+from lacewinggw.errors import AnswerIncomplete
+from lacewinggw.ids import Digest
+from lacewinggw.wire.http import StreamedResponse
+
+EVENT_END = b"\n\n"
+DATA_FIELD = b"data: "
+END_EVENT = b"event: end\n"
+EVENT_LIMIT_BYTES = 1 << 20
+
+
+@dataclass(frozen=True)
+class PieceBatch:
+    """Pieces that came together; `first` is the index of the first."""
+
+    first: int
+    pieces: list[bytes]
+
+
+@dataclass(frozen=True)
+class AnswerEnd:
+    """The end of a whole answer: how many pieces it has in all, and the weights it came from."""
+
+    pieces: int
+    weights: Digest
+
+
+async def read_pieces(
+    response: StreamedResponse, upcoming: int
+) -> AsyncIterator[PieceBatch | AnswerEnd]:
+    """Yield batches of pieces and the end, the first piece being number `upcoming`.
+
+    Raises `AnswerIncomplete` unless each piece is the one due and the end counts them all.
+    """
+    buffer = b""
+    async for data in response.pieces():
+        *events, buffer = (buffer + data).split(EVENT_END)
+        if len(buffer) > EVENT_LIMIT_BYTES:
+            raise AnswerIncomplete(f"an event of the engine is over {EVENT_LIMIT_BYTES} bytes")
+        batch, end = _decode_batch(events)
+        if batch is not None:
+            if batch.first != upcoming:
+                raise AnswerIncomplete(f"piece {batch.first} came where {upcoming} was due")
+            upcoming = batch.first + len(batch.pieces)
+            yield batch
+        if end is not None:
+            if end.pieces != upcoming:
+                raise AnswerIncomplete(f"{end.pieces} pieces were told, {upcoming} came")
+            yield end
+            return
+    raise AnswerIncomplete("the engine's stream has no final event")
+
+
+def _decode_batch(events: list[bytes]) -> tuple[PieceBatch | None, AnswerEnd | None]:
+    """Decode events that came together; raise `AnswerIncomplete` when one is malformed."""
+    first: int | None = None
+    pieces: list[bytes] = []
+    end: AnswerEnd | None = None
+    try:
+        for event in events:
+            value = json.loads(event.removeprefix(END_EVENT).removeprefix(DATA_FIELD))
+            if event.startswith(END_EVENT):
+                end = AnswerEnd(int(value["pieces"]), Digest(str(value["digest"])))
+                break
+            first = int(value["i"]) if first is None else first
+            if value["i"] != first + len(pieces):
+                raise AnswerIncomplete(f"piece {value['i']} came out of order")
+            pieces.append(str(value["text"]).encode())
+    except (ValueError, KeyError, TypeError) as error:
+        raise AnswerIncomplete(f"an event of the engine is malformed: {error!r}") from error
+    return (PieceBatch(first, pieces) if first is not None else None), end
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -8,8 +8,9 @@
 
 from lacewinggw.ids import Digest, ReleaseName, RequestId
 from lacewinggw.lab.engine import EngineStandIn
+from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.standin import wait_while
-from lacewinggw.lab.weights import SyntheticRelease, WeightsStandIn
+from lacewinggw.lab.weights import WeightsStandIn
 from lacewinggw.platform.engine import ActivateOrder, EngineClient, Generation, LoadOrder
 from lacewinggw.platform.weights import ORIGIN, WeightsClient
 from lacewinggw.wire.network import TcpNetwork
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -17,10 +17,11 @@
     TargetRefused,
 )
 from lacewinggw.ids import Digest, ReleaseName, RequestId
-from lacewinggw.lab.engine import EngineSpec, EngineStandIn, piece_text
+from lacewinggw.lab.engine import EngineSpec, EngineStandIn
 from lacewinggw.lab.history import RunEnded, RunStarted, WeightsActivated
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.plain import PlainStandIn
+from lacewinggw.lab.prompts import piece_text
 from lacewinggw.lab.runs import run_events
 from lacewinggw.platform.engine import (
     ActivateOrder,
--- a/tests/test_weight_sources.py
+++ b/tests/test_weight_sources.py
@@ -11,7 +11,8 @@
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.lab.weights import SyntheticRelease, WeightsStandIn
+from lacewinggw.lab.releases import SyntheticRelease
+from lacewinggw.lab.weights import WeightsStandIn
 from lacewinggw.platform.weights import ORIGIN, WeightsClient
 
 pytestmark = pytest.mark.looptime
