--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,235 @@
+"""Which hosts serve what: the pure decisions."""
+
+from collections import Counter
+
+from config_fleet import release, service
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewinggw.decisions.hosts import Heard, HostWatch
+from lacewinggw.decisions.placement import HostFact, PlacementPlan, plan_placement
+from lacewinggw.decisions.revisions import FleetState, change_of
+from lacewinggw.generated.messages.ttypes import (
+    Change,
+    LogEntry,
+    Place,
+    PutService,
+    ReplicaGoal,
+    Service,
+    ServiceKind,
+    SetDrain,
+)
+
+Hosts = dict[str, HostFact]
+
+
+def make_hosts(count: int, places: str = "abc") -> Hosts:
+    return {f"h{n}": HostFact(f"h{n}", places[n % len(places)]) for n in range(count)}
+
+
+def state_of(*changes: Change) -> FleetState:
+    state = FleetState()
+    accept(state, *changes)
+    return state
+
+
+def accept(state: FleetState, *changes: Change) -> None:
+    revision = state.revision + 1
+    state.apply(LogEntry(revision, f"c{revision}", "test", 0, revision - 1, list(changes), ""))
+
+
+def place(state: FleetState, hosts: Hosts, lost: frozenset[str] = frozenset()) -> PlacementPlan:
+    """Plan, accept what is planned, and check that nothing is left to do."""
+    plan = plan_placement(state, hosts, lost)
+    if plan.places:
+        accept(state, *(change_of(each) for each in plan.places))
+    assert plan_placement(state, hosts, lost).places == []
+    return plan
+
+
+def moves(plan: PlacementPlan) -> int:
+    return sum(len(each.assignments) for each in plan.places)
+
+
+def drain(host: str) -> Change:
+    return change_of(SetDrain(host, True))
+
+
+def test_replicas_are_spread_over_places_each_release_too() -> None:
+    state = state_of(release("m6"), release("m7"), service("desk", ("m7", 6), ("m6", 3)))
+    hosts = make_hosts(12)
+    place(state, hosts)
+    placed = state.hosts_of("desk")
+    assert Counter(placed.values()) == {"m7": 6, "m6": 3}
+    per_place = Counter((hosts[host].place, name) for host, name in placed.items())
+    assert set(per_place.values()) == {2, 1}
+
+
+def test_a_new_release_changes_hosts_where_they_are() -> None:
+    state = state_of(release("m6"), release("m7"), service("desk", ("m6", 6)))
+    hosts = make_hosts(12)
+    place(state, hosts)
+    before = set(state.hosts_of("desk"))
+    accept(state, service("desk", ("m7", 4), ("m6", 2)))
+    plan = place(state, hosts)
+    assert set(state.hosts_of("desk")) == before
+    assert moves(plan) == 4
+
+
+def test_fewer_replicas_leave_the_most_crowded_place() -> None:
+    state = state_of(release("m"), service("desk", ("m", 6)))
+    hosts = make_hosts(6)
+    place(state, hosts)
+    accept(state, service("desk", ("m", 3)))
+    plan = place(state, hosts)
+    assert moves(plan) == 0
+    assert {hosts[host].place for host in state.hosts_of("desk")} == {"a", "b", "c"}
+
+
+def test_a_lost_rack_is_one_entry_with_the_fewest_moves() -> None:
+    state = state_of(release("m"), service("one", ("m", 6)), service("two", ("m", 6)))
+    hosts = make_hosts(18)
+    place(state, hosts)
+    rack = frozenset(host for host in state.placed_hosts() if hosts[host].place == "a")
+    plan = place(state, {k: v for k, v in hosts.items() if k not in rack}, rack)
+    assert moves(plan) == len(rack)
+    assert {each.service_name for each in plan.places} == {"one", "two"}
+    assert rack.isdisjoint(state.placed_hosts())
+
+
+def test_a_host_that_is_not_listed_but_not_lost_stays() -> None:
+    state = state_of(release("m"), service("desk", ("m", 4)))
+    hosts = make_hosts(8)
+    place(state, hosts)
+    unlisted = next(iter(state.placed_hosts()))
+    listed = {name: fact for name, fact in hosts.items() if name != unlisted}
+    assert plan_placement(state, listed).places == []
+
+
+def test_hosts_that_drain_or_leave_are_replaced() -> None:
+    state = state_of(release("m"), service("desk", ("m", 4)))
+    hosts = make_hosts(8)
+    place(state, hosts)
+    first, second, *_ = state.placed_hosts()
+    accept(state, drain(first))
+    hosts[second] = HostFact(second, hosts[second].place, leaving=True)
+    plan = place(state, hosts)
+    assert moves(plan) == 2
+    assert len(state.hosts_of("desk")) == 4
+    assert {first, second}.isdisjoint(state.placed_hosts())
+
+
+def test_dead_hosts_that_nothing_can_replace_keep_their_place() -> None:
+    state = state_of(release("m"), service("desk", ("m", 3)))
+    hosts = make_hosts(3)
+    place(state, hosts)
+    plan = plan_placement(state, {"h0": hosts["h0"]}, {"h1", "h2"})
+    assert plan.places == []
+    assert [str(each) for each in plan.shortfalls] == ["desk on m lacks 2 hosts"]
+
+
+def test_plain_services_go_where_their_targets_are() -> None:
+    plain = change_of(PutService(Service("ledger", ServiceKind.PLAIN, [ReplicaGoal("", 2)])))
+    state = state_of(plain, release("m"), service("desk", ("m", 3)))
+    hosts = make_hosts(4)
+    hosts |= {f"p{n}": HostFact(f"p{n}", "a", service="ledger") for n in range(3)}
+    place(state, hosts)
+    assert len(state.hosts_of("ledger")) == 2
+    assert all(host.startswith("p") for host in state.hosts_of("ledger"))
+    assert all(host.startswith("h") for host in state.hosts_of("desk"))
+
+
+events = st.lists(
+    st.tuples(
+        st.sampled_from(["set", "drain", "lose", "add"]), st.integers(0, 9), st.integers(0, 6)
+    ),
+    max_size=12,
+)
+
+
+@given(events)
+def test_whatever_happens_no_host_serves_twice_and_nothing_is_planned_twice(
+    script: list[tuple[str, int, int]],
+) -> None:
+    state = state_of(release("m0"), release("m1"), service("a", ("m0", 2)), service("b", ("m1", 2)))
+    hosts = make_hosts(8)
+    lost: set[str] = set()
+    for kind, number, count in script:
+        match kind:
+            case "set":
+                name = "ab"[number % 2]
+                accept(state, service(name, ("m0", count), ("m1", number % 3)))
+            case "drain":
+                accept(state, drain(f"h{number}"))
+            case "lose":
+                lost.add(f"h{number}")
+                hosts.pop(f"h{number}", None)
+            case "add":
+                hosts[f"n{number}"] = HostFact(f"n{number}", "abc"[number % 3])
+        before = {host: state.assignments_of(host) for host in state.placed_hosts()}
+        plan = place(state, hosts, frozenset(lost))
+        assert all(len(state.assignments_of(host)) == 1 for host in state.placed_hosts())
+        for name in "ab":
+            wanted = {goal.release: goal.replicas for goal in state.services[name].goals}
+            missing = {
+                each.release: each.missing for each in plan.shortfalls if each.service == name
+            }
+            live = Counter(r for host, r in state.hosts_of(name).items() if host not in lost)
+            for release_name, replicas in wanted.items():
+                assert live[release_name] == replicas - missing.get(release_name, 0)
+        touched = {each.host for p in plan.places for each in p.assignments}
+        assert all(state.assignments_of(host) != before.get(host) for host in touched)
+
+
+def test_snapshots_hold_the_whole_state() -> None:
+    state = state_of(release("m"), service("desk", ("m", 3)), drain("h9"))
+    place(state, make_hosts(6))
+    copy = FleetState.from_snapshot(state.to_snapshot())
+    assert copy.to_snapshot() == state.to_snapshot()
+    assert copy.hosts_of("desk") == state.hosts_of("desk")
+    later = change_of(Place("desk", [], "test", [next(iter(state.placed_hosts()))]))
+    accept(state, later)
+    accept(copy, later)
+    assert copy.to_snapshot() == state.to_snapshot()
+
+
+PLACED = [f"h{n}" for n in range(6)]
+
+
+def test_a_host_missing_from_the_list_but_heard_is_not_lost() -> None:
+    watch = HostWatch(dead_after_s=10)
+    for now in range(60):
+        watch.observe(PLACED[1:], PLACED, now)
+        assert watch.lost(Heard(dict.fromkeys(PLACED, now)), PLACED, now) == set()
+
+
+def test_a_host_missing_and_silent_is_lost_once_both_have_lasted() -> None:
+    watch = HostWatch(dead_after_s=10)
+    watch.observe(PLACED, PLACED, 0)
+    heard = Heard({"h0": 0.0} | dict.fromkeys(PLACED[1:], 30.0))
+    assert watch.lost(heard, PLACED, 25) == set()
+    watch.observe(PLACED[1:], PLACED, 25)
+    assert watch.lost(heard, PLACED, 26) == set()
+    assert watch.lost(heard, PLACED, 27.5) == {"h0"}
+
+
+def test_hosts_lost_within_a_moment_are_lost_together() -> None:
+    watch = HostWatch(dead_after_s=10)
+    watch.observe(PLACED[1:], PLACED, 0)
+    watch.observe(PLACED[2:], PLACED, 1.5)
+    assert watch.lost(Heard({}), PLACED, 9.9) == set()
+    assert watch.lost(Heard({}), PLACED, 10) == {"h0", "h1"}
+
+
+def test_who_hears_nobody_takes_itself_for_cut_off() -> None:
+    watch = HostWatch(dead_after_s=10)
+    watch.observe(PLACED[3:], PLACED, 0)
+    heard = Heard(dict.fromkeys(PLACED, 0.0))
+    assert watch.lost(heard, PLACED, 30) == set()
+
+
+def test_an_empty_list_is_not_believed() -> None:
+    watch = HostWatch(dead_after_s=10)
+    watch.observe([], PLACED, 0)
+    assert watch.lost(Heard({}), PLACED, 100) == set()
+    assert watch.missing == frozenset()
--- /dev/null
+++ b/tests/test_placer.py
@@ -0,0 +1,300 @@
+"""Placement by any entry: dead hosts, lost racks and places, lag, and entries that were paused."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+from config_fleet import PLACES, Fleet, Node, release, running, service
+
+from lacewinggw.decisions.pollers import ranked
+from lacewinggw.decisions.revisions import is_placement
+from lacewinggw.entry.placer import PURPOSE
+from lacewinggw.generated.messages.ttypes import LogEntry
+from lacewinggw.lab.standin import Outage
+from lacewinggw.platform.membership import MemberState
+from lacewinggw.platform.table import TableClient
+
+pytestmark = pytest.mark.looptime
+
+DEAD_S = 10.0
+SERVICES = 2
+
+
+class Hall:
+    """A fleet with placers, whose list of hosts lags and whose live agents send heartbeats."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.lag_s = 0.0
+        self.dead: set[str] = set()
+        self.listed_dead: set[str] = set()
+        self.placements: list[LogEntry] = []
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        first = self.fleet.entries[0]
+        first.config.on_change(lambda _, entries: self.placements.extend(entries))
+        for node in self.fleet.entries:
+            assert node.placer is not None
+            await node.placer.start()
+        self._tasks.append(asyncio.ensure_future(self._beat()))
+
+    async def close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    async def _beat(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            for entry in self.fleet.entries:
+                entry.heard.update(
+                    {a.name: now for a in self.fleet.agents if a.name not in self.dead}
+                )
+            await asyncio.sleep(1.0)
+
+    async def lose(self, *agents: Node) -> None:
+        """Lose hosts at once; the list says so only after its lag."""
+        names = {agent.name for agent in agents}
+        self.dead |= names
+        for agent in agents:
+            self.fleet.network.lose(agent.ip)
+            await agent.close()
+        self._tasks.append(asyncio.ensure_future(self._unlist(names)))
+
+    async def _unlist(self, names: set[str]) -> None:
+        await asyncio.sleep(self.lag_s)
+        self.fleet.members = [each for each in self.fleet.members if each.host not in names]
+
+    def replicas(self, name: str, entry: int = 0) -> int:
+        """Count the hosts of a service that are alive."""
+        hosts = self.fleet.entries[entry].ledger.state.hosts_of(name)
+        return sum(1 for host in hosts if host not in self.dead)
+
+    async def until_whole(self, replicas: int, limit_s: float = 60.0) -> float:
+        """Wait until every service has its live replicas everywhere; return how long it took."""
+        began = asyncio.get_running_loop().time()
+        names = [f"s{n}" for n in range(SERVICES)]
+        entries = range(len(self.fleet.entries))
+        while any(self.replicas(n, e) < replicas for n in names for e in entries):  # noqa: ASYNC110
+            assert asyncio.get_running_loop().time() - began < limit_s
+            await asyncio.sleep(0.05)
+        return asyncio.get_running_loop().time() - began
+
+    def moves_since(self, revision: int) -> int:
+        return sum(
+            len(change.place.assignments)
+            for entry in self.placements
+            if entry.revision > revision
+            for change in entry.changes
+            if change.place is not None
+        )
+
+    def revision(self) -> int:
+        return max(entry.ledger.revision for entry in self.fleet.entries)
+
+
+@asynccontextmanager
+async def open_hall(entries: int = 3, agents: int = 12, replicas: int = 4) -> AsyncIterator[Hall]:
+    async with running(entries, agents, dead_host_ms=int(DEAD_S * 1000)) as fleet:
+        hall = Hall(fleet)
+        await hall.start()
+        declared = [service(f"s{number}", ("m", replicas)) for number in range(SERVICES)]
+        await fleet.entries[0].accept(release("m"), *declared, command="declare")
+        await hall.until_whole(replicas)
+        await asyncio.sleep(3)
+        try:
+            yield hall
+        finally:
+            await hall.close()
+
+
+def placed_agents(hall: Hall) -> list[Node]:
+    state = hall.fleet.entries[0].ledger.state
+    return [agent for agent in hall.fleet.agents if state.assignments_of(agent.name)]
+
+
+async def test_one_entry_places_all_that_was_declared() -> None:
+    async with open_hall() as hall:
+        placements = [entry for entry in hall.placements if is_placement(entry)]
+        assert len(placements) == 1
+        assert hall.moves_since(0) == 4 * SERVICES
+
+
+async def test_a_dead_host_is_replaced_with_one_move() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        await hall.lose(placed_agents(hall)[0])
+        assert await hall.until_whole(4) < DEAD_S + 3
+        await asyncio.sleep(20)
+        assert hall.moves_since(before) == 1
+
+
+async def test_a_lost_rack_is_one_entry() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        rack = placed_agents(hall)[:3]
+        await hall.lose(*rack)
+        await hall.until_whole(4)
+        await asyncio.sleep(20)
+        assert hall.revision() == before + 1
+        assert hall.moves_since(before) == 3
+
+
+async def test_a_lost_place_moves_as_much_as_the_others_can_hold() -> None:
+    async with open_hall(agents=18) as hall:
+        before = hall.revision()
+        lost = [agent for agent in hall.fleet.agents if agent.place == PLACES[1]]
+        gone = [agent for agent in placed_agents(hall) if agent.place == PLACES[1]]
+        await hall.lose(*lost)
+        await hall.until_whole(4)
+        await asyncio.sleep(20)
+        assert hall.moves_since(before) == len(gone)
+
+
+async def test_lag_of_the_list_alone_moves_nothing() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        everyone = hall.fleet.members
+        slow = {agent.name for agent in placed_agents(hall)[:3]}
+        hall.fleet.members = [member for member in everyone if member.host not in slow]
+        await asyncio.sleep(40)
+        hall.fleet.members = everyone
+        await asyncio.sleep(10)
+        assert hall.revision() == before
+
+
+async def test_with_twenty_seconds_of_lag_a_dead_host_is_replaced_once_the_list_says_so() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        hall.lag_s = 20.0
+        await hall.lose(placed_agents(hall)[0])
+        assert 20.0 < await hall.until_whole(4) < 25.0
+        await asyncio.sleep(20)
+        assert hall.moves_since(before) == 1
+
+
+async def test_a_host_that_no_entry_hears_but_that_answers_stays() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        quiet = placed_agents(hall)[0]
+        hall.dead.add(quiet.name)
+        hall.fleet.members = [each for each in hall.fleet.members if each.host != quiet.name]
+        await asyncio.sleep(60)
+        assert hall.revision() == before
+
+
+async def test_a_host_that_dies_while_the_store_is_down_is_replaced_when_it_is_up() -> None:
+    async with open_hall() as hall:
+        before = hall.revision()
+        hall.fleet.platform.table.faults.outage = Outage.REFUSE
+        await hall.lose(placed_agents(hall)[0])
+        await asyncio.sleep(40)
+        assert hall.revision() == before
+        hall.fleet.platform.table.faults.outage = Outage.NONE
+        assert await hall.until_whole(4) < 6.0
+        await asyncio.sleep(20)
+        assert hall.moves_since(before) == 1
+
+
+async def test_the_next_entry_places_when_the_first_is_gone() -> None:
+    async with open_hall() as hall:
+        names = [entry.name for entry in hall.fleet.entries]
+        first = next(e for e in hall.fleet.entries if e.name == ranked(PURPOSE, names)[0])
+        assert first.placer is not None
+        await first.placer.close()
+        before = hall.revision()
+        await hall.lose(placed_agents(hall)[0])
+        assert await hall.until_whole(4) < DEAD_S + 4
+        assert hall.moves_since(before) == 1
+
+
+async def test_a_leaving_host_is_replaced_at_once_and_not_brought_back() -> None:
+    async with open_hall() as hall:
+        leaver = placed_agents(hall)[0].name
+        hall.fleet.members = [
+            replace(each, state=MemberState.LEAVING) if each.host == leaver else each
+            for each in hall.fleet.members
+        ]
+        await asyncio.sleep(3)
+        state = hall.fleet.entries[1].ledger.state
+        assert state.assignments_of(leaver) == []
+        assert len(state.hosts_of("s0")) == len(state.hosts_of("s1")) == 4
+
+
+class Gate:
+    """Hold back one process's writes, as if it were paused just before each."""
+
+    def __init__(self, table: TableClient) -> None:
+        self.open = asyncio.Event()
+        self._put = table.put
+        table.put = self._wait_and_put  # type: ignore[method-assign]
+
+    async def _wait_and_put(self, *args, **kwargs):  # type: ignore[no-untyped-def]
+        await self.open.wait()
+        return await self._put(*args, **kwargs)
+
+
+async def test_a_paused_entry_that_resumes_does_not_bring_its_old_placement_back() -> None:
+    async with open_hall() as hall:
+        names = [entry.name for entry in hall.fleet.entries]
+        paused = next(e for e in hall.fleet.entries if e.name == ranked(PURPOSE, names)[0])
+        gate = Gate(paused.table)
+        await hall.lose(placed_agents(hall)[0])
+        await hall.until_whole(4)
+        awake = next(entry for entry in hall.fleet.entries if entry is not paused)
+        await awake.accept(service("s0", ("m", 2)), command="fewer")
+        await asyncio.sleep(5)
+        placed = dict(awake.ledger.state.placements)
+        gate.open.set()
+        await asyncio.sleep(20)
+        assert awake.ledger.state.placements == placed
+        assert paused.ledger.state.placements == placed
+        assert len(placed["s0"]) == 2
+
+
+LEASE_S = 5.0
+
+
+class LeaseHolder:
+    """The way not taken: whoever holds a lease writes the placement without comparing."""
+
+    def __init__(self, name: str, table: TableClient) -> None:
+        self._name = name
+        self._table = table
+
+    async def place(self, hosts: list[str]) -> bool:
+        now = asyncio.get_running_loop().time()
+        row = await self._table.get("lease")
+        held = json.loads(row.value) if row is not None else {"holder": "", "until": 0.0}
+        if held["holder"] != self._name and held["until"] > now:
+            return False
+        lease = json.dumps({"holder": self._name, "until": now + LEASE_S})
+        await self._table.put("lease", lease, row.version if row is not None else 0)
+        await self._write(hosts)
+        return True
+
+    async def _write(self, hosts: list[str]) -> None:
+        await self._table.put("placement", json.dumps(hosts))
+
+
+async def test_a_lease_holder_that_was_paused_does_bring_its_old_placement_back() -> None:
+    async with running(entries=2) as fleet:
+        one, two = (LeaseHolder(node.name, node.table) for node in fleet.entries)
+        assert await one.place(["h1", "h2"])
+        paused = asyncio.Event()
+        write = one._write
+
+        async def write_after_pause(hosts: list[str]) -> None:
+            await paused.wait()
+            await write(hosts)
+
+        one._write = write_after_pause  # type: ignore[method-assign]
+        old = asyncio.ensure_future(one.place(["h1", "h3"]))
+        await asyncio.sleep(LEASE_S + 1)
+        assert await two.place(["h4", "h5"])
+        paused.set()
+        await old
+        assert json.loads(fleet.platform.table.rows["placement"].value) == ["h1", "h3"]
