--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -160,6 +160,7 @@
   3: i32 capacity
   4: i64 age_ms                  // age of the target's own report
   5: double queue_delay_ms = 0
+  6: double request_ms = 0       // smoothed time that one request runs on the target; 0: unknown
 }
 
 // From agent to each entry that deals with it: on change, and when idle.
@@ -194,6 +195,7 @@
   10: list<string> prefix_blocks // hashes of the prompt's leading blocks
   11: string digest = ""         // run only on this digest, when set
   12: i64 resume_from = 0        // pieces already delivered
+  13: double weight = 1          // of the account in the fair share between accounts
 }
 
 // Reserve and start in one step; for repeatable requests, and for tickets being redeemed.
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -32,7 +32,10 @@
   7: i64 drain_limit_ms = 60000                // longest wait for requests in progress at exit
   8: i64 body_limit_bytes = 4194304            // longest body of a caller's request
   9: list<string> operator_tokens              // "name:token"
-  10: list<string> accounts                    // "account:token:requests-per-second:concurrency"
+  10: list<string> accounts                    // "account:token:requests-per-second:concurrency[:weight]"
+  11: i32 requests_per_address = 200           // of an account's limit, for each address told
+  12: i32 requests_limit = 4096                // requests in progress at one entry
+  13: i64 demand_ms = 250                      // between reports of demand to other entries
 }
 
 struct AgentSettings {
--- /dev/null
+++ b/src/lacewinggw/agent/queue.py
@@ -0,0 +1,229 @@
+"""The queue before a target: who runs next, who waits, and who is told at once to come back.
+
+The owner of the queue gives two functions: one that starts a request, one that is told of a
+request that was dropped from the queue and will not run.
+
+    queue = RequestQueue.from_config(settings, metrics, start, dropped)
+    refused = queue.push(head, run, deadline, now)  # may start it, or drop another for it
+    ...
+    queue.done(run, ran_s)                          # it ended: the next one starts
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from lacewinggw.decisions.admission import Slots
+from lacewinggw.decisions.deadlines import MILLISECONDS, can_finish
+from lacewinggw.decisions.fairness import FairQueue, QueueItem
+from lacewinggw.errors import Refusal, RequestRefused
+from lacewinggw.generated.messages.ttypes import Load, Priority, RequestHead
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import Account
+from lacewinggw.metrics import Metrics
+
+LEAST_RETRY_MS = 10
+PERCENT = 100.0
+
+Payload = TypeVar("Payload")
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The request does not run; `retry_after_ms` is when to come back."""
+
+    reason: Refusal
+    retry_after_ms: int
+
+    def error(self) -> RequestRefused:
+        """Return the refusal as an error."""
+        match self.reason:
+            case Refusal.DEADLINE:
+                said = "the request would not be done by its deadline"
+            case Refusal.DRAINING:
+                said = "the target is leaving"
+            case _:
+                said = "the queue before the target is full"
+        return RequestRefused.because(self.reason, said, self.retry_after_ms)
+
+
+class RequestQueue(Generic[Payload]):
+    """The queue of one target, with its slots. Times are the loop's, in seconds."""
+
+    def __init__(
+        self,
+        slots: Slots,
+        length: int,
+        metrics: Metrics,
+        start: Callable[[Payload], None],
+        dropped: Callable[[Payload, Refused], None],
+    ) -> None:
+        self._slots = slots
+        self._queue: FairQueue[Payload] = FairQueue(length)
+        self._start = start
+        self._dropped = dropped
+        self._waiting: dict[Payload, QueueItem[Payload]] = {}
+        self._running: dict[Payload, Priority] = {}
+        self._paused = False
+        self._expiry: asyncio.TimerHandle | None = None
+        self._wait = metrics.latency("queue_wait")
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        metrics: Metrics,
+        start: Callable[[Payload], None],
+        dropped: Callable[[Payload, Refused], None],
+    ) -> "RequestQueue[Payload]":
+        """Build the queue as [agent] and [routing] say."""
+        slots = Slots(settings.agent.concurrency, settings.routing.urgent_percent / PERCENT)
+        return cls(slots, settings.agent.queue_length, metrics, start, dropped)
+
+    @property
+    def running(self) -> int:
+        """How many requests run."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """How many requests wait."""
+        return len(self._waiting)
+
+    def load(self) -> Load:
+        """Return the load as it is now."""
+        return Load(
+            running=len(self._running),
+            queued=len(self._waiting),
+            capacity=self._slots.capacity,
+            age_ms=0,
+            queue_delay_ms=self._slots.wait_for(len(self._waiting)) * MILLISECONDS,
+            request_ms=self._slots.request_s * MILLISECONDS if self._slots.sampled else 0.0,
+        )
+
+    def check(self, head: RequestHead, deadline: float, now: float) -> Refused | None:
+        """Return why a request would be refused now, or none when it would be taken."""
+        item = self._item(head, None, deadline, now)
+        ahead = self._queue.ahead_of(item)
+        wait_s = 0.0 if self._may_start(item.priority, now) else self._slots.wait_for(ahead)
+        if not can_finish(deadline, now, wait_s, self._slots.least_s):
+            return self._refused(Refusal.DEADLINE)
+        if not self._may_start(item.priority, now) and not self._queue.would_take(item):
+            return self._refused(Refusal.OVERLOADED)
+        return None
+
+    def push(
+        self, head: RequestHead, payload: Payload, deadline: float, now: float
+    ) -> Refused | None:
+        """Start a request or let it wait; return why, when it is refused.
+
+        Another request may be dropped to make room, as `FairQueue` says.
+        """
+        refused = self.check(head, deadline, now)
+        if refused is not None:
+            return refused
+        item = self._item(head, payload, deadline, now)
+        if item.priority is Priority.URGENT:
+            self._slots.note_urgent(now)
+        self._waiting[payload] = item
+        evicted = self._queue.push(item)
+        self._fill(now)
+        if evicted is not None:
+            self._drop(evicted, Refusal.OVERLOADED)
+        self._watch_expiry(now)
+        return None
+
+    def leave(self, payload: Payload) -> bool:
+        """Take a request out of the queue; return False when it does not wait there."""
+        item = self._waiting.pop(payload, None)
+        if item is None:
+            return False
+        self._queue.remove(item)
+        return True
+
+    def done(self, payload: Payload, ran_s: float | None) -> None:
+        """Free the slot of a request that ended after `ran_s` seconds on the target.
+
+        `ran_s` is none when the time says nothing of the target, as for a request that was cut.
+        """
+        self._slots.end(self._running.pop(payload), ran_s)
+        self._fill(asyncio.get_running_loop().time())
+
+    def pause(self) -> None:
+        """Start nothing until `resume`."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Start requests again."""
+        self._paused = False
+        self._fill(asyncio.get_running_loop().time())
+
+    def drop_all(self, reason: Refusal) -> None:
+        """Drop every request that waits."""
+        for item in list(self._waiting.values()):
+            self._queue.remove(item)
+            self._drop(item, reason)
+
+    def close(self) -> None:
+        """Drop every request that waits, and stop the timer."""
+        self._paused = True
+        self.drop_all(Refusal.DRAINING)
+        if self._expiry is not None:
+            self._expiry.cancel()
+
+    def _item(
+        self, head: RequestHead, payload: Payload | None, deadline: float, now: float
+    ) -> QueueItem[Payload]:
+        weight = head.weight if head.weight and head.weight > 0 else 1.0
+        priority, account = Priority(head.priority), Account(head.account or "")
+        return QueueItem(payload, account, priority, weight, now, deadline)
+
+    def _may_start(self, priority: Priority, now: float) -> bool:
+        if self._paused or not self._slots.has_room(priority, now):
+            return False
+        return not any(self._queue.length_of(each) for each in Priority if each <= priority)
+
+    def _fill(self, now: float) -> None:
+        while self._waiting and not self._paused:
+            least = Priority.BULK if self._slots.has_room(Priority.BULK, now) else Priority.URGENT
+            item = self._queue.pop(least) if self._slots.has_room(least, now) else None
+            if item is None:
+                return
+            if can_finish(item.deadline, now, 0.0, 0.0):
+                self._begin(item, now)
+            else:
+                self._drop(item, Refusal.DEADLINE)
+
+    def _begin(self, item: QueueItem[Payload], now: float) -> None:
+        payload = item.taken_payload()
+        del self._waiting[payload]
+        self._running[payload] = item.priority
+        self._slots.begin(item.priority, now)
+        self._wait.record(now - item.arrived)
+        self._start(payload)
+
+    def _drop(self, item: QueueItem[Payload], reason: Refusal) -> None:
+        payload = item.taken_payload()
+        del self._waiting[payload]
+        self._dropped(payload, self._refused(reason))
+
+    def _refused(self, reason: Refusal) -> Refused:
+        wait_s = self._slots.wait_for(len(self._queue))
+        return Refused(reason, max(LEAST_RETRY_MS, int(wait_s * MILLISECONDS)))
+
+    def _watch_expiry(self, now: float) -> None:
+        first = min((item.deadline for item in self._waiting.values()), default=None)
+        if self._expiry is not None:
+            self._expiry.cancel()
+            self._expiry = None
+        if first is not None:
+            loop = asyncio.get_running_loop()
+            self._expiry = loop.call_at(first, self._expire)
+
+    def _expire(self) -> None:
+        self._expiry = None
+        now = asyncio.get_running_loop().time()
+        for item in self._queue.expired(now):
+            self._drop(item, Refusal.DEADLINE)
+        self._watch_expiry(now)
--- /dev/null
+++ b/src/lacewinggw/decisions/addresses.py
@@ -0,0 +1,76 @@
+"""Which entries a client account is told to use.
+
+A rendezvous subset: every entry works it out alike from the list of live entries, and losing an
+entry changes the answers of only those accounts that used it. The account's limit is split over
+the same subset, so a larger limit gets more entries.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from lacewinggw.ids import Account, Address, HostId, Place
+
+
+@dataclass(frozen=True)
+class EntryFacts:
+    """A live entry: its host, its place and the address that callers use."""
+
+    host: HostId
+    place: Place
+    address: Address
+
+
+def rendezvous_weight(key: str, host: str) -> int:
+    """Return the weight of `host` for `key`; the highest weight ranks first."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{host}".encode())
+
+
+def rank_hosts(key: str, hosts: Iterable[HostId]) -> list[HostId]:
+    """Return the hosts in rendezvous order for `key`, the same in every process."""
+    return sorted(hosts, key=lambda host: (-rendezvous_weight(key, host), host))
+
+
+def count_addresses(rate_per_s: float, least: int, rate_per_address: float) -> int:
+    """Return how many entries an account with this limit is spread over.
+
+    At least `least`, for the loss of one; more when the limit is over what one should carry.
+    """
+    if rate_per_address <= 0:
+        return max(1, least)
+    return max(1, least, math.ceil(rate_per_s / rate_per_address))
+
+
+def account_entries(
+    account: Account, entries: Iterable[EntryFacts], count: int
+) -> tuple[EntryFacts, ...]:
+    """Return the `count` entries of an account, the same in every process.
+
+    Places are taken in turn, each by its best entry, so that a lost place leaves some of them.
+
+        account_entries(Account("buyers"), entries, 3)
+    """
+    by_place: dict[Place, list[EntryFacts]] = {}
+    for entry in entries:
+        by_place.setdefault(entry.place, []).append(entry)
+    ranked: list[tuple[int, int, HostId, EntryFacts]] = []
+    for members in by_place.values():
+        weighed = [
+            (-rendezvous_weight(account, entry.host), entry.host, entry) for entry in members
+        ]
+        for turn, (weight, host, entry) in enumerate(sorted(weighed, key=lambda item: item[:2])):
+            ranked.append((turn, weight, host, entry))
+    ranked.sort(key=lambda item: item[:3])
+    return tuple(entry for _, _, _, entry in ranked[:count])
+
+
+def answer_addresses(
+    account: Account, entries: Iterable[EntryFacts], count: int, rng: random.Random
+) -> Sequence[Address]:
+    """Return the addresses to tell an account, in an order that spreads its callers evenly."""
+    chosen = [entry.address for entry in account_entries(account, entries, count)]
+    rng.shuffle(chosen)
+    return chosen
--- /dev/null
+++ b/src/lacewinggw/decisions/admission.py
@@ -0,0 +1,84 @@
+"""Whether a target takes a request: slots, those kept for urgent ones, and the expected wait.
+
+A target runs up to `capacity` requests at once. Of these slots a share is kept for urgent
+requests, but only as many as urgent requests have lately used at once, and one more: a service
+without urgent requests loses nothing.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from lacewinggw.generated.messages.ttypes import Priority
+
+SMOOTHING = 0.1
+LEAST_RISE = 0.05  # how fast the shortest time is forgotten
+URGENT_MEMORY_S = 30.0  # so long the need for kept slots is remembered
+FIRST_GUESS_S = 0.05  # of the time one request runs, before any ran
+
+
+@dataclass
+class Slots:
+    """The running requests of one target. Times in seconds.
+
+    slots = Slots(capacity=8, urgent_share=0.2)
+    if slots.has_room(Priority.NORMAL, now):
+        slots.begin(Priority.NORMAL, now)
+    """
+
+    capacity: int
+    urgent_share: float
+    running: int = 0
+    running_urgent: int = 0
+    request_s: float = field(default=FIRST_GUESS_S)
+    _urgent_peak: int = 0
+    _urgent_seen_at: float = -math.inf
+    least_s: float = 0.0  # shortest that a request ran lately
+    sampled: bool = False
+
+    def kept(self, now: float) -> int:
+        """Return how many free slots are kept for urgent requests now."""
+        if now - self._urgent_seen_at > URGENT_MEMORY_S:
+            return 0
+        most = min(self.capacity - 1, math.ceil(self.capacity * self.urgent_share))
+        return max(0, min(most, self._urgent_peak + 1) - self.running_urgent)
+
+    def has_room(self, priority: Priority, now: float) -> bool:
+        """Return whether a request of the priority may start now."""
+        free = self.capacity - self.running
+        if priority is Priority.URGENT:
+            return free > 0
+        return free > self.kept(now)
+
+    def begin(self, priority: Priority, now: float) -> None:
+        """Note that a request starts."""
+        self.running += 1
+        if priority is Priority.URGENT:
+            self.running_urgent += 1
+            self.note_urgent(now)
+
+    def note_urgent(self, now: float) -> None:
+        """Note that an urgent request is here."""
+        if now - self._urgent_seen_at > URGENT_MEMORY_S:
+            self._urgent_peak = 0
+        self._urgent_peak = max(self._urgent_peak, self.running_urgent)
+        self._urgent_seen_at = now
+
+    def end(self, priority: Priority, ran_s: float | None) -> None:
+        """Note that a request ended; `ran_s` is how long it ran, none if that says nothing."""
+        self.running -= 1
+        if priority is Priority.URGENT:
+            self.running_urgent -= 1
+        if ran_s is None:
+            return
+        if not self.sampled:
+            self.sampled = True
+            self.request_s = ran_s
+            self.least_s = ran_s
+        self.request_s += SMOOTHING * (ran_s - self.request_s)
+        self.least_s = min(ran_s, self.least_s + LEAST_RISE * (self.request_s - self.least_s))
+
+    def wait_for(self, ahead: int) -> float:
+        """Return the expected wait of a request with `ahead` others before it, in seconds."""
+        if self.running < self.capacity:
+            return 0.0
+        return (ahead + 1) * self.request_s / self.capacity
--- /dev/null
+++ b/src/lacewinggw/decisions/deadlines.py
@@ -0,0 +1,30 @@
+"""Deadlines: time left travels with a request, never a clock reading.
+
+Each process turns the time left into a moment by its own clock, and tells the next one what is
+left then, less an allowance for the way back.
+"""
+
+HOP_ALLOWANCE_S = 0.005
+MILLISECONDS = 1000.0
+LONGEST_S = 86400.0
+
+
+def deadline_at(time_left_ms: int, usual_ms: int, now: float) -> float:
+    """Return the moment by which a request must be answered; `usual_ms` when it names no time."""
+    left_s = (time_left_ms if time_left_ms > 0 else usual_ms) / MILLISECONDS
+    return now + min(left_s, LONGEST_S)
+
+
+def time_left_ms(deadline: float, now: float, allowance_s: float = HOP_ALLOWANCE_S) -> int:
+    """Return the time left to pass on, in milliseconds; 0 or less when there is none."""
+    return int((deadline - now - allowance_s) * MILLISECONDS)
+
+
+def has_expired(deadline: float, now: float) -> bool:
+    """Return whether the deadline has passed."""
+    return now >= deadline
+
+
+def can_finish(deadline: float, now: float, wait_s: float, run_s: float) -> bool:
+    """Return whether a request that waits and then runs this long ends before its deadline."""
+    return now + wait_s + run_s <= deadline
--- /dev/null
+++ b/src/lacewinggw/decisions/ejection.py
@@ -0,0 +1,127 @@
+"""Taking failing targets out of use for a while, and letting them back with care.
+
+A target goes out after some failures in a row, or when more than half of its recent calls failed.
+It comes back by one trial call; a failed trial keeps it out twice as long. No more than a declared
+share of a service's targets is out at once: when most fail, the cause is not the targets.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+FAILURE_DECAY = 0.9  # weight of the past in the failing share, per call
+FAILING_SHARE = 0.5
+FAILING_CALLS = 20  # calls before the share says anything
+LONGEST_FACTOR = 16
+
+
+class Standing(Enum):
+    """Whether a target may be offered requests."""
+
+    IN = "in"
+    OUT = "out"
+    ON_TRIAL = "on-trial"  # its time out is over: one call at a time
+
+
+@dataclass(frozen=True)
+class EjectionRules:
+    """When targets go out and for how long; times in seconds, the limit as a share."""
+
+    after: int = 5
+    out_s: float = 5.0
+    limit: float = 0.5
+
+
+@dataclass
+class Health:
+    """How the calls to one target went."""
+
+    failures_in_row: int = 0
+    failing_share: float = 0.0
+    calls: int = 0
+    times_out: int = 0
+    out_until: float | None = None
+    trial_running: bool = field(default=False)
+
+    def standing(self, now: float) -> Standing:
+        """Return whether the target may be offered requests at `now`."""
+        if self.out_until is None:
+            return Standing.IN
+        return Standing.OUT if now < self.out_until else Standing.ON_TRIAL
+
+    def may_take(self, now: float) -> bool:
+        """Return whether one more call may go to the target."""
+        match self.standing(now):
+            case Standing.IN:
+                return True
+            case Standing.OUT:
+                return False
+            case Standing.ON_TRIAL:
+                return not self.trial_running
+
+    def note_begin(self, now: float) -> None:
+        """Note that a call goes to the target."""
+        if self.standing(now) is Standing.ON_TRIAL:
+            self.trial_running = True
+
+    def note_success(self) -> bool:
+        """Note a call that went well; return whether the target came back by it."""
+        came_back = self.out_until is not None
+        self.failures_in_row = 0
+        self.failing_share *= FAILURE_DECAY
+        self.calls += 1
+        self.out_until = None
+        self.trial_running = False
+        if came_back:
+            self.failing_share = 0.0
+            self.calls = 0
+        elif self.failing_share < FAILING_SHARE / 2:
+            self.times_out = 0
+        return came_back
+
+    def note_failure(self) -> None:
+        """Note a call that the target or the way to it failed."""
+        self.failures_in_row += 1
+        self.failing_share = self.failing_share * FAILURE_DECAY + (1 - FAILURE_DECAY)
+        self.calls += 1
+
+    def note_nothing(self) -> None:
+        """Note the end of a call that says nothing of the target."""
+        self.trial_running = False
+
+    def is_failing(self, rules: EjectionRules) -> bool:
+        """Return whether the target has failed enough to go out."""
+        if self.failures_in_row >= rules.after:
+            return True
+        return self.calls >= FAILING_CALLS and self.failing_share > FAILING_SHARE
+
+    def eject(self, now: float, rules: EjectionRules) -> None:
+        """Take the target out, for longer each time."""
+        factor = min(LONGEST_FACTOR, 1 << self.times_out)
+        self.times_out += 1
+        self.out_until = now + rules.out_s * factor
+        self.trial_running = False
+
+
+def room_to_eject(out_now: int, targets: int, rules: EjectionRules) -> bool:
+    """Return whether one more of `targets` may go out when `out_now` are out already."""
+    return out_now + 1 <= targets * rules.limit
+
+
+def end_call(
+    health: Health, failed: bool, now: float, out_now: int, targets: int, rules: EjectionRules
+) -> bool:
+    """Note how a call ended; return whether the target goes out by it."""
+    if not failed:
+        health.note_success()
+        return False
+    on_trial = health.standing(now) is Standing.ON_TRIAL
+    health.note_failure()
+    if on_trial:
+        health.eject(now, rules)
+        return True
+    if health.out_until is not None or not health.is_failing(rules):
+        return False
+    if not room_to_eject(out_now, targets, rules):
+        return False
+    health.eject(now, rules)
+    return True
--- /dev/null
+++ b/src/lacewinggw/decisions/fairness.py
@@ -0,0 +1,177 @@
+"""A bounded queue: by priority, then weighted fair share between client accounts.
+
+Between priorities the higher goes first, but after some of them in a row one lower gets its turn,
+so that nothing waits for ever. Within a priority, accounts share by weight (start-time fair
+queueing): one that offers ten times as much gets no more than its share while others wait. When
+the queue is full, the newest request of the account that is furthest over its share goes, so that
+no account can fill the queue against the others.
+"""
+
+import itertools
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+from lacewinggw.generated.messages.ttypes import Priority
+from lacewinggw.ids import Account
+
+HIGHER_RUN = 9  # turns of higher priorities in a row while a lower one waits
+
+Payload = TypeVar("Payload")
+
+
+@dataclass(eq=False)
+class QueueItem(Generic[Payload]):
+    """One waiting request. Times in seconds, by the process's own clock."""
+
+    payload: Payload | None  # none for one that is only weighed
+    account: Account
+    priority: Priority
+    weight: float
+    arrived: float
+    deadline: float
+    finish_tag: float = 0.0
+
+    def taken_payload(self) -> Payload:
+        """Return the payload of an item that was queued."""
+        assert self.payload is not None, "only weighed, never queued"
+        return self.payload
+
+
+@dataclass
+class _Lane(Generic[Payload]):
+    """The waiting requests of one priority, by account."""
+
+    by_account: dict[Account, deque[QueueItem[Payload]]] = field(default_factory=dict)
+    last_tags: dict[Account, float] = field(default_factory=dict)
+    virtual_time: float = 0.0
+    length: int = 0
+    passed_over: int = 0
+
+    def append(self, item: QueueItem[Payload]) -> None:
+        item.finish_tag = self.next_tag(item)
+        self.last_tags[item.account] = item.finish_tag
+        self.by_account.setdefault(item.account, deque()).append(item)
+        self.length += 1
+
+    def next_tag(self, item: QueueItem[Payload]) -> float:
+        start = max(self.virtual_time, self.last_tags.get(item.account, 0.0))
+        return start + 1.0 / item.weight
+
+    def head(self) -> QueueItem[Payload] | None:
+        heads = (waiting[0] for waiting in self.by_account.values())
+        return min(heads, key=lambda item: item.finish_tag, default=None)
+
+    def pop(self) -> QueueItem[Payload]:
+        item = self.head()
+        assert item is not None, "pop() from an empty lane"
+        self.virtual_time = max(self.virtual_time, item.finish_tag - 1.0 / item.weight)
+        self.remove(item)
+        return item
+
+    def remove(self, item: QueueItem[Payload]) -> None:
+        waiting = self.by_account[item.account]
+        if waiting[0] is item:
+            waiting.popleft()
+        else:
+            waiting.remove(item)
+        self.length -= 1
+        if not waiting:
+            del self.by_account[item.account]
+        if not self.length:
+            self.last_tags.clear()
+            self.virtual_time = 0.0
+
+    def evict_newest(self, account: Account) -> QueueItem[Payload]:
+        item = self.by_account[account][-1]
+        self.remove(item)
+        if account in self.last_tags:
+            self.last_tags[account] -= 1.0 / item.weight
+        return item
+
+    def most_over_share(self, extra: QueueItem[Payload] | None = None) -> Account:
+        """Return the account with the most waiting for its weight, `extra` counted in."""
+        overrun = {
+            account: len(waiting) / waiting[0].weight
+            for account, waiting in self.by_account.items()
+        }
+        if extra is not None:
+            overrun[extra.account] = overrun.get(extra.account, 0.0) + 1.0 / extra.weight
+        return max(overrun, key=lambda account: (overrun[account], account))
+
+
+class FairQueue(Generic[Payload]):
+    """The queue; it holds at most `limit` requests.
+
+    queue = FairQueue(64)
+    evicted = queue.push(item)  # the item itself when there is no room for it
+    item = queue.pop()
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self._lanes: dict[Priority, _Lane[Payload]] = {each: _Lane() for each in Priority}
+
+    def __len__(self) -> int:
+        return sum(lane.length for lane in self._lanes.values())
+
+    def length_of(self, priority: Priority) -> int:
+        """Return how many requests of a priority wait."""
+        return self._lanes[priority].length
+
+    def push(self, item: QueueItem[Payload]) -> QueueItem[Payload] | None:
+        """Add a request; return the one that must go for it, which may be itself, if any."""
+        self._lanes[item.priority].append(item)
+        if len(self) <= self.limit:
+            return None
+        lowest = max(priority for priority, lane in self._lanes.items() if lane.length)
+        lane = self._lanes[lowest]
+        return lane.evict_newest(lane.most_over_share())
+
+    def pop(self, least: Priority = Priority.BULK) -> QueueItem[Payload] | None:
+        """Take the next request whose priority is `least` or higher, or none."""
+        waiting = [each for each in Priority if each <= least and self._lanes[each].length]
+        if not waiting:
+            return None
+        chosen = next(
+            (each for each in waiting if self._lanes[each].passed_over >= HIGHER_RUN), waiting[0]
+        )
+        for each in waiting:
+            self._lanes[each].passed_over += each > chosen
+        self._lanes[chosen].passed_over = 0
+        return self._lanes[chosen].pop()
+
+    def remove(self, item: QueueItem[Payload]) -> None:
+        """Take out a request that waits no more."""
+        self._lanes[item.priority].remove(item)
+
+    def ahead_of(self, item: QueueItem[Payload]) -> int:
+        """Return how many waiting requests an item would come after."""
+        lane = self._lanes[item.priority]
+        tag = lane.next_tag(item)
+        same = sum(each.finish_tag <= tag for each in _items(lane))
+        return same + sum(self._lanes[each].length for each in Priority if each < item.priority)
+
+    def would_take(self, item: QueueItem[Payload]) -> bool:
+        """Return whether an item would stay in the queue if it were pushed now."""
+        if len(self) < self.limit:
+            return True
+        lowest = max(priority for priority, lane in self._lanes.items() if lane.length)
+        if item.priority != lowest:
+            return item.priority < lowest
+        return self._lanes[lowest].most_over_share(item) != item.account
+
+    def expired(self, now: float) -> list[QueueItem[Payload]]:
+        """Take out and return the requests whose deadline has passed."""
+        late = [item for item in self if item.deadline <= now]
+        for item in late:
+            self.remove(item)
+        return late
+
+    def __iter__(self) -> Iterator[QueueItem[Payload]]:
+        return itertools.chain.from_iterable(_items(lane) for lane in self._lanes.values())
+
+
+def _items(lane: _Lane[Payload]) -> Iterator[QueueItem[Payload]]:
+    return itertools.chain.from_iterable(lane.by_account.values())
--- /dev/null
+++ b/src/lacewinggw/decisions/limits.py
@@ -0,0 +1,204 @@
+"""Limits of client accounts, split over the entries that an account uses.
+
+Each entry knows its own demand for an account and hears that of the account's other entries a few
+times a second. From the same numbers all work out the same split: each entry gets what it asks for
+as far as that is fair (max-min), and what nobody asks for is shared evenly, so that the shares
+always add up to the limit. An entry that falls silent loses its share to the others.
+"""
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from lacewinggw.ids import Account, HostId
+
+METER_MEMORY_S = 1.0
+LONGEST_GAP = 8.0  # mean gaps between events: a longer one means that the rate has fallen
+BURST_S = 1.0  # an idle account may save up so much of its rate
+LEAST_BURST = 2.0
+LEAST_SHARE = 0.02  # of an even share: the least that an entry keeps
+LONGEST_RETRY_S = 10.0
+
+
+@dataclass(frozen=True)
+class AccountDeclaration:
+    """An account as declared: its token, requests a second, requests at once, and weight."""
+
+    account: Account
+    token: str
+    rate_per_s: float
+    concurrency: int
+    weight: float = 1.0
+
+    @classmethod
+    def parse(cls, text: str) -> "AccountDeclaration":
+        """Read "account:token:requests-per-second:concurrency[:weight]"; raise `ValueError`.
+
+        AccountDeclaration.parse("buyers:secret:50:20") is limited to 50 requests a second and 20
+        at once, with a weight of 1.
+        """
+        parts = text.split(":")
+        if len(parts) not in (4, 5):
+            raise ValueError("not account:token:requests-per-second:concurrency[:weight]")
+        rate, concurrency = float(parts[2]), int(parts[3])
+        weight = float(parts[4]) if len(parts) == 5 else 1.0
+        positive = rate > 0 and concurrency > 0 and weight > 0
+        if not parts[0] or not parts[1]:
+            raise ValueError("an account needs a name and a token")
+        if not positive or not math.isfinite(rate) or not math.isfinite(weight):
+            raise ValueError("rate, concurrency and weight must be above 0")
+        return cls(Account(parts[0]), parts[1], rate, concurrency, weight)
+
+
+@dataclass
+class RateMeter:
+    """A smoothed rate of events, per second.
+
+    It falls at once when events stop: after a gap that the smoothed rate would hardly ever leave,
+    it is the rate that leaves such a gap.
+    """
+
+    memory_s: float = METER_MEMORY_S
+    _rate: float = 0.0
+    _at: float | None = None
+
+    def note(self, now: float, count: float = 1.0) -> None:
+        """Count events at `now`."""
+        gap = now - self._at if self._at is not None else 0.0
+        self._rate = self._rate * math.exp(-gap / self.memory_s) + count / self.memory_s
+        self._at = now
+
+    def rate(self, now: float) -> float:
+        """Return the rate at `now`."""
+        if self._at is None:
+            return 0.0
+        gap = now - self._at
+        smoothed = self._rate * math.exp(-gap / self.memory_s)
+        return smoothed if smoothed * gap <= LONGEST_GAP else 1.0 / gap
+
+
+def split_limit(total: float, demands: Mapping[HostId, float]) -> dict[HostId, float]:
+    """Split `total` over entries by demand, max-min fair; the shares add up to `total`.
+
+    split_limit(10, {"a": 2, "b": 20}) is {"a": 2, "b": 8}
+    """
+    if not demands:
+        return {}
+    least = LEAST_SHARE * total / len(demands)
+    shares: dict[HostId, float] = {}
+    left = total
+    by_demand = sorted(demands, key=lambda host: (demands[host], host))
+    for index, host in enumerate(by_demand):
+        fair = left / (len(by_demand) - index)
+        shares[host] = min(max(demands[host], least), fair)
+        left -= shares[host]
+    extra = left / len(shares)
+    return {host: share + extra for host, share in shares.items()}
+
+
+@dataclass
+class TokenBucket:
+    """Tokens at a rate that may change, saved up to a burst.
+
+    `reserve` tokens are kept back from requests that are not urgent.
+    """
+
+    rate: float
+    tokens: float = 0.0
+    at: float = 0.0
+    promised: float = 0.0
+
+    @property
+    def burst(self) -> float:
+        """The most tokens that are saved up."""
+        return max(LEAST_BURST, self.rate * BURST_S)
+
+    def refill(self, now: float) -> None:
+        """Add the tokens of the time since the last call."""
+        gained = max(0.0, now - self.at) * self.rate
+        self.tokens = min(self.burst, self.tokens + gained)
+        self.promised = max(0.0, self.promised - gained)
+        self.at = now
+
+    def set_rate(self, rate: float, now: float) -> None:
+        """Change the rate from now on."""
+        self.refill(now)
+        self.rate = rate
+        self.tokens = min(self.tokens, self.burst)
+
+    def take(self, now: float, reserve: float) -> bool:
+        """Take a token if that leaves the reserve."""
+        self.refill(now)
+        if self.tokens - 1.0 < reserve:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def retry_after_s(self) -> float:
+        """Return when a refused request may come back; each refusal is told a later moment."""
+        self.promised += 1.0
+        lack = self.promised - max(0.0, self.tokens - 1.0)
+        return min(LONGEST_RETRY_S, max(lack, 1.0) / max(self.rate, 1.0 / LONGEST_RETRY_S))
+
+
+@dataclass(frozen=True)
+class DemandReport:
+    """What one entry said of an account, and when it was heard."""
+
+    offered_per_s: float
+    running: int
+    heard_at: float
+
+
+@dataclass
+class AccountShare:
+    """One account at one entry: its share of the limit, and what it uses of it."""
+
+    declared: AccountDeclaration
+    bucket: TokenBucket
+    concurrency: float
+    running: int = 0
+    wanted_running: RateMeter = field(default_factory=RateMeter)
+    offered: RateMeter = field(default_factory=RateMeter)
+    admitted: RateMeter = field(default_factory=RateMeter)
+    reports: dict[HostId, DemandReport] = field(default_factory=dict)
+
+    @classmethod
+    def from_declaration(
+        cls, declared: AccountDeclaration, entries: int, now: float
+    ) -> "AccountShare":
+        """Start with an even share over `entries`."""
+        rate = declared.rate_per_s / max(1, entries)
+        bucket = TokenBucket(rate, tokens=max(LEAST_BURST, rate * BURST_S), at=now)
+        return cls(declared, bucket, declared.concurrency / max(1, entries))
+
+    def rebalance(self, me: HostId, entries: frozenset[HostId], now: float, stale_s: float) -> None:
+        """Work the share out anew from the demand of the entries of the account.
+
+        Entries beside those of the account count only while they report demand.
+        """
+        for host in [
+            host for host, report in self.reports.items() if now - report.heard_at > stale_s
+        ]:
+            del self.reports[host]
+        rates = dict.fromkeys(entries | {me}, 0.0)
+        running = dict.fromkeys(entries | {me}, 0.0)
+        for host, report in self.reports.items():
+            if host in rates or report.offered_per_s > 0.0:
+                rates[host] = report.offered_per_s
+                running[host] = float(report.running)
+        rates[me] = self.offered.rate(now)
+        running[me] = float(self.running_demand(now))
+        self.bucket.set_rate(split_limit(self.declared.rate_per_s, rates)[me], now)
+        self.concurrency = split_limit(self.declared.concurrency, running)[me]
+
+    def running_demand(self, now: float) -> int:
+        """Return how many requests the account would run here at once if it could."""
+        return self.running + math.ceil(self.wanted_running.rate(now))
+
+    def has_slot(self, urgent: bool, urgent_share: float) -> bool:
+        """Return whether one more request of the account may run here."""
+        limit = max(1.0, math.floor(self.concurrency + 0.5))
+        if not urgent:
+            limit = max(1.0, limit - math.floor(limit * urgent_share))
+        return self.running + 1 <= limit
--- /dev/null
+++ b/src/lacewinggw/decisions/routing.py
@@ -0,0 +1,145 @@
+"""Which target a request goes to: two candidates, the one that will be done first.
+
+The cost of a target is the time in which it would finish one more request: its time per request,
+times what is ahead on it, over its capacity. What is ahead is this entry's own calls in flight,
+known exactly, and those of others as the target last reported, discounted by the report's age.
+"""
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.ejection import Health
+from lacewinggw.ids import Address, Digest, HostId, Incarnation, Place, ReleaseName, ServiceName
+
+REPORT_DECAY_S = 1.0  # a report this old counts for 1/e
+TIME_MEMORY_S = 10.0  # a target's own time per request fades towards its service's over this
+SLOW_START_LEAST = 0.1
+SMOOTHING = 0.2  # weight of a new sample of time per request
+REMOTE_FACTOR = 1.2  # a target in another place costs this much more
+
+
+@dataclass
+class TargetFacts:
+    """What an entry knows of one target. Times in seconds, by the entry's own clock."""
+
+    host: HostId
+    place: Place
+    address: Address
+    incarnation: Incarnation
+    service: ServiceName
+    release: ReleaseName
+    digest: Digest
+    near: bool = True
+    in_flight: int = 0
+    capacity: int = 1
+    reported: int = 0  # running and queued, by the last report
+    reported_own: int = 0  # of those, this entry's own when the report came
+    reported_at: float = 0.0
+    serving: bool = False
+    serving_since: float = 0.0
+    request_s: float | None = None  # smoothed time that one request runs
+    sampled_at: float = 0.0
+    health: Health = field(default_factory=Health)
+
+
+@dataclass(frozen=True)
+class Choice:
+    """The target that a request goes to."""
+
+    host: HostId
+    address: Address
+    incarnation: Incarnation
+    digest: Digest
+
+
+def note_report(
+    facts: TargetFacts, running: int, queued: int, capacity: int, age_s: float, now: float
+) -> None:
+    """Take in a load report that was `age_s` old when it came."""
+    facts.reported = running + queued
+    facts.reported_own = facts.in_flight
+    facts.reported_at = now - age_s
+    facts.capacity = max(1, capacity)
+
+
+def note_time(facts: TargetFacts, seconds: float, now: float) -> None:
+    """Take in how long a request ran."""
+    if facts.request_s is None:
+        facts.request_s = seconds
+    else:
+        facts.request_s += SMOOTHING * (seconds - facts.request_s)
+    facts.sampled_at = now
+
+
+def work_ahead(facts: TargetFacts, now: float) -> float:
+    """Return the requests ahead of one more: own ones, and others' by the discounted report."""
+    others = facts.reported - facts.reported_own
+    if others <= 0:
+        return facts.in_flight
+    age = max(0.0, now - facts.reported_at)
+    return facts.in_flight + others * math.exp(-age / REPORT_DECAY_S)
+
+
+def slow_start_share(facts: TargetFacts, now: float, slow_start_s: float) -> float:
+    """Return the share of its capacity that a fresh target is given, rising to 1."""
+    if slow_start_s <= 0:
+        return 1.0
+    share = (now - facts.serving_since) / slow_start_s
+    return min(1.0, max(SLOW_START_LEAST, share))
+
+
+def request_time(facts: TargetFacts, usual_s: float, now: float) -> float:
+    """Return the time one request runs, fading to the usual of the service without samples."""
+    if facts.request_s is None:
+        return usual_s
+    weight = math.exp(-max(0.0, now - facts.sampled_at) / TIME_MEMORY_S)
+    return usual_s + (facts.request_s - usual_s) * weight
+
+
+def cost(facts: TargetFacts, usual_s: float, now: float, slow_start_s: float) -> float:
+    """Return the cost of one more request on a target; the lower, the better."""
+    share = slow_start_share(facts, now, slow_start_s)
+    ahead = (1.0 + work_ahead(facts, now)) / (facts.capacity * share)
+    place = 1.0 if facts.near else REMOTE_FACTOR
+    return request_time(facts, usual_s, now) * ahead * place
+
+
+def usual_time(targets: Sequence[TargetFacts]) -> float:
+    """Return the median time per request among targets, 1.0 while none is known."""
+    known = sorted(facts.request_s for facts in targets if facts.request_s is not None)
+    return known[len(known) // 2] if known else 1.0
+
+
+def pick_two(targets: Sequence[TargetFacts], rng: random.Random) -> Sequence[TargetFacts]:
+    """Return two different targets at random, or all when there are no more than two."""
+    count = len(targets)
+    if count <= 2:
+        return targets
+    first = int(rng.random() * count)
+    second = int(rng.random() * (count - 1))
+    if second >= first:
+        second += 1
+    return targets[first], targets[second]
+
+
+def choose_target(
+    targets: Sequence[TargetFacts],
+    usual_s: float,
+    now: float,
+    slow_start_s: float,
+    rng: random.Random,
+) -> TargetFacts | None:
+    """Return the better of two random targets, or none when there is no target."""
+    pair = pick_two(targets, rng)
+    if not pair:
+        return None
+    if len(pair) == 1:
+        return pair[0]
+    first, second = pair
+    first_cost = cost(first, usual_s, now, slow_start_s)
+    second_cost = cost(second, usual_s, now, slow_start_s)
+    if first_cost == second_cost:
+        return first if rng.random() < 0.5 else second
+    return first if first_cost < second_cost else second
--- /dev/null
+++ b/src/lacewinggw/entry/limits.py
@@ -0,0 +1,214 @@
+"""Admission at an entry: the limits of client accounts, kept together with the other entries."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass
+
+from lacewinggw.decisions.addresses import EntryFacts, account_entries, count_addresses
+from lacewinggw.decisions.limits import AccountDeclaration, AccountShare, DemandReport
+from lacewinggw.errors import LacewingError, Refusal, RequestRefused
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.messages.ttypes import Priority
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import Account, HostId
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.membership import Member, MemberRole, MemberState
+from lacewinggw.wire.peers import Exchange, PeerNode
+
+MILLISECONDS = 1000.0
+PERCENT = 100.0
+STALE_INTERVALS = 6  # reports missed before an entry's share goes to the others
+OVERLOAD_RETRY_MS = 200
+
+Members = Callable[[], Sequence[Member]]
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """The request may go on; `release` the account when it is over."""
+
+    weight: float
+
+
+@dataclass(frozen=True)
+class Refused:
+    """The request is over a limit; `retry_after_ms` is when to come back."""
+
+    reason: Refusal
+    retry_after_ms: int
+
+    def error(self) -> RequestRefused:
+        """Return the refusal as an error."""
+        said = {
+            Refusal.ACCOUNT_LIMIT: "the account is over its limit",
+            Refusal.OVERLOADED: "this entry has too many requests in progress",
+        }
+        return RequestRefused.because(self.reason, said[self.reason], self.retry_after_ms)
+
+
+def live_entries(members: Iterable[Member]) -> list[EntryFacts]:
+    """Return the entries that callers may be told of."""
+    return [
+        EntryFacts(member.host, member.place, member.caller_address)
+        for member in members
+        if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
+    ]
+
+
+class AccountLimits:
+    """The accounts of this entry: who they are, their shares, and the demand told to others."""
+
+    def __init__(
+        self, settings: Settings, node: PeerNode, members: Members, metrics: Metrics
+    ) -> None:
+        entry = settings.entry
+        self._me = HostId(settings.process.host)
+        self._node = node
+        self._members = members
+        self._metrics = metrics
+        self._least_entries = entry.addresses_per_answer
+        self._rate_per_address = float(entry.requests_per_address)
+        self._requests_limit = entry.requests_limit
+        self._urgent_share = settings.routing.urgent_percent / PERCENT
+        self._interval_s = entry.demand_ms / MILLISECONDS
+        declared = [AccountDeclaration.parse(text) for text in entry.accounts or []]
+        self._declared = {each.account: each for each in declared}
+        self._by_token = {each.token: each for each in declared}
+        self._shares: dict[Account, AccountShare] = {}
+        self._in_progress = 0
+        self._sequence = 0
+        self._task: asyncio.Task[None] | None = None
+        self._told = asyncio.Event()
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, node: PeerNode, members: Members, metrics: Metrics
+    ) -> "AccountLimits":
+        """Build the limits from [entry] accounts; raise `ValueError` for a malformed one."""
+        return cls(settings, node, members, metrics)
+
+    async def start(self) -> None:
+        """Begin to exchange demand with the other entries."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop exchanging demand."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+
+    def account_of(self, token: str) -> AccountDeclaration | None:
+        """Return the account that a token belongs to."""
+        return self._by_token.get(token)
+
+    def entries_of(self, account: Account) -> tuple[EntryFacts, ...]:
+        """Return the entries that an account is told to use, the same at every entry."""
+        declared = self._declared.get(account)
+        rate = declared.rate_per_s if declared is not None else 0.0
+        count = count_addresses(rate, self._least_entries, self._rate_per_address)
+        return account_entries(account, live_entries(self._members()), count)
+
+    def admit(self, account: Account, priority: Priority, now: float) -> Admitted | Refused:
+        """Admit a request of an account or refuse it; `now` is the loop's time, in seconds."""
+        declared = self._declared.get(account)
+        if declared is None:
+            return self._refuse(Refusal.ACCOUNT_LIMIT, 0)
+        share = self._share(declared, now)
+        if share.offered.rate(now) == 0.0:
+            self._told.set()
+        share.offered.note(now)
+        urgent = priority is Priority.URGENT
+        if not self._has_room(urgent):
+            return self._refuse(Refusal.OVERLOADED, OVERLOAD_RETRY_MS)
+        urgent_share = 0.0 if urgent else self._urgent_share
+        if not share.has_slot(urgent, urgent_share):
+            share.wanted_running.note(now)
+            return self._refuse(Refusal.ACCOUNT_LIMIT, self._retry_ms(share))
+        if not share.bucket.take(now, share.bucket.burst * urgent_share / 2):
+            return self._refuse(Refusal.ACCOUNT_LIMIT, self._retry_ms(share))
+        share.admitted.note(now)
+        share.running += 1
+        self._in_progress += 1
+        return Admitted(declared.weight)
+
+    def release(self, account: Account) -> None:
+        """Note that an admitted request is over."""
+        self._shares[account].running -= 1
+        self._in_progress -= 1
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Take in what another entry says of its demand."""
+        demand: messages.Demand = exchange.message
+        now = asyncio.get_running_loop().time()
+        for each in demand.accounts or []:
+            declared = self._declared.get(Account(each.account))
+            if declared is None:
+                continue
+            share = self._share(declared, now)
+            report = DemandReport(each.offered_per_s, each.running, now)
+            share.reports[HostId(exchange.link.remote.host)] = report
+            self._rebalance(share, now)
+
+    def _share(self, declared: AccountDeclaration, now: float) -> AccountShare:
+        share = self._shares.get(declared.account)
+        if share is None:
+            entries = len(self.entries_of(declared.account))
+            share = AccountShare.from_declaration(declared, entries, now)
+            self._shares[declared.account] = share
+        return share
+
+    def _has_room(self, urgent: bool) -> bool:
+        limit = self._requests_limit * (1.0 if urgent else 1.0 - self._urgent_share)
+        return self._in_progress + 1 <= limit
+
+    def _retry_ms(self, share: AccountShare) -> int:
+        return int(share.bucket.retry_after_s() * MILLISECONDS)
+
+    def _refuse(self, reason: Refusal, retry_after_ms: int) -> Refused:
+        self._metrics.refuse(reason)
+        return Refused(reason, retry_after_ms)
+
+    async def _run(self) -> None:
+        while True:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s):
+                    await self._told.wait()
+            self._told.clear()
+            self._exchange(asyncio.get_running_loop().time())
+            await asyncio.sleep(self._interval_s / 4)
+
+    def _exchange(self, now: float) -> None:
+        by_peer: dict[HostId, list[messages.AccountDemand]] = {}
+        for account, share in self._shares.items():
+            entries = self._rebalance(share, now)
+            offered = share.offered.rate(now)
+            if offered < share.declared.rate_per_s * 1e-4 and not share.running:
+                continue
+            demand = messages.AccountDemand(
+                account, offered, share.admitted.rate(now), share.running_demand(now)
+            )
+            for host in (entries | share.reports.keys()) - {self._me}:
+                by_peer.setdefault(host, []).append(demand)
+        self._sequence += 1
+        addresses = {member.host: member.address for member in self._members()}
+        for host, demands in by_peer.items():
+            if host in addresses:
+                self._send(addresses[host], demands)
+
+    def _rebalance(self, share: AccountShare, now: float) -> frozenset[HostId]:
+        entries = self.entries_of(share.declared.account)
+        hosts = frozenset(entry.host for entry in entries)
+        share.rebalance(self._me, hosts, now, self._interval_s * STALE_INTERVALS)
+        return hosts
+
+    def _send(self, address: str, demands: list[messages.AccountDemand]) -> None:
+        message = messages.Demand(self._me, self._sequence, demands)
+        asyncio.get_running_loop().create_task(self._notify(address, message))
+
+    async def _notify(self, address: str, message: messages.Demand) -> None:
+        with suppress(LacewingError):
+            link = await self._node.link(address)
+            link.notify(message)
--- /dev/null
+++ b/src/lacewinggw/entry/targets.py
@@ -0,0 +1,352 @@
+"""The targets that this entry deals with: what they last said, and which one a request goes to."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from lacewinggw.decisions.ejection import EjectionRules, Standing, end_call
+from lacewinggw.decisions.retries import RetryBudget
+from lacewinggw.decisions.routing import (
+    Choice,
+    TargetFacts,
+    choose_target,
+    note_report,
+    note_time,
+    usual_time,
+)
+from lacewinggw.decisions.subsets import HostFacts, pick_subset
+from lacewinggw.entry.watches import Watches
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.messages.ttypes import TargetState
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import (
+    Address,
+    Digest,
+    HostId,
+    Incarnation,
+    Place,
+    ReleaseName,
+    ServiceName,
+)
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.membership import Member, MemberRole, MemberState
+from lacewinggw.wire.peers import Exchange, PeerNode
+
+MILLISECONDS = 1000.0
+PERCENT = 100.0
+SPARE_SUBSET = "spare"  # hosts without a service are watched too, for placement and display
+
+log = get_logger(__name__)
+
+
+class ConfigurationView(Protocol):
+    """What is read of the configuration."""
+
+    placements: dict[str, dict[str, str]]
+    draining: set[str]
+
+
+class CallOutcome(Enum):
+    """How a call to a target ended, as far as the target's health goes."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"  # the agent said that it did not run: busy, draining, moved
+    FAILED = "failed"  # the target failed, or the connection to its agent was lost
+    ABANDONED = "abandoned"  # the caller left: this says nothing of the target
+
+
+@dataclass(frozen=True)
+class CallResult:
+    """The end of a call: its outcome, how long the request ran, and the load told with it."""
+
+    outcome: CallOutcome
+    seconds: float | None = None
+    load: messages.Load | None = None
+
+
+@dataclass
+class ServiceTargets:
+    """The targets of one service that may be offered requests."""
+
+    targets: list[TargetFacts] = field(default_factory=list)
+    usual_s: float = 1.0
+
+
+class TargetDirectory:
+    """Keeps watch on a bounded subset of targets and chooses among them.
+
+    choice = targets.choose(service, head)
+    targets.begin(choice.host)
+    ...
+    targets.end(choice.host, CallResult(CallOutcome.ANSWERED, load=finish.load))
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        node: PeerNode,
+        state: Callable[[], ConfigurationView],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        routing = settings.routing
+        self._me = HostId(settings.process.host)
+        self._place = Place(settings.process.place)
+        self._state = state
+        self._metrics = metrics
+        self._rng = rng
+        self._subset = routing.subset
+        self._slow_start_s = routing.slow_start_ms / MILLISECONDS
+        self._dead_after_s = routing.dead_after_ms / MILLISECONDS
+        self._rules = EjectionRules(
+            routing.eject_after,
+            routing.eject_ms / MILLISECONDS,
+            routing.eject_limit_percent / PERCENT,
+        )
+        self._budget = RetryBudget(routing.retry_percent / PERCENT)
+        self._watches = Watches(node, self._me, self._lose, rng)
+        self._members: dict[HostId, Member] = {}
+        self._wanted: dict[HostId, float] = {}  # since when
+        self._heartbeats: dict[HostId, messages.Heartbeat] = {}
+        self._heard_at: dict[HostId, float] = {}
+        self._facts: dict[HostId, TargetFacts] = {}
+        self._services: dict[ServiceName, ServiceTargets] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        node: PeerNode,
+        state: Callable[[], ConfigurationView],
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> "TargetDirectory":
+        """Build the directory as [routing] says."""
+        return cls(settings, node, state, metrics, rng)
+
+    async def start(self) -> None:
+        """Begin to watch the targets known so far."""
+        self._watches.start()
+        self.refresh()
+
+    async def close(self) -> None:
+        """Stop watching."""
+        await self._watches.close()
+
+    def set_members(self, members: Sequence[Member]) -> None:
+        """Take a new list of hosts."""
+        self._members = {
+            member.host: member for member in members if member.role is MemberRole.AGENT
+        }
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Work out anew which targets this entry deals with, after a change."""
+        now = self._now()
+        wanted = set(self._pick_hosts())
+        self._wanted = {host: self._wanted.get(host, now) for host in wanted}
+        for host in [host for host in self._heartbeats if host not in wanted]:
+            self._forget(host)
+        self._watches.set_targets({host: self._members[host].address for host in wanted})
+        self._services.clear()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Take in a heartbeat."""
+        heartbeat: messages.Heartbeat = exchange.message
+        if exchange.link.remote.host != heartbeat.host:
+            return
+        self.note_heartbeat(heartbeat)
+
+    def note_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """Take in what an agent says of its target."""
+        host = HostId(heartbeat.host)
+        if host not in self._wanted:
+            return
+        before = self._heartbeats.get(host)
+        if before is not None and _is_older(heartbeat, before):
+            return
+        now = self._now()
+        self._heartbeats[host] = heartbeat
+        self._heard_at[host] = now
+        self._take_facts(host, heartbeat, now)
+
+    def candidates(self, service: ServiceName | str) -> list[TargetFacts]:
+        """Return the targets of a service that may be offered requests now."""
+        now = self._now()
+        return [facts for facts in self._targets_of(service).targets if self._usable(facts, now)]
+
+    def choose(
+        self,
+        service: ServiceName | str,
+        head: messages.RequestHead,
+        exclude: frozenset[str] = frozenset(),
+    ) -> Choice | None:
+        """Return the target that a request should go to, or none when none may take it."""
+        now = self._now()
+        known = self._targets_of(service)
+        usable = [
+            facts
+            for facts in known.targets
+            if facts.host not in exclude
+            and (not head.digest or facts.digest == head.digest)
+            and self._usable(facts, now)
+        ]
+        chosen = choose_target(usable, known.usual_s, now, self._slow_start_s, self._rng)
+        if chosen is None:
+            return None
+        return Choice(chosen.host, chosen.address, chosen.incarnation, chosen.digest)
+
+    def begin(self, host: HostId | str) -> None:
+        """Note that a call goes to a target."""
+        self._budget.note_request()
+        facts = self._facts.get(HostId(host))
+        if facts is not None:
+            facts.in_flight += 1
+            facts.health.note_begin(self._now())
+
+    def end(self, host: HostId | str, result: CallResult) -> None:
+        """Note how a call that was begun ended."""
+        facts = self._facts.get(HostId(host))
+        if facts is None:
+            return
+        now = self._now()
+        facts.in_flight = max(0, facts.in_flight - 1)
+        if result.load is not None:
+            _take_load(facts, result.load, now)
+            self._heard_at[facts.host] = now
+        elif result.seconds is not None:
+            note_time(facts, result.seconds, now)
+        match result.outcome:
+            case CallOutcome.ABANDONED | CallOutcome.REFUSED:
+                facts.health.note_nothing()
+            case CallOutcome.ANSWERED | CallOutcome.FAILED:
+                self._note_health(facts, result.outcome is CallOutcome.FAILED, now)
+        known = self._services.get(facts.service)
+        if known is not None:
+            known.usual_s = usual_time(known.targets)
+
+    def retry_allowed(self) -> bool:
+        """Return whether the budget allows a retry now, and pay for it."""
+        return self._budget.take(self._now())
+
+    def heartbeats(self) -> dict[str, messages.Heartbeat]:
+        """Return the last heartbeat of each host that is watched."""
+        return {str(host): heartbeat for host, heartbeat in self._heartbeats.items()}
+
+    def silent_hosts(self, now: float | None = None) -> set[str]:
+        """Return the watched hosts that were not heard of for longer than `dead_after`."""
+        at = self._now() if now is None else now
+        return {host for host in self._wanted if self._is_silent(host, at)}
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _pick_hosts(self) -> Iterable[HostId]:
+        placed: set[str] = set()
+        for hosts in self._state().placements.values():
+            placed.update(hosts)
+            yield from self._pick(hosts)
+        yield from self._pick(host for host in self._members if host not in placed)
+
+    def _pick(self, hosts: Iterable[str]) -> Iterable[HostId]:
+        live = [self._members[HostId(host)] for host in hosts if host in self._members]
+        facts = [HostFacts(member.host, member.place, member.address) for member in live]
+        picked = pick_subset(self._me, self._place, facts, self._subset)
+        return [each.host for each in picked]
+
+    def _targets_of(self, service: ServiceName | str) -> ServiceTargets:
+        known = self._services.get(ServiceName(service))
+        if known is None:
+            placed = self._state().placements.get(service, {})
+            found = [self._facts[HostId(host)] for host in placed if host in self._facts]
+            targets = [facts for facts in found if self._serves(facts, service)]
+            known = ServiceTargets(targets, usual_time(targets))
+            self._services[ServiceName(service)] = known
+        return known
+
+    def _serves(self, facts: TargetFacts, service: str) -> bool:
+        member = self._members.get(facts.host)
+        if member is None or member.state is not MemberState.LIVE:
+            return False
+        if facts.host in self._state().draining:
+            return False
+        heartbeat = self._heartbeats[facts.host]
+        return facts.service == service and heartbeat.state == TargetState.SERVING
+
+    def _usable(self, facts: TargetFacts, now: float) -> bool:
+        return facts.health.may_take(now) and not self._is_silent(facts.host, now)
+
+    def _is_silent(self, host: HostId, now: float) -> bool:
+        heard_at = self._heard_at.get(host, self._wanted.get(host, now))
+        return now - heard_at > self._dead_after_s
+
+    def _take_facts(self, host: HostId, heartbeat: messages.Heartbeat, now: float) -> None:
+        facts = self._facts.get(host)
+        serving = heartbeat.state == TargetState.SERVING
+        if facts is None or facts.incarnation != heartbeat.incarnation:
+            facts = self._fresh_facts(host, heartbeat, now)
+            self._facts[host] = facts
+            self._services.clear()
+        key = (facts.service, facts.digest, facts.serving)
+        if serving and not facts.serving:
+            facts.serving_since = now
+        facts.service = ServiceName(heartbeat.service_name)
+        facts.release = ReleaseName(heartbeat.release)
+        facts.digest = Digest(heartbeat.digest)
+        facts.serving = serving
+        if key != (facts.service, facts.digest, facts.serving):
+            self._services.clear()
+        if heartbeat.load is not None:
+            _take_load(facts, heartbeat.load, now)
+
+    def _fresh_facts(self, host: HostId, heartbeat: messages.Heartbeat, now: float) -> TargetFacts:
+        return TargetFacts(
+            host=host,
+            place=Place(heartbeat.place),
+            address=Address(self._members[host].address),
+            incarnation=Incarnation(heartbeat.incarnation),
+            service=ServiceName(heartbeat.service_name),
+            release=ReleaseName(heartbeat.release),
+            digest=Digest(heartbeat.digest),
+            near=heartbeat.place == self._place,
+            serving_since=now,
+        )
+
+    def _note_health(self, facts: TargetFacts, failed: bool, now: float) -> None:
+        targets = self._targets_of(facts.service).targets
+        out = sum(each.health.standing(now) is Standing.OUT for each in targets)
+        if end_call(facts.health, failed, now, out, len(targets), self._rules):
+            self._metrics.count("targets_ejected")
+            log.warning(
+                "target_ejected",
+                target=facts.host,
+                failures=facts.health.failures_in_row,
+            )
+
+    def _lose(self, host: HostId) -> None:
+        """Offer nothing to a host whose link broke, until it is heard of again."""
+        if self._facts.pop(host, None) is not None:
+            self._services.clear()
+        self._heartbeats.pop(host, None)
+
+    def _forget(self, host: HostId) -> None:
+        self._lose(host)
+        self._heard_at.pop(host, None)
+
+
+def _is_older(heartbeat: messages.Heartbeat, before: messages.Heartbeat) -> bool:
+    same = heartbeat.incarnation == before.incarnation
+    return same and heartbeat.sequence < before.sequence
+
+
+def _take_load(facts: TargetFacts, load: messages.Load, now: float) -> None:
+    note_report(facts, load.running, load.queued, load.capacity, load.age_ms / MILLISECONDS, now)
+    if load.request_ms > 0:
+        note_time(facts, load.request_ms / MILLISECONDS, now)
+
+
+__all__ = ["CallOutcome", "CallResult", "Choice", "TargetDirectory", "TargetFacts"]
--- /dev/null
+++ b/src/lacewinggw/entry/watches.py
@@ -0,0 +1,62 @@
+"""Links on which agents send their heartbeats: kept open, and opened again when they break."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Address, HostId
+from lacewinggw.wire.peers import PeerNode
+
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 2.0
+
+OnLost = Callable[[HostId], None]
+
+
+class Watches:
+    """One watch per target: a link to its agent with the request for heartbeats sent on it."""
+
+    def __init__(self, node: PeerNode, me: HostId, on_lost: OnLost, rng: random.Random) -> None:
+        self._node = node
+        self._me = me
+        self._on_lost = on_lost
+        self._rng = rng
+        self._tasks: dict[tuple[HostId, Address], asyncio.Task[None]] = {}
+        self._running = False
+
+    def start(self) -> None:
+        """Allow links to be opened."""
+        self._running = True
+
+    async def close(self) -> None:
+        """End all watches."""
+        self._running = False
+        tasks = list(self._tasks.values())
+        self.set_targets({})
+        if tasks:
+            await asyncio.wait(tasks)
+
+    def set_targets(self, addresses: Mapping[HostId, Address]) -> None:
+        """Watch these agents and no others."""
+        wanted = set(addresses.items())
+        for key in [key for key in self._tasks if key not in wanted]:
+            self._tasks.pop(key).cancel()
+        if not self._running:
+            return
+        for key in wanted - self._tasks.keys():
+            self._tasks[key] = asyncio.get_running_loop().create_task(self._watch(*key))
+
+    async def _watch(self, host: HostId, address: Address) -> None:
+        retry_s = FIRST_RETRY_S
+        while True:
+            with suppress(LacewingError, OSError):
+                link = await self._node.link(address)
+                link.notify(messages.Watch(self._me))
+                retry_s = FIRST_RETRY_S
+                await link.closed.wait()
+            self._on_lost(host)
+            await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.5))
+            retry_s = min(LONGEST_RETRY_S, retry_s * 2)
--- a/src/lacewinggw/settings.py
+++ b/src/lacewinggw/settings.py
@@ -20,6 +20,7 @@
 
 from thrift.Thrift import TType
 
+from lacewinggw.decisions.limits import AccountDeclaration
 from lacewinggw.errors import (
     AddressClash,
     BadAddress,
@@ -80,7 +81,7 @@
 MAXIMUM = {TType.I32: 2**31 - 1, TType.I64: 2**63 - 1}
 PORT_MAXIMUM = 65535
 # Of the form "a:b"; the schema's comments say what the parts are.
-LIST_PARTS = {"operator_tokens": 2, "accounts": 4}
+LIST_PARTS = {"operator_tokens": (2,), "accounts": (4, 5)}
 TRUE_WORDS = ("yes", "true", "on")
 FALSE_WORDS = ("no", "false", "off")
 
@@ -265,8 +266,9 @@
     if key.field in ADDRESSES:
         _check_address(file, key, text)
     parts = LIST_PARTS.get(key.field)
-    if parts is not None and len(text.split(":")) != parts:
-        met = f"an item has {len(text.split(':'))} parts between colons, not {parts}"
+    if parts is not None and len(text.split(":")) not in parts:
+        wanted = " or ".join(map(str, parts))
+        met = f"an item has {len(text.split(':'))} parts between colons, not {wanted}"
         raise BadValue.at(file, key.section, key.name, met, _list_remedy(key))
     if key.field == "accounts":
         _check_account(file, key, text)
@@ -275,20 +277,18 @@
 
 def _list_remedy(key: Key) -> str:
     if key.field == "accounts":
-        return "write account:token:requests-per-second:concurrency, one a line"
+        return "write account:token:requests-per-second:concurrency[:weight], one a line"
     return "write name:token, one a line"
 
 
 def _check_account(file: str, key: Key, text: str) -> None:
-    name, token, rate, concurrency = text.split(":")
     try:
-        good = bool(name and token) and float(rate) > 0 and int(concurrency) > 0
-    except ValueError:
-        good = False
-    if not good:
+        AccountDeclaration.parse(text)
+    except ValueError as error:
         # The token is a secret: the message names the account only.
+        name = text.split(":")[0]
         met = f"the limits of account {name!r} are not numbers above 0"
-        raise BadValue.at(file, key.section, key.name, met, _list_remedy(key))
+        raise BadValue.at(file, key.section, key.name, met, _list_remedy(key)) from error
 
 
 def _parse_switch(file: str, key: Key, text: str) -> bool:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,10 +6,12 @@
 too, so that its line gets removed.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
+import structlog
 from hypothesis import settings
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
@@ -19,6 +21,13 @@
 KNOWN_RED_LIMIT = 3
 
 
+@pytest.fixture(autouse=True)
+def fresh_log() -> Iterator[None]:
+    """Undo what a test did to the log, whose stream may be gone when the next test writes to it."""
+    yield
+    structlog.reset_defaults()
+
+
 @dataclass(frozen=True)
 class KnownRed:
     """A test that fails for a fault not yet mended."""
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,179 @@
+"""Routing, ejection, the retry budget, subsets and address answers, as pure decisions."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from lacewinggw.decisions.addresses import (
+    EntryFacts,
+    account_entries,
+    answer_addresses,
+    count_addresses,
+)
+from lacewinggw.decisions.ejection import EjectionRules, Health, Standing, end_call
+from lacewinggw.decisions.retries import BURST, FLOOR_PER_S, RetryBudget
+from lacewinggw.decisions.routing import TargetFacts, choose_target, cost, note_report, note_time
+from lacewinggw.decisions.subsets import HostFacts, pick_subset
+from lacewinggw.ids import (
+    Account,
+    Address,
+    Digest,
+    HostId,
+    Incarnation,
+    Place,
+    ReleaseName,
+    ServiceName,
+)
+
+RULES = EjectionRules(after=3, out_s=5.0, limit=0.5)
+
+
+def make_target(name: str, **changes: object) -> TargetFacts:
+    facts = TargetFacts(
+        HostId(name),
+        Place("kgn-hall-a"),
+        Address(f"{name}:1"),
+        Incarnation("1"),
+        ServiceName("citation-llm"),
+        ReleaseName("citation-1"),
+        Digest("d"),
+        capacity=8,
+        serving_since=-1000.0,
+        request_s=1.0,
+    )
+    for field, value in changes.items():
+        setattr(facts, field, value)
+    return facts
+
+
+def make_entries(count: int) -> list[EntryFacts]:
+    return [
+        EntryFacts(HostId(f"e{n}"), Place(f"p{n % 3}"), Address(f"10.0.0.{n}:80"))
+        for n in range(count)
+    ]
+
+
+def test_the_less_loaded_of_two_is_chosen() -> None:
+    busy, idle = make_target("busy", in_flight=5), make_target("idle")
+    rng = random.Random(1)
+    chosen = {choose_target([busy, idle], 1.0, 0.0, 0.0, rng).host for _ in range(20)}
+    assert chosen == {"idle"}
+
+
+def test_a_slow_target_is_avoided_at_equal_load() -> None:
+    slow, quick = make_target("slow", request_s=10.0), make_target("quick", in_flight=8)
+    assert choose_target([slow, quick], 1.0, 0.0, 0.0, random.Random(1)) is quick
+
+
+def test_a_stale_report_counts_for_less_and_own_calls_are_not_counted_twice() -> None:
+    target = make_target("t", in_flight=2)
+    note_report(target, running=6, queued=4, capacity=8, age_s=0.0, now=0.0)
+    fresh = cost(target, 1.0, 0.0, 0.0)
+    assert fresh == pytest.approx((1 + 2 + 8) / 8)
+    assert cost(target, 1.0, 1.0, 0.0) < fresh
+    assert cost(target, 1.0, 100.0, 0.0) == pytest.approx((1 + 2) / 8)
+
+
+def test_a_slow_sample_fades_so_that_the_target_is_tried_again() -> None:
+    target = make_target("t", request_s=None)
+    note_time(target, 10.0, 0.0)
+    assert cost(target, 1.0, 0.0, 0.0) == pytest.approx(10 / 8)
+    assert cost(target, 1.0, 100.0, 0.0) == pytest.approx(1 / 8, rel=0.01)
+
+
+def test_a_fresh_target_gets_a_rising_share() -> None:
+    fresh, old = make_target("fresh", serving_since=0.0), make_target("old")
+    assert cost(fresh, 1.0, 0.5, 5.0) == pytest.approx(10 * cost(old, 1.0, 0.5, 5.0))
+    assert cost(fresh, 1.0, 5.0, 5.0) == pytest.approx(cost(old, 1.0, 5.0, 5.0))
+
+
+def test_a_failing_target_goes_out_comes_back_on_trial_and_stays_out_longer_each_time() -> None:
+    health = Health()
+    for _ in range(3):
+        end_call(health, True, 0.0, 0, 4, RULES)
+    assert health.standing(4.9) is Standing.OUT
+    assert health.standing(5.0) is Standing.ON_TRIAL
+    health.note_begin(5.0)
+    assert not health.may_take(5.0)
+    assert end_call(health, True, 5.0, 0, 4, RULES)
+    assert health.standing(14.9) is Standing.OUT
+    health.note_begin(15.0)
+    end_call(health, False, 15.0, 0, 4, RULES)
+    assert health.standing(15.0) is Standing.IN
+
+
+def test_a_target_that_fails_most_calls_goes_out_without_a_row_of_failures() -> None:
+    health, rng = Health(), random.Random(1)
+    ends = [
+        end_call(health, rng.random() < 0.75, 0.0, 0, 4, EjectionRules(after=50))
+        for _ in range(100)
+    ]
+    assert any(ends)
+
+
+def test_no_more_targets_go_out_than_the_limit() -> None:
+    healths = [Health() for _ in range(4)]
+    for _ in range(10):
+        for health in healths:
+            out = sum(each.standing(0.0) is Standing.OUT for each in healths)
+            end_call(health, True, 0.0, out, 4, RULES)
+    assert sum(each.standing(0.0) is Standing.OUT for each in healths) == 2
+
+
+def test_retries_stay_within_their_share_under_total_failure() -> None:
+    budget, retries = RetryBudget(share=0.1), 0
+    for step in range(10_000):
+        budget.note_request()
+        retries += budget.take(step / 1000)
+    assert retries <= 0.1 * 10_000 + BURST + FLOOR_PER_S * 10
+    assert retries >= 0.09 * 10_000
+
+
+def test_subsets_are_bounded_near_first_and_even() -> None:
+    hosts = [HostFacts(HostId(f"t{n}"), Place(f"p{n % 3}"), Address(f"t{n}:1")) for n in range(120)]
+    used: Counter[str] = Counter()
+    for n in range(300):
+        subset = pick_subset(HostId(f"e{n}"), Place(f"p{n % 3}"), hosts, 16)
+        assert len(subset) == 16
+        assert {each.place for each in subset} == {f"p{n % 3}"}
+        used.update(each.host for each in subset)
+    mean = 300 * 16 / 120
+    assert max(used.values()) < 1.5 * mean
+    assert min(used.values()) > 0.5 * mean
+
+
+def test_a_lost_target_changes_one_place_of_a_subset() -> None:
+    hosts = [HostFacts(HostId(f"t{n}"), Place("p"), Address(f"t{n}:1")) for n in range(40)]
+    before = pick_subset(HostId("e"), Place("p"), hosts, 8)
+    lost = before[3]
+    after = pick_subset(HostId("e"), Place("p"), [h for h in hosts if h is not lost], 8)
+    assert len(set(before) & set(after)) == 7
+
+
+def test_an_account_is_told_the_same_entries_in_several_places_whoever_answers() -> None:
+    entries = make_entries(9)
+    shuffled = random.Random(1).sample(entries, 9)
+    for name in ("buyers", "radio", "agents"):
+        chosen = account_entries(Account(name), entries, 3)
+        assert chosen == account_entries(Account(name), shuffled, 3)
+        assert len({entry.place for entry in chosen}) == 3
+
+
+def test_a_lost_entry_moves_only_the_accounts_that_used_it() -> None:
+    entries = make_entries(9)
+    left = entries[1:]
+    for n in range(200):
+        account = Account(f"a{n}")
+        before = {entry.host for entry in account_entries(account, entries, 3)}
+        after = {entry.host for entry in account_entries(account, left, 3)}
+        assert len(before & after) >= (3 if "e0" not in before else 2)
+
+
+def test_large_accounts_get_more_entries_and_callers_start_at_different_ones() -> None:
+    assert count_addresses(50.0, 3, 200.0) == 3
+    assert count_addresses(1000.0, 3, 200.0) == 5
+    rng = random.Random(1)
+    first = Counter(answer_addresses(Account("a"), make_entries(9), 3, rng)[0] for _ in range(300))
+    assert len(first) == 3
+    assert min(first.values()) > 70
