Tell a host that is gone from a reply that is lost

Cause: a connection that never came about, as to a host behind a cut link, ended by the call's time limit, like a slow reply; the write counted as one that may have taken effect. Change: connecting may take half of a call's time and fails as NotConnectedError; the clients of the platform and of targets take that alone for proof that nothing was sent. Before: 3 of 3 cases of the new test (limits of 0.5, 2 and 30 s) ended as unknown; after: as not written.

--- a/src/lacewinggw/platform/calls.py
+++ b/src/lacewinggw/platform/calls.py
@@ -1,6 +1,6 @@
 """One call to a service of the platform, with its failures told apart.
 
-What matters of a failed write is whether it may have taken effect: a refused connection or a
+What matters of a failed write is whether it may have taken effect: one with no connection, or a
 refusal by status is `PlatformUnavailable` or `PlatformThrottled`, and certainly did not; anything
 else after the request was sent is `WriteUnknown`.
 """
@@ -17,7 +17,14 @@
     PlatformUnavailable,
     WriteUnknown,
 )
-from lacewinggw.wire.http import JSON_TYPE, Headers, HttpClient, HttpError, Response
+from lacewinggw.wire.http import (
+    JSON_TYPE,
+    Headers,
+    HttpClient,
+    HttpError,
+    NotConnectedError,
+    Response,
+)
 
 MS_PER_S = 1000
 THROTTLED = 429
@@ -109,7 +116,7 @@
             response = await self._http.request(
                 self._address, method, target, headers, data, timeout_s=self._timeout_s
             )
-        except ConnectionRefusedError as error:
+        except NotConnectedError as error:
             raise self._unavailable(error) from error
         except (OSError, TimeoutError, HttpError) as error:
             reason = f"the {self._service} gave no reply to a write: {_describe(error)}"
--- a/src/lacewinggw/platform/targets.py
+++ b/src/lacewinggw/platform/targets.py
@@ -1,6 +1,6 @@
 """What calls to any target share: headers, and failures told apart by whether the call ran.
 
-A refused connection or a refusal by status is `TargetRefused`: the call did not run. Anything else
+No connection, or a refusal by status, is `TargetRefused`: the call did not run. Anything else
 after it was sent is `TargetFailed` or `AnswerIncomplete`: it may have run.
 """
 
@@ -12,7 +12,7 @@
     TargetRefused,
 )
 from lacewinggw.platform.calls import retry_after_ms
-from lacewinggw.wire.http import Headers, HttpError, Response
+from lacewinggw.wire.http import Headers, HttpError, NotConnectedError, Response
 
 REQUEST_ID_HEADER = "x-request-id"
 KEY_HEADER = "idempotency-key"
@@ -23,7 +23,7 @@
 
 def lost_before_answer(error: Exception) -> LacewingError:
     """Return the error for a call that no answer came to."""
-    if isinstance(error, ConnectionRefusedError):
+    if isinstance(error, NotConnectedError):
         return TargetRefused(f"the target cannot be reached: {error}")
     return TargetFailed(f"the target gave no answer: {describe(error)}")
 
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -19,6 +19,7 @@
 
 READ_BYTES = 1 << 16
 IDLE_CONNECTIONS = 32
+CONNECT_SHARE = 0.5
 JSON_TYPE = "application/json"
 
 log = get_logger(__name__)
@@ -327,11 +328,17 @@
             self._stream.close()
 
 
+class NotConnectedError(ConnectionRefusedError):
+    """No connection came about: the request was certainly not sent."""
+
+
 class HttpClient:
     """Make requests, keeping idle connections per address for reuse.
 
-    Raises `OSError` (connection refused, reset, cut short), `TimeoutError`, and `HttpError` when
-    the other side breaks the protocol. No request is ever sent twice: callers decide on retries.
+    Raises `NotConnectedError` when nothing was sent, other kinds of `OSError` (reset, cut short),
+    `TimeoutError`, and `HttpError` when the other side breaks the protocol. Connecting may take
+    `CONNECT_SHARE` of a request's time, so that a host that is gone is told from a slow reply. No
+    request is ever sent twice: callers decide on retries.
     """
 
     def __init__(self, network: Network, limits: HttpLimits | None = None) -> None:
@@ -377,7 +384,7 @@
         timeout_s: float = 5.0,
     ) -> StreamedResponse:
         """Make a request and return once its head is there; each read waits up to `timeout_s`."""
-        stream, connection = await self._take(address)
+        stream, connection = await self._take(address, timeout_s)
         try:
             self._send_request(stream, connection, address, method, path, headers, body)
             await stream.drain()
@@ -419,14 +426,22 @@
         data += connection.send(h11.EndOfMessage()) or b""
         stream.write(data)
 
-    async def _take(self, address: str) -> tuple[Stream, h11.Connection]:
+    async def _connect(self, address: str, timeout_s: float) -> Stream:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._network.connect(address)
+        except (OSError, TimeoutError) as error:
+            reason = str(error) or f"{address} does not answer"
+            raise NotConnectedError(reason) from error
+
+    async def _take(self, address: str, timeout_s: float) -> tuple[Stream, h11.Connection]:
         kept = self._idle.get(address, [])
         while kept:
             stream, connection = kept.pop()
             if not stream.ended:
                 return stream, connection
             stream.close()
-        stream = await self._network.connect(address)
+        stream = await self._connect(address, timeout_s * CONNECT_SHARE)
         limit = self._limits.head_bytes
         return stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=limit)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,6 +20,7 @@
 from lacewinggw.platform.objects import ObjectClient
 from lacewinggw.platform.table import Accepted, Conflict, Put, Row, TableClient
 from lacewinggw.wire.http import HttpClient
+from lacewinggw.wire.network import Stream
 
 pytestmark = pytest.mark.looptime
 
@@ -196,3 +197,19 @@
             assert (await http.request(address, "POST", "/control", body=wrong)).status == 400
         assert (await http.request(address, "GET", "/stats")).json()["lag_s"] == 2
         await http.close()
+
+
+class SilentNetwork(MemoryNetwork):
+    """A network on which connecting never ends, as to a host that is gone."""
+
+    async def connect(self, address: str) -> Stream:
+        await asyncio.sleep(3600)
+        raise AssertionError(address)
+
+
+@pytest.mark.parametrize("timeout_s", [0.5, 2.0, 30.0])
+async def test_a_host_that_is_gone_certainly_wrote_nothing(timeout_s: float) -> None:
+    table = TableClient(SilentNetwork(), "10.0.0.9:1", timeout_s)
+    with pytest.raises(PlatformUnavailable):
+        await table.put("key", "a")
+    await table.close()
