--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -6,7 +6,7 @@
   lacewinggw check FILE [--role ROLE]
   lacewinggw ask [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] WORDS...
   lacewinggw plan [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--check] DIR
-  lacewinggw apply [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] DIR
+  lacewinggw apply [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--at N] DIR
   lacewinggw --help
   lacewinggw --version
 
@@ -26,6 +26,7 @@
   --token TOKEN    Operator's token.
   --json           Print JSON instead of a table.
   --check          Exit with 1 when there is anything to change.
+  --at N           Refuse when the configuration has moved since revision N, which plan showed.
   -h --help        Show this text.
   --version        Show the version.
 
@@ -44,7 +45,14 @@
 from docopt import DocoptExit, docopt
 
 from lacewinggw import __version__
-from lacewinggw.errors import BadUsage, LacewingError, LanguageError, Outcome, SettingsError
+from lacewinggw.errors import (
+    BadDeclaration,
+    BadUsage,
+    LacewingError,
+    LanguageError,
+    Outcome,
+    SettingsError,
+)
 from lacewinggw.generated.settings.ttypes import OperatorSettings
 from lacewinggw.ids import Address
 from lacewinggw.log import LogFormat, configure_log, get_logger
@@ -104,7 +112,7 @@
     """Return the exit code that stands for an error."""
     if error.outcome is Outcome.UNKNOWN:
         return ExitCode.UNKNOWN
-    if isinstance(error, SettingsError | LanguageError):
+    if isinstance(error, SettingsError | LanguageError | BadDeclaration):
         return ExitCode.BAD_INPUT
     return ExitCode.FAILED
 
@@ -137,8 +145,8 @@
             return ask(shell_options(options), words)
         case {"plan": True, "DIR": folder, "--check": check}:
             return plan(shell_options(options), Path(folder), check)
-        case {"apply": True, "DIR": folder}:
-            return apply(shell_options(options), Path(folder))
+        case {"apply": True, "DIR": folder, "--at": revision}:
+            return apply(shell_options(options), Path(folder), _parse_revision(revision))
         case _:
             raise BadUsage("no command is named")
 
@@ -212,21 +220,27 @@
     """Put a query or command to an entry and print the answer."""
     from lacewinggw.operators.shell import ask_command
 
-    return int(ask_command(options, " ".join(words)))
+    return ask_command(options, " ".join(words))
 
 
 def plan(options: ShellOptions, folder: Path, check: bool) -> int:
     """Print what the declarations in a folder would change."""
     from lacewinggw.operators.shell import plan_command
 
-    return int(plan_command(options, folder, check))
+    return plan_command(options, folder, check)
 
 
-def apply(options: ShellOptions, folder: Path) -> int:
+def apply(options: ShellOptions, folder: Path, at_revision: int | None) -> int:
     """Carry out the declarations in a folder as one revision."""
     from lacewinggw.operators.shell import apply_command
 
-    return int(apply_command(options, folder))
+    return apply_command(options, folder, at_revision)
+
+
+def _parse_revision(text: str | None) -> int | None:
+    if text is None or text.isdecimal():
+        return None if text is None else int(text)
+    raise BadUsage(f"--at {text}: not a revision", remedy="take the number that plan showed")
 
 
 if __name__ == "__main__":
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -12,6 +12,7 @@
 from lacewinggw.cli import ExitCode, ShellOptions, main, parse_arguments, shell_options
 from lacewinggw.errors import (
     AcceptanceUnknown,
+    BadDeclaration,
     ConfigurationConflict,
     LacewingError,
     LanguageError,
@@ -35,7 +36,15 @@
 
 @pytest.mark.parametrize(
     "argv",
-    [[], ["bogus"], ["entry"], ["ask"], ["ask", "show", "services"], ["check", "f", "--role", "x"]],
+    [
+        [],
+        ["bogus"],
+        ["entry"],
+        ["ask"],
+        ["ask", "show", "services"],
+        ["check", "f", "--role", "x"],
+        ["apply", "--entry", "127.0.0.1:1", "--at", "x", "."],
+    ],
 )
 def test_bad_command_line_is_one_line_and_exit_code_2(
     argv: list[str],
@@ -53,6 +62,7 @@
     [
         (UnknownKey("x"), ExitCode.BAD_INPUT),
         (LanguageError("x"), ExitCode.BAD_INPUT),
+        (BadDeclaration("x"), ExitCode.BAD_INPUT),
         (NoTarget("x"), ExitCode.FAILED),
         (ConfigurationConflict("x"), ExitCode.FAILED),
         (AcceptanceUnknown("x"), ExitCode.UNKNOWN),
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,29 @@
+"""The documents: every page is found from its index, every link leads somewhere."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).resolve().parent.parent
+LINK = re.compile(r"\]\((?!https?:)(?P<path>[^)#]+)")
+PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")])
+
+
+def relative(path: Path) -> str:
+    """Return the path from the root, as a test's id."""
+    return str(path.relative_to(ROOT))
+
+
+@pytest.mark.parametrize("page", PAGES, ids=relative)
+def test_links_lead_somewhere(page: Path) -> None:
+    links = LINK.findall(page.read_text())
+    assert [link for link in links if not (page.parent / link).exists()] == []
+
+
+def test_each_design_page_is_in_the_index() -> None:
+    folder = ROOT / "docs" / "design"
+    index = (folder / "README.md").read_text()
+    pages = [path.name for path in folder.glob("*.md") if path.name != "README.md"]
+    missing = [name for name in sorted(pages) if f"({name})" not in index]
+    assert missing == [], "add a row for it to docs/design/README.md"
