Send prompts that begin alike where their beginning is cached

Rendezvous over the weights and an early block gives every entry the same home for a prefix without a message; what this entry sent itself is remembered by the longest block. Both yield to load: no target past three quarters of its slots takes more than 1.25 times the mean for affinity's sake.

A retry now pays back the share that its own call adds to the budget, so that retries are at most the share of requests, not of calls (11.1% at a share of 10% before).

--- a/src/lacewinggw/decisions/retries.py
+++ b/src/lacewinggw/decisions/retries.py
@@ -8,13 +8,13 @@
 
 @dataclass
 class RetryBudget:
-    """A balance that each request raises by `share` and each retry lowers by one.
+    """A balance that each call raises by `share`; a retry is a call too, and pays that back.
 
     Over any time, retries stay within `share` of the requests, plus `floor_per_s` for each second
     and the burst that was saved up before.
 
         budget = RetryBudget(share=0.1)
-        budget.note_request()
+        budget.note_call()
         if budget.take(now): ...  # retry
     """
 
@@ -24,8 +24,8 @@
     balance: float = field(default=BURST)
     _refilled_at: float | None = None
 
-    def note_request(self) -> None:
-        """Count a request, not a retry of one."""
+    def note_call(self) -> None:
+        """Count a call to a target."""
         self.balance = min(self.burst, self.balance + self.share)
 
     def take(self, now: float) -> bool:
@@ -34,7 +34,7 @@
             refill = (now - self._refilled_at) * self.floor_per_s
             self.balance = min(self.burst, self.balance + refill)
         self._refilled_at = now
-        if self.balance < 1.0:
+        if self.balance < 1.0 + self.share:
             return False
-        self.balance -= 1.0
+        self.balance -= 1.0 + self.share
         return True
--- a/src/lacewinggw/decisions/routing.py
+++ b/src/lacewinggw/decisions/routing.py
@@ -44,6 +44,15 @@
     health: Health = field(default_factory=Health)
 
 
+@dataclass(frozen=True)
+class Moment:
+    """What a choice is made by, beside the targets: the time, and what is usual of the service."""
+
+    now: float
+    usual_s: float = 1.0  # time that one request runs
+    slow_start_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class Choice:
     """The target that a request goes to."""
@@ -82,28 +91,32 @@
     return facts.in_flight + others * math.exp(-age / REPORT_DECAY_S)
 
 
-def slow_start_share(facts: TargetFacts, now: float, slow_start_s: float) -> float:
+def slow_start_share(facts: TargetFacts, moment: Moment) -> float:
     """Return the share of its capacity that a fresh target is given, rising to 1."""
-    if slow_start_s <= 0:
+    if moment.slow_start_s <= 0:
         return 1.0
-    share = (now - facts.serving_since) / slow_start_s
+    share = (moment.now - facts.serving_since) / moment.slow_start_s
     return min(1.0, max(SLOW_START_LEAST, share))
 
 
-def request_time(facts: TargetFacts, usual_s: float, now: float) -> float:
+def occupancy(facts: TargetFacts, moment: Moment) -> float:
+    """Return how full a target would be with one more request; 1 is full."""
+    share = slow_start_share(facts, moment)
+    return (1.0 + work_ahead(facts, moment.now)) / (facts.capacity * share)
+
+
+def request_time(facts: TargetFacts, moment: Moment) -> float:
     """Return the time one request runs, fading to the usual of the service without samples."""
     if facts.request_s is None:
-        return usual_s
-    weight = math.exp(-max(0.0, now - facts.sampled_at) / TIME_MEMORY_S)
-    return usual_s + (facts.request_s - usual_s) * weight
+        return moment.usual_s
+    weight = math.exp(-max(0.0, moment.now - facts.sampled_at) / TIME_MEMORY_S)
+    return moment.usual_s + (facts.request_s - moment.usual_s) * weight
 
 
-def cost(facts: TargetFacts, usual_s: float, now: float, slow_start_s: float) -> float:
+def cost(facts: TargetFacts, moment: Moment) -> float:
     """Return the cost of one more request on a target; the lower, the better."""
-    share = slow_start_share(facts, now, slow_start_s)
-    ahead = (1.0 + work_ahead(facts, now)) / (facts.capacity * share)
     place = 1.0 if facts.near else REMOTE_FACTOR
-    return request_time(facts, usual_s, now) * ahead * place
+    return request_time(facts, moment) * occupancy(facts, moment) * place
 
 
 def usual_time(targets: Sequence[TargetFacts]) -> float:
@@ -125,11 +138,7 @@
 
 
 def choose_target(
-    targets: Sequence[TargetFacts],
-    usual_s: float,
-    now: float,
-    slow_start_s: float,
-    rng: random.Random,
+    targets: Sequence[TargetFacts], moment: Moment, rng: random.Random
 ) -> TargetFacts | None:
     """Return the better of two random targets, or none when there is no target."""
     pair = pick_two(targets, rng)
@@ -138,8 +147,8 @@
     if len(pair) == 1:
         return pair[0]
     first, second = pair
-    first_cost = cost(first, usual_s, now, slow_start_s)
-    second_cost = cost(second, usual_s, now, slow_start_s)
+    first_cost = cost(first, moment)
+    second_cost = cost(second, moment)
     if first_cost == second_cost:
         return first if rng.random() < 0.5 else second
     return first if first_cost < second_cost else second
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -7,10 +7,12 @@
 from enum import Enum
 from typing import Protocol
 
+from lacewinggw.decisions.affinity import PrefixMemory, preferred_target
 from lacewinggw.decisions.ejection import EjectionRules, Standing, end_call
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routing import (
     Choice,
+    Moment,
     TargetFacts,
     choose_target,
     note_report,
@@ -108,6 +110,7 @@
             routing.eject_limit_percent / PERCENT,
         )
         self._budget = RetryBudget(routing.retry_percent / PERCENT)
+        self._prefixes = PrefixMemory()
         self._watches = Watches(node, self._me, self._lose, rng)
         self._members: dict[HostId, Member] = {}
         self._wanted: dict[HostId, float] = {}  # since when
@@ -195,14 +198,19 @@
             and (not head.digest or facts.digest == head.digest)
             and self._usable(facts, now)
         ]
-        chosen = choose_target(usable, known.usual_s, now, self._slow_start_s, self._rng)
+        moment = Moment(now, known.usual_s, self._slow_start_s)
+        blocks = head.prefix_blocks or ()
+        chosen = preferred_target(usable, blocks, self._prefixes, moment)
+        if chosen is None:
+            chosen = choose_target(usable, moment, self._rng)
         if chosen is None:
             return None
+        self._prefixes.note(chosen.digest, blocks, chosen.host)
         return Choice(chosen.host, chosen.address, chosen.incarnation, chosen.digest)
 
     def begin(self, host: HostId | str) -> None:
         """Note that a call goes to a target."""
-        self._budget.note_request()
+        self._budget.note_call()
         facts = self._facts.get(HostId(host))
         if facts is not None:
             facts.in_flight += 1
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -11,9 +11,17 @@
     answer_addresses,
     count_addresses,
 )
+from lacewinggw.decisions.affinity import PrefixMemory, preferred_target, prefix_blocks
 from lacewinggw.decisions.ejection import EjectionRules, Health, Standing, end_call
 from lacewinggw.decisions.retries import BURST, FLOOR_PER_S, RetryBudget
-from lacewinggw.decisions.routing import TargetFacts, choose_target, cost, note_report, note_time
+from lacewinggw.decisions.routing import (
+    Moment,
+    TargetFacts,
+    choose_target,
+    cost,
+    note_report,
+    note_time,
+)
 from lacewinggw.decisions.subsets import HostFacts, pick_subset
 from lacewinggw.ids import (
     Account,
@@ -57,35 +65,37 @@
 def test_the_less_loaded_of_two_is_chosen() -> None:
     busy, idle = make_target("busy", in_flight=5), make_target("idle")
     rng = random.Random(1)
-    chosen = {choose_target([busy, idle], 1.0, 0.0, 0.0, rng).host for _ in range(20)}
+    chosen = {choose_target([busy, idle], Moment(0.0), rng).host for _ in range(20)}
     assert chosen == {"idle"}
 
 
 def test_a_slow_target_is_avoided_at_equal_load() -> None:
     slow, quick = make_target("slow", request_s=10.0), make_target("quick", in_flight=8)
-    assert choose_target([slow, quick], 1.0, 0.0, 0.0, random.Random(1)) is quick
+    assert choose_target([slow, quick], Moment(0.0), random.Random(1)) is quick
 
 
 def test_a_stale_report_counts_for_less_and_own_calls_are_not_counted_twice() -> None:
     target = make_target("t", in_flight=2)
     note_report(target, running=6, queued=4, capacity=8, age_s=0.0, now=0.0)
-    fresh = cost(target, 1.0, 0.0, 0.0)
+    fresh = cost(target, Moment(0.0))
     assert fresh == pytest.approx((1 + 2 + 8) / 8)
-    assert cost(target, 1.0, 1.0, 0.0) < fresh
-    assert cost(target, 1.0, 100.0, 0.0) == pytest.approx((1 + 2) / 8)
+    assert cost(target, Moment(1.0)) < fresh
+    assert cost(target, Moment(100.0)) == pytest.approx((1 + 2) / 8)
 
 
 def test_a_slow_sample_fades_so_that_the_target_is_tried_again() -> None:
     target = make_target("t", request_s=None)
     note_time(target, 10.0, 0.0)
-    assert cost(target, 1.0, 0.0, 0.0) == pytest.approx(10 / 8)
-    assert cost(target, 1.0, 100.0, 0.0) == pytest.approx(1 / 8, rel=0.01)
+    assert cost(target, Moment(0.0)) == pytest.approx(10 / 8)
+    assert cost(target, Moment(100.0)) == pytest.approx(1 / 8, rel=0.01)
 
 
 def test_a_fresh_target_gets_a_rising_share() -> None:
     fresh, old = make_target("fresh", serving_since=0.0), make_target("old")
-    assert cost(fresh, 1.0, 0.5, 5.0) == pytest.approx(10 * cost(old, 1.0, 0.5, 5.0))
-    assert cost(fresh, 1.0, 5.0, 5.0) == pytest.approx(cost(old, 1.0, 5.0, 5.0))
+    assert cost(fresh, Moment(0.5, 1.0, 5.0)) == pytest.approx(
+        10 * cost(old, Moment(0.5, 1.0, 5.0))
+    )
+    assert cost(fresh, Moment(5.0, 1.0, 5.0)) == pytest.approx(cost(old, Moment(5.0, 1.0, 5.0)))
 
 
 def test_a_failing_target_goes_out_comes_back_on_trial_and_stays_out_longer_each_time() -> None:
@@ -124,8 +134,10 @@
 def test_retries_stay_within_their_share_under_total_failure() -> None:
     budget, retries = RetryBudget(share=0.1), 0
     for step in range(10_000):
-        budget.note_request()
-        retries += budget.take(step / 1000)
+        budget.note_call()
+        if budget.take(step / 1000):
+            retries += 1
+            budget.note_call()
     assert retries <= 0.1 * 10_000 + BURST + FLOOR_PER_S * 10
     assert retries >= 0.09 * 10_000
 
@@ -177,3 +189,47 @@
     first = Counter(answer_addresses(Account("a"), make_entries(9), 3, rng)[0] for _ in range(300))
     assert len(first) == 3
     assert min(first.values()) > 70
+
+
+def test_prompts_that_begin_alike_share_their_first_blocks() -> None:
+    one, other = prefix_blocks("a" * 200 + "b" * 100), prefix_blocks("a" * 200 + "c" * 100)
+    assert len(one) == 4
+    assert one[:3] == other[:3]
+    assert one[3] != other[3]
+
+
+def test_affinity_goes_to_the_same_target_at_every_entry_while_it_has_room() -> None:
+    targets = [make_target(f"t{n}") for n in range(6)]
+    homes = set()
+    for n in range(60):
+        blocks = prefix_blocks(f"{n:064d}" + "x" * 192)
+        chosen = {
+            preferred_target(order, blocks, PrefixMemory(), Moment(0.0)).host
+            for order in (targets, targets[::-1])
+        }
+        assert len(chosen) == 1
+        homes |= chosen
+    assert len(homes) == 6
+
+
+def test_affinity_yields_to_load_and_to_slowness() -> None:
+    targets = [make_target(f"t{n}") for n in range(3)]
+    blocks = prefix_blocks("y" * 256)
+    home = preferred_target(targets, blocks, PrefixMemory(), Moment(0.0))
+    home.in_flight = 6
+    assert preferred_target(targets, blocks, PrefixMemory(), Moment(0.0)) is None
+    for each in targets:
+        each.in_flight = 7
+    assert preferred_target(targets, blocks, PrefixMemory(), Moment(0.0)) is home
+    home.in_flight, home.request_s = 0, 10.0
+    assert preferred_target(targets, blocks, PrefixMemory(), Moment(0.0)) is None
+
+
+def test_a_longer_known_prefix_wins_over_rendezvous() -> None:
+    targets = [make_target(f"t{n}") for n in range(3)]
+    blocks = prefix_blocks("z" * 64 * 8)
+    home = preferred_target(targets, blocks, PrefixMemory(), Moment(0.0))
+    other = next(each for each in targets if each is not home)
+    memory = PrefixMemory()
+    memory.note(other.digest, blocks[:6], other.host)
+    assert preferred_target(targets, blocks, memory, Moment(0.0)) is other
