Run requests on a target at most once, and prove what did not run

Cause: the agent has the last word on whether a request runs, and nobody asked it yet. Change: a book of runs by nonce or request id that starts each once, withdraws what has not started, and calls what it forgot unknown; runs that go on without their connection, with several listeners and credit for slow ones; one weights digest from the start of an answer to its end; quiesce before a swap and drain at exit. Messages carry the digest of the request answered, the weights that pieces come from, the attempt, and method and type for plain services. An error for a claim that cannot be read.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -196,6 +196,9 @@
   11: string digest = ""         // run only on this digest, when set
   12: i64 resume_from = 0        // pieces already delivered
   13: double weight = 1          // of the account in the fair share between accounts
+  14: string method = "POST"      // of a call to a plain service
+  15: string content_type = "application/json"
+  16: i32 attempt = 0            // each try is a run of its own
 }
 
 // Reserve and start in one step; for repeatable requests, and for tickets being redeemed.
@@ -209,12 +212,17 @@
   5: string digest
 }
 struct Start { 1: string nonce, 2: RequestHead head, 3: binary body }
+// `request_id` names the run where there is no nonce: the id, "/" and the attempt.
 struct Withdraw { 1: string nonce, 2: string request_id, 3: string incarnation }
 enum Standing { NEVER_STARTED = 1, STARTED = 2, FINISHED = 3, UNKNOWN = 4 }
 struct Withdrawal { 1: Standing standing, 2: string incarnation, 3: optional Finish finish }
 
 // Several ready pieces travel together; `first` is the index of pieces[0].
-struct Pieces { 1: i64 first, 2: list<binary> pieces }
+struct Pieces {
+  1: i64 first
+  2: list<binary> pieces
+  3: string weights_digest = ""  // in the first frame of a call: what the pieces come from
+}
 struct Finish {
   1: i64 pieces                  // how many there were in all
   2: string content_digest       // hex SHA-256 over all the pieces
@@ -222,6 +230,7 @@
   4: i32 status = 200
   5: string content_type = "application/json"
   6: Load load
+  7: string request_digest = ""   // of the request answered: service, path and body
 }
 struct Credit { 1: i64 pieces }    // on a call's way back: how many more pieces may be sent
 struct Cancel { 1: string reason }
--- /dev/null
+++ b/src/lacewinggw/agent/requests.py
@@ -0,0 +1,268 @@
+"""Requests as an agent takes them: offered, reserved, started, withdrawn.
+
+The agent is the final arbiter of whether a request runs. It answers "not run" only for what it
+bars from ever running, and "unknown" for what it may have forgotten.
+"""
+
+import asyncio
+import random
+
+from lacewinggw.agent.executor import Executor
+from lacewinggw.agent.runs import KeptRuns, Listener, Run, request_digest
+from lacewinggw.agent.target import TargetGate
+from lacewinggw.decisions.once import (
+    LONGEST_DEADLINE_S,
+    Absence,
+    Barred,
+    Known,
+    RunBook,
+    RunId,
+    run_id,
+)
+from lacewinggw.errors import (
+    AnswerGone,
+    DeadlineTooNear,
+    Draining,
+    HolderGone,
+    KeyReused,
+    LacewingError,
+    NoTarget,
+    ProtocolViolation,
+    ReleaseMoved,
+    TicketExpired,
+    Withdrawn,
+)
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import Incarnation
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.engine import EngineClient
+from lacewinggw.platform.plain import PlainClient
+from lacewinggw.wire.peers import Exchange, Identity
+
+MILLISECONDS = 1000.0
+NOT_SERVING_RETRY_MS = 500
+
+
+class RequestService:
+    """The agent's side of every request.
+
+    service = RequestService.from_config(settings, gate, engine, identity, metrics, rng)
+    await service.start()
+    await service.handle(exchange)  # Offer, Reserve, Start, Withdraw
+    service.begin_drain()
+    await service.drained(60.0)
+    await service.close()
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        gate: TargetGate,
+        engine: EngineClient,
+        identity: Identity,
+        metrics: Metrics,
+        rng: random.Random,
+        plain: PlainClient | None,
+    ) -> None:
+        self._gate = gate
+        self._identity = identity
+        self._window = settings.requests.piece_window
+        self._reservation_s = settings.requests.reservation_ms / MILLISECONDS
+        self._book = RunBook(Incarnation(identity.incarnation), rng)
+        self._runs: dict[RunId, Run] = {}
+        self._kept = KeptRuns()
+        self._draining = False
+        self._none_left = asyncio.Event()
+        self._none_left.set()
+        metrics.read_gauge("pieces_held", self._count_held)
+        metrics.read_gauge("reservations", lambda: self._book.reserved)
+        self._executor = Executor(
+            gate,
+            engine,
+            plain,
+            self._book,
+            settings.agent.concurrency,
+            settings.agent.queue_length,
+            self._window,
+            self._note_ended,
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        gate: TargetGate,
+        engine: EngineClient,
+        identity: Identity,
+        metrics: Metrics,
+        rng: random.Random,
+        plain: PlainClient | None = None,
+    ) -> "RequestService":
+        """Build the service of one target; a plain target needs its `plain` client."""
+        return cls(settings, gate, engine, identity, metrics, rng, plain)
+
+    async def start(self) -> None:
+        """Do nothing: requests come by `handle`."""
+
+    async def close(self) -> None:
+        """Refuse what waits and cut what runs."""
+        self._draining = True
+        await self._executor.close()
+
+    def load(self) -> messages.Load:
+        """Return how much there is to do here, as of now."""
+        return self._executor.load()
+
+    def begin_drain(self) -> None:
+        """Refuse new requests from now on; those taken before go on."""
+        self._draining = True
+
+    async def drained(self, limit_s: float) -> bool:
+        """Wait until no request waits or runs; return False when `limit_s` seconds were too few."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._none_left.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def quiesce(self) -> None:
+        """Start no request, and wait until none runs; those that wait go on waiting."""
+        await self._executor.quiesce()
+
+    def resume(self) -> None:
+        """Start requests again."""
+        self._executor.resume()
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one message about a request."""
+        match exchange.message:
+            case messages.Offer(head=head, body=body, nonce=nonce):
+                await self._answer(exchange, head, body or b"", nonce or "")
+            case messages.Start(head=head, body=body, nonce=nonce):
+                await self._answer(exchange, head, body or b"", nonce or "")
+            case messages.Reserve(head=head):
+                exchange.finish(self._reserve(head))
+            case messages.Withdraw() as withdraw:
+                exchange.finish(self._withdraw(withdraw))
+            case other:
+                kind = type(other).__name__
+                raise ProtocolViolation(f"{kind} is no message about a request")
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _reserve(self, head: messages.RequestHead) -> messages.Reservation:
+        _check_head(head)
+        self._check_serving(head)
+        life_s = max(self._reservation_s, head.deadline_ms / MILLISECONDS)
+        nonce = self._book.reserve(life_s, self._now())
+        return messages.Reservation(
+            nonce=nonce,
+            host=self._identity.host,
+            incarnation=self._identity.incarnation,
+            expires_in_ms=int(life_s * MILLISECONDS),
+            digest=self._gate.active_digest,
+        )
+
+    def _withdraw(self, asked: messages.Withdraw) -> messages.Withdrawal:
+        mine = self._identity.incarnation
+        if asked.incarnation != mine:
+            return messages.Withdrawal(messages.Standing.UNKNOWN, mine)
+        nonce = asked.nonce or ""
+        name = RunId(nonce or asked.request_id or "")
+        run = self._runs.get(name) or self._kept.get(name)
+        standing = self._book.withdraw(name, self._now(), bool(nonce))
+        if run is not None and standing == messages.Standing.NEVER_STARTED:
+            self._executor.withdraw(run)
+        return messages.Withdrawal(standing, mine, run.finish if run is not None else None)
+
+    async def _answer(
+        self, exchange: Exchange, head: messages.RequestHead, body: bytes, nonce: str
+    ) -> None:
+        _check_head(head)
+        run = self._admit(head, body, nonce)
+        listener = Listener(run, exchange, head.resume_from, self._window)
+        follower = asyncio.get_running_loop().create_task(_follow(exchange, listener))
+        try:
+            await listener.send_all()
+        finally:
+            follower.cancel()
+            if head.repeatable and not run.ended and not run.listeners:
+                self._executor.cancel(run)
+
+    def _admit(self, head: messages.RequestHead, body: bytes, nonce: str) -> Run:
+        """Return the run to listen to: a new one, or the one that there is by that name."""
+        name = run_id(nonce, head.request_id, head.attempt)
+        digest = request_digest(head, body)
+        run = self._runs.get(name) or self._kept.get(name)
+        if run is not None:
+            if run.request_digest != digest:
+                raise KeyReused("the reservation was used for a request with another content")
+            return run
+        now = self._now()
+        obstacle = self._book.look_up(name, now, bool(nonce))
+        if obstacle is not None:
+            raise _obstacle_error(obstacle)
+        self._check_serving(head)
+        self._executor.check_room()
+        self._book.take(name, now, bool(nonce))
+        left_s = min(head.deadline_ms / MILLISECONDS, LONGEST_DEADLINE_S)
+        run = Run(name, head, body, digest, now + left_s)
+        self._runs[name] = run
+        self._none_left.clear()
+        self._executor.submit(run)
+        return run
+
+    def _check_serving(self, head: messages.RequestHead) -> None:
+        if self._draining:
+            raise Draining("the target is leaving")
+        if head.deadline_ms <= 0:
+            raise DeadlineTooNear("the deadline passed on the way to the target")
+        if not self._gate.serving or head.service_name != self._gate.service:
+            reason = f"the target does not serve {head.service_name}"
+            raise NoTarget(reason, retry_after_ms=NOT_SERVING_RETRY_MS)
+        if head.digest and head.digest != self._gate.active_digest:
+            raise ReleaseMoved("the target serves other weights")
+
+    def _count_held(self) -> int:
+        """Return how many pieces of requests in progress are in memory."""
+        return sum(len(run.pieces) for run in self._runs.values())
+
+    def _note_ended(self, run: Run) -> None:
+        self._runs.pop(run.id, None)
+        if run.finish is not None and not run.head.repeatable:
+            self._kept.add(run, self._now())
+        if not self._runs:
+            self._none_left.set()
+
+
+async def _follow(exchange: Exchange, listener: Listener) -> None:
+    """Take the caller's credit as it comes, until it wants no more."""
+    while True:
+        match await exchange.follow_up():
+            case messages.Credit(pieces=pieces):
+                listener.add_credit(max(0, pieces))
+            case messages.Cancel():
+                listener.leave()
+                return
+
+
+def _check_head(head: messages.RequestHead | None) -> None:
+    if head is None or not head.request_id or not head.service_name or head.resume_from < 0:
+        raise ProtocolViolation("a request without its id, its service or a sound position")
+
+
+def _obstacle_error(obstacle: Known | Barred) -> LacewingError:
+    if isinstance(obstacle, Known):
+        return AnswerGone("it ran here, and its answer is not kept any more")
+    match obstacle.absence:
+        case Absence.WITHDRAWN:
+            return Withdrawn("withdrawn before it started")
+        case Absence.LAPSED:
+            return TicketExpired("the reservation has expired, or was never given")
+        case Absence.OTHER_INCARNATION:
+            return HolderGone("the agent that gave the reservation is gone")
+        case Absence.FORGOTTEN:
+            return HolderGone("the reservation is too old to tell whether it was used")
--- /dev/null
+++ b/src/lacewinggw/agent/runs.py
@@ -0,0 +1,199 @@
+"""One run of a request on the target, and those who listen to it.
+
+A run goes on by itself; exchanges with entries listen to it. So a lost connection loses no run, and
+an entry that comes back, or another one with the same reservation, listens from any piece on.
+"""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+
+from lacewinggw.decisions.once import RunId
+from lacewinggw.errors import CallerLeft, LacewingError
+from lacewinggw.generated.messages.ttypes import Finish, Pieces, RequestHead
+from lacewinggw.wire.peers import Exchange
+
+KEEP_BYTES = 8 << 20
+KEEP_S = 600.0
+KEPT_OVERHEAD_BYTES = 512
+
+
+def request_digest(head: RequestHead, body: bytes) -> str:
+    """Return the digest that tells one request's content from another's, in hexadecimal."""
+    hashed = hashlib.sha256()
+    for part in (head.service_name, head.account, head.method, head.path):
+        hashed.update(part.encode())
+        hashed.update(b"\0")
+    hashed.update(body)
+    return hashed.hexdigest()
+
+
+class Run:
+    """One run: its pieces so far, and how it ended."""
+
+    def __init__(
+        self,
+        run_id: RunId,
+        head: RequestHead,
+        body: bytes,
+        digest: str,
+        deadline: float,
+    ) -> None:
+        self.id = run_id
+        self.head = head
+        self.body = body
+        self.request_digest = digest
+        self.deadline = deadline
+        self.first = head.resume_from
+        self.weights_digest = ""
+        self.pieces: list[bytes] = []
+        self.finish: Finish | None = None
+        self.error: LacewingError | None = None
+        self.listeners: set[Listener] = set()
+        self._content = hashlib.sha256()
+        self._room: asyncio.Future[None] | None = None
+
+    @property
+    def ended(self) -> bool:
+        """Whether it has its finish or its error."""
+        return self.finish is not None or self.error is not None
+
+    @property
+    def size_bytes(self) -> int:
+        """About how much memory it takes."""
+        return KEPT_OVERHEAD_BYTES + sum(map(len, self.pieces))
+
+    @property
+    def content_digest(self) -> str:
+        """Hexadecimal SHA-256 over the pieces of this run."""
+        return self._content.hexdigest()
+
+    def add(self, pieces: list[bytes]) -> None:
+        """Add pieces that came from the target."""
+        self.pieces.extend(pieces)
+        for piece in pieces:
+            self._content.update(piece)
+        self._wake()
+
+    def end(self, finish: Finish) -> None:
+        """End it with an answer, unless it has ended already."""
+        if not self.ended:
+            self.finish = finish
+            self._wake()
+
+    def fail(self, error: LacewingError) -> None:
+        """End it without an answer, unless it has ended already."""
+        if not self.ended:
+            self.error = error
+            self._wake()
+
+    async def wait_for_room(self, window: int) -> None:
+        """Wait while each listener is more than `window` pieces behind."""
+        while self.listeners and not self.ended:
+            behind = min(listener.behind for listener in self.listeners)
+            if behind <= window:
+                return
+            self._room = asyncio.get_running_loop().create_future()
+            await self._room
+
+    def note_sent(self) -> None:
+        """Let the target go on if it waits for a listener."""
+        if self._room is not None and not self._room.done():
+            self._room.set_result(None)
+
+    def _wake(self) -> None:
+        for listener in self.listeners:
+            listener.wake()
+
+
+class Listener:
+    """One exchange that gets the pieces of a run, no more than its credit at a time."""
+
+    def __init__(self, run: Run, exchange: Exchange, first: int, credit: int) -> None:
+        self._run = run
+        self._exchange = exchange
+        self._sent = max(0, first - run.first)
+        self._credit = credit
+        self._told_weights = False
+        self._left = False
+        self._waiting: asyncio.Future[None] | None = None
+
+    @property
+    def behind(self) -> int:
+        """How many pieces it has not sent yet."""
+        return len(self._run.pieces) - self._sent
+
+    def add_credit(self, pieces: int) -> None:
+        """Allow so many more pieces."""
+        self._credit += pieces
+        self.wake()
+
+    def leave(self) -> None:
+        """Stop listening: the caller wants no more."""
+        self._left = True
+        self.wake()
+
+    def wake(self) -> None:
+        """Look again for what can be sent."""
+        if self._waiting is not None and not self._waiting.done():
+            self._waiting.set_result(None)
+
+    async def send_all(self) -> None:
+        """Send every piece and the finish; raise the run's error, or that the caller left."""
+        run = self._run
+        loop = asyncio.get_running_loop()
+        run.listeners.add(self)
+        try:
+            while True:
+                self._send_ready()
+                if self._left:
+                    raise CallerLeft("the caller wants no more")
+                if run.ended and (self.behind <= 0 or run.error is not None):
+                    break
+                self._waiting = loop.create_future()
+                await self._waiting
+        finally:
+            run.listeners.discard(self)
+            run.note_sent()
+        if run.error is not None:
+            raise run.error
+        self._exchange.finish(run.finish)
+
+    def _send_ready(self) -> None:
+        """Send what is there and allowed in one frame."""
+        run, sent = self._run, self._sent
+        count = min(len(run.pieces) - sent, self._credit)
+        if count <= 0:
+            return
+        weights = "" if self._told_weights else run.weights_digest
+        self._told_weights = True
+        self._exchange.reply(Pieces(run.first + sent, run.pieces[sent : sent + count], weights))
+        self._sent += count
+        self._credit -= count
+        run.note_sent()
+
+
+class KeptRuns:
+    """Ended runs whose answers may be asked for again, within bounds of bytes and time."""
+
+    def __init__(self, limit_bytes: int = KEEP_BYTES, keep_s: float = KEEP_S) -> None:
+        self._limit_bytes = limit_bytes
+        self._keep_s = keep_s
+        self._bytes = 0
+        self._runs: OrderedDict[RunId, tuple[Run, float]] = OrderedDict()
+
+    def get(self, run_id: RunId) -> Run | None:
+        """Return a run that is still kept."""
+        found = self._runs.get(run_id)
+        return None if found is None else found[0]
+
+    def add(self, run: Run, now: float) -> None:
+        """Keep a run, and drop what is too old or too much."""
+        self._runs[run.id] = (run, now)
+        self._bytes += run.size_bytes
+        while self._runs:
+            oldest, added_at = next(iter(self._runs.values()))
+            if self._bytes <= self._limit_bytes and added_at > now - self._keep_s:
+                return
+            del self._runs[oldest.id]
+            self._bytes -= oldest.size_bytes
--- /dev/null
+++ b/src/lacewinggw/decisions/once.py
@@ -0,0 +1,211 @@
+"""At most once, as an agent sees it: which runs it allowed, and what it can prove of each.
+
+A run is named by the nonce of a reservation or, where there was none, by its request id. The book
+answers one question truly for as long as it is asked: did this run start? What it has forgotten it
+calls unknown, never "not started".
+
+    book = RunBook(incarnation, rng)
+    nonce = book.reserve(life_s=5.0, now=now)
+    match book.take(nonce, now):
+        case Taken(): ...       # it may run: book.start(nonce), book.finish(nonce)
+        case Known(standing): ...  # it ran, or never will
+"""
+
+import random
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from lacewinggw.generated.messages.ttypes import Standing
+from lacewinggw.ids import Incarnation, RequestId
+
+RunId = NewType("RunId", str)
+
+HORIZON_S = 900.0  # how long a run is remembered after it was last heard of
+LONGEST_DEADLINE_S = 600.0  # no request lives longer
+LONGEST_RESERVATION_S = 600.0
+NONCE_BITS = 64
+NONCE_SEPARATOR = "."
+
+
+class RunState(Enum):
+    """How far a run has come."""
+
+    TAKEN = "taken"  # it waits, and may still be withdrawn
+    STARTED = "started"
+    FINISHED = "finished"
+    NEVER = "never"  # withdrawn or refused: it did not start and never will
+
+
+class Absence(Enum):
+    """Why a run cannot be taken, though it is not known here to have started."""
+
+    WITHDRAWN = "withdrawn"
+    LAPSED = "lapsed"  # the reservation expired, or was never given: it will never start
+    OTHER_INCARNATION = "other-incarnation"  # given by an agent that is gone
+    FORGOTTEN = "forgotten"
+
+
+@dataclass(frozen=True)
+class Taken:
+    """The run may go on: this is its only time."""
+
+
+@dataclass(frozen=True)
+class Known:
+    """The run was taken before."""
+
+    state: RunState
+
+
+@dataclass(frozen=True)
+class Barred:
+    """The run cannot go on."""
+
+    absence: Absence
+
+
+@dataclass
+class _Record:
+    state: RunState
+    at: float
+
+
+def nonce_incarnation(nonce: str) -> Incarnation:
+    """Return the incarnation of the agent that gave a nonce."""
+    return Incarnation(nonce.partition(NONCE_SEPARATOR)[0])
+
+
+def _nonce_number(nonce: str) -> int | None:
+    """Return the running number within a nonce, None when it is no nonce."""
+    try:
+        return int(nonce.split(NONCE_SEPARATOR)[1], 16)
+    except (IndexError, ValueError):
+        return None
+
+
+class RunBook:
+    """The runs of one incarnation of an agent, by the agent's own clock.
+
+    Reservations are held until they expire, runs until `HORIZON_S` after they ended. Of those
+    forgotten the highest number remains, so that a later question about one of them is answered
+    with "forgotten".
+    """
+
+    def __init__(self, incarnation: Incarnation, rng: random.Random) -> None:
+        self._incarnation = incarnation
+        self._rng = rng
+        self._issued = 0
+        self._forgotten = 0
+        self._reserved: dict[RunId, float] = {}
+        self._records: OrderedDict[RunId, _Record] = OrderedDict()
+
+    @property
+    def reserved(self) -> int:
+        """How many reservations are open."""
+        return len(self._reserved)
+
+    def __len__(self) -> int:
+        """Return how many runs are remembered."""
+        return len(self._records)
+
+    def reserve(self, life_s: float, now: float) -> RunId:
+        """Give a nonce that may be taken once within `life_s` seconds."""
+        self._prune(now)
+        self._issued += 1
+        secret = f"{self._rng.getrandbits(NONCE_BITS):0{NONCE_BITS // 4}x}"
+        parts = (self._incarnation, f"{self._issued:x}", secret)
+        nonce = RunId(NONCE_SEPARATOR.join(parts))
+        self._reserved[nonce] = now + min(life_s, LONGEST_RESERVATION_S)
+        return nonce
+
+    def look_up(self, run: RunId, now: float, is_nonce: bool) -> Known | Barred | None:
+        """Return what stands against taking a run, None when it may be taken."""
+        self._prune(now)
+        record = self._records.get(run)
+        if record is not None:
+            if record.state is RunState.NEVER:
+                return Barred(Absence.WITHDRAWN)
+            return Known(record.state)
+        if not is_nonce:
+            return None
+        if self._is_out_of_sight(run):
+            foreign = nonce_incarnation(run) != self._incarnation
+            return Barred(Absence.OTHER_INCARNATION if foreign else Absence.FORGOTTEN)
+        if self._reserved.get(run, now) <= now:
+            return Barred(Absence.LAPSED)
+        return None
+
+    def take(self, run: RunId, now: float, is_nonce: bool) -> Taken | Known | Barred:
+        """Take a run, which succeeds once."""
+        obstacle = self.look_up(run, now, is_nonce)
+        if obstacle is not None:
+            return obstacle
+        self._reserved.pop(run, None)
+        self._records[run] = _Record(RunState.TAKEN, now)
+        return Taken()
+
+    def start(self, run: RunId, now: float) -> bool:
+        """Note that a run taken before starts now; return False when it was withdrawn."""
+        record = self._records.get(run)
+        if record is None or record.state is not RunState.TAKEN:
+            return False
+        self._note(run, RunState.STARTED, now)
+        return True
+
+    def finish(self, run: RunId, now: float) -> None:
+        """Note that a run has ended."""
+        self._note(run, RunState.FINISHED, now)
+
+    def refuse(self, run: RunId, now: float) -> None:
+        """Note that a run taken before did not run and never will."""
+        self._note(run, RunState.NEVER, now)
+
+    def withdraw(self, run: RunId, now: float, is_nonce: bool) -> Standing:
+        """Bar a run that has not started, and return what is known of it."""
+        self._prune(now)
+        record = self._records.get(run)
+        if record is not None:
+            match record.state:
+                case RunState.STARTED:
+                    return Standing.STARTED
+                case RunState.FINISHED:
+                    return Standing.FINISHED
+            self._note(run, RunState.NEVER, now)
+            return Standing.NEVER_STARTED
+        if is_nonce and self._is_out_of_sight(run):
+            return Standing.UNKNOWN
+        self._reserved.pop(run, None)
+        self._note(run, RunState.NEVER, now)
+        return Standing.NEVER_STARTED
+
+    def _is_out_of_sight(self, nonce: RunId) -> bool:
+        """Tell whether the nonce is another agent's, or so old that its run may be forgotten."""
+        number = _nonce_number(nonce)
+        if nonce_incarnation(nonce) != self._incarnation or number is None:
+            return True
+        return number <= self._forgotten
+
+    def _note(self, run: RunId, state: RunState, now: float) -> None:
+        self._records[run] = _Record(state, now)
+        self._records.move_to_end(run)
+
+    def _prune(self, now: float) -> None:
+        while self._records:
+            run, record = next(iter(self._records.items()))
+            if record.at > now - HORIZON_S or record.state is RunState.STARTED:
+                break
+            del self._records[run]
+            number = _nonce_number(run) if nonce_incarnation(run) == self._incarnation else None
+            self._forgotten = max(self._forgotten, number or 0)
+        while self._reserved:
+            nonce, expires_at = next(iter(self._reserved.items()))
+            if expires_at > now:
+                break
+            del self._reserved[nonce]
+
+
+def run_id(nonce: str, request_id: RequestId | str, attempt: int) -> RunId:
+    """Return the name of a run: its nonce, or where there is none its request id and attempt."""
+    return RunId(nonce or f"{request_id}/{attempt}")
--- a/src/lacewinggw/errors.py
+++ b/src/lacewinggw/errors.py
@@ -729,6 +729,15 @@
     default_remedy = "do not repeat it: it ran; raise `answer_keep` to keep answers longer"
 
 
+class ClaimUnreadable(RequestUnknown):
+    """The store is down, and an earlier sending of the same key may have run."""
+
+    code = "LW-7008"
+    kind = "claim-unreadable"
+    http_status = 503
+    default_remedy = "send it again with the same key after the given time: it runs at most once"
+
+
 # ---- weights -------------------------------------------------------------------------------
 
 
--- a/src/lacewinggw/platform/engine.py
+++ b/src/lacewinggw/platform/engine.py
@@ -1,7 +1,7 @@
 """Client of the model engine on this host: weights, orders, requests and KV cache."""
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -204,7 +204,7 @@
 
     async def generate(
         self, generation: Generation, timeout_s: float
-    ) -> AsyncIterator[PieceBatch | AnswerEnd]:
+    ) -> AsyncGenerator[PieceBatch | AnswerEnd, None]:
         """Yield pieces as they come, those that come together in one batch, then the end.
 
         `timeout_s` bounds the wait for each read. Closing the iterator cancels the request at the
