--- a/src/lacewinggw/platform/engine.py
+++ b/src/lacewinggw/platform/engine.py
@@ -1,7 +1,7 @@
 """Client of the model engine on this host: weights, orders, requests and KV cache."""
 
 import json
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from typing import Any
 
