--- a/src/lacewinggw/entry/callers.py
+++ b/src/lacewinggw/entry/callers.py
@@ -297,6 +297,7 @@
         verdict = self._limits.admit(Account(head.account), Priority(head.priority), now)
         if isinstance(verdict, Refused):
             raise verdict.error()
+        head.weight = verdict.weight
 
     def _end(self, head: RequestHead, error: LacewingError | None) -> None:
         self._limits.release(Account(head.account))
