Bring the time to all hosts near its bound

Cause, seen on curves of held chunks and queue lengths: a third of the uplinks stood idle while requests for the rarest chunks queued at the few hosts that had them; requests that only waited their turn were taken for stalls and their sources avoided; one host of a small place could own most columns.

Change: a host says with what it holds how many requests wait; a neighbour with little to send is chosen first and its rarest chunk second; the uplink serves first copies, then other places, then the host with the fewest chunks; columns go to the hosts with least to do; any word from a neighbour is a sign of life.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -128,6 +128,7 @@
   3: optional binary bitmap
   4: list<i32> added
   5: bool wants_reply = false
+  6: i32 waiting = 0             // chunks asked of the sender and not yet sent
 }
 struct FetchChunk { 1: string digest, 2: i32 index, 3: bool endgame = false }
 struct ChunkData { 1: string digest, 2: i32 index, 3: binary data }
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -54,15 +54,16 @@
 }
 
 struct SpreadSettings {
-  1: i32 neighbours = 6                        // in the same place
+  1: i32 neighbours = 8                        // in the same place
   2: i32 remote_neighbours = 2                 // in other places
-  3: i32 in_flight = 4                         // chunk requests per neighbour
+  3: i32 in_flight = 2                         // chunk requests per neighbour
   4: i64 patience_ms = 400                     // per rank, before the next rank goes to the origin
   5: i32 ranks = 3                             // ranks that may go to the origin at all
   6: i64 stall_ms = 2000                       // no progress for so long: ask another
   7: i32 corrupt_limit = 3                     // bad chunks from one source before it is left
   8: i64 silence_ms = 15000                    // nobody has it for so long: any rank may ask
   9: i32 gateways = 4                          // hosts per place that bring chunks into it
+  10: i32 in_flight_total = 8                  // chunk requests to all neighbours together
 }
 
 struct RequestSettings {
--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -78,7 +78,11 @@
     """One release on its way to this host, from the moment its manifest is known."""
 
     def __init__(
-        self, manifest: messages.Manifest, around: Surroundings, on_chunk: OnChunk
+        self,
+        manifest: messages.Manifest,
+        around: Surroundings,
+        on_chunk: OnChunk,
+        waiting: Callable[[], int],
     ) -> None:
         self.manifest = manifest
         self.digest = Digest(manifest.digest)
@@ -86,6 +90,7 @@
         self.complete = asyncio.Event()
         self._around = around
         self._on_chunk = on_chunk
+        self._waiting = waiting
         self._spread = ReleaseSpread(
             manifest.chunk_sizes, around.rules, around.place, around.rng, _now()
         )
@@ -144,7 +149,7 @@
         """Note what a neighbour says it holds."""
         self._spread.link_up(host, place)
         indexes = _bitmap_indexes(have.bitmap) if have.bitmap is not None else have.added or []
-        self._spread.have(host, indexes, _now())
+        self._spread.have(host, indexes, _now(), have.waiting)
         link = self._around.mesh.link(host)
         if have.wants_reply and link is not None:
             link.notify(self._whole_have(wants_reply=False))
@@ -159,12 +164,20 @@
             news = [index for index in fresh if index not in state.chunks]
             link = self._around.mesh.link(host)
             if news and link is not None:
-                link.notify(messages.Have(self.digest, self._next_sequence(), added=news))
+                have = messages.Have(
+                    self.digest, self._next_sequence(), added=news, waiting=self._waiting()
+                )
+                link.notify(have)
 
     def _whole_have(self, wants_reply: bool) -> messages.Have:
         bitmap = _bitmap(self._spread.held, self._spread.chunk_count)
         return messages.Have(
-            self.digest, self._next_sequence(), bitmap, added=[], wants_reply=wants_reply
+            self.digest,
+            self._next_sequence(),
+            bitmap,
+            added=[],
+            wants_reply=wants_reply,
+            waiting=self._waiting(),
         )
 
     def _next_sequence(self) -> int:
--- a/src/lacewinggw/agent/uploads.py
+++ b/src/lacewinggw/agent/uploads.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from lacewinggw.agent.links import Pacer
-from lacewinggw.decisions.uploads import UploadQueue, UploadRequest
+from lacewinggw.decisions.uploads import HeldBy, UploadQueue, UploadRequest
 from lacewinggw.errors import ChunkNotHeld, ConnectionLost, LacewingError, LinkBusy
 from lacewinggw.generated.messages.ttypes import ChunkData
 from lacewinggw.ids import Digest
@@ -33,8 +33,9 @@
 class Uploader:
     """The uplink's queue, and the task that serves it.
 
-    `find` gives a verified chunk, `note` is told of each upload with its bytes. A receiver that
-    does not drain its connection for `STUCK_S` loses its turn, so that it holds up nobody else.
+    `find` gives a verified chunk, `held_by` tells how many chunks a host has, and `note` is told of
+    each upload with its bytes. A receiver that does not drain its connection for `STUCK_S` loses
+    its turn, so that it holds up nobody else.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         rate: Callable[[], float],
         per_host: int,
         find: FindChunk,
+        held_by: HeldBy,
         note: NoteUpload,
         metrics: Metrics,
     ) -> None:
@@ -50,12 +52,18 @@
         self._rate = rate
         self._queue = UploadQueue(per_host)
         self._find = find
+        self._held_by = held_by
         self._note = note
         self._stuck = metrics.counter("uploads_stuck")
         self._waiting: dict[UploadRequest, _Upload] = {}
         self._arrived = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def waiting(self) -> int:
+        """How many requests wait or are being served."""
+        return len(self._waiting)
+
     async def start(self) -> None:
         """Begin to serve."""
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -100,7 +108,7 @@
 
     async def _run(self) -> None:
         while True:
-            request = self._queue.take()
+            request = self._queue.take(self._held_by)
             if request is None:
                 self._arrived.clear()
                 await self._arrived.wait()
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -54,6 +54,7 @@
     return SpreadRules(
         link_bytes_per_s=agent.link_bytes_per_s * agent.weights_share_percent / PERCENT,
         in_flight=spread.in_flight,
+        in_flight_total=spread.in_flight_total,
         patience_s=spread.patience_ms / MS_PER_S,
         stall_s=spread.stall_ms / MS_PER_S,
         corrupt_limit=spread.corrupt_limit,
@@ -96,6 +97,7 @@
             self.live.weights_rate,
             2 * self._settings.in_flight,
             self._find,
+            self._held_by,
             self._note_upload,
             metrics,
         )
@@ -179,7 +181,9 @@
 
     async def _find_manifest(self, due: DueRelease) -> None:
         manifest = await self._finder.find(due.digest, lambda: self._is_first(due.digest))
-        download = ReleaseDownload(manifest, self._around, self._tell_chunk)
+        download = ReleaseDownload(
+            manifest, self._around, self._tell_chunk, lambda: self._uploader.waiting
+        )
         self._downloads[due.digest] = download
         self._searches.pop(due.digest, None)
         download.begin()
@@ -246,6 +250,11 @@
             return None
         return self._chunks.get(download.manifest.chunk_hashes[index])
 
+    def _held_by(self, host: HostId, digest: Digest) -> int:
+        download = self._downloads.get(digest)
+        state = download.spread.neighbours.get(host) if download else None
+        return len(state.chunks) if state else 0
+
     def _tell_chunk(self, digest: Digest, index: int) -> None:
         for callback in self._on_chunk:
             callback(digest, index)
@@ -263,8 +272,12 @@
             case messages.Have() as have:
                 self._take_have(exchange, have)
             case messages.FetchChunk() as fetch:
+                remote = exchange.link.remote
                 request = UploadRequest(
-                    HostId(exchange.link.remote.host), Digest(fetch.digest), fetch.index
+                    HostId(remote.host),
+                    Digest(fetch.digest),
+                    fetch.index,
+                    remote=remote.place != self._place,
                 )
                 await self._uploader.serve(exchange, request)
             case messages.CancelChunk() as cancel:
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -49,6 +49,8 @@
     asked: set[int] = field(default_factory=set)
     corrupt: int = 0
     told: bool = False
+    waiting: int = 0
+    heard_at: float = 0.0
     avoid_until: float = 0.0
 
 
@@ -79,7 +81,7 @@
 
     link_bytes_per_s: float
     in_flight: int = 2
-    in_flight_total: int = 6
+    in_flight_total: int = 8
     patience_s: float = 0.4
     stall_s: float = 2.0
     corrupt_limit: int = 3
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -103,9 +103,8 @@
     @property
     def patience_s(self) -> float:
         """How long a column may stand still before the next in rank steps in, in seconds."""
-        largest = max(self._sizes, default=0)
         columns = len(self._topology.columns) if self._topology else 1
-        return self.rules.patience_s + 2 * columns * largest / self.rules.link_bytes_per_s
+        return self.rules.patience_s + 2 * columns * self._chunk_s
 
     # ---- events ---------------------------------------------------------------------------
 
@@ -131,12 +130,17 @@
         for index in state.asked:
             self._drop_fetch(index, Neighbour(host))
 
-    def have(self, host: HostId, indexes: Iterable[int], now: float) -> None:
-        """Note chunks that a neighbour holds; indexes out of range are dropped."""
+    def have(self, host: HostId, indexes: Iterable[int], now: float, waiting: int = 0) -> None:
+        """Note chunks that a neighbour holds, and how many wait to be sent by it.
+
+        Indexes out of range are dropped.
+        """
         state = self.neighbours.get(host)
         if state is None:
             return
         state.told = True
+        state.waiting = waiting
+        state.heard_at = now
         counts = self._counts(state)
         for index in indexes:
             if not 0 <= index < self.chunk_count or index in state.chunks:
@@ -150,6 +154,8 @@
         for fetch in self._fetches.get(index, ()):
             if fetch.source == source:
                 fetch.moved_at = now
+        if isinstance(source, Neighbour) and source.host in self.neighbours:
+            self.neighbours[source.host].heard_at = now
 
     def arrived(self, source: Source | None, index: int, now: float) -> list[Cancel]:
         """Note a chunk whose hash holds; return what else is to be given up for it."""
@@ -204,15 +210,26 @@
         """Give up chunks that do not move; their sources become the last to be asked."""
         for index, fetches in list(self._fetches.items()):
             for fetch in list(fetches):
-                if now - fetch.moved_at > self._stall_limit_s(fetch.source):
+                if now > self._due_at(fetch):
                     self.failed(fetch.source, index, FetchFailure.STALLED, now)
                     yield Cancel(fetch.source, index)
 
-    def _stall_limit_s(self, source: Source) -> float:
-        """Return how long a chunk may stand still; one in a neighbour's queue waits its turn."""
-        if isinstance(source, Neighbour):
-            return max(self.rules.stall_s, 4 * self._fetch_s)
-        return 4 * max(self.rules.stall_s, self.patience_s)
+    def _due_at(self, fetch: Fetch) -> float:
+        """Return when a chunk counts as stalled.
+
+        Any word from a neighbour is a sign of life, and what it has to send before is allowed for.
+        """
+        if not isinstance(fetch.source, Neighbour):
+            return fetch.moved_at + 4 * max(self.rules.stall_s, self.patience_s)
+        state = self.neighbours[fetch.source.host]
+        before = state.waiting + len(state.asked)
+        alive_at = max(fetch.moved_at, state.heard_at)
+        return alive_at + self.rules.stall_s + 2 * before * self._chunk_s
+
+    @property
+    def _chunk_s(self) -> float:
+        """How long the largest chunk takes on a whole link, in seconds."""
+        return max(self._sizes, default=0) / self.rules.link_bytes_per_s
 
     def _import_chunks(self, now: float) -> Iterator[Action]:
         """Bring chunks into the place, in the columns where it is this host's turn."""
@@ -272,21 +289,42 @@
         return all(ranks.in_place == ranks.at_origin for ranks in self._topology.columns)
 
     def _ask_neighbours(self, now: float) -> Iterator[Action]:
-        """Ask neighbours in the place for their rarest chunks, while there is room."""
-        wanted = [
-            (self._local[index], self._rng.random(), index)
-            for index in self._missing
-            if self._local[index] and index not in self._fetches
-        ]
-        wanted.sort()
-        for _, _, index in wanted:
-            if len(self._fetches) >= self.rules.in_flight_total:
+        """Ask the neighbours with least to send for the rarest chunks they have.
+
+        Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
+        have all wait for the few that hold it.
+        """
+        while len(self._fetches) < self.rules.in_flight_total:
+            request = self._next_request(now)
+            if request is None:
+                yield from self._ask_again(now)
                 return
-            host = self._pick_holder(index, now, local=True)
-            if host is not None:
-                yield self._ask(Neighbour(host), index, now)
-        if len(self._fetches) < self.rules.in_flight_total:
-            yield from self._ask_again(now)
+            yield request
+
+    def _next_request(self, now: float) -> Ask | None:
+        wanted = self._missing - self._fetches.keys()
+        for host in self._by_load(now):
+            offered = wanted & self.neighbours[host].chunks
+            if offered:
+                rarest = min(offered, key=lambda each: (self._local[each], self._rng.random()))
+                return self._ask(Neighbour(host), rarest, now)
+        return None
+
+    def _by_load(self, now: float) -> list[HostId]:
+        """Return the neighbours in this place that may be asked, those with least to send first."""
+        usable = [
+            (state.waiting + len(state.asked), self._rng.random(), host)
+            for host, state in self.neighbours.items()
+            if state.place == self._place and self._may_ask(state, now)
+        ]
+        return [host for _, _, host in sorted(usable)]
+
+    def _may_ask(self, state: NeighbourState, now: float) -> bool:
+        return (
+            len(state.asked) < self.rules.in_flight
+            and state.avoid_until <= now
+            and state.corrupt < self.rules.corrupt_limit
+        )
 
     def _ask_again(self, now: float) -> Iterator[Action]:
         """Ask a second source for the last chunks, when they take longer than most."""
@@ -317,21 +355,17 @@
         return rank == 0 or now - moved_at >= rank * self.patience_s
 
     def _pick_holder(self, index: int, now: float, local: bool) -> HostId | None:
-        """Return the holder of a chunk that was asked for least, in this place or in another."""
+        """Return the holder of a chunk with least to send, in this place or in others."""
         asked_already = {fetch.source for fetch in self._fetches.get(index, ())}
-        best: tuple[int, float] | None = None
-        chosen = None
-        for host, state in self.neighbours.items():
-            if index not in state.chunks or (state.place == self._place) is not local:
-                continue
-            if len(state.asked) >= self.rules.in_flight or state.avoid_until > now:
-                continue
-            if Neighbour(host) in asked_already or state.corrupt >= self.rules.corrupt_limit:
-                continue
-            score = (len(state.asked), self._rng.random())
-            if best is None or score < best:
-                best, chosen = score, host
-        return chosen
+        holders = [
+            (state.waiting + len(state.asked), self._rng.random(), host)
+            for host, state in self.neighbours.items()
+            if index in state.chunks
+            and (state.place == self._place) is local
+            and self._may_ask(state, now)
+            and Neighbour(host) not in asked_already
+        ]
+        return min(holders)[2] if holders else None
 
     def _pick_source(self, now: float) -> Source | None:
         if self._origin.avoid_until <= now:
--- a/src/lacewinggw/decisions/topology.py
+++ b/src/lacewinggw/decisions/topology.py
@@ -67,31 +67,53 @@
         by_place: dict[Place, list[HostId]] = defaultdict(list)
         for each in {*hosts, me}:
             by_place[each.place].append(each.host)
-        gateways = {
-            place: [_ranked(names, f"{digest}/{column}") for column in range(self.columns)]
-            for place, names in by_place.items()
-        }
+        order = _ranked(by_place, digest)
+        gateways = {place: self._gateways(place, by_place, order, digest) for place in order}
         neighbours = set(ring_neighbours(me.host, by_place[me.place], digest, self.local))
         columns = []
-        for column in range(self.columns):
-            ranked = gateways[me.place][column][: self.ranks]
+        for column, ranked in enumerate(gateways[me.place]):
             rank = ranked.index(me.host) if me.host in ranked else None
-            order = _ranked(by_place, f"{digest}/{column}/places")
             at_origin = rank if self.per_place else self._origin_rank(me, gateways, order, column)
             columns.append(ColumnRanks(rank, at_origin))
             if rank is not None:
                 neighbours.update(ranked)
                 neighbours.update(self._remote(me.place, gateways, order, column))
-        places = {host: place for place, names in by_place.items() for host in names}
-        sorted_places = sorted(by_place)
         return Topology(
-            places=places,
+            places={host: place for place, names in by_place.items() for host in names},
             neighbours=frozenset(neighbours - {me.host}),
             columns=tuple(columns),
-            place_index=sorted_places.index(me.place),
-            place_count=len(sorted_places),
+            place_index=order.index(me.place),
+            place_count=len(order),
         )
 
+    def _gateways(
+        self,
+        place: Place,
+        by_place: Mapping[Place, Sequence[HostId]],
+        order: Sequence[Place],
+        digest: Digest,
+    ) -> list[list[HostId]]:
+        """Return for each column the place's hosts that may be its gateway, best first.
+
+        The first is the best by rendezvous among those with least to do already; a column that
+        this place fetches from the origin and sends to others weighs more than one it imports.
+        """
+        hosts = by_place[place]
+        load = dict.fromkeys(hosts, 0)
+        ranked: list[list[HostId]] = [[] for _ in range(self.columns)]
+        weights = [self._weight(place, order, column) for column in range(self.columns)]
+        for column in sorted(range(self.columns), key=lambda each: (-weights[each], each)):
+            by_hash = _ranked(hosts, f"{digest}/{column}")
+            first = min(by_hash, key=lambda host: load[host])
+            load[first] += weights[column]
+            others = [host for host in by_hash if host != first]
+            ranked[column] = [first, *others][: self.ranks]
+        return ranked
+
+    def _weight(self, place: Place, order: Sequence[Place], column: int) -> int:
+        is_origin = not self.per_place and _turned(order, column)[0] == place
+        return 1 + min(self.remote, len(order) - 1) if is_origin else 1
+
     def _origin_rank(
         self,
         me: DueHost,
@@ -103,7 +125,7 @@
         turns = [
             gateways[place][column][rank]
             for rank in range(self.ranks)
-            for place in order
+            for place in _turned(order, column)
             if rank < len(gateways[place][column])
         ]
         allowed = turns[: self.ranks]
@@ -123,12 +145,23 @@
         return {gateways[other][column][0] for other in near}
 
 
+def _turned(order: Sequence[Place], column: int) -> list[Place]:
+    """Return the places in the order of their turns at the origin for a column."""
+    start = column % len(order)
+    return [*order[start:], *order[:start]]
+
+
 def ring_neighbours(me: HostId, hosts: Sequence[HostId], digest: Digest, count: int) -> set[HostId]:
-    """Return about `count` neighbours of `me`: before and after it on rings of the hosts."""
+    """Return about `count` neighbours of `me`: before and after it on rings of the hosts.
+
+    Rings that join the same two hosts are made up for by a few more.
+    """
     if len(hosts) <= count + 1:
         return set(hosts) - {me}
     found: set[HostId] = set()
-    for ring in range((count + 1) // 2):
+    for ring in range(count):
+        if len(found) >= count:
+            break
         order = _ranked(hosts, f"{digest}/ring{ring}")
         at = order.index(me)
         found |= {order[at - 1], order[(at + 1) % len(order)]}
--- a/src/lacewinggw/decisions/uploads.py
+++ b/src/lacewinggw/decisions/uploads.py
@@ -1,10 +1,13 @@
 """Which of the chunks asked of a host it sends next."""
 
 from collections import Counter
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from lacewinggw.ids import Digest, HostId
 
+HeldBy = Callable[[HostId, Digest], int]
+
 
 @dataclass(frozen=True)
 class UploadRequest:
@@ -13,13 +16,16 @@
     host: HostId
     digest: Digest
     index: int
+    remote: bool = field(default=False, compare=False)
 
 
 class UploadQueue:
-    """Requests that wait for the uplink: least sent chunk first, then the host served least.
+    """Requests that wait for the uplink.
 
-    Sending each chunk once before any a second time lets the neighbours pass it on meanwhile,
-    which is what keeps uploads even. A host may have only `per_host` requests waiting.
+    A chunk that was never sent goes first: its receiver passes it on meanwhile, which is what keeps
+    uploads even. Then a request from another place, which waits for it as a whole; then that of the
+    host with the fewest chunks, so that all finish together. A host may have only `per_host`
+    requests waiting.
     """
 
     def __init__(self, per_host: int) -> None:
@@ -27,7 +33,6 @@
         self._waiting: dict[UploadRequest, None] = {}
         self._waiting_of: Counter[HostId] = Counter()
         self._sent: Counter[tuple[Digest, int]] = Counter()
-        self._served: Counter[HostId] = Counter()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -50,14 +55,16 @@
         self._waiting_of[request.host] -= 1
         return True
 
-    def take(self) -> UploadRequest | None:
-        """Take the request to be served next, or None when none waits."""
+    def take(self, held: HeldBy) -> UploadRequest | None:
+        """Take the request to be served next, or None when none waits.
+
+        `held` tells how many chunks of a release a host has.
+        """
         if not self._waiting:
             return None
-        request = min(self._waiting, key=self._urgency)
+        request = min(self._waiting, key=lambda each: self._urgency(each, held))
         self.cancel(request)
         self._sent[request.digest, request.index] += 1
-        self._served[request.host] += 1
         return request
 
     def forget(self, digest: Digest) -> None:
@@ -65,5 +72,11 @@
         for key in [key for key in self._sent if key[0] == digest]:
             del self._sent[key]
 
-    def _urgency(self, request: UploadRequest) -> tuple[int, int]:
-        return self._sent[request.digest, request.index], self._served[request.host]
+    def _urgency(self, request: UploadRequest, held: HeldBy) -> tuple[int, ...]:
+        sent = self._sent[request.digest, request.index]
+        return (
+            min(sent, 1),
+            0 if request.remote else 1,
+            held(request.host, request.digest),
+            sent,
+        )
