Call a connection that ends before the reply lost, not broken HTTP

Cause: h11 reports the end of a connection inside a message as a protocol error, so a service that cut its connections was logged as one that "broke HTTP". Change: an end of the stream where h11 still expects bytes is ConnectionResetError. Shown by: a test that failed before and passes; 526 tests pass.

--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -93,13 +93,25 @@
 
 
 async def _next_event(connection: h11.Connection, stream: Stream, timeout_s: float) -> Any:
-    """Return the next h11 event, reading from the stream as needed."""
+    """Return the next h11 event, reading from the stream as needed.
+
+    Raises `ConnectionResetError` when the stream ends inside a message, and
+    `h11.RemoteProtocolError` for bytes that are no HTTP.
+    """
+    ended = False
     while True:
-        event = connection.next_event()
+        try:
+            event = connection.next_event()
+        except h11.RemoteProtocolError as error:
+            if ended:
+                raise ConnectionResetError("the connection ended too soon") from error
+            raise
         if event is not h11.NEED_DATA:
             return event
         async with asyncio.timeout(timeout_s):
-            connection.receive_data(await stream.read(READ_BYTES))
+            data = await stream.read(READ_BYTES)
+        ended = not data
+        connection.receive_data(data)
 
 
 async def _read_body(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -213,3 +213,12 @@
     with pytest.raises(PlatformUnavailable):
         await table.put("key", "a")
     await table.close()
+
+
+async def test_a_connection_cut_before_the_reply_is_not_called_broken_http() -> None:
+    async with started() as fixture:
+        fixture.platform.table.faults.outage = Outage.CUT
+        http = HttpClient(fixture.network)
+        with pytest.raises(ConnectionResetError):
+            await http.request(fixture.platform.table.address, "GET", "/rows/key")
+        await http.close()
