--- a/src/lacewinggw/lab/standin.py
+++ b/src/lacewinggw/lab/standin.py
@@ -24,7 +24,8 @@
 from lacewinggw.wire.network import Network
 
 LOOPBACK = "127.0.0.1:0"
-HANG_STEP_S = 0.05
+STEP_S = 0.05
+HANG_STEP_S = 1.0
 
 T = TypeVar("T")
 
@@ -227,7 +228,7 @@
             case Outage.CUT:
                 raise ConnectionAbortedError("cut on purpose")
             case Outage.HANG:
-                await wait_while(lambda: self.faults.outage is Outage.HANG)
+                await wait_while(lambda: self.faults.outage is Outage.HANG, HANG_STEP_S)
                 raise ConnectionAbortedError("cut after hanging")
         try:
             return await self.answer(request)
@@ -235,7 +236,11 @@
             return refused(400, f"malformed request: {error!r}")
 
 
-async def wait_while(condition: Callable[[], bool]) -> None:
-    """Wait until a condition no longer holds."""
+async def wait_while(condition: Callable[[], bool], step_s: float = STEP_S) -> None:
+    """Wait until a condition no longer holds, looking every `step_s` seconds.
+
+    Faults are plain attributes that anyone may set, so nothing tells of a change; long steps suit
+    a wait that many may be in at once.
+    """
     while condition():  # noqa: ASYNC110
-        await asyncio.sleep(HANG_STEP_S)
+        await asyncio.sleep(step_s)
--- a/src/lacewinggw/lab/weights.py
+++ b/src/lacewinggw/lab/weights.py
@@ -28,6 +28,7 @@
 
 __all__ = ["SyntheticRelease", "WeightFaults", "WeightsStandIn"]
 
+STALL_STEP_S = 0.25
 RELEASES = "/releases/"
 MANIFEST = "/manifest"
 MANIFESTS = "/manifests/"
@@ -133,11 +134,11 @@
     async def _send(self, chunk_hash: str, data: bytes) -> AsyncIterator[bytes]:
         if self.happens(self.faults.stall_share):
             self.stalled += 1
-            await wait_while(lambda: self.faults.stall_share > 0)
+            await wait_while(lambda: self.faults.stall_share > 0, STALL_STEP_S)
         async for piece in self.link.slices(data):
             if self.faults.stall:
                 self.stalled += 1
-                await wait_while(lambda: self.faults.stall)
+                await wait_while(lambda: self.faults.stall, STALL_STEP_S)
             self.sent_by_chunk[chunk_hash] += len(piece)
             yield piece
             await asyncio.sleep(0)
