--- /dev/null
+++ b/src/lacewinggw/agent/keeper.py
@@ -0,0 +1,232 @@
+"""Bring the target to the release that the configuration names, and keep it there.
+
+The decision is `decisions.lifecycle.next_step`; this carries it out: chunks to the target, orders
+with the revision as fencing number, and a read-back after each order and at every interval.
+"""
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from lacewinggw.agent.requests import RequestService
+from lacewinggw.agent.target import TargetGate, TargetKind
+from lacewinggw.agent.weights import Spreader
+from lacewinggw.decisions.lifecycle import (
+    Activate,
+    Load,
+    Observed,
+    Retire,
+    Serve,
+    Stage,
+    Step,
+    Unload,
+    Wait,
+    Wanted,
+    next_step,
+)
+from lacewinggw.errors import LacewingError, ReadBackMismatch
+from lacewinggw.generated.messages.ttypes import TargetState
+from lacewinggw.ids import Digest, ReleaseName
+from lacewinggw.log import get_logger
+from lacewinggw.platform.engine import (
+    ActivateOrder,
+    EngineClient,
+    EngineState,
+    LoadOrder,
+    Order,
+    UnloadOrder,
+)
+from lacewinggw.wire.network import Network
+
+READ_BACK_S = 1.0
+RETRY_S = 0.5
+
+log = get_logger(__name__)
+
+
+class TargetKeeper:
+    """One target and the loop that follows what is wanted of it.
+
+    `on_change` is called whenever what a heartbeat tells of the target has changed.
+    """
+
+    def __init__(
+        self,
+        network: Network,
+        gate: TargetGate,
+        engine: EngineClient,
+        spreader: Spreader,
+        requests: RequestService,
+        wanted: Callable[[], Wanted | None],
+        fence: Callable[[], int],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._network = network
+        self._gate = gate
+        self._engine = engine
+        self._spreader = spreader
+        self._requests = requests
+        self._wanted = wanted
+        self._fence = fence
+        self._on_change = on_change
+        self._staged: dict[Digest, set[int]] = {}
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following; the target stays as it is."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+
+    def wake(self) -> None:
+        """Decide again soon: the configuration or the weights have moved."""
+        self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            self._wake.clear()
+            pause_s = await self._advance()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+
+    async def _advance(self) -> float:
+        """Take one step; return the seconds to wait before the next unless woken."""
+        wanted = self._wanted()
+        try:
+            step = next_step(wanted, await self._observe(wanted))
+            return await self._carry_out(wanted, step)
+        except LacewingError as error:
+            log.warning("target-step-failed", code=error.code, reason=error.reason)
+            self._show(TargetState.FAILED, str(error))
+            return RETRY_S
+
+    async def _observe(self, wanted: Wanted | None) -> Observed:
+        if self._gate.kind is TargetKind.PLAIN:
+            return Observed(reachable=await self._accepts_connections())
+        state = await self._engine.state()
+        self._read_back(state.active)
+        digest = Digest(wanted.digest) if wanted else Digest("")
+        if digest and digest != state.active and digest not in state.loaded:
+            return await self._observe_loading(digest, state)
+        return Observed(reachable=True, active=state.active, loaded=frozenset(state.loaded))
+
+    async def _observe_loading(self, digest: Digest, state: EngineState) -> Observed:
+        chunk_count = self._spreader.chunk_count(digest)
+        staged = self._staged.setdefault(digest, set())
+        if chunk_count and len(staged) == chunk_count:
+            staged &= set(await self._engine.staged(digest))
+        return Observed(
+            reachable=True,
+            active=state.active,
+            loaded=frozenset(state.loaded),
+            held=len(self._spreader.held(digest)),
+            staged=len(staged),
+            chunk_count=chunk_count,
+        )
+
+    async def _accepts_connections(self) -> bool:
+        try:
+            stream = await self._network.connect(self._gate.address)
+        except (OSError, TimeoutError):
+            return False
+        stream.close()
+        return True
+
+    def _read_back(self, active: str) -> None:
+        """Note what the target runs; when it is not what was thought, stop offering it requests."""
+        if active == self._gate.active_digest:
+            return
+        self._gate.serving = False
+        self._gate.active_digest = active
+        self._on_change()
+
+    async def _carry_out(self, wanted: Wanted | None, step: Step) -> float:
+        match step:
+            case Wait(reason):
+                self._show(TargetState.FETCHING, reason)
+                return READ_BACK_S
+            case Stage(digest):
+                await self._stage(Digest(digest))
+                return 0.0
+            case Load(digest):
+                self._show(TargetState.LOADING, "")
+                assert wanted is not None
+                await self._load(wanted, Digest(digest))
+                return 0.0
+            case Activate(digest):
+                assert wanted is not None
+                await self._activate(wanted, Digest(digest))
+                return 0.0
+            case Unload(digests):
+                for digest in digests:
+                    await self._order(UnloadOrder(Digest(digest)))
+                    self._staged.pop(Digest(digest), None)
+                return 0.0
+            case Serve():
+                assert wanted is not None
+                self._serve(wanted)
+                return READ_BACK_S
+            case Retire():
+                await self._retire()
+                return READ_BACK_S
+
+    async def _stage(self, digest: Digest) -> None:
+        staged = self._staged.setdefault(digest, set())
+        for index in sorted(self._spreader.held(digest) - staged):
+            await self._engine.stage_chunk(digest, index, self._spreader.chunk(digest, index))
+            staged.add(index)
+
+    async def _load(self, wanted: Wanted, digest: Digest) -> None:
+        chunk_count = self._spreader.chunk_count(digest)
+        await self._order(LoadOrder(digest, ReleaseName(wanted.release), chunk_count))
+
+    async def _order(self, order: Order) -> None:
+        await self._engine.order(order, self._fence())
+
+    async def _activate(self, wanted: Wanted, digest: Digest) -> None:
+        """Swap: no request may see two digests, so those on the old one end first."""
+        self._gate.serving = False
+        self._show(TargetState.LOADING, "")
+        await self._requests.quiesce()
+        try:
+            await self._order(ActivateOrder(digest))
+            state = await self._engine.state()
+            self._gate.active_digest = state.active
+            if state.active != digest:
+                raise ReadBackMismatch(f"ordered {digest}, the target reports {state.active!r}")
+            self._serve(wanted)
+        finally:
+            self._requests.resume()
+
+    def _serve(self, wanted: Wanted) -> None:
+        self._gate.service = wanted.service
+        self._gate.release = wanted.release
+        self._gate.serving = True
+        self._show(TargetState.SERVING, "")
+
+    async def _retire(self) -> None:
+        if self._gate.serving:
+            self._gate.serving = False
+            await self._requests.quiesce()
+            self._requests.resume()
+        self._show(TargetState.STARTING, "no service is placed on this host")
+
+    def _show(self, state: TargetState, held_up_by: str) -> None:
+        gate = self._gate
+        if state is TargetState.FETCHING and gate.serving:
+            state = TargetState.SERVING
+        if state is TargetState.FAILED:
+            gate.serving = False
+        if (gate.state, gate.held_up_by) == (state, held_up_by):
+            return
+        gate.state = state
+        gate.held_up_by = held_up_by
+        self._on_change()
--- /dev/null
+++ b/src/lacewinggw/agent/process.py
@@ -0,0 +1,238 @@
+"""The agent process: wires the weights, the target and the requests on one host together."""
+
+import random
+from collections.abc import Sequence
+
+from lacewinggw.agent.follower import Follower
+from lacewinggw.agent.heartbeats import HeartbeatSender
+from lacewinggw.agent.keeper import TargetKeeper
+from lacewinggw.agent.requests import RequestService
+from lacewinggw.agent.target import TargetGate, TargetKind
+from lacewinggw.agent.weights import DueRelease, Spreader
+from lacewinggw.decisions.lifecycle import Wanted
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.errors import UnsupportedMessage
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.health import Health, Readiness
+from lacewinggw.ids import Address, Digest, new_incarnation
+from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.engine import EngineClient
+from lacewinggw.platform.membership import Member, MemberRole, MembershipClient, MemberState
+from lacewinggw.platform.watch import MemberList, MemberWatch
+from lacewinggw.platform.weights import WeightsClient
+from lacewinggw.service import run_until_signalled
+from lacewinggw.wire.http import HttpServer
+from lacewinggw.wire.pages import HealthPages
+from lacewinggw.wire.network import Network, TcpNetwork
+from lacewinggw.wire.peers import Exchange, Identity, PeerNode
+
+MILLISECONDS = 1000.0
+
+log = get_logger(__name__)
+
+
+def wanted_of(state: FleetState, host: str) -> Wanted | None:
+    """Return what the configuration wants of the target on `host`."""
+    for service, release in state.assignments_of(host):
+        return Wanted(service, release, state.release_digest(release) if release else "")
+    return None
+
+
+def due_releases(state: FleetState, host: str) -> dict[Digest, DueRelease]:
+    """Return the releases that `host` is to hold, with the other hosts due each."""
+    due: dict[Digest, DueRelease] = {}
+    for service, release in state.assignments_of(host):
+        if not release:
+            continue
+        digest = Digest(state.release_digest(release))
+        placed = state.placements[service]
+        hosts = tuple(sorted(each for each, named in placed.items() if named == release))
+        prefer = messages.Prefer(state.services[service].prefer)
+        due[digest] = DueRelease(release, digest, hosts, prefer)
+    return due
+
+
+class AgentProcess:
+    """Everything that runs on one target host.
+
+    agent = AgentProcess.from_config(settings)
+    await agent.start()
+    ...
+    await agent.drain()
+    await agent.close()
+    """
+
+    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+        agent, process = settings.agent, settings.process
+        self.metrics = Metrics()
+        self._settings = settings
+        self._membership = MembershipClient.from_settings(network, settings.platform)
+        self._origin = WeightsClient.for_origin(network, settings.platform)
+        self._store = WeightsClient.for_weight_store(network, settings.platform)
+        self._engine = EngineClient.from_settings(network, agent)
+        self.watch = MemberWatch.from_config(settings, self._membership)
+        self.incarnation = new_incarnation(rng)
+        identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
+        self.node = PeerNode(
+            network,
+            identity,
+            process.fleet_key,
+            self._handle,
+            revision=lambda: self.follower.revision,
+            on_revision=lambda link, revision: self.follower.saw_revision(link, revision),
+        )
+        self.follower = Follower.from_config(
+            settings, self.node, self._entry_addresses, self.metrics
+        )
+        self.gate = TargetGate(TargetKind(agent.target_kind), agent.target, agent.service_name)
+        self.spreader = Spreader.from_config(
+            settings, self.node, self._origin, self._store, self.metrics, rng
+        )
+        self.requests = RequestService.from_config(
+            settings, self.gate, self._engine, identity, self.metrics, rng
+        )
+        self.heartbeats = HeartbeatSender(self._compose, agent.heartbeat_ms / MILLISECONDS)
+        self.keeper = TargetKeeper(
+            network,
+            self.gate,
+            self._engine,
+            self.spreader,
+            self.requests,
+            wanted=lambda: wanted_of(self.follower.state, process.host),
+            fence=lambda: self.follower.revision,
+            on_change=self.heartbeats.note_change,
+        )
+        pages = HealthPages(Health(self.metrics, self._readiness))
+        self._operator_server = HttpServer(network, agent.operator_listen, pages.handle)
+        self.draining = False
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        network: Network | None = None,
+        rng: random.Random | None = None,
+    ) -> "AgentProcess":
+        """Build an agent from its settings, on sockets unless another network is given."""
+        return cls(settings, network or TcpNetwork(), rng or random.SystemRandom())
+
+    async def start(self) -> None:
+        """Listen, learn the hosts and the configuration, and begin to follow them."""
+        await self.node.start(self._settings.agent.peer_listen)
+        await self._operator_server.start()
+        self.watch.on_change(self._take_members)
+        self.follower.on_change(lambda state, _: self._take_state(state))
+        self.spreader.on_chunk(lambda digest, index: self.keeper.wake())
+        await self.watch.start()
+        await self.spreader.start()
+        await self.requests.start()
+        await self.heartbeats.start()
+        await self.follower.start()
+        await self.keeper.start()
+        log.info("agent-started", address=self.node.address)
+
+    async def drain(self) -> None:
+        """Refuse new requests, let those in progress end, and hand on what others still fetch."""
+        self.begin_drain()
+        limit_s = self._settings.agent.drain_limit_ms / MILLISECONDS
+        await self.requests.drained(limit_s)
+        log.info("agent-drained")
+
+    def begin_drain(self) -> None:
+        """Refuse new requests from now on."""
+        if self.draining:
+            return
+        self.draining = True
+        self.requests.begin_drain()
+        self.heartbeats.note_change()
+        log.info("agent-draining")
+
+    async def leave(self) -> None:
+        """Drain, then close."""
+        await self.drain()
+        await self.close()
+
+    async def close(self) -> None:
+        """End everything; nothing is left pending."""
+        await self.keeper.close()
+        await self.follower.close()
+        await self.heartbeats.close()
+        await self.requests.close()
+        await self.spreader.close()
+        await self.watch.close()
+        await self.node.close()
+        await self._operator_server.close()
+        for client in (self._membership, self._origin, self._store, self._engine):
+            await client.close()
+        log.info("agent-closed")
+
+    def _readiness(self) -> Readiness:
+        reason = "" if self.follower.ready else "no configuration yet"
+        return Readiness(self.follower.ready, reason, self.follower.revision)
+
+    def _entry_addresses(self) -> Sequence[Address]:
+        return [
+            member.address
+            for member in self.watch.members
+            if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
+        ]
+
+    def _take_members(self, members: MemberList) -> None:
+        self.spreader.set_members(members)
+        mine = self._find_self(members)
+        if mine is not None and mine.state is MemberState.LEAVING:
+            self.begin_drain()
+
+    def _find_self(self, members: MemberList) -> Member | None:
+        host = self._settings.process.host
+        return next((member for member in members if member.host == host), None)
+
+    def _take_state(self, state: FleetState) -> None:
+        host = self._settings.process.host
+        self.spreader.set_due(due_releases(state, host))
+        self.keeper.wake()
+
+    def _compose(self, sequence: int) -> messages.Heartbeat:
+        gate = self.gate
+        process = self._settings.process
+        state = messages.TargetState.DRAINING if self.draining else gate.state
+        return messages.Heartbeat(
+            host=process.host,
+            place=process.place,
+            incarnation=self.incarnation,
+            service_name=gate.service if gate.serving else "",
+            release=gate.release if gate.serving else "",
+            digest=gate.active_digest if gate.serving else "",
+            state=state,
+            load=self.requests.load(),
+            spreads=self.spreader.reports(),
+            sequence=sequence,
+        )
+
+    async def _handle(self, exchange: Exchange) -> None:
+        match exchange.message:
+            case messages.Offer() | messages.Reserve() | messages.Start() | messages.Withdraw():
+                await self.requests.handle(exchange)
+            case (
+                messages.FetchManifest()
+                | messages.Have()
+                | messages.FetchChunk()
+                | messages.CancelChunk()
+            ):
+                await self.spreader.handle(exchange)
+            case messages.LogNews():
+                await self.follower.handle(exchange)
+            case messages.Watch():
+                self.heartbeats.add(exchange.link)
+            case _:
+                kind = type(exchange.message).__name__
+                raise UnsupportedMessage(f"an agent does not take {kind}")
+
+
+async def run_agent(settings: Settings) -> None:
+    """Run an agent until a signal asks it to leave, then drain it."""
+    agent = AgentProcess.from_config(settings)
+    configure_process_log(settings.process, "agent", agent.incarnation)
+    await run_until_signalled(agent.start, agent.leave)
--- /dev/null
+++ b/src/lacewinggw/entry/process.py
@@ -0,0 +1,208 @@
+"""The entry process: wires the configuration, the targets, the callers and the operators."""
+
+import random
+
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.entry.callers import CallerService
+from lacewinggw.entry.ledger import Ledger
+from lacewinggw.entry.limits import AccountLimits
+from lacewinggw.entry.operators import OperatorService
+from lacewinggw.entry.placer import Placer
+from lacewinggw.entry.targets import TargetDirectory
+from lacewinggw.entry.view import ProcessView
+from lacewinggw.errors import UnsupportedMessage
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.health import Health, Readiness
+from lacewinggw.ids import new_incarnation
+from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.membership import MembershipClient
+from lacewinggw.platform.objects import ObjectClient
+from lacewinggw.platform.table import TableClient
+from lacewinggw.platform.watch import MemberList, MemberWatch
+from lacewinggw.platform.weights import WeightsClient
+from lacewinggw.service import run_until_signalled
+from lacewinggw.wire.http import HttpLimits, HttpServer, Request, Response
+from lacewinggw.wire.network import Network, TcpNetwork
+from lacewinggw.wire.pages import HealthPages
+from lacewinggw.wire.peers import Exchange, Identity, PeerNode
+
+MILLISECONDS = 1000.0
+
+log = get_logger(__name__)
+
+
+class EntryProcess:
+    """Everything that runs on one entry host.
+
+    entry = EntryProcess.from_config(settings)
+    await entry.start()
+    ...
+    await entry.drain()
+    await entry.close()
+    """
+
+    def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
+        process = settings.process
+        self.metrics = Metrics()
+        self._settings = settings
+        self._table = TableClient.from_settings(network, settings.platform)
+        self._objects = ObjectClient.from_settings(network, settings.platform)
+        self._membership = MembershipClient.from_settings(network, settings.platform)
+        self._origin = WeightsClient.for_origin(network, settings.platform)
+        self.watch = MemberWatch.from_config(settings, self._membership)
+        self.incarnation = new_incarnation(rng)
+        identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
+        self.node = PeerNode(
+            network,
+            identity,
+            process.fleet_key,
+            self._handle,
+            revision=lambda: self.ledger.revision,
+            on_revision=lambda link, revision: self.ledger.saw_revision(link, revision),
+        )
+        self.ledger = Ledger.from_config(
+            settings, self._table, self._objects, self.metrics, self.node, self._members
+        )
+        self.targets = TargetDirectory.from_config(
+            settings, self.node, self._state, self.metrics, rng
+        )
+        self.limits = AccountLimits.from_config(settings, self.node, self._members, self.metrics)
+        self.placer = Placer.from_config(
+            settings, self.ledger, self._members, self.targets.heartbeats, self.metrics
+        )
+        self.callers = CallerService.from_config(
+            settings,
+            self._state,
+            self.targets,
+            self.limits,
+            self.node,
+            self._table,
+            self._objects,
+            self._members,
+            self.metrics,
+            rng,
+        )
+        view = ProcessView(self.ledger, self.targets, self._members, self.metrics)
+        self.operators = OperatorService.from_config(
+            settings, self.ledger, self._origin, view, self.metrics
+        )
+        self._pages = HealthPages(Health(self.metrics, self._readiness))
+        limits = HttpLimits(body_bytes=settings.entry.body_limit_bytes)
+        self._caller_server = HttpServer(
+            network, settings.entry.caller_listen, self.callers.handle, limits
+        )
+        self._operator_server = HttpServer(
+            network, settings.entry.operator_listen, self._answer_operator, limits
+        )
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        network: Network | None = None,
+        rng: random.Random | None = None,
+    ) -> "EntryProcess":
+        """Build an entry from its settings, on sockets unless another network is given."""
+        return cls(settings, network or TcpNetwork(), rng or random.SystemRandom())
+
+    @property
+    def caller_address(self) -> str:
+        """The bound address for callers."""
+        return self._caller_server.address
+
+    @property
+    def operator_address(self) -> str:
+        """The bound address for operators."""
+        return self._operator_server.address
+
+    async def start(self) -> None:
+        """Listen to operators and peers, get a configuration, then take callers."""
+        await self.node.start(self._settings.entry.peer_listen)
+        await self._operator_server.start()
+        self.watch.on_change(self._take_members)
+        self.ledger.on_change(lambda state, _: self._take_state(state))
+        await self.watch.start()
+        await self.ledger.start()
+        await self.targets.start()
+        await self.limits.start()
+        await self.placer.start()
+        await self.callers.start()
+        await self._caller_server.start()
+        log.info("entry-started", address=self.node.address, callers=self.caller_address)
+
+    async def drain(self) -> None:
+        """Leave the address answers, serve on while callers may hold them, end what runs."""
+        entry = self._settings.entry
+        self.callers.begin_drain()
+        log.info("entry-draining")
+        await self.callers.drained(entry.drain_limit_ms / MILLISECONDS)
+        log.info("entry-drained")
+
+    async def leave(self) -> None:
+        """Drain, then close."""
+        await self.drain()
+        await self.close()
+
+    async def close(self) -> None:
+        """End everything; nothing is left pending."""
+        await self._caller_server.close()
+        await self.callers.close()
+        await self.placer.close()
+        await self.limits.close()
+        await self.targets.close()
+        await self.ledger.close()
+        await self.watch.close()
+        await self.node.close()
+        await self._operator_server.close()
+        for client in (self._table, self._objects, self._membership, self._origin):
+            await client.close()
+        log.info("entry-closed")
+
+    def _readiness(self) -> Readiness:
+        reason = "" if self.ledger.ready else "no configuration yet"
+        return Readiness(self.ledger.ready, reason, self.ledger.revision)
+
+    def _state(self) -> FleetState:
+        return self.ledger.state
+
+    def _members(self) -> MemberList:
+        return self.watch.members
+
+    def _take_members(self, members: MemberList) -> None:
+        self.targets.set_members(members)
+        self.placer.note_change()
+
+    def _take_state(self, state: FleetState) -> None:
+        self.targets.refresh()
+        self.placer.note_change()
+
+    async def _answer_operator(self, request: Request) -> Response:
+        page = self._pages.find(request)
+        return page if page is not None else await self.operators.handle(request)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        match exchange.message:
+            case messages.Heartbeat():
+                await self.targets.handle(exchange)
+                self.placer.note_change()
+            case (
+                messages.FetchLog()
+                | messages.FetchSnapshot()
+                | messages.Subscribe()
+                | messages.LogNews()
+            ):
+                await self.ledger.handle(exchange)
+            case messages.Demand():
+                await self.limits.handle(exchange)
+            case _:
+                kind = type(exchange.message).__name__
+                raise UnsupportedMessage(f"an entry does not take {kind}")
+
+
+async def run_entry(settings: Settings) -> None:
+    """Run an entry until a signal asks it to leave, then drain it."""
+    entry = EntryProcess.from_config(settings)
+    configure_process_log(settings.process, "entry", entry.incarnation)
+    await run_until_signalled(entry.start, entry.leave)
--- /dev/null
+++ b/src/lacewinggw/platform/watch.py
@@ -0,0 +1,84 @@
+"""The list of hosts, polled; during an outage of the list the last one known stays in force."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.log import get_logger
+from lacewinggw.platform.membership import Member, MembershipClient, Unchanged
+
+MILLISECONDS = 1000.0
+
+MemberList = tuple[Member, ...]
+OnMembers = Callable[[MemberList], None]
+
+log = get_logger(__name__)
+
+
+class MemberWatch:
+    """Poll the membership list and tell whoever asked when it changes.
+
+    `ready` is set once a list was read. Poll errors are logged once per outage and never empty the
+    list: a membership service that is down says nothing about the hosts.
+    """
+
+    def __init__(self, client: MembershipClient, poll_s: float) -> None:
+        self.ready = asyncio.Event()
+        self._client = client
+        self._poll_s = poll_s
+        self._members: MemberList = ()
+        self._callbacks: list[OnMembers] = []
+        self._task: asyncio.Task[None] | None = None
+        self._failing = False
+
+    @classmethod
+    def from_config(cls, settings: Settings, client: MembershipClient) -> "MemberWatch":
+        """Build a watch that polls as the [platform] section says."""
+        return cls(client, settings.platform.membership_poll_ms / MILLISECONDS)
+
+    @property
+    def members(self) -> MemberList:
+        """The last list read."""
+        return self._members
+
+    def on_change(self, callback: OnMembers) -> None:
+        """Call `callback` with each new list."""
+        self._callbacks.append(callback)
+
+    async def start(self) -> None:
+        """Begin to poll."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop polling."""
+        if self._task is None:
+            return
+        self._task.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._task
+
+    async def _run(self) -> None:
+        while True:
+            await self._poll()
+            await asyncio.sleep(self._poll_s)
+
+    async def _poll(self) -> None:
+        try:
+            listed = await self._client.poll()
+        except LacewingError as error:
+            if not self._failing:
+                log.warning("membership-unavailable", code=error.code, reason=error.reason)
+            self._failing = True
+            return
+        self._failing = False
+        if isinstance(listed, Unchanged):
+            return
+        self._take(listed)
+
+    def _take(self, listed: Sequence[Member]) -> None:
+        self._members = tuple(listed)
+        self.ready.set()
+        for callback in self._callbacks:
+            callback(self._members)
