--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -15,6 +15,7 @@
     Activate,
     Load,
     Observed,
+    Progress,
     Retire,
     Serve,
     Stage,
@@ -22,6 +23,7 @@
     Unload,
     Wait,
     Wanted,
+    incoming_digest,
     next_step,
 )
 from lacewinggw.errors import LacewingError, ReadBackMismatch
@@ -31,7 +33,6 @@
 from lacewinggw.platform.engine import (
     ActivateOrder,
     EngineClient,
-    EngineState,
     LoadOrder,
     Order,
     UnloadOrder,
@@ -113,24 +114,17 @@
             return Observed(reachable=await self._accepts_connections())
         state = await self._engine.state()
         self._read_back(state.active)
-        digest = Digest(wanted.digest) if wanted else Digest("")
-        if digest and digest != state.active and digest not in state.loaded:
-            return await self._observe_loading(digest, state)
-        return Observed(reachable=True, active=state.active, loaded=frozenset(state.loaded))
+        loaded = frozenset(state.loaded)
+        incoming = incoming_digest(wanted, state.active, loaded)
+        progress = await self._progress_of(Digest(incoming)) if incoming else Progress()
+        return Observed(True, state.active, loaded, progress)
 
-    async def _observe_loading(self, digest: Digest, state: EngineState) -> Observed:
+    async def _progress_of(self, digest: Digest) -> Progress:
         chunk_count = self._spreader.chunk_count(digest)
         staged = self._staged.setdefault(digest, set())
         if chunk_count and len(staged) == chunk_count:
             staged &= set(await self._engine.staged(digest))
-        return Observed(
-            reachable=True,
-            active=state.active,
-            loaded=frozenset(state.loaded),
-            held=len(self._spreader.held(digest)),
-            staged=len(staged),
-            chunk_count=chunk_count,
-        )
+        return Progress(len(self._spreader.held(digest)), len(staged), chunk_count)
 
     async def _accepts_connections(self) -> bool:
         try:
@@ -149,34 +143,27 @@
         self._on_change()
 
     async def _carry_out(self, wanted: Wanted | None, step: Step) -> float:
+        if wanted is None or isinstance(step, Retire):
+            await self._retire()
+            return READ_BACK_S
         match step:
-            case Wait(reason):
-                self._show(TargetState.FETCHING, reason)
+            case Wait(reason, serving):
+                self._show_progress(wanted, serving, reason)
                 return READ_BACK_S
-            case Stage(digest):
+            case Stage(digest, serving):
+                self._show_progress(wanted, serving, "")
                 await self._stage(Digest(digest))
-                return 0.0
-            case Load(digest):
-                self._show(TargetState.LOADING, "")
-                assert wanted is not None
+            case Load(digest, serving):
+                self._show_progress(wanted, serving, "")
                 await self._load(wanted, Digest(digest))
-                return 0.0
             case Activate(digest):
-                assert wanted is not None
                 await self._activate(wanted, Digest(digest))
-                return 0.0
             case Unload(digests):
-                for digest in digests:
-                    await self._order(UnloadOrder(Digest(digest)))
-                    self._staged.pop(Digest(digest), None)
-                return 0.0
+                await self._unload(digests)
             case Serve():
-                assert wanted is not None
                 self._serve(wanted)
                 return READ_BACK_S
-            case Retire():
-                await self._retire()
-                return READ_BACK_S
+        return 0.0
 
     async def _stage(self, digest: Digest) -> None:
         staged = self._staged.setdefault(digest, set())
@@ -185,8 +172,14 @@
             staged.add(index)
 
     async def _load(self, wanted: Wanted, digest: Digest) -> None:
+        named = wanted.release if digest == wanted.digest else wanted.next_release
         chunk_count = self._spreader.chunk_count(digest)
-        await self._order(LoadOrder(digest, ReleaseName(wanted.release), chunk_count))
+        await self._order(LoadOrder(digest, ReleaseName(named), chunk_count))
+
+    async def _unload(self, digests: tuple[str, ...]) -> None:
+        for digest in digests:
+            await self._order(UnloadOrder(Digest(digest)))
+            self._staged.pop(Digest(digest), None)
 
     async def _order(self, order: Order) -> None:
         await self._engine.order(order, self._fence())
@@ -206,11 +199,11 @@
         finally:
             self._requests.resume()
 
-    def _serve(self, wanted: Wanted) -> None:
+    def _serve(self, wanted: Wanted, held_up_by: str = "") -> None:
         self._gate.service = wanted.service
         self._gate.release = wanted.release
         self._gate.serving = True
-        self._show(TargetState.SERVING, "")
+        self._show(TargetState.SERVING, held_up_by)
 
     async def _retire(self) -> None:
         if self._gate.serving:
@@ -219,10 +212,14 @@
             self._requests.resume()
         self._show(TargetState.STARTING, "no service is placed on this host")
 
+    def _show_progress(self, wanted: Wanted, serving: bool, reason: str) -> None:
+        if serving:
+            self._serve(wanted, reason)
+        else:
+            self._show(TargetState.FETCHING, reason)
+
     def _show(self, state: TargetState, held_up_by: str) -> None:
         gate = self._gate
-        if state is TargetState.FETCHING and gate.serving:
-            state = TargetState.SERVING
         if state is TargetState.FAILED:
             gate.serving = False
         if (gate.state, gate.held_up_by) == (state, held_up_by):
--- a/src/lacewinggw/decisions/lifecycle.py
+++ b/src/lacewinggw/decisions/lifecycle.py
@@ -4,6 +4,7 @@
 target, so that a lost order, a restarted engine or a replaced agent needs no case of its own.
 """
 
+from collections.abc import Collection
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -12,37 +13,52 @@
 class Wanted:
     """One host's part in the configuration.
 
-    `digest` is empty for a plain service. `activate` is false while the host is to load the release
-    but go on serving the one before.
+    `digest` is what it is to serve, empty for a plain service. `next_digest` is what it is to have
+    loaded beside it for its turn to change over, empty when there is no change under way.
     """
 
     service: str
     release: str
     digest: str
-    activate: bool = True
+    next_release: str = ""
+    next_digest: str = ""
+
+
+@dataclass(frozen=True)
+class Progress:
+    """How far one release has come on its way to the target.
+
+    `held` counts its verified chunks at this agent, `staged` those of them handed to the target;
+    `chunk_count` is 0 until the manifest is known.
+    """
+
+    held: int = 0
+    staged: int = 0
+    chunk_count: int = 0
 
 
 @dataclass(frozen=True)
 class Observed:
-    """What the target reports, and how far the weights are.
+    """What the target reports, and how far the release that is to come in next is.
 
-    `held` counts the verified chunks of the wanted release at this agent, `staged` those of them
-    handed to the target; `chunk_count` is 0 until the manifest is known.
+    `progress` is that of `incoming_digest` for the same wanted part.
     """
 
     reachable: bool
     active: str = ""
     loaded: frozenset[str] = frozenset()
-    held: int = 0
-    staged: int = 0
-    chunk_count: int = 0
+    progress: Progress = Progress()
 
 
 @dataclass(frozen=True)
 class Wait:
-    """Nothing can be done until something changes; `reason` tells what."""
+    """Nothing can be done until something changes; `reason` tells what.
+
+    `serving` here and below tells that the target meanwhile runs what it is to serve.
+    """
 
     reason: str
+    serving: bool = False
 
 
 @dataclass(frozen=True)
@@ -50,6 +66,7 @@
     """Hand the verified chunks that the target lacks to it."""
 
     digest: str
+    serving: bool = False
 
 
 @dataclass(frozen=True)
@@ -57,6 +74,7 @@
     """Order the target to load a release whose chunks it all has."""
 
     digest: str
+    serving: bool = False
 
 
 @dataclass(frozen=True)
@@ -88,6 +106,17 @@
 Step: TypeAlias = Wait | Stage | Load | Activate | Serve | Unload | Retire
 
 
+def incoming_digest(wanted: Wanted | None, active: str, loaded: Collection[str]) -> str:
+    """Return the digest that the target lacks, the one it is to serve first; empty if none."""
+    if wanted is None:
+        return ""
+    if wanted.digest and wanted.digest != active and wanted.digest not in loaded:
+        return wanted.digest
+    if wanted.next_digest and wanted.next_digest not in loaded:
+        return wanted.next_digest
+    return ""
+
+
 def next_step(wanted: Wanted | None, observed: Observed) -> Step:
     """Return the next step from `observed` towards `wanted`.
 
@@ -97,27 +126,23 @@
         return Wait("the target does not answer")
     if wanted is None:
         return Retire()
-    if not wanted.digest or observed.active == wanted.digest:
-        return _tidy(wanted, observed)
-    if wanted.digest in observed.loaded:
-        if wanted.activate:
-            return Activate(wanted.digest)
-        return Wait("loaded; its turn to activate has not come")
-    return _bring_in(wanted, observed)
-
-
-def _tidy(wanted: Wanted, observed: Observed) -> Step:
-    surplus = observed.loaded - {wanted.digest}
-    if wanted.digest and surplus:
+    serving = observed.active == wanted.digest
+    if not serving and wanted.digest in observed.loaded:
+        return Activate(wanted.digest)
+    surplus = observed.loaded - {wanted.digest, wanted.next_digest}
+    if serving and surplus:
         return Unload(tuple(sorted(surplus)))
-    return Serve(wanted.digest)
-
-
-def _bring_in(wanted: Wanted, observed: Observed) -> Step:
-    if observed.chunk_count == 0:
-        return Wait("the manifest is not here yet")
-    if observed.staged < observed.held:
-        return Stage(wanted.digest)
-    if observed.staged == observed.chunk_count:
-        return Load(wanted.digest)
-    return Wait(f"{observed.held} of {observed.chunk_count} chunks are here")
+    incoming = incoming_digest(wanted, observed.active, observed.loaded)
+    if not incoming:
+        return Serve(wanted.digest)
+    return _bring_in(incoming, observed.progress, serving)
+
+
+def _bring_in(digest: str, progress: Progress, serving: bool) -> Step:
+    if progress.chunk_count == 0:
+        return Wait("the manifest is not here yet", serving)
+    if progress.staged < progress.held:
+        return Stage(digest, serving)
+    if progress.staged == progress.chunk_count:
+        return Load(digest, serving)
+    return Wait(f"{progress.held} of {progress.chunk_count} chunks are here", serving)
