--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -1,7 +1,6 @@
 """The agent process: wires the weights, the target and the requests on one host together."""
 
 import random
-from collections.abc import Sequence
 
 from lacewinggw.agent.follower import Follower
 from lacewinggw.agent.heartbeats import HeartbeatSender
@@ -9,23 +8,25 @@
 from lacewinggw.agent.requests import RequestService
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.agent.weights import DueRelease, Spreader
+from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.lifecycle import Wanted
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import UnsupportedMessage
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
-from lacewinggw.ids import Address, Digest, new_incarnation
+from lacewinggw.ids import Digest, HostId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.engine import EngineClient
-from lacewinggw.platform.membership import Member, MemberRole, MembershipClient, MemberState
+from lacewinggw.platform.membership import Member, MembershipClient, MemberState
+from lacewinggw.platform.plain import PlainClient
 from lacewinggw.platform.watch import MemberList, MemberWatch
 from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpServer
-from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.network import Network, TcpNetwork
+from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
 MILLISECONDS = 1000.0
@@ -48,7 +49,7 @@
             continue
         digest = Digest(state.release_digest(release))
         placed = state.placements[service]
-        hosts = tuple(sorted(each for each, named in placed.items() if named == release))
+        hosts = tuple(HostId(each) for each, named in sorted(placed.items()) if named == release)
         prefer = messages.Prefer(state.services[service].prefer)
         due[digest] = DueRelease(release, digest, hosts, prefer)
     return due
@@ -71,7 +72,8 @@
         self._membership = MembershipClient.from_settings(network, settings.platform)
         self._origin = WeightsClient.for_origin(network, settings.platform)
         self._store = WeightsClient.for_weight_store(network, settings.platform)
-        self._engine = EngineClient.from_settings(network, agent)
+        self._engine = EngineClient(network, agent.target)
+        self._plain = PlainClient(network, agent.target)
         self.watch = MemberWatch.from_config(settings, self._membership)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
@@ -84,14 +86,18 @@
             on_revision=lambda link, revision: self.follower.saw_revision(link, revision),
         )
         self.follower = Follower.from_config(
-            settings, self.node, self._entry_addresses, self.metrics
+            settings.configuration,
+            self.node,
+            lambda: entry_candidates(self.watch.members),
+            self.metrics,
+            rng,
         )
         self.gate = TargetGate(TargetKind(agent.target_kind), agent.target, agent.service_name)
         self.spreader = Spreader.from_config(
             settings, self.node, self._origin, self._store, self.metrics, rng
         )
         self.requests = RequestService.from_config(
-            settings, self.gate, self._engine, identity, self.metrics, rng
+            settings, self.gate, self._engine, identity, self.metrics, rng, self._plain
         )
         self.heartbeats = HeartbeatSender(self._compose, agent.heartbeat_ms / MILLISECONDS)
         self.keeper = TargetKeeper(
@@ -164,7 +170,7 @@
         await self.watch.close()
         await self.node.close()
         await self._operator_server.close()
-        for client in (self._membership, self._origin, self._store, self._engine):
+        for client in (self._membership, self._origin, self._store, self._engine, self._plain):
             await client.close()
         log.info("agent-closed")
 
@@ -172,13 +178,6 @@
         reason = "" if self.follower.ready else "no configuration yet"
         return Readiness(self.follower.ready, reason, self.follower.revision)
 
-    def _entry_addresses(self) -> Sequence[Address]:
-        return [
-            member.address
-            for member in self.watch.members
-            if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
-        ]
-
     def _take_members(self, members: MemberList) -> None:
         self.spreader.set_members(members)
         mine = self._find_self(members)
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -2,6 +2,8 @@
 
 import random
 
+from lacewinggw.configuration.candidates import entry_candidates
+from lacewinggw.decisions.hosts import Heard
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.callers import CallerService
 from lacewinggw.entry.ledger import Ledger
@@ -63,14 +65,26 @@
             on_revision=lambda link, revision: self.ledger.saw_revision(link, revision),
         )
         self.ledger = Ledger.from_config(
-            settings, self._table, self._objects, self.metrics, self.node, self._members
+            settings.configuration,
+            self._table,
+            self._objects,
+            self.metrics,
+            self.node,
+            lambda: entry_candidates(self.watch.members),
+            rng,
         )
         self.targets = TargetDirectory.from_config(
             settings, self.node, self._state, self.metrics, rng
         )
         self.limits = AccountLimits.from_config(settings, self.node, self._members, self.metrics)
         self.placer = Placer.from_config(
-            settings, self.ledger, self._members, self.targets.heartbeats, self.metrics
+            settings.configuration,
+            self.ledger,
+            self.node,
+            self._members,
+            lambda: Heard(self.targets.last_heard()),
+            self.metrics,
+            rng,
         )
         self.callers = CallerService.from_config(
             settings,
@@ -84,7 +98,7 @@
             self.metrics,
             rng,
         )
-        view = ProcessView(self.ledger, self.targets, self._members, self.metrics)
+        view = ProcessView(self.ledger, self.targets, self.placer, self.watch, self.metrics)
         self.operators = OperatorService.from_config(
             settings, self.ledger, self._origin, view, self.metrics
         )
@@ -121,8 +135,8 @@
         """Listen to operators and peers, get a configuration, then take callers."""
         await self.node.start(self._settings.entry.peer_listen)
         await self._operator_server.start()
-        self.watch.on_change(self._take_members)
-        self.ledger.on_change(lambda state, _: self._take_state(state))
+        self.watch.on_change(self.targets.set_members)
+        self.ledger.on_change(lambda state, entries: self.targets.refresh())
         await self.watch.start()
         await self.ledger.start()
         await self.targets.start()
@@ -170,14 +184,6 @@
     def _members(self) -> MemberList:
         return self.watch.members
 
-    def _take_members(self, members: MemberList) -> None:
-        self.targets.set_members(members)
-        self.placer.note_change()
-
-    def _take_state(self, state: FleetState) -> None:
-        self.targets.refresh()
-        self.placer.note_change()
-
     async def _answer_operator(self, request: Request) -> Response:
         page = self._pages.find(request)
         return page if page is not None else await self.operators.handle(request)
@@ -186,7 +192,6 @@
         match exchange.message:
             case messages.Heartbeat():
                 await self.targets.handle(exchange)
-                self.placer.note_change()
             case (
                 messages.FetchLog()
                 | messages.FetchSnapshot()
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -412,7 +412,7 @@
         member: Member,
         settings: Settings,
         sections: Sequence[str],
-        target: Address = Address(""),
+        target: Address | None = None,
     ) -> None:
         for name in ("entry", "agent"):
             if name not in sections:
@@ -420,7 +420,7 @@
         settings.operator = None  # type: ignore[assignment]
         path = self.folder / f"{member.host}.ini"
         path.write_text(write_settings(settings))
-        self.hosts[member.host] = FleetHost(member, path, target)
+        self.hosts[member.host] = FleetHost(member, path, target or Address(""))
 
     async def _is_ready(self, host: FleetHost) -> bool:
         if host.process is not None and not host.process.running:
