--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -8,7 +8,7 @@
 from lacewinggw.entry.callers import CallerService
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.entry.limits import AccountLimits
-from lacewinggw.entry.operators import OperatorService
+from lacewinggw.entry.operators import Operators
 from lacewinggw.entry.placer import Placer
 from lacewinggw.entry.targets import TargetDirectory
 from lacewinggw.entry.view import ProcessView
@@ -16,7 +16,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
-from lacewinggw.ids import new_incarnation
+from lacewinggw.ids import new_command_id, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.membership import MembershipClient
@@ -99,8 +99,13 @@
             rng,
         )
         view = ProcessView(self.ledger, self.targets, self.placer, self.watch, self.metrics)
-        self.operators = OperatorService.from_config(
-            settings, self.ledger, self._origin, view, self.metrics
+        self.operators = Operators.from_config(
+            settings.entry,
+            self.ledger,
+            view,
+            self._origin,
+            self.metrics,
+            lambda: new_command_id(rng),
         )
         self._pages = HealthPages(Health(self.metrics, self._readiness))
         limits = HttpLimits(body_bytes=settings.entry.body_limit_bytes)
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -35,6 +35,8 @@
 POLL_S = 0.1
 OPERATOR_TOKEN = "lab-operator"
 CALLER_TOKEN = "lab-caller"
+READING_WORDS = frozenset({"show", "explain", "wait"})
+ASK_TIMEOUT_S = 15.0
 FLEET_KEY = "lab-fleet-key"
 
 Overrides = Mapping[str, Mapping[str, Any]]
@@ -270,13 +272,15 @@
     async def ask(self, words: str, entry: FleetHost | None = None) -> Any:
         """Give a command or query in the operators' language; return the JSON answer."""
         host = entry or self._running_entry()
-        body = json.dumps({"words": words}).encode()
+        reads = words.split(maxsplit=1)[0] in READING_WORDS
+        path = "/v1/query" if reads else "/v1/commands"
         headers = {
             "authorization": f"Bearer {OPERATOR_TOKEN}",
             "content-type": "application/json",
         }
+        body = json.dumps({"words": words}).encode()
         response = await self.http.request(
-            host.member.operator_address, "POST", "/v1/ask", headers, body, timeout_s=15.0
+            host.member.operator_address, "POST", path, headers, body, timeout_s=ASK_TIMEOUT_S
         )
         if response.status >= 400:
             raise RuntimeError(f"{words!r} was answered {response.status}: {response.content!r}")
