--- a/src/lacewinggw/lab/demo.py
+++ b/src/lacewinggw/lab/demo.py
@@ -83,7 +83,7 @@
         fleet = self._fleet
         loop = asyncio.get_running_loop()
         replicas = len(fleet.agents)
-        seed = list((FIRST, SECOND)).index(release)
+        seed = [FIRST, SECOND].index(release)
         await fleet.publish(release, self._size_bytes, self._chunk_bytes, seed)
         await fleet.ask(f"create release {release}")
         sent_before = await self._origin_bytes()
