Change over in waves: load the next release beside the one that serves

Change: an assignment may name a next release, which the host loads while it serves on; an entry gives hosts their turn, as entries of the log, while enough others are heard to serve.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -62,7 +62,9 @@
 struct SetDrain { 1: string host, 2: bool draining }
 
 // One host's part in a placement: which release it serves for which service ("" release: plain).
-struct Assignment { 1: string host, 2: string service_name, 3: string release }
+// With a `next_release` the host goes on serving `release` and loads the next one beside it; a later
+// Assignment with that as its `release` is the host's turn to change over.
+struct Assignment { 1: string host, 2: string service_name, 3: string release, 4: string next_release = "" }
 // Placement of one service. `assignments` are added to those before or replace those of the same
 // host; the hosts in `released` lose theirs.
 struct Place {
@@ -176,6 +178,7 @@
   8: Load load
   9: list<SpreadReport> spreads
   10: i64 sequence
+  11: string ready_digest = ""   // loaded beside what is active, for the host's turn to change over
 }
 struct Watch { 1: string entry }  // from entry to agent: send me heartbeats on this connection
 
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -115,6 +115,7 @@
         state = await self._engine.state()
         self._read_back(state.active)
         loaded = frozenset(state.loaded)
+        self._note_ready(wanted, loaded)
         incoming = incoming_digest(wanted, state.active, loaded)
         progress = await self._progress_of(Digest(incoming)) if incoming else Progress()
         return Observed(True, state.active, loaded, progress)
@@ -142,6 +143,13 @@
         self._gate.active_digest = active
         self._on_change()
 
+    def _note_ready(self, wanted: Wanted | None, loaded: frozenset[str]) -> None:
+        next_digest = wanted.next_digest if wanted is not None else ""
+        ready = next_digest if next_digest in loaded else ""
+        if ready != self._gate.ready_digest:
+            self._gate.ready_digest = ready
+            self._on_change()
+
     async def _carry_out(self, wanted: Wanted | None, step: Step) -> float:
         if wanted is None or isinstance(step, Retire):
             await self._retire()
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -37,24 +37,40 @@
 def wanted_of(state: FleetState, host: str) -> Wanted | None:
     """Return what the configuration wants of the target on `host`."""
     for service, release in state.assignments_of(host):
-        return Wanted(service, release, state.release_digest(release) if release else "")
+        upcoming = state.next_releases_of(service).get(host, "")
+        return Wanted(
+            service,
+            release,
+            state.release_digest(release),
+            upcoming,
+            state.release_digest(upcoming),
+        )
     return None
 
 
 def due_releases(state: FleetState, host: str) -> dict[Digest, DueRelease]:
     """Return the releases that `host` is to hold, with the other hosts due each."""
     due: dict[Digest, DueRelease] = {}
-    for service, release in state.assignments_of(host):
-        if not release:
-            continue
-        digest = Digest(state.release_digest(release))
-        placed = state.placements[service]
-        hosts = tuple(HostId(each) for each, named in sorted(placed.items()) if named == release)
+    for service, current in state.assignments_of(host):
         prefer = messages.Prefer(state.services[service].prefer)
-        due[digest] = DueRelease(release, digest, hosts, prefer)
+        for release in (current, state.next_releases_of(service).get(host, "")):
+            if not release:
+                continue
+            digest = Digest(state.release_digest(release))
+            due[digest] = DueRelease(release, digest, hosts_due(state, service, release), prefer)
     return due
 
 
+def hosts_due(state: FleetState, service: str, release: str) -> tuple[HostId, ...]:
+    """Return the hosts of a service that are to hold a release, now or for their next turn."""
+    named = (state.hosts_of(service), state.next_releases_of(service))
+    return tuple(
+        HostId(host)
+        for host in sorted(state.hosts_of(service))
+        if any(each.get(host) == release for each in named)
+    )
+
+
 class AgentProcess:
     """Everything that runs on one target host.
 
@@ -208,6 +224,7 @@
             load=self.requests.load(),
             spreads=self.spreader.reports(),
             sequence=sequence,
+            ready_digest=gate.ready_digest,
         )
 
     async def _handle(self, exchange: Exchange) -> None:
--- a/src/lacewinggw/agent/target.py
+++ b/src/lacewinggw/agent/target.py
@@ -18,7 +18,8 @@
     """Shared between the keeper, which changes it, and the request service, which obeys it.
 
     `active_digest` is what was last read back from the target, `""` when nothing is active or when
-    the target is plain. Requests are offered only while `serving`.
+    the target is plain. Requests are offered only while `serving`. `ready_digest` is loaded beside
+    what is active, for the host's turn to change over.
     """
 
     kind: TargetKind
@@ -28,4 +29,5 @@
     active_digest: str = ""
     serving: bool = False
     state: TargetState = TargetState.STARTING
+    ready_digest: str = ""
     held_up_by: str = ""
--- a/src/lacewinggw/decisions/commands.py
+++ b/src/lacewinggw/decisions/commands.py
@@ -199,7 +199,12 @@
         for service in state.services.values()
         if any(goal.release == release and goal.replicas for goal in service.goals)
     )
-    placed = sorted(name for name, hosts in state.placements.items() if release in hosts.values())
+    placed = sorted(
+        name
+        for name in state.placements
+        if release in state.hosts_of(name).values()
+        or release in state.next_releases_of(name).values()
+    )
     in_use = users or placed
     if in_use:
         raise StillInUse(f"release {release} is used by {', '.join(in_use)}")
--- a/src/lacewinggw/decisions/placement.py
+++ b/src/lacewinggw/decisions/placement.py
@@ -3,6 +3,7 @@
 Pure: from the declarations, the present placement and what is known of the hosts, the fewest
 changes that give each service its declared replicas. A host that serves what it should is never
 moved, not even to spread a service better; new hosts are taken from the places that have fewest.
+A host that serves another release of its service goes on with it until its turn to change over.
 """
 
 from collections import Counter
@@ -80,7 +81,8 @@
         self._hosts = hosts
         self._lost = lost
         self._wanted = _wanted_replicas(service)
-        self._present = state.hosts_of(service.name)
+        self._current = state.hosts_of(service.name)
+        self._present = state.goals_of(service.name)
         self._unusable = {host for host in self._present if _is_unusable(state, hosts, lost, host)}
         staying = {host: r for host, r in self._present.items() if host not in self._unusable}
         self._assigned = _choose_kept(service.name, staying, self._wanted, hosts)
@@ -115,7 +117,7 @@
         """Return the change from the present placement, None when there is none."""
         name = self._service.name
         fresh = [
-            Assignment(host, name, release)
+            self._assign(host, release)
             for host, release in sorted(self._assigned.items())
             if self._present.get(host) != release
         ]
@@ -126,6 +128,11 @@
         cause = f"replaces {', '.join(gone)}" if gone else "declared replicas"
         return Place(name, fresh, cause, released)
 
+    def _assign(self, host: str, release: str) -> Assignment:
+        """Return the assignment that brings a host to a release, by way of its turn if it serves."""
+        current = self._current.get(host, release)
+        return Assignment(host, self._service.name, current, "" if current == release else release)
+
     def _missing(self, release: str) -> int:
         return self._wanted[release] - sum(1 for r in self._assigned.values() if r == release)
 
--- a/src/lacewinggw/decisions/revisions.py
+++ b/src/lacewinggw/decisions/revisions.py
@@ -136,7 +136,8 @@
     """The whole configuration at `revision`.
 
     `placements` maps each service to its hosts and the release each is to serve, `""` for a plain
-    service. Read it freely; only `apply` changes it.
+    service; `upcoming` holds the next release of those hosts that are to change over. Read it
+    freely; only `apply` changes it.
     """
 
     def __init__(self) -> None:
@@ -145,6 +146,7 @@
         self.services: dict[str, Service] = {}
         self.draining: set[str] = set()
         self.placements: dict[str, Assignments] = {}
+        self.upcoming: dict[str, Assignments] = {}
         self.history: deque[LogEntry] = deque()
         self._by_host: dict[str, Assignments] = {}
         self._commands: dict[str, int] = {}
@@ -210,6 +212,14 @@
         """Return the hosts of a service and the release each is to serve."""
         return self.placements.get(service, {})
 
+    def next_releases_of(self, service: str) -> Assignments:
+        """Return the hosts of a service that are to change over, and to which release."""
+        return self.upcoming.get(service, {})
+
+    def goals_of(self, service: str) -> Assignments:
+        """Return the hosts of a service and the release each comes to in the end."""
+        return {**self.hosts_of(service), **self.next_releases_of(service)}
+
     def placed_hosts(self) -> Iterator[str]:
         """Yield every host that serves anything."""
         yield from self._by_host
@@ -231,6 +241,7 @@
                 self.services.pop(content.service_name, None)
                 self._release_hosts(content.service_name, list(self.hosts_of(content.service_name)))
                 self.placements.pop(content.service_name, None)
+                self.upcoming.pop(content.service_name, None)
             case SetDrain(draining=True):
                 self.draining.add(content.host)
             case SetDrain():
@@ -242,14 +253,19 @@
         service = place.service_name
         self._release_hosts(service, place.released or [])
         hosts = self.placements.setdefault(service, {})
+        upcoming = self.upcoming.setdefault(service, {})
         for assignment in place.assignments:
             hosts[assignment.host] = assignment.release
+            upcoming.pop(assignment.host, None)
+            if assignment.next_release:
+                upcoming[assignment.host] = assignment.next_release
             self._by_host.setdefault(assignment.host, {})[service] = assignment.release
 
     def _release_hosts(self, service: str, released: list[str]) -> None:
         hosts = self.placements.get(service, {})
         for host in released:
             hosts.pop(host, None)
+            self.upcoming.get(service, {}).pop(host, None)
             served = self._by_host.get(host, {})
             served.pop(service, None)
             if not served:
@@ -257,7 +273,10 @@
 
     def _whole_placement(self, service: str) -> Place:
         hosts = self.placements[service]
-        assignments = [Assignment(host, service, hosts[host]) for host in sorted(hosts)]
+        upcoming = self.next_releases_of(service)
+        assignments = [
+            Assignment(host, service, hosts[host], upcoming.get(host, "")) for host in sorted(hosts)
+        ]
         return Place(service, assignments, "", [])
 
     def _remember(self, entry: LogEntry) -> None:
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from lacewinggw.decisions.hosts import Heard, HostWatch
 from lacewinggw.decisions.placement import (
@@ -18,10 +18,17 @@
     plan_placement,
 )
 from lacewinggw.decisions.pollers import rank_of
-from lacewinggw.decisions.revisions import change_of
+from lacewinggw.decisions.revisions import FleetState, change_of
+from lacewinggw.decisions.waves import HostProgress, choose_wave
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.errors import ConfigurationConflict, LacewingError
-from lacewinggw.generated.messages.ttypes import FetchLog, Place
+from lacewinggw.generated.messages.ttypes import (
+    Assignment,
+    FetchLog,
+    Heartbeat,
+    Place,
+    TargetState,
+)
 from lacewinggw.generated.settings.ttypes import ConfigurationSettings
 from lacewinggw.ids import Address, HostId, new_command_id
 from lacewinggw.log import get_logger
@@ -32,6 +39,7 @@
 TICK_S = 0.25
 PROBE_TIMEOUT_S = 1.0
 BACK_OFF_S = 2.0
+FRESH_S = 5.0
 PURPOSE = "placer"
 MS_PER_S = 1000
 
@@ -39,13 +47,14 @@
 
 Members = Callable[[], Sequence[Member]]
 LastHeard = Callable[[], Heard]
+Heartbeats = Callable[[], Mapping[str, Heartbeat]]
 
 
 class Placer:
     """One entry's part in placement.
 
     `members` returns the list as last polled, `last_heard` when each target host was last heard
-    from by this entry.
+    from by this entry, `heartbeats` what it said then.
     """
 
     def __init__(
@@ -55,6 +64,7 @@
         node: PeerNode,
         members: Members,
         last_heard: LastHeard,
+        heartbeats: Heartbeats,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -63,6 +73,8 @@
         self._node = node
         self._members = members
         self._last_heard = last_heard
+        self._heartbeats = heartbeats
+        self._ready_since: dict[str, float] = {}
         self._metrics = metrics
         self._rng = rng
         self._watch = HostWatch(settings.dead_host_ms / MS_PER_S)
@@ -81,12 +93,13 @@
         node: PeerNode,
         members: Members,
         last_heard: LastHeard,
+        heartbeats: Heartbeats,
         metrics: Metrics,
         rng: random.Random | None = None,
     ) -> "Placer":
         """Return the placer of an entry."""
         source = rng or random.Random()
-        return cls(settings, ledger, node, members, last_heard, metrics, source)
+        return cls(settings, ledger, node, members, last_heard, heartbeats, metrics, source)
 
     @property
     def shortfalls(self) -> list[Shortfall]:
@@ -128,7 +141,7 @@
         self._watch.observe(hosts, placed, now)
         lost = self._watch.lost(self._last_heard(), placed, now)
         plan = self._planned(members, hosts, lost)
-        if not plan.places:
+        if not plan.places and not self._waves(now):
             self._needed_since = None
             return
         if self._needed_since is None:
@@ -173,6 +186,7 @@
         dead = {host for host, alive in await self._probe(lost) if not alive}
         revision = self._ledger.revision
         places = plan_placement(self._ledger.state, hosts, dead).places
+        places = places or self._waves(self._now())
         self._needed_since = None
         if not places:
             self._not_before = self._now() + BACK_OFF_S
@@ -191,6 +205,41 @@
         self._metrics.count("placements", outcome="accepted")
         log.info("placement_accepted", revision=entry.revision, words=entry.words)
 
+    def _waves(self, now: float) -> list[Place]:
+        """Return the hosts of each service that are to change over now."""
+        state = self._ledger.state
+        places = []
+        for service in [name for name, hosts in state.upcoming.items() if hosts]:
+            progress = dict(self._progress_of(state, service, now))
+            waiting = any(each.turning and each.ready for each in progress.values())
+            since = self._ready_since.setdefault(service, now) if waiting else now
+            if not waiting:
+                self._ready_since.pop(service, None)
+            floor = state.services[service].floor_percent
+            wave = choose_wave(service, progress, floor, now - since)
+            if wave:
+                places.append(_change_over(state, service, wave))
+        return places
+
+    def _progress_of(
+        self, state: FleetState, service: str, now: float
+    ) -> Iterator[tuple[str, HostProgress]]:
+        heard = self._last_heard().at
+        heartbeats = self._heartbeats()
+        upcoming = state.next_releases_of(service)
+        for host, release in state.hosts_of(service).items():
+            beat = heartbeats.get(host)
+            if beat is None or now - heard.get(host, 0.0) > FRESH_S:
+                yield host, HostProgress(host in upcoming, ready=False, serving=False)
+                continue
+            ready_digest = state.release_digest(upcoming.get(host, ""))
+            yield host, HostProgress(
+                turning=host in upcoming,
+                ready=bool(ready_digest) and beat.ready_digest == ready_digest,
+                serving=beat.state == TargetState.SERVING
+                and beat.digest == state.release_digest(release),
+            )
+
     async def _probe(self, lost: set[str]) -> list[tuple[str, bool]]:
         """Try to reach hosts that seem dead, at their last known addresses."""
         answers = await asyncio.gather(*(self._is_alive(host) for host in sorted(lost)))
@@ -210,6 +259,12 @@
         return link.remote.host == host
 
 
+def _change_over(state: FleetState, service: str, wave: Sequence[str]) -> Place:
+    upcoming = state.next_releases_of(service)
+    assignments = [Assignment(host, service, upcoming[host]) for host in sorted(wave)]
+    return Place(service, assignments, "their turn to change over", [])
+
+
 def describe_places(places: Sequence[Place]) -> str:
     """Return a placement in words, for `show history`."""
     parts = []
--- a/src/lacewinggw/operators/progress.py
+++ b/src/lacewinggw/operators/progress.py
@@ -66,7 +66,7 @@
 def progress_of(service: Service, view: FleetView) -> ServiceProgress:
     """Return how far a service is from its declaration."""
     state = view.state()
-    hosts = state.hosts_of(service.name)
+    hosts = state.goals_of(service.name)
     heard = view.heartbeats()
     releases = []
     for goal in service.goals:
@@ -88,7 +88,7 @@
         return False
     if service.kind == ServiceKind.PLAIN:
         return True
-    release = state.hosts_of(service.name).get(host, "")
+    release = state.goals_of(service.name).get(host, "")
     return heartbeat.digest == state.release_digest(release)
 
 
@@ -136,7 +136,8 @@
         spread = heartbeat.spreads[0]
         return f"it has {spread.chunks_held} of {spread.chunk_count} chunks of {spread.release}"
     if state is TargetState.SERVING:
-        return f"it still serves {heartbeat.release or heartbeat.service_name or 'nothing'}"
+        serving = f"it still serves {heartbeat.release or heartbeat.service_name or 'nothing'}"
+        return f"{serving}, ready to change over" if heartbeat.ready_digest else serving
     return f"it is {state.name.lower()}"
 
 
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -82,6 +82,7 @@
                 self.peer,
                 lambda: fleet.members,
                 lambda: Heard(self.heard),
+                lambda: {},
                 self.metrics,
                 self.rng,
             )
