Let two entries hear every host of a service that changes over

An entry hears a bounded subset of the hosts of a service; judging the rest to serve nothing would hold up the waves of a large service. The two entries whose turn to place comes first watch all of them while a change is under way.

--- a/src/lacewinggw/decisions/waves.py
+++ b/src/lacewinggw/decisions/waves.py
@@ -9,11 +9,13 @@
 from dataclasses import dataclass
 from math import ceil
 
-from lacewinggw.decisions.pollers import weight
+from lacewinggw.decisions.pollers import rank_of, weight
 
 PERCENT = 100
 WAVE_SHARE = 8  # a wave smaller than one in so many hosts waits a little for others
 WAVE_WAIT_S = 1.0
+PURPOSE = "placer"
+COORDINATORS = 2
 
 
 @dataclass(frozen=True)
@@ -32,6 +34,15 @@
 Progress = Mapping[str, HostProgress]
 
 
+def coordinates(host: str, entries: Iterable[str]) -> bool:
+    """Tell whether an entry is one of the few that hear every host of a service which changes over.
+
+    They are the ones whose turn to place comes first; the others hear a subset of the hosts, and
+    would judge the rest to serve nothing.
+    """
+    return rank_of(PURPOSE, host, [each for each in entries if each != host]) < COORDINATORS
+
+
 def floor_of(replicas: int, floor_percent: int) -> int:
     """Return how many hosts have to go on serving; one may always be spared."""
     return min(ceil(replicas * floor_percent / PERCENT), max(replicas - 1, 0))
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -19,7 +19,7 @@
 )
 from lacewinggw.decisions.pollers import rank_of
 from lacewinggw.decisions.revisions import FleetState, change_of
-from lacewinggw.decisions.waves import HostProgress, choose_wave
+from lacewinggw.decisions.waves import PURPOSE, HostProgress, choose_wave
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.errors import ConfigurationConflict, LacewingError
 from lacewinggw.generated.messages.ttypes import (
@@ -40,7 +40,6 @@
 PROBE_TIMEOUT_S = 1.0
 BACK_OFF_S = 2.0
 FRESH_S = 5.0
-PURPOSE = "placer"
 MS_PER_S = 1000
 
 log = get_logger(__name__)
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -20,6 +20,7 @@
     usual_time,
 )
 from lacewinggw.decisions.subsets import HostFacts, pick_subset
+from lacewinggw.decisions.waves import coordinates
 from lacewinggw.entry.watches import Watches
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import TargetState
@@ -49,6 +50,7 @@
     """What is read of the configuration."""
 
     placements: dict[str, dict[str, str]]
+    upcoming: dict[str, dict[str, str]]
     draining: set[str]
 
 
@@ -113,6 +115,7 @@
         self._prefixes = PrefixMemory()
         self._watches = Watches(node, self._me, self._lose, rng)
         self._members: dict[HostId, Member] = {}
+        self._entries: list[HostId] = []
         self._wanted: dict[HostId, float] = {}  # since when
         self._heartbeats: dict[HostId, messages.Heartbeat] = {}
         self._heard_at: dict[HostId, float] = {}
@@ -142,6 +145,11 @@
 
     def set_members(self, members: Sequence[Member]) -> None:
         """Take a new list of hosts."""
+        self._entries = [
+            member.host
+            for member in members
+            if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
+        ]
         self._members = {
             member.host: member for member in members if member.role is MemberRole.AGENT
         }
@@ -245,6 +253,10 @@
         """Return the last heartbeat of each host that is watched."""
         return {str(host): heartbeat for host, heartbeat in self._heartbeats.items()}
 
+    def last_heard(self) -> dict[str, float]:
+        """Return when each watched host was last heard of, on this loop's clock."""
+        return {str(host): at for host, at in self._heard_at.items()}
+
     def silent_hosts(self, now: float | None = None) -> set[str]:
         """Return the watched hosts that were not heard of for longer than `dead_after`."""
         at = self._now() if now is None else now
@@ -255,9 +267,14 @@
 
     def _pick_hosts(self) -> Iterable[HostId]:
         placed: set[str] = set()
-        for hosts in self._state().placements.values():
+        state = self._state()
+        coordinating = coordinates(self._me, self._entries)
+        for service, hosts in state.placements.items():
             placed.update(hosts)
-            yield from self._pick(hosts)
+            if coordinating and state.upcoming.get(service):
+                yield from (HostId(host) for host in hosts if host in self._members)
+            else:
+                yield from self._pick(hosts)
         yield from self._pick(host for host in self._members if host not in placed)
 
     def _pick(self, hosts: Iterable[str]) -> Iterable[HostId]:
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -32,6 +32,7 @@
     def __init__(self, hosts: list[str]) -> None:
         self.placements = {SERVICE: dict.fromkeys(hosts, "citation-1")}
         self.draining: set[str] = set()
+        self.upcoming: dict[str, dict[str, str]] = {}
 
 
 class FakeAgent:
