--- a/src/lacewinggw/decisions/placement.py
+++ b/src/lacewinggw/decisions/placement.py
@@ -129,7 +129,7 @@
         return Place(name, fresh, cause, released)
 
     def _assign(self, host: str, release: str) -> Assignment:
-        """Return the assignment that brings a host to a release, by way of its turn if it serves."""
+        """Return the assignment that brings a host to a release, by way of its turn."""
         current = self._current.get(host, release)
         return Assignment(host, self._service.name, current, "" if current == release else release)
 
