Offer other choices of target to compare with

[routing] policy takes cost, in-flight, round-robin or random, so that the baselines run on the same processes, queues and connections as the choice that is meant.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -83,6 +83,7 @@
   6: i64 slow_start_ms = 5000                  // until a fresh target gets its full share
   7: i64 dead_after_ms = 5000                  // silence before a target is taken for dead
   8: i32 urgent_percent = 20                   // share kept for urgent requests
+  9: string policy = "cost"                    // cost; in-flight, round-robin or random to compare
 }
 
 struct ConfigurationSettings {
--- a/src/lacewinggw/decisions/routing.py
+++ b/src/lacewinggw/decisions/routing.py
@@ -9,6 +9,7 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lacewinggw.decisions.ejection import Health
 from lacewinggw.ids import Address, Digest, HostId, Incarnation, Place, ReleaseName, ServiceName
@@ -20,6 +21,15 @@
 REMOTE_FACTOR = 1.2  # a target in another place costs this much more
 
 
+class Policy(Enum):
+    """How a target is chosen. All but the first are there to compare with."""
+
+    COST = "cost"
+    IN_FLIGHT = "in-flight"  # fewest calls of this entry in flight
+    ROUND_ROBIN = "round-robin"
+    RANDOM = "random"
+
+
 @dataclass
 class TargetFacts:
     """What an entry knows of one target. Times in seconds, by the entry's own clock."""
@@ -33,6 +43,7 @@
     digest: Digest
     near: bool = True
     in_flight: int = 0
+    last_turn: int = 0  # number of the last call that went here, of all calls of this entry
     capacity: int = 1
     reported: int = 0  # running and queued, by the last report
     reported_own: int = 0  # of those, this entry's own when the report came
@@ -138,12 +149,29 @@
 
 
 def choose_target(
-    targets: Sequence[TargetFacts], moment: Moment, rng: random.Random
+    targets: Sequence[TargetFacts],
+    moment: Moment,
+    rng: random.Random,
+    policy: Policy = Policy.COST,
 ) -> TargetFacts | None:
-    """Return the better of two random targets, or none when there is no target."""
-    pair = pick_two(targets, rng)
-    if not pair:
+    """Return the target that the policy gives, or none when there is no target."""
+    if not targets:
         return None
+    match policy:
+        case Policy.COST:
+            return _cheaper_of_two(targets, moment, rng)
+        case Policy.IN_FLIGHT:
+            return min(targets, key=lambda facts: (facts.in_flight, rng.random()))
+        case Policy.ROUND_ROBIN:
+            return min(targets, key=lambda facts: (facts.last_turn, facts.host))
+        case Policy.RANDOM:
+            return rng.choice(targets)
+
+
+def _cheaper_of_two(
+    targets: Sequence[TargetFacts], moment: Moment, rng: random.Random
+) -> TargetFacts:
+    pair = pick_two(targets, rng)
     if len(pair) == 1:
         return pair[0]
     first, second = pair
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -1,6 +1,7 @@
 """The targets that this entry deals with: what they last said, and which one a request goes to."""
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
@@ -13,6 +14,7 @@
 from lacewinggw.decisions.routing import (
     Choice,
     Moment,
+    Policy,
     TargetFacts,
     choose_target,
     note_report,
@@ -112,6 +114,8 @@
             routing.eject_limit_percent / PERCENT,
         )
         self._budget = RetryBudget(routing.retry_percent / PERCENT)
+        self._policy = Policy(routing.policy)
+        self._turns = itertools.count(1)
         self._prefixes = PrefixMemory()
         self._watches = Watches(node, self._me, self._lose, rng)
         self._members: dict[HostId, Member] = {}
@@ -207,10 +211,10 @@
             and self._usable(facts, now)
         ]
         moment = Moment(now, known.usual_s, self._slow_start_s)
-        blocks = head.prefix_blocks or ()
+        blocks = (head.prefix_blocks or ()) if self._policy is Policy.COST else ()
         chosen = preferred_target(usable, blocks, self._prefixes, moment)
         if chosen is None:
-            chosen = choose_target(usable, moment, self._rng)
+            chosen = choose_target(usable, moment, self._rng, self._policy)
         if chosen is None:
             return None
         self._prefixes.note(chosen.digest, blocks, chosen.host)
@@ -222,6 +226,7 @@
         facts = self._facts.get(HostId(host))
         if facts is not None:
             facts.in_flight += 1
+            facts.last_turn = next(self._turns)
             facts.health.note_begin(self._now())
 
     def end(self, host: HostId | str, result: CallResult) -> None:
--- a/src/lacewinggw/settings.py
+++ b/src/lacewinggw/settings.py
@@ -21,6 +21,7 @@
 from thrift.Thrift import TType
 
 from lacewinggw.decisions.limits import AccountDeclaration
+from lacewinggw.decisions.routing import Policy
 from lacewinggw.errors import (
     AddressClash,
     BadAddress,
@@ -67,6 +68,7 @@
     "log_format": ("json", "text"),
     "log_level": ("debug", "info", "warning", "error"),
     "target_kind": ("engine", "plain"),
+    "policy": tuple(policy.value for policy in Policy),
 }
 MAY_BE_ZERO = {
     "remote_neighbours",
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -16,6 +16,7 @@
 from lacewinggw.decisions.retries import BURST, FLOOR_PER_S, RetryBudget
 from lacewinggw.decisions.routing import (
     Moment,
+    Policy,
     TargetFacts,
     choose_target,
     cost,
@@ -69,6 +70,18 @@
     assert chosen == {"idle"}
 
 
+@pytest.mark.parametrize("policy", list(Policy))
+def test_every_policy_spreads_over_equal_targets(policy: Policy) -> None:
+    targets, rng = [make_target(f"t{n}") for n in range(3)], random.Random(1)
+    counted: Counter[str] = Counter()
+    for turn in range(1, 301):
+        chosen = choose_target(targets, Moment(0.0), rng, policy)
+        chosen.in_flight += 1
+        chosen.last_turn = turn
+        counted[chosen.host] += 1
+    assert min(counted.values()) >= (70 if policy is Policy.RANDOM else 98)
+
+
 def test_a_slow_target_is_avoided_at_equal_load() -> None:
     slow, quick = make_target("slow", request_s=10.0), make_target("quick", in_flight=8)
     assert choose_target([slow, quick], Moment(0.0), random.Random(1)) is quick
