Choose by the time in which a target would be done

Cause: occupancy times time per request sends a share of requests to a target that is ten times as slow whenever the others are moderately busy, urgent ones too. Change: the cost is the time a request runs, longer in a fuller batch, plus the wait once the slots are full; for an urgent request only urgent ones are ahead. A time per request that a heartbeat only repeats is no new sample, so a slow one fades and the target is tried again.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -164,6 +164,7 @@
   4: i64 age_ms                  // age of the target's own report
   5: double queue_delay_ms = 0
   6: double request_ms = 0       // smoothed time that one request runs on the target; 0: unknown
+  7: i32 urgent = 0              // of those running and queued, the urgent ones
 }
 
 // From agent to each entry that deals with it: on change, and when idle.
--- a/src/lacewinggw/decisions/routing.py
+++ b/src/lacewinggw/decisions/routing.py
@@ -1,8 +1,10 @@
 """Which target a request goes to: two candidates, the one that will be done first.
 
-The cost of a target is the time in which it would finish one more request: its time per request,
-times what is ahead on it, over its capacity. What is ahead is this entry's own calls in flight,
-known exactly, and those of others as the target last reported, discounted by the report's age.
+The cost of a target is the time in which it would be done with one more request: the time that a
+request runs there, longer with others beside it in the batch, and the wait for those ahead once its
+slots are full. What is ahead is this entry's own calls in flight, known exactly, and those of
+others as the target last reported, discounted by the report's age. An urgent request goes to the
+head of the queue, so only urgent ones are ahead of it.
 """
 
 import math
@@ -17,7 +19,7 @@
 REPORT_DECAY_S = 1.0  # a report this old counts for 1/e
 TIME_MEMORY_S = 10.0  # a target's own time per request fades towards its service's over this
 SLOW_START_LEAST = 0.1
-SMOOTHING = 0.2  # weight of a new sample of time per request
+BATCH_FACTOR = 0.5  # a full batch makes a request take this much longer
 REMOTE_FACTOR = 1.2  # a target in another place costs this much more
 
 
@@ -47,10 +49,11 @@
     capacity: int = 1
     reported: int = 0  # running and queued, by the last report
     reported_own: int = 0  # of those, this entry's own when the report came
+    reported_urgent: int = 0  # of those, urgent ones
     reported_at: float = 0.0
     serving: bool = False
     serving_since: float = 0.0
-    request_s: float | None = None  # smoothed time that one request runs
+    request_s: float | None = None  # time that one request runs, as the target's agent smooths it
     sampled_at: float = 0.0
     health: Health = field(default_factory=Health)
 
@@ -62,6 +65,19 @@
     now: float
     usual_s: float = 1.0  # time that one request runs
     slow_start_s: float = 0.0
+    urgent: bool = False
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """What a target's agent says of its load, `age_s` seconds old when it comes."""
+
+    running: int
+    queued: int
+    capacity: int
+    urgent: int = 0
+    age_s: float = 0.0
+    request_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -74,23 +90,19 @@
     digest: Digest
 
 
-def note_report(
-    facts: TargetFacts, running: int, queued: int, capacity: int, age_s: float, now: float
-) -> None:
-    """Take in a load report that was `age_s` old when it came."""
-    facts.reported = running + queued
-    facts.reported_own = facts.in_flight
-    facts.reported_at = now - age_s
-    facts.capacity = max(1, capacity)
-
+def note_report(facts: TargetFacts, report: LoadReport, now: float) -> None:
+    """Take in a load report.
 
-def note_time(facts: TargetFacts, seconds: float, now: float) -> None:
-    """Take in how long a request ran."""
-    if facts.request_s is None:
-        facts.request_s = seconds
-    else:
-        facts.request_s += SMOOTHING * (seconds - facts.request_s)
-    facts.sampled_at = now
+    A time per request that is told again unchanged is no new sample: it goes on fading.
+    """
+    facts.reported = report.running + report.queued
+    facts.reported_own = facts.in_flight
+    facts.reported_urgent = report.urgent
+    facts.reported_at = now - report.age_s
+    facts.capacity = max(1, report.capacity)
+    if report.request_s is not None and report.request_s != facts.request_s:
+        facts.request_s = report.request_s
+        facts.sampled_at = now
 
 
 def work_ahead(facts: TargetFacts, now: float) -> float:
@@ -98,8 +110,11 @@
     others = facts.reported - facts.reported_own
     if others <= 0:
         return facts.in_flight
-    age = max(0.0, now - facts.reported_at)
-    return facts.in_flight + others * math.exp(-age / REPORT_DECAY_S)
+    return facts.in_flight + others * _freshness(facts, now)
+
+
+def _freshness(facts: TargetFacts, now: float) -> float:
+    return math.exp(-max(0.0, now - facts.reported_at) / REPORT_DECAY_S)
 
 
 def slow_start_share(facts: TargetFacts, moment: Moment) -> float:
@@ -125,9 +140,16 @@
 
 
 def cost(facts: TargetFacts, moment: Moment) -> float:
-    """Return the cost of one more request on a target; the lower, the better."""
+    """Return the time in which a target would be done with one more request, in seconds."""
+    slots = max(1.0, facts.capacity * slow_start_share(facts, moment))
+    ahead = work_ahead(facts, moment.now)
+    batch = BATCH_FACTOR * min(ahead, slots) / slots
+    if moment.urgent:
+        full = ahead >= slots
+        ahead = facts.reported_urgent * _freshness(facts, moment.now) + (slots if full else 0.0)
+    wait = max(0.0, ahead + 1.0 - slots) / slots
     place = 1.0 if facts.near else REMOTE_FACTOR
-    return request_time(facts, moment) * occupancy(facts, moment) * place
+    return request_time(facts, moment) * (1.0 + batch + wait) * place
 
 
 def usual_time(targets: Sequence[TargetFacts]) -> float:
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -13,19 +13,19 @@
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routing import (
     Choice,
+    LoadReport,
     Moment,
     Policy,
     TargetFacts,
     choose_target,
     note_report,
-    note_time,
     usual_time,
 )
 from lacewinggw.decisions.subsets import HostFacts, pick_subset
 from lacewinggw.decisions.waves import coordinates
 from lacewinggw.entry.watches import Watches
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.generated.messages.ttypes import TargetState
+from lacewinggw.generated.messages.ttypes import Priority, TargetState
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import (
     Address,
@@ -67,10 +67,9 @@
 
 @dataclass(frozen=True)
 class CallResult:
-    """The end of a call: its outcome, how long the request ran, and the load told with it."""
+    """The end of a call: its outcome, and the load told with it."""
 
     outcome: CallOutcome
-    seconds: float | None = None
     load: messages.Load | None = None
 
 
@@ -210,7 +209,8 @@
             and (not head.digest or facts.digest == head.digest)
             and self._usable(facts, now)
         ]
-        moment = Moment(now, known.usual_s, self._slow_start_s)
+        urgent = head.priority == Priority.URGENT
+        moment = Moment(now, known.usual_s, self._slow_start_s, urgent)
         blocks = (head.prefix_blocks or ()) if self._policy is Policy.COST else ()
         chosen = preferred_target(usable, blocks, self._prefixes, moment)
         if chosen is None:
@@ -237,10 +237,8 @@
         now = self._now()
         facts.in_flight = max(0, facts.in_flight - 1)
         if result.load is not None:
-            _take_load(facts, result.load, now)
+            note_report(facts, _read_load(result.load), now)
             self._heard_at[facts.host] = now
-        elif result.seconds is not None:
-            note_time(facts, result.seconds, now)
         match result.outcome:
             case CallOutcome.ABANDONED | CallOutcome.REFUSED:
                 facts.health.note_nothing()
@@ -331,7 +329,7 @@
         if key != (facts.service, facts.digest, facts.serving):
             self._services.clear()
         if heartbeat.load is not None:
-            _take_load(facts, heartbeat.load, now)
+            note_report(facts, _read_load(heartbeat.load), now)
 
     def _fresh_facts(self, host: HostId, heartbeat: messages.Heartbeat, now: float) -> TargetFacts:
         return TargetFacts(
@@ -373,10 +371,15 @@
     return same and heartbeat.sequence < before.sequence
 
 
-def _take_load(facts: TargetFacts, load: messages.Load, now: float) -> None:
-    note_report(facts, load.running, load.queued, load.capacity, load.age_ms / MILLISECONDS, now)
-    if load.request_ms > 0:
-        note_time(facts, load.request_ms / MILLISECONDS, now)
+def _read_load(load: messages.Load) -> LoadReport:
+    return LoadReport(
+        running=load.running,
+        queued=load.queued,
+        capacity=load.capacity,
+        urgent=load.urgent,
+        age_s=load.age_ms / MILLISECONDS,
+        request_s=load.request_ms / MILLISECONDS if load.request_ms > 0 else None,
+    )
 
 
 __all__ = ["CallOutcome", "CallResult", "Choice", "TargetDirectory", "TargetFacts"]
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,13 +15,14 @@
 from lacewinggw.decisions.ejection import EjectionRules, Health, Standing, end_call
 from lacewinggw.decisions.retries import BURST, FLOOR_PER_S, RetryBudget
 from lacewinggw.decisions.routing import (
+    LoadReport,
     Moment,
     Policy,
     TargetFacts,
     choose_target,
     cost,
     note_report,
-    note_time,
+    work_ahead,
 )
 from lacewinggw.decisions.subsets import HostFacts, pick_subset
 from lacewinggw.ids import (
@@ -82,33 +83,37 @@
     assert min(counted.values()) >= (70 if policy is Policy.RANDOM else 98)
 
 
-def test_a_slow_target_is_avoided_at_equal_load() -> None:
+def test_a_slow_target_is_avoided_until_the_wait_elsewhere_is_longer() -> None:
     slow, quick = make_target("slow", request_s=10.0), make_target("quick", in_flight=8)
     assert choose_target([slow, quick], Moment(0.0), random.Random(1)) is quick
+    quick.in_flight = 100
+    assert choose_target([slow, quick], Moment(0.0), random.Random(1)) is slow
+    assert choose_target([slow, quick], Moment(0.0, urgent=True), random.Random(1)) is quick
 
 
 def test_a_stale_report_counts_for_less_and_own_calls_are_not_counted_twice() -> None:
     target = make_target("t", in_flight=2)
-    note_report(target, running=6, queued=4, capacity=8, age_s=0.0, now=0.0)
-    fresh = cost(target, Moment(0.0))
-    assert fresh == pytest.approx((1 + 2 + 8) / 8)
-    assert cost(target, Moment(1.0)) < fresh
-    assert cost(target, Moment(100.0)) == pytest.approx((1 + 2) / 8)
+    note_report(target, LoadReport(running=8, queued=2, capacity=8), now=0.0)
+    assert work_ahead(target, 0.0) == 10
+    assert 2 < work_ahead(target, 1.0) < 6
+    assert work_ahead(target, 100.0) == pytest.approx(2)
 
 
 def test_a_slow_sample_fades_so_that_the_target_is_tried_again() -> None:
     target = make_target("t", request_s=None)
-    note_time(target, 10.0, 0.0)
-    assert cost(target, Moment(0.0)) == pytest.approx(10 / 8)
-    assert cost(target, Moment(100.0)) == pytest.approx(1 / 8, rel=0.01)
+    report = LoadReport(running=0, queued=0, capacity=8, request_s=10.0)
+    note_report(target, report, 0.0)
+    assert cost(target, Moment(0.0)) == pytest.approx(10.0)
+    note_report(target, report, 99.0)  # told again, but nothing ran there meanwhile
+    assert cost(target, Moment(100.0)) == pytest.approx(1.0, rel=0.01)
 
 
 def test_a_fresh_target_gets_a_rising_share() -> None:
     fresh, old = make_target("fresh", serving_since=0.0), make_target("old")
-    assert cost(fresh, Moment(0.5, 1.0, 5.0)) == pytest.approx(
-        10 * cost(old, Moment(0.5, 1.0, 5.0))
-    )
-    assert cost(fresh, Moment(5.0, 1.0, 5.0)) == pytest.approx(cost(old, Moment(5.0, 1.0, 5.0)))
+    for target in (fresh, old):
+        target.in_flight = 4
+    assert cost(fresh, Moment(0.5, 1.0, 5.0)) > 3 * cost(old, Moment(0.5, 1.0, 5.0))
+    assert cost(fresh, Moment(5.0, 1.0, 5.0)) == cost(old, Moment(5.0, 1.0, 5.0))
 
 
 def test_a_failing_target_goes_out_comes_back_on_trial_and_stays_out_longer_each_time() -> None:
