Let a run that is barred at its start end by its own callback

The owner of the queue frees the slot when the run's task is done, in one place for every end; a return value from the start function would be a second way.

--- a/src/lacewinggw/agent/queue.py
+++ b/src/lacewinggw/agent/queue.py
@@ -1,7 +1,7 @@
 """The queue before a target: who runs next, who waits, and who is told at once to come back.
 
-The owner of the queue gives two functions: one that starts a request, or returns False when it
-will not run after all, and one that is told of a request that was dropped from the queue.
+The owner of the queue gives two functions: one that starts a request, one that is told of a
+request that was dropped from the queue and will not run.
 
     queue = RequestQueue.from_config(settings, metrics, start, dropped)
     refused = queue.push(head, run, deadline, now)  # may start it, or drop another for it
@@ -56,7 +56,7 @@
         slots: Slots,
         length: int,
         metrics: Metrics,
-        start: Callable[[Payload], bool],
+        start: Callable[[Payload], None],
         dropped: Callable[[Payload, Refused], None],
     ) -> None:
         self._slots = slots
@@ -74,7 +74,7 @@
         cls,
         settings: Settings,
         metrics: Metrics,
-        start: Callable[[Payload], bool],
+        start: Callable[[Payload], None],
         dropped: Callable[[Payload, Refused], None],
     ) -> "RequestQueue[Payload]":
         """Build the queue as [agent] and [routing] say."""
@@ -202,8 +202,7 @@
         self._running[payload] = item.priority
         self._slots.begin(item.priority, now)
         self._wait.record(now - item.arrived)
-        if not self._start(payload):
-            self._slots.end(self._running.pop(payload), None)
+        self._start(payload)
 
     def _drop(self, item: QueueItem[Payload], reason: Refusal) -> None:
         payload = item.taken_payload()
