--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.made
 CHECKED := src tests tools
 
-.PHONY: venv demo test lint format types schema schema-check docs binary clean
+.PHONY: venv demo test lint format types schema schema-check docs sizes binary clean
 
 venv: $(STAMP)
 
@@ -44,6 +44,10 @@
 docs: venv
 	$(BIN)/python tools/reference.py
 
+# Lines of code by kind, and what has grown large.
+sizes: venv
+	$(BIN)/python tools/sizes.py
+
 # One executable file, dist/lacewinggw; see docs/design/binary.md.
 binary: venv
 	$(BIN)/python tools/binary.py
