Hold a host's traffic back in memory, as if it were paused

Cause: a paused process acts late on what it believed; virtual time had no such fault, and a lost host could still connect out. Change: hold and let_go keep bytes and connections back and deliver them in order; a lost host reaches nobody until something listens there again. The views of a network share one object.

--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -1,18 +1,21 @@
 """An in-memory network, for whole fleets in one process under virtual time.
 
-Streams are pairs of byte queues with a latency. Cuts are made by host: an address belongs to the
-host that its IP part names, and `cut` ends streams between two hosts and refuses new ones.
+Streams are pairs of byte queues with a latency. Faults are made by host: an address belongs to the
+host that its IP part names. `cut` parts two hosts, `lose` takes one away as on power loss, `hold`
+keeps all that it sends and receives back for a while, as if its processes were paused.
 """
 
 import asyncio
 import itertools
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 
 from lacewinggw.wire.network import Accept, Listener, Stream, split_address
 
 WINDOW_BYTES = 1 << 20
 FIRST_PORT = 20000
+HOLD_STEP_S = 0.01
 
 Cut = frozenset[str]
 
@@ -21,12 +24,16 @@
     """One direction of a stream: bytes in flight, and the reader that they arrive at.
 
     Arrivals are timers, and timers due at the same moment fire in no set order, so each takes
-    whatever was sent first; `None` stands for the end of the stream.
+    whatever was sent first; `None` stands for the end of the stream. What arrives while an end is
+    in `held` waits for `catch_up`.
     """
 
-    def __init__(self, latency_s: float) -> None:
+    def __init__(self, latency_s: float, ends: Cut, held: set[str]) -> None:
         self.reader = asyncio.StreamReader(limit=WINDOW_BYTES)
+        self.late = 0
         self._latency_s = latency_s
+        self._ends = ends
+        self._held = held
         self._in_flight = 0
         self._queue: deque[bytes | None] = deque()
         self._room = asyncio.Event()
@@ -55,6 +62,7 @@
 
     def break_off(self) -> None:
         self._ended = True
+        self.late = 0
         self._room.set()
         if self.reader.exception() is None and not self.reader.at_eof():
             self.reader.set_exception(ConnectionResetError("the connection was cut"))
@@ -64,7 +72,16 @@
         if self._ended:
             raise ConnectionResetError("the stream is closed")
 
+    def catch_up(self) -> None:
+        """Let everything arrive that was held back."""
+        late, self.late = self.late, 0
+        for _ in range(late):
+            self._arrive()
+
     def _arrive(self) -> None:
+        if not self._held.isdisjoint(self._ends):
+            self.late += 1
+            return
         data = self._queue.popleft()
         if data is None:
             self._finish()
@@ -95,6 +112,11 @@
         """Whether either side has already closed it."""
         return self.closed or self._incoming.ended
 
+    @property
+    def has_late_bytes(self) -> bool:
+        """Whether something for this end is held back."""
+        return self._incoming.late > 0
+
     async def read(self, limit: int) -> bytes:
         """Return up to `limit` bytes, or `b""` at the end of the stream."""
         return await self._incoming.reader.read(limit)
@@ -125,6 +147,10 @@
         self._outgoing.break_off()
         self._incoming.break_off()
 
+    def catch_up(self) -> None:
+        """Let everything arrive at this end that was held back."""
+        self._incoming.catch_up()
+
     async def wait_closed(self) -> None:
         """Return at once: nothing lingers."""
 
@@ -146,11 +172,24 @@
         self._unbind()
 
 
+@dataclass
+class _Fabric:
+    """What all views of one network share."""
+
+    accepts: dict[str, Accept] = field(default_factory=dict)
+    streams: set[MemoryStream] = field(default_factory=set)
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    cuts: set[Cut] = field(default_factory=set)
+    lost: set[str] = field(default_factory=set)
+    held: set[str] = field(default_factory=set)
+    ports: "itertools.count[int]" = field(default_factory=lambda: itertools.count(FIRST_PORT))
+
+
 class MemoryNetwork:
     """Listeners and streams of one in-memory fleet, seen from the host `ip`.
 
-    `view(ip)` returns the same network as another host sees it, so that cuts between hosts
-    apply to the connections that each makes.
+    `view(ip)` returns the same network as another host sees it, so that faults of hosts apply to
+    the connections that each makes.
 
         network = MemoryNetwork()
         alpha = network.view("10.0.0.1")
@@ -161,73 +200,85 @@
     def __init__(self, latency_s: float = 0.0005, ip: str = "10.255.0.1") -> None:
         self.latency_s = latency_s
         self._ip = ip
-        self._accepts: dict[str, Accept] = {}
-        self._streams: set[MemoryStream] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._cuts: set[Cut] = set()
-        self._ports = itertools.count(FIRST_PORT)
+        self._fabric = _Fabric()
 
     def view(self, ip: str) -> "MemoryNetwork":
         """Return this network as the host `ip` sees it."""
         other = MemoryNetwork(self.latency_s, ip)
-        other._accepts = self._accepts
-        other._streams = self._streams
-        other._tasks = self._tasks
-        other._cuts = self._cuts
-        other._ports = self._ports
+        other._fabric = self._fabric
         return other
 
     async def listen(self, address: str, accept: Accept) -> Listener:
         """Accept connections at `address`; each runs `accept` in a task of its own."""
         ip, port = split_address(address)
-        bound = f"{ip}:{port or next(self._ports)}"
-        if bound in self._accepts:
+        bound = f"{ip}:{port or next(self._fabric.ports)}"
+        if bound in self._fabric.accepts:
             raise OSError(f"{bound} is already in use")
-        self._accepts[bound] = accept
+        self._fabric.lost.discard(ip)
+        self._fabric.accepts[bound] = accept
         return MemoryListener(bound, lambda: self._unbind(bound, accept))
 
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when nobody listens there or the two hosts are cut apart."""
-        await asyncio.sleep(self.latency_s)
+        fabric = self._fabric
         ends = frozenset((self._ip, split_address(address)[0]))
-        accept = self._accepts.get(address)
-        if accept is None or ends in self._cuts:
+        await asyncio.sleep(self.latency_s)
+        while not fabric.held.isdisjoint(ends):  # noqa: ASYNC110
+            await asyncio.sleep(HOLD_STEP_S)
+        accept = fabric.accepts.get(address)
+        if accept is None or ends in fabric.cuts or not fabric.lost.isdisjoint(ends):
             raise ConnectionRefusedError(f"nobody answers at {address}")
-        there, back = _Pipe(self.latency_s), _Pipe(self.latency_s)
+        there = _Pipe(self.latency_s, ends, fabric.held)
+        back = _Pipe(self.latency_s, ends, fabric.held)
         near, far = MemoryStream(back, there, ends), MemoryStream(there, back, ends)
-        self._streams = self._keep_open(near, far)
+        self._keep_open(near, far)
         task = asyncio.get_running_loop().create_task(self._run(accept, far))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        fabric.tasks.add(task)
+        task.add_done_callback(fabric.tasks.discard)
         return near
 
     def cut(self, one: str, other: str) -> None:
         """Part two hosts: their streams are lost and new ones refused until `heal`."""
         ends = frozenset((one, other))
-        self._cuts.add(ends)
-        for stream in [stream for stream in self._streams if stream.ends == ends]:
+        self._fabric.cuts.add(ends)
+        for stream in [each for each in self._fabric.streams if each.ends == ends]:
             stream.break_off()
 
     def heal(self, one: str, other: str) -> None:
         """Let two hosts connect again."""
-        self._cuts.discard(frozenset((one, other)))
+        self._fabric.cuts.discard(frozenset((one, other)))
 
     def lose(self, ip: str) -> None:
-        """Lose a host at once: its listeners vanish and its streams break, as on power loss."""
-        for address in [each for each in self._accepts if split_address(each)[0] == ip]:
-            del self._accepts[address]
-        for stream in [stream for stream in self._streams if ip in stream.ends]:
+        """Lose a host at once, as on power loss, until something listens there again.
+
+        Its listeners vanish, its streams break, and what still runs there reaches nobody.
+        """
+        self._fabric.lost.add(ip)
+        self._fabric.held.discard(ip)
+        for address in [each for each in self._fabric.accepts if split_address(each)[0] == ip]:
+            del self._fabric.accepts[address]
+        for stream in [each for each in self._fabric.streams if ip in each.ends]:
             stream.break_off()
 
-    def _keep_open(self, *fresh: MemoryStream) -> set[MemoryStream]:
-        for stream in [stream for stream in self._streams if stream.closed]:
-            self._streams.discard(stream)
-        self._streams.update(fresh)
-        return self._streams
+    def hold(self, ip: str) -> None:
+        """Keep back all that a host sends and receives, until `let_go`."""
+        self._fabric.held.add(ip)
+
+    def let_go(self, ip: str) -> None:
+        """Let everything through, late, that was held back."""
+        self._fabric.held.discard(ip)
+        for stream in [each for each in self._fabric.streams if ip in each.ends]:
+            stream.catch_up()
+
+    def _keep_open(self, *fresh: MemoryStream) -> None:
+        streams = self._fabric.streams
+        for stream in [each for each in streams if each.closed and not each.has_late_bytes]:
+            streams.discard(stream)
+        streams.update(fresh)
 
     def _unbind(self, address: str, accept: Accept) -> None:
-        if self._accepts.get(address) is accept:
-            del self._accepts[address]
+        if self._fabric.accepts.get(address) is accept:
+            del self._fabric.accepts[address]
 
     async def _run(self, accept: Accept, stream: MemoryStream) -> None:
         try:
