--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.made
 CHECKED := src tests tools
+TEST_PROCESSES ?= 8
 
 .PHONY: venv demo test lint format types schema schema-check docs sizes binary clean
 
@@ -21,7 +22,7 @@
 # The order of sets of strings is fixed too, so that every run gives the same verdict.
 test: export PYTHONHASHSEED = 0
 test: venv
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist worksteal
 
 lint: venv
 	$(BIN)/black --check --quiet $(CHECKED) || $(BIN)/black --check $(CHECKED)
