Declare an engine's role and its adapters, and keep them so

Services name the role of their engines and the adapters loaded beside the weights; an agent compares them with what its engine reports, ends the requests in progress, gives the orders that differ, and reads them back. An engine that restarts gets them again.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -33,6 +33,8 @@
 // ---- configuration --------------------------------------------------------------------
 
 enum ServiceKind { MODEL = 1, PLAIN = 2 }
+// Which part of a request the engines of a service run.
+enum EngineRole { BOTH = 1, PREFILL = 2, DECODE = 3 }
 enum Prefer { TIME = 1, ORIGIN_BYTES = 2 }
 
 struct Release {
@@ -53,6 +55,8 @@
   6: bool repeatable = false         // default for requests that do not say
   7: list<string> unrepeatable_paths
   8: i64 revision = 0                // last revision that changed it
+  9: EngineRole role = EngineRole.BOTH
+  10: list<string> adapters          // loaded beside the weights on each of its engines
 }
 
 struct CreateRelease { 1: Release release }
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -13,6 +13,7 @@
 from lacewinggw.agent.weights import Spreader
 from lacewinggw.decisions.lifecycle import (
     Activate,
+    Adapt,
     Load,
     Observed,
     Progress,
@@ -32,9 +33,12 @@
 from lacewinggw.log import get_logger
 from lacewinggw.platform.engine import (
     ActivateOrder,
+    AdapterOrder,
     EngineClient,
+    EngineRole,
     LoadOrder,
     Order,
+    RoleOrder,
     UnloadOrder,
 )
 from lacewinggw.wire.network import Network
@@ -118,7 +122,9 @@
         self._note_ready(wanted, loaded)
         incoming = incoming_digest(wanted, state.active, loaded)
         progress = await self._progress_of(Digest(incoming)) if incoming else Progress()
-        return Observed(True, state.active, loaded, progress)
+        return Observed(
+            True, state.active, loaded, progress, state.role.value, frozenset(state.adapters)
+        )
 
     async def _progress_of(self, digest: Digest) -> Progress:
         chunk_count = self._spreader.chunk_count(digest)
@@ -166,6 +172,8 @@
                 await self._load(wanted, Digest(digest))
             case Activate(digest):
                 await self._activate(wanted, Digest(digest))
+            case Adapt():
+                await self._adapt(step)
             case Unload(digests):
                 await self._unload(digests)
             case Serve():
@@ -207,6 +215,19 @@
         finally:
             self._requests.resume()
 
+    async def _adapt(self, step: Adapt) -> None:
+        """Change role and adapters while no request runs that could see the change half done."""
+        await self._requests.quiesce()
+        try:
+            if step.role:
+                await self._order(RoleOrder(EngineRole(step.role)))
+            for adapter in step.load:
+                await self._order(AdapterOrder(adapter))
+            for adapter in step.drop:
+                await self._order(AdapterOrder(adapter, loaded=False))
+        finally:
+            self._requests.resume()
+
     def _serve(self, wanted: Wanted, held_up_by: str = "") -> None:
         self._gate.service = wanted.service
         self._gate.release = wanted.release
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -38,12 +38,15 @@
     """Return what the configuration wants of the target on `host`."""
     for service, release in state.assignments_of(host):
         upcoming = state.next_releases_of(service).get(host, "")
+        declared = state.services[service]
         return Wanted(
             service,
             release,
             state.release_digest(release),
             upcoming,
             state.release_digest(upcoming),
+            messages.EngineRole(declared.role).name.lower(),
+            frozenset(declared.adapters or ()),
         )
     return None
 
--- a/src/lacewinggw/decisions/lifecycle.py
+++ b/src/lacewinggw/decisions/lifecycle.py
@@ -8,13 +8,16 @@
 from dataclasses import dataclass
 from typing import TypeAlias
 
+ANY_ROLE = "both"
+
 
 @dataclass(frozen=True)
 class Wanted:
     """One host's part in the configuration.
 
     `digest` is what it is to serve, empty for a plain service. `next_digest` is what it is to have
-    loaded beside it for its turn to change over, empty when there is no change under way.
+    loaded beside it for its turn to change over, empty when there is no change under way. `role` and
+    `adapters` are those of the service, as the engine names them.
     """
 
     service: str
@@ -22,6 +25,8 @@
     digest: str
     next_release: str = ""
     next_digest: str = ""
+    role: str = ANY_ROLE
+    adapters: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -48,6 +53,8 @@
     active: str = ""
     loaded: frozenset[str] = frozenset()
     progress: Progress = Progress()
+    role: str = ANY_ROLE
+    adapters: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -91,6 +98,18 @@
     digest: str
 
 
+@dataclass(frozen=True)
+class Adapt:
+    """End the requests in progress, then order the role and adapters that differ.
+
+    `load` and `drop` name adapters; `role` is empty when it is as wanted.
+    """
+
+    role: str
+    load: tuple[str, ...]
+    drop: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class Unload:
     """Order the target to free the memory of releases no longer wanted."""
@@ -103,7 +122,7 @@
     """Nothing is wanted of this target: end its requests and offer it no more."""
 
 
-Step: TypeAlias = Wait | Stage | Load | Activate | Serve | Unload | Retire
+Step: TypeAlias = Wait | Stage | Load | Activate | Adapt | Serve | Unload | Retire
 
 
 def incoming_digest(wanted: Wanted | None, active: str, loaded: Collection[str]) -> str:
@@ -129,6 +148,8 @@
     serving = observed.active == wanted.digest
     if not serving and wanted.digest in observed.loaded:
         return Activate(wanted.digest)
+    if wanted.digest and serving and not _is_adapted(wanted, observed):
+        return _adapt(wanted, observed)
     surplus = observed.loaded - {wanted.digest, wanted.next_digest}
     if serving and surplus:
         return Unload(tuple(sorted(surplus)))
@@ -138,6 +159,18 @@
     return _bring_in(incoming, observed.progress, serving)
 
 
+def _is_adapted(wanted: Wanted, observed: Observed) -> bool:
+    return (wanted.role, wanted.adapters) == (observed.role, observed.adapters)
+
+
+def _adapt(wanted: Wanted, observed: Observed) -> Adapt:
+    return Adapt(
+        wanted.role if wanted.role != observed.role else "",
+        tuple(sorted(wanted.adapters - observed.adapters)),
+        tuple(sorted(observed.adapters - wanted.adapters)),
+    )
+
+
 def _bring_in(digest: str, progress: Progress, serving: bool) -> Step:
     if progress.chunk_count == 0:
         return Wait("the manifest is not here yet", serving)
--- a/src/lacewinggw/decisions/revisions.py
+++ b/src/lacewinggw/decisions/revisions.py
@@ -129,6 +129,8 @@
         service.repeatable,
         list(service.unrepeatable_paths or []),
         revision,
+        service.role,
+        list(service.adapters or []),
     )
 
 
--- a/src/lacewinggw/operators/changes.py
+++ b/src/lacewinggw/operators/changes.py
@@ -134,6 +134,10 @@
         service.goals = self._goals(service, clauses)
         if clauses.prefer is not None:
             service.prefer = clauses.prefer
+        if clauses.role is not None:
+            service.role = clauses.role
+        if clauses.adapters is not None:
+            service.adapters = list(clauses.adapters)
         if clauses.floor_percent is not None:
             service.floor_percent = clauses.floor_percent
         if clauses.repeatable is not None:
--- a/src/lacewinggw/operators/declarations.py
+++ b/src/lacewinggw/operators/declarations.py
@@ -20,12 +20,23 @@
 
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import BadDeclaration
-from lacewinggw.generated.messages.ttypes import Prefer, Service, ServiceKind
+from lacewinggw.generated.messages.ttypes import EngineRole, Prefer, Service, ServiceKind
 
 SUFFIX = ".ini"
-SERVICE_KEYS = {"name", "kind", "replicas", "prefer", "floor", "repeatable", "unrepeatable"}
+SERVICE_KEYS = {
+    "name",
+    "kind",
+    "replicas",
+    "prefer",
+    "floor",
+    "repeatable",
+    "unrepeatable",
+    "role",
+    "adapters",
+}
 RELEASE_KEYS = {"name"}
 PREFERENCES = {"time": Prefer.TIME, "origin-bytes": Prefer.ORIGIN_BYTES}
+ROLES = {role.name.lower(): role for role in EngineRole}
 KINDS = {"model": ServiceKind.MODEL, "plain": ServiceKind.PLAIN}
 SWITCHES = {"yes": True, "no": False}
 DEFAULT_FLOOR = "50%"
@@ -44,6 +55,8 @@
     floor_percent: int = 50
     repeatable: bool = False
     unrepeatable_paths: tuple[str, ...] = ()
+    role: EngineRole = EngineRole.BOTH
+    adapters: tuple[str, ...] = ()
 
     @classmethod
     def from_service(cls, service: Service) -> "DeclaredService":
@@ -56,6 +69,8 @@
             service.floor_percent,
             service.repeatable,
             tuple(service.unrepeatable_paths or ()),
+            EngineRole(service.role),
+            tuple(service.adapters or ()),
         )
 
 
@@ -131,6 +146,8 @@
         int(floor.rstrip("%")),
         _choice(path, "repeatable", values.get("repeatable", "no"), SWITCHES),
         tuple(values.get("unrepeatable", "").split()),
+        _choice(path, "role", values.get("role", "both"), ROLES),
+        tuple(values.get("adapters", "").split()),
     )
 
 
@@ -171,6 +188,8 @@
                 "floor_percent": each.floor_percent,
                 "repeatable": each.repeatable,
                 "unrepeatable_paths": list(each.unrepeatable_paths),
+                "role": _word_of(ROLES, each.role),
+                "adapters": list(each.adapters),
             }
             for each in services
         ],
@@ -188,6 +207,8 @@
             int(each["floor_percent"]),
             bool(each["repeatable"]),
             tuple(each["unrepeatable_paths"]),
+            ROLES[each["role"]],
+            tuple(each["adapters"]),
         )
         for each in value["services"]
     }
@@ -231,6 +252,10 @@
     paths = before.unrepeatable_paths if before is not None else ()
     if paths != service.unrepeatable_paths:
         yield f"unrepeatable {', '.join(service.unrepeatable_paths) or 'none'}"
+    if (before.role if before is not None else EngineRole.BOTH) != service.role:
+        yield f"role {_word_of(ROLES, service.role)}"
+    if (before.adapters if before is not None else ()) != service.adapters:
+        yield f"adapters {', '.join(service.adapters) or 'none'}"
 
 
 def _goal_clauses(service: DeclaredService) -> Iterable[str]:
--- a/src/lacewinggw/operators/language.py
+++ b/src/lacewinggw/operators/language.py
@@ -14,7 +14,7 @@
 from lark.exceptions import UnexpectedCharacters, UnexpectedEOF, UnexpectedInput, UnexpectedToken
 
 from lacewinggw.errors import LanguageError
-from lacewinggw.generated.messages.ttypes import Prefer
+from lacewinggw.generated.messages.ttypes import EngineRole, Prefer
 from lacewinggw.operators.statements import (
     QUERIES,
     Command,
@@ -267,6 +267,15 @@
     def prefer_clause(self, preference: Prefer) -> dict[str, Any]:
         return {"prefer": preference}
 
+    def role(self, token: Token) -> EngineRole:
+        return EngineRole[str(token).upper()]
+
+    def role_clause(self, role: EngineRole) -> dict[str, Any]:
+        return {"role": role}
+
+    def adapters_clause(self, *names: Word) -> dict[str, Any]:
+        return {"adapters": tuple(name.text for name in names)}
+
     def floor_clause(self, share: Token) -> dict[str, Any]:
         return {"floor_percent": int(str(share).rstrip("%"))}
 
--- a/src/lacewinggw/operators/statements.py
+++ b/src/lacewinggw/operators/statements.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import TypeAlias
 
-from lacewinggw.generated.messages.ttypes import Prefer
+from lacewinggw.generated.messages.ttypes import EngineRole, Prefer
 
 
 class Comparison(Enum):
@@ -110,6 +110,8 @@
     replicas: int | None = None
     plain: bool = False
     prefer: Prefer | None = None
+    role: EngineRole | None = None
+    adapters: tuple[str, ...] | None = None
     floor_percent: int | None = None
     repeatable: bool | None = None
     unrepeatable_paths: tuple[str, ...] | None = None
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -4,6 +4,7 @@
 
 from lacewinggw.decisions.lifecycle import (
     Activate,
+    Adapt,
     Load,
     Observed,
     Progress,
@@ -61,6 +62,24 @@
         Observed(True, NEW, frozenset({OLD, NEW})),
         Activate(OLD),
     ),
+    (
+        "another role and other adapters",
+        Wanted("writer", "market-6", OLD, role="decode", adapters=frozenset({"fijian", "radio"})),
+        Observed(True, OLD, frozenset({OLD}), adapters=frozenset({"radio", "notes"})),
+        Adapt("decode", ("fijian",), ("notes",)),
+    ),
+    (
+        "adapted",
+        Wanted("writer", "market-6", OLD, adapters=frozenset({"radio"})),
+        Observed(True, OLD, frozenset({OLD}), adapters=frozenset({"radio"})),
+        Serve(OLD),
+    ),
+    (
+        "adapters come after the weights they belong to",
+        Wanted("writer", "market-6", OLD, adapters=frozenset({"radio"})),
+        Observed(True, "", frozenset({OLD})),
+        Activate(OLD),
+    ),
     (
         "turned before its weights were here",
         SERVE_NEW,
