End a failed start at once, and tell a query's silence from a command's

Causes, all met by running the processes by hand: a taken address ended as an internal error after ten seconds, since a start that failed was drained like one that served; `ask` without a token sent an empty header, which the HTTP library refuses, and reported that as an outcome unknown; a query without an answer ended as unknown too, though it changes nothing.

Event names are all in lower case with underscores now.

--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -109,7 +109,7 @@
             step = next_step(wanted, await self._observe(wanted))
             return await self._carry_out(wanted, step)
         except LacewingError as error:
-            log.warning("target-step-failed", code=error.code, reason=error.reason)
+            log.warning("target_step_failed", code=error.code, reason=error.reason)
             self._show(TargetState.FAILED, str(error))
             return RETRY_S
 
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -156,14 +156,14 @@
         await self.heartbeats.start()
         await self.follower.start()
         await self.keeper.start()
-        log.info("agent-started", address=self.node.address)
+        log.info("agent_started", address=self.node.address)
 
     async def drain(self) -> None:
         """Refuse new requests, let those in progress end, and hand on what others still fetch."""
         self.begin_drain()
         limit_s = self._settings.agent.drain_limit_ms / MILLISECONDS
         await self.requests.drained(limit_s)
-        log.info("agent-drained")
+        log.info("agent_drained")
 
     def begin_drain(self) -> None:
         """Refuse new requests from now on."""
@@ -172,7 +172,7 @@
         self.draining = True
         self.requests.begin_drain()
         self.heartbeats.note_change()
-        log.info("agent-draining")
+        log.info("agent_draining")
 
     async def leave(self) -> None:
         """Drain, then close."""
@@ -191,7 +191,7 @@
         await self._operator_server.close()
         for client in (self._membership, self._origin, self._store, self._engine, self._plain):
             await client.close()
-        log.info("agent-closed")
+        log.info("agent_closed")
 
     def _readiness(self) -> Readiness:
         reason = "" if self.follower.ready else "no configuration yet"
@@ -254,4 +254,4 @@
     """Run an agent until a signal asks it to leave, then drain it."""
     agent = AgentProcess.from_config(settings)
     configure_process_log(settings.process, "agent", agent.incarnation)
-    await run_until_signalled(agent.start, agent.leave)
+    await run_until_signalled(agent.start, agent.drain, agent.close)
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -150,15 +150,15 @@
         await self.placer.start()
         await self.callers.start()
         await self._caller_server.start()
-        log.info("entry-started", address=self.node.address, callers=self.caller_address)
+        log.info("entry_started", address=self.node.address, callers=self.caller_address)
 
     async def drain(self) -> None:
         """Leave the address answers, serve on while callers may hold them, end what runs."""
         entry = self._settings.entry
         self.callers.begin_drain()
-        log.info("entry-draining")
+        log.info("entry_draining")
         await self.callers.drained(entry.drain_limit_ms / MILLISECONDS)
-        log.info("entry-drained")
+        log.info("entry_drained")
 
     async def leave(self) -> None:
         """Drain, then close."""
@@ -178,7 +178,7 @@
         await self._operator_server.close()
         for client in (self._table, self._objects, self._membership, self._origin):
             await client.close()
-        log.info("entry-closed")
+        log.info("entry_closed")
 
     def _readiness(self) -> Readiness:
         reason = "" if self.ledger.ready else "no configuration yet"
@@ -216,4 +216,4 @@
     """Run an entry until a signal asks it to leave, then drain it."""
     entry = EntryProcess.from_config(settings)
     configure_process_log(settings.process, "entry", entry.incarnation)
-    await run_until_signalled(entry.start, entry.leave)
+    await run_until_signalled(entry.start, entry.drain, entry.close)
--- a/src/lacewinggw/operators/client.py
+++ b/src/lacewinggw/operators/client.py
@@ -9,15 +9,23 @@
 
 from lacewinggw.errors import (
     AcceptanceUnknown,
+    ConnectionLost,
     LacewingError,
     NoConfiguration,
     Outcome,
     PlatformUnavailable,
+    TimedOut,
     Unreachable,
     error_classes,
 )
 from lacewinggw.ids import Address
-from lacewinggw.wire.http import HttpClient, Response, json_response
+from lacewinggw.wire.http import (
+    HttpClient,
+    HttpError,
+    NotConnectedError,
+    Response,
+    json_response,
+)
 from lacewinggw.wire.network import Network
 
 OK = 200
@@ -62,7 +70,7 @@
                 failure = error
             except (NoConfiguration, PlatformUnavailable) as error:
                 failure = error
-            except AcceptanceUnknown as error:
+            except (AcceptanceUnknown, ConnectionLost, TimedOut) as error:
                 in_doubt, failure = True, error
         if in_doubt:
             raise AcceptanceUnknown(
@@ -78,23 +86,25 @@
         for address in self._entries:
             try:
                 return await self._call(address, method, path, body)
-            except (Unreachable, NoConfiguration, AcceptanceUnknown) as error:
+            except (Unreachable, NoConfiguration, ConnectionLost, TimedOut) as error:
                 failure = error
         raise failure
 
     async def _call(
         self, address: Address, method: str, path: str, body: dict[str, Any] | None
     ) -> dict[str, Any]:
-        headers = {"authorization": f"Bearer {self._token}"}
+        headers = {"authorization": f"Bearer {self._token}"} if self._token else {}
         content = b"" if body is None else json_response(OK, body).content
         try:
             response = await self._http.request(
                 address, method, path, headers, content, self._timeout_s
             )
-        except ConnectionRefusedError as error:
+        except NotConnectedError as error:
             raise Unreachable(f"nobody answers at {address}") from error
-        except Exception as error:
-            raise AcceptanceUnknown(f"no answer from {address}: {error!r}") from error
+        except TimeoutError as error:
+            raise TimedOut(f"no answer from {address} within {self._timeout_s:g} s") from error
+        except (OSError, HttpError) as error:
+            raise ConnectionLost(f"no whole answer from {address}: {error}") from error
         if response.status != OK:
             raise error_of(response)
         value: dict[str, Any] = response.json()
--- a/src/lacewinggw/platform/watch.py
+++ b/src/lacewinggw/platform/watch.py
@@ -69,7 +69,7 @@
             listed = await self._client.poll()
         except LacewingError as error:
             if not self._failing:
-                log.warning("membership-unavailable", code=error.code, reason=error.reason)
+                log.warning("membership_unavailable", code=error.code, reason=error.reason)
             self._failing = True
             return
         self._failing = False
--- a/src/lacewinggw/service.py
+++ b/src/lacewinggw/service.py
@@ -10,35 +10,36 @@
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-async def run_until_signalled(start: Step, close: Step) -> None:
-    """Await `start`, wait for SIGTERM or SIGINT, then await `close`, which drains.
+async def run_until_signalled(start: Step, drain: Step, close: Step) -> None:
+    """Await `start`, wait for SIGTERM or SIGINT, then await `drain` and `close`.
 
-    A signal while starting cancels `start`; a second one while draining cancels `close`. `close`
-    is awaited too when `start` fails half-way, so that what was opened is closed.
+    A signal while starting cancels `start`; a second one while draining cancels `drain`. What has
+    not started is not drained. `close` is awaited whatever happens, so that what was opened is
+    closed.
     """
     loop = asyncio.get_running_loop()
     leaving = asyncio.Event()
     for number in LEAVE_SIGNALS:
         loop.add_signal_handler(number, leaving.set)
     try:
-        await _run(start, close, leaving)
+        await _serve(start, drain, leaving)
     finally:
+        await close()
         for number in LEAVE_SIGNALS:
             loop.remove_signal_handler(number)
 
 
-async def _run(start: Step, close: Step, leaving: asyncio.Event) -> None:
+async def _serve(start: Step, drain: Step, leaving: asyncio.Event) -> None:
     log = get_logger(__name__)
-    try:
-        if await _finish_unless(start, leaving):
-            log.info("started")
-            await leaving.wait()
-        leaving.clear()
-        log.info("draining")
-    finally:
-        if not await _finish_unless(close, leaving):
-            log.warning("drain_cut_short")
-    log.info("closed")
+    if not await _finish_unless(start, leaving):
+        log.info("start_given_up")
+        return
+    log.info("started")
+    await leaving.wait()
+    leaving.clear()
+    log.info("draining")
+    if not await _finish_unless(drain, leaving):
+        log.warning("drain_cut_short")
 
 
 async def _finish_unless(step: Step, signalled: asyncio.Event) -> bool:
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -8,6 +8,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
+from lacewinggw.errors import ListenFailed
+
 READ_BUFFER_BYTES = 1 << 18
 CONNECT_TIMEOUT_S = 3.0
 
@@ -56,7 +58,10 @@
     """A way to listen and to connect."""
 
     async def listen(self, address: str, accept: Accept) -> Listener:
-        """Accept connections at `address`; each runs `accept` in a task of its own."""
+        """Accept connections at `address`; each runs `accept` in a task of its own.
+
+        Raise `ListenFailed` when the address is taken, or not one of this host's.
+        """
 
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when nobody listens there or no answer comes in time."""
@@ -135,7 +140,10 @@
         self._connect_timeout_s = connect_timeout_s
 
     async def listen(self, address: str, accept: Accept) -> Listener:
-        """Accept connections at `address`; each runs `accept` in a task of its own."""
+        """Accept connections at `address`; each runs `accept` in a task of its own.
+
+        Raise `ListenFailed` when the address is taken, or not one of this host's.
+        """
         ip, port = split_address(address)
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -145,7 +153,13 @@
             finally:
                 stream.close()
 
-        server = await asyncio.start_server(serve, ip, port, limit=READ_BUFFER_BYTES, backlog=1024)
+        try:
+            server = await asyncio.start_server(
+                serve, ip, port, limit=READ_BUFFER_BYTES, backlog=1024
+            )
+        except OSError as error:
+            reason = error.strerror or str(error)
+            raise ListenFailed(f"cannot listen on {address}: {reason}") from error
         return TcpListener(server)
 
     async def connect(self, address: str) -> Stream:
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -228,7 +228,7 @@
         except (OSError, EOFError, TimeoutError):
             pass
         except WireError as error:
-            log.warning("peer-protocol-violation", peer=self.remote.host, reason=error.reason)
+            log.warning("peer_protocol_violation", peer=self.remote.host, reason=error.reason)
         finally:
             self._end()
 
@@ -405,7 +405,7 @@
         try:
             remote = await self._shake_hands(stream, "a caller")
         except LacewingError as error:
-            log.warning("peer-refused", code=error.code, reason=error.reason)
+            log.warning("peer_refused", code=error.code, reason=error.reason)
             return
         link = self._run_link(stream, remote)
         await link.closed.wait()
--- /dev/null
+++ b/tests/test_entry_client.py
@@ -0,0 +1,105 @@
+"""An operator's shell that meets silence: a query fails, a command's outcome is unknown."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from lacewinggw.errors import AcceptanceUnknown, BadToken, TimedOut, Unreachable
+from lacewinggw.ids import Address
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.operators.client import EntryClient
+from lacewinggw.wire.http import HttpServer, Request, Response, json_response
+from lacewinggw.wire.network import Stream
+
+pytestmark = pytest.mark.looptime
+
+TIMEOUT_S = 5.0
+NOBODY = Address("10.0.0.9:1")
+
+
+class Entries:
+    """Stand-ins of entries on one in-memory network, and a client to ask them."""
+
+    def __init__(self) -> None:
+        self.network = MemoryNetwork()
+        self.requests: list[Request] = []
+        self._hosts = itertools.count(1)
+
+    async def add_answering(self) -> Address:
+        """Add an entry that answers every request."""
+        return await self._add(self._answer)
+
+    async def add_silent(self) -> Address:
+        """Add an entry that takes requests and never answers."""
+        return await self._add(self._never_answer)
+
+    async def add_breaking(self) -> Address:
+        """Add an entry that closes the connection after the first bytes."""
+        listener = await self.network.listen(self._next_address(), self._break_off)
+        return Address(listener.address)
+
+    def client(self, *entries: Address, token: str = "token") -> EntryClient:
+        """Return a client that asks the entries in turn."""
+        return EntryClient(self.network, entries, token, TIMEOUT_S)
+
+    async def _add(self, handler: object) -> Address:
+        server = HttpServer(self.network, self._next_address(), handler)  # type: ignore[arg-type]
+        await server.start()
+        return Address(server.address)
+
+    def _next_address(self) -> str:
+        return f"10.0.0.{next(self._hosts)}:0"
+
+    async def _answer(self, request: Request) -> Response:
+        self.requests.append(request)
+        if "authorization" not in request.headers:
+            return json_response(401, {"code": BadToken.code, "detail": "no token"})
+        return json_response(200, {"rows": []})
+
+    async def _never_answer(self, request: Request) -> Response:
+        self.requests.append(request)
+        await asyncio.sleep(10 * TIMEOUT_S)
+        return await self._answer(request)
+
+    async def _break_off(self, stream: Stream) -> None:
+        await stream.read(1)
+        stream.close()
+
+
+async def test_query_goes_on_to_the_next_entry() -> None:
+    entries = Entries()
+    silent, breaking = await entries.add_silent(), await entries.add_breaking()
+    client = entries.client(NOBODY, silent, breaking, await entries.add_answering())
+    assert await client.query("show services") == {"rows": []}
+
+
+async def test_silence_to_a_query_is_a_timeout() -> None:
+    entries = Entries()
+    client = entries.client(await entries.add_silent())
+    with pytest.raises(TimedOut, match="within 5 s"):
+        await client.query("show services")
+
+
+@pytest.mark.parametrize("kind", ["silent", "breaking"])
+async def test_silence_to_a_command_leaves_it_unknown(kind: str) -> None:
+    entries = Entries()
+    doubtful = await getattr(entries, f"add_{kind}")()
+    client = entries.client(doubtful, NOBODY)
+    with pytest.raises(AcceptanceUnknown, match="command c-1 may have been accepted") as raised:
+        await client.command("drain host h-1", "c-1", 4)
+    assert "show command c-1" in raised.value.remedy
+
+
+async def test_command_that_reached_nobody_is_not_accepted() -> None:
+    client = Entries().client(NOBODY)
+    with pytest.raises(Unreachable):
+        await client.command("drain host h-1", "c-1", 4)
+
+
+async def test_no_token_sends_no_empty_one() -> None:
+    entries = Entries()
+    client = entries.client(await entries.add_answering(), token="")
+    with pytest.raises(BadToken):
+        await client.query("show services")
+    assert "authorization" not in entries.requests[0].headers
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -19,12 +19,16 @@
 
     async def run(self) -> None:
         """Run to the end."""
-        await run_until_signalled(self.start, self.close)
+        await run_until_signalled(self.start, self.drain, self.close)
 
     async def start(self) -> None:
         """Note the start."""
         await self._step("start")
 
+    async def drain(self) -> None:
+        """Note the drain."""
+        await self._step("drain")
+
     async def close(self) -> None:
         """Note the close."""
         await self._step("close")
@@ -44,7 +48,7 @@
 async def test_signal_drains(number: int) -> None:
     recorder = Recorder({"start": number})
     await recorder.run()
-    assert recorder.steps == ["start", "close"]
+    assert recorder.steps == ["start", "drain", "close"]
 
 
 async def test_signal_while_starting_gives_the_start_up() -> None:
@@ -54,9 +58,9 @@
 
 
 async def test_second_signal_cuts_the_drain_short() -> None:
-    recorder = Recorder({"start": signal.SIGTERM, "close": signal.SIGTERM}, hang="close")
+    recorder = Recorder({"start": signal.SIGTERM, "drain": signal.SIGTERM}, hang="drain")
     await recorder.run()
-    assert recorder.steps == ["start", "close", "close cancelled"]
+    assert recorder.steps == ["start", "drain", "drain cancelled", "close"]
 
 
 async def test_failed_start_is_closed_and_raised() -> None:
@@ -66,7 +70,7 @@
         raise OSError("the address is taken")
 
     with pytest.raises(OSError, match="taken"):
-        await run_until_signalled(fail, recorder.close)
+        await run_until_signalled(fail, recorder.drain, recorder.close)
     assert recorder.steps == ["close"]
 
 
