--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -5,6 +5,7 @@
   lacewinggw agent --settings FILE
   lacewinggw check FILE [--role ROLE]
   lacewinggw ask [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] WORDS...
+  lacewinggw ask [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] --file FILE
   lacewinggw plan [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--check] DIR
   lacewinggw apply [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--at N] DIR
   lacewinggw --help
@@ -25,6 +26,7 @@
   --entry ADDR     Operator address of an entry; several with commas between.
   --token TOKEN    Operator's token.
   --json           Print JSON instead of a table.
+  --file FILE      Read the words from a file, or from standard input for -.
   --check          Exit with 1 when there is anything to change.
   --at N           Refuse when the configuration has moved since revision N, which plan showed.
   -h --help        Show this text.
@@ -141,8 +143,10 @@
             return run_agent_process(file)
         case {"check": True, "FILE": file, "--role": role}:
             return check_settings(file, role)
+        case {"ask": True, "--file": str(file)}:
+            return ask(shell_options(options), read_words(file))
         case {"ask": True, "WORDS": words}:
-            return ask(shell_options(options), words)
+            return ask(shell_options(options), " ".join(words))
         case {"plan": True, "DIR": folder, "--check": check}:
             return plan(shell_options(options), Path(folder), check)
         case {"apply": True, "DIR": folder, "--at": revision}:
@@ -216,11 +220,21 @@
     return parse_settings(ini, "--entry", ()).operator.entries
 
 
-def ask(options: ShellOptions, words: list[str]) -> int:
+def read_words(file: str) -> str:
+    """Return the words in a file, or on standard input for "-"."""
+    if file == "-":
+        return sys.stdin.read()
+    try:
+        return Path(file).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadUsage(f"{file} cannot be read: {error}", remedy="name a text file") from error
+
+
+def ask(options: ShellOptions, words: str) -> int:
     """Put a query or command to an entry and print the answer."""
     from lacewinggw.operators.shell import ask_command
 
-    return ask_command(options, " ".join(words))
+    return int(ask_command(options, words))
 
 
 def plan(options: ShellOptions, folder: Path, check: bool) -> int:
--- a/src/lacewinggw/operators/explain.py
+++ b/src/lacewinggw/operators/explain.py
@@ -47,9 +47,9 @@
     for service, _ in state.assignments_of(host):
         declared = state.services.get(service)
         if declared is not None and serves(state, declared, host, last):
-            yield f"it serves {service} as placed"
+            yield f"so it serves {service} as placed"
         elif declared is not None:
-            yield f"it does not serve {service} as placed yet; {remedy_for(last)}"
+            yield f"so it does not serve {service} as placed yet; {remedy_for(last)}"
 
 
 def _explain_listing(host: str, member: Member | None, view: FleetView) -> Iterator[str]:
--- a/src/lacewinggw/operators/language.py
+++ b/src/lacewinggw/operators/language.py
@@ -41,6 +41,7 @@
 
 WORDS_LIMIT = 100_000
 NEAREST_CUTOFF = 0.5
+SURE_CUTOFF = 0.75
 SECONDS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
 PREFERENCES = {"time": Prefer.TIME, "origin-bytes": Prefer.ORIGIN_BYTES}
 TERMINAL_WORDS = {
@@ -95,9 +96,9 @@
     return isinstance(parse(words)[0], QUERIES)
 
 
-def nearest(name: str, known: Iterable[str]) -> str:
+def nearest(name: str, known: Iterable[str], cutoff: float = NEAREST_CUTOFF) -> str:
     """Return the known name that looks most like one that is not known, or ""."""
-    found = difflib.get_close_matches(name, list(known), n=1, cutoff=NEAREST_CUTOFF)
+    found = difflib.get_close_matches(name, list(known), n=1, cutoff=cutoff)
     return found[0] if found else ""
 
 
@@ -121,13 +122,25 @@
             position = int(met_at)
         case UnexpectedEOF():
             terminals = set(error.expected)
-    met = words[position:].split(maxsplit=1)
     keywords = sorted(_keyword(each) for each in terminals if each not in TERMINAL_WORDS)
     others = sorted(TERMINAL_WORDS[each] for each in terminals if each in TERMINAL_WORDS)
-    close = nearest(met[0].rstrip(",;"), keywords) if met else ""
+    position, close = _misspelt(words, position, keywords)
     return LanguageError.at(words, position, tuple([*keywords, *others] or ["the end"]), close)
 
 
+def _misspelt(words: str, position: int, keywords: Sequence[str]) -> tuple[int, str]:
+    """Return where a keyword seems misspelt, at the word met or the one before, and the keyword."""
+    met = words[position:].split(maxsplit=1)
+    close = nearest(met[0].rstrip(",;"), keywords) if met else ""
+    before = words[:position].split()
+    if close or not before:
+        return position, close
+    close = nearest(before[-1], keywords, SURE_CUTOFF)
+    if not close or before[-1] in keywords:
+        return position, ""
+    return words.rindex(before[-1], 0, position), close
+
+
 def _keyword(terminal: str) -> str:
     for definition in _parser().terminals:
         if definition.name == terminal:
--- a/src/lacewinggw/operators/progress.py
+++ b/src/lacewinggw/operators/progress.py
@@ -136,7 +136,7 @@
         spread = heartbeat.spreads[0]
         return f"it has {spread.chunks_held} of {spread.chunk_count} chunks of {spread.release}"
     if state is TargetState.SERVING:
-        serving = f"it still serves {heartbeat.release or heartbeat.service_name or 'nothing'}"
+        serving = f"it serves {heartbeat.release or heartbeat.service_name or 'nothing'}"
         return f"{serving}, ready to change over" if heartbeat.ready_digest else serving
     return f"it is {state.name.lower()}"
 
--- a/src/lacewinggw/operators/shell.py
+++ b/src/lacewinggw/operators/shell.py
@@ -16,7 +16,7 @@
     difference,
     read_declarations,
 )
-from lacewinggw.operators.language import is_query, parse_query
+from lacewinggw.operators.language import is_query, parse, parse_query
 from lacewinggw.operators.statements import WaitFor
 from lacewinggw.operators.tables import Table, render
 from lacewinggw.wire.network import TcpNetwork
@@ -51,24 +51,21 @@
 
 
 def ask_command(options: Options, words: str) -> int:
-    """Put a query or command to the fleet, print the answer and return the exit code."""
+    """Put a query or commands to the fleet, print the answer and return the exit code.
+
+    The code is 1 when `wait` ran out of time. Raises the errors of the language and of the entries.
+    """
     try:
-        asking = is_query(words)
+        parse(words)
     except LanguageError as error:
         _point_at(words, error)
         raise
-    if not asking:
-        return _run(options, lambda client: _command(client, options, words))
-    query = parse_query(words)
-    if isinstance(query, WaitFor):
-        limit_s = WAIT_LIMIT_S if query.limit_s is None else query.limit_s
-        return _run(options, lambda client: _wait(client, options, words, limit_s))
-    return _run(options, lambda client: _query(client, options, words))
+    return _run(options, lambda client: ask(client, options, words))
 
 
 def plan_command(options: Options, folder: Path, check: bool) -> int:
     """Print what the declarations in a folder would change; with `check`, 1 if anything."""
-    return _run(options, lambda client: _plan(client, options, folder, check))
+    return _run(options, lambda client: plan(client, options, folder, check))
 
 
 def apply_command(options: Options, folder: Path, at_revision: int | None = None) -> int:
@@ -76,7 +73,7 @@
 
     With `at_revision`, the revision that a plan showed, refuse when the fleet moved since.
     """
-    return _run(options, lambda client: _apply(client, options, folder, at_revision))
+    return _run(options, lambda client: apply(client, options, folder, at_revision))
 
 
 def _run(options: Options, action: Action) -> int:
@@ -90,16 +87,18 @@
     return asyncio.run(run())
 
 
-async def _query(client: EntryClient, options: Options, words: str) -> int:
-    answer = await client.query(words)
-    _print_answer(answer, options.json)
-    return DONE
-
-
-async def _command(client: EntryClient, options: Options, words: str) -> int:
-    configuration = await client.configuration()
-    accepted = await _accept(client, words, int(configuration["revision"]))
-    _print_accepted(accepted, options.json)
+async def ask(client: EntryClient, options: Options, words: str) -> int:
+    """Put a query or commands to the fleet, print the answer and return the exit code."""
+    if not is_query(words):
+        configuration = await client.configuration()
+        accepted = await _accept(client, words, int(configuration["revision"]))
+        _print_accepted(accepted, options.json)
+        return DONE
+    query = parse_query(words)
+    if isinstance(query, WaitFor):
+        limit_s = WAIT_LIMIT_S if query.limit_s is None else query.limit_s
+        return await _wait(client, options, words, limit_s)
+    _print_answer(await client.query(words), options.json)
     return DONE
 
 
@@ -120,7 +119,8 @@
         await asyncio.sleep(WAIT_POLL_S)
 
 
-async def _plan(client: EntryClient, options: Options, folder: Path, check: bool) -> int:
+async def plan(client: EntryClient, options: Options, folder: Path, check: bool) -> int:
+    """Print the commands that would make the fleet as declared in a folder."""
     wanted = read_declarations(folder)
     configuration = await client.configuration()
     words = difference(declarations_from_json(configuration), wanted)
@@ -133,9 +133,10 @@
     return NOT_DONE if check and words else DONE
 
 
-async def _apply(
+async def apply(
     client: EntryClient, options: Options, folder: Path, at_revision: int | None
 ) -> int:
+    """Give the commands that `plan` prints, as one revision."""
     wanted = read_declarations(folder)
     configuration = await client.configuration()
     words = difference(declarations_from_json(configuration), wanted)
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -14,6 +14,7 @@
 from lacewinggw.generated.messages.ttypes import (
     Change,
     CreateRelease,
+    Heartbeat,
     LogEntry,
     PutService,
     Release,
@@ -23,7 +24,7 @@
     ServiceKind,
 )
 from lacewinggw.generated.settings.ttypes import ConfigurationSettings
-from lacewinggw.ids import Address, HostId, Place
+from lacewinggw.ids import Address, HostId, Place, ServiceName
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.metrics import Metrics
@@ -74,6 +75,7 @@
         self.config = self._make_config()
         self.config.on_change(lambda state, _: self.revisions.append(state.revision))
         self.heard: dict[str, float] = {}
+        self.beats: dict[str, Heartbeat] = {}
         self.placer: Placer | None = None
         if isinstance(self.config, Ledger):
             self.placer = Placer.from_config(
@@ -82,7 +84,7 @@
                 self.peer,
                 lambda: fleet.members,
                 lambda: Heard(self.heard),
-                lambda: {},
+                lambda: self.beats,
                 self.metrics,
                 self.rng,
             )
@@ -157,6 +159,7 @@
         self.entries: list[Node] = []
         self.agents: list[Node] = []
         self.members: Sequence[Member] = ()
+        self.plain: dict[str, str] = {}
 
     def entry_candidates(self) -> list[Candidate]:
         return [
@@ -173,6 +176,7 @@
                 Place(node.place),
                 MemberRole.ENTRY if node.role is Role.ENTRY else MemberRole.AGENT,
                 Address(node.address),
+                service=ServiceName(self.plain.get(node.name, "")),
             )
             for node in (*self.entries, *self.agents)
         ]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,112 +1,39 @@
 """The operators' listener of an entry: commands, queries and refusals over HTTP."""
 
-import random
-from collections.abc import AsyncIterator, Mapping, Sequence
-from contextlib import asynccontextmanager
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
 
 import pytest
-from config_fleet import Fleet, running
-
-from lacewinggw.decisions.placement import Shortfall
-from lacewinggw.decisions.revisions import FleetState
-from lacewinggw.entry.operators import Operators
-from lacewinggw.generated.messages.ttypes import Heartbeat, Load, TargetState
-from lacewinggw.generated.settings.ttypes import EntrySettings
-from lacewinggw.ids import new_command_id
-from lacewinggw.lab.weights import SyntheticRelease
+from operator_desk import open_desk
+
+from lacewinggw.errors import (
+    BadDeclaration,
+    BadToken,
+    ConfigurationConflict,
+    MalformedHttp,
+    UnknownName,
+)
+from lacewinggw.ids import Address
+from lacewinggw.operators import shell
 from lacewinggw.operators.client import EntryClient
-from lacewinggw.operators.view import HeardHeartbeat
-from lacewinggw.platform.membership import Member
-from lacewinggw.platform.weights import WeightsClient
-from lacewinggw.wire.http import HttpServer
+from lacewinggw.operators.declarations import read_declarations
+from lacewinggw.wire.http import HttpClient
 
 pytestmark = pytest.mark.looptime
 
-TOKENS = ["alice:secret-a", "bob:secret-b"]
-
-
-class View:
-    """Facts that a test sets."""
-
-    def __init__(self, fleet: Fleet, number: int) -> None:
-        self._fleet = fleet
-        self._node = fleet.entries[number]
-        self.beats: dict[str, HeardHeartbeat] = {}
-
-    def state(self) -> FleetState:
-        return self._node.ledger.state
-
-    def members(self) -> Sequence[Member]:
-        return self._fleet.members
-
-    def heartbeats(self) -> Mapping[str, HeardHeartbeat]:
-        return self.beats
-
-    def counters(self) -> Mapping[str, int]:
-        return self._node.metrics.snapshot().counters
-
-    def shortfalls(self) -> Sequence[Shortfall]:
-        assert self._node.placer is not None
-        return self._node.placer.shortfalls
-
-    def missing(self) -> frozenset[str]:
-        assert self._node.placer is not None
-        return self._node.placer.missing_hosts
-
-
-class Desk:
-    """Operators' listeners on the first two entries, and a shell for each operator."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.views = [View(fleet, number) for number in range(2)]
-        self.servers: list[HttpServer] = []
-        self.clients: list[EntryClient] = []
-
-    async def start(self) -> None:
-        for number, view in enumerate(self.views):
-            node = self.fleet.entries[number]
-            origin = WeightsClient.for_origin(node.network, self.fleet.platform.addresses)
-            operators = Operators.from_config(
-                EntrySettings(operator_tokens=TOKENS),
-                node.ledger,
-                view,
-                origin,
-                node.metrics,
-                lambda: str(new_command_id(random.Random(7))),
-            )
-            server = HttpServer(node.network, f"{node.ip}:8000", operators.handle)
-            await server.start()
-            self.servers.append(server)
-        addresses = [server.address for server in self.servers]
-        for order in (addresses, addresses[::-1]):
-            token = TOKENS[len(self.clients)].partition(":")[2]
-            self.clients.append(EntryClient(self.fleet.network, order, token, 10.0))
-
-    async def close(self) -> None:
-        for client in self.clients:
-            await client.close()
-        for server in self.servers:
-            await server.close()
-
-    def hears(self, host: str, service: str, release: str, state: TargetState) -> None:
-        digest = self.fleet.entries[0].ledger.state.release_digest(release)
-        beat = Heartbeat(host, "a", "i", service, release, digest, state, Load(1, 2, 8), [], 1)
-        for view in self.views:
-            view.beats[host] = HeardHeartbeat(beat, 0.5)
-
-
-@asynccontextmanager
-async def open_desk(agents: int = 6) -> AsyncIterator[Desk]:
-    async with running(entries=2, agents=agents) as fleet:
-        for name in ("market-6", "market-7"):
-            fleet.platform.origin.add_release(SyntheticRelease(name, 4, 1000))
-        desk = Desk(fleet)
-        await desk.start()
-        try:
-            yield desk
-        finally:
-            await desk.close()
+
+@dataclass(frozen=True)
+class Options:
+    """The shell's options, which these cases do not vary."""
+
+    entries: tuple[Address, ...] = ()
+    token: str = ""
+    timeout_s: float = 10.0
+    json: bool = False
+
+
+OPTIONS = Options()
 
 
 async def test_a_release_and_a_service_are_declared_and_shown() -> None:
@@ -118,3 +45,103 @@
         assert accepted["author"] == "alice"
         answer = await alice.query("show services name, goals, declared, placed")
         assert answer["rows"] == [["desk", "3 on market-7", 3, 0]]
+
+
+async def test_a_command_given_again_at_another_entry_is_answered_with_its_revision() -> None:
+    async with open_desk() as desk:
+        alice, bob = desk.clients
+        first = await alice.command("create release market-7", "c1", 0)
+        again = await bob.command("create release market-7", "c1", 0)
+        assert (first["revision"], again["revision"]) == (1, 1)
+        assert again["author"] == "alice"
+
+
+async def test_two_operators_at_once_are_told_both_values() -> None:
+    async with open_desk() as desk:
+        alice, bob = desk.clients
+        words = "create release market-7; create service desk release market-7 replicas 3"
+        await alice.command(words, "c1", 0)
+        await desk.fleet.settle(1)
+        results = await asyncio.gather(
+            alice.command("set service desk replicas 4", "c2", 1),
+            bob.command("set service desk replicas 5", "c3", 1),
+            return_exceptions=True,
+        )
+        refused = next(each for each in results if isinstance(each, ConfigurationConflict))
+        assert "4 on market-7" in refused.reason and "5 on market-7" in refused.reason
+        assert desk.fleet.entries[0].ledger.revision == 2
+
+
+async def test_commands_of_one_body_are_all_accepted_or_none() -> None:
+    async with open_desk() as desk:
+        words = "create release market-7; set service desk replicas 3"
+        with pytest.raises(UnknownName):
+            await desk.clients[0].command(words, "c1", 0)
+        assert desk.fleet.entries[0].ledger.revision == 0
+
+
+async def test_without_a_token_nothing_is_told() -> None:
+    async with open_desk() as desk:
+        stranger = EntryClient(desk.fleet.network, [desk.servers[0].address], "guess", 5.0)
+        with pytest.raises(BadToken):
+            await stranger.query("show services")
+        await stranger.close()
+
+
+async def test_a_release_that_the_origin_lacks_is_refused() -> None:
+    async with open_desk() as desk:
+        with pytest.raises(UnknownName, match="the origin has no release market-9"):
+            await desk.clients[0].command("create release market-9", "c1", 0)
+
+
+async def test_a_command_with_an_id_needs_its_read_revision() -> None:
+    async with open_desk() as desk:
+        client = HttpClient(desk.fleet.network)
+        headers = {"authorization": "Bearer secret-a"}
+        body = b'{"words": "create release market-7", "command_id": "c1"}'
+        address = desk.servers[0].address
+        response = await client.request(address, "POST", "/v1/commands", headers, body)
+        assert response.status == 400
+        assert response.json()["code"] == MalformedHttp.code
+        await client.close()
+
+
+async def test_apply_makes_one_revision_and_a_second_apply_none(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "market-7.ini").write_text("[release]\nname = market-7\n")
+    desk_file = tmp_path / "desk.ini"
+    desk_file.write_text("[service]\nname = desk\nreplicas = 3 on market-7\nfloor = 75%\n")
+    async with open_desk() as desk:
+        alice = desk.clients[0]
+        assert await shell.plan(alice, OPTIONS, tmp_path, check=True) == 1
+        assert await shell.apply(alice, OPTIONS, tmp_path, None) == 0
+        assert await shell.apply(alice, OPTIONS, tmp_path, None) == 0
+        assert await shell.plan(alice, OPTIONS, tmp_path, check=True) == 0
+        assert desk.fleet.entries[0].ledger.revision == 1
+        out = capsys.readouterr().out
+        assert "create service desk release market-7 replicas 3 prefer time floor 75%" in out
+        await alice.command("set service desk replicas 5", "c9", 1)
+        desk_file.write_text("[service]\nname = desk\nreplicas = 4 on market-7\nfloor = 75%\n")
+        with pytest.raises(ConfigurationConflict, match="5 on market-7"):
+            await shell.apply(alice, OPTIONS, tmp_path, 1)
+
+
+@pytest.mark.parametrize(
+    ("text", "met"),
+    [
+        ("[service]\nname = desk\n", "replicas: the value is missing"),
+        ("[service]\nreplicas = six on m\n", "'six on m' cannot be read"),
+        ("[service]\nreplicas = 1 on m\nfloor = 50\n", "'50' is not a share"),
+        ("[service]\nreplicas = 1 on m\ncolour = red\n", "colour: there is no such key"),
+        ("[host]\nname = h\n", "[release] or [service]"),
+    ],
+)
+def test_a_declaration_that_cannot_be_used_names_file_key_and_remedy(
+    tmp_path: Path, text: str, met: str
+) -> None:
+    (tmp_path / "desk.ini").write_text(text)
+    with pytest.raises(BadDeclaration) as caught:
+        read_declarations(tmp_path)
+    assert met in caught.value.reason
+    assert "desk.ini" in caught.value.reason
