--- a/src/lacewinggw/decisions/lifecycle.py
+++ b/src/lacewinggw/decisions/lifecycle.py
@@ -16,8 +16,8 @@
     """One host's part in the configuration.
 
     `digest` is what it is to serve, empty for a plain service. `next_digest` is what it is to have
-    loaded beside it for its turn to change over, empty when there is no change under way. `role` and
-    `adapters` are those of the service, as the engine names them.
+    loaded beside it for its turn to change over, empty when there is no change under way. `role`
+    and `adapters` are those of the service, as the engine names them.
     """
 
     service: str
