Queue runs by priority and fair share

Cause: runs waited by priority only, so that one account could fill the queue. Change: the executor takes its order, slots, deadlines and refusals from the request queue; a run cancelled before its first step frees its slot too.

--- a/src/lacewinggw/agent/executor.py
+++ b/src/lacewinggw/agent/executor.py
@@ -1,174 +1,134 @@
 """Runs on the target: a bounded queue, a bounded number at once, and each carried out once."""
 
 import asyncio
-import heapq
-import itertools
 from collections.abc import Callable
 from contextlib import aclosing
 
+from lacewinggw.agent.queue import Refused, RequestQueue
 from lacewinggw.agent.runs import Run
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.decisions.once import RunBook
 from lacewinggw.errors import (
     AnswerIncomplete,
     DeadlinePassed,
-    DeadlineTooNear,
-    Draining,
     LacewingError,
     NoTarget,
     Outcome,
-    Overloaded,
     ReleaseMoved,
     TargetFailed,
     Withdrawn,
 )
-from lacewinggw.generated.messages.ttypes import Finish, Load
+from lacewinggw.generated.messages.ttypes import Finish, Load, RequestHead
+from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import RequestId
 from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
 from lacewinggw.platform.engine import AnswerEnd, EngineClient, Generation, PieceBatch
 from lacewinggw.platform.plain import PlainCall, PlainClient
 
 READ_TIMEOUT_S = 60.0  # between two pieces of a run that may not be cut
 PLAIN_PIECE_BYTES = 256 << 10
-MILLISECONDS = 1000.0
-DELAY_SMOOTHING = 0.2
-OVERLOADED_RETRY_MS = 500
+NOT_SERVING_RETRY_MS = 500
 
 log = get_logger(__name__)
 
 
 class Executor:
-    """The target's queue and slots.
+    """Carries out runs on the target, in the order that its queue gives.
 
-    Runs wait by priority, then in the order they came. `quiesce` stops the start of further runs
-    and waits for those that run; `resume` goes on with the queue.
+    `quiesce` stops the start of further runs and waits for those that run; `resume` goes on with
+    the queue.
     """
 
     def __init__(
         self,
+        settings: Settings,
         gate: TargetGate,
         engine: EngineClient,
         plain: PlainClient | None,
         book: RunBook,
-        concurrency: int,
-        queue_length: int,
-        window: int,
+        metrics: Metrics,
         ended: Callable[[Run], None],
     ) -> None:
         self._gate = gate
         self._engine = engine
         self._plain = plain
         self._book = book
-        self._concurrency = concurrency
-        self._queue_length = queue_length
-        self._window = window
+        self._window = settings.requests.piece_window
         self._ended = ended
-        self._arrivals = itertools.count()
-        self._queue: list[tuple[int, int, Run]] = []
-        self._queued: dict[Run, tuple[float, asyncio.TimerHandle]] = {}
-        self._running: dict[Run, asyncio.Task[None]] = {}
-        self._paused = False
+        self._queue: RequestQueue[Run] = RequestQueue.from_config(
+            settings, metrics, self._begin, self._refuse
+        )
+        self._tasks: dict[Run, asyncio.Task[None]] = {}
         self._idle = asyncio.Event()
         self._idle.set()
-        self._queue_delay_s = 0.0
-
-    @property
-    def busy(self) -> int:
-        """How many runs wait or run."""
-        return len(self._queued) + len(self._running)
 
     def load(self) -> Load:
         """Return how much there is to do here, as of now."""
-        return Load(
-            running=len(self._running),
-            queued=len(self._queued),
-            capacity=self._concurrency,
-            age_ms=0,
-            queue_delay_ms=self._queue_delay_s * MILLISECONDS,
-        )
+        return self._queue.load()
 
-    def check_room(self) -> None:
-        """Raise `Overloaded` when another run would find the queue full."""
-        if len(self._queued) >= self._queue_length:
-            raise Overloaded("the target's queue is full", retry_after_ms=OVERLOADED_RETRY_MS)
+    def check_room(self, head: RequestHead, deadline: float) -> None:
+        """Raise the refusal that a request would meet in the queue now."""
+        refused = self._queue.check(head, deadline, asyncio.get_running_loop().time())
+        if refused is not None:
+            raise refused.error()
 
     def submit(self, run: Run) -> None:
-        """Queue a run that the book has taken."""
-        loop = asyncio.get_running_loop()
-        timer = loop.call_at(run.deadline, self._expire, run)
-        self._queued[run] = (loop.time(), timer)
-        heapq.heappush(self._queue, (run.head.priority, next(self._arrivals), run))
-        self._dispatch()
+        """Queue or start a run that the book has taken."""
+        now = asyncio.get_running_loop().time()
+        refused = self._queue.push(run.head, run, run.deadline, now)
+        if refused is not None:
+            self._refuse(run, refused)
 
     def withdraw(self, run: Run) -> None:
         """Take a run off the queue, if it is still there."""
-        if run in self._queued:
-            self._drop(run, Withdrawn("withdrawn before it started"))
+        if self._queue.leave(run):
+            self._bar(run, Withdrawn("withdrawn before it started"))
 
     def cancel(self, run: Run) -> None:
         """Give up a run that nobody listens to any more."""
-        if run in self._queued:
-            self._drop(run, Withdrawn("the caller left before it started"))
-        task = self._running.get(run)
+        self.withdraw(run)
+        task = self._tasks.get(run)
         if task is not None:
             run.fail(TargetFailed("cancelled: nobody listens any more"))
             task.cancel()
 
     async def quiesce(self) -> None:
         """Start nothing more, and wait until nothing runs."""
-        self._paused = True
+        self._queue.pause()
         await self._idle.wait()
 
     def resume(self) -> None:
         """Start runs again."""
-        self._paused = False
-        self._dispatch()
+        self._queue.resume()
 
     async def close(self) -> None:
         """Refuse what waits and cut what runs."""
-        self._paused = True
-        for run in list(self._queued):
-            self._drop(run, Draining("the agent is leaving"))
-        tasks = list(self._running.values())
+        self._queue.close()
+        tasks = list(self._tasks.values())
         for task in tasks:
             task.cancel()
         if tasks:
             await asyncio.wait(tasks)
 
-    def _drop(self, run: Run, error: LacewingError) -> None:
-        _, timer = self._queued.pop(run)
-        timer.cancel()
+    def _refuse(self, run: Run, refused: Refused) -> None:
+        self._bar(run, refused.error())
+
+    def _bar(self, run: Run, error: LacewingError) -> None:
+        """End a run that did not start and never will."""
         self._book.refuse(run.id, asyncio.get_running_loop().time())
         run.fail(error)
         self._ended(run)
 
-    def _expire(self, run: Run) -> None:
-        if run in self._queued:
-            self._drop(run, DeadlineTooNear("the deadline passed in the target's queue"))
-
-    def _dispatch(self) -> None:
-        while self._queue and not self._paused and len(self._running) < self._concurrency:
-            _, _, run = heapq.heappop(self._queue)
-            if run in self._queued:
-                self._begin(run)
-
     def _begin(self, run: Run) -> None:
-        refusal = self._refusal(run)
-        if refusal is not None:
-            self._drop(run, refusal)
-            return
-        loop = asyncio.get_running_loop()
-        queued_at, timer = self._queued.pop(run)
-        timer.cancel()
-        now = loop.time()
-        self._queue_delay_s += DELAY_SMOOTHING * (now - queued_at - self._queue_delay_s)
-        self._book.start(run.id, now)
         self._idle.clear()
-        self._running[run] = loop.create_task(self._carry_out(run))
+        task = asyncio.get_running_loop().create_task(self._carry_out(run))
+        self._tasks[run] = task
+        task.add_done_callback(lambda _: self._conclude(run))
 
     def _refusal(self, run: Run) -> LacewingError | None:
         if not self._gate.serving:
-            return NoTarget("the target does not serve now", retry_after_ms=OVERLOADED_RETRY_MS)
+            return NoTarget("the target does not serve now", retry_after_ms=NOT_SERVING_RETRY_MS)
         if run.head.digest and run.head.digest != self._gate.active_digest:
             return ReleaseMoved("the target has moved to other weights")
         return None
@@ -177,7 +137,10 @@
         loop = asyncio.get_running_loop()
         timer = loop.call_at(run.deadline, self._pass_deadline, run)
         try:
+            self._start(run)
+            began_at = loop.time()
             run.end(await self._ask_target(run))
+            run.ran_s = loop.time() - began_at
             self._book.finish(run.id, loop.time())
         except LacewingError as error:
             self._note_failure(run, error)
@@ -188,11 +151,26 @@
             self._note_failure(run, TargetFailed(f"the run failed: {error!r}"))
         finally:
             timer.cancel()
-            del self._running[run]
-            if not self._running:
-                self._idle.set()
+
+    def _conclude(self, run: Run) -> None:
+        """Free the slot of a run that is over, even one cancelled before its first step."""
+        del self._tasks[run]
+        if not self._tasks:
+            self._idle.set()
+        if run.started:
             self._ended(run)
-            self._dispatch()
+        else:
+            self._bar(run, Withdrawn("withdrawn before it started"))
+        self._queue.done(run, run.ran_s)
+
+    def _start(self, run: Run) -> None:
+        """Note that the run starts; raise what bars it."""
+        refusal = self._refusal(run)
+        if refusal is not None:
+            raise refusal
+        if not self._book.start(run.id, asyncio.get_running_loop().time()):
+            raise Withdrawn("withdrawn before it started")
+        run.started = True
 
     def _note_failure(self, run: Run, error: LacewingError) -> None:
         now = asyncio.get_running_loop().time()
@@ -204,7 +182,7 @@
 
     def _pass_deadline(self, run: Run) -> None:
         """Stop an idempotent run at its deadline; any other runs on to its end."""
-        task = self._running.get(run)
+        task = self._tasks.get(run)
         if task is not None and run.head.repeatable:
             run.fail(DeadlinePassed("the deadline passed while it ran"))
             task.cancel()
--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -78,14 +78,7 @@
         metrics.read_gauge("pieces_held", self._count_held)
         metrics.read_gauge("reservations", lambda: self._book.reserved)
         self._executor = Executor(
-            gate,
-            engine,
-            plain,
-            self._book,
-            settings.agent.concurrency,
-            settings.agent.queue_length,
-            self._window,
-            self._note_ended,
+            settings, gate, engine, plain, self._book, metrics, self._note_ended
         )
 
     @classmethod
@@ -206,10 +199,10 @@
         if obstacle is not None:
             raise _obstacle_error(obstacle)
         self._check_serving(head)
-        self._executor.check_room()
+        deadline = now + min(head.deadline_ms / MILLISECONDS, LONGEST_DEADLINE_S)
+        self._executor.check_room(head, deadline)
         self._book.take(name, now, bool(nonce))
-        left_s = min(head.deadline_ms / MILLISECONDS, LONGEST_DEADLINE_S)
-        run = Run(name, head, body, digest, now + left_s)
+        run = Run(name, head, body, digest, deadline)
         self._runs[name] = run
         self._none_left.clear()
         self._executor.submit(run)
--- a/src/lacewinggw/agent/runs.py
+++ b/src/lacewinggw/agent/runs.py
@@ -45,6 +45,8 @@
         self.request_digest = digest
         self.deadline = deadline
         self.first = head.resume_from
+        self.started = False
+        self.ran_s: float | None = None  # once it came to its end
         self.weights_digest = ""
         self.pieces: list[bytes] = []
         self.finish: Finish | None = None
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -19,6 +19,7 @@
     EntrySettings,
     ProcessSettings,
     RequestSettings,
+    RoutingSettings,
     Settings,
 )
 from lacewinggw.ids import Account
@@ -240,6 +241,7 @@
             entry=EntrySettings(caller_listen="", operator_listen="", peer_listen=""),
             agent=AgentSettings(peer_listen="", operator_listen="", target="", **agent),
             requests=RequestSettings(),
+            routing=RoutingSettings(),
         )
         self.state = FleetState()
         self.state.revision = 1
