--- a/src/lacewinggw/lab/checkers.py
+++ b/src/lacewinggw/lab/checkers.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from lacewinggw.errors import ClaimUnreadable
 from lacewinggw.lab.facts import FOREVER, AttemptFacts, Facts, RunFacts
 from lacewinggw.lab.history import (
     Answered,
@@ -117,7 +118,8 @@
     """Yield answers that are not what a run of that request gave, and outcomes left out.
 
     An outcome of unknown, or none, has to be explained by a fault that struck a host of that
-    request, by its deadline, or by another attempt at the same request.
+    request, by its deadline, or by another attempt at the same request; a claim that could not be
+    read by an outage of the store.
     """
     for attempt in facts.attempts.values():
         problem = _answer_problem(facts, attempt)
@@ -161,7 +163,7 @@
 
 
 def _is_explained(facts: Facts, attempt: AttemptFacts) -> bool:
-    if attempt.overdue:
+    if attempt.overdue or _claim_was_unreadable(facts, attempt):
         return True
     attempts = facts.attempts_of[attempt.sent.request]
     if any(other is not attempt and other.open_at(attempt.ended_at) for other in attempts):
@@ -172,6 +174,14 @@
     return facts.disturbed(facts.hosts_of(attempt), begin, attempt.ended_at)
 
 
+def _claim_was_unreadable(facts: Facts, attempt: AttemptFacts) -> bool:
+    """Return whether a key could not be told from one sent before, for an outage of the store."""
+    final = attempt.final
+    if not isinstance(final, Unknown) or final.code != ClaimUnreadable.code:
+        return False
+    return any(span.touches(attempt.sent.at, final.at) for span in facts.outages)
+
+
 def _is_in_a_shutdown(facts: Facts, attempt: AttemptFacts) -> bool:
     return any(_concerns(facts, asked, attempt) for asked in facts.shutdowns)
 
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -1,6 +1,7 @@
 """An in-memory fleet of entries, agents and targets for requests, under virtual time."""
 
 import asyncio
+import hashlib
 import json
 import random
 from collections import Counter
@@ -32,7 +33,8 @@
 from lacewinggw.platform.objects import ObjectClient
 from lacewinggw.platform.plain import PlainClient
 from lacewinggw.platform.table import TableClient
-from lacewinggw.wire.http import Request, Response
+from lacewinggw.platform.weights import release_digest
+from lacewinggw.wire.http import HttpServer, Request, Response
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
 FLEET_KEY = "key"
@@ -80,11 +82,18 @@
 class Limits:
     """One account, without limits."""
 
+    def __init__(self, fleet: "RequestFleet") -> None:
+        self.fleet = fleet
+
     def account_of(self, token: str) -> Any:
         return SimpleNamespace(account=Account("buyers")) if token == TOKEN else None
 
     def entries_of(self, account: str) -> list[Any]:
-        return [SimpleNamespace(host=f"entry-{n}", address=f"10.0.0.{n}:80") for n in range(3)]
+        return [
+            SimpleNamespace(host=entry.host, address=entry.caller_address)
+            for entry in self.fleet.entries
+            if not entry.leaving
+        ]
 
     def admit(self, account: str, priority: Any, now: float) -> Any:
         return SimpleNamespace(weight=1.0)
@@ -116,10 +125,13 @@
         self.activate("1")
         await self.start_process()
 
-    def activate(self, release: str) -> None:
-        self.engine.weights.stage(release, 0, release.encode())
-        self.engine.weights.load(release, 1)
-        self.engine.weights.activate(release)
+    def activate(self, release: str) -> str:
+        content = release.encode()
+        digest = release_digest([hashlib.sha256(content).digest()])
+        self.engine.weights.stage(digest, 0, content)
+        self.engine.weights.load(digest, 1)
+        self.engine.weights.activate(digest)
+        return digest
 
     async def start_process(self) -> None:
         self.incarnation = f"{self.host}-{self.generation}"
@@ -154,14 +166,16 @@
 class Entry:
     """One entry; callers use `ask` and `stream`."""
 
-    def __init__(self, fleet: "RequestFleet", number: int) -> None:
+    def __init__(self, fleet: "RequestFleet", number: int, generation: int = 0) -> None:
         self.fleet = fleet
+        self.generation = generation
+        self.leaving = False
         self.host = f"entry-{number}"
         self.ip = f"10.1.0.{number + 1}"
         network = fleet.network.view(self.ip)
         self.targets = Targets(fleet)
         self.metrics = Metrics()
-        identity = Identity(self.host, Role.ENTRY, "a", self.host)
+        identity = Identity(self.host, Role.ENTRY, "a", f"{self.host}-{generation}")
         self.node = PeerNode(network, identity, FLEET_KEY, self._handle)
         self.table = TableClient.from_settings(network, fleet.platform.addresses)
         self.objects = ObjectClient.from_settings(network, fleet.platform.addresses)
@@ -170,14 +184,16 @@
             settings,
             lambda: fleet.state,
             self.targets,
-            Limits(),
+            Limits(fleet),
             self.node,
             self.table,
             self.objects,
             lambda: [],
             self.metrics,
-            random.Random(number),
+            random.Random(f"{number}/{generation}"),
         )
+        self.caller_address = f"{self.ip}:80"
+        self.server = HttpServer(network, self.caller_address, self.callers.handle)
 
     async def _handle(self, exchange: Exchange) -> None:
         raise AssertionError("no agent calls an entry here")
@@ -185,10 +201,19 @@
     async def start(self) -> None:
         await self.node.start(f"{self.ip}:7000")
         await self.callers.start()
+        await self.server.start()
 
     async def stop(self) -> None:
-        await self.node.close()
+        await self.server.close()
         await self.callers.close()
+        await self.node.close()
+        await self.table.close()
+        await self.objects.close()
+
+    async def lose(self) -> None:
+        """End the process at once, as by a kill."""
+        self.fleet.network.lose(self.ip)
+        await self.stop()
 
     async def post(
         self, path: str, body: bytes, query: dict[str, str] | None = None, **headers: str
@@ -275,8 +300,6 @@
     finally:
         for entry in fleet.entries:
             await entry.stop()
-            await entry.table.close()
-            await entry.objects.close()
         for each in fleet.agents:
             await each.stop()
             await each.target.close()
--- a/tests/test_callers_page.py
+++ b/tests/test_callers_page.py
@@ -11,7 +11,7 @@
 from request_fleet import TOKEN, RequestFleet, request_fleet
 from virtual import run_virtual
 
-from lacewinggw.wire.http import HttpClient, HttpServer, Response
+from lacewinggw.wire.http import HttpClient, Response
 
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "CALLERS.md"
 EXAMPLE = re.compile(r"```sh\n(.*?)```\n\n```http\n(.*?)```", re.DOTALL)
@@ -62,10 +62,8 @@
 
 async def run_page(fleet: RequestFleet) -> int:
     entry = fleet.entries[0]
-    server = HttpServer(fleet.network.view(entry.ip), f"{entry.ip}:80", entry.callers.handle)
     client = HttpClient(fleet.network.view("10.8.0.1"))
-    await server.start()
-    values = {"ENTRY": server.address, "TOKEN": TOKEN, "REQUEST_ID": "", "TICKET": ""}
+    values = {"ENTRY": entry.caller_address, "TOKEN": TOKEN, "REQUEST_ID": "", "TICKET": ""}
     examples = read_examples()
     for example in examples:
         response = await run_curl(client, example.command, values)
@@ -75,7 +73,6 @@
         if response.status == 201:
             values["TICKET"] = response.json()["ticket"]
     await client.close()
-    await server.close()
     return len(examples)
 
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -95,6 +95,10 @@
         *[NotRun(1.3, "b"), answered(2.0)],
     ],
     "unknown after a kill": [sent(1.0), Killed(1.5, "entry-1"), Broken(1.6, "a"), LATE],
+    "claim unreadable in an outage": [
+        *[sent(1.0, **ONCE), OutageBegan(0.5, "table"), Unknown(1.1, "a", "LW-7008")],
+        *[OutageEnded(2.0, "table"), LATE],
+    ],
     "unknown past the deadline": [sent(1.0, deadline_s=5.0), Unknown(6.0, "a"), LATE],
     "shutdown that waits": [
         *[PUBLISHED, sent(1.0), ShutdownAsked(1.05, "entry-1"), *run(1.1), answered(2.0)],
@@ -172,6 +176,20 @@
         Property.WHOLE_ANSWERS,
         [sent(1.0), Unknown(2.0, "a"), LATE],
     ),
+    "claim unreadable without an outage": (
+        Property.WHOLE_ANSWERS,
+        [
+            *[OutageBegan(0.5, "table"), OutageEnded(0.9, "table")],
+            *[sent(1.0, **ONCE), Unknown(1.1, "a", "LW-7008"), LATE],
+        ],
+    ),
+    "agent lost for no reason but an outage": (
+        Property.WHOLE_ANSWERS,
+        [
+            *[sent(1.0, **ONCE), OutageBegan(0.5, "table"), Unknown(1.1, "a", "LW-7001")],
+            *[OutageEnded(2.0, "table"), LATE],
+        ],
+    ),
     "unknown, and a fault elsewhere": (
         Property.WHOLE_ANSWERS,
         [PUBLISHED, sent(1.0), *run(1.1), Killed(1.5, "host-9"), Broken(2.0, "a"), LATE],
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -285,11 +285,11 @@
 @fleet_test(engines=1)
 async def test_a_leaving_entry_serves_on_out_of_the_answers(fleet: RequestFleet) -> None:
     entry = fleet.entries[0]
-    assert len((await entry.get("/v1/addresses")).json()["addresses"]) == 3
+    assert len((await entry.get("/v1/addresses")).json()["addresses"]) == 2
     running = asyncio.create_task(entry.ask(prompt(pieces=2100)))
     await asyncio.sleep(0.05)
     entry.callers.begin_drain()
-    assert len((await entry.get("/v1/addresses")).json()["addresses"]) == 2
+    assert len((await entry.get("/v1/addresses")).json()["addresses"]) == 1
     late = asyncio.create_task(entry.ask())
     assert await entry.callers.drained(30)
     assert running.done() and running.result().status == 200
