--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -249,7 +249,7 @@
 
 def _obstacle_error(obstacle: Known | Barred) -> LacewingError:
     if isinstance(obstacle, Known):
-        return AnswerGone("it ran here, and its answer is not kept any more")
+        return AnswerGone("it ran here, and no whole answer of it is kept")
     match obstacle.absence:
         case Absence.WITHDRAWN:
             return Withdrawn("withdrawn before it started")
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -117,6 +117,7 @@
         target_address = f"{self.ip}:9000"
         self.engine = EngineStandIn(self.network, target_address, seed=number)
         self.plain = PlainStandIn(self.network, target_address, seed=number)
+        self.is_engine = kind is TargetKind.ENGINE
         self.target = self.engine if kind is TargetKind.ENGINE else self.plain
         self.incarnation = ""
 
