Spend one idle turn of the loop, not 42, on each step of virtual time

Cause: looptime turns the loop 42 times before it moves its clock, in case something comes in from elsewhere; nothing does, and most of a trial's time went there (284,000 turns of a 3 s trial).

--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -48,7 +48,7 @@
 
 
 class Targets:
-    """A directory that knows every agent at once, and takes them in order."""
+    """A directory that knows every agent at once; it takes them in order, or by the fleet's rng."""
 
     def __init__(self, fleet: "RequestFleet") -> None:
         self.fleet = fleet
@@ -57,7 +57,10 @@
         self.ended: list[Any] = []
 
     def choose(self, service: str, head: Any, exclude: frozenset[str] = frozenset()) -> Any:
-        for agent in self.fleet.agents:
+        agents = list(self.fleet.agents)
+        if self.fleet.rng is not None:
+            self.fleet.rng.shuffle(agents)
+        for agent in agents:
             fits = agent.gate.service == service and agent.gate.serving and not agent.hidden
             if fits and agent.host not in exclude and head.digest in ("", agent.gate.active_digest):
                 return SimpleNamespace(
@@ -260,6 +263,7 @@
     """Entries, agents and a platform in one loop."""
 
     def __init__(self, entries: int, engines: int, plains: int, **agent: Any) -> None:
+        self.rng: random.Random | None = None
         self.network = MemoryNetwork()
         self.platform = PlatformStandIns(self.network.view("10.9.0.1"), "10.9.0.1")
         self.settings = Settings(
--- a/tests/test_request_faults.py
+++ b/tests/test_request_faults.py
@@ -51,7 +51,7 @@
 
     def __init__(self, fleet: RequestFleet, seed: int) -> None:
         self.fleet = fleet
-        self.rng = random.Random(seed)
+        self.rng = fleet.rng = random.Random(seed)
         self.recorder = Recorder(asyncio.get_running_loop().time)
         self.stopping = False
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -13,7 +13,7 @@
 def run_virtual(coroutine: Coroutine[Any, Any, T], seed: int = 0) -> T:
     """Return what the coroutine returns; module-wide randomness starts from the seed."""
     random.seed(seed)
-    loop = looptime.new_event_loop(start=1.0)
+    loop = looptime.new_event_loop(start=1.0, noop_cycles=1)
     try:
         return loop.run_until_complete(coroutine)
     finally:
