Prove the spread under faults, and leave a corrupt source whole

Cause, found by the new tests: chunks shown by a source that had been left for its corruption still counted as shown, so no stand-in fetched them and only the long silence broke the wait; a replaced process inherited the bad name of the one before it; chunks whose only holder had died counted as shown for ever.

Change: what a left source shows is taken back, and it is dropped from the gateways; the record goes by incarnation; a chunk counts as shown only while a neighbour that is not left shows it. A release that nobody has is reported with its missing chunks and the remedy.

--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -23,15 +23,18 @@
     CorruptChunk,
     LacewingError,
     LinkBusy,
+    NoSource,
     PlatformThrottled,
     TimedOut,
     WeightsError,
 )
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import Digest, HostId, Place
+from lacewinggw.ids import Digest, HostId, Incarnation, Place
 from lacewinggw.log import get_logger
+from lacewinggw.wire.peers import Identity
 
 BITS = 8
+NAMED_CHUNKS = 5
 
 log = get_logger(__name__)
 
@@ -57,9 +60,15 @@
     cross_place_bytes: int = 0
 
 
+MakeSpread = Callable[
+    [Sequence[int], SpreadRules, Place, random.Random, float],
+    ReleaseSpread,
+]
+
+
 @dataclass(frozen=True)
 class Surroundings:
-    """What the downloads of all releases share."""
+    """What the downloads of all releases share; `make_spread` builds the policy of one release."""
 
     chunks: ChunkStore
     mesh: Mesh
@@ -69,6 +78,7 @@
     place: Place
     rules: SpreadRules
     rng: random.Random
+    make_spread: MakeSpread = ReleaseSpread
 
 
 OnChunk = Callable[[Digest, int], None]
@@ -91,7 +101,7 @@
         self._around = around
         self._on_chunk = on_chunk
         self._waiting = waiting
-        self._spread = ReleaseSpread(
+        self._spread = around.make_spread(
             manifest.chunk_sizes, around.rules, around.place, around.rng, _now()
         )
         self._started_at = _now()
@@ -145,9 +155,10 @@
         self._spread.link_down(host)
         self.advance()
 
-    def take_have(self, host: HostId, place: Place, have: messages.Have) -> None:
+    def take_have(self, remote: Identity, have: messages.Have) -> None:
         """Note what a neighbour says it holds."""
-        self._spread.link_up(host, place)
+        host = HostId(remote.host)
+        self._spread.link_up(host, Place(remote.place), Incarnation(remote.incarnation))
         indexes = _bitmap_indexes(have.bitmap) if have.bitmap is not None else have.added or []
         self._spread.have(host, indexes, _now(), have.waiting)
         link = self._around.mesh.link(host)
@@ -302,10 +313,22 @@
             cross_place_bytes=self.traffic.cross_place_bytes,
             stalls=self._spread.stalls,
             corrupt_chunks=self._spread.corrupt_chunks,
-            bad_sources=sorted(self._spread.bad_sources),
+            bad_sources=self._spread.bad_sources,
             rate_bytes_per_s=self.traffic.downloaded_bytes / elapsed,
-            held_up_by="",
+            held_up_by=self._held_up_by(),
+        )
+
+    def _held_up_by(self) -> str:
+        missing = self._spread.missing_everywhere(_now())
+        if not missing:
+            return ""
+        first = ", ".join(str(index) for index in missing[:NAMED_CHUNKS])
+        failures = self._spread.source_failures
+        reason = (
+            f"{len(missing)} chunks of {self.manifest.name} that no host has, first {first}; "
+            f"the origin and the weight store failed {failures} times"
         )
+        return str(NoSource(reason))
 
 
 def _now() -> float:
--- a/src/lacewinggw/agent/uploads.py
+++ b/src/lacewinggw/agent/uploads.py
@@ -51,7 +51,7 @@
         self._pacer = pacer
         self._rate = rate
         self._queue = UploadQueue(per_host)
-        self._find = find
+        self.find = find
         self._held_by = held_by
         self._note = note
         self._stuck = metrics.counter("uploads_stuck")
@@ -81,7 +81,7 @@
         Raises `ChunkNotHeld` for a chunk that is not held and `LinkBusy` when its host has too
         many waiting.
         """
-        if self._find(request.digest, request.index) is None:
+        if self.find(request.digest, request.index) is None:
             raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
         if not self._queue.add(request):
             raise LinkBusy(f"{request.host} has too many chunks waiting")
@@ -121,7 +121,7 @@
             upload.done.set()
 
     async def _send(self, request: UploadRequest, upload: _Upload) -> None:
-        data = self._find(request.digest, request.index)
+        data = self.find(request.digest, request.index)
         if data is None:
             raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
         step = self._slice_bytes()
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -92,7 +92,7 @@
             rules=spread_rules(settings),
             rng=rng,
         )
-        self._uploader = Uploader(
+        self.uploader = Uploader(
             Pacer(self.live.weights_rate),
             self.live.weights_rate,
             2 * self._settings.in_flight,
@@ -110,6 +110,7 @@
         self._begun = asyncio.Condition()
         self._on_chunk: list[OnChunk] = []
         self._suspects: frozenset[HostId] = frozenset()
+        self._bad_count = 0
         self._task: asyncio.Task[None] | None = None
 
     @classmethod
@@ -127,7 +128,7 @@
 
     async def start(self) -> None:
         """Begin to serve and to fetch."""
-        await self._uploader.start()
+        await self.uploader.start()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def close(self) -> None:
@@ -135,7 +136,7 @@
         for digest in list(self._due):
             self._stop(digest)
         self._mesh.close()
-        await self._uploader.close()
+        await self.uploader.close()
         if self._task is not None:
             self._task.cancel()
             with suppress(asyncio.CancelledError):
@@ -171,7 +172,7 @@
         download = self._downloads.pop(digest, None)
         if download is not None:
             download.close()
-        self._uploader.forget(digest)
+        self.uploader.forget(digest)
 
     def _drop_surplus(self) -> None:
         """Free chunks of releases no longer due, once it is known what the others share."""
@@ -182,7 +183,7 @@
     async def _find_manifest(self, due: DueRelease) -> None:
         manifest = await self._finder.find(due.digest, lambda: self._is_first(due.digest))
         download = ReleaseDownload(
-            manifest, self._around, self._tell_chunk, lambda: self._uploader.waiting
+            manifest, self._around, self._tell_chunk, lambda: self.uploader.waiting
         )
         self._downloads[due.digest] = download
         self._searches.pop(due.digest, None)
@@ -279,10 +280,10 @@
                     fetch.index,
                     remote=remote.place != self._place,
                 )
-                await self._uploader.serve(exchange, request)
+                await self.uploader.serve(exchange, request)
             case messages.CancelChunk() as cancel:
                 host = HostId(exchange.link.remote.host)
-                self._uploader.cancel(UploadRequest(host, Digest(cancel.digest), cancel.index))
+                self.uploader.cancel(UploadRequest(host, Digest(cancel.digest), cancel.index))
             case messages.FetchManifest() as fetch:
                 download = self._downloads.get(Digest(fetch.digest))
                 if download is None:
@@ -290,14 +291,13 @@
                 exchange.finish(messages.ManifestData(download.manifest))
 
     def _take_have(self, exchange: Exchange, have: messages.Have) -> None:
-        remote = exchange.link.remote
         digest = Digest(have.digest)
         if digest not in self._due:
             return
         self._mesh.register(exchange.link)
         download = self._downloads.get(digest)
         if download is not None:
-            download.take_have(HostId(remote.host), Place(remote.place), have)
+            download.take_have(exchange.link.remote, have)
         elif have.bitmap:
             self._finder.hint(digest, exchange.link)
 
@@ -331,13 +331,18 @@
                 ranks=self._settings.ranks,
                 per_place=due.prefer == messages.Prefer.TIME,
             )
-            hosts = [live[host] for host in due.hosts if host in live]
+            bad = self._bad_sources(digest)
+            hosts = [live[host] for host in due.hosts if host in live and host not in bad]
             topology = plan.derive(self._me, hosts, digest)
             self._topologies[digest] = topology
             if digest in self._downloads:
                 self._downloads[digest].set_topology(topology)
         self._mesh.want({host for each in self._topologies.values() for host in each.neighbours})
 
+    def _bad_sources(self, digest: Digest) -> list[str]:
+        download = self._downloads.get(digest)
+        return download.spread.bad_sources if download else []
+
     async def _run(self) -> None:
         """Announce often, decide at every tick, greet the silent now and then."""
         loop = asyncio.get_running_loop()
@@ -355,7 +360,9 @@
                 self._greet_silent()
 
     def _tick(self) -> None:
-        if self._mesh.suspects != self._suspects:
+        bad = sum(len(each.spread.bad_sources) for each in self._downloads.values())
+        if self._mesh.suspects != self._suspects or bad != self._bad_count:
+            self._bad_count = bad
             self._derive_topologies()
         self._mesh.dial()
         for download in list(self._downloads.values()):
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -4,7 +4,7 @@
 from enum import Enum
 from typing import TypeAlias
 
-from lacewinggw.ids import HostId, Place
+from lacewinggw.ids import HostId, Incarnation, Place
 
 
 @dataclass(frozen=True)
@@ -42,9 +42,14 @@
 
 @dataclass
 class NeighbourState:
-    """What is known of a linked neighbour; times are in seconds of the loop's clock."""
+    """What is known of a linked neighbour; times are in seconds of the loop's clock.
+
+    `left` is whether it gave too many corrupt chunks to be asked again.
+    """
 
     place: Place
+    incarnation: Incarnation
+    left: bool = False
     chunks: set[int] = field(default_factory=set)
     asked: set[int] = field(default_factory=set)
     corrupt: int = 0
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -24,7 +24,7 @@
     Store,
 )
 from lacewinggw.decisions.topology import ColumnRanks, Topology
-from lacewinggw.ids import HostId, Place
+from lacewinggw.ids import HostId, Incarnation, Place
 
 TICK_S = 0.1
 SOURCES_PER_CHUNK = 2
@@ -67,7 +67,6 @@
         self.neighbours: dict[HostId, NeighbourState] = {}
         self.stalls = 0
         self.corrupt_chunks = 0
-        self.bad_sources: set[str] = set()
         self._sizes = sizes
         self._place = place
         self._rng = rng
@@ -75,12 +74,12 @@
         self._progress_at = now
         self._fetches: dict[int, list[Fetch]] = {}
         self._missing = set(range(len(sizes)))
-        self._seen: set[int] = set()
         self._local = [0] * len(sizes)
         self._remote = [0] * len(sizes)
         self._topology: Topology | None = None
         self._column_moved_at: list[float] = []
         self._import_moved_at: list[float] = []
+        self._left: dict[HostId, Incarnation] = {}
         self._origin = SourceState()
         self._store = SourceState()
         self._fetch_s = 0.0
@@ -100,12 +99,31 @@
         """The chunks not held yet."""
         return self._missing
 
+    @property
+    def bad_sources(self) -> list[str]:
+        """The sources that gave too many corrupt chunks."""
+        platform = {"origin": self._origin, "weight-store": self._store}
+        limit = self.rules.corrupt_limit
+        named = [name for name, state in platform.items() if state.corrupt >= limit]
+        return sorted([*self._left, *named])
+
     @property
     def patience_s(self) -> float:
         """How long a column may stand still before the next in rank steps in, in seconds."""
         columns = len(self._topology.columns) if self._topology else 1
         return self.rules.patience_s + 2 * columns * self._chunk_s
 
+    def missing_everywhere(self, now: float) -> list[int]:
+        """Return the chunks that nobody known has, once nothing has moved for a while."""
+        if self.complete or now - self._progress_at < self.rules.stall_s + self.patience_s:
+            return []
+        return [index for index in sorted(self._missing) if not self._is_shown(index)]
+
+    @property
+    def source_failures(self) -> int:
+        """How often the origin and the weight store failed since they last gave a chunk."""
+        return self._origin.failures + self._store.failures
+
     # ---- events ---------------------------------------------------------------------------
 
     def set_topology(self, topology: Topology, now: float) -> None:
@@ -115,20 +133,24 @@
             self._import_moved_at = [now] * len(topology.columns)
         self._topology = topology
 
-    def link_up(self, host: HostId, place: Place) -> None:
-        """Note a neighbour that can now be asked."""
-        self.neighbours.setdefault(host, NeighbourState(place))
+    def link_up(self, host: HostId, place: Place, incarnation: Incarnation) -> None:
+        """Note a neighbour that can now be asked, unless it was left for its corrupt chunks.
+
+        A process that was started anew begins with a clean record.
+        """
+        if host in self.neighbours:
+            return
+        if self._left.get(host, incarnation) != incarnation:
+            del self._left[host]
+        self.neighbours[host] = NeighbourState(place, incarnation, left=host in self._left)
 
     def link_down(self, host: HostId) -> None:
         """Forget a neighbour and whatever was asked of it."""
-        state = self.neighbours.pop(host, None)
+        state = self.neighbours.get(host)
         if state is None:
             return
-        counts = self._counts(state)
-        for index in state.chunks:
-            counts[index] -= 1
-        for index in state.asked:
-            self._drop_fetch(index, Neighbour(host))
+        self._take_back(host, state)
+        del self.neighbours[host]
 
     def have(self, host: HostId, indexes: Iterable[int], now: float, waiting: int = 0) -> None:
         """Note chunks that a neighbour holds, and how many wait to be sent by it.
@@ -141,13 +163,13 @@
         state.told = True
         state.waiting = waiting
         state.heard_at = now
-        counts = self._counts(state)
         for index in indexes:
             if not 0 <= index < self.chunk_count or index in state.chunks:
                 continue
             state.chunks.add(index)
-            counts[index] += 1
-            self._note_seen(index, state.place == self._place, now)
+            if not state.left:
+                self._note_shown(index, state.place == self._place, now)
+                self._counts(state)[index] += 1
 
     def progress(self, source: Source, index: int, now: float) -> None:
         """Note bytes of a chunk that is still on its way."""
@@ -166,7 +188,6 @@
                 self._note_time(now - fetch.asked_at)
         self.held.add(index)
         self._missing.discard(index)
-        self._seen.add(index)
         self._progress_at = now
         match source:
             case Neighbour(host) if host in self.neighbours:
@@ -266,22 +287,24 @@
             return
         if any(self._is_source_fetch(index) for index in self._column_fetches(column)):
             return
-        unseen = [index for index in self._column_missing(column) if index not in self._seen]
-        unseen = [index for index in unseen if index not in self._fetches]
+        absent = [
+            index
+            for index in self._column_missing(column)
+            if not self._is_shown(index) and index not in self._fetches
+        ]
         source = self._pick_source(now)
-        if unseen and source is not None:
-            index = self._first_unseen(unseen, rank or 0, column)
-            yield self._ask(source, index, now)
+        if absent and source is not None:
+            yield self._ask(source, self._first_absent(absent, rank or 0), now)
 
-    def _first_unseen(self, unseen: list[int], rank: int, column: int) -> int:
+    def _first_absent(self, absent: list[int], rank: int) -> int:
         """Return the next chunk for the origin: each place begins elsewhere in the column, and a
         stand-in works from the end, so that two at once rarely fetch the same."""
         assert self._topology is not None
         if rank > 0:
-            return unseen[-1]
+            return absent[-1]
         share = self._topology.place_index / self._topology.place_count
         begin = int(share * self.chunk_count) if self._per_place else 0
-        return next((index for index in unseen if index >= begin), unseen[0])
+        return next((index for index in absent if index >= begin), absent[0])
 
     @property
     def _per_place(self) -> bool:
@@ -320,11 +343,8 @@
         return [host for _, _, host in sorted(usable)]
 
     def _may_ask(self, state: NeighbourState, now: float) -> bool:
-        return (
-            len(state.asked) < self.rules.in_flight
-            and state.avoid_until <= now
-            and state.corrupt < self.rules.corrupt_limit
-        )
+        room = len(state.asked) < self.rules.in_flight
+        return room and not state.left and state.avoid_until <= now
 
     def _ask_again(self, now: float) -> Iterator[Action]:
         """Ask a second source for the last chunks, when they take longer than most."""
@@ -392,26 +412,47 @@
         if isinstance(source, Neighbour) and source.host in self.neighbours:
             self.neighbours[source.host].asked.discard(index)
 
-    def _note_seen(self, index: int, local: bool, now: float) -> None:
-        if not self._column_moved_at:
+    def _is_shown(self, index: int) -> bool:
+        return self._local[index] + self._remote[index] > 0
+
+    def _note_shown(self, index: int, local: bool, now: float) -> None:
+        """Note that a neighbour shows a chunk, before it is counted: does its column move?"""
+        if not self._column_moved_at or index in self.held:
             return
         column = index % len(self._column_moved_at)
-        if index not in self._seen:
-            self._seen.add(index)
+        if not self._is_shown(index):
             self._progress_at = now
             self._column_moved_at[column] = now
-        if local and self._local[index] == 1 and index not in self.held:
+        if local and not self._local[index]:
             self._import_moved_at[column] = now
 
     def _note_time(self, seconds: float) -> None:
         self._fetch_s = seconds if not self._fetch_s else 0.8 * self._fetch_s + 0.2 * seconds
 
     def _blame(self, source: Source) -> None:
-        name = source.host if isinstance(source, Neighbour) else type(source).__name__.lower()
-        state = self.neighbours.get(HostId(name)) or self._state_of(source)
-        state.corrupt += 1
-        if state.corrupt >= self.rules.corrupt_limit:
-            self.bad_sources.add(name)
+        """Count a corrupt chunk against its source, and leave a source that has too many."""
+        match source:
+            case Neighbour(host) if host in self.neighbours:
+                self.neighbours[host].corrupt += 1
+                if self.neighbours[host].corrupt >= self.rules.corrupt_limit:
+                    self._leave(host, self.neighbours[host])
+            case Origin() | Store():
+                state = self._state_of(source)
+                state.corrupt += 1
+
+    def _leave(self, host: HostId, state: NeighbourState) -> None:
+        """Ask nothing more of a neighbour, and count on nothing that it shows."""
+        self._take_back(host, state)
+        state.left = True
+        self._left[host] = state.incarnation
+
+    def _take_back(self, host: HostId, state: NeighbourState) -> None:
+        for index in list(state.asked):
+            self._drop_fetch(index, Neighbour(host))
+        if not state.left:
+            counts = self._counts(state)
+            for index in state.chunks:
+                counts[index] -= 1
 
     def _avoid_neighbour(self, host: HostId, index: int, failure: FetchFailure, now: float) -> None:
         state = self.neighbours.get(host)
@@ -421,7 +462,8 @@
             state.avoid_until = now + self.rules.stall_s
         if failure is FetchFailure.REFUSED and index in state.chunks:
             state.chunks.discard(index)
-            self._counts(state)[index] -= 1
+            if not state.left:
+                self._counts(state)[index] -= 1
 
     def _avoid_source(self, state: SourceState, now: float) -> None:
         state.failures += 1
--- a/src/lacewinggw/lab/spreadfleet.py
+++ b/src/lacewinggw/lab/spreadfleet.py
@@ -34,6 +34,11 @@
         return self.chunks * self.chunk_bytes / self.link_bytes_per_s
 
 
+def ip_of(host: SpreadHost) -> str:
+    """Return the IP number of a host."""
+    return host.member.address.rpartition(":")[0]
+
+
 class SpreadFleet:
     """Hosts, origin and weight store on one in-memory network."""
 
@@ -110,9 +115,22 @@
     async def lose_host(self, name: HostId) -> None:
         """Lose a host at once, as on power loss."""
         host = self.hosts.pop(name)
-        self.network.lose(host.member.address.rpartition(":")[0])
+        self.network.lose(ip_of(host))
         await host.close()
 
+    async def replace_host(self, name: HostId) -> SpreadHost:
+        """Lose a host and start an empty one of the same name at another address."""
+        await self.lose_host(name)
+        host = await self.add_host(int(name.rpartition("-")[2]))
+        host.set_members(self.members)
+        host.set_due(self.due)
+        return host
+
+    def pick(self, share: float) -> list[HostId]:
+        """Return a share of the hosts, at least one, by the fleet's seed."""
+        names = sorted(self.hosts)
+        return self.rng.sample(names, max(1, round(share * len(names))))
+
     async def wait_complete(self, manifest: Manifest) -> None:
         """Wait until every host holds the whole release."""
         waits = [host.spreader.complete(Digest(manifest.digest)) for host in self.hosts.values()]
--- a/tests/machines/test_spread_machine.py
+++ b/tests/machines/test_spread_machine.py
@@ -10,7 +10,7 @@
 from lacewinggw.decisions.sources import FetchFailure, Neighbour, SpreadRules
 from lacewinggw.decisions.spread import TICK_S, Ask, Cancel, ReleaseSpread
 from lacewinggw.decisions.topology import DueHost, TopologyPlan
-from lacewinggw.ids import Digest, HostId, Place
+from lacewinggw.ids import Digest, HostId, Incarnation, Place
 
 HOSTS = 5
 PLACES = 2
@@ -28,6 +28,7 @@
 
     due: DueHost
     spread: ReleaseSpread
+    incarnation: Incarnation
     asked: list[Ask] = field(default_factory=list)
 
 
@@ -54,14 +55,14 @@
         spread = ReleaseSpread(sizes, self.rules, due.place, rng, self.now)
         everyone = [due_host(each) for each in range(HOSTS)]
         spread.set_topology(self.plan.derive(due, everyone, DIGEST), self.now)
-        return Host(due, spread)
+        return Host(due, spread, Incarnation(f"{number} from {self.now}"))
 
     def link_all(self) -> None:
         """Link every two hosts and let them tell what they hold."""
         for host in self.hosts:
             for other in self.hosts:
                 if other is not host:
-                    host.spread.link_up(other.due.host, other.due.place)
+                    host.spread.link_up(other.due.host, other.due.place, other.incarnation)
                     host.spread.have(other.due.host, other.spread.held, self.now)
 
     @rule(ticks=st.integers(1, 30))
--- a/tests/test_spread_fleet.py
+++ b/tests/test_spread_fleet.py
@@ -1,35 +1,14 @@
 """Spreading as whole fleets do it, in memory and under virtual time."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import pytest
+from spread_running import assert_whole, running
 
-from lacewinggw.agent.chunks import hash_chunk
-from lacewinggw.generated.messages.ttypes import Manifest, Prefer
-from lacewinggw.ids import Digest
-from lacewinggw.lab.spreadfleet import FleetSpec, SpreadFleet
+from lacewinggw.generated.messages.ttypes import Prefer
+from lacewinggw.lab.spreadfleet import FleetSpec
 
 pytestmark = pytest.mark.looptime
 
 
-@asynccontextmanager
-async def running(spec: FleetSpec) -> AsyncIterator[SpreadFleet]:
-    fleet = SpreadFleet(spec)
-    await fleet.start()
-    try:
-        yield fleet
-    finally:
-        await fleet.close()
-
-
-async def assert_whole(fleet: SpreadFleet, manifest: Manifest) -> None:
-    for host in fleet.hosts.values():
-        for index, chunk_hash in enumerate(manifest.chunk_hashes):
-            data = host.spreader.chunk(Digest(manifest.digest), index)
-            assert await hash_chunk(data) == chunk_hash
-
-
 @pytest.mark.parametrize("prefer", [Prefer.TIME, Prefer.ORIGIN_BYTES])
 async def test_every_host_gets_the_release_for_about_one_copy(prefer: Prefer) -> None:
     spec = FleetSpec(hosts=12, places=3, prefer=prefer)
