Count refusals and retries where they arise, and list every metric

Cause: of 22 reasons to retry seven were never counted, and of 15 reasons to refuse only those of the account limits were; a counter that stays at 0 while the thing happens is worse than none.

Change: an entry counts each refusal that it tells a caller, an agent each that it tells an entry; the spread counts chunks fetched again by cause and bytes by kind of source; the keeper of a target counts failed orders and read-backs. metricnames.py gives each metric its kind and meaning, which /metrics sends as help and docs/operators/METRICS.md lists; a test compares it with the names in the code.

--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -31,6 +31,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Digest, HostId, Incarnation, Place
 from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
 from lacewinggw.wire.peers import Identity
 
 BITS = 8
@@ -78,6 +79,7 @@
     place: Place
     rules: SpreadRules
     rng: random.Random
+    metrics: Metrics
     make_spread: MakeSpread = ReleaseSpread
 
 
@@ -207,6 +209,7 @@
                     task = asyncio.get_running_loop().create_task(self._fetch(action))
                     self._fetches[source, index] = task
                 case Cancel(source, index):
+                    self._around.metrics.retry(RetryReason.CHUNK_STALLED)
                     self._cancel(source, index)
 
     async def _fetch(self, ask: Ask) -> None:
@@ -255,6 +258,7 @@
     def _fail(self, source: Source, index: int, error: LacewingError) -> None:
         failure = _failure_of(error)
         log.info("chunk_failed", source=str(source), index=index, reason=failure.value)
+        self._around.metrics.retry(_retry_reason(source, failure))
         self._spread.failed(source, index, failure, _now())
 
     def _take(self, source: Source | None, index: int) -> None:
@@ -273,6 +277,7 @@
 
     def _count(self, source: Source, size: int) -> None:
         self.traffic.downloaded_bytes += size
+        self._around.metrics.count("weights_bytes", size, source=_source_name(source))
         match source:
             case Origin():
                 self.traffic.origin_bytes += size
@@ -349,6 +354,30 @@
             return FetchFailure.LOST
 
 
+def _retry_reason(source: Source, failure: FetchFailure) -> RetryReason:
+    match failure:
+        case FetchFailure.CORRUPT:
+            return RetryReason.CHUNK_CORRUPT
+        case FetchFailure.STALLED:
+            return RetryReason.CHUNK_STALLED
+        case FetchFailure.BUSY:
+            return RetryReason.SOURCE_BUSY
+        case FetchFailure.LOST | FetchFailure.REFUSED:
+            if isinstance(source, Neighbour):
+                return RetryReason.SOURCE_LOST
+            return RetryReason.ORIGIN_FAILED
+
+
+def _source_name(source: Source) -> str:
+    match source:
+        case Origin():
+            return "origin"
+        case Store():
+            return "store"
+        case Neighbour():
+            return "neighbour"
+
+
 def _bitmap(held: set[int], count: int) -> bytes:
     bits = bytearray((count + BITS - 1) // BITS)
     for index in held:
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -31,6 +31,7 @@
 from lacewinggw.generated.messages.ttypes import TargetState
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
 from lacewinggw.platform.engine import (
     ActivateOrder,
     AdapterOrder,
@@ -65,6 +66,7 @@
         wanted: Callable[[], Wanted | None],
         fence: Callable[[], int],
         on_change: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         self._network = network
         self._gate = gate
@@ -74,6 +76,7 @@
         self._wanted = wanted
         self._fence = fence
         self._on_change = on_change
+        self._metrics = metrics
         self._staged: dict[Digest, set[int]] = {}
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -109,6 +112,7 @@
             step = next_step(wanted, await self._observe(wanted))
             return await self._carry_out(wanted, step)
         except LacewingError as error:
+            self._metrics.retry(_retry_reason(error))
             log.warning("target_step_failed", code=error.code, reason=error.reason)
             self._show(TargetState.FAILED, str(error))
             return RETRY_S
@@ -256,3 +260,9 @@
         gate.state = state
         gate.held_up_by = held_up_by
         self._on_change()
+
+
+def _retry_reason(error: LacewingError) -> RetryReason:
+    if isinstance(error, ReadBackMismatch):
+        return RetryReason.READ_BACK
+    return RetryReason.ORDER_FAILED
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -11,7 +11,7 @@
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.lifecycle import Wanted
 from lacewinggw.decisions.revisions import FleetState
-from lacewinggw.errors import UnsupportedMessage
+from lacewinggw.errors import LacewingError, UnsupportedMessage
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
@@ -128,6 +128,7 @@
             wanted=lambda: wanted_of(self.follower.state, process.host),
             fence=lambda: self.follower.revision,
             on_change=self.heartbeats.note_change,
+            metrics=self.metrics,
         )
         pages = HealthPages(Health(self.metrics, self._readiness))
         self._operator_server = HttpServer(network, agent.operator_listen, pages.handle)
@@ -233,7 +234,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         match exchange.message:
             case messages.Offer() | messages.Reserve() | messages.Start() | messages.Withdraw():
-                await self.requests.handle(exchange)
+                await self._handle_request(exchange)
             case (
                 messages.FetchManifest()
                 | messages.Have()
@@ -249,6 +250,13 @@
                 kind = type(exchange.message).__name__
                 raise UnsupportedMessage(f"an agent does not take {kind}")
 
+    async def _handle_request(self, exchange: Exchange) -> None:
+        try:
+            await self.requests.handle(exchange)
+        except LacewingError as error:
+            self.metrics.note_error(error)
+            raise
+
 
 async def run_agent(settings: Settings) -> None:
     """Run an agent until a signal asks it to leave, then drain it."""
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -91,6 +91,7 @@
             place=self._place,
             rules=spread_rules(settings),
             rng=rng,
+            metrics=metrics,
         )
         self.uploader = Uploader(
             Pacer(self.live.weights_rate),
--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -66,7 +66,6 @@
         self._me = HostId(settings.process.host)
         self._node = node
         self._members = members
-        self._metrics = metrics
         self._least_entries = entry.addresses_per_answer
         self._rate_per_address = float(entry.requests_per_address)
         self._requests_limit = entry.requests_limit
@@ -77,6 +76,7 @@
         self._by_token = {each.token: each for each in declared}
         self._shares: dict[Account, AccountShare] = {}
         self._in_progress = 0
+        metrics.read_gauge("requests_in_progress", lambda: self._in_progress)
         self._sequence = 0
         self._task: asyncio.Task[None] | None = None
         self._told = asyncio.Event()
@@ -168,7 +168,6 @@
         return int(share.bucket.retry_after_s() * MILLISECONDS)
 
     def _refuse(self, reason: Refusal, retry_after_ms: int) -> Refused:
-        self._metrics.refuse(reason)
         return Refused(reason, retry_after_ms)
 
     async def _run(self) -> None:
--- /dev/null
+++ b/src/lacewinggw/metricnames.py
@@ -0,0 +1,70 @@
+"""Every metric that a process keeps: its name, its kind, and what it means to an operator.
+
+`/metrics` gives these words as help; docs/operators/METRICS.md lists them.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+
+class MetricKind(Enum):
+    """How a metric behaves; the value is Prometheus's word for it."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    LATENCY = "summary"
+
+
+@dataclass(frozen=True)
+class MetricFacts:
+    """What is to be known of one metric; `role` is the kind of process that keeps it."""
+
+    kind: MetricKind
+    role: str
+    meaning: str
+
+
+def _counter(role: str, meaning: str) -> MetricFacts:
+    return MetricFacts(MetricKind.COUNTER, role, meaning)
+
+
+def _gauge(role: str, meaning: str) -> MetricFacts:
+    return MetricFacts(MetricKind.GAUGE, role, meaning)
+
+
+def _latency(role: str, meaning: str) -> MetricFacts:
+    return MetricFacts(MetricKind.LATENCY, role, meaning)
+
+
+METRICS: Mapping[str, MetricFacts] = {
+    "claim_writes": _counter("entry", "Writes of claims, each for one or more keyed requests."),
+    "configuration_news": _counter("both", "Log entries received from peers."),
+    "configuration_revision": _gauge("both", "Highest revision applied."),
+    "configuration_snapshots_adopted": _counter("both", "Times a snapshot replaced the state."),
+    "configuration_store_reads": _counter("entry", "Reads of the log's tail from the table."),
+    "configuration_upstreams_left": _counter("both", "Peers left for another as source of news."),
+    "operator_refusals": _counter("entry", "Operators' calls refused, by kind of error."),
+    "pieces_held": _gauge(
+        "agent", "Pieces of answers kept for callers that have yet to take them."
+    ),
+    "placement_probes_answered": _counter("entry", "Silent hosts that answered a last question."),
+    "placements": _counter("entry", "Placements proposed, by what became of them."),
+    "queue_wait": _latency("agent", "Time from a request's arrival to its start."),
+    "refusals": _counter("both", "Requests refused as not run, by reason."),
+    "request": _latency("entry", "Time of answered requests, from admission to the end."),
+    "request_errors": _counter("entry", "Requests that ended with an error, by code and kind."),
+    "requests": _counter("entry", "Requests that ended, by outcome."),
+    "requests_in_progress": _gauge("entry", "Requests admitted and not ended yet."),
+    "reservations": _gauge("agent", "Reservations given and not used yet."),
+    "retries": _counter("both", "What was tried again, by reason."),
+    "targets_ejected": _counter("entry", "Times a failing target was left out of the choice."),
+    "uploads_stuck": _counter("agent", "Uploads given up because the receiver took nothing."),
+    "weights_bytes": _counter("agent", "Bytes of verified chunks received, by kind of source."),
+}
+
+
+def help_of(name: str) -> str:
+    """Return the meaning of a metric, or an empty text for a name that is not listed."""
+    facts = METRICS.get(name)
+    return facts.meaning if facts is not None else ""
--- a/src/lacewinggw/metrics.py
+++ b/src/lacewinggw/metrics.py
@@ -17,7 +17,8 @@
 
 from hdrh.histogram import HdrHistogram
 
-from lacewinggw.errors import Refusal
+from lacewinggw.errors import LacewingError, Refusal, RequestRefused
+from lacewinggw.metricnames import MetricKind, help_of
 
 PREFIX = "lacewinggw_"
 MICROSECONDS = 1_000_000
@@ -35,28 +36,28 @@
 class RetryReason(Enum):
     """Why something was tried again."""
 
-    TARGET_REFUSED = "target-refused"
-    TARGET_OVERLOADED = "target-overloaded"
-    TARGET_DRAINING = "target-draining"
-    TARGET_UNREACHABLE = "target-unreachable"
-    TARGET_FAILED = "target-failed"
-    WITHDRAWN = "withdrawn"
-    RESERVATION_LAPSED = "reservation-lapsed"
-    RELEASE_MOVED = "release-moved"
-    STREAM_RESUMED = "stream-resumed"
-    STREAM_RESTARTED = "stream-restarted"
-    PEER_LOST = "peer-lost"
-    PLATFORM_UNAVAILABLE = "platform-unavailable"
-    PLATFORM_THROTTLED = "platform-throttled"
-    WRITE_UNKNOWN = "write-unknown"
-    COMPARE_AND_SET = "compare-and-set"
-    CHUNK_CORRUPT = "chunk-corrupt"
-    CHUNK_STALLED = "chunk-stalled"
-    SOURCE_LOST = "source-lost"
-    SOURCE_BUSY = "source-busy"
-    ORIGIN_FAILED = "origin-failed"
-    ORDER_FAILED = "order-failed"
-    READ_BACK = "read-back"
+    TARGET_REFUSED = "target-refused"  # the target said that it did not run the request
+    TARGET_OVERLOADED = "target-overloaded"  # the agent's queue had no room
+    TARGET_DRAINING = "target-draining"  # the target is leaving
+    TARGET_UNREACHABLE = "target-unreachable"  # no connection to the agent came about
+    TARGET_FAILED = "target-failed"  # the target failed; only for what may be repeated
+    WITHDRAWN = "withdrawn"  # withdrawn before its start, and offered to another target
+    RESERVATION_LAPSED = "reservation-lapsed"  # the reservation was not used in time
+    RELEASE_MOVED = "release-moved"  # the target serves other weights by now
+    STREAM_RESUMED = "stream-resumed"  # a cut stream goes on at another target of the same weights
+    STREAM_RESTARTED = "stream-restarted"  # a cut stream begins again, as nothing had been sent on
+    PEER_LOST = "peer-lost"  # the connection to the agent was lost; only for what may be repeated
+    PLATFORM_UNAVAILABLE = "platform-unavailable"  # a service of the platform does not answer
+    PLATFORM_THROTTLED = "platform-throttled"  # a service of the platform asks to slow down
+    WRITE_UNKNOWN = "write-unknown"  # no reply came to a write; the row is read back
+    COMPARE_AND_SET = "compare-and-set"  # another writer was first; the row is read again
+    CHUNK_CORRUPT = "chunk-corrupt"  # a chunk did not match its hash; another source is asked
+    CHUNK_STALLED = "chunk-stalled"  # a chunk did not move; another source is asked
+    SOURCE_LOST = "source-lost"  # a neighbour left or refused a chunk; another source is asked
+    SOURCE_BUSY = "source-busy"  # a source had no upload to spare
+    ORIGIN_FAILED = "origin-failed"  # the origin or the weight store did not give a chunk
+    ORDER_FAILED = "order-failed"  # an order to the target, or reading its state, failed
+    READ_BACK = "read-back"  # the target reported another state than ordered
 
 
 class Counter:
@@ -191,6 +192,11 @@
         """Count a request that was refused as not run."""
         self.counter("refusals", reason=refusal).add()
 
+    def note_error(self, error: LacewingError) -> None:
+        """Count an error that is told to the other side, if it is a refusal."""
+        if isinstance(error, RequestRefused) and error.refusal is not None:
+            self.refuse(error.refusal)
+
     def retry(self, reason: RetryReason) -> None:
         """Count something that is tried again."""
         self.counter("retries", reason=reason).add()
@@ -213,19 +219,26 @@
 
     def _lines(self) -> Iterator[str]:
         for name, counters in sorted(self._counters.items()):
-            yield f"# TYPE {PREFIX}{name}_total counter"
+            yield from _head_lines(name, f"{name}_total", MetricKind.COUNTER)
             for labels, counter in counters.series.items():
                 yield f"{PREFIX}{_series_name(f'{name}_total', labels)} {counter.value}"
         for name, gauges in sorted(self._gauges.items()):
-            yield f"# TYPE {PREFIX}{name} gauge"
+            yield from _head_lines(name, name, MetricKind.GAUGE)
             for labels, gauge in gauges.series.items():
                 yield f"{PREFIX}{_series_name(name, labels)} {gauge.current():g}"
         for name, latencies in sorted(self._latencies.items()):
-            yield f"# TYPE {PREFIX}{name}_seconds summary"
+            yield from _head_lines(name, f"{name}_seconds", MetricKind.LATENCY)
             for labels, latency in latencies.series.items():
                 yield from _latency_lines(f"{name}_seconds", labels, latency)
 
 
+def _head_lines(name: str, rendered: str, kind: MetricKind) -> Iterator[str]:
+    meaning = help_of(name)
+    if meaning:
+        yield f"# HELP {PREFIX}{rendered} {meaning}"
+    yield f"# TYPE {PREFIX}{rendered} {kind.value}"
+
+
 def _latency_lines(name: str, labels: Labels, latency: Latency) -> Iterator[str]:
     for share in QUANTILES:
         series = _series_name(name, (*labels, ("quantile", f"{share:g}")))
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -21,9 +21,9 @@
     assert [link for link in links if not (page.parent / link).exists()] == []
 
 
-def test_each_design_page_is_in_the_index() -> None:
-    folder = ROOT / "docs" / "design"
-    index = (folder / "README.md").read_text()
-    pages = [path.name for path in folder.glob("*.md") if path.name != "README.md"]
-    missing = [name for name in sorted(pages) if f"({name})" not in index]
-    assert missing == [], "add a row for it to docs/design/README.md"
+@pytest.mark.parametrize("folder", ["design", "operators"])
+def test_each_page_is_in_the_index(folder: str) -> None:
+    index = ROOT / "docs" / folder / "README.md"
+    pages = [path.name for path in index.parent.glob("*.md") if path != index]
+    missing = [name for name in sorted(pages) if f"({name})" not in index.read_text()]
+    assert missing == [], f"add a row for it to docs/{folder}/README.md"
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,10 +1,53 @@
 """Metrics: what is counted, how it is rendered, and that it stays bounded."""
 
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
 import pytest
 
-from lacewinggw.errors import Refusal
+from lacewinggw.errors import AgentLost, NoTarget, Refusal
+from lacewinggw.metricnames import METRICS, MetricKind
 from lacewinggw.metrics import SERIES_LIMIT, Metrics, RetryReason
 
+SOURCES = Path(__file__).resolve().parent.parent / "src" / "lacewinggw"
+CALLS = {
+    "count": MetricKind.COUNTER,
+    "counter": MetricKind.COUNTER,
+    "gauge": MetricKind.GAUGE,
+    "read_gauge": MetricKind.GAUGE,
+    "latency": MetricKind.LATENCY,
+}
+
+
+def metrics_in_use() -> Iterator[tuple[str, MetricKind]]:
+    """Yield the name and kind of each metric that the product's code names."""
+    for path in SOURCES.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            match node:
+                case ast.Call(func=ast.Attribute(attr=attr), args=[ast.Constant(str(name)), *_]):
+                    if attr in CALLS and name.isidentifier():
+                        yield name, CALLS[attr]
+
+
+def test_each_metric_in_use_is_listed_with_its_kind() -> None:
+    listed = {(name, facts.kind) for name, facts in METRICS.items()}
+    assert set(metrics_in_use()) == listed, "keep src/lacewinggw/metricnames.py in step"
+
+
+def test_metric_has_its_meaning_as_help() -> None:
+    text = Metrics().render()
+    assert "# HELP lacewinggw_refusals_total Requests refused as not run, by reason.\n" in text
+
+
+def test_only_refusals_are_counted_as_such() -> None:
+    metrics = Metrics()
+    metrics.note_error(NoTarget("none"))
+    metrics.note_error(AgentLost("lost"))
+    counters = metrics.snapshot().counters
+    assert counters['refusals{reason="no-target"}'] == 1
+    assert sum(counters.values()) == 1
+
 
 def test_each_reason_is_there_from_the_start() -> None:
     text = Metrics().render()
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from lacewinggw.metrics import RetryReason
+
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -18,10 +20,15 @@
     return module
 
 
-@pytest.mark.parametrize("page", ["errors", "settings"])
+@pytest.mark.parametrize("page", ["ERRORS", "SETTINGS", "operators/METRICS"])
 def test_page_is_in_step(page: str) -> None:
-    text = getattr(load_tool("reference"), f"{page}_text")()
-    assert (ROOT / "docs" / f"{page.upper()}.md").read_text() == text, "run `make docs`"
+    name = page.rpartition("/")[2].lower()
+    text = getattr(load_tool("reference"), f"{name}_text")()
+    assert (ROOT / "docs" / f"{page}.md").read_text() == text, "run `make docs`"
+
+
+def test_each_retry_reason_is_explained() -> None:
+    assert len(list(load_tool("reference").retry_rows())) == len(RetryReason)
 
 
 def test_each_setting_has_a_meaning() -> None:
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -1,4 +1,4 @@
-"""Write docs/ERRORS.md and docs/SETTINGS.md from the code and the schema; run by `make docs`."""
+"""Write the pages that follow from the code and the schema; run by `make docs`."""
 
 import re
 import sys
@@ -7,7 +7,8 @@
 
 from thrift.Thrift import TType
 
-from lacewinggw.errors import LacewingError, Outcome, error_classes
+from lacewinggw.errors import LacewingError, Outcome, RequestRefused, error_classes
+from lacewinggw.metricnames import METRICS, MetricFacts, MetricKind
 from lacewinggw.settings import (
     ADDRESSES,
     CHOICES,
@@ -24,6 +25,9 @@
 ERRORS = ROOT / "docs" / "ERRORS.md"
 SETTINGS = ROOT / "docs" / "SETTINGS.md"
 
+METRICS_PAGE = ROOT / "docs" / "operators" / "METRICS.md"
+METRICS_SOURCE = ROOT / "src" / "lacewinggw" / "metrics.py"
+
 FIELD = re.compile(r"\s+\d+: (?:required )?\S+ (?P<name>\w+)[^/]*(?:// (?P<comment>.*))?")
 
 ERRORS_HEAD = """# Errors
@@ -40,6 +44,36 @@
 | --- | --- | --- | --- | --- | --- |
 """
 
+RETRY = re.compile(r'    [A-Z_]+ = "(?P<reason>[a-z-]+)"  # (?P<comment>.+)')
+
+METRICS_HEAD = """# Metrics
+
+Each process answers `/metrics` on its `operator_listen`, in Prometheus text. Latencies are HDR
+histograms, rendered as summaries in seconds with the quantiles 0.5, 0.95, 0.99 and 1 since the
+process began. One name has at most 512 series; what comes after is counted with the labels
+`other`.
+
+Generated from `src/lacewinggw/metricnames.py`, `metrics.py` and `errors.py` by `make docs`.
+
+| metric | kind | process | meaning |
+| --- | --- | --- | --- |
+{metrics}
+## Refusals
+
+The label `reason` of `lacewinggw_refusals_total`. An entry counts what it tells a caller, an agent
+what it tells an entry. Each reason is there from the start with 0.
+
+| reason | meaning | what a caller does |
+| --- | --- | --- |
+{refusals}
+## Retries
+
+The label `reason` of `lacewinggw_retries_total`.
+
+| reason | meaning |
+| --- | --- |
+{retries}"""
+
 SETTINGS_HEAD = """# Settings
 
 A process reads one INI file. A value carries its unit: time in `ms`, `s`, `min`, `h`; size in `B`,
@@ -127,10 +161,42 @@
     return SETTINGS_HEAD + "".join(chapters)
 
 
+def metric_row(name: str, facts: MetricFacts) -> str:
+    """Return the row of one metric, with its name as rendered."""
+    suffix = {MetricKind.COUNTER: "_total", MetricKind.GAUGE: "", MetricKind.LATENCY: "_seconds"}
+    rendered = f"lacewinggw_{name}{suffix[facts.kind]}"
+    return f"| `{rendered}` | {facts.kind.value} | {facts.role} | {facts.meaning} |\n"
+
+
+def refusal_rows() -> Iterator[str]:
+    """Yield a row for each reason to refuse a request."""
+    for error in error_classes():
+        if issubclass(error, RequestRefused) and error.refusal is not None:
+            meaning = (error.__doc__ or "").splitlines()[0]
+            yield f"| `{error.refusal.value}` | {meaning} | {error.default_remedy} |\n"
+
+
+def retry_rows() -> Iterator[str]:
+    """Yield a row for each reason to try again, with the comment on it in the source."""
+    for match in RETRY.finditer(METRICS_SOURCE.read_text()):
+        yield f"| `{match['reason']}` | {match['comment']} |\n"
+
+
+def metrics_text() -> str:
+    """Return the whole of docs/operators/METRICS.md."""
+    rows = (metric_row(name, facts) for name, facts in sorted(METRICS.items()))
+    return METRICS_HEAD.format(
+        metrics="".join(rows),
+        refusals="".join(refusal_rows()),
+        retries="".join(retry_rows()),
+    )
+
+
 def main() -> int:
-    """Write both files."""
+    """Write all pages."""
     ERRORS.write_text(errors_text())
     SETTINGS.write_text(settings_text())
+    METRICS_PAGE.write_text(metrics_text())
     return 0
 
 
