List what plain targets serve, and say idle where nothing is placed

Plain services found no hosts, since the lab's list did not say what plain targets serve; `adapters a, b` failed inside the parser; a host without a service was said to be starting.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -159,7 +159,7 @@
 
 // ---- targets and load -----------------------------------------------------------------
 
-enum TargetState { STARTING = 1, FETCHING = 2, LOADING = 3, SERVING = 4, DRAINING = 5, FAILED = 6 }
+enum TargetState { STARTING = 1, FETCHING = 2, LOADING = 3, SERVING = 4, DRAINING = 5, FAILED = 6, IDLE = 7 }
 
 struct Load {
   1: i32 running
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -243,7 +243,7 @@
             self._gate.serving = False
             await self._requests.quiesce()
             self._requests.resume()
-        self._show(TargetState.STARTING, "no service is placed on this host")
+        self._show(TargetState.IDLE, "no service is placed on this host")
 
     def _show_progress(self, wanted: Wanted, serving: bool, reason: str) -> None:
         if serving:
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from lacewinggw.generated.settings.ttypes import Settings
-from lacewinggw.ids import Address, HostId, Place
+from lacewinggw.ids import Address, HostId, Place, ServiceName
 from lacewinggw.platform.membership import Member, MemberRole, member_to_json
 from lacewinggw.settings import default_settings, write_settings
 from lacewinggw.wire.http import HttpClient, HttpError, Response
@@ -376,7 +376,7 @@
     def _add_agent(self, number: int, target: Address, service: str) -> None:
         ip = f"{self._block}.{2 + number // HOSTS_PER_BLOCK}.{number % HOSTS_PER_BLOCK + 1}"
         host = HostId(f"host-{number + 1:03}")
-        member = self._member(host, MemberRole.AGENT, ip, number)
+        member = self._member(host, MemberRole.AGENT, ip, number, service)
         settings = self._base_settings(member)
         settings.agent.peer_listen = member.address
         settings.agent.operator_listen = member.operator_address
@@ -387,7 +387,9 @@
         settings.agent.target_fences = bool(not service and number % 3 == 0)
         self._add_host(member, settings, ("process", "platform", "agent"), target)
 
-    def _member(self, host: HostId, role: MemberRole, ip: str, number: int) -> Member:
+    def _member(
+        self, host: HostId, role: MemberRole, ip: str, number: int, service: str = ""
+    ) -> Member:
         place = Place(self.plan.places[number % len(self.plan.places)])
         caller = Address(f"{ip}:{CALLER_PORT}") if role is MemberRole.ENTRY else Address("")
         return Member(
@@ -397,6 +399,7 @@
             Address(f"{ip}:{PEER_PORT}"),
             Address(f"{ip}:{OPERATOR_PORT}"),
             caller,
+            service=ServiceName(service),
         )
 
     def _base_settings(self, member: Member) -> Settings:
--- a/src/lacewinggw/operators/language.py
+++ b/src/lacewinggw/operators/language.py
@@ -286,8 +286,8 @@
     def role_clause(self, role: EngineRole) -> dict[str, Any]:
         return {"role": role}
 
-    def adapters_clause(self, *names: Word) -> dict[str, Any]:
-        return {"adapters": tuple(name.text for name in names)}
+    def adapters_clause(self, *names: Token) -> dict[str, Any]:
+        return {"adapters": tuple(str(name).strip('"') for name in names)}
 
     def floor_clause(self, share: Token) -> dict[str, Any]:
         return {"floor_percent": int(str(share).rstrip("%"))}
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from lacewinggw.errors import LanguageError
+from lacewinggw.generated.messages.ttypes import EngineRole
 from lacewinggw.operators.language import is_query, parse, parse_commands, parse_query
 from lacewinggw.operators.statements import (
     Comparison,
@@ -101,3 +102,11 @@
     except LanguageError as error:
         assert 0 <= error.position <= len(words)
         assert error.expected
+
+
+def test_roles_and_adapters_are_declared_in_words():
+    [command] = parse_commands("set service desk role decode adapters fijian, radio")
+    assert command.clauses.role is EngineRole.DECODE
+    assert command.clauses.adapters == ("fijian", "radio")
+    [command] = parse_commands("set service desk adapters none")
+    assert command.clauses.adapters == ()
