Name who drained a host from the host's own change

Cause: after its replicas had moved, `explain host` named the entry that moved them as the one who drained it, for it took the newest entry whose words hold the host's name.

--- a/src/lacewinggw/operators/explain.py
+++ b/src/lacewinggw/operators/explain.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from lacewinggw.decisions.commands import describe_goals
+from lacewinggw.decisions.revisions import Subject
 from lacewinggw.errors import LacewingError, UnknownName, error_classes
 from lacewinggw.operators.language import nearest
 from lacewinggw.operators.progress import describe_target, progress_of, remedy_for, serves
@@ -61,10 +62,9 @@
         yield f"host {host} in {member.place} is leaving: the platform says so; it gets no new work"
     else:
         yield f"host {host} in {member.place} is on the platform's list"
-    if host in view.state().draining:
-        entry = next(
-            (each for each in reversed(view.state().history) if host in each.words.split()), None
-        )
+    state = view.state()
+    if host in state.draining:
+        entry = state.entry_at(state.changed_at(Subject("host", host)))
         by = f" by {entry.author} at revision {entry.revision}" if entry is not None else ""
         yield f"it is drained{by}; `undrain host {host}` puts it back into use"
 
@@ -77,6 +77,9 @@
         goals = describe_goals(declared) if declared is not None else "nothing"
         on = f" on {release}" if release else ""
         yield f"it is placed for {service}{on}; {service} declares {goals}"
+        upcoming = state.next_releases_of(service).get(host)
+        if upcoming is not None:
+            yield f"it loads {upcoming} meanwhile, and changes over when its turn comes"
         for placed in reversed(state.history):
             if host in placed.words.replace(",", " ").split() and service in placed.words:
                 yield f"revision {placed.revision} by {placed.author} did that: {placed.words}"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 import pytest
 from operator_desk import open_desk
 
+from lacewinggw.decisions.revisions import change_of
 from lacewinggw.errors import (
     BadDeclaration,
     BadToken,
@@ -14,10 +15,12 @@
     MalformedHttp,
     UnknownName,
 )
+from lacewinggw.generated.messages.ttypes import Place
 from lacewinggw.ids import Address
 from lacewinggw.operators import shell
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.declarations import read_declarations
+from lacewinggw.platform.membership import MemberRole
 from lacewinggw.wire.http import HttpClient
 
 pytestmark = pytest.mark.looptime
@@ -145,3 +148,24 @@
         read_declarations(tmp_path)
     assert met in caught.value.reason
     assert "desk.ini" in caught.value.reason
+
+
+async def test_explain_names_who_drained_a_host_not_who_moved_its_replicas() -> None:
+    async with open_desk() as desk:
+        alice = desk.clients[0]
+        members = desk.fleet.members
+        host = next(each.host for each in members if each.role is MemberRole.AGENT)
+        words = "create release market-7; create service desk release market-7 replicas 1"
+        await alice.command(words, "c0", 0)
+        await alice.command(f"drain host {host}", "c1", 1)
+        [ledger, *_] = [entry.ledger for entry in desk.fleet.entries]
+        moved = Place("desk", [], f"replaces {host}", [])
+        await ledger.accept(
+            [change_of(moved)],
+            words=f"place desk: nothing without {host} (replaces {host})",
+            author="entry entry-1",
+            read_revision=2,
+            command_id="c2",
+        )
+        answer = await alice.query(f"explain host {host}")
+        assert any("drained by alice at revision 2" in line for line in answer["lines"])
