Tell every HTTP refusal the same way, the server's own too

Cause: three places wrote problem documents, each its own; a body over the limit, bytes that are no HTTP and a handler's fault were answered without code, remedy or outcome.

Change: wire/problems.py writes the document and its headers, and all use it. A test sends each kind of bad input to a server: it is answered as not run, with its code, and never reaches the handler.

--- a/src/lacewinggw/entry/answers.py
+++ b/src/lacewinggw/entry/answers.py
@@ -3,15 +3,13 @@
 import hashlib
 import json
 from dataclasses import dataclass, field
-from math import ceil
 from typing import Any
 
-from lacewinggw.errors import AnswerIncomplete, LacewingError, Outcome
+from lacewinggw.errors import AnswerIncomplete, LacewingError
 from lacewinggw.generated.messages.ttypes import Finish, Pieces
 from lacewinggw.wire.http import Headers, Response
+from lacewinggw.wire.problems import problem_body, problem_headers
 
-MILLISECONDS = 1000.0
-PROBLEM_TYPE = "application/problem+json"
 EVENT_STREAM = "text/event-stream"
 
 
@@ -104,32 +102,10 @@
     return Response(answer.status, answer_headers(request_id, answer), answer.body)
 
 
-def problem(error: LacewingError, request_id: str = "") -> dict[str, Any]:
-    """Return an error as the members of a problem document."""
-    return {
-        "type": f"urn:lacewinggw:{error.code}",
-        "title": error.kind,
-        "status": error.http_status,
-        "code": error.code,
-        "detail": error.reason,
-        "remedy": error.remedy,
-        "outcome": error.outcome.value,
-        "retry_after_ms": error.retry_after_ms,
-        "request_id": request_id,
-    }
-
-
 def problem_response(error: LacewingError, request_id: str = "") -> Response:
-    """Return the response that tells an error; a wait is rounded up to whole seconds."""
-    told = problem(error, request_id)
-    headers = {"content-type": PROBLEM_TYPE, "error-code": error.code}
-    if error.outcome is not Outcome.NONE:
-        headers["outcome"] = error.outcome.value
-    if request_id:
-        headers["request-id"] = request_id
-    if error.retry_after_ms:
-        headers["retry-after"] = str(ceil(error.retry_after_ms / MILLISECONDS))
-    return Response(error.http_status, headers, json.dumps(told).encode())
+    """Return the response that tells an error."""
+    headers = problem_headers(error, request_id)
+    return Response(error.http_status, headers, problem_body(error, request_id))
 
 
 def piece_events(first: int, pieces: list[bytes]) -> bytes:
@@ -154,4 +130,4 @@
 
 def error_event(error: LacewingError, request_id: str) -> bytes:
     """Return the event that ends a stream which is not whole."""
-    return f"event: error\ndata: {json.dumps(problem(error, request_id))}\n\n".encode()
+    return b"event: error\ndata: " + problem_body(error, request_id) + b"\n\n"
--- a/src/lacewinggw/entry/operators.py
+++ b/src/lacewinggw/entry/operators.py
@@ -15,7 +15,6 @@
 from lacewinggw.errors import (
     BadToken,
     LacewingError,
-    LanguageError,
     MalformedHttp,
     NoConfiguration,
     UnknownName,
@@ -33,11 +32,11 @@
 from lacewinggw.operators.view import FleetView
 from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.problems import problem_body, problem_headers
 
 BEARER = "bearer "
 COMMAND_ID_LIMIT = 64
 CATCH_UP_S = 3.0
-MS_PER_S = 1000
 OK = 200
 
 log = get_logger(__name__)
@@ -86,7 +85,7 @@
             return await self._route(request, author)
         except LacewingError as error:
             self._metrics.count("operator_refusals", reason=error.kind)
-            return problem_response(error)
+            return Response(error.http_status, problem_headers(error), problem_body(error))
 
     def _author(self, request: Request) -> str:
         given = request.headers.get("authorization", "")
@@ -193,27 +192,6 @@
             return {"done": answer.done, "held_up_by": hold_ups}
 
 
-def problem_response(error: LacewingError) -> Response:
-    """Return an error as problem JSON, with where it points if it points at a word."""
-    problem: dict[str, Any] = {
-        "code": error.code,
-        "title": error.kind,
-        "detail": error.reason,
-        "remedy": error.remedy,
-        "outcome": error.outcome.value,
-        "retry_after_ms": error.retry_after_ms,
-        "status": error.http_status,
-    }
-    if isinstance(error, LanguageError):
-        problem["position"] = error.position
-        problem["expected"] = list(error.expected)
-        problem["nearest"] = error.nearest
-    headers = {"content-type": "application/problem+json"}
-    if error.retry_after_ms:
-        headers["retry-after"] = str(-(-error.retry_after_ms // MS_PER_S))
-    return json_response(error.http_status, problem, headers)
-
-
 def _accepted(entry: LogEntry, repeated: bool) -> Response:
     return json_response(
         OK,
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -14,8 +14,10 @@
 
 import h11
 
+from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp
 from lacewinggw.log import get_logger
 from lacewinggw.wire.network import Listener, Network, Stream
+from lacewinggw.wire.problems import problem_body, problem_headers
 
 READ_BYTES = 1 << 16
 IDLE_CONNECTIONS = 32
@@ -117,7 +119,7 @@
 async def _read_body(
     connection: h11.Connection, stream: Stream, limits: HttpLimits, timeout_s: float
 ) -> bytes:
-    """Read a body to its end; raise `HttpError` 413 once it passes the limit."""
+    """Read a body to its end; raise `BodyTooLarge` once it passes the limit."""
     parts: list[bytes] = []
     size = 0
     while True:
@@ -128,7 +130,7 @@
             raise ConnectionResetError("the connection ended inside a body")
         size += len(event.data)
         if size > limits.body_bytes:
-            raise HttpError(413, f"the body is over {limits.body_bytes} bytes")
+            raise BodyTooLarge(f"the body is over {limits.body_bytes} bytes")
         parts.append(bytes(event.data))
 
 
@@ -208,10 +210,11 @@
                 self._busy.add(task)
                 request = await self._read_request(connection, stream, event)
             except h11.RemoteProtocolError as error:
-                await self._refuse(connection, stream, error.error_status_hint, str(error))
+                refusal = MalformedHttp(f"not HTTP as it should be: {error}")
+                await self._refuse(connection, stream, refusal, error.error_status_hint)
                 return
-            except HttpError as error:
-                await self._refuse(connection, stream, error.status, str(error))
+            except BodyTooLarge as error:
+                await self._refuse(connection, stream, error, error.http_status)
                 return
             response = await self._answer(request)
             await self._send(connection, stream, request, response)
@@ -221,7 +224,7 @@
             connection.start_next_cycle()
 
     async def _answer(self, request: Request) -> Response:
-        """Return the handler's response, or a bare 500 when it fails by a fault of its own.
+        """Return the handler's response, or a 500 when it fails by a fault of its own.
 
         A handler that raises `OSError` means to lose the connection.
         """
@@ -231,7 +234,8 @@
             raise
         except Exception:
             log.exception("http_handler_failed", method=request.method, path=request.path)
-            return json_response(500, {"status": 500, "detail": "an internal error; see the log"})
+            error = LacewingError("the process failed to answer")
+            return Response(error.http_status, problem_headers(error), problem_body(error))
 
     async def _read_request(
         self, connection: h11.Connection, stream: Stream, event: h11.Request
@@ -246,12 +250,12 @@
         return Request(event.method.decode("ascii"), unquote(parts.path), query, headers, body)
 
     async def _refuse(
-        self, connection: h11.Connection, stream: Stream, status: int, reason: str
+        self, connection: h11.Connection, stream: Stream, error: LacewingError, status: int
     ) -> None:
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        problem = json_response(status, {"status": status, "detail": reason})
-        problem.headers["connection"] = "close"
+        headers = {**problem_headers(error), "connection": "close"}
+        problem = Response(status, headers, problem_body(error))
         await self._send(connection, stream, Request("GET", "/"), problem)
 
     async def _send(
--- a/src/lacewinggw/wire/pages.py
+++ b/src/lacewinggw/wire/pages.py
@@ -1,7 +1,9 @@
 """The health pages of a process on one of its HTTP listeners."""
 
+from lacewinggw.errors import UnknownPath
 from lacewinggw.health import Health, Page
-from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.http import Request, Response
+from lacewinggw.wire.problems import problem_body, problem_headers
 
 
 def _to_response(page: Page) -> Response:
@@ -22,4 +24,7 @@
     async def handle(self, request: Request) -> Response:
         """Answer a request on a listener that has only these pages."""
         page = self.find(request)
-        return page or json_response(404, {"reason": "only /metrics and /healthz are here"})
+        if page is not None:
+            return page
+        error = UnknownPath(f"{request.path} is not here", remedy="ask for /metrics or /healthz")
+        return Response(error.http_status, problem_headers(error), problem_body(error))
--- /dev/null
+++ b/tests/test_http_problems.py
@@ -0,0 +1,81 @@
+"""What the HTTP server itself refuses: with a code, a remedy and an outcome, like all else."""
+
+import json
+
+import pytest
+
+from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.wire.http import HttpClient, HttpLimits, HttpServer, Request, Response
+from lacewinggw.wire.network import Stream
+
+pytestmark = pytest.mark.looptime
+
+LIMITS = HttpLimits(body_bytes=100, head_bytes=1000)
+
+
+class Served:
+    """A server on an in-memory network, which notes what reached its handler."""
+
+    def __init__(self) -> None:
+        self.network = MemoryNetwork()
+        self.handled: list[Request] = []
+        self._server = HttpServer(self.network, "10.0.0.1:0", self._handle, LIMITS)
+
+    async def start(self) -> str:
+        """Start the server and return its address."""
+        await self._server.start()
+        return self._server.address
+
+    async def _handle(self, request: Request) -> Response:
+        self.handled.append(request)
+        raise ZeroDivisionError("a fault of the handler's own")
+
+
+async def read_response(stream: Stream) -> tuple[int, dict[str, object]]:
+    """Return status and problem of a response that ends with its connection."""
+    received = b""
+    while data := await stream.read(1 << 16):
+        received += data
+    head, _, body = received.partition(b"\r\n\r\n")
+    return int(head.split()[1]), json.loads(body)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status", "error"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 101\r\n\r\n" + 101 * b"x",
+            413,
+            BodyTooLarge,
+        ),
+        (b"NONSENSE\r\n\r\n", 400, MalformedHttp),
+        (b"GET / HTTP/1.1\r\n\r\n", 400, MalformedHttp),
+        (b"GET / HTTP/1.1\r\nhost: " + 2000 * b"x", 431, MalformedHttp),
+    ],
+    ids=["body too large", "no HTTP", "no host", "head too large"],
+)
+async def test_refused_before_the_handler_is_not_run(
+    sent: bytes,
+    status: int,
+    error: type[LacewingError],
+) -> None:
+    served = Served()
+    stream = await served.network.connect(await served.start())
+    stream.write(sent)
+    told_status, problem = await read_response(stream)
+    assert told_status == status
+    assert problem["code"] == error.code
+    assert problem["outcome"] == "not-run"
+    assert problem["remedy"] == error.default_remedy
+    assert served.handled == []
+
+
+async def test_fault_of_a_handler_shows_no_traceback() -> None:
+    served = Served()
+    client = HttpClient(served.network)
+    response = await client.request(await served.start(), "GET", "/")
+    assert response.status == 500
+    assert response.headers["error-code"] == LacewingError.code
+    assert b"ZeroDivision" not in response.content
+    assert len(served.handled) == 1
