--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -45,6 +45,7 @@
     "configuration_store_reads": _counter("entry", "Reads of the log's tail from the table."),
     "configuration_upstreams_left": _counter("both", "Peers left for another as source of news."),
     "operator_refusals": _counter("entry", "Operators' calls refused, by kind of error."),
+    "peer_sent_bytes": _gauge("agent", "Bytes sent to other processes of the fleet, in all."),
     "pieces_held": _gauge(
         "agent", "Pieces of answers kept for callers that have yet to take them."
     ),
@@ -61,6 +62,8 @@
     "targets_ejected": _counter("entry", "Times a failing target was left out of the choice."),
     "uploads_stuck": _counter("agent", "Uploads given up because the receiver took nothing."),
     "weights_bytes": _counter("agent", "Bytes of verified chunks received, by kind of source."),
+    "weights_memory_bytes": _gauge("agent", "Bytes of verified chunks held in memory."),
+    "weights_sent_bytes": _counter("agent", "Bytes of chunks sent to other hosts."),
 }
 
 
