--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -40,6 +40,7 @@
 METRICS: Mapping[str, MetricFacts] = {
     "claim_writes": _counter("entry", "Writes of claims, each for one or more keyed requests."),
     "configuration_news": _counter("both", "Log entries received from peers."),
+    "configuration_news_sent_bytes": _counter("both", "Bytes of log entries sent on to peers."),
     "configuration_revision": _gauge("both", "Highest revision applied."),
     "configuration_snapshots_adopted": _counter("both", "Times a snapshot replaced the state."),
     "configuration_store_reads": _counter("entry", "Reads of the log's tail from the table."),
