--- a/src/lacewinggw/lab/config.py
+++ b/src/lacewinggw/lab/config.py
@@ -94,7 +94,8 @@
         return BAD_INPUT
     result = asyncio.run(run_config(options))
     if given["--json"]:
-        print(json.dumps(asdict(result)))
+        command = " ".join(["lacewinggw-lab config", *arguments])
+        print(json.dumps({"command": command, **asdict(result)}, indent=2))
     else:
         for name, value in asdict(result).items():
             print(f"{name}: {value}")
