--- a/src/lacewinggw/lab/disturbances.py
+++ b/src/lacewinggw/lab/disturbances.py
@@ -75,8 +75,8 @@
         self._recorder = recorder
         self._rng = rng
         self._change = change
-        self._busy: set[FleetHost] = set()
-        self._stopping = False
+        self._busy: set[str] = set()
+        self._stopped = asyncio.Event()
         self._makers: dict[FaultKind, Callable[[], Awaitable[None]]] = {
             FaultKind.KILL_AGENT: lambda: self._kill(self._fleet.agents),
             FaultKind.KILL_ENTRY: lambda: self._kill(self._fleet.entries),
@@ -92,28 +92,29 @@
 
     async def run(self, kinds: list[FaultKind]) -> None:
         """Make faults of each kind side by side until `stop`; what was begun is ended."""
-        await asyncio.gather(*(self._repeat(kind) for kind in kinds))
+        makers = [self._repeat(kind) for kind in kinds]
+        await asyncio.gather(self._stopped.wait(), *makers)
 
     def stop(self) -> None:
         """Begin no more faults."""
-        self._stopping = True
+        self._stopped.set()
 
     async def _repeat(self, kind: FaultKind) -> None:
         while True:
             await asyncio.sleep(self._rng.uniform(*BETWEEN_S))
-            if self._stopping:
+            if self._stopped.is_set():
                 return
             await self._makers[kind]()
             self.made[kind.value] = self.made.get(kind.value, 0) + 1
 
     def _take(self, hosts: list[FleetHost]) -> FleetHost | None:
         """Choose a host to disturb, unless a third of them are disturbed already."""
-        disturbed = [host for host in hosts if host in self._busy]
-        free = [host for host in hosts if host not in self._busy and host.running]
+        disturbed = [host for host in hosts if host.member.host in self._busy]
+        free = [host for host in hosts if host.member.host not in self._busy and host.running]
         if not free or 3 * (len(disturbed) + 1) > len(hosts) + 2:
             return None
         host = self._rng.choice(free)
-        self._busy.add(host)
+        self._busy.add(host.member.host)
         return host
 
     async def _start_again(self, host: FleetHost) -> None:
@@ -121,7 +122,7 @@
         now, name = self._recorder.now(), str(host.member.host)
         self._recorder.record(ProcessStarted(now, name, f"{name}@{now:.3f}"))
         await self._fleet.wait_ready([host])
-        self._busy.discard(host)
+        self._busy.discard(host.member.host)
 
     async def _kill(self, hosts: list[FleetHost]) -> None:
         host = self._take(hosts)
@@ -142,7 +143,7 @@
         await asyncio.sleep(self._rng.uniform(*PAUSE_S))
         self._fleet.resume(host)
         self._recorder.record(Resumed(self._recorder.now(), name))
-        self._busy.discard(host)
+        self._busy.discard(host.member.host)
 
     async def _leave(self, hosts: list[FleetHost]) -> None:
         """Shut a process down as an operator does: list it as leaving, signal it, wait."""
--- a/src/lacewinggw/lab/requesters.py
+++ b/src/lacewinggw/lab/requesters.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from lacewinggw.lab.history import Answered, Broken, Event, NotRun, Recorder, Sent, Unknown
-from lacewinggw.wire.http import Headers, HttpClient, HttpError, Response
+from lacewinggw.wire.http import Headers, HttpClient, HttpError, NotConnectedError, Response
 
 ADDRESS_TIMEOUT_S = 3.0
 LATE_S = 5.0  # a caller waits so much longer than its deadline before it gives up
@@ -21,6 +21,7 @@
 SENDINGS = 4  # of one key or ticket
 MS_PER_S = 1000.0
 EVENT_STREAM = "text/event-stream"
+NOT_CONNECTED = "not-connected"  # by the caller's own knowledge nothing was sent
 
 
 class RequestKind(Enum):
@@ -182,6 +183,10 @@
                 address, "POST", path, headers or sending.headers, sending.body, wait_s
             )
             final = judge(attempt, recorder.now(), response)
+        except NotConnectedError:
+            self._good_until = 0.0
+            final = NotRun(recorder.now(), attempt, NOT_CONNECTED)
+            await asyncio.sleep(TRY_AGAIN_S)
         except (OSError, TimeoutError, HttpError) as error:
             self._good_until = 0.0
             final = Broken(recorder.now(), attempt, f"{type(error).__name__}: {error}")
--- a/src/lacewinggw/lab/requests.py
+++ b/src/lacewinggw/lab/requests.py
@@ -32,7 +32,7 @@
 from lacewinggw.lab.disturbances import Disturbances, parse_faults
 from lacewinggw.lab.facts import AttemptFacts, Facts
 from lacewinggw.lab.fleet import Fleet, FleetPlan
-from lacewinggw.lab.history import Answered, Broken, Recorder, ReleasePublished, Unknown
+from lacewinggw.lab.history import Answered, Broken, NotRun, Recorder, ReleasePublished, Unknown
 from lacewinggw.lab.relay import Relay
 from lacewinggw.lab.requesters import Mix, Requester
 from lacewinggw.lab.runs import run_events
@@ -50,6 +50,8 @@
 SLOW_SHARE = 0.95
 BAD_INPUT = 2
 
+ContentIndex = dict[tuple[str, int], set[str]]
+
 
 @dataclass(frozen=True)
 class RequestResult:
@@ -62,7 +64,7 @@
     requests: int
     sendings: int
     answered: int
-    not_run: int
+    not_run: dict[str, int]
     ran_twice: int
     false_not_run: int
     incomplete: int
@@ -101,7 +103,7 @@
         disturbed_at = self.recorder.now()
         kinds = parse_faults(self._options["--faults"])
         disturbing = asyncio.create_task(self._disturbances.run(kinds))
-        await asyncio.sleep(float(self._options["--seconds"]))
+        await asyncio.wait({disturbing}, timeout=float(self._options["--seconds"]))
         self._stopping = True
         self._disturbances.stop()
         await asyncio.gather(*calling)
@@ -198,7 +200,8 @@
         by_property = count_by_property(violations)
         finals = [attempt for attempt in facts.attempts.values() if attempt.final is not None]
         kinds = Counter(type(attempt.final).__name__ for attempt in finals)
-        strangers = Counter(stranger(facts, attempt) for attempt in finals)
+        index = index_content(facts)
+        strangers = Counter(stranger(index, attempt) for attempt in finals)
         calm, stormy = _latencies(requesters, disturbed_at)
         p95_calm, p95 = _quantile(calm), _quantile(stormy)
         wrong_answers = strangers["foreign"] + strangers["incomplete"]
@@ -210,7 +213,7 @@
             requests=len(facts.attempts_of),
             sendings=len(facts.attempts),
             answered=kinds["Answered"],
-            not_run=kinds["NotRun"],
+            not_run=count_not_run(finals),
             ran_twice=by_property[Property.AT_MOST_ONCE.value],
             false_not_run=by_property[Property.NOT_RUN.value],
             incomplete=strangers["incomplete"],
@@ -226,18 +229,25 @@
         )
 
 
-def stranger(facts: Facts, attempt: AttemptFacts) -> str:
+def index_content(facts: Facts) -> ContentIndex:
+    """Return which requests had a run that gave each content, by its digest and pieces."""
+    index: ContentIndex = {}
+    for run in facts.runs.values():
+        if run.ended is not None:
+            content = (run.ended.content_digest, run.ended.pieces)
+            index.setdefault(content, set()).add(run.started.request)
+    return index
+
+
+def stranger(index: ContentIndex, attempt: AttemptFacts) -> str:
     """Tell whether an answer is "foreign", "incomplete" or "" for its request's own."""
     answer = attempt.final
     if not isinstance(answer, Answered):
         return ""
-    ends = [run.ended for run in facts.runs_of.get(attempt.sent.request, ()) if run.ended]
-    told = (answer.content_digest, answer.pieces)
-    if any((end.content_digest, end.pieces) == told for end in ends):
+    gave = index.get((answer.content_digest, answer.pieces), set())
+    if attempt.sent.request in gave:
         return ""
-    others = (run.ended for run in facts.runs.values() if run.ended)
-    is_foreign = any(end.content_digest == answer.content_digest for end in others)
-    return "foreign" if is_foreign else "incomplete"
+    return "foreign" if gave else "incomplete"
 
 
 def count_unknown(attempts: Sequence[AttemptFacts]) -> dict[str, int]:
@@ -252,6 +262,12 @@
     return dict(sorted(counts.items()))
 
 
+def count_not_run(attempts: Sequence[AttemptFacts]) -> dict[str, int]:
+    """Count attempts that did not run, by code."""
+    codes = (each.final.code for each in attempts if isinstance(each.final, NotRun))
+    return dict(sorted(Counter(codes).items()))
+
+
 def _latencies(
     requesters: Sequence[Requester], disturbed_at: float
 ) -> tuple[list[float], list[float]]:
