--- a/src/lacewinggw/lab/requesters.py
+++ b/src/lacewinggw/lab/requesters.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lacewinggw.lab.history import Answered, Broken, Event, NotRun, Recorder, Sent, Unknown
+from lacewinggw.lab.history import Answered, Broken, Event, GaveUp, NotRun, Recorder, Sent, Unknown
 from lacewinggw.wire.http import Headers, HttpClient, HttpError, NotConnectedError, Response
 
 ADDRESS_TIMEOUT_S = 3.0
@@ -21,7 +21,6 @@
 SENDINGS = 4  # of one key or ticket
 MS_PER_S = 1000.0
 EVENT_STREAM = "text/event-stream"
-NOT_CONNECTED = "not-connected"  # by the caller's own knowledge nothing was sent
 
 
 class RequestKind(Enum):
@@ -152,7 +151,7 @@
             first["idempotency-attempt"] = "1"
         final = await self._send(sending, first)
         for number in range(1, SENDINGS):
-            if not isinstance(final, Unknown | Broken):
+            if not isinstance(final, Unknown | Broken | GaveUp):
                 return
             await asyncio.sleep(TRY_AGAIN_S * number)
             final = await self._send(sending)
@@ -185,7 +184,7 @@
             final = judge(attempt, recorder.now(), response)
         except NotConnectedError:
             self._good_until = 0.0
-            final = NotRun(recorder.now(), attempt, NOT_CONNECTED)
+            final = GaveUp(recorder.now(), attempt)  # nothing was sent
             await asyncio.sleep(TRY_AGAIN_S)
         except (OSError, TimeoutError, HttpError) as error:
             self._good_until = 0.0
--- a/src/lacewinggw/lab/requests.py
+++ b/src/lacewinggw/lab/requests.py
@@ -64,6 +64,7 @@
     requests: int
     sendings: int
     answered: int
+    not_connected: int
     not_run: dict[str, int]
     ran_twice: int
     false_not_run: int
@@ -213,6 +214,7 @@
             requests=len(facts.attempts_of),
             sendings=len(facts.attempts),
             answered=kinds["Answered"],
+            not_connected=kinds["GaveUp"],
             not_run=count_not_run(finals),
             ran_twice=by_property[Property.AT_MOST_ONCE.value],
             false_not_run=by_property[Property.NOT_RUN.value],
