--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -46,7 +46,6 @@
 
 READ_BACK_S = 1.0
 RETRY_S = 0.5
-ORDERS = (Load, Activate, Adapt, Unload)
 
 log = get_logger(__name__)
 
@@ -54,9 +53,7 @@
 class TargetKeeper:
     """One target and the loop that follows what is wanted of it.
 
-    Orders are given only while `is_current` says that the configuration is the newest, so that a
-    process that was paused gives none by an old one. `on_change` is called whenever what a
-    heartbeat tells of the target has changed.
+    `on_change` is called whenever what a heartbeat tells of the target has changed.
     """
 
     def __init__(
@@ -68,7 +65,6 @@
         requests: RequestService,
         wanted: Callable[[], Wanted | None],
         fence: Callable[[], int],
-        is_current: Callable[[], bool],
         on_change: Callable[[], None],
         metrics: Metrics,
     ) -> None:
@@ -79,7 +75,6 @@
         self._requests = requests
         self._wanted = wanted
         self._fence = fence
-        self._is_current = is_current
         self._on_change = on_change
         self._metrics = metrics
         self._staged: dict[Digest, set[int]] = {}
@@ -115,8 +110,6 @@
         wanted = self._wanted()
         try:
             step = next_step(wanted, await self._observe(wanted))
-            if isinstance(step, ORDERS) and not self._is_current():
-                return RETRY_S
             return await self._carry_out(wanted, step)
         except LacewingError as error:
             self._metrics.retry(_retry_reason(error))
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -127,7 +127,6 @@
             self.requests,
             wanted=lambda: wanted_of(self.follower.state, process.host),
             fence=lambda: self.follower.revision,
-            is_current=lambda: self.follower.current,
             on_change=self.heartbeats.note_change,
             metrics=self.metrics,
         )
--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -58,8 +58,14 @@
 from lacewinggw.generated.settings.ttypes import OperatorSettings
 from lacewinggw.ids import Address
 from lacewinggw.log import LogFormat, configure_log, get_logger
-from lacewinggw.settings import default_settings, kind_of_file, load_settings, parse_settings
-from lacewinggw.settingskeys import SECTIONS, ProcessKind
+from lacewinggw.settings import (
+    SECTIONS,
+    ProcessKind,
+    default_settings,
+    kind_of_file,
+    load_settings,
+    parse_settings,
+)
 
 MILLISECONDS = 1000
 SHELL_LOG_LEVEL = "warning"  # entry and agent set their own, from their settings
