--- a/src/lacewinggw/lab/load/__init__.py
+++ b/src/lacewinggw/lab/load/__init__.py
@@ -20,7 +20,10 @@
 
 from docopt import DocoptExit, docopt
 
+from lacewinggw.lab.load.limits import measure_limits
 from lacewinggw.lab.load.overload import measure_overload
+from lacewinggw.lab.load.streams import measure_streams
+from lacewinggw.lab.load.throughput import measure_throughput
 
 BAD_INPUT = 2
 
@@ -28,6 +31,9 @@
 
 EXPERIMENTS: dict[str, Measure] = {
     "overload": measure_overload,
+    "limits": measure_limits,
+    "streams": measure_streams,
+    "throughput": measure_throughput,
 }
 
 
