Refuse new work on a drained host at once; show the floor's cost in the demo

Cause: a drained host went on taking requests until the entry of the log that takes its replicas away, which waits for the platform's table when that is down. Change: the agent wants nothing of a host that the configuration drains.

--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -35,7 +35,13 @@
 
 
 def wanted_of(state: FleetState, host: str) -> Wanted | None:
-    """Return what the configuration wants of the target on `host`."""
+    """Return what the configuration wants of the target on `host`.
+
+    A drained host is wanted for nothing at once, even while the entry that takes its replicas away
+    has still to come, as when the platform's table is down.
+    """
+    if host in state.draining:
+        return None
     for service, release in state.assignments_of(host):
         upcoming = state.next_releases_of(service).get(host, "")
         declared = state.services[service]
--- a/src/lacewinggw/lab/cli.py
+++ b/src/lacewinggw/lab/cli.py
@@ -20,6 +20,7 @@
   --hosts N             Target hosts to start [default: 8].
   --size BYTES          Size of each model release [default: 8388608].
   --chunk BYTES         Size of a chunk [default: 262144].
+  --floor SHARE         Share of replicas kept serving during a change [default: 50%].
   --ip IP               Address to listen on [default: 127.0.0.1].
   --seed N              Seed of all randomness [default: 1].
   --origin-rate BYTES   Rate of the origin's link, a second; 0 for no limit [default: 0].
--- a/src/lacewinggw/lab/demo.py
+++ b/src/lacewinggw/lab/demo.py
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class DemoResult:
-    """What one run of the demo measured."""
+    """What one run of the demo measured; latencies are those of answered requests."""
 
     entries: int
     hosts: int
@@ -51,14 +51,20 @@
     outcomes: dict[str, int]
     mixed_answers: int
     answers_by_release: dict[str, int]
+    latency_p50_s: float
+    latency_p95_s: float
     spreads: list[Spread]
 
 
 class Demo:
     """One run."""
 
-    def __init__(self, fleet: Fleet, size_bytes: int, chunk_bytes: int, quiet: bool) -> None:
+    def __init__(
+        self, fleet: Fleet, size_bytes: int, chunk_bytes: int, floor: str, quiet: bool
+    ) -> None:
         self._fleet = fleet
+        self._floor = floor
+        self._stopping = False
         self._size_bytes = size_bytes
         self._chunk_bytes = chunk_bytes
         self._quiet = quiet
@@ -70,7 +76,9 @@
         fleet = self._fleet
         hosts = len(fleet.agents)
         self._say(f"{len(fleet.entries)} entries, {hosts} agents and engines are up")
-        first = await self._roll_out(FIRST, f"create service {SERVICE} release {FIRST}")
+        first = await self._roll_out(
+            FIRST, f"create service {SERVICE} floor {self._floor} release {FIRST}"
+        )
         running = asyncio.gather(*(self._call_on(caller) for caller in self._callers))
         await asyncio.sleep(AFTERMATH_S)
         second = await self._roll_out(SECOND, f"set service {SERVICE} release {SECOND}")
@@ -127,8 +135,6 @@
         entries = [host.member.caller_address for host in fleet.entries]
         return Caller(fleet.http, entries, headers, random.Random(number))
 
-    _stopping = False
-
     async def _call_on(self, caller: Caller) -> None:
         number = 0
         while not self._stopping:
@@ -157,6 +163,8 @@
             outcomes=count_outcomes(told),
             mixed_answers=mixed,
             answers_by_release=by_release,
+            latency_p50_s=share_of([each.seconds for each in answered], 0.50),
+            latency_p95_s=share_of([each.seconds for each in answered], 0.95),
             spreads=list(spreads),
         )
 
@@ -165,6 +173,12 @@
             print(line, flush=True)
 
 
+def share_of(values: Sequence[float], share: float) -> float:
+    """Return the value that `share` of the values do not exceed, 0 when there are none."""
+    ordered = sorted(values)
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)] if ordered else 0.0
+
+
 def run(options: dict[str, Any]) -> int:
     """Run the demo with the options of the command line; return its exit code."""
     result = asyncio.run(run_demo(options))
@@ -189,7 +203,10 @@
     fleet = Fleet(plan)
     try:
         await fleet.start()
-        return await Demo(fleet, size_bytes, int(options["--chunk"]), options["--json"]).run()
+        demo = Demo(
+            fleet, size_bytes, int(options["--chunk"]), options["--floor"], options["--json"]
+        )
+        return await demo.run()
     finally:
         await fleet.close()
 
