Count a refusal without building its name

refuse() looked its counter up by name and labels each time: 3.6 us, spent just when an entry refuses most. The counters of all reasons are kept by reason: 0.35 us, measured in a loop of 200,000 on a busy machine.

--- a/src/lacewinggw/metrics.py
+++ b/src/lacewinggw/metrics.py
@@ -167,10 +167,8 @@
         self._counters: dict[str, _Family[Counter]] = {}
         self._gauges: dict[str, _Family[Gauge]] = {}
         self._latencies: dict[str, _Family[Latency]] = {}
-        for refusal in Refusal:
-            self.counter("refusals", reason=refusal)
-        for retry in RetryReason:
-            self.counter("retries", reason=retry)
+        self._refusals = {each: self.counter("refusals", reason=each) for each in Refusal}
+        self._retries = {each: self.counter("retries", reason=each) for each in RetryReason}
 
     def counter(self, name: str, **labels: LabelValue) -> Counter:
         """Return the counter of that name and labels, at 0 when it is new."""
@@ -190,7 +188,7 @@
 
     def refuse(self, refusal: Refusal) -> None:
         """Count a request that was refused as not run."""
-        self.counter("refusals", reason=refusal).add()
+        self._refusals[refusal].add()
 
     def note_error(self, error: LacewingError) -> None:
         """Count an error that is told to the other side, if it is a refusal."""
@@ -199,7 +197,7 @@
 
     def retry(self, reason: RetryReason) -> None:
         """Count something that is tried again."""
-        self.counter("retries", reason=reason).add()
+        self._retries[reason].add()
 
     def read_gauge(self, name: str, read: Callable[[], float], **labels: LabelValue) -> None:
         """Have a gauge read from a function each time it is rendered."""
