Pause between orders that change nothing, and serve on when the next release will not load

Change: an order that is decided again right after it was carried out waits half a second unless something wakes the agent; a failed step leaves a target that answers and serves in service and shows what holds it up.

--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -27,7 +27,7 @@
     incoming_digest,
     next_step,
 )
-from lacewinggw.errors import LacewingError, ReadBackMismatch
+from lacewinggw.errors import LacewingError, ReadBackMismatch, TargetUnreachable
 from lacewinggw.generated.messages.ttypes import TargetState
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.log import get_logger
@@ -78,6 +78,7 @@
         self._on_change = on_change
         self._metrics = metrics
         self._staged: dict[Digest, set[int]] = {}
+        self._last_step: Step | None = None
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -110,13 +111,27 @@
         wanted = self._wanted()
         try:
             step = next_step(wanted, await self._observe(wanted))
-            return await self._carry_out(wanted, step)
+            pause_s = await self._carry_out(wanted, step)
+            return max(pause_s, self._pause_after(step))
         except LacewingError as error:
             self._metrics.retry(_retry_reason(error))
             log.warning("target_step_failed", code=error.code, reason=error.reason)
-            self._show(TargetState.FAILED, str(error))
+            self._show_failure(error)
             return RETRY_S
 
+    def _pause_after(self, step: Step) -> float:
+        """Return the seconds to wait when an order was carried out and changed nothing."""
+        repeated = step == self._last_step and not isinstance(step, Stage)
+        self._last_step = step
+        return RETRY_S if repeated else 0.0
+
+    def _show_failure(self, error: LacewingError) -> None:
+        """A target that answers and serves goes on, whatever holds its next release up."""
+        if isinstance(error, TargetUnreachable) or not self._gate.serving:
+            self._show(TargetState.FAILED, str(error))
+        else:
+            self._show(self._gate.state, str(error))
+
     async def _observe(self, wanted: Wanted | None) -> Observed:
         if self._gate.kind is TargetKind.PLAIN:
             return Observed(reachable=await self._accepts_connections())
