Say that an interrupted command's outcome is unknown

Ctrl-C ended ask and apply with status 1, which means that nothing changed; a command may have been sent by then. It ends with 3 now and names the query that tells.

--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -68,6 +68,7 @@
 )
 
 MILLISECONDS = 1000
+INTERRUPTED = "interrupted; if a command was sent, `show history` tells whether it was accepted"
 SHELL_LOG_LEVEL = "warning"  # entry and agent set their own, from their settings
 
 
@@ -99,7 +100,8 @@
         print(f"lacewinggw: {error}", file=sys.stderr)
         return exit_code(error)
     except KeyboardInterrupt:
-        return ExitCode.FAILED
+        print(f"lacewinggw: {INTERRUPTED}", file=sys.stderr)
+        return ExitCode.UNKNOWN
     except BrokenPipeError:
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return ExitCode.FAILED  # the reader of our output left
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -96,6 +96,18 @@
     assert err.count("\n") == 1
 
 
+def test_interrupted_command_is_unknown(
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    def interrupt(_: object) -> int:
+        raise KeyboardInterrupt
+
+    monkeypatch.setattr(cli, "run_command", interrupt)
+    assert main(["ask", "drain host h-1"]) == ExitCode.UNKNOWN
+    assert "show history" in capsys.readouterr().err
+
+
 def test_options_win_over_the_file() -> None:
     argv = ["ask", "--settings", str(EXAMPLES / "operator.ini"), "--json", "show", "hosts"]
     from_file = shell_options(parse_arguments(argv))
