--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,6 +8,7 @@
 from request_fleet import PLAIN, RequestFleet, prompt, request_fleet
 from virtual import run_virtual
 
+from lacewinggw.errors import Refusal
 from lacewinggw.lab.standin import Outage
 
 
@@ -61,6 +62,8 @@
     response = await entry.ask()
     assert (response.status, response.headers["outcome"]) == (503, "not-run")
     assert int(response.headers["retry-after"]) >= 1
+    assert entry.metrics.counter("refusals", reason=Refusal.DRAINING).value == 1
+    assert fleet.agents[0].metrics.counter("refusals", reason=Refusal.DRAINING).value == 1
     assert (await entry.ask(service="nobody")).status == 404
     assert (await entry.ask(authorization="Bearer wrong")).status == 401
     assert (await entry.ask(priority="soon")).status == 400
