--- a/src/lacewinggw/decisions/placement.py
+++ b/src/lacewinggw/decisions/placement.py
@@ -9,11 +9,14 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 from lacewinggw.decisions.pollers import weight
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.generated.messages.ttypes import Assignment, Place, Service, ServiceKind
 
+Queues: TypeAlias = dict[str, list[tuple[int, str]]]
+
 
 @dataclass(frozen=True)
 class HostFact:
@@ -99,20 +102,20 @@
         self._unusable = {host for host in self._present if _is_unusable(state, hosts, lost, host)}
         staying = {host: r for host, r in self._present.items() if host not in self._unusable}
         self._assigned = _choose_kept(service.name, staying, self._wanted, hosts)
-        self._spare = [host for host in staying if host not in self._assigned]
+        self._spare = {host for host in staying if host not in self._assigned}
 
     def reuse_own_hosts(self) -> None:
         """Have hosts that serve a release too many of them serve one that has too few."""
         self._fill(self._spare)
 
-    def let_go(self) -> list[str]:
+    def let_go(self) -> set[str]:
         """Return the hosts that this service needs no more, and that others may have."""
         return self._spare
 
-    def take_free_hosts(self, free: dict[str, list[str]]) -> None:
+    def take_free_hosts(self, free: dict[str, set[str]]) -> None:
         """Fill what is missing from hosts that nobody uses; these are taken off `free`."""
         target = self._service.name if self._service.kind == ServiceKind.PLAIN else ""
-        self._fill(free.get(target, []))
+        self._fill(free.get(target, set()))
         for release in self._wanted:
             waiting = _waiting(self._present, self._lost, release)
             self._assigned.update(dict.fromkeys(waiting[: self._missing(release)], release))
@@ -149,14 +152,24 @@
     def _missing(self, release: str) -> int:
         return self._wanted[release] - sum(1 for r in self._assigned.values() if r == release)
 
-    def _fill(self, pool: list[str]) -> None:
-        for release in self._wanted:
-            for _ in range(self._missing(release)):
-                if not pool:
-                    return
-                chosen = _best_host(self._service.name, self._assigned, release, self._hosts, pool)
-                pool.remove(chosen)
-                self._assigned[chosen] = release
+    def _fill(self, pool: set[str]) -> None:
+        """Take what is missing from a pool, each host from the place that has the fewest."""
+        missing = {release: self._missing(release) for release in self._wanted}
+        if not pool or not any(count > 0 for count in missing.values()):
+            return
+        queues = _queues_by_place(self._service.name, pool, self._hosts)
+        of_service = Counter(_place_of(self._hosts, host) for host in self._assigned)
+        for release, count in missing.items():
+            of_release = Counter(
+                _place_of(self._hosts, host) for host, r in self._assigned.items() if r == release
+            )
+            for _ in range(min(count, len(pool))):
+                place = _best_place(queues, of_release, of_service)
+                _, host = queues[place].pop()
+                pool.remove(host)
+                self._assigned[host] = release
+                of_service[place] += 1
+                of_release[place] += 1
 
 
 def _wanted_replicas(service: Service) -> dict[str, int]:
@@ -183,53 +196,46 @@
     """Keep hosts that serve what is wanted; where there are too many, those that spread best."""
     kept: dict[str, str] = {}
     for release, replicas in wanted.items():
-        serving = [host for host, each in staying.items() if each == release]
-        while len(serving) > replicas:
-            serving.remove(_most_crowded(service, serving, hosts))
-        kept.update(dict.fromkeys(serving, release))
+        serving = {host for host, each in staying.items() if each == release}
+        queues = _queues_by_place(service, serving, hosts)
+        for _ in range(len(serving) - replicas):
+            _, dropped = max(queues.values(), key=lambda queue: (len(queue), queue[:1])).pop(0)
+            serving.remove(dropped)
+        kept.update(dict.fromkeys(sorted(serving), release))
     return kept
 
 
-def _most_crowded(service: str, serving: list[str], hosts: Mapping[str, HostFact]) -> str:
-    crowd = Counter(_place_of(hosts, host) for host in serving)
-    return max(serving, key=lambda host: (crowd[_place_of(hosts, host)], weight(service, host)))
-
-
 def _free_hosts(
     state: FleetState,
     hosts: Mapping[str, HostFact],
     lost: Collection[str],
     taken: Collection[str],
-) -> dict[str, list[str]]:
+) -> dict[str, set[str]]:
     """Return the listed hosts that serve nothing and could, by the service of plain targets."""
-    free: dict[str, list[str]] = {}
+    free: dict[str, set[str]] = {}
     for host, fact in hosts.items():
         usable = not fact.leaving and host not in state.draining and host not in lost
         if usable and host not in taken:
-            free.setdefault(fact.service, []).append(host)
+            free.setdefault(fact.service, set()).add(host)
     return free
 
 
-def _best_host(
-    service: str,
-    assigned: Mapping[str, str],
-    release: str,
-    hosts: Mapping[str, HostFact],
-    pool: Iterable[str],
-) -> str:
-    """Return the host in whose place the release, then the service, has the fewest."""
-    of_release: Counter[str] = Counter()
-    of_service: Counter[str] = Counter()
-    for host, each in assigned.items():
-        place = _place_of(hosts, host)
-        of_service[place] += 1
-        of_release[place] += each == release
-
-    def order(host: str) -> tuple[int, int, int]:
-        place = _place_of(hosts, host)
-        return of_release[place], of_service[place], weight(service, host)
-
-    return min(pool, key=order)
+def _queues_by_place(service: str, pool: Iterable[str], hosts: Mapping[str, HostFact]) -> Queues:
+    """Return the hosts of a pool by place, with their weights, the first to be taken last."""
+    queues: Queues = {}
+    for host in pool:
+        queues.setdefault(_place_of(hosts, host), []).append((weight(service, host), host))
+    for queue in queues.values():
+        queue.sort(reverse=True)
+    return queues
+
+
+def _best_place(queues: Queues, of_release: Counter[str], of_service: Counter[str]) -> str:
+    """Return the place with a host to take that has the fewest of a release, then of a service."""
+    return min(
+        (place for place, queue in queues.items() if queue),
+        key=lambda place: (of_release[place], of_service[place], queues[place][-1]),
+    )
 
 
 def _waiting(present: Mapping[str, str], lost: Collection[str], release: str) -> list[str]:
--- a/src/lacewinggw/lab/config.py
+++ b/src/lacewinggw/lab/config.py
@@ -11,6 +11,8 @@
   --conflicts N   Pairs of operators who then change one service at the same moment [default: 0].
   --seed N        Seed of all randomness [default: 1].
   --fault FAULT   kill, pause, outage, lost or slow; may be given several times.
+  --placement     Lose hosts, racks and places instead, and time until the replicas serve again.
+  --slopes        Measure what one change, target and entry cost instead.
   --json          Print one JSON object.
   -h --help       Show this text.
 """
@@ -21,11 +23,14 @@
 import sys
 from dataclasses import asdict, dataclass
 from time import time
+from typing import Any
 
 from docopt import DocoptExit, docopt
 
 from lacewinggw.lab.configfigures import LogFigures, Usage, judge, read_log, read_usage
 from lacewinggw.lab.configload import ConfigFault, Disturber, Operators, Tally
+from lacewinggw.lab.configplacement import run_placement
+from lacewinggw.lab.configslopes import measure_slopes
 from lacewinggw.lab.fleet import Fleet, FleetHost, FleetPlan
 from lacewinggw.lab.history import Killed, Paused
 
@@ -92,17 +97,30 @@
     except (DocoptExit, ValueError) as error:
         print(error, file=sys.stderr)
         return BAD_INPUT
+    command = " ".join(["lacewinggw-lab config", *arguments])
+    if given["--slopes"]:
+        _print_figures(command, asdict(measure_slopes()), bool(given["--json"]))
+        return 0
+    if given["--placement"]:
+        run_of = run_placement(options.entries, options.agents, options.seed)
+        placement = asyncio.run(run_of)
+        figures = {"needless_moves": placement.needless_moves, **asdict(placement)}
+        _print_figures(command, figures, bool(given["--json"]))
+        return 1 if placement.needless_moves else 0
     result = asyncio.run(run_config(options))
-    if given["--json"]:
-        command = " ".join(["lacewinggw-lab config", *arguments])
-        print(json.dumps({"command": command, **asdict(result)}, indent=2))
-    else:
-        for name, value in asdict(result).items():
-            print(f"{name}: {value}")
+    _print_figures(command, asdict(result), bool(given["--json"]))
     sound = not (result.lost or result.regressions or result.applied_twice or result.violations)
     return 0 if sound and not result.refused_in_force and not result.disagreements else 1
 
 
+def _print_figures(command: str, figures: dict[str, Any], as_json: bool) -> None:
+    if as_json:
+        print(json.dumps({"command": command, **figures}, indent=2))
+        return
+    for name, value in figures.items():
+        print(f"{name}: {value}")
+
+
 def read_options(given: dict[str, object]) -> ConfigOptions:
     """Return the options as numbers; raise `ValueError` for one that is none."""
     faults = given["--fault"]
