Let weights yield to live requests

Change: the three bounds together, the least holding, with a floor of a tenth of the link so that every spread goes on. The latency is compared with that while no weights moved; too few samples decide nothing. A run's wait for its first piece and its bytes are told to the link's gauge.

--- a/src/lacewinggw/agent/executor.py
+++ b/src/lacewinggw/agent/executor.py
@@ -36,8 +36,9 @@
 class Executor:
     """Carries out runs on the target, in the order that its queue gives.
 
-    `quiesce` stops the start of further runs and waits for those that run; `resume` goes on with
-    the queue.
+    `on_first_piece` is told how long each run waited for its first piece, in seconds, `on_bytes` of
+    the bytes that come. `quiesce` stops the start of further runs and waits for those that run;
+    `resume` goes on with the queue.
     """
 
     def __init__(
@@ -56,6 +57,8 @@
         self._book = book
         self._window = settings.requests.piece_window
         self._ended = ended
+        self.on_first_piece: Callable[[float], None] = lambda seconds: None
+        self.on_bytes: Callable[[int], None] = lambda count: None
         self._queue: RequestQueue[Run] = RequestQueue.from_config(
             settings, metrics, self._begin, self._refuse
         )
@@ -197,6 +200,8 @@
     async def _generate(self, run: Run) -> Finish:
         """Run it on the engine; raise unless the same weights were active from start to end."""
         head = run.head
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         weights = run.weights_digest = self._gate.active_digest
         generation = Generation(
             RequestId(head.request_id), run.body, int(head.priority), head.resume_from
@@ -208,6 +213,9 @@
                     case PieceBatch(first, pieces):
                         if first != run.first + len(run.pieces):
                             raise AnswerIncomplete(f"the engine skipped to piece {first}")
+                        if not run.pieces:
+                            self.on_first_piece(loop.time() - asked_at)
+                        self.on_bytes(sum(map(len, pieces)))
                         run.add(pieces)
                         await run.wait_for_room(self._window)
                     case AnswerEnd():
--- a/src/lacewinggw/agent/links.py
+++ b/src/lacewinggw/agent/links.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from lacewinggw.decisions.yielding import YieldPolicy, YieldRules
+
 Rate = Callable[[], float]
 
 
@@ -42,15 +44,28 @@
     """What live requests tell of this host's link, so that weights can make room for them."""
 
     def __init__(self, link_bytes_per_s: float, share: float) -> None:
-        self._link_bytes_per_s = link_bytes_per_s
-        self._share = share
+        self._rules = YieldRules(link_bytes_per_s, share)
+        self._policy: YieldPolicy | None = None
 
     def note_latency(self, seconds: float) -> None:
-        """Note how long a live request waited for its first byte, in seconds."""
+        """Note how long a live request waited for its first piece, in seconds."""
+        self._running.note_latency(seconds, _now())
 
     def note_bytes(self, count: int) -> None:
         """Note bytes of live requests that passed the link."""
+        self._running.note_bytes(count)
 
     def weights_rate(self) -> float:
         """Return what weights may take now, in bytes per second and direction."""
-        return self._link_bytes_per_s * self._share
+        return self._running.rate(_now())
+
+    @property
+    def factor(self) -> float:
+        """How far weights yield to the latency of live requests: 1 not at all."""
+        return self._policy.factor if self._policy else 1.0
+
+    @property
+    def _running(self) -> YieldPolicy:
+        if self._policy is None:
+            self._policy = YieldPolicy(self._rules, _now())
+        return self._policy
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -124,6 +124,8 @@
         self.requests = RequestService.from_config(
             settings, self.gate, self._engine, identity, self.metrics, rng, self._plain
         )
+        live = self.spreader.live
+        self.requests.watch_live(live.note_latency, live.note_bytes)
         self.heartbeats = HeartbeatSender(self._compose, agent.heartbeat_ms / MILLISECONDS)
         self.keeper = TargetKeeper(
             network,
--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from lacewinggw.agent.executor import Executor
 from lacewinggw.agent.runs import KeptRuns, Listener, Run, request_digest
@@ -96,6 +97,13 @@
         """Build the service of one target; a plain target needs its `plain` client."""
         return cls(settings, gate, engine, identity, metrics, rng, plain)
 
+    def watch_live(
+        self, on_first_piece: Callable[[float], None], on_bytes: Callable[[int], None]
+    ) -> None:
+        """Have each run's wait for its first piece, and the bytes that come, told on."""
+        self._executor.on_first_piece = on_first_piece
+        self._executor.on_bytes = on_bytes
+
     async def start(self) -> None:
         """Do nothing: requests come by `handle`."""
 
--- /dev/null
+++ b/src/lacewinggw/decisions/yielding.py
@@ -0,0 +1,93 @@
+"""How much of a host's link weights may take while live requests use it too.
+
+Three bounds, the least of which holds: a fixed share of the link; what live bytes leave of it; and
+a factor that falls fast and rises slowly with the latency of live requests, measured against their
+latency while no weights moved. A floor keeps every spread going.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+
+WINDOW_S = 0.5
+MOVING_S = 1.0  # weights count as moving for so long after they last asked for the rate
+SILENCE_S = 5.0  # without a live request for so long, earlier latencies count no more
+IDLE_SAMPLES = 256
+MOVING_SAMPLES = 24
+LEAST_SAMPLES = 8
+QUANTILE = 0.9
+
+
+@dataclass(frozen=True)
+class YieldRules:
+    """Constants: rates in bytes per second, shares of the link, times in seconds.
+
+    Latency is too high above `tolerance` times that without weights, and `slack_s` more.
+    """
+
+    link_bytes_per_s: float
+    share: float
+    floor: float = 0.1
+    headroom: float = 0.95
+    tolerance: float = 1.3
+    slack_s: float = 0.002
+    cut: float = 0.7
+    rise: float = 0.05
+
+
+class YieldPolicy:
+    """What weights may take now, from what live requests tell; times are the caller's clock."""
+
+    def __init__(self, rules: YieldRules, now: float) -> None:
+        self.rules = rules
+        self.factor = 1.0
+        self._idle: deque[float] = deque(maxlen=IDLE_SAMPLES)
+        self._moving: deque[float] = deque(maxlen=MOVING_SAMPLES)
+        self._live_bytes = 0
+        self._live_rate = 0.0
+        self._window_at = now
+        self._moved_at = now - MOVING_S
+        self._heard_at = now
+
+    def note_latency(self, seconds: float, now: float) -> None:
+        """Note how long a live request waited for its first piece."""
+        self._heard_at = now
+        if now - self._moved_at < MOVING_S:
+            self._moving.append(seconds)
+        else:
+            self._idle.append(seconds)
+
+    def note_bytes(self, count: int) -> None:
+        """Note bytes of live requests on the link."""
+        self._live_bytes += count
+
+    def rate(self, now: float) -> float:
+        """Return what weights may take now, in bytes per second; weights that ask are moving."""
+        self._moved_at = now
+        if now - self._window_at >= WINDOW_S:
+            self._close_window(now)
+        rules = self.rules
+        left = rules.headroom * rules.link_bytes_per_s - self._live_rate
+        bounds = (rules.share * rules.link_bytes_per_s, left)
+        return max(rules.floor * rules.link_bytes_per_s, self.factor * min(bounds))
+
+    def _close_window(self, now: float) -> None:
+        self._live_rate = self._live_bytes / (now - self._window_at)
+        self._live_bytes = 0
+        self._window_at = now
+        if now - self._heard_at > SILENCE_S:
+            self._moving.clear()
+        if self._is_too_slow():
+            self.factor = max(self.rules.floor, self.factor * self.rules.cut)
+            self._moving.clear()
+        elif not 0 < len(self._moving) < LEAST_SAMPLES:
+            self.factor = min(1.0, self.factor + self.rules.rise)
+
+    def _is_too_slow(self) -> bool:
+        if len(self._moving) < LEAST_SAMPLES or len(self._idle) < LEAST_SAMPLES:
+            return False
+        usual = _quantile(self._idle)
+        return _quantile(self._moving) > self.rules.tolerance * usual + self.rules.slack_s
+
+
+def _quantile(samples: deque[float]) -> float:
+    return sorted(samples)[int(QUANTILE * (len(samples) - 1))]
--- /dev/null
+++ b/tests/test_yielding.py
@@ -0,0 +1,110 @@
+"""Weights make room for live requests on a link that both use."""
+
+import asyncio
+import random
+from contextlib import suppress
+
+import pytest
+
+from lacewinggw.agent.links import LiveGauge, Pacer
+from lacewinggw.decisions.yielding import YieldPolicy, YieldRules
+
+LINK = 1_000_000.0
+RULES = YieldRules(link_bytes_per_s=LINK, share=0.7)
+WARM_S, RUN_S = 10.0, 40.0
+LIVE_BYTES = 4000
+SLICE_BYTES = 4000
+
+
+def test_live_bytes_are_left_out_of_what_weights_may_take() -> None:
+    policy = YieldPolicy(RULES, 0.0)
+    assert policy.rate(0.1) == pytest.approx(0.7 * LINK)
+    policy.note_bytes(300_000)
+    assert policy.rate(0.6) == pytest.approx(0.95 * LINK - 500_000, rel=0.01)
+
+
+def test_latency_cuts_the_rate_to_the_floor_and_lets_it_rise_again() -> None:
+    policy = YieldPolicy(RULES, 0.0)
+    for number in range(20):
+        policy.note_latency(0.010, float(number) / 10)
+    now = 10.0
+    for _ in range(200):
+        now += 0.1
+        policy.rate(now)
+        policy.note_latency(0.050, now)
+    assert policy.rate(now) == pytest.approx(RULES.floor * LINK)
+    for _ in range(200):
+        now += 0.1
+        policy.rate(now)
+        policy.note_latency(0.010, now)
+    assert policy.rate(now) == pytest.approx(0.7 * LINK)
+
+
+def test_without_a_latency_to_compare_with_only_the_share_binds() -> None:
+    policy = YieldPolicy(RULES, 0.0)
+    for number in range(100):
+        policy.rate(number / 10)
+        policy.note_latency(5.0, number / 10)
+    assert policy.rate(10.0) == pytest.approx(0.7 * LINK)
+
+
+class SharedLink:
+    """Live requests and weights on one link; the weights pass the agent's own pacer first."""
+
+    def __init__(self, share: float, live_share: float, seed: int) -> None:
+        self.gauge = LiveGauge(LINK, share)
+        self.link = Pacer(lambda: LINK)
+        self.rng = random.Random(seed)
+        self.live_per_s = live_share * LINK / LIVE_BYTES
+        self.latencies: list[float] = []
+        self.sent = 0
+
+    async def send_live(self, seconds: float) -> list[float]:
+        """Send requests for a while; return how long each took."""
+        loop = asyncio.get_running_loop()
+        end, tasks = loop.time() + seconds, []
+        while loop.time() < end:
+            await asyncio.sleep(self.rng.expovariate(self.live_per_s))
+            tasks.append(loop.create_task(self._send_one()))
+        return list(await asyncio.gather(*tasks))
+
+    async def _send_one(self) -> float:
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        await self.link.send(LIVE_BYTES)
+        taken = loop.time() - begun
+        self.gauge.note_latency(taken)
+        self.gauge.note_bytes(LIVE_BYTES)
+        return taken
+
+    async def send_weights(self) -> None:
+        """Send weights without end."""
+        pacer = Pacer(self.gauge.weights_rate)
+        while True:
+            await pacer.send(SLICE_BYTES)
+            await self.link.send(SLICE_BYTES)
+            self.sent += SLICE_BYTES
+
+
+def p95(values: list[float]) -> float:
+    return sorted(values)[int(0.95 * len(values))]
+
+
+async def measure_ratio(share: float, live_share: float) -> tuple[float, float]:
+    """Return live p95 with weights over that without, and the share of the link weights got."""
+    shared = SharedLink(share, live_share, seed=1)
+    alone = p95(await shared.send_live(WARM_S))
+    weights = asyncio.get_running_loop().create_task(shared.send_weights())
+    beside = p95(await shared.send_live(RUN_S))
+    weights.cancel()
+    with suppress(asyncio.CancelledError):
+        await weights
+    return beside / alone, shared.sent / (RUN_S * LINK)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("live_share", [0.1, 0.4])
+async def test_live_latency_holds_and_weights_go_on(live_share: float) -> None:
+    ratio, got = await measure_ratio(0.7, live_share)
+    assert ratio <= 1.5
+    assert got >= RULES.floor * 0.9
