--- a/src/lacewinggw/lab/spread.py
+++ b/src/lacewinggw/lab/spread.py
@@ -12,6 +12,7 @@
   --bound SECONDS    Time in which a host's link carries one copy [default: 20].
   --fault FAULT      kill, stall, corrupt, origin-down, lag or replace; may be given again.
   --baseline NAME    Also measure origin-only, chain, tree or mesh; `all` for each.
+  --callers N        Live callers on the old release throughout [default: 0].
   --entries N        Entries [default: 2].
   --seed N           Seed of all randomness [default: 1].
   --output FILE      Write the JSON object to a file too.
@@ -21,7 +22,9 @@
 Real entries and agents run as processes with their real configuration path: the release is created
 and declared by an operator's command, and a host counts as served when its engine reports the
 release's digest, computed over the chunks that it was given. Links are the agents' own pacers, the
-origin's link carries twice what a host's does.
+origin's link carries twice what a host's does. With callers the service runs the old release first,
+weights keep to the share of the link that the settings give, and the callers' p95 while the new
+release spreads is compared with that before.
 """
 
 import asyncio
@@ -71,6 +74,7 @@
         bound_s=float(options["--bound"]),
         faults=tuple(SpreadFault(each) for each in options["--fault"]),
         entries=int(options["--entries"]),
+        callers=int(options["--callers"]),
         seed=int(options["--seed"]),
     )
 
--- a/src/lacewinggw/lab/spreadrun.py
+++ b/src/lacewinggw/lab/spreadrun.py
@@ -10,6 +10,7 @@
 from lacewinggw.ids import HostId
 from lacewinggw.lab.baselines import Baseline
 from lacewinggw.lab.fleet import Fleet, FleetHost, FleetPlan
+from lacewinggw.lab.spreadload import LiveLoad, LiveResult
 from lacewinggw.wire.http import HttpError
 
 SERVICE = "bulletin-writer"
@@ -21,6 +22,7 @@
 STRIKE_SHARE = 1 / 3
 HOSTS_STRUCK = 0.1
 LIMIT_BOUNDS = 40
+CALM_S = 8.0  # of live requests before the weights move
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 
 
@@ -49,6 +51,7 @@
     entries: int = 2
     seed: int = 1
     baseline: Baseline | None = None
+    callers: int = 0
 
     @property
     def size_bytes(self) -> int:
@@ -65,7 +68,7 @@
         return replace(self, baseline=baseline, faults=())
 
     def fleet_plan(self) -> FleetPlan:
-        """Return the fleet to start: the whole of each link is for weights."""
+        """Return the fleet to start: without callers the whole of each link is for weights."""
         return FleetPlan(
             entries=self.entries,
             engines=self.hosts,
@@ -74,7 +77,7 @@
             origin_bytes_per_s=ORIGIN_LINKS * self.link_bytes_per_s,
             store_bytes_per_s=self.link_bytes_per_s,
             link_bytes_per_s=self.link_bytes_per_s,
-            overrides={"agent": {"weights_share_percent": 100}},
+            overrides={} if self.callers else {"agent": {"weights_share_percent": 100}},
         )
 
 
@@ -108,6 +111,7 @@
     stalls: int
     agent_cpu_s: float
     agent_control_bytes: float
+    live: LiveResult
 
 
 class VariantFleet(Fleet):
@@ -153,15 +157,26 @@
         for name in (OLD, NEW):
             await self._publish(name)
         clause = f"replicas {plan.hosts} prefer {plan.prefer}"
+        if plan.callers:
+            await fleet.ask(f"create service {SERVICE} release {OLD} {clause}")
+            await self._wait_active(self._digests[OLD], {})
+            command = f"set service {SERVICE} release {NEW}"
+        else:
+            command = f"create service {SERVICE} release {release} {clause}"
+        live = LiveLoad(fleet, SERVICE, plan.callers)
+        live.start()
+        await asyncio.sleep(CALM_S if plan.callers else 0.0)
         before = await self._count_agents()
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        await fleet.ask(f"create service {SERVICE} release {release} {clause}")
+        started_at = asyncio.get_running_loop().time()
+        await fleet.ask(command)
         outages = asyncio.gather(*(self._strike(fault) for fault in plan.faults))
-        await self._wait_served(started_at)
+        await self._wait_active(self._digests[NEW], self._served_at)
+        ended_at = asyncio.get_running_loop().time()
         outage_s = sum(await outages)
         after = await self._count_agents()
-        return await self._conclude(started_at, outage_s, before, after)
+        await live.stop()
+        told = live.conclude(started_at, ended_at, set(self._digests.values()))
+        return await self._conclude(started_at, outage_s, before, after, told)
 
     def _choose_variants(self) -> None:
         plan, fleet = self._plan, self._fleet
@@ -232,17 +247,17 @@
 
     # ---- measuring ------------------------------------------------------------------------
 
-    async def _wait_served(self, started_at: float) -> None:
-        """Wait until every engine reports the digest as active, or the limit has passed."""
+    async def _wait_active(self, wanted: str, at: dict[HostId, float]) -> None:
+        """Note when each engine reports a digest as active, until all do or the limit passes."""
         loop = asyncio.get_running_loop()
-        wanted = self._digests[NEW]
-        while loop.time() < started_at + LIMIT_BOUNDS * self._plan.bound_s:
-            late = [h for h in self._fleet.agents if h.member.host not in self._served_at]
+        limit_at = loop.time() + LIMIT_BOUNDS * self._plan.bound_s
+        while loop.time() < limit_at:
+            late = [host for host in self._fleet.agents if host.member.host not in at]
             actives = await asyncio.gather(*(self._active(host) for host in late))
             for host, active in zip(late, actives, strict=True):
                 if active == wanted:
-                    self._served_at[host.member.host] = loop.time()
-            if len(self._served_at) == self._plan.hosts:
+                    at[host.member.host] = loop.time()
+            if len(at) == self._plan.hosts:
                 return
             await asyncio.sleep(POLL_S)
 
@@ -260,6 +275,7 @@
         outage_s: float,
         before: "list[AgentCounts]",
         after: "list[AgentCounts]",
+        live: LiveResult,
     ) -> SpreadResult:
         plan = self._plan
         size = plan.size_bytes
@@ -291,6 +307,7 @@
             stalls=int(total.stalls),
             agent_cpu_s=cpu_s / plan.hosts,
             agent_control_bytes=control / plan.hosts,
+            live=live,
         )
 
     async def _copies(self, part: str) -> float:
