Hear hosts that change over within a budget; judge them by heartbeats that are due

Cause: the two entries that coordinate a change heard every host of the service once a second: 267 bytes each, 267 KB/s at 1,000 hosts, ten times what control may cost; agents also sent a heartbeat for each chunk that arrived, and went on sending after an entry had lost interest. Change: a watch names its interval and can be stopped; coordinators hear 50 idle heartbeats a second in all; progress in words is no change. What hosts do is measured by a pure function.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -185,7 +185,9 @@
   10: i64 sequence
   11: string ready_digest = ""   // loaded beside what is active, for the host's turn to change over
 }
-struct Watch { 1: string entry }  // from entry to agent: send me heartbeats on this connection
+// From entry to agent: send me heartbeats on this connection, when idle every `interval_ms` (0: as
+// the agent's settings say), or with `stop` no more.
+struct Watch { 1: string entry, 2: i64 interval_ms = 0, 3: bool stop = false }
 
 // ---- requests -------------------------------------------------------------------------
 
--- a/src/lacewinggw/agent/heartbeats.py
+++ b/src/lacewinggw/agent/heartbeats.py
@@ -4,25 +4,37 @@
 import itertools
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 
 from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.generated.messages.ttypes import Watch
 from lacewinggw.wire.peers import PeerLink
 
 Compose = Callable[[int], messages.Heartbeat]
 
 CHANGE_SPACING_S = 0.05
+MILLISECONDS = 1000.0
+
+
+@dataclass
+class _Watcher:
+    """When one link is due its next heartbeat."""
+
+    interval_s: float
+    due_at: float
 
 
 class HeartbeatSender:
     """Send heartbeats over each link on which an entry asked to watch this agent.
 
-    A change is told at once, though changes that come together leave in one heartbeat.
+    A change is told to all at once, though changes that come together leave in one heartbeat; in
+    between each watcher hears at the interval that it asked for.
     """
 
     def __init__(self, compose: Compose, interval_s: float) -> None:
         self._compose = compose
         self._interval_s = interval_s
-        self._links: set[PeerLink] = set()
+        self._watchers: dict[PeerLink, _Watcher] = {}
         self._changed = asyncio.Event()
         self._numbers = itertools.count(1)
         self._task: asyncio.Task[None] | None = None
@@ -39,28 +51,41 @@
         with suppress(asyncio.CancelledError):
             await self._task
 
-    def add(self, link: PeerLink) -> None:
-        """Send heartbeats over `link` from now on, one at once."""
-        self._links.add(link)
+    def take(self, link: PeerLink, watch: Watch) -> None:
+        """Send heartbeats over `link` as its entry asks from now on, one at once, or stop."""
+        if watch.stop:
+            self._watchers.pop(link, None)
+            return
+        interval_s = max(self._interval_s, (watch.interval_ms or 0) / MILLISECONDS)
+        self._watchers[link] = _Watcher(interval_s, self._now() + interval_s)
         link.notify(self._compose(next(self._numbers)))
 
     def note_change(self) -> None:
         """Send a heartbeat soon: what it tells has changed."""
         self._changed.set()
 
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
     async def _run(self) -> None:
         while True:
             with suppress(TimeoutError):
                 async with asyncio.timeout(self._interval_s):
                     await self._changed.wait()
+            changed = self._changed.is_set()
             self._changed.clear()
-            self._send()
+            self._send(changed)
             await asyncio.sleep(CHANGE_SPACING_S)
 
-    def _send(self) -> None:
-        self._links = {link for link in self._links if not link.closed.is_set()}
-        if not self._links:
+    def _send(self, changed: bool) -> None:
+        now = self._now()
+        self._watchers = {
+            link: watcher for link, watcher in self._watchers.items() if not link.closed.is_set()
+        }
+        due = [each for each in self._watchers.items() if changed or each[1].due_at <= now]
+        if not due:
             return
         heartbeat = self._compose(next(self._numbers))
-        for link in self._links:
+        for link, watcher in due:
+            watcher.due_at = now + watcher.interval_s - CHANGE_SPACING_S
             link.notify(heartbeat)
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -279,9 +279,11 @@
             gate.serving = False
         if (gate.state, gate.held_up_by) == (state, held_up_by):
             return
+        changed = gate.state is not state
         gate.state = state
         gate.held_up_by = held_up_by
-        self._on_change()
+        if changed:
+            self._on_change()
 
 
 def _retry_reason(error: LacewingError) -> RetryReason:
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -253,8 +253,8 @@
                 await self.spreader.handle(exchange)
             case messages.LogNews():
                 await self.follower.handle(exchange)
-            case messages.Watch():
-                self.heartbeats.add(exchange.link)
+            case messages.Watch() as watch:
+                self.heartbeats.take(exchange.link, watch)
             case _:
                 kind = type(exchange.message).__name__
                 raise UnsupportedMessage(f"an agent does not take {kind}")
--- a/src/lacewinggw/decisions/waves.py
+++ b/src/lacewinggw/decisions/waves.py
@@ -10,6 +10,8 @@
 from math import ceil
 
 from lacewinggw.decisions.pollers import rank_of, weight
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.generated.messages.ttypes import Heartbeat, TargetState
 
 PERCENT = 100
 WAVE_SHARE = 8  # a wave smaller than one in so many hosts waits a little for others
@@ -48,6 +50,31 @@
     return min(ceil(replicas * floor_percent / PERCENT), max(replicas - 1, 0))
 
 
+def measure_progress(
+    state: FleetState, service: str, heartbeats: Mapping[str, Heartbeat]
+) -> dict[str, HostProgress]:
+    """Return how far each host of a service is, by the heartbeats that came when they were due."""
+    upcoming = state.next_releases_of(service)
+    return {
+        host: _measure_host(
+            state.release_digest(release),
+            state.release_digest(upcoming.get(host, "")),
+            heartbeats.get(host),
+        )
+        for host, release in state.hosts_of(service).items()
+    }
+
+
+def _measure_host(digest: str, next_digest: str, heard: Heartbeat | None) -> HostProgress:
+    if heard is None:
+        return HostProgress(turning=bool(next_digest), ready=False, serving=False)
+    return HostProgress(
+        turning=bool(next_digest),
+        ready=bool(next_digest) and heard.ready_digest == next_digest,
+        serving=heard.state == TargetState.SERVING and heard.digest == digest,
+    )
+
+
 def choose_wave(
     service: str, progress: Progress, floor_percent: int, waited_s: float
 ) -> tuple[str, ...]:
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from lacewinggw.decisions.hosts import Heard, HostWatch
 from lacewinggw.decisions.placement import (
@@ -20,7 +20,7 @@
 )
 from lacewinggw.decisions.pollers import rank_of
 from lacewinggw.decisions.revisions import ChangeContent, FleetState, change_of, content_of
-from lacewinggw.decisions.waves import PURPOSE, HostProgress, choose_wave
+from lacewinggw.decisions.waves import PURPOSE, choose_wave, measure_progress
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.errors import ConfigurationConflict, LacewingError
 from lacewinggw.generated.messages.ttypes import (
@@ -32,7 +32,6 @@
     Place,
     PutService,
     SetDrain,
-    TargetState,
     WithdrawRelease,
 )
 from lacewinggw.generated.settings.ttypes import ConfigurationSettings
@@ -45,7 +44,6 @@
 TICK_S = 0.25
 PROBE_TIMEOUT_S = 1.0
 BACK_OFF_S = 2.0
-FRESH_S = 5.0
 MS_PER_S = 1000
 
 log = get_logger(__name__)
@@ -59,7 +57,7 @@
     """One entry's part in placement.
 
     `members` returns the list as last polled, `last_heard` when each target host was last heard
-    from by this entry, `heartbeats` what it said then.
+    from by this entry, `heartbeats` what those said that were heard when they were due.
     """
 
     def __init__(
@@ -256,7 +254,7 @@
         state = self._ledger.state
         places = []
         for service in [name for name, hosts in state.upcoming.items() if hosts]:
-            progress = dict(self._progress_of(state, service, now))
+            progress = measure_progress(state, service, self._heartbeats())
             waiting = any(each.turning and each.ready for each in progress.values())
             since = self._ready_since.setdefault(service, now) if waiting else now
             if not waiting:
@@ -267,25 +265,6 @@
                 places.append(_change_over(state, service, wave))
         return places
 
-    def _progress_of(
-        self, state: FleetState, service: str, now: float
-    ) -> Iterator[tuple[str, HostProgress]]:
-        heard = self._last_heard().at
-        heartbeats = self._heartbeats()
-        upcoming = state.next_releases_of(service)
-        for host, release in state.hosts_of(service).items():
-            beat = heartbeats.get(host)
-            if beat is None or now - heard.get(host, 0.0) > FRESH_S:
-                yield host, HostProgress(host in upcoming, ready=False, serving=False)
-                continue
-            ready_digest = state.release_digest(upcoming.get(host, ""))
-            yield host, HostProgress(
-                turning=host in upcoming,
-                ready=bool(ready_digest) and beat.ready_digest == ready_digest,
-                serving=beat.state == TargetState.SERVING
-                and beat.digest == state.release_digest(release),
-            )
-
     async def _probe(self, lost: set[str]) -> list[tuple[str, bool]]:
         """Try to reach hosts that seem dead, at their last known addresses."""
         answers = await asyncio.gather(*(self._is_alive(host) for host in sorted(lost)))
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -83,7 +83,7 @@
             self.node,
             self._members,
             lambda: Heard(self.targets.last_heard()),
-            self.targets.heartbeats,
+            self.targets.fresh_heartbeats,
             self.metrics,
             rng,
         )
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence, Set
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -23,7 +23,7 @@
 )
 from lacewinggw.decisions.subsets import HostFacts, pick_subset
 from lacewinggw.decisions.waves import coordinates
-from lacewinggw.entry.watches import Watches
+from lacewinggw.entry.watches import Watched, Watches
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import Priority, TargetState
 from lacewinggw.generated.settings.ttypes import Settings
@@ -42,6 +42,7 @@
 from lacewinggw.wire.peers import Exchange, PeerNode
 
 MILLISECONDS = 1000.0
+CHANGING_HEARD_PER_S = 50  # heartbeats of hosts watched only while they change over
 PERCENT = 100.0
 SPARE_SUBSET = "spare"  # hosts without a service are watched too, for placement and display
 
@@ -120,6 +121,7 @@
         self._members: dict[HostId, Member] = {}
         self._entries: list[HostId] = []
         self._wanted: dict[HostId, float] = {}  # since when
+        self._intervals_ms: dict[HostId, int] = {}  # of hosts watched only while they change over
         self._heartbeats: dict[HostId, messages.Heartbeat] = {}
         self._heard_at: dict[HostId, float] = {}
         self._facts: dict[HostId, TargetFacts] = {}
@@ -162,10 +164,17 @@
         """Work out anew which targets this entry deals with, after a change."""
         now = self._now()
         wanted = set(self._pick_hosts())
+        self._intervals_ms = self._pick_changing(wanted)
+        wanted.update(self._intervals_ms)
         self._wanted = {host: self._wanted.get(host, now) for host in wanted}
         for host in [host for host in self._heartbeats if host not in wanted]:
             self._forget(host)
-        self._watches.set_targets({host: self._members[host].address for host in wanted})
+        self._watches.set_targets(
+            frozenset(
+                Watched(host, self._members[host].address, self._intervals_ms.get(host, 0))
+                for host in wanted
+            )
+        )
         self._services.clear()
 
     async def handle(self, exchange: Exchange) -> None:
@@ -260,6 +269,16 @@
         """Return when each watched host was last heard of, on this loop's clock."""
         return {str(host): at for host, at in self._heard_at.items()}
 
+    def fresh_heartbeats(self) -> dict[str, messages.Heartbeat]:
+        """Return the last heartbeat of each watched host that came when it was due."""
+        now = self._now()
+        return {
+            str(host): heartbeat
+            for host, heartbeat in self._heartbeats.items()
+            if now - self._heard_at[host]
+            <= self._dead_after_s + self._intervals_ms.get(host, 0) / MILLISECONDS
+        }
+
     def silent_hosts(self, now: float | None = None) -> set[str]:
         """Return the watched hosts that were not heard of for longer than `dead_after`."""
         at = self._now() if now is None else now
@@ -271,15 +290,25 @@
     def _pick_hosts(self) -> Iterable[HostId]:
         placed: set[str] = set()
         state = self._state()
-        coordinating = coordinates(self._me, self._entries)
-        for service, hosts in state.placements.items():
+        for hosts in state.placements.values():
             placed.update(hosts)
-            if coordinating and state.upcoming.get(service):
-                yield from (HostId(host) for host in hosts if host in self._members)
-            else:
-                yield from self._pick(hosts)
+            yield from self._pick(hosts)
         yield from self._pick(host for host in self._members if host not in placed)
 
+    def _pick_changing(self, picked: Set[HostId]) -> dict[HostId, int]:
+        """Return the other hosts of services that change over, if this entry coordinates it.
+
+        The more there are, the longer the interval between the heartbeats of each: what changes is
+        told at once in any case.
+        """
+        if not coordinates(self._me, self._entries):
+            return {}
+        state = self._state()
+        changing = (hosts for name, hosts in state.placements.items() if state.upcoming.get(name))
+        others = {HostId(host) for hosts in changing for host in hosts} - picked
+        interval_ms = int(len(others) * MILLISECONDS / CHANGING_HEARD_PER_S)
+        return dict.fromkeys((host for host in others if host in self._members), interval_ms)
+
     def _pick(self, hosts: Iterable[str]) -> Iterable[HostId]:
         live = [self._members[HostId(host)] for host in hosts if host in self._members]
         facts = [HostFacts(member.host, member.place, member.address) for member in live]
--- a/src/lacewinggw/entry/watches.py
+++ b/src/lacewinggw/entry/watches.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Set
 from contextlib import suppress
+from dataclasses import dataclass
 
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.messages import ttypes as messages
@@ -16,6 +17,15 @@
 OnLost = Callable[[HostId], None]
 
 
+@dataclass(frozen=True)
+class Watched:
+    """An agent to be watched; `interval_ms` is that between its heartbeats, 0 for its own."""
+
+    host: HostId
+    address: Address
+    interval_ms: int = 0
+
+
 class Watches:
     """One watch per target: a link to its agent with the request for heartbeats sent on it."""
 
@@ -24,7 +34,7 @@
         self._me = me
         self._on_lost = on_lost
         self._rng = rng
-        self._tasks: dict[tuple[HostId, Address], asyncio.Task[None]] = {}
+        self._tasks: dict[Watched, asyncio.Task[None]] = {}
         self._running = False
 
     def start(self) -> None:
@@ -35,28 +45,29 @@
         """End all watches."""
         self._running = False
         tasks = list(self._tasks.values())
-        self.set_targets({})
+        self.set_targets(frozenset())
         if tasks:
             await asyncio.wait(tasks)
 
-    def set_targets(self, addresses: Mapping[HostId, Address]) -> None:
+    def set_targets(self, wanted: Set[Watched]) -> None:
         """Watch these agents and no others."""
-        wanted = set(addresses.items())
         for key in [key for key in self._tasks if key not in wanted]:
             self._tasks.pop(key).cancel()
+            if all(each.host != key.host for each in wanted):
+                self._node.notify_open(key.address, messages.Watch(self._me, stop=True))
         if not self._running:
             return
         for key in wanted - self._tasks.keys():
-            self._tasks[key] = asyncio.get_running_loop().create_task(self._watch(*key))
+            self._tasks[key] = asyncio.get_running_loop().create_task(self._watch(key))
 
-    async def _watch(self, host: HostId, address: Address) -> None:
+    async def _watch(self, watched: Watched) -> None:
         retry_s = FIRST_RETRY_S
         while True:
             with suppress(LacewingError, OSError):
-                link = await self._node.link(address)
-                link.notify(messages.Watch(self._me))
+                link = await self._node.link(watched.address)
+                link.notify(messages.Watch(self._me, watched.interval_ms))
                 retry_s = FIRST_RETRY_S
                 await link.closed.wait()
-            self._on_lost(host)
+            self._on_lost(watched.host)
             await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.5))
             retry_s = min(LONGEST_RETRY_S, retry_s * 2)
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -383,6 +383,12 @@
         self._links[key] = link
         return link
 
+    def notify_open(self, address: str, message: Message) -> None:
+        """Send a message on the link to `address`, if one is open; else do nothing."""
+        known = self._links.get((address, ""))
+        if known is not None:
+            known.notify(message)
+
     async def call(
         self, address: str, message: Message, timeout_s: float, lane: str = ""
     ) -> Message:
--- /dev/null
+++ b/tests/test_heartbeats.py
@@ -0,0 +1,62 @@
+"""When an agent's heartbeats go out, and to whom."""
+
+import asyncio
+
+import pytest
+
+from lacewinggw.agent.heartbeats import HeartbeatSender
+from lacewinggw.generated.messages.ttypes import Heartbeat, Watch
+
+pytestmark = pytest.mark.looptime
+
+
+class Link:
+    """A link that keeps what is sent on it."""
+
+    def __init__(self):
+        self.closed = asyncio.Event()
+        self.sent = []
+
+    def notify(self, message):
+        self.sent.append(message.sequence)
+
+
+async def start_sender():
+    sender = HeartbeatSender(lambda sequence: Heartbeat(sequence=sequence), 1.0)
+    await sender.start()
+    return sender
+
+
+async def test_each_watcher_hears_at_its_own_interval():
+    sender = await start_sender()
+    often, seldom = Link(), Link()
+    sender.take(often, Watch("entry-1"))
+    sender.take(seldom, Watch("entry-2", 10_000))
+    await asyncio.sleep(60)
+    await sender.close()
+    assert 50 <= len(often.sent) <= 61
+    assert 5 <= len(seldom.sent) <= 7
+
+
+async def test_a_change_is_told_to_all_at_once():
+    sender = await start_sender()
+    seldom = Link()
+    sender.take(seldom, Watch("entry-2", 10_000))
+    await asyncio.sleep(0.5)
+    for _ in range(20):
+        sender.note_change()
+    await asyncio.sleep(0.01)
+    await sender.close()
+    assert len(seldom.sent) == 2
+
+
+async def test_nothing_goes_to_a_watcher_that_stopped_or_whose_link_closed():
+    sender = await start_sender()
+    stopped, gone = Link(), Link()
+    for link in (stopped, gone):
+        sender.take(link, Watch("entry-1"))
+    sender.take(stopped, Watch("entry-1", stop=True))
+    gone.closed.set()
+    await asyncio.sleep(5)
+    await sender.close()
+    assert (len(stopped.sent), len(gone.sent)) == (1, 1)
