--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -123,7 +123,7 @@
 
 
 async def cut_some_answers(trial: Trial) -> None:
-    await cut_engines(trial, 0.5, 4.0)
+    await cut_engines(trial, 0.5, 10.0)
 
 
 async def cut_every_answer(trial: Trial) -> None:
