Answer questions about the fleet with what all entries hear; gauges of each service

Cause: an entry listens to at most 64 targets of a service. `show targets` took the others for unheard, and `wait` for a larger service would never have been done.

The answering entry asks others for placed hosts that it does not hear, a few entries at a time. /metrics has the replicas of each service declared, placed and serving.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -188,6 +188,10 @@
 // From entry to agent: send me heartbeats on this connection, when idle every `interval_ms` (0: as
 // the agent's settings say), or with `stop` no more.
 struct Watch { 1: string entry, 2: i64 interval_ms = 0, 3: bool stop = false }
+// From entry to entry, for an operator: what did you last hear of these hosts?
+struct FetchHeard { 1: list<string> hosts }
+struct HeardTarget { 1: Heartbeat heartbeat, 2: i64 age_ms }
+struct HeardTargets { 1: list<HeardTarget> targets }
 
 // ---- requests -------------------------------------------------------------------------
 
@@ -282,6 +286,8 @@
   47: Finish finish
   48: Credit credit
   49: Cancel cancel
+  32: FetchHeard fetch_heard
+  33: HeardTargets heard_targets
   60: Demand demand
 }
 
--- a/src/lacewinggw/entry/operators.py
+++ b/src/lacewinggw/entry/operators.py
@@ -11,7 +11,9 @@
 from typing import Any
 
 from lacewinggw.decisions.commands import accepted_before
+from lacewinggw.entry.gauges import ServiceGauges
 from lacewinggw.entry.ledger import Ledger
+from lacewinggw.entry.survey import Survey
 from lacewinggw.errors import (
     BadToken,
     LacewingError,
@@ -32,6 +34,7 @@
 from lacewinggw.operators.view import FleetView
 from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.peers import Exchange, PeerNode
 from lacewinggw.wire.problems import problem_body, problem_headers
 
 BEARER = "bearer "
@@ -55,6 +58,7 @@
         tokens: dict[str, str],
         metrics: Metrics,
         new_command_id: NewCommandId,
+        survey: Survey,
     ) -> None:
         self._ledger = ledger
         self._view = view
@@ -62,6 +66,7 @@
         self._tokens = tokens
         self._metrics = metrics
         self._new_command_id = new_command_id
+        self._survey = survey
 
     @classmethod
     def from_config(
@@ -72,11 +77,17 @@
         origin: WeightsClient,
         metrics: Metrics,
         new_command_id: NewCommandId,
+        node: PeerNode,
     ) -> "Operators":
         """Return the operators' side of an entry."""
         pairs = [each.partition(":") for each in settings.operator_tokens or []]
         tokens = {name: token for name, _, token in pairs}
-        return cls(ledger, view, origin, tokens, metrics, new_command_id)
+        ServiceGauges(view, metrics).follow(ledger)
+        return cls(ledger, view, origin, tokens, metrics, new_command_id, Survey(node, view))
+
+    def answer_peer(self, exchange: Exchange) -> None:
+        """Tell another entry what this one last heard of some hosts."""
+        self._survey.answer(exchange)
 
     async def handle(self, request: Request) -> Response:
         """Answer one request of an operator; errors become problem JSON."""
@@ -98,9 +109,9 @@
     async def _route(self, request: Request, author: str) -> Response:
         match request.method, request.path:
             case "GET", "/v1/query":
-                return self._query(str(request.query.get("words", "")))
+                return await self._query(str(request.query.get("words", "")))
             case "POST", "/v1/query":
-                return self._query(_text(_body(request), "words"))
+                return await self._query(_text(_body(request), "words"))
             case "POST", "/v1/commands":
                 return await self._command(_body(request), author)
             case "GET", "/v1/configuration":
@@ -112,10 +123,10 @@
         if not self._ledger.ready:
             raise NoConfiguration("this entry has no configuration yet")
 
-    def _query(self, words: str) -> Response:
+    async def _query(self, words: str) -> Response:
         query = parse_query(words)
         self._require_ready()
-        value = answer_to_json(answer_query(query, self._view))
+        value = answer_to_json(answer_query(query, await self._survey.whole_view()))
         return json_response(OK, {"revision": self._ledger.revision, **value})
 
     async def _command(self, body: dict[str, Any], author: str) -> Response:
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -107,6 +107,7 @@
             self._origin,
             self.metrics,
             lambda: new_command_id(rng),
+            self.node,
         )
         self._pages = HealthPages(Health(self.metrics, self._readiness))
         limits = HttpLimits(body_bytes=settings.entry.body_limit_bytes)
@@ -205,6 +206,8 @@
                 | messages.LogNews()
             ):
                 await self.ledger.handle(exchange)
+            case messages.FetchHeard():
+                self.operators.answer_peer(exchange)
             case messages.Demand():
                 await self.limits.handle(exchange)
             case _:
--- /dev/null
+++ b/src/lacewinggw/entry/survey.py
@@ -0,0 +1,108 @@
+"""What the entries together hear of the targets, for one operator's question.
+
+Each entry listens to a bounded subset of the targets. For a question about the whole fleet the
+answering entry asks others for what it lacks, a few at a time, until nothing is missing or enough
+were asked.
+"""
+
+import asyncio
+import random
+from collections.abc import Mapping, Sequence
+
+from lacewinggw.decisions.placement import Shortfall
+from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.errors import LacewingError
+from lacewinggw.generated.messages.ttypes import FetchHeard, HeardTarget, HeardTargets
+from lacewinggw.operators.view import FleetView, HeardHeartbeat
+from lacewinggw.platform.membership import Member, MemberRole
+from lacewinggw.wire.peers import Exchange, PeerNode
+
+ASKED_AT_ONCE = 16
+ASKED_MOST = 160
+TIMEOUT_S = 1.0
+MS_PER_S = 1000
+
+
+class WholeView:
+    """A view to which other entries' heartbeats were added."""
+
+    def __init__(self, own: FleetView, others: Mapping[str, HeardHeartbeat]) -> None:
+        self._own = own
+        self._heartbeats = {**others, **own.heartbeats()}
+
+    def state(self) -> FleetState:
+        """Return the configuration."""
+        return self._own.state()
+
+    def members(self) -> Sequence[Member]:
+        """Return the list of hosts as last polled."""
+        return self._own.members()
+
+    def heartbeats(self) -> Mapping[str, HeardHeartbeat]:
+        """Return the last heartbeat of each target host that any asked entry hears."""
+        return self._heartbeats
+
+    def counters(self) -> Mapping[str, int]:
+        """Return the answering entry's counters."""
+        return self._own.counters()
+
+    def shortfalls(self) -> Sequence[Shortfall]:
+        """Return the replicas that cannot be placed for want of hosts."""
+        return self._own.shortfalls()
+
+    def missing(self) -> frozenset[str]:
+        """Return placed hosts that the list lacks."""
+        return self._own.missing()
+
+
+class Survey:
+    """One entry's questions to others, and its answers to theirs."""
+
+    def __init__(self, node: PeerNode, view: FleetView) -> None:
+        self._node = node
+        self._view = view
+
+    def answer(self, exchange: Exchange) -> None:
+        """Tell what this entry last heard of the hosts that are asked about."""
+        heard = self._view.heartbeats()
+        known = [heard[host] for host in exchange.message.hosts or [] if host in heard]
+        targets = [HeardTarget(each.heartbeat, int(each.age_s * MS_PER_S)) for each in known]
+        exchange.finish(HeardTargets(targets))
+
+    async def whole_view(self) -> FleetView:
+        """Return the entry's view with what others hear of placed hosts that it does not."""
+        own = self._view.heartbeats()
+        lacking = {host for host in self._view.state().placed_hosts() if host not in own}
+        others = self._other_entries()
+        found: dict[str, HeardHeartbeat] = {}
+        while lacking and others:
+            asked, others = others[:ASKED_AT_ONCE], others[ASKED_AT_ONCE:]
+            answers = await asyncio.gather(*(self._ask(each, lacking) for each in asked))
+            for target in (target for answer in answers for target in answer):
+                _keep_newest(found, target)
+            lacking.difference_update(found)
+        return WholeView(self._view, found) if found else self._view
+
+    def _other_entries(self) -> list[Member]:
+        own = self._node.identity.host
+        entries = [
+            member
+            for member in self._view.members()
+            if member.role is MemberRole.ENTRY and member.host != own
+        ]
+        return random.sample(entries, min(len(entries), ASKED_MOST))
+
+    async def _ask(self, entry: Member, hosts: set[str]) -> list[HeardTarget]:
+        try:
+            question = FetchHeard(sorted(hosts))
+            async with asyncio.timeout(TIMEOUT_S):
+                reply = await self._node.call(entry.address, question, TIMEOUT_S)
+        except (LacewingError, TimeoutError):
+            return []
+        return list(reply.targets or []) if isinstance(reply, HeardTargets) else []
+
+
+def _keep_newest(found: dict[str, HeardHeartbeat], target: HeardTarget) -> None:
+    host, age_s = target.heartbeat.host, target.age_ms / MS_PER_S
+    if host not in found or found[host].age_s > age_s:
+        found[host] = HeardHeartbeat(target.heartbeat, age_s)
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 from lacewinggw.agent.follower import Follower
@@ -76,6 +76,7 @@
         self.config.on_change(lambda state, _: self.revisions.append(state.revision))
         self.heard: dict[str, float] = {}
         self.beats: dict[str, Heartbeat] = {}
+        self.answer_others: Callable[[Exchange], None] | None = None
         self.placer: Placer | None = None
         if isinstance(self.config, Ledger):
             self.placer = Placer.from_config(
@@ -111,7 +112,8 @@
         )
 
     async def _handle(self, exchange: Exchange) -> None:
-        await self.config.handle(exchange)
+        if not await self.config.handle(exchange) and self.answer_others is not None:
+            self.answer_others(exchange)
 
     async def start(self) -> None:
         await self.peer.start(self.address)
--- a/tests/operator_desk.py
+++ b/tests/operator_desk.py
@@ -75,7 +75,9 @@
                 origin,
                 node.metrics,
                 lambda: str(new_command_id(random.Random(7))),
+                node.peer,
             )
+            node.answer_others = operators.answer_peer
             server = HttpServer(node.network, f"{node.ip}:8000", operators.handle)
             await server.start()
             self.servers.append(server)
@@ -84,9 +86,13 @@
             token = TOKENS[len(self.clients)].partition(":")[2]
             self.clients.append(EntryClient(self.fleet.network, order, token, 10.0))
 
-    async def close(self) -> None:
+    def stop_serving(self) -> None:
+        """Have the targets fall silent."""
         if self._serving is not None:
             self._serving.cancel()
+
+    async def close(self) -> None:
+        self.stop_serving()
         for client in self.clients:
             await client.close()
         for server in self.servers:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -169,3 +169,18 @@
         )
         answer = await alice.query(f"explain host {host}")
         assert any("drained by alice at revision 2" in line for line in answer["lines"])
+
+
+async def test_a_question_about_the_fleet_is_answered_with_what_other_entries_hear() -> None:
+    async with open_desk(placing=True) as desk:
+        alice = desk.clients[0]
+        words = "create release market-7; create service desk release market-7 replicas 3"
+        await alice.command(words, "c1", 0)
+        await asyncio.sleep(10)
+        desk.stop_serving()
+        desk.views[0].beats.clear()
+        answer = await alice.query("show services name, serving")
+        assert answer["rows"] == [["desk", 3]]
+        assert (await alice.query("wait service desk"))["done"]
+        gauges = desk.fleet.entries[1].metrics.snapshot().gauges
+        assert gauges['service_replicas{kind="serving",service="desk"}'] == 3
