--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -142,6 +142,7 @@
         pages = HealthPages(Health(self.metrics, self._readiness))
         self._operator_server = HttpServer(network, agent.operator_listen, pages.handle)
         self.draining = False
+        self._listed_as_leaving = False  # the only reason for a drain that may end again
 
     @classmethod
     def from_config(
@@ -170,6 +171,7 @@
 
     async def drain(self) -> None:
         """Refuse new requests, let those in progress end, and hand on what others still fetch."""
+        self._listed_as_leaving = False
         self.begin_drain()
         limit_s = self._settings.agent.drain_limit_ms / MILLISECONDS
         await self.requests.drained(limit_s)
@@ -184,6 +186,14 @@
         self.heartbeats.note_change()
         log.info("agent_draining")
 
+    def _end_drain(self) -> None:
+        """Take requests again: the list, which lags, told of this host's predecessor."""
+        self._listed_as_leaving = False
+        self.draining = False
+        self.requests.end_drain()
+        self.heartbeats.note_change()
+        log.info("agent_drain_ended")
+
     async def leave(self) -> None:
         """Drain, then close."""
         await self.drain()
@@ -210,8 +220,13 @@
     def _take_members(self, members: MemberList) -> None:
         self.spreader.set_members(members)
         mine = self._find_self(members)
-        if mine is not None and mine.state is MemberState.LEAVING:
+        if mine is None:
+            return
+        if mine.state is MemberState.LEAVING:
+            self._listed_as_leaving = not self.draining or self._listed_as_leaving
             self.begin_drain()
+        elif self._listed_as_leaving:
+            self._end_drain()
 
     def _find_self(self, members: MemberList) -> Member | None:
         host = self._settings.process.host
--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -120,6 +120,10 @@
         """Refuse new requests from now on; those taken before go on."""
         self._draining = True
 
+    def end_drain(self) -> None:
+        """Take new requests again."""
+        self._draining = False
+
     async def drained(self, limit_s: float) -> bool:
         """Wait until no request waits, runs or has parts of its answer still to be sent.
 
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -23,7 +23,7 @@
 from lacewinggw.ids import Address, HostId, Place, ServiceName
 from lacewinggw.platform.membership import Member, MemberRole, member_to_json
 from lacewinggw.settings import default_settings, write_settings
-from lacewinggw.wire.http import HttpClient, HttpError, Response
+from lacewinggw.wire.http import Headers, HttpClient, HttpError, Response
 from lacewinggw.wire.network import TcpNetwork
 
 PEER_PORT = 7000
@@ -143,6 +143,16 @@
         """Where settings and logs of this fleet lie until it is closed."""
         return Path(self._folder.name)
 
+    @property
+    def accounts(self) -> Sequence[str]:
+        """Names of the client accounts."""
+        return self.plan.accounts
+
+    @property
+    def operator_headers(self) -> Headers:
+        """The headers by which an operator shows itself."""
+        return {"authorization": f"Bearer {OPERATOR_TOKEN}"}
+
     @property
     def entries(self) -> list[FleetHost]:
         """Hosts of the entry role."""
@@ -286,10 +296,7 @@
         host = entry or self._running_entry()
         reads = words.split(maxsplit=1)[0] in READING_WORDS
         path = "/v1/query" if reads else "/v1/commands"
-        headers = {
-            "authorization": f"Bearer {OPERATOR_TOKEN}",
-            "content-type": "application/json",
-        }
+        headers = {**self.operator_headers, "content-type": "application/json"}
         body = json.dumps({"words": words}).encode()
         response = await self.http.request(
             host.member.operator_address, "POST", path, headers, body, timeout_s=ASK_TIMEOUT_S
--- a/src/lacewinggw/lab/observed.py
+++ b/src/lacewinggw/lab/observed.py
@@ -54,7 +54,10 @@
 
     http: HttpClient
     platform: dict[str, Address]
-    operator_headers: Headers
+
+    @property
+    def operator_headers(self) -> Headers:
+        """The headers by which an operator shows itself."""
 
     @property
     def accounts(self) -> Sequence[str]:
@@ -102,12 +105,17 @@
 
 
 class ObservedFleet:
-    """Disturb a fleet, and keep the history of all that it shows."""
+    """Disturb a fleet, and keep the history of all that it shows.
+
+    With `samples` processes are asked again and again which revision they have in force; without,
+    something else has to record it.
+    """
 
-    def __init__(self, fleet: FleetLike, seed: int = 1) -> None:
+    def __init__(self, fleet: FleetLike, seed: int = 1, samples: bool = True) -> None:
         self.fleet = fleet
         self.recorder = events.Recorder(now)
         self.rng = random.Random(f"observed/{seed}")
+        self._samples = samples
         self._launches: dict[HostId, int] = {}
         self._starting: set[HostId] = set(fleet.hosts)
         self._commands = itertools.count(1)
@@ -126,14 +134,23 @@
         """Names of the target hosts."""
         return self._named(MemberRole.AGENT)
 
+    def running_entries(self) -> list[str]:
+        """Return the names of entries whose process runs."""
+        return [name for name in self.entries if self._host(name).running]
+
+    def is_plain(self, name: str) -> bool:
+        """Return whether a plain service stands on a host."""
+        return bool(self._host(name).member.service)
+
     async def start(self) -> None:
         """Start the fleet and begin to watch its processes."""
         await self.fleet.start()
         for name in self.fleet.hosts:
             self._note_started(name)
         loop = asyncio.get_running_loop()
-        self._samplers = [loop.create_task(self._sample(name)) for name in self.fleet.hosts]
-        self._samplers.append(loop.create_task(self._follow_log()))
+        self._samplers = [loop.create_task(self._follow_log())]
+        if self._samples:
+            self._samplers += [loop.create_task(self._sample(name)) for name in self.fleet.hosts]
 
     async def close(self) -> None:
         """Stop watching and end the fleet."""
@@ -282,6 +299,11 @@
             await asyncio.sleep(SAMPLE_S)
         return False
 
+    async def hold_ups(self) -> list[str]:
+        """Return what an entry says keeps the fleet from what is declared."""
+        told = await self.query("wait all")
+        return [f"{each['subject']}: {each['reason']}" for each in told["held_up_by"]]
+
     def requester(self, number: int, account: str, mix: Mix) -> Requester:
         """Return a caller whose requests become part of the history."""
         hosts = {
@@ -308,8 +330,7 @@
         return self.fleet.hosts[HostId(name)]
 
     def _any_entry(self) -> str:
-        running = [name for name in self.entries if self._host(name).running]
-        return self.rng.choice(running)
+        return self.rng.choice(self.running_entries())
 
     def _note_started(self, name: str) -> None:
         self._starting.discard(HostId(name))
--- a/tests/trials.py
+++ b/tests/trials.py
@@ -23,7 +23,7 @@
 def make_trial(fleet_plan: MemoryPlan | None = None, plan: TrialPlan = SMALL) -> Trial:
     """Return a trial of a fleet whose every state becomes part of the history."""
     fleet = MemoryFleet(fleet_plan or MemoryPlan())
-    observed = ObservedFleet(fleet, plan.seed)
+    observed = ObservedFleet(fleet, plan.seed, samples=False)
 
     def note_state(host: HostId, state: FleetState) -> None:
         digest = hashlib.sha256(encode_struct(state.to_snapshot())).hexdigest()
