Begin a loop anew when it fails in a way that nobody foresaw

Cause: ten loops (heartbeats, the target's keeper, placement, the log, membership and others) each had their own start and close, word for word, and each ended for good and without a word at the first error that it did not expect: a target would then stay as it was until its agent was restarted. Change: one Background runs them, logs such an error with its trace, and begins again after a second.

--- a/src/lacewinggw/agent/follower.py
+++ b/src/lacewinggw/agent/follower.py
@@ -8,6 +8,7 @@
 import random
 from collections.abc import Callable, Sequence
 
+from lacewinggw.background import Background
 from lacewinggw.configuration.bootstrap import PeerBootstrap
 from lacewinggw.configuration.replica import OnChange, Replica
 from lacewinggw.configuration.upstreams import Upstreams
@@ -52,7 +53,7 @@
         self._replica = Replica(metrics)
         self._upstreams = Upstreams(node, self._replica, self._addresses, UPSTREAMS, metrics)
         self._peers = PeerBootstrap(node)
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("configuration", self._follow)
 
     @classmethod
     def from_config(
@@ -100,14 +101,12 @@
         while not await self._bootstrap():  # noqa: ASYNC110
             await asyncio.sleep(self._poll_s() * self._rng.uniform(0.2, 1.0))
         self._replica.set_ready()
-        self._task = asyncio.get_running_loop().create_task(self._follow())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop following."""
         self._replica.close()
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.wait((self._task,))
+        await self._loop.close()
 
     async def handle(self, exchange: Exchange) -> bool:
         """Answer a message about the configuration; return False for any other."""
--- a/src/lacewinggw/agent/heartbeats.py
+++ b/src/lacewinggw/agent/heartbeats.py
@@ -6,6 +6,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from lacewinggw.background import Background
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import Watch
 from lacewinggw.wire.peers import PeerLink
@@ -37,19 +38,15 @@
         self._watchers: dict[PeerLink, _Watcher] = {}
         self._changed = asyncio.Event()
         self._numbers = itertools.count(1)
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("heartbeats", self._run)
 
     async def start(self) -> None:
         """Begin to send."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop sending."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await self._loop.close()
 
     def take(self, link: PeerLink, watch: Watch) -> None:
         """Send heartbeats over `link` as its entry asks from now on, one at once, or stop."""
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -11,6 +11,7 @@
 from lacewinggw.agent.requests import RequestService
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.agent.weights import Spreader
+from lacewinggw.background import Background
 from lacewinggw.decisions.lifecycle import (
     Activate,
     Adapt,
@@ -85,19 +86,15 @@
         self._staged: dict[Digest, set[int]] = {}
         self._last_step: Step | None = None
         self._wake = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("target", self._run)
 
     async def start(self) -> None:
         """Begin to follow."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop following; the target stays as it is."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await self._loop.close()
 
     def wake(self) -> None:
         """Decide again soon: the configuration or the weights have moved."""
--- a/src/lacewinggw/agent/uploads.py
+++ b/src/lacewinggw/agent/uploads.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
 
 from lacewinggw.agent.links import Pacer
+from lacewinggw.background import Background
 from lacewinggw.decisions.uploads import HeldBy, UploadQueue, UploadRequest
 from lacewinggw.errors import ChunkNotHeld, ConnectionLost, LacewingError, LinkBusy
 from lacewinggw.generated.messages.ttypes import ChunkData
@@ -57,7 +57,7 @@
         self._stuck = metrics.counter("uploads_stuck")
         self._waiting: dict[UploadRequest, _Upload] = {}
         self._arrived = asyncio.Event()
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("uploads", self._run)
 
     @property
     def waiting(self) -> int:
@@ -66,14 +66,11 @@
 
     async def start(self) -> None:
         """Begin to serve."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop serving."""
-        if self._task is not None:
-            self._task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._task
+        await self._loop.close()
 
     async def serve(self, exchange: Exchange, request: UploadRequest) -> None:
         """Queue a request and wait until it was served or given up.
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -11,7 +11,6 @@
 import asyncio
 import random
 from collections.abc import Iterable, Mapping, Sequence
-from contextlib import suppress
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -27,6 +26,7 @@
 from lacewinggw.agent.manifests import ManifestFinder
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.agent.uploads import Uploader
+from lacewinggw.background import Background
 from lacewinggw.decisions.sources import SpreadRules
 from lacewinggw.decisions.spread import TICK_S
 from lacewinggw.decisions.topology import DueHost, Topology, TopologyPlan
@@ -130,7 +130,7 @@
         self._suspects: frozenset[HostId] = frozenset()
         self._bad_count = 0
         self._other_plan: PlanLike | None = None
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("spread", self._run)
 
     @classmethod
     def from_config(
@@ -153,7 +153,7 @@
     async def start(self) -> None:
         """Begin to serve and to fetch."""
         await self.uploader.start()
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop fetching and serving."""
@@ -161,10 +161,7 @@
             self._stop(digest)
         self._mesh.close()
         await self.uploader.close()
-        if self._task is not None:
-            self._task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._task
+        await self._loop.close()
 
     # ---- what is due ----------------------------------------------------------------------
 
--- a/src/lacewinggw/entry/ledger.py
+++ b/src/lacewinggw/entry/ledger.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+from lacewinggw.background import Background
 from lacewinggw.configuration.bootstrap import PeerBootstrap
 from lacewinggw.configuration.logstore import Appended, LogStore, Outdated, Taken, Truncated
 from lacewinggw.configuration.replica import OnChange, Replica
@@ -77,7 +78,7 @@
                 node, self._replica, self._neighbour_addresses, NEIGHBOURS, metrics
             )
         self._accepting = asyncio.Lock()
-        self._tail_task: asyncio.Task[None] | None = None
+        self._loop = Background("configuration", self._follow)
         self._snapshot_task: asyncio.Task[None] | None = None
         self._turn = rng.randrange(SAFETY_READ_TURNS)
         self._store_was_reached = False
@@ -126,15 +127,15 @@
         while not await self._bootstrap():  # noqa: ASYNC110
             await asyncio.sleep(self._poll_s() * self._rng.uniform(0.5, 1.0))
         self._replica.set_ready()
-        self._tail_task = asyncio.get_running_loop().create_task(self._follow())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop following."""
         self._replica.close()
-        for task in (self._tail_task, self._snapshot_task):
-            if task is not None:
-                task.cancel()
-                await asyncio.wait((task,))
+        await self._loop.close()
+        if self._snapshot_task is not None:
+            self._snapshot_task.cancel()
+            await asyncio.wait((self._snapshot_task,))
 
     async def handle(self, exchange: Exchange) -> bool:
         """Answer a message about the configuration; return False for any other."""
--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+from lacewinggw.background import Background
 from lacewinggw.decisions.addresses import EntryFacts, account_entries, count_addresses
 from lacewinggw.decisions.limits import AccountDeclaration, AccountShare, DemandReport
 from lacewinggw.errors import LacewingError, Refusal, RequestRefused
@@ -78,7 +79,7 @@
         self._in_progress = 0
         metrics.read_gauge("requests_in_progress", lambda: self._in_progress)
         self._sequence = 0
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("demand", self._run)
         self._told = asyncio.Event()
 
     @classmethod
@@ -90,15 +91,11 @@
 
     async def start(self) -> None:
         """Begin to exchange demand with the other entries."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop exchanging demand."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await self._loop.close()
 
     def account_of(self, token: str) -> AccountDeclaration | None:
         """Return the account that a token belongs to."""
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Callable, Mapping, Sequence
 
+from lacewinggw.background import Background
 from lacewinggw.decisions.hosts import Heard, HostWatch
 from lacewinggw.decisions.placement import (
     HostFact,
@@ -91,7 +92,7 @@
         self._touched: set[str] | None = None  # services to look at; None for all
         self._moved = True
         ledger.on_change(self._note_changes)
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("placement", self._run)
 
     @classmethod
     def from_config(
@@ -121,13 +122,11 @@
 
     async def start(self) -> None:
         """Begin to watch."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop watching."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.wait((self._task,))
+        await self._loop.close()
 
     async def _run(self) -> None:
         while True:
--- a/src/lacewinggw/entry/silence.py
+++ b/src/lacewinggw/entry/silence.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections import defaultdict
 from collections.abc import Callable
-from contextlib import suppress
 
+from lacewinggw.background import Background
 from lacewinggw.entry.attempts import Attempt
 
 LOOK_S = 0.5
@@ -21,19 +21,15 @@
     def __init__(self, silent_hosts: SilentHosts) -> None:
         self._silent_hosts = silent_hosts
         self._attempts: defaultdict[str, set[Attempt]] = defaultdict(set)
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("silence", self._run)
 
     async def start(self) -> None:
         """Begin to look."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop looking."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await self._loop.close()
 
     def add(self, host: str, attempt: Attempt) -> None:
         """Watch over a try."""
--- a/src/lacewinggw/platform/watch.py
+++ b/src/lacewinggw/platform/watch.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from contextlib import suppress
 
+from lacewinggw.background import Background
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.log import get_logger
@@ -30,7 +30,7 @@
         self._poll_s = poll_s
         self._members: MemberList = ()
         self._callbacks: list[OnMembers] = []
-        self._task: asyncio.Task[None] | None = None
+        self._loop = Background("membership", self._run)
         self._failing = False
 
     @classmethod
@@ -49,15 +49,11 @@
 
     async def start(self) -> None:
         """Begin to poll."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._loop.start()
 
     async def close(self) -> None:
         """Stop polling."""
-        if self._task is None:
-            return
-        self._task.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._task
+        await self._loop.close()
 
     async def _run(self) -> None:
         while True:
