--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import TypeAlias
 
+from lacewinggw.decisions.holdings import ChunkSet
 from lacewinggw.ids import HostId, Incarnation, Place
 
 
@@ -44,13 +45,15 @@
 class NeighbourState:
     """What is known of a linked neighbour; times are in seconds of the loop's clock.
 
-    `left` is whether it gave too many corrupt chunks to be asked again.
+    `offers` are those of its chunks that are missing here and not on their way. `left` is whether
+    it gave too many corrupt chunks to be asked again.
     """
 
     place: Place
     incarnation: Incarnation
     left: bool = False
     chunks: set[int] = field(default_factory=set)
+    offers: ChunkSet = field(default_factory=ChunkSet)
     asked: set[int] = field(default_factory=set)
     corrupt: int = 0
     told: bool = False
--- a/src/lacewinggw/decisions/yielding.py
+++ b/src/lacewinggw/decisions/yielding.py
@@ -21,13 +21,14 @@
 class YieldRules:
     """Constants: rates in bytes per second, shares of the link, times in seconds.
 
-    Latency is too high above `tolerance` times that without weights, and `slack_s` more.
+    Live bytes are left `headroom` times their own rate. Latency is too high above `tolerance` times
+    that without weights, and `slack_s` more.
     """
 
     link_bytes_per_s: float
     share: float
     floor: float = 0.1
-    headroom: float = 0.95
+    headroom: float = 1.1
     tolerance: float = 1.3
     slack_s: float = 0.002
     cut: float = 0.7
@@ -66,7 +67,7 @@
         if now - self._window_at >= WINDOW_S:
             self._close_window(now)
         rules = self.rules
-        left = rules.headroom * rules.link_bytes_per_s - self._live_rate
+        left = rules.link_bytes_per_s - rules.headroom * self._live_rate
         bounds = (rules.share * rules.link_bytes_per_s, left)
         return max(rules.floor * rules.link_bytes_per_s, self.factor * min(bounds))
 
