--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -18,11 +18,11 @@
 from lacewinggw.ids import Digest, HostId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
+from lacewinggw.platform.clients import PlatformClients
 from lacewinggw.platform.engine import EngineClient
-from lacewinggw.platform.membership import Member, MembershipClient, MemberState
+from lacewinggw.platform.membership import Member, MemberState
 from lacewinggw.platform.plain import PlainClient
 from lacewinggw.platform.watch import MemberList, MemberWatch
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
@@ -94,12 +94,10 @@
         agent, process = settings.agent, settings.process
         self.metrics = Metrics()
         self._settings = settings
-        self._membership = MembershipClient.from_settings(network, settings.platform)
-        self._origin = WeightsClient.for_origin(network, settings.platform)
-        self._store = WeightsClient.for_weight_store(network, settings.platform)
+        self._platform = platform = PlatformClients.from_settings(network, settings.platform)
         self._engine = EngineClient(network, agent.target)
         self._plain = PlainClient(network, agent.target)
-        self.watch = MemberWatch.from_config(settings, self._membership)
+        self.watch = MemberWatch.from_config(settings, platform.membership)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
         self.node = PeerNode(
@@ -119,7 +117,7 @@
         )
         self.gate = TargetGate(TargetKind(agent.target_kind), agent.target, agent.service_name)
         self.spreader = Spreader.from_config(
-            settings, self.node, self._origin, self._store, self.metrics, rng
+            settings, self.node, platform.origin, platform.weight_store, self.metrics, rng
         )
         self.requests = RequestService.from_config(
             settings, self.gate, self._engine, identity, self.metrics, rng, self._plain
@@ -209,8 +207,9 @@
         await self.watch.close()
         await self.node.close()
         await self._operator_server.close()
-        for client in (self._membership, self._origin, self._store, self._engine, self._plain):
-            await client.close()
+        await self._engine.close()
+        await self._plain.close()
+        await self._platform.close()
         log.info("agent_closed")
 
     def _readiness(self) -> Readiness:
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -19,11 +19,8 @@
 from lacewinggw.ids import new_command_id, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import MembershipClient
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
+from lacewinggw.platform.clients import PlatformClients
 from lacewinggw.platform.watch import MemberList, MemberWatch
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpLimits, HttpServer, Request, Response
 from lacewinggw.wire.network import Network, TcpNetwork
@@ -49,11 +46,8 @@
         process = settings.process
         self.metrics = Metrics()
         self._settings = settings
-        self._table = TableClient.from_settings(network, settings.platform)
-        self._objects = ObjectClient.from_settings(network, settings.platform)
-        self._membership = MembershipClient.from_settings(network, settings.platform)
-        self._origin = WeightsClient.for_origin(network, settings.platform)
-        self.watch = MemberWatch.from_config(settings, self._membership)
+        self._platform = platform = PlatformClients.from_settings(network, settings.platform)
+        self.watch = MemberWatch.from_config(settings, platform.membership)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
         self.node = PeerNode(
@@ -66,8 +60,8 @@
         )
         self.ledger = Ledger.from_config(
             settings.configuration,
-            self._table,
-            self._objects,
+            platform.table,
+            platform.objects,
             self.metrics,
             self.node,
             lambda: entry_candidates(self.watch.members),
@@ -93,8 +87,8 @@
             self.targets,
             self.limits,
             self.node,
-            self._table,
-            self._objects,
+            platform.table,
+            platform.objects,
             self._members,
             self.metrics,
             rng,
@@ -104,7 +98,7 @@
             settings.entry,
             self.ledger,
             view,
-            self._origin,
+            platform.origin,
             self.metrics,
             lambda: new_command_id(rng),
             self.node,
@@ -177,8 +171,7 @@
         await self.watch.close()
         await self.node.close()
         await self._operator_server.close()
-        for client in (self._table, self._objects, self._membership, self._origin):
-            await client.close()
+        await self._platform.close()
         log.info("entry_closed")
 
     def _readiness(self) -> Readiness:
--- /dev/null
+++ b/src/lacewinggw/platform/clients.py
@@ -0,0 +1,43 @@
+"""The clients of the platform's services that one process holds."""
+
+from dataclasses import dataclass
+
+from lacewinggw.generated.settings.ttypes import PlatformSettings
+from lacewinggw.platform.membership import MembershipClient
+from lacewinggw.platform.objects import ObjectClient
+from lacewinggw.platform.table import TableClient
+from lacewinggw.platform.weights import WeightsClient
+from lacewinggw.wire.network import Network
+
+
+@dataclass(frozen=True)
+class PlatformClients:
+    """One client of each service; connections are made as they are needed.
+
+    `origin` and `weight_store` are the two sources of weights.
+    """
+
+    table: TableClient
+    objects: ObjectClient
+    membership: MembershipClient
+    origin: WeightsClient
+    weight_store: WeightsClient
+
+    @classmethod
+    def from_settings(cls, network: Network, settings: PlatformSettings) -> "PlatformClients":
+        """Return the clients of the services that the settings name."""
+        return cls(
+            TableClient.from_settings(network, settings),
+            ObjectClient.from_settings(network, settings),
+            MembershipClient.from_settings(network, settings),
+            WeightsClient.for_origin(network, settings),
+            WeightsClient.for_weight_store(network, settings),
+        )
+
+    async def close(self) -> None:
+        """Close the connections of each."""
+        await self.table.close()
+        await self.objects.close()
+        await self.membership.close()
+        await self.origin.close()
+        await self.weight_store.close()
