Never call a command refused that may be in force

Two ways were left in which a command could be told refused and yet be, or come, in force: one repeated after more than the remembered 1,000 revisions was called a conflict although its first attempt may have been accepted; and after an entry could not tell, a refusal by another that was behind was believed. Both now say that the outcome is unknown; a command that says it is given for the first time is still refused.

--- a/src/lacewinggw/decisions/commands.py
+++ b/src/lacewinggw/decisions/commands.py
@@ -14,6 +14,7 @@
     subject_of,
 )
 from lacewinggw.errors import (
+    AcceptanceUnknown,
     AlreadyExists,
     ConfigurationConflict,
     InvalidChange,
@@ -82,18 +83,33 @@
     return state.entry_at(revision) if revision is not None else None
 
 
+def check_remembered(
+    state: FleetState, command_id: str, read_revision: int, repeated: bool
+) -> None:
+    """Refuse a command that is too old to tell whether it was accepted before.
+
+    One that may have been given before raises `AcceptanceUnknown`: it may be in force. One that is
+    given for the first time raises `ConfigurationConflict`: what it is about may have moved.
+    """
+    if read_revision >= state.remembers_after:
+        return
+    based = f"command {command_id} was based on revision {read_revision}"
+    known = f"only revisions after {state.remembers_after} are remembered"
+    if repeated:
+        raise AcceptanceUnknown(
+            f"{based}; {known}, so it may have been accepted long ago",
+            remedy="compare `show services` with what it says, and give it anew if need be",
+        )
+    raise ConfigurationConflict(f"{based}; {known}")
+
+
 def check_command(state: FleetState, changes: Sequence[Change], read_revision: int) -> None:
     """Raise the typed refusal of a command, or return when it may be accepted at the next revision.
 
-    Raises `ConfigurationConflict` when what it is about moved since `read_revision`, or when that
-    is too long ago to tell, and the errors of `check_change`.
+    Raises `ConfigurationConflict` when what it is about moved since `read_revision`, which must be
+    remembered, and the errors of `check_change`.
     """
     contents = [content_of(change) for change in changes]
-    if read_revision < state.remembers_after:
-        raise ConfigurationConflict(
-            f"the command was based on revision {read_revision}; only changes after "
-            f"{state.remembers_after} are remembered",
-        )
     for content in contents:
         _check_unmoved(state, content, read_revision)
     created = {each.release.name for each in contents if isinstance(each, CreateRelease)}
--- a/src/lacewinggw/entry/ledger.py
+++ b/src/lacewinggw/entry/ledger.py
@@ -15,7 +15,7 @@
 from lacewinggw.configuration.logstore import Appended, LogStore, Outdated, Taken, Truncated
 from lacewinggw.configuration.replica import OnChange, Replica
 from lacewinggw.configuration.upstreams import Upstreams
-from lacewinggw.decisions.commands import accepted_before, check_command
+from lacewinggw.decisions.commands import accepted_before, check_command, check_remembered
 from lacewinggw.decisions.pollers import NEIGHBOURS, Candidate, neighbours, reads_store
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import (
@@ -157,9 +157,11 @@
         author: str,
         read_revision: int,
         command_id: str,
+        repeated: bool = False,
     ) -> LogEntry:
         """Put a command into the log and return its entry; a repeated one returns the first.
 
+        `repeated` says that the command may have been given before with the same id.
         Raises the refusals of `check_command`; `PlatformUnavailable` when it was certainly not
         accepted because the store cannot be used; `AcceptanceUnknown` when it may have been.
         """
@@ -173,6 +175,7 @@
                     known = accepted_before(self.state, command_id)
                     if known is not None:
                         return known
+                    check_remembered(self.state, command_id, read_revision, repeated)
                     check_command(self.state, changes, read_revision)
                     await self._append_once(attempt)
         except TimeoutError as error:
--- a/src/lacewinggw/entry/operators.py
+++ b/src/lacewinggw/entry/operators.py
@@ -40,6 +40,7 @@
 BEARER = "bearer "
 COMMAND_ID_LIMIT = 64
 CATCH_UP_S = 3.0
+FIRST_ATTEMPT = 1
 OK = 200
 
 log = get_logger(__name__)
@@ -147,6 +148,7 @@
             author=author,
             read_revision=read_revision,
             command_id=command_id,
+            repeated="command_id" in body and _number(body, "attempt", 0) != FIRST_ATTEMPT,
         )
         log.info("command_accepted", revision=entry.revision, author=author, words=words)
         return _accepted(entry, repeated=False)
--- a/src/lacewinggw/operators/client.py
+++ b/src/lacewinggw/operators/client.py
@@ -9,6 +9,7 @@
 
 from lacewinggw.errors import (
     AcceptanceUnknown,
+    ConfigurationConflict,
     ConnectionLost,
     LacewingError,
     NoConfiguration,
@@ -63,15 +64,22 @@
         body = {"words": words, "command_id": command_id, "read_revision": read_revision}
         in_doubt = False
         failure: LacewingError = Unreachable("no entry could be reached")
-        for address in self._entries:
+        for attempt, address in enumerate(self._entries, 1):
             try:
-                return await self._call(address, "POST", "/v1/commands", body)
+                attempted = {**body, "attempt": attempt}
+                return await self._call(address, "POST", "/v1/commands", attempted)
             except Unreachable as error:
                 failure = error
             except (NoConfiguration, PlatformUnavailable) as error:
                 failure = error
             except (AcceptanceUnknown, ConnectionLost, TimedOut) as error:
                 in_doubt, failure = True, error
+            except ConfigurationConflict:
+                raise  # final, whatever is still on its way: that would be refused too
+            except LacewingError as error:
+                if not in_doubt:
+                    raise
+                failure = error
         if in_doubt:
             raise AcceptanceUnknown(
                 f"command {command_id} may have been accepted: {failure.reason}",
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -127,13 +127,16 @@
         await self.table.close()
         await self.objects.close()
 
-    async def accept(self, *changes: Change, command: str, read: int | None = None) -> LogEntry:
+    async def accept(
+        self, *changes: Change, command: str, read: int | None = None, repeated: bool = False
+    ) -> LogEntry:
         return await self.ledger.accept(
             changes,
             words=f"command {command}",
             author="test",
             read_revision=self.ledger.revision if read is None else read,
             command_id=command,
+            repeated=repeated,
         )
 
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -79,8 +79,11 @@
     assert state.remembers_after == 9
     async with running(entries=1) as fleet:
         fleet.entries[0].ledger._replica.adopt(state.to_snapshot())
-        with pytest.raises(ConfigurationConflict, match="only changes after 9 are remembered"):
-            await fleet.entries[0].accept(release("m1"), command="c1", read=0)
+        entry = fleet.entries[0]
+        with pytest.raises(ConfigurationConflict, match="only revisions after 9 are remembered"):
+            await entry.accept(release("m1"), command="c1", read=0)
+        with pytest.raises(AcceptanceUnknown, match="it may have been accepted long ago"):
+            await entry.accept(release("m1"), command="c1", read=0, repeated=True)
 
 
 async def test_two_operators_in_conflict_one_is_told_both_values() -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -9,19 +9,23 @@
 
 from lacewinggw.decisions.revisions import change_of
 from lacewinggw.errors import (
+    AcceptanceUnknown,
     BadDeclaration,
     BadToken,
     ConfigurationConflict,
+    LacewingError,
     MalformedHttp,
     UnknownName,
 )
 from lacewinggw.generated.messages.ttypes import Place
 from lacewinggw.ids import Address
+from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.operators import shell
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.declarations import read_declarations
 from lacewinggw.platform.membership import MemberRole
-from lacewinggw.wire.http import HttpClient
+from lacewinggw.wire.http import HttpClient, HttpServer, Request, Response
+from lacewinggw.wire.problems import problem_body, problem_headers
 
 pytestmark = pytest.mark.looptime
 
@@ -184,3 +188,22 @@
         assert (await alice.query("wait service desk"))["done"]
         gauges = desk.fleet.entries[1].metrics.snapshot().gauges
         assert gauges['service_replicas{kind="serving",service="desk"}'] == 3
+
+
+async def test_a_refusal_after_a_doubt_leaves_the_doubt() -> None:
+    network = MemoryNetwork()
+    answers = [AcceptanceUnknown("no answer"), UnknownName("there is no release m")]
+    servers = []
+    for number, error in enumerate(answers):
+
+        async def answer(_: Request, error: LacewingError = error) -> Response:
+            return Response(error.http_status, problem_headers(error), problem_body(error))
+
+        servers.append(HttpServer(network, f"10.0.0.{number + 1}:0", answer))
+        await servers[-1].start()
+    client = EntryClient(network, [server.address for server in servers], "token", 5.0)
+    with pytest.raises(AcceptanceUnknown):
+        await client.command("set service desk release m", "c1", 5)
+    await client.close()
+    for server in servers:
+        await server.close()
