--- a/src/lacewinggw/lab/observed.py
+++ b/src/lacewinggw/lab/observed.py
@@ -17,7 +17,7 @@
 import random
 from collections.abc import Mapping, Sequence
 from contextlib import suppress
-from typing import Any, Protocol
+from typing import Any, Protocol, runtime_checkable
 
 from lacewinggw.configuration.logstore import ROW_PREFIX, decode_entry
 from lacewinggw.ids import Address, HostId
@@ -104,6 +104,17 @@
         """Return the headers of a client account."""
 
 
+@runtime_checkable
+class Parting(Protocol):
+    """A fleet whose hosts can lose sight of each other."""
+
+    def part(self, one: Any, other: Any) -> None:
+        """Part two hosts."""
+
+    def heal(self, one: Any, other: Any) -> None:
+        """Let them see each other again."""
+
+
 class ObservedFleet:
     """Disturb a fleet, and keep the history of all that it shows.
 
@@ -211,6 +222,16 @@
         self.fleet.resume(self._host(name))
         self.recorder.record(events.Resumed(now(), name))
 
+    def part(self, one: str, other: str) -> None:
+        """Part two hosts from each other."""
+        self.recorder.record(events.PartBegan(now(), one, other))
+        self._parting.part(self._host(one), self._host(other))
+
+    def heal(self, one: str, other: str) -> None:
+        """Let two hosts see each other again."""
+        self._parting.heal(self._host(one), self._host(other))
+        self.recorder.record(events.PartEnded(now(), one, other))
+
     async def set_leaving(self, name: str) -> None:
         """Mark a host as leaving on the platform's list."""
         self.recorder.record(events.Leaving(now(), name, self._lag_s))
@@ -329,6 +350,12 @@
     def _host(self, name: str) -> HostLike:
         return self.fleet.hosts[HostId(name)]
 
+    @property
+    def _parting(self) -> "Parting":
+        if not isinstance(self.fleet, Parting):
+            raise TypeError("only a fleet in memory can part two hosts")
+        return self.fleet
+
     def _any_entry(self) -> str:
         return self.rng.choice(self.running_entries())
 
