--- a/src/lacewinggw/entry/survey.py
+++ b/src/lacewinggw/entry/survey.py
@@ -24,7 +24,7 @@
 
 
 class WholeView:
-    """A view to which other entries' heartbeats were added."""
+    """A view as of one moment, to which other entries' heartbeats were added."""
 
     def __init__(self, own: FleetView, others: Mapping[str, HeardHeartbeat]) -> None:
         self._own = own
@@ -81,7 +81,7 @@
             for target in (target for answer in answers for target in answer):
                 _keep_newest(found, target)
             lacking.difference_update(found)
-        return WholeView(self._view, found) if found else self._view
+        return WholeView(self._view, found)
 
     def _other_entries(self) -> list[Member]:
         own = self._node.identity.host
