--- a/src/lacewinggw/entry/operators.py
+++ b/src/lacewinggw/entry/operators.py
@@ -221,7 +221,7 @@
 def _body(request: Request) -> dict[str, Any]:
     try:
         value = json.loads(request.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise MalformedHttp(f"the body is not JSON: {error}") from error
     if not isinstance(value, dict):
         raise MalformedHttp("the body is not a JSON object")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -101,6 +101,18 @@
             await desk.clients[0].command("create release market-9", "c1", 0)
 
 
+@pytest.mark.parametrize("body", [b"", b"{", b"[1]", b"[" * 100_000, b'{"words": 7}', b"\xff"])
+async def test_a_body_that_is_no_question_is_refused(body: bytes) -> None:
+    async with open_desk() as desk:
+        client = HttpClient(desk.fleet.network)
+        headers = {"authorization": "Bearer secret-a"}
+        for path in ("/v1/query", "/v1/commands"):
+            response = await client.request(desk.servers[0].address, "POST", path, headers, body)
+            assert response.status == 400
+            assert response.json()["code"] == MalformedHttp.code
+        await client.close()
+
+
 async def test_a_command_with_an_id_needs_its_read_revision() -> None:
     async with open_desk() as desk:
         client = HttpClient(desk.fleet.network)
