--- a/src/lacewinggw/lab/disturbances.py
+++ b/src/lacewinggw/lab/disturbances.py
@@ -8,6 +8,7 @@
 from lacewinggw.lab.fleet import Fleet, FleetHost
 from lacewinggw.lab.history import (
     Killed,
+    Leaving,
     OutageBegan,
     OutageEnded,
     PartBegan,
@@ -152,7 +153,8 @@
             return
         await self._fleet.set_leaving(host)
         name = str(host.member.host)
-        self._recorder.record(ShutdownAsked(self._recorder.now(), name, LEAVE_LIMIT_S))
+        now = self._recorder.now()
+        self._recorder.record(Leaving(now, name), ShutdownAsked(now, name, LEAVE_LIMIT_S))
         await self._fleet.terminate(host)
         await self._start_again(host)
 
