Serve requests in a module of its own, and bound what it left open

Change: entry/serving.py; the end of a stream is noted by its body; the first piece decides the status; tickets are admitted like requests, 10,000 reservations may be open at a target; reserving and claiming stop at the deadline; outcomes are told to their own account only.

--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -28,6 +28,7 @@
     KeyReused,
     LacewingError,
     NoTarget,
+    Overloaded,
     ProtocolViolation,
     ReleaseMoved,
     TicketExpired,
@@ -43,6 +44,7 @@
 
 MILLISECONDS = 1000.0
 NOT_SERVING_RETRY_MS = 500
+RESERVATIONS_LIMIT = 10_000
 
 
 class RequestService:
@@ -165,6 +167,9 @@
     def _reserve(self, head: messages.RequestHead) -> messages.Reservation:
         _check_head(head)
         self._check_serving(head)
+        if self._book.reserved >= RESERVATIONS_LIMIT:
+            reason = "too many reservations are open at the target"
+            raise Overloaded(reason, retry_after_ms=NOT_SERVING_RETRY_MS)
         life_s = max(self._reservation_s, head.deadline_ms / MILLISECONDS)
         nonce = self._book.reserve(life_s, self._now())
         return messages.Reservation(
--- a/src/lacewinggw/entry/keyed.py
+++ b/src/lacewinggw/entry/keyed.py
@@ -1,9 +1,10 @@
 """Requests with an idempotency key: one claim, one reservation, one run, however often sent."""
 
 import asyncio
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Coroutine
 from contextlib import aclosing
 from dataclasses import dataclass
+from typing import Any, TypeVar
 
 from lacewinggw.decisions.claims import (
     Claim,
@@ -40,6 +41,8 @@
 from lacewinggw.generated.messages.ttypes import Finish, Pieces, Standing
 from lacewinggw.platform.table import ABSENT, Accepted, Conflict, Row
 
+T = TypeVar("T")
+
 TURNS = 16  # claims met or written before a request is given up
 
 
@@ -119,10 +122,7 @@
             if found is None:
                 raise
             return found
-        try:
-            result = await self._claims.write(self._row_key, claim, version)
-        except StoreDown as error:
-            raise self._without_store(error) from error
+        result = await self._ask_store(self._claims.write(self._row_key, claim, version))
         match result:
             case Accepted(written):
                 return Held(claim, written, choice)
@@ -131,11 +131,19 @@
         return None
 
     async def _read(self) -> Held | None:
+        row = await self._ask_store(self._claims.read(self._row_key))
+        return None if row is None else Held(Claim.from_text(row.value), row.version)
+
+    async def _ask_store(self, call: Coroutine[Any, Any, T]) -> T:
+        """Wait for the store, no longer than the deadline; say what is known without it."""
         try:
-            row = await self._claims.read(self._row_key)
+            async with asyncio.timeout_at(self._asked.deadline):
+                return await call
+        except TimeoutError:
+            silent = StoreDown("the store gave no reply", retry_after_ms=NO_TARGET_RETRY_MS)
+            raise self._without_store(silent) from None
         except StoreDown as error:
             raise self._without_store(error) from error
-        return None if row is None else Held(Claim.from_text(row.value), row.version)
 
     def _without_store(self, error: StoreDown) -> LacewingError:
         """Say "not run" only of a key's first sending: who knows what became of earlier ones."""
@@ -153,7 +161,7 @@
             if choice is None:
                 raise self._none_left()
             try:
-                given = await reserve(self._means, choice.address, head)
+                given = await reserve(self._means, choice.address, head, self._left_s())
             except LacewingError as error:
                 self._refused_by.add(choice.host)
                 self._last_error = error
@@ -224,8 +232,11 @@
             raise self._outcome(spent)
         self._means.metrics.retry(step.reason)
 
+    def _left_s(self) -> float:
+        return self._asked.deadline - asyncio.get_running_loop().time()
+
     def _check_time(self) -> None:
-        if asyncio.get_running_loop().time() >= self._asked.deadline:
+        if self._left_s() <= 0:
             raise self._outcome(DeadlineTooNear("no time is left to start the request"))
 
     def _none_left(self) -> LacewingError:
--- a/src/lacewinggw/entry/outcomes.py
+++ b/src/lacewinggw/entry/outcomes.py
@@ -6,9 +6,11 @@
 from enum import Enum
 
 from lacewinggw.errors import LacewingError, Outcome
+from lacewinggw.ids import Account
 from lacewinggw.metrics import Counter, Metrics
 
 KEEP = 20_000
+NOBODY = Account("")
 
 
 class RequestState(Enum):
@@ -22,36 +24,20 @@
 
 @dataclass(frozen=True)
 class RequestOutcome:
-    """The state of a request and, without an answer, the error's code and reason."""
+    """The state of an account's request and, without an answer, the error's code and reason."""
 
     state: RequestState
+    account: Account
     code: str = ""
     reason: str = ""
 
 
-class OutcomeBook:
-    """The newest outcomes by request id, a bounded number of them."""
+class RequestLog:
+    """Counts requests in progress, and remembers how the newest ones ended."""
 
-    def __init__(self, keep: int = KEEP) -> None:
+    def __init__(self, metrics: Metrics, keep: int = KEEP) -> None:
         self._keep = keep
         self._outcomes: OrderedDict[str, RequestOutcome] = OrderedDict()
-
-    def note(self, request_id: str, outcome: RequestOutcome) -> None:
-        """Remember an outcome, in place of an earlier one of the same request."""
-        self._outcomes[request_id] = outcome
-        if len(self._outcomes) > self._keep:
-            self._outcomes.popitem(last=False)
-
-    def find(self, request_id: str) -> RequestOutcome | None:
-        """Return what is known of a request."""
-        return self._outcomes.get(request_id)
-
-
-class RequestLog:
-    """Counts requests in progress and notes how each ends."""
-
-    def __init__(self, metrics: Metrics) -> None:
-        self.outcomes = OutcomeBook()
         self._latency = metrics.latency("request")
         self._ended: dict[RequestState, Counter] = {
             state: metrics.counter("requests", outcome=state)
@@ -80,19 +66,28 @@
                 return
             await asyncio.sleep(left_s)
 
-    def begin(self, request_id: str) -> None:
+    def find(self, request_id: str, account: Account) -> RequestOutcome | None:
+        """Return what is known of an account's request."""
+        found = self._outcomes.get(request_id)
+        return found if found is not None and found.account == account else None
+
+    def begin(self, request_id: str, account: Account) -> None:
         """Note a request that is now in progress."""
         self._last_at = self._began_at[request_id] = asyncio.get_running_loop().time()
         self._idle.clear()
-        self.outcomes.note(request_id, RequestOutcome(RequestState.RUNNING))
+        self._outcomes[request_id] = RequestOutcome(RequestState.RUNNING, account)
+        if len(self._outcomes) > self._keep:
+            self._outcomes.popitem(last=False)
 
-    def end(self, request_id: str, error: LacewingError | None) -> None:
-        """Note how a request ended; None stands for a whole answer."""
+    def end(self, request_id: str, error: LacewingError | None) -> bool:
+        """Note how a request ended, None for a whole answer; return False if it had before."""
         began_at = self._began_at.pop(request_id, None)
         if began_at is None:
-            return
-        outcome = _outcome_of(error)
-        self.outcomes.note(request_id, outcome)
+            return False
+        before = self._outcomes.get(request_id)
+        outcome = _outcome_of(error, before.account if before is not None else NOBODY)
+        if before is not None:
+            self._outcomes[request_id] = outcome
         self._ended[outcome.state].add()
         if error is None:
             self._latency.record(asyncio.get_running_loop().time() - began_at)
@@ -101,11 +96,12 @@
             self._metrics.count("request_errors", code=error.code, kind=error.kind)
         if not self._began_at:
             self._idle.set()
+        return True
 
 
-def _outcome_of(error: LacewingError | None) -> RequestOutcome:
+def _outcome_of(error: LacewingError | None, account: Account) -> RequestOutcome:
     if error is None:
-        return RequestOutcome(RequestState.ANSWERED)
+        return RequestOutcome(RequestState.ANSWERED, account)
     not_run = error.outcome is Outcome.NOT_RUN
     state = RequestState.NOT_RUN if not_run else RequestState.UNKNOWN
-    return RequestOutcome(state, error.code, error.reason)
+    return RequestOutcome(state, account, error.code, error.reason)
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -89,7 +89,6 @@
             self.node,
             platform.table,
             platform.objects,
-            self._members,
             self.metrics,
             rng,
         )
--- a/src/lacewinggw/entry/requests.py
+++ b/src/lacewinggw/entry/requests.py
@@ -48,13 +48,16 @@
     window: int
 
 
+Batches = AsyncGenerator[list[bytes], None]
+
+
 class Answering(Protocol):
     """A request being answered, with a key or without."""
 
     progress: Progress
     finish: Finish | None
 
-    def batches(self) -> AsyncGenerator[list[bytes], None]:
+    def batches(self) -> Batches:
         """Yield the pieces of the answer."""
 
 
--- a/src/lacewinggw/entry/reserved.py
+++ b/src/lacewinggw/entry/reserved.py
@@ -28,11 +28,12 @@
 RESERVE_TIMEOUT_S = 2.0
 
 
-async def reserve(means: Means, address: str, head: RequestHead) -> Reservation:
+async def reserve(means: Means, address: str, head: RequestHead, left_s: float) -> Reservation:
     """Ask an agent for a reservation: nothing runs by it. Raises what refuses it."""
-    link = await open_link(means.node, address)
+    timeout_s = min(left_s, RESERVE_TIMEOUT_S)
+    link = await open_link(means.node, address, timeout_s)
     try:
-        reply = await link.call(Reserve(head), RESERVE_TIMEOUT_S)
+        reply = await link.call(Reserve(head), timeout_s)
     except WireError as error:
         raise Unreachable(f"no reservation from {address}: {error.reason}") from error
     if not isinstance(reply, Reservation):
--- /dev/null
+++ b/src/lacewinggw/entry/serving.py
@@ -0,0 +1,244 @@
+"""Serving one request of a caller: admitted, run as it asks, answered whole or streamed."""
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
+from contextlib import aclosing
+
+from lacewinggw.agent.runs import request_digest
+from lacewinggw.entry.answers import (
+    EVENT_STREAM,
+    error_event,
+    final_event,
+    piece_events,
+    problem_response,
+    whole_response,
+)
+from lacewinggw.entry.asking import Wishes, build_head, read_wishes
+from lacewinggw.entry.attempts import Asked
+from lacewinggw.entry.claims import ClaimStore
+from lacewinggw.entry.keyed import KeyedRun
+from lacewinggw.entry.limits import AccountLimits, Refused
+from lacewinggw.entry.outcomes import RequestLog
+from lacewinggw.entry.records import AnswerRecords
+from lacewinggw.entry.requests import (
+    NO_TARGET_RETRY_MS,
+    Answering,
+    Batches,
+    Means,
+    RequestRun,
+    collect,
+)
+from lacewinggw.entry.reserved import ReservedRun, reserve
+from lacewinggw.entry.silence import SilenceWatch
+from lacewinggw.entry.targets import TargetDirectory
+from lacewinggw.entry.tickets import Ticket, TicketSeal
+from lacewinggw.errors import LacewingError, MalformedHttp, NoTarget, RequestUnknown
+from lacewinggw.generated.messages.ttypes import Priority, RequestHead, Service, ServiceKind
+from lacewinggw.generated.settings.ttypes import Settings
+from lacewinggw.ids import Account
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+from lacewinggw.platform.objects import ObjectClient
+from lacewinggw.platform.table import TableClient
+from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.peers import PeerNode
+
+MILLISECONDS = 1000.0
+
+log = get_logger(__name__)
+
+
+class EventBody:
+    """The body of a streamed response; `ended` is called even if nobody ever reads from it."""
+
+    def __init__(self, events: AsyncGenerator[bytes, None], ended: Callable[[], None]) -> None:
+        self._events = events
+        self._ended = ended
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        """Yield the events."""
+        return self._events
+
+    async def aclose(self) -> None:
+        """Give up what was not read."""
+        await self._events.aclose()
+        self._ended()
+
+
+class RequestServer:
+    """Serves requests and gives tickets; keeps the log of both."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        means: Means,
+        limits: AccountLimits,
+        claims: ClaimStore,
+        records: AnswerRecords,
+        rng: random.Random,
+    ) -> None:
+        self.log = RequestLog(means.metrics)
+        self._means = means
+        self._limits = limits
+        self._claims = claims
+        self._records = records
+        self._rng = rng
+        self._deadline_s = settings.requests.deadline_ms / MILLISECONDS
+        self._seal = TicketSeal(settings.process.fleet_key)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        targets: TargetDirectory,
+        limits: AccountLimits,
+        node: PeerNode,
+        table: TableClient,
+        objects: ObjectClient,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> "RequestServer":
+        """Build the server as [requests] says."""
+        requests = settings.requests
+        silence = SilenceWatch(targets.silent_hosts)
+        means = Means(node, targets, silence, metrics, requests.piece_window)
+        claims = ClaimStore(table, requests.claim_batch_ms / MILLISECONDS, metrics)
+        keep_s = requests.answer_keep_ms / MILLISECONDS
+        records = AnswerRecords(objects, table, claims, keep_s)
+        return cls(settings, means, limits, claims, records, rng)
+
+    async def start(self) -> None:
+        """Begin to watch over tries, and to drop recorded answers when their time is over."""
+        await self._means.silence.start()
+        await self._records.start()
+
+    async def close(self) -> None:
+        """Stop; claims being written are written."""
+        await self._means.silence.close()
+        await self._records.close()
+        await self._claims.close()
+
+    async def wait_until_quiet(self, quiet_s: float) -> None:
+        """Wait until no request came for `quiet_s` seconds, none runs and answers are recorded."""
+        await self.log.wait_until_quiet(quiet_s)
+        await self._records.drained()
+
+    async def serve(self, request: Request, service: Service, account: Account) -> Response:
+        """Answer a request; raise what refuses it before it is begun."""
+        wishes = read_wishes(request.headers, self._deadline_s)
+        head = build_head(request, service, account, wishes, self._rng)
+        run = self._build_run(request, service, head, wishes)
+        self._begin(head)
+        if not wishes.stream or service.kind != ServiceKind.MODEL:
+            return await self._whole(run, head)
+        return await self._streamed(run, head)
+
+    async def give_ticket(self, request: Request, service: Service, account: Account) -> Response:
+        """Answer with a ticket for one request to a service."""
+        wishes = read_wishes(request.headers, self._deadline_s)
+        head = build_head(request, service, account, wishes, self._rng)
+        self._admit(head)
+        try:
+            choice = self._means.targets.choose(service.name, head)
+            if choice is None:
+                reason = f"no target serves {service.name} now"
+                raise NoTarget(reason, retry_after_ms=NO_TARGET_RETRY_MS)
+            given = await reserve(self._means, choice.address, head, wishes.deadline_s)
+        finally:
+            self._limits.release(account)
+        ticket = Ticket(service.name, account, choice.address, given.incarnation, given.nonce)
+        told = {"ticket": self._seal.write(ticket), "expires_in_ms": given.expires_in_ms}
+        return json_response(201, told)
+
+    async def _whole(self, run: Answering, head: RequestHead) -> Response:
+        ended: LacewingError | None = RequestUnknown("the entry cut it off")
+        try:
+            answer = await collect(run)
+            ended = None
+            return whole_response(head.request_id, answer)
+        except LacewingError as error:
+            ended = error
+            return problem_response(error, head.request_id)
+        except Exception as error:
+            log.exception("request_failed", request_id=head.request_id)
+            ended = RequestUnknown(f"the entry failed: {error!r}")
+            return problem_response(ended, head.request_id)
+        finally:
+            self._end(head, ended)
+
+    async def _streamed(self, run: Answering, head: RequestHead) -> Response:
+        """Answer once there is a first piece, so that an earlier error has its own status."""
+        batches = run.batches()
+        try:
+            first: list[bytes] = await anext(batches, [])
+        except LacewingError as error:
+            self._end(head, error)
+            return problem_response(error, head.request_id)
+        except BaseException as error:
+            self._end(head, RequestUnknown(f"the entry failed: {error!r}"))
+            raise
+        headers = {"content-type": EVENT_STREAM, "request-id": head.request_id}
+        left = RequestUnknown("the caller left before the end")
+        events = self._events(run, batches, first, head)
+        return Response(200, headers, EventBody(events, lambda: self._end(head, left)))
+
+    async def _events(
+        self, run: Answering, batches: Batches, first: list[bytes], head: RequestHead
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield the events of a stream, the last one saying how it ended."""
+        ended: LacewingError | None = RequestUnknown("the caller left before the end")
+        progress = run.progress
+        try:
+            async with aclosing(batches):
+                yield piece_events(progress.pieces - len(first), first)
+                async for pieces in batches:
+                    yield piece_events(progress.pieces - len(pieces), pieces)
+            ended = None
+            yield final_event(head.request_id, progress)
+        except LacewingError as error:
+            ended = error
+            yield error_event(error, head.request_id)
+        except Exception as error:
+            log.exception("stream_failed", request_id=head.request_id)
+            ended = RequestUnknown(f"the entry failed: {error!r}")
+            yield error_event(ended, head.request_id)
+        finally:
+            self._end(head, ended)
+
+    def _build_run(
+        self, request: Request, service: Service, head: RequestHead, wishes: Wishes
+    ) -> Answering:
+        is_model = service.kind == ServiceKind.MODEL
+        asked = Asked(
+            head=head,
+            body=request.body,
+            digest=request_digest(head, request.body),
+            deadline=asyncio.get_running_loop().time() + wishes.deadline_s,
+            resumable=is_model,
+            first_sending=wishes.first_sending,
+        )
+        if wishes.ticket:
+            ticket = self._seal.read(wishes.ticket)
+            if (ticket.service, ticket.account) != (head.service_name, head.account):
+                raise MalformedHttp("the ticket is for another service or account")
+            return ReservedRun.from_ticket(self._means, asked, ticket)
+        if wishes.key:
+            return KeyedRun(self._means, asked, self._claims, self._records)
+        return RequestRun(self._means, asked, recallable=not (wishes.stream and is_model))
+
+    def _admit(self, head: RequestHead) -> None:
+        now = asyncio.get_running_loop().time()
+        verdict = self._limits.admit(Account(head.account), Priority(head.priority), now)
+        if isinstance(verdict, Refused):
+            raise verdict.error()
+        head.weight = verdict.weight
+
+    def _begin(self, head: RequestHead) -> None:
+        self._admit(head)
+        self.log.begin(head.request_id, Account(head.account))
+
+    def _end(self, head: RequestHead, error: LacewingError | None) -> None:
+        """Note the end of a request; only the first call for it counts."""
+        if self.log.end(head.request_id, error):
+            self._limits.release(Account(head.account))
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -56,7 +56,7 @@
 
     status: int
     headers: Headers = field(default_factory=dict)
-    body: bytes | AsyncIterator[bytes] = b""
+    body: bytes | AsyncIterable[bytes] = b""
 
     @property
     def content(self) -> bytes:
@@ -134,10 +134,11 @@
         parts.append(bytes(event.data))
 
 
-async def _end_body(body: AsyncIterator[bytes]) -> None:
-    """Run a generator's clean-up now: an error may keep it alive until garbage collection."""
-    if isinstance(body, AsyncGenerator):
-        await body.aclose()
+async def _end_body(body: AsyncIterable[bytes]) -> None:
+    """Run a body's clean-up now: an error may keep it alive until garbage collection."""
+    close = getattr(body, "aclose", None)
+    if close is not None:
+        await close()
 
 
 class HttpServer:
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -196,7 +196,6 @@
             self.node,
             self.table,
             self.objects,
-            lambda: [],
             self.metrics,
             random.Random(f"{number}/{generation}"),
         )
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -338,6 +338,24 @@
     assert "event: final" in [event async for event in events][-1]
 
 
+@fleet_test()
+async def test_a_stream_that_never_begins_is_told_by_its_status(fleet: RequestFleet) -> None:
+    for agent in fleet.agents:
+        agent.requests.begin_drain()
+    response = await fleet.entries[0].ask(accept="text/event-stream")
+    assert (response.status, response.headers["outcome"]) == (503, "not-run")
+
+
+@fleet_test()
+async def test_a_stream_that_nobody_reads_holds_up_no_shutdown(fleet: RequestFleet) -> None:
+    entry = fleet.entries[0]
+    response = await entry.ask(accept="text/event-stream")
+    await response.body.aclose()
+    entry.callers.begin_drain()
+    assert await entry.callers.drained(30)
+    assert entry.metrics.counter("requests", outcome="unknown").value == 1
+
+
 @fleet_test()
 async def test_an_outcome_can_be_asked_for(fleet: RequestFleet) -> None:
     entry = fleet.entries[0]
