Tell when a target that is said to check fences does not

Cause: `target_fences` had no effect: whoever set it counted on a guard that nobody looked for. Change: after each order to such a target its fence is read back; one that was not kept is counted and logged with the remedy. Orders go on: the agent gives none by an old configuration in any case.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -44,7 +44,7 @@
   3: required string target                    // address of the target on this host
   4: string target_kind = "engine"             // engine or plain
   5: string service_name = ""               // a plain target's service
-  6: bool target_fences = false                // the target refuses orders with an old fence
+  6: bool target_fences = false                // the target refuses orders with an old fence; checked after each
   7: i64 link_bytes_per_s = 125000000          // this host's link, each direction
   8: i32 weights_share_percent = 70            // most of the link that weights may take
   9: i64 drain_limit_ms = 60000                // longest wait for requests in progress at exit
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -221,7 +221,26 @@
             self._staged.pop(Digest(digest), None)
 
     async def _order(self, order: Order) -> None:
-        await self._engine.order(order, self._fence())
+        fence = self._fence()
+        await self._engine.order(order, fence)
+        if self._gate.fences:
+            await self._check_fence(fence)
+
+    async def _check_fence(self, fence: int) -> None:
+        """Tell when a target that is said to check fences does not keep them.
+
+        Orders are safe without, since the agent gives none by an old configuration; but whoever set
+        `target_fences` counts on a second guard that is not there.
+        """
+        state = await self._engine.state()
+        if state.fence < fence:
+            self._metrics.count("target_fences_unkept")
+            log.warning(
+                "target_fence_unkept",
+                fence=fence,
+                reported=state.fence,
+                remedy="set `target_fences = no` in [agent], or see to the target",
+            )
 
     async def _activate(self, wanted: Wanted, digest: Digest) -> None:
         """Swap: no request may see two digests, so those on the old one end first."""
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -115,7 +115,12 @@
             self.metrics,
             rng,
         )
-        self.gate = TargetGate(TargetKind(agent.target_kind), agent.target, agent.service_name)
+        self.gate = TargetGate(
+            TargetKind(agent.target_kind),
+            agent.target,
+            agent.service_name,
+            fences=agent.target_fences,
+        )
         self.spreader = Spreader.from_config(
             settings, self.node, platform.origin, platform.weight_store, self.metrics, rng
         )
--- a/src/lacewinggw/agent/target.py
+++ b/src/lacewinggw/agent/target.py
@@ -19,7 +19,8 @@
 
     `active_digest` is what was last read back from the target, `""` when nothing is active or when
     the target is plain. Requests are offered only while `serving`. `ready_digest` is loaded beside
-    what is active, for the host's turn to change over.
+    what is active, for the host's turn to change over. `fences` is whether the settings say that
+    the target refuses orders with an old fence.
     """
 
     kind: TargetKind
@@ -31,3 +32,4 @@
     state: TargetState = TargetState.STARTING
     ready_digest: str = ""
     held_up_by: str = ""
+    fences: bool = False
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -45,6 +45,9 @@
     "configuration_snapshots_adopted": _counter("both", "Times a snapshot replaced the state."),
     "configuration_store_reads": _counter("entry", "Reads of the log's tail from the table."),
     "configuration_upstreams_left": _counter("both", "Peers left for another as source of news."),
+    "target_fences_unkept": _counter(
+        "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
+    ),
     "service_replicas": _gauge("entry", "Replicas of a service: declared, placed, and serving."),
     "operator_refusals": _counter("entry", "Operators' calls refused, by kind of error."),
     "peer_sent_bytes": _gauge("agent", "Bytes sent to other processes of the fleet, in all."),
--- a/tests/test_target_keeper.py
+++ b/tests/test_target_keeper.py
@@ -6,10 +6,12 @@
 import pytest
 from trials import run_story
 
+from lacewinggw.agent.target import TargetGate
 from lacewinggw.lab.checkers import describe
 from lacewinggw.lab.engine import EngineStandIn
 from lacewinggw.lab.history import NotRun, WeightsActivated
 from lacewinggw.lab.loading import EngineWeights
+from lacewinggw.lab.memoryfleet import MemoryHost
 from lacewinggw.lab.standin import refused
 from lacewinggw.lab.trial import MODEL, SECOND, Trial
 from lacewinggw.wire.http import Response
@@ -59,3 +61,33 @@
     activated = [event for event in verdict.history if isinstance(event, WeightsActivated)]
     assert len(activated) == 12
     assert 6 < orders < ORDERS_LIMIT * 6
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_a_target_said_to_check_fences_is_told_on_when_it_does_not(
+    kept: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    counted: list[int] = []
+
+    async def watch_counts(trial: Trial) -> None:
+        await move_to_the_second_release(trial)
+        for host in trial.fleet.fleet.hosts.values():
+            assert isinstance(host, MemoryHost) and host.process is not None
+            counters = host.process.metrics.snapshot().counters
+            counted.append(counters.get("target_fences_unkept", 0))
+
+    build = TargetGate.__init__
+
+    def build_fencing(self: TargetGate, *values: Any, **named: Any) -> None:
+        build(self, *values, **{**named, "fences": True})
+
+    answer = EngineStandIn._describe
+
+    def describe_fence(self: EngineStandIn) -> dict[str, Any]:
+        return {**answer(self), **({} if kept else {"fence": 0})}
+
+    monkeypatch.setattr(TargetGate, "__init__", build_fencing)
+    monkeypatch.setattr(EngineStandIn, "_describe", describe_fence)
+    verdict = run_story(watch_counts)
+    assert not verdict.violations, describe(verdict.violations)
+    assert (sum(counted) == 0) is kept
