--- a/src/lacewinggw/lab/baselines.py
+++ b/src/lacewinggw/lab/baselines.py
@@ -10,7 +10,7 @@
 
 from lacewinggw.decisions.sources import ORIGIN, Neighbour, Source
 from lacewinggw.decisions.spread import Action, ReleaseSpread
-from lacewinggw.decisions.topology import DueHost, Topology, ring_neighbours
+from lacewinggw.decisions.topology import ColumnRanks, DueHost, Topology, ring_neighbours
 from lacewinggw.ids import Digest, HostId, Incarnation, Place
 
 ORIGIN_IN_FLIGHT = 2
@@ -48,7 +48,12 @@
             neighbours = ring_neighbours(me.host, names, digest, self.local)
         else:
             neighbours = self._family(names, names.index(me.host))
-        return Topology(places, frozenset(neighbours), (), 0, 1)
+        return Topology(places, frozenset(neighbours), (self._ranks(names.index(me.host)),), 0, 1)
+
+    def _ranks(self, index: int) -> ColumnRanks:
+        """Return who asks the origin for the manifest at once: whoever fetches chunks there."""
+        fetches = self.baseline is Baseline.MESH or parent_index(self.baseline, index) is None
+        return ColumnRanks(None, 0 if fetches else None)
 
     def _family(self, names: Sequence[HostId], mine: int) -> set[HostId]:
         parents = [parent_index(self.baseline, index) for index in range(len(names))]
--- a/src/lacewinggw/lab/variant.py
+++ b/src/lacewinggw/lab/variant.py
@@ -1,7 +1,7 @@
 """An agent with one part exchanged: another way to spread, or a source that corrupts what it sends.
 
 Usage:
-  variant --settings FILE [--baseline NAME] [--corrupt]
+  variant --settings=FILE [--baseline=NAME] [--corrupt]
 """
 
 import asyncio
