Tell the outcome of a request at any entry

Cause: a caller had to ask the very entry that took its request. Change: a request id names its entry; any other asks that one, for the account whose request it is.

--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -89,6 +89,7 @@
             self.node,
             platform.table,
             platform.objects,
+            self._members,
             self.metrics,
             rng,
         )
@@ -200,6 +201,8 @@
                 await self.ledger.handle(exchange)
             case messages.FetchHeard():
                 self.operators.answer_peer(exchange)
+            case messages.AskOutcome():
+                self.callers.answer_peer(exchange)
             case messages.Demand():
                 await self.limits.handle(exchange)
             case _:
