See a request that comes at the very end of an entry's drain to its end

Change: the drain ends by closing the callers' listener and waiting for what it had taken. Ruled out: a caller's mistake; other entries name a leaving one until they learn of it.

--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -1,11 +1,10 @@
 """The entry process: wires the configuration, the targets, the callers and the operators."""
 
 import random
-from collections.abc import Sequence
 
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.hosts import Heard
-from lacewinggw.decisions.revisions import FleetState, moves_placements
+from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.callers import CallerService
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.entry.limits import AccountLimits
@@ -90,7 +89,6 @@
             self.node,
             platform.table,
             platform.objects,
-            self._members,
             self.metrics,
             rng,
         )
@@ -138,7 +136,7 @@
         await self.node.start(self._settings.entry.peer_listen)
         await self._operator_server.start()
         self.watch.on_change(self.targets.set_members)
-        self.ledger.on_change(self._take_changes)
+        self.ledger.on_change(lambda state, entries: self.targets.refresh())
         await self.watch.start()
         await self.ledger.start()
         await self.targets.start()
@@ -149,11 +147,16 @@
         log.info("entry_started", address=self.node.address, callers=self.caller_address)
 
     async def drain(self) -> None:
-        """Leave the address answers, serve on while callers may hold them, end what runs."""
-        entry = self._settings.entry
+        """Leave the address answers, serve on while callers may hold them, end what runs.
+
+        Other entries may name this one for longer, so requests still come until it stops listening;
+        those are seen to their end as well.
+        """
+        limit_s = self._settings.entry.drain_limit_ms / MILLISECONDS
         self.callers.begin_drain()
         log.info("entry_draining")
-        await self.callers.drained(entry.drain_limit_ms / MILLISECONDS)
+        await self.callers.drained(limit_s)
+        await self._caller_server.close(limit_s)
         log.info("entry_drained")
 
     async def leave(self) -> None:
@@ -175,11 +178,6 @@
         await self._platform.close()
         log.info("entry_closed")
 
-    def _take_changes(self, _: FleetState, entries: Sequence[messages.LogEntry]) -> None:
-        """Choose targets anew, which goes over the whole fleet, only when placements moved."""
-        if moves_placements(entries):
-            self.targets.refresh()
-
     def _readiness(self) -> Readiness:
         reason = "" if self.ledger.ready else "no configuration yet"
         return Readiness(self.ledger.ready, reason, self.ledger.revision)
@@ -207,8 +205,6 @@
                 await self.ledger.handle(exchange)
             case messages.FetchHeard():
                 self.operators.answer_peer(exchange)
-            case messages.AskOutcome():
-                self.callers.answer_peer(exchange)
             case messages.Demand():
                 await self.limits.handle(exchange)
             case _:
--- a/src/lacewinggw/lab/observed.py
+++ b/src/lacewinggw/lab/observed.py
@@ -22,6 +22,7 @@
 from lacewinggw.configuration.logstore import ROW_PREFIX, decode_entry
 from lacewinggw.ids import Address, HostId
 from lacewinggw.lab import history as events
+from lacewinggw.lab.facts import Facts
 from lacewinggw.lab.requesters import Mix, Requester
 from lacewinggw.lab.runs import run_events
 from lacewinggw.lab.standin import now
@@ -344,6 +345,11 @@
 
     # ---- internals ----
 
+    def attempts_at_entries(self) -> list[str]:
+        """Return the entries of the requests in progress, in the order in which they were sent."""
+        attempts = Facts.from_history(self.recorder.history).attempts.values()
+        return [each.sent.entry for each in attempts if each.final is None]
+
     def _named(self, role: MemberRole) -> list[str]:
         return [str(name) for name, host in self.fleet.hosts.items() if host.member.role is role]
 
--- a/tests/test_fleet_under_faults.py
+++ b/tests/test_fleet_under_faults.py
@@ -6,11 +6,13 @@
 from trials import make_trial, run_story
 from virtual import run_virtual
 
+from lacewinggw.entry.callers import CallerService
 from lacewinggw.lab.checkers import describe
 from lacewinggw.lab.faultplan import draw_lanes
 from lacewinggw.lab.faults import OVERRIDES, try_faults
 from lacewinggw.lab.memoryfleet import MemoryPlan
-from lacewinggw.lab.trial import Trial, TrialPlan
+from lacewinggw.lab.requesters import Mix
+from lacewinggw.lab.trial import MODEL, Trial, TrialPlan
 from lacewinggw.log import LogFormat, configure_log
 
 FAULT_SECONDS = 12.0
@@ -50,3 +52,26 @@
 
     verdict = run_story(story)
     assert not verdict.violations, describe(verdict.violations)
+
+
+def test_request_that_comes_at_the_very_end_of_a_drain_is_seen_to_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def consider_it_quiet(self: CallerService, limit_s: float) -> bool:
+        return True
+
+    async def story(trial: Trial) -> None:
+        await trial.stop_callers()
+        for name in trial.fleet.agents:
+            await trial.fleet.slow_target(name, 10.0)
+        caller = trial.fleet.requester(9, "saleyard", Mix(MODEL, pieces=(20, 20)))
+        asking = asyncio.create_task(caller.request())
+        while not trial.fleet.attempts_at_entries():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        await trial.fleet.terminate(trial.fleet.attempts_at_entries()[-1])
+        await asking
+
+    monkeypatch.setattr(CallerService, "drained", consider_it_quiet)
+    verdict = run_story(story)
+    assert not verdict.violations, describe(verdict.violations)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -22,8 +22,6 @@
 from lacewinggw.generated.messages.ttypes import LogEntry
 from lacewinggw.ids import Digest
 from lacewinggw.lab.checkers import Property, count_by_property, describe
-from lacewinggw.lab.facts import Facts
-from lacewinggw.lab.standin import now
 from lacewinggw.lab.trial import MODEL, SECOND, Trial
 from lacewinggw.platform import engine, membership
 from lacewinggw.platform.engine import ActivateOrder, AnswerEnd, EngineClient, PieceBatch
@@ -137,19 +135,10 @@
     await asyncio.sleep(12.0)
 
 
-def has_request_in_progress(trial: Trial, entry: str) -> bool:
-    attempts = Facts.from_history(trial.fleet.recorder.history).attempts.values()
-    since = now() - 0.1
-    return any(
-        attempt.sent.entry == entry and attempt.sent.at < since and attempt.final is None
-        for attempt in attempts
-    )
-
-
 async def shut_an_entry_down(trial: Trial) -> None:
     for name in trial.fleet.agents:
         await trial.fleet.slow_target(name, 10.0)
-    while not has_request_in_progress(trial, "entry-1"):  # noqa: ASYNC110
+    while "entry-1" not in trial.fleet.attempts_at_entries():  # noqa: ASYNC110
         await asyncio.sleep(0.1)
     await trial.fleet.terminate("entry-1")
 
