--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -250,6 +250,10 @@
 struct Credit { 1: i64 pieces }    // on a call's way back: how many more pieces may be sent
 struct Cancel { 1: string reason }
 
+// From one entry to the one that took a request, for the caller whose account it is.
+struct AskOutcome { 1: string request_id, 2: string account }
+struct RequestTold { 1: string state, 2: string code = "", 3: string reason = "" }
+
 // ---- limits ---------------------------------------------------------------------------
 
 struct AccountDemand { 1: string account, 2: double offered_per_s, 3: double admitted_per_s, 4: i32 running }
@@ -286,6 +290,8 @@
   47: Finish finish
   48: Credit credit
   49: Cancel cancel
+  50: AskOutcome ask_outcome
+  51: RequestTold request_told
   32: FetchHeard fetch_heard
   33: HeardTargets heard_targets
   60: Demand demand
--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from lacewinggw.agent.bitmaps import decode_bitmap, encode_bitmap
 from lacewinggw.agent.chunks import ChunkStore
+from lacewinggw.agent.failures import failure_of, retry_reason
 from lacewinggw.agent.links import Pacer
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.decisions.sources import (
-    FetchFailure,
     Neighbour,
     Origin,
     Source,
@@ -24,9 +25,6 @@
     LacewingError,
     LinkBusy,
     NoSource,
-    PlatformThrottled,
-    TimedOut,
-    WeightsError,
 )
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Digest, HostId, Incarnation, Place
@@ -34,7 +32,6 @@
 from lacewinggw.metrics import Metrics, RetryReason
 from lacewinggw.wire.peers import Identity
 
-BITS = 8
 NAMED_CHUNKS = 5
 
 log = get_logger(__name__)
@@ -162,7 +159,7 @@
         """Note what a neighbour says it holds."""
         host = HostId(remote.host)
         self._spread.link_up(host, Place(remote.place), Incarnation(remote.incarnation))
-        indexes = _bitmap_indexes(have.bitmap) if have.bitmap is not None else have.added or []
+        indexes = decode_bitmap(have.bitmap) if have.bitmap is not None else have.added or []
         self._spread.have(host, indexes, _now(), have.waiting)
         link = self._around.mesh.link(host)
         if have.wants_reply and link is not None:
@@ -184,7 +181,7 @@
                 link.notify(have)
 
     def _whole_have(self, wants_reply: bool) -> messages.Have:
-        bitmap = _bitmap(self._spread.held, self._spread.chunk_count)
+        bitmap = encode_bitmap(self._spread.held, self._spread.chunk_count)
         return messages.Have(
             self.digest,
             self._next_sequence(),
@@ -257,9 +254,9 @@
         return bytes(received)
 
     def _fail(self, source: Source, index: int, error: LacewingError) -> None:
-        failure = _failure_of(error)
+        failure = failure_of(error)
         log.info("chunk_failed", source=str(source), index=index, reason=failure.value)
-        self._around.metrics.retry(_retry_reason(source, failure))
+        self._around.metrics.retry(retry_reason(source, failure))
         self._spread.failed(source, index, failure, _now())
 
     def _take(self, source: Source | None, index: int) -> None:
@@ -350,44 +347,3 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
-
-
-def _failure_of(error: LacewingError) -> FetchFailure:
-    match error:
-        case CorruptChunk():
-            return FetchFailure.CORRUPT
-        case LinkBusy() | PlatformThrottled():
-            return FetchFailure.BUSY
-        case TimedOut():
-            return FetchFailure.STALLED
-        case WeightsError():
-            return FetchFailure.REFUSED
-        case _:
-            return FetchFailure.LOST
-
-
-def _retry_reason(source: Source, failure: FetchFailure) -> RetryReason:
-    match failure:
-        case FetchFailure.CORRUPT:
-            return RetryReason.CHUNK_CORRUPT
-        case FetchFailure.STALLED:
-            return RetryReason.CHUNK_STALLED
-        case FetchFailure.BUSY:
-            return RetryReason.SOURCE_BUSY
-        case FetchFailure.LOST | FetchFailure.REFUSED:
-            if isinstance(source, Neighbour):
-                return RetryReason.SOURCE_LOST
-            return RetryReason.ORIGIN_FAILED
-
-
-def _bitmap(held: set[int], count: int) -> bytes:
-    bits = bytearray((count + BITS - 1) // BITS)
-    for index in held:
-        bits[index // BITS] |= 1 << index % BITS
-    return bytes(bits)
-
-
-def _bitmap_indexes(bitmap: bytes) -> list[int]:
-    return [
-        at * BITS + bit for at, byte in enumerate(bitmap) for bit in range(BITS) if byte >> bit & 1
-    ]
--- /dev/null
+++ b/src/lacewinggw/agent/failures.py
@@ -0,0 +1,42 @@
+"""What a failed chunk means for its source, and how it is counted."""
+
+from lacewinggw.decisions.sources import FetchFailure, Neighbour, Source
+from lacewinggw.errors import (
+    CorruptChunk,
+    LacewingError,
+    LinkBusy,
+    PlatformThrottled,
+    TimedOut,
+    WeightsError,
+)
+from lacewinggw.metrics import RetryReason
+
+
+def failure_of(error: LacewingError) -> FetchFailure:
+    """Return what an error means for the source that a chunk was asked of."""
+    match error:
+        case CorruptChunk():
+            return FetchFailure.CORRUPT
+        case LinkBusy() | PlatformThrottled():
+            return FetchFailure.BUSY
+        case TimedOut():
+            return FetchFailure.STALLED
+        case WeightsError():
+            return FetchFailure.REFUSED
+        case _:
+            return FetchFailure.LOST
+
+
+def retry_reason(source: Source, failure: FetchFailure) -> RetryReason:
+    """Return the reason by which a chunk that is asked for again is counted."""
+    match failure:
+        case FetchFailure.CORRUPT:
+            return RetryReason.CHUNK_CORRUPT
+        case FetchFailure.STALLED:
+            return RetryReason.CHUNK_STALLED
+        case FetchFailure.BUSY:
+            return RetryReason.SOURCE_BUSY
+        case FetchFailure.LOST | FetchFailure.REFUSED:
+            if isinstance(source, Neighbour):
+                return RetryReason.SOURCE_LOST
+            return RetryReason.ORIGIN_FAILED
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -1,6 +1,7 @@
 """The agent process: wires the weights, the target and the requests on one host together."""
 
 import random
+from collections.abc import Sequence
 
 from lacewinggw.agent.follower import Follower
 from lacewinggw.agent.heartbeats import HeartbeatSender
@@ -10,7 +11,7 @@
 from lacewinggw.agent.weights import DueRelease, Spreader
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.lifecycle import Wanted
-from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.decisions.revisions import FleetState, declares_any, moves_placements
 from lacewinggw.errors import LacewingError, UnsupportedMessage
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
@@ -162,7 +163,7 @@
         await self.node.start(self._settings.agent.peer_listen)
         await self._operator_server.start()
         self.watch.on_change(self._take_members)
-        self.follower.on_change(lambda state, _: self._take_state(state))
+        self.follower.on_change(self._take_changes)
         self.spreader.on_chunk(lambda digest, index: self.keeper.wake())
         await self.watch.start()
         await self.spreader.start()
@@ -236,6 +237,12 @@
         host = self._settings.process.host
         return next((member for member in members if member.host == host), None)
 
+    def _take_changes(self, state: FleetState, entries: Sequence[messages.LogEntry]) -> None:
+        """Follow only what can concern this host: most changes are about other services."""
+        own = {service for service, _ in state.assignments_of(self._settings.process.host)}
+        if moves_placements(entries) or declares_any(entries, own):
+            self._take_state(state)
+
     def _take_state(self, state: FleetState) -> None:
         host = self._settings.process.host
         self.spreader.set_due(due_releases(state, host))
--- a/src/lacewinggw/decisions/commands.py
+++ b/src/lacewinggw/decisions/commands.py
@@ -40,7 +40,8 @@
 def describe_goals(service: Service) -> str:
     """Return the declared replicas in words: "6 on market-7, 2 on market-6"."""
     if service.kind == ServiceKind.PLAIN:
-        return f"{sum(goal.replicas for goal in service.goals)} replicas"
+        replicas = sum(goal.replicas for goal in service.goals)
+        return "1 replica" if replicas == 1 else f"{replicas} replicas"
     goals = [f"{goal.replicas} on {goal.release}" for goal in service.goals if goal.replicas]
     return ", ".join(goals) or "no replicas"
 
--- a/src/lacewinggw/decisions/outcomes.py
+++ b/src/lacewinggw/decisions/outcomes.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from lacewinggw.errors import (
+    AgentLost,
     AnswerIncomplete,
     ConnectionLost,
     DeadlinePassed,
@@ -111,6 +112,13 @@
     return GiveUp(final_error(error, situation))
 
 
+def _unknown_for(error: LacewingError) -> LacewingError:
+    """Return the error for a request that may have run, when the last thing met was `error`."""
+    if isinstance(error, ConnectionLost):
+        return AgentLost(f"the agent was lost after the offer: {error.reason}")
+    return RequestUnknown(f"an earlier try may have run; the last thing met: {error.reason}")
+
+
 def final_error(error: LacewingError, situation: Situation) -> LacewingError:
     """Return the error to tell the caller: one of "not run" or "unknown", never without."""
     told = error
@@ -118,7 +126,7 @@
         if error.outcome is not Outcome.NOT_RUN:
             told = NoTarget(error.reason, retry_after_ms=error.retry_after_ms)
     elif error.outcome is not Outcome.UNKNOWN:
-        told = RequestUnknown(f"it may have run; the last thing met: {error.reason}")
+        told = _unknown_for(error)
     if not told.retry_after_ms and told.http_status in (429, 503):
         told.retry_after_ms = RETRY_AFTER_MS
     return told
--- a/src/lacewinggw/decisions/revisions.py
+++ b/src/lacewinggw/decisions/revisions.py
@@ -6,7 +6,7 @@
 """
 
 from collections import deque
-from collections.abc import KeysView
+from collections.abc import Container, KeysView, Sequence
 from dataclasses import dataclass
 from typing import Self, TypeAlias
 
@@ -95,6 +95,23 @@
     return all(change.place is not None for change in entry.changes)
 
 
+def moves_placements(entries: Sequence[LogEntry]) -> bool:
+    """Tell whether entries may change which hosts serve what; none stand for a whole state."""
+    contents = (content_of(change) for entry in entries for change in entry.changes)
+    return not entries or any(
+        isinstance(content, Place | RemoveService | SetDrain) for content in contents
+    )
+
+
+def declares_any(entries: Sequence[LogEntry], services: Container[str]) -> bool:
+    """Tell whether entries declare one of these services anew."""
+    contents = (content_of(change) for entry in entries for change in entry.changes)
+    return any(
+        isinstance(content, PutService) and content.declared.name in services
+        for content in contents
+    )
+
+
 def for_history(entry: LogEntry) -> LogEntry:
     """Return an entry without its assignments, which would make the history large."""
     if not any(change.place is not None for change in entry.changes):
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -1,5 +1,6 @@
 """Where a chunk may come from, and what is known of each source."""
 
+import random
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TypeAlias
@@ -27,6 +28,8 @@
 
 Source: TypeAlias = Neighbour | Origin | Store
 
+DOUBLINGS = 10  # of the back-off, before its limit
+
 ORIGIN = Origin()
 STORE = Store()
 
@@ -96,3 +99,43 @@
     silence_s: float = 15.0
     source_backoff_s: float = 0.5
     source_backoff_limit_s: float = 8.0
+
+
+class PlatformSources:
+    """The origin and the weight store: which of them to ask, with back-off after failures."""
+
+    def __init__(self, rules: SpreadRules, rng: random.Random) -> None:
+        self._rules = rules
+        self._rng = rng
+        self._states: dict[Source, SourceState] = {ORIGIN: SourceState(), STORE: SourceState()}
+
+    @property
+    def failures(self) -> int:
+        """How often they failed since they last gave a chunk."""
+        return sum(state.failures for state in self._states.values())
+
+    @property
+    def bad(self) -> list[str]:
+        """Those that gave too many corrupt chunks."""
+        named = {"origin": self._states[ORIGIN], "weight-store": self._states[STORE]}
+        limit = self._rules.corrupt_limit
+        return [name for name, state in named.items() if state.corrupt >= limit]
+
+    def pick(self, now: float) -> Source | None:
+        """Return the one to ask: the origin unless it failed lately; None when both did."""
+        usable = (source for source, state in self._states.items() if state.avoid_until <= now)
+        return next(usable, None)
+
+    def note_given(self, source: Source) -> None:
+        """Note a chunk that one of them gave."""
+        self._states[source].failures = 0
+
+    def note_failed(self, source: Source, corrupt: bool, now: float) -> None:
+        """Leave one of them alone for a while, longer with each failure in a row."""
+        state = self._states[source]
+        state.failures += 1
+        state.corrupt += int(corrupt)
+        rules = self._rules
+        backoff_s = rules.source_backoff_s * 2 ** min(state.failures - 1, DOUBLINGS)
+        backoff_s = min(backoff_s, rules.source_backoff_limit_s)
+        state.avoid_until = now + backoff_s * (0.5 + self._rng.random())
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -12,15 +12,13 @@
 
 from lacewinggw.decisions.holdings import Holdings
 from lacewinggw.decisions.sources import (
-    ORIGIN,
-    STORE,
     Fetch,
     FetchFailure,
     Neighbour,
     NeighbourState,
     Origin,
+    PlatformSources,
     Source,
-    SourceState,
     SpreadRules,
     Store,
 )
@@ -78,8 +76,7 @@
         self._column_moved_at: list[float] = []
         self._import_moved_at: list[float] = []
         self._left: dict[HostId, Incarnation] = {}
-        self._origin = SourceState()
-        self._store = SourceState()
+        self._platform = PlatformSources(rules, rng)
         self._fetch_s = 0.0
 
     @property
@@ -105,10 +102,7 @@
     @property
     def bad_sources(self) -> list[str]:
         """The sources that gave too many corrupt chunks."""
-        platform = {"origin": self._origin, "weight-store": self._store}
-        limit = self.rules.corrupt_limit
-        named = [name for name, state in platform.items() if state.corrupt >= limit]
-        return sorted([*self._left, *named])
+        return sorted([*self._left, *self._platform.bad])
 
     @property
     def patience_s(self) -> float:
@@ -125,7 +119,7 @@
     @property
     def source_failures(self) -> int:
         """How often the origin and the weight store failed since they last gave a chunk."""
-        return self._origin.failures + self._store.failures
+        return self._platform.failures
 
     # ---- events ---------------------------------------------------------------------------
 
@@ -197,7 +191,7 @@
             case Neighbour(host) if host in self.neighbours:
                 self.neighbours[host].avoid_until = 0.0
             case Origin() | Store():
-                self._state_of(source).failures = 0
+                self._platform.note_given(source)
         return [Cancel(fetch.source, index) for fetch in fetches if fetch.source != source]
 
     def failed(self, source: Source, index: int, failure: FetchFailure, now: float) -> None:
@@ -205,14 +199,13 @@
         self._drop_fetch(index, source)
         if failure is FetchFailure.STALLED:
             self.stalls += 1
-        if failure is FetchFailure.CORRUPT:
-            self.corrupt_chunks += 1
-            self._blame(source)
+        corrupt = failure is FetchFailure.CORRUPT
+        self.corrupt_chunks += int(corrupt)
         match source:
-            case Neighbour(host):
-                self._avoid_neighbour(host, index, failure, now)
+            case Neighbour(host) if host in self.neighbours:
+                self._note_neighbour_failed(host, index, failure, now)
             case Origin() | Store():
-                self._avoid_source(self._state_of(source), now)
+                self._platform.note_failed(source, corrupt, now)
 
     # ---- decisions ------------------------------------------------------------------------
 
@@ -285,7 +278,7 @@
         if any(self._is_source_fetch(index) for index in self._column_fetches(column)):
             return
         absent = self._holdings.absent[column] - self._fetches.keys()
-        source = self._pick_source(now)
+        source = self._platform.pick(now)
         if absent and source is not None:
             yield self._ask(source, self._first_absent(absent, rank or 0), now)
 
@@ -359,7 +352,7 @@
         self._progress_at = now
         index = self._rng.choice(sorted(self.missing))
         host = self._pick_holder(index, now, local=False)
-        source = Neighbour(host) if host is not None else self._pick_source(now)
+        source = Neighbour(host) if host is not None else self._platform.pick(now)
         if source is not None:
             yield self._ask(source, index, now)
 
@@ -383,11 +376,6 @@
         ]
         return min(holders)[2] if holders else None
 
-    def _pick_source(self, now: float) -> Source | None:
-        if self._origin.avoid_until <= now:
-            return ORIGIN
-        return STORE if self._store.avoid_until <= now else None
-
     # ---- book-keeping ---------------------------------------------------------------------
 
     def _ask(self, source: Source, index: int, now: float, endgame: bool = False) -> Ask:
@@ -436,16 +424,27 @@
     def _note_time(self, seconds: float) -> None:
         self._fetch_s = seconds if not self._fetch_s else 0.8 * self._fetch_s + 0.2 * seconds
 
-    def _blame(self, source: Source) -> None:
-        """Count a corrupt chunk against its source, and leave a source that has too many."""
-        match source:
-            case Neighbour(host) if host in self.neighbours:
-                self.neighbours[host].corrupt += 1
-                if self.neighbours[host].corrupt >= self.rules.corrupt_limit:
-                    self._leave(host, self.neighbours[host])
-            case Origin() | Store():
-                state = self._state_of(source)
+    def _note_neighbour_failed(
+        self, host: HostId, index: int, failure: FetchFailure, now: float
+    ) -> None:
+        state = self.neighbours[host]
+        match failure:
+            case FetchFailure.STALLED | FetchFailure.BUSY:
+                state.avoid_until = now + self.rules.stall_s
+            case FetchFailure.REFUSED:
+                self._withdraw_offer(state, index)
+            case FetchFailure.CORRUPT:
                 state.corrupt += 1
+                if state.corrupt >= self.rules.corrupt_limit:
+                    self._leave(host, state)
+
+    def _withdraw_offer(self, state: NeighbourState, index: int) -> None:
+        """Forget that a neighbour has a chunk."""
+        if index in state.chunks:
+            state.chunks.discard(index)
+            state.offers.discard(index)
+            if not state.left:
+                self._holdings.hide(index, state.place == self._place)
 
     def _leave(self, host: HostId, state: NeighbourState) -> None:
         """Ask nothing more of a neighbour, and count on nothing that it shows."""
@@ -461,27 +460,6 @@
                 self._holdings.hide(index, state.place == self._place)
         state.offers.clear()
 
-    def _avoid_neighbour(self, host: HostId, index: int, failure: FetchFailure, now: float) -> None:
-        state = self.neighbours.get(host)
-        if state is None:
-            return
-        if failure in (FetchFailure.STALLED, FetchFailure.BUSY):
-            state.avoid_until = now + self.rules.stall_s
-        if failure is FetchFailure.REFUSED and index in state.chunks:
-            state.chunks.discard(index)
-            state.offers.discard(index)
-            if not state.left:
-                self._holdings.hide(index, state.place == self._place)
-
-    def _avoid_source(self, state: SourceState, now: float) -> None:
-        state.failures += 1
-        backoff_s = self.rules.source_backoff_s * 2 ** min(state.failures - 1, 10)
-        backoff_s = min(backoff_s, self.rules.source_backoff_limit_s)
-        state.avoid_until = now + backoff_s * (0.5 + self._rng.random())
-
-    def _state_of(self, source: Source) -> SourceState:
-        return self._store if isinstance(source, Store) else self._origin
-
     def _column_fetches(self, column: int) -> list[int]:
         return [index for index in self._fetches if self._holdings.column(index) == column]
 
--- a/src/lacewinggw/entry/asking.py
+++ b/src/lacewinggw/entry/asking.py
@@ -16,6 +16,7 @@
 from lacewinggw.wire.http import JSON_TYPE, Headers, Request
 
 MILLISECONDS = 1000.0
+ENTRY_END = "."
 KEY_LIMIT = 200
 TRUE_WORDS = frozenset({"true", "yes", "1"})
 FALSE_WORDS = frozenset({"false", "no", "0"})
@@ -72,7 +73,7 @@
     service: Service,
     account: Account,
     wishes: Wishes,
-    rng: random.Random,
+    request_id: str,
 ) -> RequestHead:
     """Return the head of a request for the agents; raise `MalformedHttp`."""
     path = request.query.get("path", "/")
@@ -80,7 +81,7 @@
     if method not in METHODS or not path.startswith("/"):
         raise MalformedHttp(f"cannot call {method} {path}: give a known method and a /path")
     return RequestHead(
-        request_id=new_request_id(rng),
+        request_id=request_id,
         service_name=service.name,
         account=account,
         priority=wishes.priority,
@@ -95,6 +96,16 @@
     )
 
 
+def make_request_id(entry: str, rng: random.Random) -> str:
+    """Return a fresh request id, which names the entry that takes the request."""
+    return f"{entry}{ENTRY_END}{new_request_id(rng)}"
+
+
+def entry_of(request_id: str) -> str:
+    """Return the entry that a request id names; "" when it names none."""
+    return request_id.rpartition(ENTRY_END)[0]
+
+
 def _read_priority(word: str) -> Priority:
     try:
         return Priority[word.upper()]
--- a/src/lacewinggw/entry/callers.py
+++ b/src/lacewinggw/entry/callers.py
@@ -7,6 +7,7 @@
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.answers import problem_response
 from lacewinggw.entry.asking import bearer_token
+from lacewinggw.entry.inquiries import Inquiries, Members
 from lacewinggw.entry.limits import AccountLimits
 from lacewinggw.entry.serving import RequestServer
 from lacewinggw.entry.targets import TargetDirectory
@@ -15,7 +16,6 @@
     Draining,
     LacewingError,
     NotReady,
-    RowMissing,
     UnknownPath,
     UnknownService,
 )
@@ -26,7 +26,7 @@
 from lacewinggw.platform.objects import ObjectClient
 from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.http import Request, Response, json_response
-from lacewinggw.wire.peers import PeerNode
+from lacewinggw.wire.peers import Exchange, PeerNode
 
 MILLISECONDS = 1000.0
 ADDRESSES_PATH = "/v1/addresses"
@@ -55,6 +55,7 @@
         state: Callable[[], FleetState],
         limits: AccountLimits,
         server: RequestServer,
+        inquiries: Inquiries,
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
@@ -62,6 +63,7 @@
         self._state = state
         self._limits = limits
         self._server = server
+        self._inquiries = inquiries
         self._metrics = metrics
         self._rng = rng
         self._draining = False
@@ -77,6 +79,7 @@
         node: PeerNode,
         table: TableClient,
         objects: ObjectClient,
+        members: Members,
         metrics: Metrics,
         rng: random.Random,
     ) -> "CallerService":
@@ -84,7 +87,8 @@
         server = RequestServer.from_config(
             settings, targets, limits, node, table, objects, metrics, rng
         )
-        return cls(settings, state, limits, server, metrics, rng)
+        inquiries = Inquiries(server.log, node, members)
+        return cls(settings, state, limits, server, inquiries, metrics, rng)
 
     async def start(self) -> None:
         """Start what requests are served with."""
@@ -127,6 +131,10 @@
             response.headers["connection"] = "close"
         return response
 
+    def answer_peer(self, exchange: Exchange) -> None:
+        """Tell another entry what became of a request."""
+        self._inquiries.answer(exchange)
+
     def _refuse_all(self) -> None:
         self._refusing = True
 
@@ -137,7 +145,7 @@
             case "GET" if path == ADDRESSES_PATH:
                 return self._answer_addresses(account)
             case "GET" if path.startswith(REQUESTS_PATH):
-                return self._answer_outcome(account, path.removeprefix(REQUESTS_PATH))
+                return await self._answer_outcome(account, path.removeprefix(REQUESTS_PATH))
             case "POST" if path == TICKETS_PATH:
                 service = self._service(request.query.get("service", ""))
                 return await self._server.give_ticket(request, service, account)
@@ -161,13 +169,8 @@
         ttl_ms = self._settings.entry.address_ttl_ms
         return json_response(200, {"addresses": addresses, "ttl_ms": ttl_ms})
 
-    def _answer_outcome(self, account: Account, request_id: str) -> Response:
-        found = self._server.log.find(request_id, account)
-        if found is None:
-            raise RowMissing(
-                f"this entry has no request {request_id}",
-                remedy="ask the entry that took it; outcomes are kept for a while only",
-            )
+    async def _answer_outcome(self, account: Account, request_id: str) -> Response:
+        found = await self._inquiries.find(request_id, account)
         told = {"request_id": request_id, "state": found.state.value}
         return json_response(200, {**told, "code": found.code, "reason": found.reason})
 
--- /dev/null
+++ b/src/lacewinggw/entry/inquiries.py
@@ -0,0 +1,64 @@
+"""Outcomes asked of any entry: told here, or by the entry that the request's id names."""
+
+from collections.abc import Callable, Sequence
+
+from lacewinggw.entry.asking import entry_of
+from lacewinggw.entry.outcomes import RequestLog, RequestOutcome, RequestState
+from lacewinggw.errors import LacewingError, RowMissing
+from lacewinggw.generated.messages.ttypes import AskOutcome, RequestTold
+from lacewinggw.ids import Account
+from lacewinggw.platform.membership import Member, MemberRole
+from lacewinggw.wire.peers import Exchange, PeerNode
+
+ASK_TIMEOUT_S = 2.0
+
+Members = Callable[[], Sequence[Member]]
+
+
+class Inquiries:
+    """Finds the outcome of an account's request."""
+
+    def __init__(self, log: RequestLog, node: PeerNode, members: Members) -> None:
+        self._log = log
+        self._node = node
+        self._members = members
+
+    async def find(self, request_id: str, account: Account) -> RequestOutcome:
+        """Return an outcome; raise `RowMissing` when nobody can tell it any more."""
+        found = self._log.find(request_id, account)
+        return found if found is not None else await self._ask(request_id, account)
+
+    def answer(self, exchange: Exchange) -> None:
+        """Tell another entry an outcome; raise `RowMissing` when it is not known here."""
+        asked: AskOutcome = exchange.message
+        found = self._log.find(asked.request_id or "", Account(asked.account or ""))
+        if found is None:
+            raise _unknown(asked.request_id)
+        exchange.finish(RequestTold(found.state.value, found.code, found.reason))
+
+    async def _ask(self, request_id: str, account: Account) -> RequestOutcome:
+        address = self._address_of(entry_of(request_id))
+        if not address:
+            raise _unknown(request_id)
+        question = AskOutcome(request_id, account)
+        try:
+            told = await self._node.call(address, question, ASK_TIMEOUT_S)
+        except LacewingError as error:
+            raise _unknown(request_id) from error
+        if not isinstance(told, RequestTold):
+            raise _unknown(request_id)
+        return RequestOutcome(RequestState(told.state), account, told.code, told.reason)
+
+    def _address_of(self, entry: str) -> str:
+        """Return the peer address of another entry, "" when it is not listed."""
+        for member in self._members():
+            if member.role is MemberRole.ENTRY and member.host == entry:
+                return "" if entry == self._node.identity.host else member.address
+        return ""
+
+
+def _unknown(request_id: str) -> RowMissing:
+    return RowMissing(
+        f"no entry can tell of a request {request_id}",
+        remedy="check the id; outcomes are kept for a while, by the entry that took the request",
+    )
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -289,13 +289,19 @@
     return Place(service, assignments, "their turn to change over", [])
 
 
+def _describe_assignment(assignment: Assignment) -> str:
+    if assignment.next_release:
+        return f"{assignment.host} to go to {assignment.next_release}"
+    if assignment.release:
+        return f"{assignment.host} on {assignment.release}"
+    return assignment.host
+
+
 def describe_places(places: Sequence[Place]) -> str:
     """Return a placement in words, for `show history`."""
     parts = []
     for place in places:
-        added = ", ".join(
-            f"{each.host} on {each.release or 'itself'}" for each in place.assignments
-        )
+        added = ", ".join(_describe_assignment(each) for each in place.assignments)
         gone = ", ".join(place.released or [])
         words = f"place {place.service_name}:"
         if added:
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -1,10 +1,11 @@
 """The entry process: wires the configuration, the targets, the callers and the operators."""
 
 import random
+from collections.abc import Sequence
 
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.hosts import Heard
-from lacewinggw.decisions.revisions import FleetState
+from lacewinggw.decisions.revisions import FleetState, moves_placements
 from lacewinggw.entry.callers import CallerService
 from lacewinggw.entry.ledger import Ledger
 from lacewinggw.entry.limits import AccountLimits
@@ -89,6 +90,7 @@
             self.node,
             platform.table,
             platform.objects,
+            self._members,
             self.metrics,
             rng,
         )
@@ -136,7 +138,7 @@
         await self.node.start(self._settings.entry.peer_listen)
         await self._operator_server.start()
         self.watch.on_change(self.targets.set_members)
-        self.ledger.on_change(lambda state, entries: self.targets.refresh())
+        self.ledger.on_change(self._take_changes)
         await self.watch.start()
         await self.ledger.start()
         await self.targets.start()
@@ -178,6 +180,11 @@
         await self._platform.close()
         log.info("entry_closed")
 
+    def _take_changes(self, _: FleetState, entries: Sequence[messages.LogEntry]) -> None:
+        """Choose targets anew, which goes over the whole fleet, only when placements moved."""
+        if moves_placements(entries):
+            self.targets.refresh()
+
     def _readiness(self) -> Readiness:
         reason = "" if self.ledger.ready else "no configuration yet"
         return Readiness(self.ledger.ready, reason, self.ledger.revision)
@@ -205,6 +212,8 @@
                 await self.ledger.handle(exchange)
             case messages.FetchHeard():
                 self.operators.answer_peer(exchange)
+            case messages.AskOutcome():
+                self.callers.answer_peer(exchange)
             case messages.Demand():
                 await self.limits.handle(exchange)
             case _:
--- a/src/lacewinggw/entry/serving.py
+++ b/src/lacewinggw/entry/serving.py
@@ -14,7 +14,7 @@
     problem_response,
     whole_response,
 )
-from lacewinggw.entry.asking import Wishes, build_head, read_wishes
+from lacewinggw.entry.asking import Wishes, build_head, make_request_id, read_wishes
 from lacewinggw.entry.attempts import Asked
 from lacewinggw.entry.claims import ClaimStore
 from lacewinggw.entry.keyed import KeyedRun
@@ -84,6 +84,7 @@
         self._claims = claims
         self._records = records
         self._rng = rng
+        self._host = settings.process.host
         self._deadline_s = settings.requests.deadline_ms / MILLISECONDS
         self._seal = TicketSeal(settings.process.fleet_key)
 
@@ -127,7 +128,7 @@
     async def serve(self, request: Request, service: Service, account: Account) -> Response:
         """Answer a request; raise what refuses it before it is begun."""
         wishes = read_wishes(request.headers, self._deadline_s)
-        head = build_head(request, service, account, wishes, self._rng)
+        head = build_head(request, service, account, wishes, self._new_id())
         run = self._build_run(request, service, head, wishes)
         self._begin(head)
         if not wishes.stream or service.kind != ServiceKind.MODEL:
@@ -137,7 +138,7 @@
     async def give_ticket(self, request: Request, service: Service, account: Account) -> Response:
         """Answer with a ticket for one request to a service."""
         wishes = read_wishes(request.headers, self._deadline_s)
-        head = build_head(request, service, account, wishes, self._rng)
+        head = build_head(request, service, account, wishes, self._new_id())
         self._admit(head)
         try:
             choice = self._means.targets.choose(service.name, head)
@@ -227,6 +228,9 @@
             return KeyedRun(self._means, asked, self._claims, self._records)
         return RequestRun(self._means, asked, recallable=not (wishes.stream and is_model))
 
+    def _new_id(self) -> str:
+        return make_request_id(self._host, self._rng)
+
     def _admit(self, head: RequestHead) -> None:
         now = asyncio.get_running_loop().time()
         verdict = self._limits.admit(Account(head.account), Priority(head.priority), now)
--- a/src/lacewinggw/lab/baselines.py
+++ b/src/lacewinggw/lab/baselines.py
@@ -105,7 +105,7 @@
     def _ask_origin(self, now: float) -> Iterator[Action]:
         absent = [index for index in self.missing if not self._holdings.is_shown(index)]
         absent = [index for index in absent if index not in self._fetches]
-        source = self._pick_source(now)
+        source = self._platform.pick(now)
         if absent and source is not None and len(self._fetches) < ORIGIN_IN_FLIGHT:
             yield self._ask(source, self._rng.choice(sorted(absent)), now)
 
--- a/src/lacewinggw/operators/language.py
+++ b/src/lacewinggw/operators/language.py
@@ -122,6 +122,8 @@
             position = int(met_at)
         case UnexpectedEOF():
             terminals = set(error.expected)
+    if "SHOW" in terminals:
+        terminals.discard("SEPARATOR")  # allowed before a statement, but nothing to advise
     keywords = sorted(_keyword(each) for each in terminals if each not in TERMINAL_WORDS)
     others = sorted(TERMINAL_WORDS[each] for each in terminals if each in TERMINAL_WORDS)
     position, close = _misspelt(words, position, keywords)
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -30,6 +30,7 @@
 from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.engine import EngineClient
+from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.platform.objects import ObjectClient
 from lacewinggw.platform.plain import PlainClient
 from lacewinggw.platform.table import TableClient
@@ -196,6 +197,7 @@
             self.node,
             self.table,
             self.objects,
+            lambda: fleet.members,
             self.metrics,
             random.Random(f"{number}/{generation}"),
         )
@@ -203,7 +205,7 @@
         self.server = HttpServer(network, self.caller_address, self.callers.handle)
 
     async def _handle(self, exchange: Exchange) -> None:
-        raise AssertionError("no agent calls an entry here")
+        self.callers.answer_peer(exchange)
 
     async def start(self) -> None:
         await self.node.start(f"{self.ip}:7000")
@@ -287,6 +289,12 @@
         self._entries = entries
         self.entries: list[Entry] = []
 
+    @property
+    def members(self) -> list[Member]:
+        return [
+            Member(entry.host, "a", MemberRole.ENTRY, f"{entry.ip}:7000") for entry in self.entries
+        ]
+
     def runs(self) -> list[Any]:
         return [run for agent in self.agents for run in agent.runs()]
 
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -37,7 +37,7 @@
 
 
 def test_several_commands_are_one_body() -> None:
-    words = "create release m; set service a replicas 2 # a remark\ndrain host h1, h2"
+    words = "# all of it\n\ncreate release m; set service a replicas 2 # more\ndrain host h1, h2\n"
     commands = parse_commands(words)
     assert len(commands) == 3
     assert isinstance(commands[2], DrainStatement)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,7 +10,12 @@
 from lacewinggw.decisions.commands import check_command
 from lacewinggw.decisions.hosts import Heard, HostWatch
 from lacewinggw.decisions.placement import HostFact, PlacementPlan, is_whole, plan_placement
-from lacewinggw.decisions.revisions import FleetState, change_of
+from lacewinggw.decisions.revisions import (
+    FleetState,
+    change_of,
+    declares_any,
+    moves_placements,
+)
 from lacewinggw.errors import ConfigurationConflict
 from lacewinggw.generated.messages.ttypes import (
     Change,
@@ -111,6 +116,18 @@
     assert plan_placement(state, listed).places == []
 
 
+def test_most_changes_concern_no_host() -> None:
+    def entry(*changes: Change) -> list[LogEntry]:
+        return [LogEntry(1, "c", "test", 0, 0, list(changes), "")]
+
+    assert not moves_placements(entry(release("m"), service("desk", ("m", 2))))
+    assert moves_placements(entry(release("m"), drain("h1")))
+    assert moves_placements(entry(change_of(Place("desk", [], "test", []))))
+    assert moves_placements([])
+    assert declares_any(entry(service("desk", ("m", 2))), {"desk"})
+    assert not declares_any(entry(service("desk", ("m", 2))), {"other"})
+
+
 def test_a_placement_is_refused_only_when_something_it_depends_on_moved() -> None:
     state = state_of(release("m"), service("desk", ("m", 2)), service("other", ("m", 1)))
     place = change_of(Place("desk", [], "test", []))
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -357,11 +357,14 @@
 
 
 @fleet_test()
-async def test_an_outcome_can_be_asked_for(fleet: RequestFleet) -> None:
-    entry = fleet.entries[0]
+async def test_an_outcome_can_be_asked_of_any_entry(fleet: RequestFleet) -> None:
+    entry, other = fleet.entries
     request_id = (await entry.ask()).headers["request-id"]
-    assert (await entry.get(f"/v1/requests/{request_id}")).json()["state"] == "answered"
-    assert (await entry.get("/v1/requests/none")).status == 404
+    for asked in (entry, other):
+        assert (await asked.get(f"/v1/requests/{request_id}")).json()["state"] == "answered"
+        assert (await asked.get("/v1/requests/none")).status == 404
+    await entry.stop()
+    assert (await other.get(f"/v1/requests/{request_id}")).status == 404
 
 
 @fleet_test()
