Tell routing which blocks a prompt begins with

Cause: affinity by prefix had nothing to go by; no request carried its blocks. Change: the entry reads the prompt of a model request, in bodies of up to 256 KiB, and hashes its leading blocks. Bodies without a prompt, or nested beyond reason, have none.

--- a/src/lacewinggw/entry/asking.py
+++ b/src/lacewinggw/entry/asking.py
@@ -1,8 +1,10 @@
 """Reading what a caller sends: headers, query and body, checked before they cost anything."""
 
+import json
 import random
 from dataclasses import dataclass
 
+from lacewinggw.decisions.affinity import BLOCK_CHARS, prefix_blocks
 from lacewinggw.decisions.once import LONGEST_DEADLINE_S
 from lacewinggw.entry.answers import EVENT_STREAM
 from lacewinggw.errors import MalformedHttp
@@ -17,6 +19,7 @@
 
 MILLISECONDS = 1000.0
 ENTRY_END = "."
+PROMPT_BODY_LIMIT_BYTES = 256 << 10  # a longer body is not searched for its prompt
 KEY_LIMIT = 200
 TRUE_WORDS = frozenset({"true", "yes", "1"})
 FALSE_WORDS = frozenset({"false", "no", "0"})
@@ -80,6 +83,7 @@
     method = request.query.get("method", "POST")
     if method not in METHODS or not path.startswith("/"):
         raise MalformedHttp(f"cannot call {method} {path}: give a known method and a /path")
+    is_model = service.kind == ServiceKind.MODEL
     return RequestHead(
         request_id=request_id,
         service_name=service.name,
@@ -88,14 +92,26 @@
         deadline_ms=int(wishes.deadline_s * MILLISECONDS),
         repeatable=is_repeatable(service, path, wishes),
         path=path,
-        stream=service.kind == ServiceKind.MODEL,
+        stream=is_model,
         idempotency_key=wishes.key,
-        prefix_blocks=[],
+        prefix_blocks=prefix_blocks(prompt_of(request.body)) if is_model else [],
         method=method,
         content_type=request.headers.get("content-type", JSON_TYPE),
     )
 
 
+def prompt_of(body: bytes) -> str:
+    """Return the prompt in a model request's body, "" where there is none to be found."""
+    if not BLOCK_CHARS <= len(body) <= PROMPT_BODY_LIMIT_BYTES:
+        return ""
+    try:
+        content = json.loads(body)
+    except (ValueError, RecursionError):
+        return ""
+    prompt = content.get("prompt") if isinstance(content, dict) else None
+    return prompt if isinstance(prompt, str) else ""
+
+
 def make_request_id(entry: str, rng: random.Random) -> str:
     """Return a fresh request id, which names the entry that takes the request."""
     return f"{entry}{ENTRY_END}{new_request_id(rng)}"
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -8,6 +8,7 @@
 from request_fleet import PLAIN, RequestFleet, prompt, request_fleet
 from virtual import run_virtual
 
+from lacewinggw.entry.asking import prompt_of
 from lacewinggw.errors import Refusal
 from lacewinggw.lab.standin import Outage
 
@@ -471,3 +472,23 @@
     assert set(told[:18]) == {"answered"}
     assert set(told[22:]) == {"not-run"}
     assert await drained
+
+
+@fleet_test(engines=1, plains=1)
+async def test_prompts_that_begin_alike_are_told_apart_only_after_that(
+    fleet: RequestFleet,
+) -> None:
+    entry, heads = fleet.entries[0], []
+    choose = entry.targets.choose
+    entry.targets.choose = lambda name, head, *rest: heads.append(head) or choose(name, head, *rest)
+    for words in ("a" * 64 + "b" * 64, "a" * 64 + "c" * 64, "short"):
+        await entry.ask(prompt(words))
+    await entry.ask(prompt("a" * 64), PLAIN)
+    one, other, short, plain = (head.prefix_blocks for head in heads)
+    assert one[0] == other[0] and one[1] != other[1]
+    assert short == plain == []
+
+
+@pytest.mark.parametrize("body", [b"", b"[" * 100_000, b'{"prompt": 7}' + b" " * 80, b"\xff" * 100])
+def test_a_body_without_a_prompt_has_no_blocks(body: bytes) -> None:
+    assert prompt_of(body) == ""
