Spend less on each frame, and let pieces that wait travel together

Cause, from a profile of an entry at 406 streams of 40 pieces a second: reading a frame took two waits and a fresh protocol object, finding its message up to 25 look-ups, and each reply a queue of asyncio's. Change: frames are split off whatever one read brought, thrift's C codec is called directly, frequent messages are looked up first, a call keeps its replies in a deque and joins pieces that wait there; the engine's pieces that came in one read are handed on in one batch. A reader that finds its buffer full lets the others run first.

--- a/src/lacewinggw/wire/frames.py
+++ b/src/lacewinggw/wire/frames.py
@@ -1,8 +1,9 @@
 """Frames between lacewinggw processes: a length, then a thrift `Frame` in the compact protocol."""
 
+from collections.abc import Iterator
 from typing import Any
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.protocol import fastbinary
 from thrift.Thrift import TException
 from thrift.transport.TTransport import TMemoryBuffer
 
@@ -16,18 +17,28 @@
 
 Message = Any
 
-_PROTOCOLS = TCompactProtocolAcceleratedFactory(
-    string_length_limit=FRAME_LIMIT_BYTES, container_length_limit=CONTAINER_LIMIT, fallback=False
-)
+_HOT_FIELDS = ("pieces", "finish", "offer", "credit", "chunk_data", "fetch_chunk", "heartbeat")
 _FIELD_OF_KIND = {spec[3][0]: spec[2] for spec in messages.Body.thrift_spec if spec is not None}
-_FIELDS = tuple(_FIELD_OF_KIND.values())
+_FIELDS = (*_HOT_FIELDS, *(name for name in _FIELD_OF_KIND.values() if name not in _HOT_FIELDS))
+
+
+class _Source:
+    """Bytes to decode, with the limits, as thrift's C decoder looks them up on a protocol."""
+
+    __slots__ = ("trans",)
+
+    string_length_limit = FRAME_LIMIT_BYTES
+    container_length_limit = CONTAINER_LIMIT
+
+    def __init__(self, data: bytes) -> None:
+        self.trans = TMemoryBuffer(data)
 
 
 def encode_struct(struct: Any) -> bytes:
     """Encode one thrift struct in the compact protocol."""
-    buffer = TMemoryBuffer()
-    struct.write(_PROTOCOLS.getProtocol(buffer))
-    return bytes(buffer.getvalue())
+    kind = type(struct)
+    encoded: bytes = fastbinary.encode_compact(struct, [kind, kind.thrift_spec])
+    return encoded
 
 
 def decode_struct(struct: Any, data: bytes) -> Any:
@@ -35,11 +46,11 @@
 
     Raises `ProtocolViolation` when the bytes are not one whole struct.
     """
+    kind = type(struct)
     try:
-        struct.read(_PROTOCOLS.getProtocol(TMemoryBuffer(data)))
+        fastbinary.decode_compact(struct, _Source(data), [kind, kind.thrift_spec])
     except (TException, EOFError, TypeError, ValueError, OverflowError, MemoryError) as error:
-        kind = type(struct).__name__
-        raise ProtocolViolation(f"bytes that are not a {kind}: {error}") from error
+        raise ProtocolViolation(f"bytes that are not a {kind.__name__}: {error}") from error
     return struct
 
 
@@ -75,3 +86,36 @@
     if size > limit_bytes:
         raise FrameTooLarge(f"a frame of {size} bytes is over the limit of {limit_bytes}")
     return decode_frame(await stream.readexactly(size))
+
+
+class FrameSplitter:
+    """Splits a stream of bytes, read as it comes, into frames.
+
+    splitter = FrameSplitter()
+    for frame in splitter.feed(data): ...
+    """
+
+    def __init__(self, limit_bytes: int = FRAME_LIMIT_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[messages.Frame]:
+        """Yield each frame that is whole now.
+
+        Raise `FrameTooLarge` once the length of one is known, before it costs memory.
+        """
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        try:
+            while len(buffer) - start >= LENGTH_BYTES:
+                begin = start + LENGTH_BYTES
+                size = int.from_bytes(buffer[start:begin], "big")
+                if size > self._limit_bytes:
+                    raise FrameTooLarge(f"a frame of {size} bytes is over {self._limit_bytes}")
+                if len(buffer) < begin + size:
+                    return
+                start = begin + size
+                yield decode_frame(bytes(buffer[begin:start]))
+        finally:
+            del buffer[:start]
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -309,16 +309,31 @@
         self._ended = False
 
     async def pieces(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise `OSError` when it is cut short."""
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                self._ended = True
-                self._release(self._stream, self._connection)
-                return
-            if not isinstance(event, h11.Data):
-                raise ConnectionResetError("the connection ended inside a body")
-            yield bytes(event.data)
+        """Yield the body as it arrives; raise `OSError` when it is cut short.
+
+        What came in one read is yielded together.
+        """
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            parts = [event.data]
+            event = self._event_at_hand()
+            while isinstance(event, h11.Data):
+                parts.append(event.data)
+                event = self._event_at_hand()
+            yield b"".join(parts)
+            if event is h11.NEED_DATA:
+                event = await self._next_event()
+        if not isinstance(event, h11.EndOfMessage):
+            raise ConnectionResetError("the connection ended inside a body")
+        self._ended = True
+        self._release(self._stream, self._connection)
+
+    def _event_at_hand(self) -> Any:
+        """Return the next event, or `NEED_DATA` when it takes another read."""
+        try:
+            return self._connection.next_event()
+        except h11.RemoteProtocolError as error:
+            raise ConnectionResetError(f"the body broke off: {error}") from error
 
     async def _next_event(self) -> Any:
         try:
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -10,6 +10,7 @@
 import hmac
 import itertools
 import secrets
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
@@ -26,6 +27,7 @@
 from lacewinggw.generated.messages.ttypes import FrameKind
 from lacewinggw.log import get_logger
 from lacewinggw.wire.frames import (
+    FrameSplitter,
     Message,
     encode_frame,
     encode_struct,
@@ -38,6 +40,7 @@
 HANDSHAKE_LIMIT_BYTES = 4096
 NONCE_BYTES = 16
 FOLLOW_LIMIT = 1024
+READ_BYTES = 1 << 16
 
 log = get_logger(__name__)
 
@@ -102,16 +105,35 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+Reply = tuple[Message, bool]  # a message, and whether it is the last one
+
+
+def _join(before: Reply | LacewingError, after: Reply | LacewingError) -> bool:
+    """Add pieces to the ones that they follow on; return False where they cannot be."""
+    match before, after:
+        case (
+            (messages.Pieces() as first, False),
+            (messages.Pieces() as second, False),
+        ) if second.first == first.first + len(first.pieces):
+            if second.weights_digest and second.weights_digest != first.weights_digest:
+                return False
+            first.pieces.extend(second.pieces)
+            return True
+    return False
+
+
 class OutgoingCall:
     """One call in progress, as its caller sees it.
 
     Iterate over it for the replies, the last one included; `result` waits for the last alone.
+    Pieces that wait here together are taken together.
     """
 
     def __init__(self, link: "PeerLink", call: int) -> None:
         self._link = link
         self._call = call
-        self._replies: asyncio.Queue[tuple[Message, bool] | LacewingError] = asyncio.Queue()
+        self._replies: deque[Reply | LacewingError] = deque()
+        self._arrival: asyncio.Future[None] | None = None
         self._ended = False
 
     def follow(self, message: Message) -> None:
@@ -122,7 +144,10 @@
     async def replies(self) -> AsyncIterator[Message]:
         """Yield each reply; raise the typed error that the other side sent, or `ConnectionLost`."""
         while not self._ended:
-            item = await self._replies.get()
+            if not self._replies:
+                self._arrival = asyncio.get_running_loop().create_future()
+                await self._arrival
+            item = self._replies.popleft()
             if isinstance(item, LacewingError):
                 self.abandon()
                 raise item
@@ -152,9 +177,13 @@
         self._ended = True
         self._link.forget(self._call)
 
-    def take(self, item: tuple[Message, bool] | LacewingError) -> None:
+    def take(self, item: Reply | LacewingError) -> None:
         """Queue a reply that arrived, or the loss of the connection."""
-        self._replies.put_nowait(item)
+        if self._replies and _join(self._replies[-1], item):
+            return
+        self._replies.append(item)
+        if self._arrival is not None and not self._arrival.done():
+            self._arrival.set_result(None)
 
 
 class PeerLink:
@@ -223,8 +252,12 @@
     async def run(self) -> None:
         """Read frames until the link ends."""
         try:
-            while True:
-                self._dispatch(await read_frame(self._stream))
+            splitter = FrameSplitter()
+            while data := await self._stream.read(READ_BYTES):
+                for frame in splitter.feed(data):
+                    self._dispatch(frame)
+                if len(data) == READ_BYTES:
+                    await asyncio.sleep(0)  # more waits: let what came be dealt with first
         except (OSError, EOFError, TimeoutError):
             pass
         except WireError as error:
