--- a/src/lacewinggw/lab/configslopes.py
+++ b/src/lacewinggw/lab/configslopes.py
@@ -4,11 +4,7 @@
 fixed costs drop out.
 """
 
-import gc
-import tracemalloc
-from collections.abc import Callable
 from dataclasses import dataclass
-from time import process_time
 
 from lacewinggw.decisions.placement import HostFact, is_whole, plan_placement
 from lacewinggw.decisions.pollers import (
@@ -31,6 +27,7 @@
     Service,
     ServiceKind,
 )
+from lacewinggw.lab.measuring import allocated_bytes, processor_us
 from lacewinggw.wire.frames import decode_struct, encode_struct
 
 FEW, MANY = 620, 6200
@@ -38,7 +35,6 @@
 TARGETS_PER_SERVICE = 200
 PLACES = 20
 ENTRIES = 870
-MICROSECONDS = 1e6
 
 
 @dataclass(frozen=True)
@@ -61,14 +57,14 @@
 
 def measure_slopes() -> ConfigSlopes:
     """Measure everything; takes some seconds of one core."""
-    small, large = _placed_state(FEW), _placed_state(MANY)
+    small, large = placed_state(FEW), placed_state(MANY)
     span = MANY - FEW
-    entries = [_change_entry(number) for number in range(1, CHANGES + 1)]
+    entries = [change_entry(number) for number in range(1, CHANGES + 1)]
     frames = [encode_struct(LogNews([entry], entry.revision)) for entry in entries]
     return ConfigSlopes(
         news_bytes_per_change=sum(map(len, frames)) / CHANGES,
-        decode_and_apply_us_per_change=_timed(lambda: _apply_all(frames)) / CHANGES,
-        encode_us_per_change=_timed(lambda: [encode_struct(e) for e in entries]) / CHANGES,
+        decode_and_apply_us_per_change=processor_us(lambda: _apply_all(frames)) / CHANGES,
+        encode_us_per_change=processor_us(lambda: [encode_struct(e) for e in entries]) / CHANGES,
         memory_bytes_per_remembered_change=_memory_per_change(frames),
         memory_bytes_per_target=(_memory_of(MANY) - _memory_of(FEW)) / span,
         snapshot_bytes_per_target=(_snapshot_bytes(large) - _snapshot_bytes(small)) / span,
@@ -81,17 +77,7 @@
     )
 
 
-def _timed(work: Callable[[], object]) -> float:
-    """Return the processor time of some work, in microseconds, the least of three."""
-    best = float("inf")
-    for _ in range(3):
-        began = process_time()
-        work()
-        best = min(best, process_time() - began)
-    return best * MICROSECONDS
-
-
-def _change_entry(revision: int) -> LogEntry:
+def change_entry(revision: int) -> LogEntry:
     """Return a typical command: an operator sets a service's replicas."""
     goals = [ReplicaGoal("market-7", revision % 8), ReplicaGoal("market-6", 2)]
     service = Service(f"service-{revision % 50}", ServiceKind.MODEL, goals)
@@ -125,7 +111,7 @@
     return sum(name.encode()) * 31 + int(name.rpartition("-")[2])
 
 
-def _placed_state(targets: int) -> FleetState:
+def placed_state(targets: int) -> FleetState:
     """Return a configuration in which `targets` hosts are placed."""
     state = FleetState()
     changes: list[Change] = [change_of(CreateRelease(Release("m", "0" * 64, 1 << 30, 64)))]
@@ -144,38 +130,27 @@
 
 
 def _memory_of(targets: int) -> int:
-    data = encode_struct(_placed_state(targets).to_snapshot())
+    data = encode_struct(placed_state(targets).to_snapshot())
     from_snapshot = FleetState.from_snapshot
-    return _allocated(lambda: from_snapshot(decode_struct(type(_EMPTY)(), data)))
+    return allocated_bytes(lambda: from_snapshot(decode_struct(type(_EMPTY)(), data)))
 
 
 def _memory_per_change(frames: list[bytes]) -> float:
     """Return what the history of remembered entries holds, for each of them."""
     remembered = len(_apply_all(frames).history)
-    return _allocated(lambda: _apply_all(frames)) / remembered
-
-
-def _allocated(make: Callable[[], object]) -> int:
-    gc.collect()
-    tracemalloc.start()
-    kept = make()
-    gc.collect()
-    held, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del kept
-    return held
+    return allocated_bytes(lambda: _apply_all(frames)) / remembered
 
 
 def _plan_slope(small: FleetState, large: FleetState) -> float:
     few_hosts, many_hosts = _hosts(FEW), _hosts(MANY)
-    few = _timed(lambda: plan_placement(small, few_hosts))
-    many = _timed(lambda: plan_placement(large, many_hosts))
+    few = processor_us(lambda: plan_placement(small, few_hosts))
+    many = processor_us(lambda: plan_placement(large, many_hosts))
     return (many - few) / (MANY - FEW)
 
 
 def _check_slope(state: FleetState) -> float:
     hosts = _hosts(MANY)
-    return _timed(lambda: is_whole(state, "s0", hosts, ())) / TARGETS_PER_SERVICE
+    return processor_us(lambda: is_whole(state, "s0", hosts, ())) / TARGETS_PER_SERVICE
 
 
 def _candidates(count: int) -> list[Candidate]:
@@ -186,7 +161,7 @@
 def _neighbour_slope() -> float:
     entries = _candidates(ENTRIES)
     one = entries[0]
-    work = _timed(
+    work = processor_us(
         lambda: (neighbours(one.host, entries), reads_store(one.host, one.place, entries))
     )
     upstream_entries(one.host, one.place, entries)
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -269,6 +269,10 @@
         """Return what a stand-in tells at a path, as JSON."""
         return (await self._call(address, "GET", path)).json()
 
+    async def put(self, address: Address | str, path: str, value: Any) -> None:
+        """Put a value, as JSON, at a path of a stand-in."""
+        await self._call(address, "PUT", path, value)
+
     async def stats(self, address: Address | str) -> dict[str, Any]:
         """Return a stand-in's counts."""
         response = await self._call(address, "GET", "/stats")
