--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -8,7 +8,8 @@
 from lacewinggw.agent.keeper import TargetKeeper
 from lacewinggw.agent.requests import RequestService
 from lacewinggw.agent.target import TargetGate, TargetKind
-from lacewinggw.agent.weights import DueRelease, Spreader
+from lacewinggw.agent.views import DueRelease
+from lacewinggw.agent.weights import Spreader
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.lifecycle import Wanted
 from lacewinggw.decisions.revisions import FleetState, declares_any, moves_placements
--- /dev/null
+++ b/src/lacewinggw/agent/views.py
@@ -0,0 +1,95 @@
+"""What the list of hosts means for each release due here: whom this host exchanges it with."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from lacewinggw.agent.mesh import Mesh
+from lacewinggw.decisions.topology import DueHost, Topology, TopologyPlan
+from lacewinggw.generated.messages.ttypes import Prefer
+from lacewinggw.generated.settings.ttypes import SpreadSettings
+from lacewinggw.ids import Digest, HostId
+from lacewinggw.platform.membership import Member
+
+BadSources = Callable[[Digest], Sequence[str]]
+
+
+class PlanLike(Protocol):
+    """What derives the links of a release."""
+
+    def derive(self, me: DueHost, hosts: Iterable[DueHost], digest: Digest) -> Topology:
+        """Return the topology for `me` among `hosts`."""
+
+
+@dataclass(frozen=True)
+class DueRelease:
+    """A release that this host is to hold, and all the hosts due it."""
+
+    name: str
+    digest: Digest
+    hosts: tuple[HostId, ...]
+    prefer: Prefer
+
+
+class HostViews:
+    """The topology of each due release, derived from the hosts that are live and not suspect.
+
+    `bad_sources` tells which hosts were left for their corrupt chunks of a release; they are
+    nobody's gateway. `other_plan` takes the place of the product's own, for comparisons.
+    """
+
+    def __init__(
+        self, me: DueHost, settings: SpreadSettings, mesh: Mesh, bad_sources: BadSources
+    ) -> None:
+        self.other_plan: PlanLike | None = None
+        self.topologies: dict[Digest, Topology] = {}
+        self._me = me
+        self._settings = settings
+        self._mesh = mesh
+        self._bad_sources = bad_sources
+        self._members: Mapping[HostId, Member] = {}
+        self._derived_from: tuple[frozenset[HostId], int] = (frozenset(), 0)
+
+    def set_members(self, members: Sequence[Member]) -> None:
+        """Take the list of live hosts."""
+        self._members = {member.host: member for member in members}
+        self._mesh.set_addresses({member.host: member.address for member in members})
+
+    def is_first(self, digest: Digest) -> bool:
+        """Tell whether this host is one of those that ask the origin first."""
+        topology = self.topologies.get(digest)
+        return topology is not None and any(each.at_origin == 0 for each in topology.columns)
+
+    def is_outdated(self) -> bool:
+        """Tell whether hosts have become suspect or bad, or are so no more."""
+        return self._derived_from != self._facts()
+
+    def derive(self, due: Mapping[Digest, DueRelease]) -> None:
+        """Work out the topology of each due release, and want links to the neighbours in it."""
+        self._derived_from = self._facts()
+        suspects = self._derived_from[0]
+        live = {
+            host: DueHost(host, member.place)
+            for host, member in self._members.items()
+            if host not in suspects
+        }
+        self.topologies = {digest: self._derive_one(each, live) for digest, each in due.items()}
+        self._mesh.want({host for each in self.topologies.values() for host in each.neighbours})
+
+    def _derive_one(self, due: DueRelease, live: Mapping[HostId, DueHost]) -> Topology:
+        bad = self._bad_sources(due.digest)
+        hosts = [live[host] for host in due.hosts if host in live and host not in bad]
+        return self._plan(due).derive(self._me, hosts, due.digest)
+
+    def _plan(self, due: DueRelease) -> PlanLike:
+        return self.other_plan or TopologyPlan(
+            local=self._settings.neighbours,
+            remote=self._settings.remote_neighbours,
+            columns=self._settings.gateways,
+            ranks=self._settings.ranks,
+            per_place=due.prefer == Prefer.TIME,
+        )
+
+    def _facts(self) -> tuple[frozenset[HostId], int]:
+        bad = sum(len(self._bad_sources(digest)) for digest in self.topologies)
+        return self._mesh.suspects, bad
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -10,9 +10,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
-from typing import Protocol
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
 
 from lacewinggw.agent.chunks import ChunkStore
 from lacewinggw.agent.downloads import (
@@ -26,10 +25,11 @@
 from lacewinggw.agent.manifests import ManifestFinder
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.agent.uploads import Uploader
+from lacewinggw.agent.views import DueRelease, HostViews, PlanLike
 from lacewinggw.background import Background
 from lacewinggw.decisions.sources import SpreadRules
 from lacewinggw.decisions.spread import TICK_S
-from lacewinggw.decisions.topology import DueHost, Topology, TopologyPlan
+from lacewinggw.decisions.topology import DueHost
 from lacewinggw.decisions.uploads import UploadRequest
 from lacewinggw.errors import ChunkNotHeld, UnknownDigest
 from lacewinggw.generated.messages import ttypes as messages
@@ -45,23 +45,6 @@
 GREET_S = 1.0
 
 
-class PlanLike(Protocol):
-    """What derives the links of a release."""
-
-    def derive(self, me: DueHost, hosts: Iterable[DueHost], digest: Digest) -> Topology:
-        """Return the topology for `me` among `hosts`."""
-
-
-@dataclass(frozen=True)
-class DueRelease:
-    """A release that this host is to hold, and all the hosts due it."""
-
-    name: str
-    digest: Digest
-    hosts: tuple[HostId, ...]
-    prefer: messages.Prefer
-
-
 def spread_rules(settings: Settings) -> SpreadRules:
     """Return the policy's constants as the settings have them."""
     spread, agent = settings.spread, settings.agent
@@ -93,9 +76,10 @@
         self._settings = settings.spread
         self._node = node
         self._place = Place(settings.process.place)
-        self._me = DueHost(HostId(settings.process.host), self._place)
         self._chunks = ChunkStore()
         self._mesh = Mesh(node, self._link_up, self._link_down)
+        me = DueHost(HostId(settings.process.host), self._place)
+        self._views = HostViews(me, settings.spread, self._mesh, self._bad_sources)
         self._around = Surroundings(
             chunks=self._chunks,
             mesh=self._mesh,
@@ -120,16 +104,11 @@
         self._sent = metrics.counter("weights_sent_bytes")
         metrics.read_gauge("weights_memory_bytes", lambda: self._chunks.held_bytes)
         metrics.read_gauge("peer_sent_bytes", lambda: node.sent_bytes)
-        self._members: dict[HostId, Member] = {}
         self._due: dict[Digest, DueRelease] = {}
         self._downloads: dict[Digest, ReleaseDownload] = {}
-        self._topologies: dict[Digest, Topology] = {}
         self._searches: dict[Digest, asyncio.Task[None]] = {}
         self._begun = asyncio.Condition()
         self._on_chunk: list[OnChunk] = []
-        self._suspects: frozenset[HostId] = frozenset()
-        self._bad_count = 0
-        self._other_plan: PlanLike | None = None
         self._loop = Background("spread", self._run)
 
     @classmethod
@@ -147,7 +126,7 @@
 
     def use_policy(self, plan: PlanLike, make_spread: MakeSpread) -> None:
         """Spread by another policy, from the next release on; for comparisons."""
-        self._other_plan = plan
+        self._views.other_plan = plan
         self._around = replace(self._around, make_spread=make_spread)
 
     async def start(self) -> None:
@@ -167,9 +146,8 @@
 
     def set_members(self, members: Sequence[Member]) -> None:
         """Take the list of live hosts."""
-        self._members = {member.host: member for member in members}
-        self._mesh.set_addresses({member.host: member.address for member in members})
-        self._derive_topologies()
+        self._views.set_members(members)
+        self._derive_views()
 
     def set_due(self, due: Mapping[Digest, DueRelease]) -> None:
         """Take the releases due here. Those no longer due stop at once; chunks that the others
@@ -178,7 +156,7 @@
             self._stop(digest)
         fresh = due.keys() - self._due.keys()
         self._due = dict(due)
-        self._derive_topologies()
+        self._derive_views()
         for digest in fresh:
             task = asyncio.get_running_loop().create_task(self._find_manifest(due[digest]))
             self._searches[digest] = task
@@ -186,7 +164,7 @@
 
     def _stop(self, digest: Digest) -> None:
         self._due.pop(digest, None)
-        self._topologies.pop(digest, None)
+        self._views.topologies.pop(digest, None)
         search = self._searches.pop(digest, None)
         if search is not None:
             search.cancel()
@@ -202,7 +180,7 @@
             self._chunks.keep_only(h for each in downloads for h in each.manifest.chunk_hashes)
 
     async def _find_manifest(self, due: DueRelease) -> None:
-        manifest = await self._finder.find(due.digest, lambda: self._is_first(due.digest))
+        manifest = await self._finder.find(due.digest, lambda: self._views.is_first(due.digest))
         download = ReleaseDownload(
             manifest, self._around, self._tell_chunk, lambda: self.uploader.waiting
         )
@@ -210,7 +188,7 @@
         self._searches.pop(due.digest, None)
         download.begin()
         self._drop_surplus()
-        topology = self._topologies.get(due.digest)
+        topology = self._views.topologies.get(due.digest)
         if topology is not None:
             download.set_topology(topology)
             for host in topology.neighbours:
@@ -218,11 +196,6 @@
         async with self._begun:
             self._begun.notify_all()
 
-    def _is_first(self, digest: Digest) -> bool:
-        """Tell whether this host is one of those that ask the origin first."""
-        topology = self._topologies.get(digest)
-        return topology is not None and any(each.at_origin == 0 for each in topology.columns)
-
     # ---- chunks ---------------------------------------------------------------------------
 
     async def complete(self, digest: Digest) -> messages.Manifest:
@@ -325,7 +298,7 @@
 
     def _link_up(self, host: HostId) -> None:
         link = self._mesh.link(host)
-        for digest, topology in self._topologies.items():
+        for digest, topology in self._views.topologies.items():
             if host not in topology.neighbours or link is None:
                 continue
             if digest in self._downloads:
@@ -336,32 +309,12 @@
     def _link_down(self, host: HostId) -> None:
         for download in self._downloads.values():
             download.neighbour_down(host)
-        self._derive_topologies()
-
-    def _derive_topologies(self) -> None:
-        self._suspects = self._mesh.suspects
-        live = {
-            host: DueHost(host, member.place)
-            for host, member in self._members.items()
-            if host not in self._suspects
-        }
-        for digest, due in self._due.items():
-            bad = self._bad_sources(digest)
-            hosts = [live[host] for host in due.hosts if host in live and host not in bad]
-            topology = self._plan(due).derive(self._me, hosts, digest)
-            self._topologies[digest] = topology
-            if digest in self._downloads:
-                self._downloads[digest].set_topology(topology)
-        self._mesh.want({host for each in self._topologies.values() for host in each.neighbours})
-
-    def _plan(self, due: DueRelease) -> PlanLike:
-        return self._other_plan or TopologyPlan(
-            local=self._settings.neighbours,
-            remote=self._settings.remote_neighbours,
-            columns=self._settings.gateways,
-            ranks=self._settings.ranks,
-            per_place=due.prefer == messages.Prefer.TIME,
-        )
+        self._derive_views()
+
+    def _derive_views(self) -> None:
+        self._views.derive(self._due)
+        for digest, download in self._downloads.items():
+            download.set_topology(self._views.topologies[digest])
 
     def _bad_sources(self, digest: Digest) -> list[str]:
         download = self._downloads.get(digest)
@@ -372,7 +325,7 @@
         loop = asyncio.get_running_loop()
         tick_at = greet_at = loop.time()
         while True:
-            await asyncio.sleep(ANNOUNCE_S)
+            await asyncio.sleep(ANNOUNCE_S if self._is_busy else TICK_S)
             for download in list(self._downloads.values()):
                 download.announce()
             if loop.time() < tick_at:
@@ -383,15 +336,17 @@
                 greet_at = loop.time() + GREET_S
                 self._greet_silent()
 
+    @property
+    def _is_busy(self) -> bool:
+        return any(not each.spread.complete for each in self._downloads.values())
+
     def _tick(self) -> None:
-        bad = sum(len(each.spread.bad_sources) for each in self._downloads.values())
-        if self._mesh.suspects != self._suspects or bad != self._bad_count:
-            self._bad_count = bad
-            self._derive_topologies()
+        if self._views.is_outdated():
+            self._derive_views()
         self._mesh.dial()
         for download in list(self._downloads.values()):
             download.advance()
 
     def _greet_silent(self) -> None:
         for digest, download in self._downloads.items():
-            download.greet_silent(self._topologies[digest].neighbours)
+            download.greet_silent(self._views.topologies[digest].neighbours)
--- a/src/lacewinggw/lab/spreadfleet.py
+++ b/src/lacewinggw/lab/spreadfleet.py
@@ -4,7 +4,7 @@
 import random
 from dataclasses import dataclass
 
-from lacewinggw.agent.weights import DueRelease
+from lacewinggw.agent.views import DueRelease
 from lacewinggw.generated.messages.ttypes import Manifest, Prefer
 from lacewinggw.ids import Digest, HostId
 from lacewinggw.lab.memory import MemoryNetwork
--- a/src/lacewinggw/lab/spreadhost.py
+++ b/src/lacewinggw/lab/spreadhost.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from lacewinggw.agent.weights import DueRelease, Spreader
+from lacewinggw.agent.views import DueRelease
+from lacewinggw.agent.weights import Spreader
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import PlatformSettings, Settings
 from lacewinggw.ids import Address, Digest, HostId, Place, new_incarnation
