Release a claim before its request is called not run

Cause: between the agent's proof that a claim never starts and the word to the caller, another entry could replace the claim and run the key; the first then said not run of a key that had run. Change: the row is released by compare-and-set first, and a conflict is resolved like any claim met. Before: a test that lets another entry run in that moment was told not run; after: it gets the answer, with one run.

--- a/src/lacewinggw/entry/keyed.py
+++ b/src/lacewinggw/entry/keyed.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections.abc import AsyncGenerator, Coroutine
 from contextlib import aclosing
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
 from lacewinggw.decisions.claims import (
     Claim,
+    ClaimState,
     Join,
     Refuse,
     Replace,
@@ -39,7 +40,7 @@
     StoreDown,
 )
 from lacewinggw.generated.messages.ttypes import Finish, Pieces, Standing
-from lacewinggw.platform.table import ABSENT, Accepted, Conflict, Row
+from lacewinggw.platform.table import ABSENT, Accepted, Row
 
 T = TypeVar("T")
 
@@ -76,13 +77,13 @@
 
     async def batches(self) -> AsyncGenerator[list[bytes], None]:
         """Yield the pieces of the answer; raise the outcome when there is none."""
-        version = ABSENT
+        met: Held | None = None
+        barred: Held | None = None
         for _ in range(TURNS):
-            held = await self._claim(version)
+            held = met or await self._claim(barred)
+            met = barred = None
             if held is None:
-                version = ABSENT
                 continue
-            version = held.version
             match resolve(held.claim, self._asked.digest):
                 case Refuse(error):
                     raise error
@@ -93,9 +94,12 @@
                                 yield pieces
                         return
                     except LacewingError as error:
-                        await self._go_on_after(error, held)
+                        refusal = await self._judge(error, held)
+                    if refusal is not None:
+                        met = await self._confirm(held, refusal)
                 case Replace():
                     pass
+            barred = held
         raise RequestUnknown("the claim on the key kept changing hands")
 
     async def _join_or_replay(self, held: Held) -> AsyncGenerator[list[bytes], None]:
@@ -113,26 +117,38 @@
                     raise error
         yield self._replay(recorded)
 
-    async def _claim(self, version: int) -> Held | None:
-        """Write a claim of our own, or return the one that stands there; None when it vanished."""
+    async def _claim(self, barred: Held | None) -> Held | None:
+        """Write a claim of our own, or return the one that stands there; None when it vanished.
+
+        `barred` is the claim to be replaced, proved never to start; None where there is no row.
+        """
         try:
             choice, claim = await self._reserve()
-        except LacewingError:
-            found = await self._read() if version == ABSENT else None
-            if found is None:
-                raise
-            return found
+        except LacewingError as refusal:
+            return await self._confirm(barred, refusal)
+        version = ABSENT if barred is None else barred.version
         result = await self._ask_store(self._claims.write(self._row_key, claim, version))
-        match result:
-            case Accepted(written):
-                return Held(claim, written, choice)
-            case Conflict(Row(version=version, value=value)):
-                return Held(Claim.from_text(value), version)
-        return None
+        if isinstance(result, Accepted):
+            return Held(claim, result.version, choice)
+        return _held_in(result.row)
+
+    async def _confirm(self, barred: Held | None, refusal: LacewingError) -> Held | None:
+        """Raise a refusal as "not run" if the row still proves it; else return what stands there.
 
-    async def _read(self) -> Held | None:
-        row = await self._ask_store(self._claims.read(self._row_key))
-        return None if row is None else Held(Claim.from_text(row.value), row.version)
+        Another sending may have replaced a barred claim and run since, so the row is released by
+        compare-and-set before the caller is told.
+        """
+        if barred is None:
+            row = await self._ask_store(self._claims.read(self._row_key))
+            if row is None:
+                raise refusal
+            return _held_in(row)
+        released = replace(barred.claim, state=ClaimState.RELEASED)
+        write = self._claims.write(self._row_key, released, barred.version)
+        result = await self._ask_store(write)
+        if isinstance(result, Accepted):
+            raise refusal
+        return _held_in(result.row)
 
     async def _ask_store(self, call: Coroutine[Any, Any, T]) -> T:
         """Wait for the store, no longer than the deadline; say what is known without it."""
@@ -194,8 +210,11 @@
             answer = RecordedAnswer(self._parts, attempt.finish)
             self._records.record(self._row_key, held.version, answer)
 
-    async def _go_on_after(self, error: LacewingError, held: Held) -> None:
-        """Return when the claim may be replaced; raise what the caller is to be told."""
+    async def _judge(self, error: LacewingError, held: Held) -> LacewingError | None:
+        """Return None when another claim may be tried, or the refusal to end with.
+
+        Raises the outcome unless it is proved that this claim will never start.
+        """
         if isinstance(error, ConnectionLost):
             error = HolderGone(f"the agent that holds the claim is lost: {error.reason}")
         if isinstance(error, DeadlinePassed) or needs_withdrawal(error):
@@ -208,15 +227,11 @@
         if held.choice is not None:
             self._refused_by.add(held.choice.host)
         self._last_error = error
-        step = next_step(error, Situation(repeatable=False))
-        if not isinstance(step, TryAgain):
-            self._records.release(self._row_key, held.claim, held.version)
-            raise self._outcome(error)
         try:
             self._spend_retry(error)
-        except LacewingError:
-            self._records.release(self._row_key, held.claim, held.version)
-            raise
+        except LacewingError as refusal:
+            return refusal
+        return None
 
     async def _withdraw(self) -> Standing:
         assert self._attempt is not None, "only a claim that was joined is withdrawn"
@@ -257,6 +272,10 @@
         return pieces
 
 
+def _held_in(row: Row | None) -> Held | None:
+    return None if row is None else Held(Claim.from_text(row.value), row.version)
+
+
 def _unproved(error: LacewingError) -> LacewingError:
     """Return what is known of a reservation that did not start yet and cannot be withdrawn."""
     if error.outcome is Outcome.UNKNOWN:
--- a/src/lacewinggw/entry/records.py
+++ b/src/lacewinggw/entry/records.py
@@ -5,13 +5,13 @@
 import json
 from collections import deque
 from collections.abc import Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import accumulate, pairwise
 from typing import Any
 
-from lacewinggw.decisions.claims import Claim, ClaimState, answer_key
+from lacewinggw.decisions.claims import answer_key
 from lacewinggw.entry.claims import ClaimStore
-from lacewinggw.errors import LacewingError, PlatformError
+from lacewinggw.errors import PlatformError
 from lacewinggw.generated.messages.ttypes import Finish
 from lacewinggw.log import get_logger
 from lacewinggw.platform.objects import ObjectClient
@@ -107,10 +107,6 @@
         """Record the answer to the claim in this version of its row."""
         self._spawn(self._record(row_key, version, answer))
 
-    def release(self, row_key: str, claim: Claim, version: int) -> None:
-        """Note in a claim that its request never ran, so that nobody need ask the agent."""
-        self._spawn(self._release(row_key, claim, version))
-
     async def find(self, row_key: str) -> RecordedAnswer | None:
         """Return the recorded answer to a claim; None when there is none, or none can be read."""
         try:
@@ -125,13 +121,6 @@
             due = asyncio.get_running_loop().time() + self._keep_s
             self._recorded.append((due, row_key, version))
 
-    async def _release(self, row_key: str, claim: Claim, version: int) -> None:
-        released = replace(claim, state=ClaimState.RELEASED)
-        try:
-            await self._claims.write(row_key, released, version)
-        except LacewingError as error:
-            log.warning("claim_not_released", row=row_key, reason=error.reason)
-
     async def _store(self, name: str, data: bytes) -> bool:
         """Put an object, trying for as long as answers are kept at all."""
         loop = asyncio.get_running_loop()
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -492,3 +492,26 @@
 @pytest.mark.parametrize("body", [b"", b"[" * 100_000, b'{"prompt": 7}' + b" " * 80, b"\xff" * 100])
 def test_a_body_without_a_prompt_has_no_blocks(body: bytes) -> None:
     assert prompt_of(body) == ""
+
+
+@fleet_test(engines=1)
+async def test_a_key_that_another_entry_ran_meanwhile_is_not_called_not_run(
+    fleet: RequestFleet,
+) -> None:
+    entry, other = fleet.entries
+    faults, write = fleet.agents[0].engine.faults, entry.table.put_many
+    writes, answers = [], []
+    faults.refuse_share = 1.0
+
+    async def write_late(puts):
+        writes.append(puts)
+        if len(writes) == 2:
+            faults.refuse_share = 0.0
+            answers.append(await other.ask(idempotency_key="k"))
+        return await write(puts)
+
+    entry.table.put_many = write_late
+    late = await entry.ask(idempotency_key="k")
+    assert answers[0].status == late.status == 200
+    assert answers[0].content == late.content
+    assert len(fleet.runs()) == 1
