Leave no target out of every entry's subset

Cause: subsets by rendezvous alone are independent draws. With 8 entries, 64 targets each and 124 targets in 20 places, some target was dealt with by no entry and another by 7 (mean 4.1). Change: near targets take up to half of a subset; the rest is a stretch of the ring of targets, at which the entries start at even distances.

--- a/src/lacewinggw/decisions/subsets.py
+++ b/src/lacewinggw/decisions/subsets.py
@@ -1,15 +1,20 @@
-"""Which targets of a service one entry deals with: a bounded subset, nearest place first.
+"""Which targets of a service one entry deals with: a bounded subset, near ones first.
 
-Rendezvous between entry and target: a target that comes or goes changes only its own part in each
-subset, and targets get nearly even numbers of entries.
+Up to half of it are targets in the entry's own place. The rest is a stretch of the ring of all
+targets in hash order; the entries, in hash order too, start at even distances. So every target is
+dealt with by nearly the same number of entries, and none by nobody, while a host that comes or goes
+moves each stretch by one.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from lacewinggw.decisions.addresses import rendezvous_weight
+from lacewinggw.decisions.addresses import rank_hosts
 from lacewinggw.ids import Address, HostId, Place
 
+RING = "ring"
+NEAR_SHARE = 2  # at most one in so many of a subset is there for being near
+
 
 @dataclass(frozen=True)
 class HostFacts:
@@ -21,11 +26,26 @@
 
 
 def pick_subset(
-    entry: HostId, place: Place, hosts: Iterable[HostFacts], size: int
+    entry: HostId,
+    place: Place,
+    entries: Iterable[HostId],
+    hosts: Sequence[HostFacts],
+    size: int,
 ) -> list[HostFacts]:
-    """Return at most `size` hosts for `entry`, those in its own place first."""
-
-    def rank(facts: HostFacts) -> tuple[bool, int, HostId]:
-        return facts.place != place, -rendezvous_weight(entry, facts.host), facts.host
-
-    return sorted(hosts, key=rank)[:size]
+    """Return at most `size` hosts for `entry`, one of the live `entries`."""
+    if len(hosts) <= size:
+        return list(hosts)
+    by_host = {facts.host: facts for facts in hosts}
+    near = [facts.host for facts in hosts if facts.place == place]
+    chosen = rank_hosts(entry, near)[: size // NEAR_SHARE]
+    stretch = _stretch(entry, entries, rank_hosts(RING, by_host))
+    taken = set(chosen)
+    chosen += [host for host in stretch if host not in taken][: size - len(chosen)]
+    return [by_host[host] for host in chosen]
+
+
+def _stretch(entry: HostId, entries: Iterable[HostId], ring: Sequence[HostId]) -> list[HostId]:
+    """Return the ring from where the entry's stretch begins."""
+    ranked = rank_hosts(RING, {entry, *entries})
+    start = ranked.index(entry) * len(ring) // len(ranked)
+    return [*ring[start:], *ring[:start]]
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -312,7 +312,7 @@
     def _pick(self, hosts: Iterable[str]) -> Iterable[HostId]:
         live = [self._members[HostId(host)] for host in hosts if host in self._members]
         facts = [HostFacts(member.host, member.place, member.address) for member in live]
-        picked = pick_subset(self._me, self._place, facts, self._subset)
+        picked = pick_subset(self._me, self._place, self._entries, facts, self._subset)
         return [each.host for each in picked]
 
     def _targets_of(self, service: ServiceName | str) -> ServiceTargets:
