Have an entry that drains tell the others to name it no more

The entry had drained for 33 s, since the other entries went on naming it to callers: a signal alone does not mark a host as leaving on the list. Ruled out: the wait for requests in progress; the reset one had not reached the process yet. Change: Demand carries leaving, told once to every entry at the start of a drain and taken back when a process starts; entries leave such a one out of address answers, at most for as long as a drain may take. At 870 entries a drain sends 869 small messages.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -257,7 +257,13 @@
 // ---- limits ---------------------------------------------------------------------------
 
 struct AccountDemand { 1: string account, 2: double offered_per_s, 3: double admitted_per_s, 4: i32 running }
-struct Demand { 1: string entry, 2: i64 sequence, 3: list<AccountDemand> accounts }
+// `leaving` is told once to every entry: this one is not to be named to callers any more.
+struct Demand {
+  1: string entry
+  2: i64 sequence
+  3: list<AccountDemand> accounts
+  4: bool leaving = false
+}
 
 // ---- frame ----------------------------------------------------------------------------
 
--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -81,6 +81,9 @@
         self._sequence = 0
         self._loop = Background("demand", self._run)
         self._told = asyncio.Event()
+        self._is_leaving = False
+        self._left: dict[HostId, float] = {}  # until when entries that leave are left out
+        self._leaving_s = entry.drain_limit_ms / MILLISECONDS
 
     @classmethod
     def from_config(
@@ -91,8 +94,14 @@
 
     async def start(self) -> None:
         """Begin to exchange demand with the other entries."""
+        self._announce(leaving=False)
         self._loop.start()
 
+    def begin_drain(self) -> None:
+        """Tell every other entry to name this one to callers no more."""
+        self._is_leaving = True
+        self._announce(leaving=True)
+
     async def close(self) -> None:
         """Stop exchanging demand."""
         await self._loop.close()
@@ -106,7 +115,7 @@
         declared = self._declared.get(account)
         rate = declared.rate_per_s if declared is not None else 0.0
         count = count_addresses(rate, self._least_entries, self._rate_per_address)
-        return account_entries(account, live_entries(self._members()), count)
+        return account_entries(account, self._named_entries(), count)
 
     def admit(self, account: Account, priority: Priority, now: float) -> Admitted | Refused:
         """Admit a request of an account or refuse it; `now` is the loop's time, in seconds."""
@@ -140,6 +149,7 @@
         """Take in what another entry says of its demand."""
         demand: messages.Demand = exchange.message
         now = asyncio.get_running_loop().time()
+        self._note_leaving(HostId(exchange.link.remote.host), bool(demand.leaving), now)
         for each in demand.accounts or []:
             declared = self._declared.get(Account(each.account))
             if declared is None:
@@ -149,6 +159,25 @@
             share.reports[HostId(exchange.link.remote.host)] = report
             self._rebalance(share, now)
 
+    def _named_entries(self) -> list[EntryFacts]:
+        """Return the entries to tell callers of: live by the list, and not known to leave."""
+        now = asyncio.get_running_loop().time()
+        entries = live_entries(self._members())
+        return [entry for entry in entries if self._left.get(entry.host, 0.0) <= now]
+
+    def _note_leaving(self, host: HostId, leaving: bool, now: float) -> None:
+        """Leave an entry out until it says otherwise, at most for as long as a drain may take."""
+        if leaving:
+            self._left[host] = now + self._leaving_s
+        else:
+            self._left.pop(host, None)
+
+    def _announce(self, leaving: bool) -> None:
+        message = messages.Demand(self._me, self._sequence, [], leaving)
+        for member in self._members():
+            if member.role is MemberRole.ENTRY and member.host != self._me:
+                self._tell(member.address, message)
+
     def _share(self, declared: AccountDeclaration, now: float) -> AccountShare:
         share = self._shares.get(declared.account)
         if share is None:
@@ -201,7 +230,9 @@
         return hosts
 
     def _send(self, address: str, demands: list[messages.AccountDemand]) -> None:
-        message = messages.Demand(self._me, self._sequence, demands)
+        self._tell(address, messages.Demand(self._me, self._sequence, demands, self._is_leaving))
+
+    def _tell(self, address: str, message: messages.Demand) -> None:
         asyncio.get_running_loop().create_task(self._notify(address, message))
 
     async def _notify(self, address: str, message: messages.Demand) -> None:
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -156,6 +156,7 @@
         """
         limit_s = self._settings.entry.drain_limit_ms / MILLISECONDS
         self.callers.begin_drain()
+        self.limits.begin_drain()
         log.info("entry_draining")
         await self.callers.drained(limit_s)
         await self._caller_server.close(limit_s)
--- a/tests/test_fleet_under_faults.py
+++ b/tests/test_fleet_under_faults.py
@@ -10,6 +10,7 @@
 from lacewinggw.lab.checkers import describe
 from lacewinggw.lab.faultplan import draw_lanes
 from lacewinggw.lab.faults import OVERRIDES, try_faults
+from lacewinggw.lab.history import ProcessEnded, ShutdownAsked
 from lacewinggw.lab.memoryfleet import MemoryPlan
 from lacewinggw.lab.requesters import Mix
 from lacewinggw.lab.trial import MODEL, Trial, TrialPlan
@@ -75,3 +76,15 @@
     monkeypatch.setattr(CallerService, "drained", consider_it_quiet)
     verdict = run_story(story)
     assert not verdict.violations, describe(verdict.violations)
+
+
+def test_entry_that_shuts_down_is_soon_named_to_callers_no_more() -> None:
+    async def story(trial: Trial) -> None:
+        await asyncio.sleep(1.0)
+        await trial.fleet.terminate("entry-1")
+
+    plan = TrialPlan(callers=6, pause_s=0.1, settle_s=2.0)
+    verdict = run_story(story, MemoryPlan(overrides=OVERRIDES), plan)
+    times = {type(event): event.at for event in verdict.history}
+    assert not verdict.violations, describe(verdict.violations)
+    assert times[ProcessEnded] - times[ShutdownAsked] < 10.0
