Leave a release at once that was replaced before any host had it

Change: when every host of a service was lately heard to be still fetching, with nothing to serve, and is to change over, all do so at once; the old transfers stop with it. One host that serves, or that was not heard of, keeps the others to the way it was: a restarted entry that has heard nobody moves nobody.

--- a/src/lacewinggw/decisions/waves.py
+++ b/src/lacewinggw/decisions/waves.py
@@ -25,12 +25,14 @@
     """How far one host of a service is.
 
     `turning` is whether it still serves the old release with the next one to come; `ready` whether
-    that is loaded; `serving` whether it was lately heard to serve what it is now to serve.
+    that is loaded; `serving` whether it was lately heard to serve what it is now to serve; `empty`
+    whether it was lately heard to be still fetching that, with nothing to serve.
     """
 
     turning: bool
     ready: bool
     serving: bool
+    empty: bool = False
 
 
 Progress = Mapping[str, HostProgress]
@@ -72,6 +74,7 @@
         turning=bool(next_digest),
         ready=bool(next_digest) and heard.ready_digest == next_digest,
         serving=heard.state == TargetState.SERVING and heard.digest == digest,
+        empty=heard.state == TargetState.FETCHING and not heard.digest,
     )
 
 
@@ -81,8 +84,11 @@
     """Return the hosts that change over now, in the order of their rendezvous rank.
 
     `waited_s` is how long some host has been ready and waiting. A host that is ready and serves
-    nothing costs no capacity, and so changes over at once.
+    nothing costs no capacity, and so changes over at once. When the release was replaced before
+    it came to any host, all leave it at once, rather than fetch first what nobody wants any more.
     """
+    if _none_has_begun(progress):
+        return tuple(_within(list(progress), progress, 0, service))
     ready = [host for host, each in progress.items() if each.turning and each.ready]
     if not ready:
         return ()
@@ -96,6 +102,10 @@
     return tuple(wave)
 
 
+def _none_has_begun(progress: Progress) -> bool:
+    return bool(progress) and all(each.turning and each.empty for each in progress.values())
+
+
 def _within(ready: list[str], progress: Progress, spare: int, service: str) -> Iterable[str]:
     """Yield ready hosts, by rank, as long as those that still serve are to spare."""
     for host in sorted(ready, key=lambda each: (-weight(service, each), each)):
