Give the list of known failures a module of its own

Cause: two files named conftest.py made one test import the other's, and collection of all tests failed. Change: what reads KNOWN-RED.txt lies in tests/known_red.py; the checks are the same.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,19 +7,15 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
-from pathlib import Path
 
 import pytest
 import structlog
 from hypothesis import settings
+from known_red import read_known_red
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.load_profile("repeatable")
 
-KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
-KNOWN_RED_LIMIT = 3
-
 
 @pytest.fixture(autouse=True)
 def fresh_log() -> Iterator[None]:
@@ -28,35 +24,6 @@
     structlog.reset_defaults()
 
 
-@dataclass(frozen=True)
-class KnownRed:
-    """A test that fails for a fault not yet mended."""
-
-    test: str
-    cause: str
-    issue: str
-
-
-def parse_known_red(text: str) -> list[KnownRed]:
-    """Return the entries of a KNOWN-RED.txt; raise `pytest.UsageError` for a bad line."""
-    lines = [line for line in text.splitlines() if line.strip() and not line.startswith("#")]
-    if len(lines) > KNOWN_RED_LIMIT:
-        raise pytest.UsageError(f"KNOWN-RED.txt lists {len(lines)}, more than {KNOWN_RED_LIMIT}")
-    return [_parse_line(line) for line in lines]
-
-
-def _parse_line(line: str) -> KnownRed:
-    parts = [part.strip() for part in line.split(" | ")]
-    if len(parts) != 3 or not all(parts):
-        raise pytest.UsageError(f"KNOWN-RED.txt: not `test id | cause | issue`: {line}")
-    return KnownRed(*parts)
-
-
-def read_known_red() -> list[KnownRed]:
-    """Return the entries of the file at the root; none when there is no file."""
-    return parse_known_red(KNOWN_RED.read_text()) if KNOWN_RED.exists() else []
-
-
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Expect the listed tests to fail, without demanding it."""
     causes = {entry.test: entry.cause for entry in read_known_red()}
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 
 import pytest
-from conftest import KnownRed, parse_known_red
+from known_red import KnownRed, parse_known_red
 
-CONFTEST = Path(__file__).resolve().parent / "conftest.py"
+TESTS_FOLDER = Path(__file__).resolve().parent
 TESTS = "def test_red():\n    assert False\n\n\ndef test_green():\n    pass\n"
 
 pytest_plugins = ["pytester"]
@@ -31,7 +31,8 @@
 def project(pytester: pytest.Pytester) -> pytest.Pytester:
     """Return a project of one failing and one passing test, with our conftest."""
     tests = pytester.mkdir("tests")
-    (tests / "conftest.py").write_text(CONFTEST.read_text())
+    for name in ("conftest.py", "known_red.py"):
+        (tests / name).write_text((TESTS_FOLDER / name).read_text())
     (tests / "test_x.py").write_text(TESTS)
     return pytester
 
