Look at a few targets for a choice, at all only when a few do not do

Cause, from a profile of an entry under whole requests: the choice checked every target of the service, and the end of each call sorted their times and counted those left out. Change: the candidates are drawn first; the median time is kept for a quarter of a second; those left out are counted when a call failed.

--- a/src/lacewinggw/decisions/ejection.py
+++ b/src/lacewinggw/decisions/ejection.py
@@ -107,13 +107,10 @@
     return out_now + 1 <= targets * rules.limit
 
 
-def end_call(
-    health: Health, failed: bool, now: float, out_now: int, targets: int, rules: EjectionRules
+def end_failed_call(
+    health: Health, now: float, out_now: int, targets: int, rules: EjectionRules
 ) -> bool:
-    """Note how a call ended; return whether the target goes out by it."""
-    if not failed:
-        health.note_success()
-        return False
+    """Note a call that failed; return whether the target goes out by it."""
     on_trial = health.standing(now) is Standing.ON_TRIAL
     health.note_failure()
     if on_trial:
--- a/src/lacewinggw/decisions/routing.py
+++ b/src/lacewinggw/decisions/routing.py
@@ -180,7 +180,7 @@
         return None
     match policy:
         case Policy.COST:
-            return _cheapest_of_some(targets, moment, rng)
+            return cheapest(draw_candidates(targets, moment, rng), moment, rng)
         case Policy.IN_FLIGHT:
             return min(targets, key=lambda facts: (facts.in_flight, rng.random()))
         case Policy.ROUND_ROBIN:
@@ -189,8 +189,13 @@
             return rng.choice(targets)
 
 
-def _cheapest_of_some(
+def draw_candidates(
     targets: Sequence[TargetFacts], moment: Moment, rng: random.Random
-) -> TargetFacts:
-    some = pick_some(targets, URGENT_CANDIDATES if moment.urgent else CANDIDATES, rng)
-    return min(some, key=lambda facts: (cost(facts, moment), rng.random()))
+) -> Sequence[TargetFacts]:
+    """Return the few targets at random that a choice by cost is made among."""
+    return pick_some(targets, URGENT_CANDIDATES if moment.urgent else CANDIDATES, rng)
+
+
+def cheapest(targets: Sequence[TargetFacts], moment: Moment, rng: random.Random) -> TargetFacts:
+    """Return the target with the least cost, one of them at random when several have it."""
+    return min(targets, key=lambda facts: (cost(facts, moment), rng.random()))
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable, Sequence, Set
 from dataclasses import dataclass, field
@@ -9,7 +10,7 @@
 from typing import Protocol
 
 from lacewinggw.decisions.affinity import PrefixMemory, preferred_target
-from lacewinggw.decisions.ejection import EjectionRules, Standing, end_call
+from lacewinggw.decisions.ejection import EjectionRules, Standing, end_failed_call
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routing import (
     Choice,
@@ -17,7 +18,9 @@
     Moment,
     Policy,
     TargetFacts,
+    cheapest,
     choose_target,
+    draw_candidates,
     note_report,
     usual_time,
 )
@@ -42,6 +45,7 @@
 from lacewinggw.wire.peers import Exchange, PeerNode
 
 MILLISECONDS = 1000.0
+USUAL_TIME_S = 0.25  # for so long a service's median time per request is kept
 CHANGING_HEARD_PER_S = 50  # heartbeats of hosts watched only while they change over
 PERCENT = 100.0
 SPARE_SUBSET = "spare"  # hosts without a service are watched too, for placement and display
@@ -80,6 +84,7 @@
 
     targets: list[TargetFacts] = field(default_factory=list)
     usual_s: float = 1.0
+    usual_at: float = -math.inf
 
 
 class TargetDirectory:
@@ -213,24 +218,49 @@
         """Return the target that a request should go to, or none when none may take it."""
         now = self._now()
         known = self._targets_of(service)
-        usable = [
-            facts
-            for facts in known.targets
-            if facts.host not in exclude
-            and (not head.digest or facts.digest == head.digest)
-            and self._usable(facts, now)
-        ]
         urgent = head.priority == Priority.URGENT
-        moment = Moment(now, known.usual_s, self._slow_start_s, urgent)
-        blocks = (head.prefix_blocks or ()) if self._policy is Policy.COST else ()
-        chosen = preferred_target(usable, blocks, self._prefixes, moment)
-        if chosen is None:
+        moment = Moment(now, self._usual_time(known, now), self._slow_start_s, urgent)
+
+        def fits(facts: TargetFacts) -> bool:
+            if facts.host in exclude or (head.digest and facts.digest != head.digest):
+                return False
+            return self._usable(facts, now)
+
+        if self._policy is not Policy.COST:
+            usable = list(filter(fits, known.targets))
             chosen = choose_target(usable, moment, self._rng, self._policy)
+        else:
+            chosen = self._choose_by_cost(known.targets, head.prefix_blocks or (), moment, fits)
         if chosen is None:
             return None
-        self._prefixes.note(chosen.digest, blocks, chosen.host)
         return Choice(chosen.host, chosen.address, chosen.incarnation, chosen.digest)
 
+    def _choose_by_cost(
+        self,
+        targets: Sequence[TargetFacts],
+        blocks: Sequence[str],
+        moment: Moment,
+        fits: Callable[[TargetFacts], bool],
+    ) -> TargetFacts | None:
+        """Choose by prefix, else by cost; look at all targets only where a few do not do."""
+        if not blocks:
+            few = draw_candidates(targets, moment, self._rng)
+            if few and all(map(fits, few)):
+                return cheapest(few, moment, self._rng)
+        usable = list(filter(fits, targets))
+        chosen = preferred_target(usable, blocks, self._prefixes, moment)
+        if chosen is None:
+            chosen = choose_target(usable, moment, self._rng)
+        if chosen is not None:
+            self._prefixes.note(chosen.digest, blocks, chosen.host)
+        return chosen
+
+    def _usual_time(self, known: ServiceTargets, now: float) -> float:
+        if now - known.usual_at > USUAL_TIME_S:
+            known.usual_s = usual_time(known.targets)
+            known.usual_at = now
+        return known.usual_s
+
     def begin(self, host: HostId | str) -> None:
         """Note that a call goes to a target."""
         self._budget.note_call(self._now())
@@ -255,9 +285,6 @@
                 facts.health.note_nothing()
             case CallOutcome.ANSWERED | CallOutcome.FAILED:
                 self._note_health(facts, result.outcome is CallOutcome.FAILED, now)
-        known = self._services.get(facts.service)
-        if known is not None:
-            known.usual_s = usual_time(known.targets)
 
     def retry_allowed(self) -> bool:
         """Return whether the budget allows a retry now, and pay for it."""
@@ -323,7 +350,7 @@
             placed = self._state().placements.get(service, {})
             found = [self._facts[HostId(host)] for host in placed if host in self._facts]
             targets = [facts for facts in found if self._serves(facts, service)]
-            known = ServiceTargets(targets, usual_time(targets))
+            known = ServiceTargets(targets)
             self._services[ServiceName(service)] = known
         return known
 
@@ -376,9 +403,12 @@
         )
 
     def _note_health(self, facts: TargetFacts, failed: bool, now: float) -> None:
+        if not failed:
+            facts.health.note_success()
+            return
         targets = self._targets_of(facts.service).targets
         out = sum(each.health.standing(now) is Standing.OUT for each in targets)
-        if end_call(facts.health, failed, now, out, len(targets), self._rules):
+        if end_failed_call(facts.health, now, out, len(targets), self._rules):
             self._metrics.count("targets_ejected")
             log.warning(
                 "target_ejected",
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -12,7 +12,7 @@
     count_addresses,
 )
 from lacewinggw.decisions.affinity import PrefixMemory, preferred_target, prefix_blocks
-from lacewinggw.decisions.ejection import EjectionRules, Health, Standing, end_call
+from lacewinggw.decisions.ejection import EjectionRules, Health, Standing, end_failed_call
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routing import (
     LoadReport,
@@ -119,25 +119,27 @@
 def test_a_failing_target_goes_out_comes_back_on_trial_and_stays_out_longer_each_time() -> None:
     health = Health()
     for _ in range(3):
-        end_call(health, True, 0.0, 0, 4, RULES)
+        end_failed_call(health, 0.0, 0, 4, RULES)
     assert health.standing(4.9) is Standing.OUT
     assert health.standing(5.0) is Standing.ON_TRIAL
     health.note_begin(5.0)
     assert not health.may_take(5.0)
-    assert end_call(health, True, 5.0, 0, 4, RULES)
+    assert end_failed_call(health, 5.0, 0, 4, RULES)
     assert health.standing(14.9) is Standing.OUT
     health.note_begin(15.0)
-    end_call(health, False, 15.0, 0, 4, RULES)
+    assert health.note_success()
     assert health.standing(15.0) is Standing.IN
 
 
 def test_a_target_that_fails_most_calls_goes_out_without_a_row_of_failures() -> None:
-    health, rng = Health(), random.Random(1)
-    ends = [
-        end_call(health, rng.random() < 0.75, 0.0, 0, 4, EjectionRules(after=50))
-        for _ in range(100)
-    ]
-    assert any(ends)
+    health, rng, rules = Health(), random.Random(1), EjectionRules(after=50)
+    ejected = False
+    for _ in range(100):
+        if rng.random() < 0.75:
+            ejected = ejected or end_failed_call(health, 0.0, 0, 4, rules)
+        elif not ejected:
+            health.note_success()
+    assert ejected
 
 
 def test_no_more_targets_go_out_than_the_limit() -> None:
@@ -145,7 +147,7 @@
     for _ in range(10):
         for health in healths:
             out = sum(each.standing(0.0) is Standing.OUT for each in healths)
-            end_call(health, True, 0.0, out, 4, RULES)
+            end_failed_call(health, 0.0, out, 4, RULES)
     assert sum(each.standing(0.0) is Standing.OUT for each in healths) == 2
 
 
