--- a/src/lacewinggw/configuration/upstreams.py
+++ b/src/lacewinggw/configuration/upstreams.py
@@ -46,11 +46,6 @@
         self._turn = 0
         self._confirmed_at = float("-inf")
 
-    @property
-    def links(self) -> list[PeerLink]:
-        """The links subscribed to."""
-        return list(self._links.values())
-
     @property
     def confirmed_at(self) -> float:
         """When one last answered and this process had all that it has, in the loop's time."""
--- a/src/lacewinggw/entry/ledger.py
+++ b/src/lacewinggw/entry/ledger.py
@@ -81,7 +81,6 @@
         self._loop = Background("configuration", self._follow)
         self._snapshot_task: asyncio.Task[None] | None = None
         self._turn = rng.randrange(SAFETY_READ_TURNS)
-        self._store_was_reached = False
 
     @classmethod
     def from_config(
@@ -113,11 +112,6 @@
         """The highest revision applied here."""
         return self._replica.revision
 
-    @property
-    def store_reached(self) -> bool:
-        """Whether the last read of the log's tail by this entry succeeded."""
-        return self._store_was_reached
-
     def on_change(self, callback: OnChange) -> None:
         """Have `callback(state, entries)` called after each change."""
         self._replica.on_change(callback)
@@ -252,15 +246,14 @@
             try:
                 await self._follow_once()
             except LacewingError as error:
+                self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
                 log.info("configuration_tail_unread", error=error)
 
     async def _follow_once(self) -> None:
         self._turn += 1
         answered = self._upstreams is not None and await self._upstreams.tend()
         if self._is_reader() or not answered or self._turn % SAFETY_READ_TURNS == 0:
-            self._store_was_reached = False
             await self._read_tail()
-            self._store_was_reached = True
 
     def _is_reader(self) -> bool:
         if self._node is None:
