Take any answer of a host for a sign of life

Cause: on real processes three hosts that the list lacked for 20 s were moved: the question put to them was one that agents refuse, and the refusal was taken for silence. On virtual time the test's agents answered it. A refusal now counts as an answer, and agents answer what they know of the configuration, so that an entry that is behind can catch up from them too. The test has both kinds of agent; it failed before.

--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -278,7 +278,7 @@
                 | messages.CancelChunk()
             ):
                 await self.spreader.handle(exchange)
-            case messages.LogNews():
+            case messages.LogNews() | messages.FetchLog() | messages.FetchSnapshot():
                 await self.follower.handle(exchange)
             case messages.Watch() as watch:
                 self.heartbeats.take(exchange.link, watch)
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -9,6 +9,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 
 from lacewinggw.background import Background
 from lacewinggw.decisions.hosts import Heard, HostWatch
@@ -23,7 +24,12 @@
 from lacewinggw.decisions.revisions import ChangeContent, FleetState, change_of, content_of
 from lacewinggw.decisions.waves import PURPOSE, choose_wave, measure_progress
 from lacewinggw.entry.ledger import Ledger
-from lacewinggw.errors import ConfigurationConflict, LacewingError
+from lacewinggw.errors import (
+    ConfigurationConflict,
+    LacewingError,
+    NoConfiguration,
+    UnsupportedMessage,
+)
 from lacewinggw.generated.messages.ttypes import (
     Assignment,
     CreateRelease,
@@ -276,7 +282,8 @@
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 link = await self._node.link(address)
-                await link.call(FetchLog(self._ledger.revision, 1), PROBE_TIMEOUT_S)
+                with suppress(UnsupportedMessage, NoConfiguration):  # an answer all the same
+                    await link.call(FetchLog(self._ledger.revision, 1), PROBE_TIMEOUT_S)
         except (LacewingError, TimeoutError):
             return False
         self._metrics.count("placement_probes_answered")
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -12,10 +12,12 @@
 from lacewinggw.decisions.pollers import ranked
 from lacewinggw.decisions.revisions import is_placement
 from lacewinggw.entry.placer import PURPOSE
+from lacewinggw.errors import UnsupportedMessage
 from lacewinggw.generated.messages.ttypes import LogEntry
 from lacewinggw.lab.standin import Outage
 from lacewinggw.platform.membership import MemberState
 from lacewinggw.platform.table import TableClient
+from lacewinggw.wire.peers import Exchange
 
 pytestmark = pytest.mark.looptime
 
@@ -176,10 +178,17 @@
         assert hall.moves_since(before) == 1
 
 
-async def test_a_host_that_no_entry_hears_but_that_answers_stays() -> None:
+async def refuse(exchange: Exchange) -> None:
+    raise UnsupportedMessage("not for this process")
+
+
+@pytest.mark.parametrize("refuses", [False, True])
+async def test_a_host_that_no_entry_hears_but_that_answers_stays(refuses: bool) -> None:
     async with open_hall() as hall:
         before = hall.revision()
         quiet = placed_agents(hall)[0]
+        if refuses:
+            quiet.peer.handler = refuse
         hall.dead.add(quiet.name)
         hall.fleet.members = [each for each in hall.fleet.members if each.host != quiet.name]
         await asyncio.sleep(60)
