Lose nothing that is on its way to a leaving agent

Change: a leaving agent refuses for a second before it closes; the store is given a quarter of a second before the agent is asked, and its full time after that.

--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -45,6 +45,7 @@
 MILLISECONDS = 1000.0
 NOT_SERVING_RETRY_MS = 500
 RESERVATIONS_LIMIT = 10_000
+LINGER_S = 1.0  # until every entry has heard that the target leaves
 
 
 class RequestService:
@@ -129,10 +130,12 @@
     async def drained(self, limit_s: float) -> bool:
         """Wait until no request waits, runs or has parts of its answer still to be sent.
 
+        It takes `LINGER_S` at least, in which offers already on their way are refused and not lost.
         Returns False when `limit_s` seconds were too few.
         """
         try:
             async with asyncio.timeout(limit_s):
+                await asyncio.sleep(LINGER_S)
                 await self._none_left.wait()
         except TimeoutError:
             return False
--- a/src/lacewinggw/entry/keyed.py
+++ b/src/lacewinggw/entry/keyed.py
@@ -44,6 +44,7 @@
 
 T = TypeVar("T")
 
+GLANCE_S = 0.25  # for a recorded answer, before the agent is asked, which may leave meanwhile
 TURNS = 16  # claims met or written before a request is given up
 
 
@@ -104,7 +105,9 @@
 
     async def _join_or_replay(self, held: Held) -> AsyncGenerator[list[bytes], None]:
         """Yield the answer: recorded, from the agent, or recorded since the agent forgot it."""
-        recorded = await self._records.find(self._row_key) if held.choice is None else None
+        recorded: RecordedAnswer | None = None
+        if held.choice is None:
+            recorded = await self._records.find(self._row_key, GLANCE_S)
         if recorded is None:
             try:
                 async with aclosing(self._join(held)) as batches:
@@ -112,7 +115,7 @@
                         yield pieces
                 return
             except (AnswerGone, HolderGone, ConnectionLost) as error:
-                recorded = await self._records.find(self._row_key)
+                recorded = await self._records.find(self._row_key, self._left_s())
                 if recorded is None or self.progress.pieces:
                     raise error
         yield self._replay(recorded)
--- a/src/lacewinggw/entry/records.py
+++ b/src/lacewinggw/entry/records.py
@@ -107,12 +107,16 @@
         """Record the answer to the claim in this version of its row."""
         self._spawn(self._record(row_key, version, answer))
 
-    async def find(self, row_key: str) -> RecordedAnswer | None:
-        """Return the recorded answer to a claim; None when there is none, or none can be read."""
+    async def find(self, row_key: str, patience_s: float) -> RecordedAnswer | None:
+        """Return the recorded answer to a claim; None when there is none, or none can be read.
+
+        `patience_s` is how long to wait for the store, in seconds.
+        """
         try:
-            data = await self._objects.get(answer_key(row_key))
-        except PlatformError as error:
-            log.warning("answers_not_readable", reason=error.reason)
+            async with asyncio.timeout(patience_s):
+                data = await self._objects.get(answer_key(row_key))
+        except (PlatformError, TimeoutError) as error:
+            log.warning("answers_not_readable", reason=str(error))
             return None
         return None if data is None else RecordedAnswer.from_bytes(data)
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -515,3 +515,30 @@
     assert answers[0].status == late.status == 200
     assert answers[0].content == late.content
     assert len(fleet.runs()) == 1
+
+
+@fleet_test(engines=1)
+async def test_an_idle_agent_that_leaves_refuses_what_is_on_its_way(fleet: RequestFleet) -> None:
+    entry, agent = fleet.entries[0], fleet.agents[0]
+
+    async def leave() -> None:
+        agent.requests.begin_drain()
+        assert await agent.requests.drained(60)
+        await agent.stop()
+
+    await entry.ask()
+    on_its_way = asyncio.create_task(entry.ask())
+    await asyncio.sleep(0.0002)
+    await asyncio.gather(on_its_way, leave())
+    assert on_its_way.result().headers["outcome"] in ("answered", "not-run")
+    assert len(fleet.runs()) == 1 + (on_its_way.result().status == 200)
+
+
+@fleet_test()
+async def test_a_key_seen_again_does_not_wait_for_a_store_that_hangs(fleet: RequestFleet) -> None:
+    fleet.platform.objects.faults.outage = Outage.HANG
+    first = await fleet.entries[0].ask(idempotency_key="k")
+    began = asyncio.get_running_loop().time()
+    again = await fleet.entries[1].ask(idempotency_key="k")
+    assert again.content == first.content
+    assert asyncio.get_running_loop().time() - began < 0.5
