Read the list of hosts less often where there are many

Cause: each agent and entry read the list of hosts every second; 7,070 of them ask for 3.5 times the 2,000 reads a second that the platform gives. Change: [agent] membership_poll is 5 s, [platform] membership_poll, for entries, 2 s, each with a jitter of a fifth; until a first list came both ask each second. Figures, arithmetic: 870 / 2 + 6,200 / 5 = 1,675 reads a second, beside 95 of the log's tail. Conclusion: within the platform's rate, with little to spare; a list that tells only what changed would carry more.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -19,7 +19,7 @@
   4: required string weight_store              // rate-limited weight store
   5: required string membership                // list of hosts
   6: i64 timeout_ms = 2000                     // one call to the platform
-  7: i64 membership_poll_ms = 1000             // reading the list of hosts
+  7: i64 membership_poll_ms = 2000             // an entry's reading of the list of hosts
 }
 
 struct EntrySettings {
@@ -51,6 +51,7 @@
   10: i64 heartbeat_ms = 1000                  // between heartbeats of an idle target
   11: i32 concurrency = 8                      // requests running on the target at once
   12: i32 queue_length = 64                    // requests waiting for the target
+  13: i64 membership_poll_ms = 5000            // an agent's reading of the list of hosts
 }
 
 struct SpreadSettings {
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -99,7 +99,9 @@
         self._platform = platform = PlatformClients.from_settings(network, settings.platform)
         self._engine = EngineClient(network, agent.target)
         self._plain = PlainClient(network, agent.target)
-        self.watch = MemberWatch.from_config(settings, platform.membership)
+        self.watch = MemberWatch.from_config(
+            settings, platform.membership, agent.membership_poll_ms
+        )
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
         self.node = PeerNode(
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -48,7 +48,9 @@
         self.metrics = Metrics()
         self._settings = settings
         self._platform = platform = PlatformClients.from_settings(network, settings.platform)
-        self.watch = MemberWatch.from_config(settings, platform.membership)
+        self.watch = MemberWatch.from_config(
+            settings, platform.membership, settings.platform.membership_poll_ms
+        )
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
         self.node = PeerNode(
--- a/src/lacewinggw/platform/watch.py
+++ b/src/lacewinggw/platform/watch.py
@@ -1,6 +1,7 @@
 """The list of hosts, polled; during an outage of the list the last one known stays in force."""
 
 import asyncio
+import random
 from collections.abc import Callable, Sequence
 
 from lacewinggw.background import Background
@@ -10,6 +11,8 @@
 from lacewinggw.platform.membership import Member, MembershipClient, Unchanged
 
 MILLISECONDS = 1000.0
+FIRST_POLL_S = 1.0
+JITTER = 0.2
 
 MemberList = tuple[Member, ...]
 OnMembers = Callable[[MemberList], None]
@@ -21,22 +24,29 @@
     """Poll the membership list and tell whoever asked when it changes.
 
     `ready` is set once a list was read. Poll errors are logged once per outage and never empty the
-    list: a membership service that is down says nothing about the hosts.
+    list: a membership service that is down says nothing about the hosts. Until there is a list it
+    is asked for at least each `FIRST_POLL_S` seconds.
     """
 
-    def __init__(self, client: MembershipClient, poll_s: float) -> None:
+    def __init__(self, client: MembershipClient, poll_s: float, rng: random.Random) -> None:
         self.ready = asyncio.Event()
         self._client = client
         self._poll_s = poll_s
+        self._rng = rng
         self._members: MemberList = ()
         self._callbacks: list[OnMembers] = []
         self._loop = Background("membership", self._run)
         self._failing = False
 
     @classmethod
-    def from_config(cls, settings: Settings, client: MembershipClient) -> "MemberWatch":
-        """Build a watch that polls as the [platform] section says."""
-        return cls(client, settings.platform.membership_poll_ms / MILLISECONDS)
+    def from_config(
+        cls, settings: Settings, client: MembershipClient, poll_ms: int
+    ) -> "MemberWatch":
+        """Build the watch of a process that polls as often as its role's setting says.
+
+        There are many agents to an entry, and all their polls are reads of the platform.
+        """
+        return cls(client, poll_ms / MILLISECONDS, random.Random(settings.process.host))
 
     @property
     def members(self) -> MemberList:
@@ -58,7 +68,12 @@
     async def _run(self) -> None:
         while True:
             await self._poll()
-            await asyncio.sleep(self._poll_s)
+            await asyncio.sleep(self._pause_s())
+
+    def _pause_s(self) -> float:
+        """Return the time to the next poll, so that hosts started together do not poll together."""
+        pause_s = self._poll_s if self.ready.is_set() else min(self._poll_s, FIRST_POLL_S)
+        return pause_s * self._rng.uniform(1.0 - JITTER, 1.0 + JITTER)
 
     async def _poll(self) -> None:
         try:
