--- a/src/lacewinggw/lab/slopes.py
+++ b/src/lacewinggw/lab/slopes.py
@@ -25,6 +25,7 @@
 
 from lacewinggw.lab.measuring import Slopes
 from lacewinggw.lab.slopemessages import measure_messages
+from lacewinggw.lab.slopeplatform import measure_platform
 from lacewinggw.lab.slopestate import measure_decisions, measure_state
 
 BAD_INPUT = 2
@@ -56,6 +57,7 @@
 def measure_all(seed: int, with_processes: bool) -> Slopes:
     """Measure everything; half a minute of one core, and a minute more with processes."""
     slopes = {**measure_messages(), **measure_decisions(seed), **measure_state()}
+    slopes.update(asyncio.run(measure_platform(seed)))
     if with_processes:
         from lacewinggw.lab.slopeprocesses import measure_processes
 
