Rank the entries of an account once for each list of hosts

Cause: the slope of ranking entries, 1.9 us each, showed that each report of demand cost an entry milliseconds: the list of hosts was gone through and all entries ranked for each account, 9.6 times a second for an account on three entries. Change: NamedEntries keeps the answers until the list or what is known of leaving entries changes; an entry without demand to tell does not go through the list either. Conclusion: the split of limits no longer grows with the fleet.

--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -1,20 +1,20 @@
 """Admission at an entry: the limits of client accounts, kept together with the other entries."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 
 from lacewinggw.background import Background
-from lacewinggw.decisions.addresses import EntryFacts, account_entries, count_addresses
+from lacewinggw.decisions.addresses import EntryFacts, count_addresses
 from lacewinggw.decisions.limits import AccountDeclaration, AccountShare, DemandReport
+from lacewinggw.entry.named import Members, NamedEntries
 from lacewinggw.errors import LacewingError, Refusal, RequestRefused
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import Priority
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Account, HostId
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
+from lacewinggw.platform.membership import MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
 
 MILLISECONDS = 1000.0
@@ -22,8 +22,6 @@
 STALE_INTERVALS = 6  # reports missed before an entry's share goes to the others
 OVERLOAD_RETRY_MS = 200
 
-Members = Callable[[], Sequence[Member]]
-
 
 @dataclass(frozen=True)
 class Admitted:
@@ -48,15 +46,6 @@
         return RequestRefused.because(self.reason, said[self.reason], self.retry_after_ms)
 
 
-def live_entries(members: Iterable[Member]) -> list[EntryFacts]:
-    """Return the entries that callers may be told of."""
-    return [
-        EntryFacts(member.host, member.place, member.caller_address)
-        for member in members
-        if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
-    ]
-
-
 class AccountLimits:
     """The accounts of this entry: who they are, their shares, and the demand told to others."""
 
@@ -82,8 +71,7 @@
         self._loop = Background("demand", self._run)
         self._told = asyncio.Event()
         self._is_leaving = False
-        self._left: dict[HostId, float] = {}  # until when entries that leave are left out
-        self._leaving_s = entry.drain_limit_ms / MILLISECONDS
+        self._named = NamedEntries(members, entry.drain_limit_ms / MILLISECONDS)
 
     @classmethod
     def from_config(
@@ -115,7 +103,8 @@
         declared = self._declared.get(account)
         rate = declared.rate_per_s if declared is not None else 0.0
         count = count_addresses(rate, self._least_entries, self._rate_per_address)
-        return account_entries(account, self._named_entries(), count)
+        now = asyncio.get_running_loop().time()
+        return self._named.of(account, count, now)
 
     def admit(self, account: Account, priority: Priority, now: float) -> Admitted | Refused:
         """Admit a request of an account or refuse it; `now` is the loop's time, in seconds."""
@@ -149,7 +138,7 @@
         """Take in what another entry says of its demand."""
         demand: messages.Demand = exchange.message
         now = asyncio.get_running_loop().time()
-        self._note_leaving(HostId(exchange.link.remote.host), bool(demand.leaving), now)
+        self._named.note_leaving(HostId(exchange.link.remote.host), bool(demand.leaving), now)
         for each in demand.accounts or []:
             declared = self._declared.get(Account(each.account))
             if declared is None:
@@ -159,19 +148,6 @@
             share.reports[HostId(exchange.link.remote.host)] = report
             self._rebalance(share, now)
 
-    def _named_entries(self) -> list[EntryFacts]:
-        """Return the entries to tell callers of: live by the list, and not known to leave."""
-        now = asyncio.get_running_loop().time()
-        entries = live_entries(self._members())
-        return [entry for entry in entries if self._left.get(entry.host, 0.0) <= now]
-
-    def _note_leaving(self, host: HostId, leaving: bool, now: float) -> None:
-        """Leave an entry out until it says otherwise, at most for as long as a drain may take."""
-        if leaving:
-            self._left[host] = now + self._leaving_s
-        else:
-            self._left.pop(host, None)
-
     def _announce(self, leaving: bool) -> None:
         message = messages.Demand(self._me, self._sequence, [], leaving)
         for member in self._members():
@@ -218,10 +194,11 @@
             for host in (entries | share.reports.keys()) - {self._me}:
                 by_peer.setdefault(host, []).append(demand)
         self._sequence += 1
-        addresses = {member.host: member.address for member in self._members()}
-        for host, demands in by_peer.items():
-            if host in addresses:
-                self._send(addresses[host], demands)
+        if not by_peer:
+            return
+        for member in self._members():
+            if member.host in by_peer:
+                self._send(member.address, by_peer[member.host])
 
     def _rebalance(self, share: AccountShare, now: float) -> frozenset[HostId]:
         entries = self.entries_of(share.declared.account)
--- /dev/null
+++ b/src/lacewinggw/entry/named.py
@@ -0,0 +1,64 @@
+"""Which entries client accounts are told to use, worked out once for each list of hosts.
+
+Ranking hundreds of entries for an account takes a millisecond or two, and the split of its limit
+asks for them several times a second.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+
+from lacewinggw.decisions.addresses import EntryFacts, account_entries
+from lacewinggw.ids import Account, HostId
+from lacewinggw.platform.membership import Member, MemberRole, MemberState
+
+Members = Callable[[], Sequence[Member]]
+
+
+def live_entries(members: Iterable[Member]) -> list[EntryFacts]:
+    """Return the entries that callers may be told of."""
+    return [
+        EntryFacts(member.host, member.place, member.caller_address)
+        for member in members
+        if member.role is MemberRole.ENTRY and member.state is MemberState.LIVE
+    ]
+
+
+class NamedEntries:
+    """The entries that callers are told of: live by the list, and not known to leave.
+
+    Whoever says that it leaves is left out until it says otherwise, at most for `leaving_s`
+    seconds. A list is known again by its identity, so `members` returns the same object until
+    there is another list.
+    """
+
+    def __init__(self, members: Members, leaving_s: float) -> None:
+        self._members = members
+        self._leaving_s = leaving_s
+        self._left: dict[HostId, float] = {}  # until when
+        self._seen: Sequence[Member] | None = None
+        self._seen_left: frozenset[HostId] = frozenset()
+        self._entries: list[EntryFacts] = []
+        self._answers: dict[tuple[Account, int], tuple[EntryFacts, ...]] = {}
+
+    def note_leaving(self, host: HostId, leaving: bool, now: float) -> None:
+        """Note what an entry says of itself."""
+        if leaving:
+            self._left[host] = now + self._leaving_s
+        else:
+            self._left.pop(host, None)
+
+    def of(self, account: Account, count: int, now: float) -> tuple[EntryFacts, ...]:
+        """Return the `count` entries of an account, the same at every entry."""
+        self._refresh(now)
+        key = account, count
+        if key not in self._answers:
+            self._answers[key] = account_entries(account, self._entries, count)
+        return self._answers[key]
+
+    def _refresh(self, now: float) -> None:
+        members = self._members()
+        left = frozenset(host for host, until in self._left.items() if until > now)
+        if members is self._seen and left == self._seen_left:
+            return
+        self._seen, self._seen_left = members, left
+        self._entries = [each for each in live_entries(members) if each.host not in left]
+        self._answers.clear()
--- a/src/lacewinggw/lab/slopestate.py
+++ b/src/lacewinggw/lab/slopestate.py
@@ -4,6 +4,7 @@
 import random
 from collections.abc import Callable
 
+from lacewinggw.decisions.addresses import EntryFacts, account_entries
 from lacewinggw.decisions.affinity import PrefixMemory, preferred_target
 from lacewinggw.decisions.limits import split_limit
 from lacewinggw.decisions.revisions import FleetState, change_of
@@ -25,6 +26,7 @@
     Snapshot,
 )
 from lacewinggw.ids import (
+    Account,
     Address,
     Digest,
     HostId,
@@ -48,6 +50,7 @@
 HOSTS = (200, 1000, 6200)
 SUBSETS = (8, 64, 256)
 ENTRIES = (3, 30, 300)
+LISTED_ENTRIES = (30, 200, 870)
 DUE = (50, 200, 1000)
 CHUNKS = (64, 512, 4096)
 NAMES = (10, 100, 400)
@@ -62,6 +65,7 @@
         "prefer_target_us": _us("target in the subset", SUBSETS, _preferring),
         "pick_subset_us": _us("host of the service", HOSTS, _picking),
         "split_limit_us": _us("entry of the account", ENTRIES, _splitting),
+        "account_entries_us": _us("entry listed", LISTED_ENTRIES, _naming),
         "derive_topology_us": _us("host due the release", DUE, _deriving),
         "apply_entry_us": _us("log entry", REVISIONS, _applying),
         "read_members_us": _us("host listed", HOSTS, _reading_members),
@@ -138,6 +142,14 @@
     return lambda: split_limit(40.0 * count, demands)
 
 
+def _naming(count: int) -> Callable[[], object]:
+    entries = [
+        EntryFacts(HostId(f"entry-{n:04}"), Place(f"place-{n % PLACES}"), Address(f"10.1.0.1:{n}"))
+        for n in range(count)
+    ]
+    return lambda: account_entries(Account("saleyard"), entries, 3)
+
+
 def _deriving(count: int) -> Callable[[], object]:
     hosts = [DueHost(HostId(f"host-{n:05}"), Place(f"place-{n % PLACES}")) for n in range(count)]
     return lambda: PLAN.derive(hosts[0], hosts, Digest(DIGEST))
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -86,7 +86,7 @@
         identity = Identity(f"e{n}", Role.ENTRY, f"p{n % 3}", f"i{n}")
         node = PeerNode(network.view(ip), identity, "k", handle)
         await node.start(f"{ip}:7000")
-        limits.append(AccountLimits.from_config(settings, node, lambda: members, Metrics()))
+        limits.append(AccountLimits.from_config(settings, node, lambda: tuple(members), Metrics()))
         await limits[0].start()
         entries.limits.append(limits[0])
         entries.nodes.append(node)
--- /dev/null
+++ b/tests/test_named_entries.py
@@ -0,0 +1,79 @@
+"""The entries that accounts are told of, worked out once for each list of hosts."""
+
+from dataclasses import replace
+
+import pytest
+
+from lacewinggw.decisions.addresses import EntryFacts, account_entries
+from lacewinggw.entry import named
+from lacewinggw.entry.named import NamedEntries
+from lacewinggw.ids import Account, Address, HostId, Place
+from lacewinggw.platform.membership import Member, MemberRole, MemberState
+
+BUYERS, PRESS = Account("buyers"), Account("press")
+LEAVING_S = 60.0
+
+
+def make_list(count: int) -> tuple[Member, ...]:
+    return tuple(
+        Member(
+            HostId(f"entry-{n}"),
+            Place(f"place-{n % 3}"),
+            MemberRole.ENTRY,
+            Address(f"10.0.0.{n}:7000"),
+            caller_address=Address(f"10.0.0.{n}:7002"),
+        )
+        for n in range(count)
+    )
+
+
+def hosts(entries: tuple[EntryFacts, ...]) -> set[str]:
+    return {entry.host for entry in entries}
+
+
+def test_each_list_is_ranked_once_for_an_account(monkeypatch: pytest.MonkeyPatch) -> None:
+    ranked: list[Account] = []
+
+    def rank(account: Account, entries: list[EntryFacts], count: int) -> tuple[EntryFacts, ...]:
+        ranked.append(account)
+        return account_entries(account, entries, count)
+
+    monkeypatch.setattr(named, "account_entries", rank)
+    listed = [make_list(20)]
+    entries = NamedEntries(lambda: listed[0], LEAVING_S)
+    first = [entries.of(account, 3, 0.0) for account in (BUYERS, PRESS)]
+    assert [entries.of(account, 3, 9.0) for account in (BUYERS, PRESS)] == first
+    assert ranked == [BUYERS, PRESS]
+    listed[0] = make_list(21)
+    entries.of(BUYERS, 3, 9.0)
+    assert ranked == [BUYERS, PRESS, BUYERS]
+
+
+def test_a_new_list_is_taken_at_once() -> None:
+    listed = [make_list(20)]
+    entries = NamedEntries(lambda: listed[0], LEAVING_S)
+    gone = entries.of(BUYERS, 3, 0.0)[0].host
+    listed[0] = tuple(
+        replace(each, state=MemberState.LEAVING) if each.host == gone else each
+        for each in listed[0]
+    )
+    assert gone not in hosts(entries.of(BUYERS, 3, 0.0))
+
+
+def test_an_entry_that_leaves_is_out_until_it_says_otherwise_or_its_time_is_up() -> None:
+    listed = make_list(20)
+    entries = NamedEntries(lambda: listed, LEAVING_S)
+    before = entries.of(BUYERS, 3, 0.0)
+    leaving = before[0].host
+    entries.note_leaving(leaving, True, 0.0)
+    assert leaving not in hosts(entries.of(BUYERS, 3, 1.0))
+    assert entries.of(BUYERS, 3, LEAVING_S) == before
+    entries.note_leaving(leaving, True, LEAVING_S)
+    entries.note_leaving(leaving, False, LEAVING_S + 1)
+    assert entries.of(BUYERS, 3, LEAVING_S + 1) == before
+
+
+def test_a_larger_share_names_more_entries() -> None:
+    listed = make_list(20)
+    entries = NamedEntries(lambda: listed, LEAVING_S)
+    assert hosts(entries.of(BUYERS, 3, 0.0)) < hosts(entries.of(BUYERS, 6, 0.0))
