--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -16,6 +16,7 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.membership import MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 MILLISECONDS = 1000.0
 PERCENT = 100.0
@@ -135,8 +136,9 @@
         self._in_progress -= 1
 
     async def handle(self, exchange: Exchange) -> None:
-        """Take in what another entry says of its demand."""
+        """Take in what another entry says of its demand, once it is found sound."""
         demand: messages.Demand = exchange.message
+        require_sound(demand)
         now = asyncio.get_running_loop().time()
         self._named.note_leaving(HostId(exchange.link.remote.host), bool(demand.leaving), now)
         for each in demand.accounts or []:
--- a/src/lacewinggw/entry/survey.py
+++ b/src/lacewinggw/entry/survey.py
@@ -16,6 +16,7 @@
 from lacewinggw.operators.view import FleetView, HeardHeartbeat
 from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 ASKED_AT_ONCE = 16
 ASKED_MOST = 160
@@ -97,9 +98,12 @@
             question = FetchHeard(sorted(hosts))
             async with asyncio.timeout(TIMEOUT_S):
                 reply = await self._node.call(entry.address, question, TIMEOUT_S)
+            if not isinstance(reply, HeardTargets):
+                return []
+            require_sound(reply)
         except (LacewingError, TimeoutError):
             return []
-        return list(reply.targets or []) if isinstance(reply, HeardTargets) else []
+        return list(reply.targets)
 
 
 def _keep_newest(found: dict[str, HeardHeartbeat], target: HeardTarget) -> None:
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -43,6 +43,7 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import Exchange, PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 MILLISECONDS = 1000.0
 USUAL_TIME_S = 0.25  # for so long a service's median time per request is kept
@@ -185,8 +186,9 @@
         self._services.clear()
 
     async def handle(self, exchange: Exchange) -> None:
-        """Take in a heartbeat."""
+        """Take in a heartbeat; raise `ProtocolViolation` for one that cannot be reckoned with."""
         heartbeat: messages.Heartbeat = exchange.message
+        require_sound(heartbeat)
         if exchange.link.remote.host != heartbeat.host:
             return
         self.note_heartbeat(heartbeat)
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -50,6 +50,7 @@
             digest="d1",
             state=TargetState.SERVING,
             load=messages.Load(0, 0, 8, 0),
+            spreads=[],
             sequence=0,
         )
         self.silent = False
