Tell demand at once when an idle account begins to ask

Cause: the smoothed rate never comes back to nothing, which had been the condition for telling the other entries without waiting for the next interval. Change: the condition is that no request came for an interval. Messages still being sent are cancelled when the limits are closed.

--- a/src/lacewinggw/decisions/limits.py
+++ b/src/lacewinggw/decisions/limits.py
@@ -68,6 +68,10 @@
         self._rate = self._rate * math.exp(-gap / self.memory_s) + count / self.memory_s
         self._at = now
 
+    def quiet_s(self, now: float) -> float:
+        """Return for how long no event was counted, in seconds."""
+        return math.inf if self._at is None else now - self._at
+
     def rate(self, now: float) -> float:
         """Return the rate at `now`."""
         if self._at is None:
--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -73,6 +73,7 @@
         self._told = asyncio.Event()
         self._is_leaving = False
         self._named = NamedEntries(members, entry.drain_limit_ms / MILLISECONDS)
+        self._telling: set[asyncio.Task[None]] = set()
 
     @classmethod
     def from_config(
@@ -94,6 +95,8 @@
     async def close(self) -> None:
         """Stop exchanging demand."""
         await self._loop.close()
+        for task in list(self._telling):
+            task.cancel()
 
     def account_of(self, token: str) -> AccountDeclaration | None:
         """Return the account that a token belongs to."""
@@ -113,7 +116,7 @@
         if declared is None:
             return self._refuse(Refusal.ACCOUNT_LIMIT, 0)
         share = self._share(declared, now)
-        if share.offered.rate(now) == 0.0:
+        if share.offered.quiet_s(now) > self._interval_s:
             self._told.set()
         share.offered.note(now)
         urgent = priority is Priority.URGENT
@@ -212,7 +215,9 @@
         self._tell(address, messages.Demand(self._me, self._sequence, demands, self._is_leaving))
 
     def _tell(self, address: str, message: messages.Demand) -> None:
-        asyncio.get_running_loop().create_task(self._notify(address, message))
+        task = asyncio.get_running_loop().create_task(self._notify(address, message))
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
 
     async def _notify(self, address: str, message: messages.Demand) -> None:
         with suppress(LacewingError):
