--- a/src/lacewinggw/lab/baselines.py
+++ b/src/lacewinggw/lab/baselines.py
@@ -81,7 +81,7 @@
     def _ask_parent(self, now: float) -> Iterator[Action]:
         state = self.neighbours.get(self.parent) if self.parent else None
         source: Source = Neighbour(self.parent) if self.parent else ORIGIN
-        limit = self.rules.in_flight_total if self.parent else ORIGIN_IN_FLIGHT
+        limit = self.rules.in_flight if self.parent else ORIGIN_IN_FLIGHT
         for index in sorted(self.missing - self._fetches.keys()):
             if len(self._fetches) >= limit:
                 return
