--- a/src/lacewinggw/lab/plots.py
+++ b/src/lacewinggw/lab/plots.py
@@ -4,6 +4,7 @@
 """
 
 import io
+import re
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +19,7 @@
 WIDTH_IN, HEIGHT_IN = 8.0, 3.6
 GROUP_WIDTH = 0.8
 SETTINGS: dict[Any, Any] = {"svg.fonttype": "path", "svg.hashsalt": "lacewinggw", "font.size": 9}
+OUTPUT_OPTION = re.compile(r" --output \S+")
 FORCE_GOAL_S = 6.0
 ORIGIN_BUDGET = 4.0
 UPLOAD_BUDGET = 2.0
@@ -33,8 +35,8 @@
 
     @property
     def command(self) -> str:
-        """The command that measured it, its name when it does not tell."""
-        return str(self.content.get("command", self.name))
+        """The command that measured it, where it wrote to left out; else the result's name."""
+        return OUTPUT_OPTION.sub("", str(self.content.get("command", self.name)))
 
 
 @dataclass(frozen=True)
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -70,6 +70,11 @@
     assert drawn is not None
 
 
+def test_a_command_is_shown_without_where_it_wrote_to() -> None:
+    told = {**SAMPLES["Changes in force"], "command": "lacewinggw-lab config --output here.json -x"}
+    assert "<code>lacewinggw-lab config -x</code>" in make_page([Result("config", told)])
+
+
 def test_without_results_every_plot_is_named_as_missing() -> None:
     page = make_page([])
     assert re.findall(r"<li>(.*): no results</li>", page) == list(PLOTS)
