Give the operators' test desk whole load reports

Change: the desk's loads have an age. Shown: tests of operators, of the language page and of hostile calls pass, 29.

--- a/tests/operator_desk.py
+++ b/tests/operator_desk.py
@@ -104,7 +104,7 @@
         """Have every entry hear of a target, `ready` to change over to another release."""
         fleet = self.fleet.entries[0].ledger.state
         digest, ready_digest = fleet.release_digest(release), fleet.release_digest(ready)
-        load = Load(1, 2, 8)
+        load = Load(1, 2, 8, 0)
         beat = Heartbeat(host, "a", "i", service, release, digest, state, load, [], 1, ready_digest)
         for view in self.views:
             view.beats[host] = HeardHeartbeat(beat, 0.5)
