Have a leaving agent answer for its reservations until they lapse

Change: an agent's drain waits, within its limit, until its open reservations were used, withdrawn or have lapsed; it refuses them as not run.

--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -45,6 +45,7 @@
 MILLISECONDS = 1000.0
 NOT_SERVING_RETRY_MS = 500
 RESERVATIONS_LIMIT = 10_000
+RESERVATIONS_LOOK_S = 0.1
 LINGER_S = 1.0  # until every entry has heard that the target leaves
 
 
@@ -130,13 +131,16 @@
     async def drained(self, limit_s: float) -> bool:
         """Wait until no request waits, runs or has parts of its answer still to be sent.
 
-        It takes `LINGER_S` at least, in which offers already on their way are refused and not lost.
+        It takes `LINGER_S` at least, in which offers already on their way are refused and not lost,
+        and until open reservations lapse: only this process can prove that they never started.
         Returns False when `limit_s` seconds were too few.
         """
         try:
             async with asyncio.timeout(limit_s):
                 await asyncio.sleep(LINGER_S)
                 await self._none_left.wait()
+                while self._book.count_open(self._now()):  # noqa: ASYNC110
+                    await asyncio.sleep(RESERVATIONS_LOOK_S)
         except TimeoutError:
             return False
         return True
--- a/src/lacewinggw/decisions/once.py
+++ b/src/lacewinggw/decisions/once.py
@@ -110,6 +110,10 @@
         """Return how many runs are remembered."""
         return len(self._records)
 
+    def count_open(self, now: float) -> int:
+        """Return how many reservations may still be taken."""
+        return sum(expires_at > now for expires_at in self._reserved.values())
+
     def reserve(self, life_s: float, now: float) -> RunId:
         """Give a nonce that may be taken once within `life_s` seconds."""
         self._prune(now)
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -542,3 +542,15 @@
     again = await fleet.entries[1].ask(idempotency_key="k")
     assert again.content == first.content
     assert asyncio.get_running_loop().time() - began < 0.5
+
+
+@fleet_test()
+async def test_a_leaving_agent_answers_for_its_reservations(fleet: RequestFleet) -> None:
+    entry, agent = fleet.entries[0], fleet.agents[0]
+    ticket = await entry.ticket()
+    agent.requests.begin_drain()
+    drained = asyncio.create_task(agent.requests.drained(60))
+    await asyncio.sleep(10)
+    assert not drained.done()
+    assert (await entry.ask(ticket=ticket)).headers["outcome"] == "not-run"
+    assert await drained
