Blame a shutdown only for what its own process had; record lost replies as an outage

Change: a shutdown concerns attempts sent before its process ended; one sent later without a known outcome is now a violation of whole answers unless a fault explains it. Lost replies of the platform are recorded like its outages.

--- a/src/lacewinggw/lab/checkers.py
+++ b/src/lacewinggw/lab/checkers.py
@@ -275,8 +275,12 @@
 
 
 def _concerns(facts: Facts, asked: ShutdownAsked, attempt: AttemptFacts) -> bool:
+    """Return whether the process that shut down had the attempt; one started later had no part."""
     in_time = asked.at <= attempt.ended_at < asked.at + asked.limit_s
-    return in_time and asked.host in facts.hosts_of(attempt)
+    ended = [life.end for (host, _), life in facts.lives.items() if host == asked.host]
+    gone_at = min((end for end in ended if end >= asked.at), default=FOREVER)
+    begun = attempt.sent.at <= gone_at
+    return in_time and begun and asked.host in facts.hosts_of(attempt)
 
 
 # ---- accepted configuration is in force everywhere and never reverts -----------------------
--- a/src/lacewinggw/lab/faults.py
+++ b/src/lacewinggw/lab/faults.py
@@ -125,7 +125,9 @@
                 await asyncio.sleep(lasts_s)
                 await fleet.end_outage(part, delay_s=0.0)
             case LostReplies(part, share, lasts_s):
-                await self._disturb_for(part, lasts_s, "lose_share", share)
+                await fleet.begin_outage(part, lose_share=share)
+                await asyncio.sleep(lasts_s)
+                await fleet.end_outage(part, lose_share=0.0)
             case Corruption(part, share, lasts_s):
                 await self._disturb_for(part, lasts_s, "corrupt_share", share)
             case Stall(part, lasts_s):
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -104,6 +104,11 @@
         *[PUBLISHED, sent(1.0), ShutdownAsked(1.05, "entry-1"), *run(1.1), answered(2.0)],
         ProcessEnded(2.1, "entry-1", "i1"),
     ],
+    "unknown past the deadline at the process after the one that shut down": [
+        *[ProcessStarted(0.0, "entry-1", "i1"), ShutdownAsked(0.5, "entry-1")],
+        *[ProcessEnded(0.6, "entry-1", "i1"), ProcessStarted(0.7, "entry-1", "i2")],
+        *[sent(1.0, deadline_s=5.0), Unknown(6.0, "a")],
+    ],
     "work sent before the target left": [
         *[PUBLISHED, sent(1.0), Leaving(1.1, "host-1"), *run(9.0), answered(10.0)],
     ],
@@ -243,6 +248,14 @@
             *[ShutdownAsked(1.2, "host-1"), Unknown(1.3, "a", "LW-7001"), LATE],
         ],
     ),
+    "unknown for no reason at the process after the one that shut down": (
+        Property.WHOLE_ANSWERS,
+        [
+            *[ProcessStarted(0.0, "entry-1", "i1"), ShutdownAsked(0.5, "entry-1")],
+            *[ProcessEnded(0.6, "entry-1", "i1"), ProcessStarted(0.7, "entry-1", "i2")],
+            *[sent(1.0), Unknown(2.0, "a")],
+        ],
+    ),
     "accepted but not in the log": (
         Property.CONFIGURATION,
         [ACCEPTED, LogRow(9.0, 1, "c1")],
