--- a/src/lacewinggw/entry/survey.py
+++ b/src/lacewinggw/entry/survey.py
@@ -16,7 +16,7 @@
 from lacewinggw.operators.view import FleetView, HeardHeartbeat
 from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
-from lacewinggw.wire.soundness import require_sound
+from lacewinggw.wire.soundness import require_sound, require_sound_heartbeat
 
 ASKED_AT_ONCE = 16
 ASKED_MOST = 160
@@ -101,6 +101,8 @@
             if not isinstance(reply, HeardTargets):
                 return []
             require_sound(reply)
+            for target in reply.targets:
+                require_sound_heartbeat(target.heartbeat)
         except (LacewingError, TimeoutError):
             return []
         return list(reply.targets)
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -43,7 +43,7 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import Exchange, PeerNode
-from lacewinggw.wire.soundness import require_sound
+from lacewinggw.wire.soundness import require_sound_heartbeat
 
 MILLISECONDS = 1000.0
 USUAL_TIME_S = 0.25  # for so long a service's median time per request is kept
@@ -188,7 +188,7 @@
     async def handle(self, exchange: Exchange) -> None:
         """Take in a heartbeat; raise `ProtocolViolation` for one that cannot be reckoned with."""
         heartbeat: messages.Heartbeat = exchange.message
-        require_sound(heartbeat)
+        require_sound_heartbeat(heartbeat)
         if exchange.link.remote.host != heartbeat.host:
             return
         self.note_heartbeat(heartbeat)
--- a/src/lacewinggw/wire/soundness.py
+++ b/src/lacewinggw/wire/soundness.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from lacewinggw.errors import ProtocolViolation
+from lacewinggw.generated.messages.ttypes import Heartbeat, TargetState
 
 
 def require_sound(report: Any) -> None:
@@ -23,6 +24,13 @@
         _require_sound_value(getattr(report, name), kind.__name__, name)
 
 
+def require_sound_heartbeat(heartbeat: Heartbeat) -> None:
+    """Raise `ProtocolViolation` for a heartbeat that is not sound, or tells of an unknown state."""
+    require_sound(heartbeat)
+    if heartbeat.state not in set(TargetState):
+        raise ProtocolViolation(f"a Heartbeat of the unknown state {heartbeat.state}")
+
+
 def _require_sound_value(value: Any, kind: str, name: str) -> None:
     match value:
         case None:
