Keep the idle heartbeats of all watched targets within a budget

Change: above 50 watched targets the interval asked for grows, in whole seconds; a target counts as silent after dead_after and that interval. Conclusion: what is lost is time to notice a host that falls silent without closing its connection: 2 s more at 128 targets, 14 s more at 704; calls to it fail and eject it before.

--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -47,7 +47,8 @@
 
 MILLISECONDS = 1000.0
 USUAL_TIME_S = 0.25  # for so long a service's median time per request is kept
-CHANGING_HEARD_PER_S = 50  # heartbeats of hosts watched only while they change over
+IDLE_HEARD_PER_S = 50  # idle heartbeats, of hosts watched for routing
+CHANGING_HEARD_PER_S = 50  # the same, of hosts watched only while they change over
 PERCENT = 100.0
 SPARE_SUBSET = "spare"  # hosts without a service are watched too, for placement and display
 
@@ -88,6 +89,15 @@
     usual_at: float = -math.inf
 
 
+def idle_interval_ms(watched: int) -> int:
+    """Return the interval between idle heartbeats that keeps those of all hosts within a budget.
+
+    It is in whole seconds, so that a host more or less seldom changes what was asked of the others;
+    0 leaves it to the agents. Load rides on replies, so a busy target is known no later.
+    """
+    return watched // IDLE_HEARD_PER_S * int(MILLISECONDS)
+
+
 class TargetDirectory:
     """Keeps watch on a bounded subset of targets and chooses among them.
 
@@ -128,7 +138,7 @@
         self._entries: list[HostId] = []
         self._position = 0.0
         self._wanted: dict[HostId, float] = {}  # since when
-        self._intervals_ms: dict[HostId, int] = {}  # of hosts watched only while they change over
+        self._intervals_ms: dict[HostId, int] = {}  # 0 where the agent's own is not too often
         self._heartbeats: dict[HostId, messages.Heartbeat] = {}
         self._heard_at: dict[HostId, float] = {}
         self._facts: dict[HostId, TargetFacts] = {}
@@ -172,8 +182,9 @@
         """Work out anew which targets this entry deals with, after a change."""
         now = self._now()
         wanted = set(self._pick_hosts())
-        self._intervals_ms = self._pick_changing(wanted)
-        wanted.update(self._intervals_ms)
+        changing = self._pick_changing(wanted)
+        self._intervals_ms = {**dict.fromkeys(wanted, idle_interval_ms(len(wanted))), **changing}
+        wanted.update(changing)
         self._wanted = {host: self._wanted.get(host, now) for host in wanted}
         for host in [host for host in self._heartbeats if host not in wanted]:
             self._forget(host)
@@ -306,8 +317,7 @@
         return {
             str(host): heartbeat
             for host, heartbeat in self._heartbeats.items()
-            if now - self._heard_at[host]
-            <= self._dead_after_s + self._intervals_ms.get(host, 0) / MILLISECONDS
+            if now - self._heard_at[host] <= self._allowed_silence_s(host)
         }
 
     def silent_hosts(self, now: float | None = None) -> set[str]:
@@ -370,7 +380,10 @@
 
     def _is_silent(self, host: HostId, now: float) -> bool:
         heard_at = self._heard_at.get(host, self._wanted.get(host, now))
-        return now - heard_at > self._dead_after_s
+        return now - heard_at > self._allowed_silence_s(host)
+
+    def _allowed_silence_s(self, host: HostId) -> float:
+        return self._dead_after_s + self._intervals_ms.get(host, 0) / MILLISECONDS
 
     def _take_facts(self, host: HostId, heartbeat: messages.Heartbeat, now: float) -> None:
         facts = self._facts.get(host)
