--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -256,7 +256,7 @@
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = {**problem_headers(error), "connection": "close"}
-        problem = Response(status, headers, problem_body(error))
+        problem = Response(status, headers, problem_body(error, status=status))
         await self._send(connection, stream, Request("GET", "/"), problem)
 
     async def _send(
--- a/src/lacewinggw/wire/problems.py
+++ b/src/lacewinggw/wire/problems.py
@@ -10,12 +10,15 @@
 MILLISECONDS = 1000.0
 
 
-def problem(error: LacewingError, request_id: str = "") -> dict[str, Any]:
-    """Return an error as the members of a problem document."""
+def problem(error: LacewingError, request_id: str = "", status: int = 0) -> dict[str, Any]:
+    """Return an error as the members of a problem document.
+
+    `status` is that of the response where it says more than the kind of error does.
+    """
     members = {
         "type": f"urn:lacewinggw:{error.code}",
         "title": error.kind,
-        "status": error.http_status,
+        "status": status or error.http_status,
         "code": error.code,
         "detail": error.reason,
         "remedy": error.remedy,
@@ -30,9 +33,9 @@
     return members
 
 
-def problem_body(error: LacewingError, request_id: str = "") -> bytes:
+def problem_body(error: LacewingError, request_id: str = "", status: int = 0) -> bytes:
     """Return the problem document as bytes."""
-    return json.dumps(problem(error, request_id)).encode()
+    return json.dumps(problem(error, request_id, status)).encode()
 
 
 def problem_headers(error: LacewingError, request_id: str = "") -> dict[str, str]:
--- a/tests/test_http_problems.py
+++ b/tests/test_http_problems.py
@@ -66,6 +66,7 @@
     told_status, problem = await read_response(stream)
     assert told_status == status
     assert problem["code"] == error.code
+    assert problem["status"] == status
     assert problem["outcome"] == "not-run"
     assert problem["remedy"] == error.default_remedy
     assert served.handled == []
