Show the copy of the configuration by one class in entries and agents

The ledger and the follower each had the same three properties and four methods over their replica, word for word.

--- a/src/lacewinggw/agent/follower.py
+++ b/src/lacewinggw/agent/follower.py
@@ -10,16 +10,16 @@
 
 from lacewinggw.background import Background
 from lacewinggw.configuration.bootstrap import PeerBootstrap
-from lacewinggw.configuration.replica import OnChange, Replica
+from lacewinggw.configuration.holder import ReplicaHolder
+from lacewinggw.configuration.replica import Replica
 from lacewinggw.configuration.upstreams import Upstreams
 from lacewinggw.decisions.pollers import Candidate, upstream_entries
-from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.settings.ttypes import ConfigurationSettings
 from lacewinggw.ids import Address
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.wire.peers import Exchange, PeerLink, PeerNode
+from lacewinggw.wire.peers import PeerNode
 
 UPSTREAMS = 2
 CURRENT_POLLS = 5
@@ -30,7 +30,7 @@
 Entries = Callable[[], Sequence[Candidate]]
 
 
-class Follower:
+class Follower(ReplicaHolder):
     """One agent's copy of the configuration.
 
     follower = Follower.from_config(settings, node, entries, metrics)
@@ -50,7 +50,7 @@
         self._node = node
         self._entries = entries
         self._rng = rng
-        self._replica = Replica(metrics)
+        super().__init__(Replica(metrics))
         self._upstreams = Upstreams(node, self._replica, self._addresses, UPSTREAMS, metrics)
         self._peers = PeerBootstrap(node)
         self._loop = Background("configuration", self._follow)
@@ -67,21 +67,6 @@
         """Return the follower of an agent; `entries` gives all entries as now listed."""
         return cls(settings, node, entries, metrics, rng or random.Random())
 
-    @property
-    def state(self) -> FleetState:
-        """The configuration as known here."""
-        return self._replica.state
-
-    @property
-    def ready(self) -> bool:
-        """Whether there is a configuration to serve by."""
-        return self._replica.ready
-
-    @property
-    def revision(self) -> int:
-        """The highest revision applied here."""
-        return self._replica.revision
-
     @property
     def current(self) -> bool:
         """Whether an entry confirmed a moment ago that this is the newest configuration.
@@ -92,10 +77,6 @@
         now = asyncio.get_running_loop().time()
         return now - self._upstreams.confirmed_at < CURRENT_POLLS * self._poll_s()
 
-    def on_change(self, callback: OnChange) -> None:
-        """Have `callback(state, entries)` called after each change."""
-        self._replica.on_change(callback)
-
     async def start(self) -> None:
         """Get a configuration from entries, then follow them. Returns once there is one."""
         while not await self._bootstrap():  # noqa: ASYNC110
@@ -108,18 +89,6 @@
         self._replica.close()
         await self._loop.close()
 
-    async def handle(self, exchange: Exchange) -> bool:
-        """Answer a message about the configuration; return False for any other."""
-        return await self._replica.handle(exchange)
-
-    def saw_revision(self, link: PeerLink, revision: int) -> None:
-        """Catch up over a link whose other side is ahead."""
-        self._replica.saw_revision(link, revision)
-
-    async def reached(self, revision: int, timeout_s: float) -> bool:
-        """Wait until `revision` is applied here; return False after `timeout_s` seconds."""
-        return await self._replica.reached(revision, timeout_s)
-
     def _poll_s(self) -> float:
         return self._settings.poll_ms / MS_PER_S
 
--- a/src/lacewinggw/entry/ledger.py
+++ b/src/lacewinggw/entry/ledger.py
@@ -12,12 +12,12 @@
 
 from lacewinggw.background import Background
 from lacewinggw.configuration.bootstrap import PeerBootstrap
+from lacewinggw.configuration.holder import ReplicaHolder
 from lacewinggw.configuration.logstore import Appended, LogStore, Outdated, Taken, Truncated
-from lacewinggw.configuration.replica import OnChange, Replica
+from lacewinggw.configuration.replica import Replica
 from lacewinggw.configuration.upstreams import Upstreams
 from lacewinggw.decisions.commands import accepted_before, check_command, check_remembered
 from lacewinggw.decisions.pollers import NEIGHBOURS, Candidate, neighbours, reads_store
-from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import (
     AcceptanceUnknown,
     LacewingError,
@@ -34,7 +34,7 @@
 from lacewinggw.metrics import Metrics, RetryReason
 from lacewinggw.platform.objects import ObjectClient
 from lacewinggw.platform.table import TableClient
-from lacewinggw.wire.peers import Exchange, PeerLink, PeerNode
+from lacewinggw.wire.peers import PeerNode
 
 ACCEPT_LIMIT_S = 8.0
 RETRY_S = 0.1
@@ -46,7 +46,7 @@
 Entries = Callable[[], Sequence[Candidate]]
 
 
-class Ledger:
+class Ledger(ReplicaHolder):
     """One entry's hold on the configuration.
 
     ledger = Ledger.from_config(settings, table, objects, metrics, node, entries, rng)
@@ -70,7 +70,7 @@
         self._node = node
         self._entries = entries
         self._rng = rng
-        self._replica = Replica(metrics)
+        super().__init__(Replica(metrics))
         self._peers = PeerBootstrap(node) if node is not None else None
         self._upstreams: Upstreams | None = None
         if node is not None:
@@ -97,25 +97,6 @@
         store = LogStore(table, objects)
         return cls(settings, store, metrics, node, entries, rng or random.Random())
 
-    @property
-    def state(self) -> FleetState:
-        """The configuration as known here."""
-        return self._replica.state
-
-    @property
-    def ready(self) -> bool:
-        """Whether there is a configuration to serve by."""
-        return self._replica.ready
-
-    @property
-    def revision(self) -> int:
-        """The highest revision applied here."""
-        return self._replica.revision
-
-    def on_change(self, callback: OnChange) -> None:
-        """Have `callback(state, entries)` called after each change."""
-        self._replica.on_change(callback)
-
     async def start(self) -> None:
         """Get a configuration, then follow the log. Returns once there is one."""
         while not await self._bootstrap():  # noqa: ASYNC110
@@ -131,18 +112,6 @@
             self._snapshot_task.cancel()
             await asyncio.wait((self._snapshot_task,))
 
-    async def handle(self, exchange: Exchange) -> bool:
-        """Answer a message about the configuration; return False for any other."""
-        return await self._replica.handle(exchange)
-
-    def saw_revision(self, link: PeerLink, revision: int) -> None:
-        """Catch up over a link whose other side is ahead."""
-        self._replica.saw_revision(link, revision)
-
-    async def reached(self, revision: int, timeout_s: float) -> bool:
-        """Wait until `revision` is applied here; return False after `timeout_s` seconds."""
-        return await self._replica.reached(revision, timeout_s)
-
     async def accept(
         self,
         changes: Sequence[Change],
