Call the product's own clients what they are

The package lacewinggw.platform held the interfaces and the product's own clients of its services. The name goes to the adapter of the users' platform, so the package is lacewinggw.clients now; its module of that name is group.

--- a/src/lacewinggw/agent/executor.py
+++ b/src/lacewinggw/agent/executor.py
@@ -7,6 +7,8 @@
 from lacewinggw.agent.queue import Refused, RequestQueue
 from lacewinggw.agent.runs import Run
 from lacewinggw.agent.target import TargetGate, TargetKind
+from lacewinggw.clients.engine import AnswerEnd, EngineClient, Generation, PieceBatch
+from lacewinggw.clients.plain import PlainCall, PlainClient
 from lacewinggw.decisions.once import RunBook
 from lacewinggw.errors import (
     AnswerIncomplete,
@@ -23,8 +25,6 @@
 from lacewinggw.ids import RequestId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.engine import AnswerEnd, EngineClient, Generation, PieceBatch
-from lacewinggw.platform.plain import PlainCall, PlainClient
 
 READ_TIMEOUT_S = 60.0  # between two pieces of a run that may not be cut
 PLAIN_PIECE_BYTES = 256 << 10
--- a/src/lacewinggw/agent/keeper.py
+++ b/src/lacewinggw/agent/keeper.py
@@ -12,6 +12,16 @@
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.agent.weights import Spreader
 from lacewinggw.background import Background
+from lacewinggw.clients.engine import (
+    ActivateOrder,
+    AdapterOrder,
+    EngineClient,
+    EngineRole,
+    LoadOrder,
+    Order,
+    RoleOrder,
+    UnloadOrder,
+)
 from lacewinggw.decisions.lifecycle import (
     Activate,
     Adapt,
@@ -33,16 +43,6 @@
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
-from lacewinggw.platform.engine import (
-    ActivateOrder,
-    AdapterOrder,
-    EngineClient,
-    EngineRole,
-    LoadOrder,
-    Order,
-    RoleOrder,
-    UnloadOrder,
-)
 from lacewinggw.wire.network import Network
 
 READ_BACK_S = 1.0
--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -10,6 +10,11 @@
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.agent.views import DueRelease
 from lacewinggw.agent.weights import Spreader
+from lacewinggw.clients.engine import EngineClient
+from lacewinggw.clients.group import PlatformClients
+from lacewinggw.clients.membership import Member, MemberState
+from lacewinggw.clients.plain import PlainClient
+from lacewinggw.clients.watch import MemberList, MemberWatch
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.lifecycle import Wanted
 from lacewinggw.decisions.revisions import FleetState, declares_any, moves_placements
@@ -20,11 +25,6 @@
 from lacewinggw.ids import Digest, HostId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.clients import PlatformClients
-from lacewinggw.platform.engine import EngineClient
-from lacewinggw.platform.membership import Member, MemberState
-from lacewinggw.platform.plain import PlainClient
-from lacewinggw.platform.watch import MemberList, MemberWatch
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -11,6 +11,8 @@
 from lacewinggw.agent.executor import Executor
 from lacewinggw.agent.runs import KeptRuns, Listener, Run, request_digest
 from lacewinggw.agent.target import TargetGate
+from lacewinggw.clients.engine import EngineClient
+from lacewinggw.clients.plain import PlainClient
 from lacewinggw.decisions.once import (
     LONGEST_DEADLINE_S,
     Absence,
@@ -38,8 +40,6 @@
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Incarnation
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.engine import EngineClient
-from lacewinggw.platform.plain import PlainClient
 from lacewinggw.wire.peers import Exchange, Identity
 
 MILLISECONDS = 1000.0
--- a/src/lacewinggw/agent/views.py
+++ b/src/lacewinggw/agent/views.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from lacewinggw.agent.mesh import Mesh
+from lacewinggw.clients.membership import Member
 from lacewinggw.decisions.topology import DueHost, Topology, TopologyPlan
 from lacewinggw.generated.messages.ttypes import Prefer
 from lacewinggw.generated.settings.ttypes import SpreadSettings
 from lacewinggw.ids import Digest, HostId
-from lacewinggw.platform.membership import Member
 
 BadSources = Callable[[Digest], Sequence[str]]
 
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -27,6 +27,7 @@
 from lacewinggw.agent.uploads import Uploader
 from lacewinggw.agent.views import DueRelease, HostViews, PlanLike
 from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member
 from lacewinggw.decisions.sources import SpreadRules
 from lacewinggw.decisions.spread import TICK_S
 from lacewinggw.decisions.topology import DueHost
@@ -36,7 +37,6 @@
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Digest, HostId, Place
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member
 from lacewinggw.wire.peers import Exchange, PeerNode
 
 MS_PER_S = 1000.0
--- a/src/lacewinggw/platform/engine.py
+++ b/src/lacewinggw/clients/engine.py
@@ -5,17 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from lacewinggw.errors import (
-    AnswerIncomplete,
-    BadPlatformAnswer,
-    OrderError,
-    OrderRefused,
-    StaleFence,
-    TargetUnreachable,
-)
-from lacewinggw.ids import Digest, RequestId
-from lacewinggw.platform.calls import decode_json, join_path
-from lacewinggw.platform.orders import (
+from lacewinggw.clients.calls import decode_json, join_path
+from lacewinggw.clients.orders import (
     ActivateOrder,
     AdapterOrder,
     EngineRole,
@@ -25,8 +16,8 @@
     UnloadOrder,
     encode_order,
 )
-from lacewinggw.platform.pieces import EVENT_LIMIT_BYTES, AnswerEnd, PieceBatch, read_pieces
-from lacewinggw.platform.targets import (
+from lacewinggw.clients.pieces import EVENT_LIMIT_BYTES, AnswerEnd, PieceBatch, read_pieces
+from lacewinggw.clients.targets import (
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
     RESUME_HEADER,
@@ -36,6 +27,15 @@
     lost_within_answer,
     refusal,
 )
+from lacewinggw.errors import (
+    AnswerIncomplete,
+    BadPlatformAnswer,
+    OrderError,
+    OrderRefused,
+    StaleFence,
+    TargetUnreachable,
+)
+from lacewinggw.ids import Digest, RequestId
 from lacewinggw.wire.http import (
     JSON_TYPE,
     Headers,
--- a/src/lacewinggw/platform/clients.py
+++ b/src/lacewinggw/clients/group.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
+from lacewinggw.clients.membership import MembershipClient
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
+from lacewinggw.clients.weights import WeightsClient
 from lacewinggw.generated.settings.ttypes import PlatformSettings
-from lacewinggw.platform.membership import MembershipClient
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.wire.network import Network
 
 
--- a/src/lacewinggw/platform/membership.py
+++ b/src/lacewinggw/clients/membership.py
@@ -4,9 +4,9 @@
 from enum import Enum
 from typing import Any
 
+from lacewinggw.clients.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.generated.settings.ttypes import PlatformSettings
 from lacewinggw.ids import Address, HostId, Place, ServiceName
-from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.wire.http import HttpClient
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/platform/objects.py
+++ b/src/lacewinggw/clients/objects.py
@@ -1,7 +1,7 @@
 """Client of the platform's object store: whole values under keys."""
 
+from lacewinggw.clients.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.generated.settings.ttypes import PlatformSettings
-from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.wire.http import HttpClient
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/platform/plain.py
+++ b/src/lacewinggw/clients/plain.py
@@ -2,13 +2,13 @@
 
 from dataclasses import dataclass
 
-from lacewinggw.ids import RequestId
-from lacewinggw.platform.targets import (
+from lacewinggw.clients.targets import (
     KEY_HEADER,
     REQUEST_ID_HEADER,
     lost_before_answer,
     refusal,
 )
+from lacewinggw.ids import RequestId
 from lacewinggw.wire.http import JSON_TYPE, HttpClient, HttpError
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/platform/table.py
+++ b/src/lacewinggw/clients/table.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lacewinggw.clients.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.generated.settings.ttypes import PlatformSettings
-from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.wire.http import HttpClient, Response
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/platform/targets.py
+++ b/src/lacewinggw/clients/targets.py
@@ -4,6 +4,7 @@
 after it was sent is `TargetFailed` or `AnswerIncomplete`: it may have run.
 """
 
+from lacewinggw.clients.calls import retry_after_ms
 from lacewinggw.errors import (
     AnswerIncomplete,
     LacewingError,
@@ -11,7 +12,6 @@
     TargetFailed,
     TargetRefused,
 )
-from lacewinggw.platform.calls import retry_after_ms
 from lacewinggw.wire.http import Headers, HttpError, NotConnectedError, Response
 
 REQUEST_ID_HEADER = "x-request-id"
--- a/src/lacewinggw/platform/watch.py
+++ b/src/lacewinggw/clients/watch.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable, Sequence
 
 from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member, MembershipClient, Unchanged
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.log import get_logger
-from lacewinggw.platform.membership import Member, MembershipClient, Unchanged
 
 MILLISECONDS = 1000.0
 FIRST_POLL_S = 1.0
--- a/src/lacewinggw/platform/weights.py
+++ b/src/lacewinggw/clients/weights.py
@@ -5,11 +5,11 @@
 from collections.abc import Iterable
 from typing import Any
 
+from lacewinggw.clients.calls import MS_PER_S, ServiceCalls, check_status, decode_json, join_path
 from lacewinggw.errors import ManifestMismatch, PlatformUnavailable, TimedOut, UnknownDigest
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.generated.settings.ttypes import PlatformSettings
 from lacewinggw.ids import Digest, ReleaseName
-from lacewinggw.platform.calls import MS_PER_S, ServiceCalls, check_status, decode_json, join_path
 from lacewinggw.wire.http import HttpClient, HttpError, Response, StreamedResponse
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/configuration/candidates.py
+++ b/src/lacewinggw/configuration/candidates.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.decisions.pollers import Candidate
-from lacewinggw.platform.membership import Member, MemberRole
 
 
 def entry_candidates(members: Iterable[Member]) -> list[Candidate]:
--- a/src/lacewinggw/configuration/logstore.py
+++ b/src/lacewinggw/configuration/logstore.py
@@ -11,11 +11,11 @@
 import json
 from dataclasses import asdict, dataclass
 
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import ABSENT, Accepted, Conflict, TableClient
 from lacewinggw.errors import BadPlatformAnswer, PlatformError, RowMissing, WriteUnknown
 from lacewinggw.generated.messages.ttypes import LogEntry, Snapshot
 from lacewinggw.log import get_logger
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import ABSENT, Accepted, Conflict, TableClient
 from lacewinggw.wire.frames import decode_struct, encode_struct
 
 ROW_PREFIX = "log/"
--- a/src/lacewinggw/entry/callers.py
+++ b/src/lacewinggw/entry/callers.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Callable
 
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.answers import problem_response
 from lacewinggw.entry.asking import bearer_token
@@ -23,8 +25,6 @@
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Account
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.peers import Exchange, PeerNode
 
--- a/src/lacewinggw/entry/claims.py
+++ b/src/lacewinggw/entry/claims.py
@@ -3,11 +3,7 @@
 import asyncio
 from collections import deque
 
-from lacewinggw.decisions.claims import Claim
-from lacewinggw.errors import PlatformError, StoreDown, WriteUnknown
-from lacewinggw.log import get_logger
-from lacewinggw.metrics import Metrics, RetryReason
-from lacewinggw.platform.table import (
+from lacewinggw.clients.table import (
     Accepted,
     Conflict,
     Put,
@@ -15,6 +11,10 @@
     Row,
     TableClient,
 )
+from lacewinggw.decisions.claims import Claim
+from lacewinggw.errors import PlatformError, StoreDown, WriteUnknown
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
 
 BATCH_LIMIT = 200
 STORE_RETRY_MS = 2000
--- a/src/lacewinggw/entry/inquiries.py
+++ b/src/lacewinggw/entry/inquiries.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable, Sequence
 
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.entry.asking import entry_of
 from lacewinggw.entry.outcomes import RequestLog, RequestOutcome, RequestState
 from lacewinggw.errors import LacewingError, RowMissing
 from lacewinggw.generated.messages.ttypes import AskOutcome, RequestTold
 from lacewinggw.ids import Account
-from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
 
 ASK_TIMEOUT_S = 2.0
--- a/src/lacewinggw/entry/keyed.py
+++ b/src/lacewinggw/entry/keyed.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from typing import Any, TypeVar
 
+from lacewinggw.clients.table import ABSENT, Accepted, Row
 from lacewinggw.decisions.claims import (
     Claim,
     ClaimState,
@@ -40,7 +41,6 @@
     StoreDown,
 )
 from lacewinggw.generated.messages.ttypes import Finish, Pieces, Standing
-from lacewinggw.platform.table import ABSENT, Accepted, Row
 
 T = TypeVar("T")
 
--- a/src/lacewinggw/entry/ledger.py
+++ b/src/lacewinggw/entry/ledger.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Sequence
 
 from lacewinggw.background import Background
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.configuration.bootstrap import PeerBootstrap
 from lacewinggw.configuration.holder import ReplicaHolder
 from lacewinggw.configuration.logstore import Appended, LogStore, Outdated, Taken, Truncated
@@ -32,8 +34,6 @@
 from lacewinggw.ids import Address
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.peers import PeerNode
 
 ACCEPT_LIMIT_S = 8.0
--- a/src/lacewinggw/entry/limits.py
+++ b/src/lacewinggw/entry/limits.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from lacewinggw.background import Background
+from lacewinggw.clients.membership import MemberRole
 from lacewinggw.decisions.addresses import EntryFacts, count_addresses
 from lacewinggw.decisions.limits import AccountDeclaration, AccountShare, DemandReport
 from lacewinggw.entry.named import Members, NamedEntries
@@ -14,7 +15,6 @@
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Account, HostId
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
 from lacewinggw.wire.soundness import require_sound
 
--- a/src/lacewinggw/entry/named.py
+++ b/src/lacewinggw/entry/named.py
@@ -6,9 +6,9 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.decisions.addresses import EntryFacts, account_entries
 from lacewinggw.ids import Account, HostId
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 
 Members = Callable[[], Sequence[Member]]
 
--- a/src/lacewinggw/entry/operators.py
+++ b/src/lacewinggw/entry/operators.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from lacewinggw.clients.weights import WeightsClient
 from lacewinggw.decisions.commands import accepted_before
 from lacewinggw.entry.gauges import ServiceGauges
 from lacewinggw.entry.ledger import Ledger
@@ -32,7 +33,6 @@
 from lacewinggw.operators.queries import Answer, Lines, Waiting, answer_query
 from lacewinggw.operators.tables import Table
 from lacewinggw.operators.view import FleetView
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.peers import Exchange, PeerNode
 from lacewinggw.wire.problems import problem_body, problem_headers
--- a/src/lacewinggw/entry/placer.py
+++ b/src/lacewinggw/entry/placer.py
@@ -12,6 +12,7 @@
 from contextlib import suppress
 
 from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.decisions.hosts import Heard, HostWatch
 from lacewinggw.decisions.placement import (
     HostFact,
@@ -45,7 +46,6 @@
 from lacewinggw.ids import Address, HostId, new_command_id
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import PeerNode
 
 TICK_S = 0.25
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -3,6 +3,8 @@
 import random
 from collections.abc import Sequence
 
+from lacewinggw.clients.group import PlatformClients
+from lacewinggw.clients.watch import MemberList, MemberWatch
 from lacewinggw.configuration.candidates import entry_candidates
 from lacewinggw.decisions.hosts import Heard
 from lacewinggw.decisions.revisions import FleetState, moves_placements
@@ -20,8 +22,6 @@
 from lacewinggw.ids import new_command_id, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.clients import PlatformClients
-from lacewinggw.platform.watch import MemberList, MemberWatch
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpLimits, HttpServer, Request, Response
 from lacewinggw.wire.network import Network, TcpNetwork
--- a/src/lacewinggw/entry/records.py
+++ b/src/lacewinggw/entry/records.py
@@ -9,13 +9,13 @@
 from itertools import accumulate, pairwise
 from typing import Any
 
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.decisions.claims import answer_key
 from lacewinggw.entry.claims import ClaimStore
 from lacewinggw.errors import PlatformError
 from lacewinggw.generated.messages.ttypes import Finish
 from lacewinggw.log import get_logger
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
 
 HEAD_END = b"\n"
 STORE_RETRY_MS = 2000
--- a/src/lacewinggw/entry/serving.py
+++ b/src/lacewinggw/entry/serving.py
@@ -6,6 +6,8 @@
 from contextlib import aclosing
 
 from lacewinggw.agent.runs import request_digest
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.entry.answers import (
     EVENT_STREAM,
     error_event,
@@ -39,8 +41,6 @@
 from lacewinggw.ids import Account
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.peers import PeerNode
 
--- a/src/lacewinggw/entry/survey.py
+++ b/src/lacewinggw/entry/survey.py
@@ -9,12 +9,12 @@
 import random
 from collections.abc import Mapping, Sequence
 
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.decisions.placement import Shortfall
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.messages.ttypes import FetchHeard, HeardTarget, HeardTargets
 from lacewinggw.operators.view import FleetView, HeardHeartbeat
-from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.wire.peers import Exchange, PeerNode
 from lacewinggw.wire.soundness import require_sound, require_sound_heartbeat
 
--- a/src/lacewinggw/entry/targets.py
+++ b/src/lacewinggw/entry/targets.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from typing import Protocol
 
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.decisions.affinity import PrefixMemory, preferred_target
 from lacewinggw.decisions.ejection import EjectionRules, Standing, end_failed_call
 from lacewinggw.decisions.retries import RetryBudget
@@ -41,7 +42,6 @@
 )
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import Exchange, PeerNode
 from lacewinggw.wire.soundness import require_sound_heartbeat
 
--- a/src/lacewinggw/entry/view.py
+++ b/src/lacewinggw/entry/view.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Mapping, Sequence
 
+from lacewinggw.clients.membership import Member
+from lacewinggw.clients.watch import MemberWatch
 from lacewinggw.decisions.placement import Shortfall
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.ledger import Ledger
@@ -10,8 +12,6 @@
 from lacewinggw.entry.targets import TargetDirectory
 from lacewinggw.metrics import Metrics
 from lacewinggw.operators.view import HeardHeartbeat
-from lacewinggw.platform.membership import Member
-from lacewinggw.platform.watch import MemberWatch
 
 
 class ProcessView:
--- a/src/lacewinggw/lab/crowd.py
+++ b/src/lacewinggw/lab/crowd.py
@@ -8,11 +8,11 @@
 from collections.abc import Sequence
 
 from lacewinggw.agent.heartbeats import HeartbeatSender
+from lacewinggw.clients.membership import Member, MemberRole, member_to_json
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, Place
 from lacewinggw.lab.fleet import FLEET_KEY, Fleet
 from lacewinggw.lab.slopemessages import heartbeat
-from lacewinggw.platform.membership import Member, MemberRole, member_to_json
 from lacewinggw.wire.network import TcpNetwork
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
--- a/src/lacewinggw/lab/engine.py
+++ b/src/lacewinggw/lab/engine.py
@@ -13,13 +13,13 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lacewinggw.clients.engine import EVENT_STREAM, STALE_FENCE_REASON, EngineRole
 from lacewinggw.lab.batch import BatchSlots
 from lacewinggw.lab.loading import EngineWeights
 from lacewinggw.lab.prefixes import PrefixCache, prefix_blocks
 from lacewinggw.lab.prompts import Prompt, piece_text
 from lacewinggw.lab.runs import Activation, RunRecords, TargetRun
 from lacewinggw.lab.standin import LOOPBACK, Faults, Lagged, StandIn, now, refused, wait_while
-from lacewinggw.platform.engine import EVENT_STREAM, STALE_FENCE_REASON, EngineRole
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/lab/fleet.py
+++ b/src/lacewinggw/lab/fleet.py
@@ -19,9 +19,9 @@
 from pathlib import Path
 from typing import Any
 
+from lacewinggw.clients.membership import Member, MemberRole, member_to_json
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Address, HostId, Place, ServiceName
-from lacewinggw.platform.membership import Member, MemberRole, member_to_json
 from lacewinggw.settings import default_settings, write_settings
 from lacewinggw.wire.http import Headers, HttpClient, HttpError, Response
 from lacewinggw.wire.network import TcpNetwork
--- a/src/lacewinggw/lab/loading.py
+++ b/src/lacewinggw/lab/loading.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lacewinggw.clients.weights import release_digest
 from lacewinggw.ids import Digest
-from lacewinggw.platform.weights import release_digest
 
 
 @dataclass(frozen=True)
--- a/src/lacewinggw/lab/membership.py
+++ b/src/lacewinggw/lab/membership.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from lacewinggw.clients.membership import Member, MemberState, member_from_json, member_to_json
 from lacewinggw.lab.standin import LOOPBACK, Faults, Lagged, RateMeter, StandIn, refused
-from lacewinggw.platform.membership import Member, MemberState, member_from_json, member_to_json
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/lab/memoryfleet.py
+++ b/src/lacewinggw/lab/memoryfleet.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from lacewinggw.agent.process import AgentProcess
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.process import EntryProcess
 from lacewinggw.generated.settings.ttypes import Settings
@@ -26,7 +27,6 @@
 from lacewinggw.lab.plain import PlainStandIn
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.standins import PlatformStandIns
-from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.settings import default_settings
 from lacewinggw.wire.http import Headers, HttpClient, HttpError
 from lacewinggw.wire.network import Network
--- a/src/lacewinggw/lab/observed.py
+++ b/src/lacewinggw/lab/observed.py
@@ -19,6 +19,7 @@
 from contextlib import suppress
 from typing import Any, Protocol, runtime_checkable
 
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.configuration.logstore import ROW_PREFIX, decode_entry
 from lacewinggw.ids import Address, HostId
 from lacewinggw.lab import history as events
@@ -26,7 +27,6 @@
 from lacewinggw.lab.requesters import Mix, Requester
 from lacewinggw.lab.runs import run_events
 from lacewinggw.lab.standin import now
-from lacewinggw.platform.membership import Member, MemberRole
 from lacewinggw.wire.http import Headers, HttpClient, HttpError, Response
 
 SAMPLE_S = 0.5
--- a/src/lacewinggw/lab/plain.py
+++ b/src/lacewinggw/lab/plain.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lacewinggw.clients.targets import KEY_HEADER, REQUEST_ID_HEADER
 from lacewinggw.lab.runs import RunRecords, TargetRun, mark_of, text_digest
 from lacewinggw.lab.standin import LOOPBACK, Faults, StandIn, refused
-from lacewinggw.platform.targets import KEY_HEADER, REQUEST_ID_HEADER
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/lab/prompts.py
+++ b/src/lacewinggw/lab/prompts.py
@@ -4,8 +4,8 @@
 import json
 from dataclasses import dataclass
 
-from lacewinggw.platform.engine import EVENT_STREAM
-from lacewinggw.platform.targets import PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER
+from lacewinggw.clients.engine import EVENT_STREAM
+from lacewinggw.clients.targets import PRIORITY_HEADER, REQUEST_ID_HEADER, RESUME_HEADER
 from lacewinggw.wire.http import Request
 
 DEFAULT_PIECES = 16
--- a/src/lacewinggw/lab/releases.py
+++ b/src/lacewinggw/lab/releases.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field, fields
 from typing import Any
 
+from lacewinggw.clients.weights import release_digest
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.lab.standin import ControlError
-from lacewinggw.platform.weights import release_digest
 
 CACHE_BYTES = 128 << 20
 CHUNK_BYTES = 1 << 20
--- a/src/lacewinggw/lab/slopeplatform.py
+++ b/src/lacewinggw/lab/slopeplatform.py
@@ -6,12 +6,12 @@
 from collections.abc import Awaitable, Callable
 from time import process_time
 
+from lacewinggw.clients.membership import MembershipClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.configuration.logstore import ROW_PREFIX, row_key
 from lacewinggw.lab.measuring import MICROSECONDS, Point, Slope, Slopes
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.standins import PlatformStandIns
-from lacewinggw.platform.membership import MembershipClient
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.network import Accept, Listener, Network, Stream
 
 PLATFORM_IP = "10.9.0.1"
--- a/src/lacewinggw/lab/slopestate.py
+++ b/src/lacewinggw/lab/slopestate.py
@@ -4,6 +4,12 @@
 import random
 from collections.abc import Callable
 
+from lacewinggw.clients.membership import (
+    Member,
+    MemberRole,
+    member_from_json,
+    member_to_json,
+)
 from lacewinggw.decisions.addresses import EntryFacts, account_entries
 from lacewinggw.decisions.affinity import PrefixMemory, preferred_target
 from lacewinggw.decisions.limits import split_limit
@@ -38,12 +44,6 @@
 from lacewinggw.lab.configslopes import change_entry, placed_state
 from lacewinggw.lab.measuring import Slope, Slopes, allocated_bytes, processor_us
 from lacewinggw.lab.slopemessages import DIGEST, heartbeat, manifest_of
-from lacewinggw.platform.membership import (
-    Member,
-    MemberRole,
-    member_from_json,
-    member_to_json,
-)
 from lacewinggw.wire.frames import decode_struct, encode_struct
 
 PLACES = 20
--- a/src/lacewinggw/lab/spreadfleet.py
+++ b/src/lacewinggw/lab/spreadfleet.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass
 
 from lacewinggw.agent.views import DueRelease
+from lacewinggw.clients.membership import Member
 from lacewinggw.generated.messages.ttypes import Manifest, Prefer
 from lacewinggw.ids import Digest, HostId
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.spreadhost import SpreadHost, host_settings
 from lacewinggw.lab.standins import PlatformStandIns
-from lacewinggw.platform.membership import Member
 
 ORIGIN_LINKS = 2  # the origin's link carries four copies while a host's carries two
 
--- a/src/lacewinggw/lab/spreadhost.py
+++ b/src/lacewinggw/lab/spreadhost.py
@@ -5,13 +5,13 @@
 
 from lacewinggw.agent.views import DueRelease
 from lacewinggw.agent.weights import Spreader
+from lacewinggw.clients.membership import Member, MemberRole
+from lacewinggw.clients.weights import WeightsClient
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import PlatformSettings, Settings
 from lacewinggw.ids import Address, Digest, HostId, Place, new_incarnation
 from lacewinggw.lab.variant import corrupt_uploads
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.settings import default_settings
 from lacewinggw.wire.network import Network
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
--- a/src/lacewinggw/lab/weights.py
+++ b/src/lacewinggw/lab/weights.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lacewinggw.clients.weights import manifest_to_json
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.lab.link import Link
 from lacewinggw.lab.releases import ReleaseBook, SyntheticRelease
@@ -22,7 +23,6 @@
     refused,
     wait_while,
 )
-from lacewinggw.platform.weights import manifest_to_json
 from lacewinggw.wire.http import Request, Response, json_response
 from lacewinggw.wire.network import Network
 
--- a/src/lacewinggw/operators/explain.py
+++ b/src/lacewinggw/operators/explain.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from lacewinggw.clients.membership import Member, MemberState
 from lacewinggw.decisions.commands import describe_goals
 from lacewinggw.decisions.revisions import Subject
 from lacewinggw.errors import LacewingError, UnknownName, error_classes
@@ -9,7 +10,6 @@
 from lacewinggw.operators.progress import describe_target, progress_of, remedy_for, serves
 from lacewinggw.operators.statements import ExplainKind
 from lacewinggw.operators.view import FleetView
-from lacewinggw.platform.membership import Member, MemberState
 
 
 def explain(kind: ExplainKind, name: str, view: FleetView) -> list[str]:
--- a/src/lacewinggw/operators/fleettables.py
+++ b/src/lacewinggw/operators/fleettables.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from datetime import UTC, datetime
 
+from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.decisions.commands import describe_goals
 from lacewinggw.decisions.revisions import is_placement
 from lacewinggw.errors import UnknownName
@@ -18,7 +19,6 @@
 from lacewinggw.operators.progress import HoldUp, progress_of, serves
 from lacewinggw.operators.tables import Row, Table
 from lacewinggw.operators.view import FleetView
-from lacewinggw.platform.membership import Member, MemberRole
 
 DIGEST_SHOWN = 12
 MS_PER_S = 1000
--- a/src/lacewinggw/operators/view.py
+++ b/src/lacewinggw/operators/view.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from lacewinggw.clients.membership import Member
 from lacewinggw.decisions.placement import Shortfall
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.generated.messages.ttypes import Heartbeat
-from lacewinggw.platform.membership import Member
 
 
 @dataclass(frozen=True)
--- a/tests/config_fleet.py
+++ b/tests/config_fleet.py
@@ -6,6 +6,9 @@
 from contextlib import asynccontextmanager
 
 from lacewinggw.agent.follower import Follower
+from lacewinggw.clients.membership import Member, MemberRole
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import TableClient
 from lacewinggw.decisions.hosts import Heard
 from lacewinggw.decisions.pollers import Candidate
 from lacewinggw.decisions.revisions import change_of
@@ -28,9 +31,6 @@
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
 FLEET_KEY = "key"
--- a/tests/fuzz/test_fuzz_manifests.py
+++ b/tests/fuzz/test_fuzz_manifests.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 from virtual import run_virtual
 
+from lacewinggw.clients.weights import WeightsClient, manifest_to_json, release_digest
 from lacewinggw.errors import LacewingError
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.platform.weights import WeightsClient, manifest_to_json, release_digest
 from lacewinggw.wire.http import HttpServer, Request, Response
 
 IP = "10.0.0.1"
--- a/tests/operator_desk.py
+++ b/tests/operator_desk.py
@@ -8,6 +8,8 @@
 
 from config_fleet import Fleet, running
 
+from lacewinggw.clients.membership import Member
+from lacewinggw.clients.weights import WeightsClient
 from lacewinggw.decisions.placement import Shortfall
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.operators import Operators
@@ -17,8 +19,6 @@
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.view import HeardHeartbeat
-from lacewinggw.platform.membership import Member
-from lacewinggw.platform.weights import WeightsClient
 from lacewinggw.wire.http import HttpServer
 
 TOKENS = ["alice:secret-a", "bob:secret-b"]
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -12,6 +12,12 @@
 
 from lacewinggw.agent.requests import RequestService
 from lacewinggw.agent.target import TargetGate, TargetKind
+from lacewinggw.clients.engine import EngineClient
+from lacewinggw.clients.membership import Member, MemberRole
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.plain import PlainClient
+from lacewinggw.clients.table import TableClient
+from lacewinggw.clients.weights import release_digest
 from lacewinggw.decisions.revisions import FleetState
 from lacewinggw.entry.callers import CallerService
 from lacewinggw.generated.messages.ttypes import Role, Service, ServiceKind
@@ -29,12 +35,6 @@
 from lacewinggw.lab.plain import PlainStandIn
 from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.engine import EngineClient
-from lacewinggw.platform.membership import Member, MemberRole
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.plain import PlainClient
-from lacewinggw.platform.table import TableClient
-from lacewinggw.platform.weights import release_digest
 from lacewinggw.wire.http import HttpServer, Request, Response
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.decisions.limits import AccountDeclaration, TokenBucket, split_limit
 from lacewinggw.entry.limits import AccountLimits, Admitted, Refused
 from lacewinggw.errors import Refusal
@@ -21,7 +22,6 @@
 from lacewinggw.ids import Account, Address, HostId, Place
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import Identity, PeerNode
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -6,13 +6,13 @@
 import json
 from contextlib import aclosing
 
+from lacewinggw.clients.engine import ActivateOrder, EngineClient, Generation, LoadOrder
+from lacewinggw.clients.weights import ORIGIN, WeightsClient
 from lacewinggw.ids import Digest, ReleaseName, RequestId
 from lacewinggw.lab.engine import EngineStandIn
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.standin import wait_while
 from lacewinggw.lab.weights import WeightsStandIn
-from lacewinggw.platform.engine import ActivateOrder, EngineClient, Generation, LoadOrder
-from lacewinggw.platform.weights import ORIGIN, WeightsClient
 from lacewinggw.wire.network import TcpNetwork
 
 DIGEST = Digest("00" * 32)
--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -13,6 +13,9 @@
 
 from lacewinggw.agent.chunks import ChunkStore
 from lacewinggw.agent.keeper import TargetKeeper
+from lacewinggw.clients import engine, membership
+from lacewinggw.clients.engine import ActivateOrder, AnswerEnd, EngineClient, PieceBatch
+from lacewinggw.clients.membership import MemberState, member_from_json
 from lacewinggw.configuration.replica import Replica
 from lacewinggw.decisions import outcomes
 from lacewinggw.decisions.lifecycle import Wanted
@@ -23,9 +26,6 @@
 from lacewinggw.ids import Digest
 from lacewinggw.lab.checkers import Property, count_by_property, describe
 from lacewinggw.lab.trial import MODEL, SECOND, Trial
-from lacewinggw.platform import engine, membership
-from lacewinggw.platform.engine import ActivateOrder, AnswerEnd, EngineClient, PieceBatch
-from lacewinggw.platform.membership import MemberState, member_from_json
 
 Patch = Callable[[pytest.MonkeyPatch], None]
 
--- a/tests/test_named_entries.py
+++ b/tests/test_named_entries.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.decisions.addresses import EntryFacts, account_entries
 from lacewinggw.entry import named
 from lacewinggw.entry.named import NamedEntries
 from lacewinggw.ids import Account, Address, HostId, Place
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 
 BUYERS, PRESS = Account("buyers"), Account("press")
 LEAVING_S = 60.0
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -7,6 +7,7 @@
 import pytest
 from operator_desk import open_desk
 
+from lacewinggw.clients.membership import MemberRole
 from lacewinggw.decisions.revisions import change_of
 from lacewinggw.errors import (
     AcceptanceUnknown,
@@ -23,7 +24,6 @@
 from lacewinggw.operators import shell
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.declarations import read_declarations
-from lacewinggw.platform.membership import MemberRole
 from lacewinggw.wire.http import HttpClient, HttpServer, Request, Response
 from lacewinggw.wire.problems import problem_body, problem_headers
 
--- a/tests/test_placer.py
+++ b/tests/test_placer.py
@@ -9,14 +9,14 @@
 import pytest
 from config_fleet import PLACES, Fleet, Gate, Node, release, running, service
 
+from lacewinggw.clients.membership import MemberState
+from lacewinggw.clients.table import TableClient
 from lacewinggw.decisions.pollers import ranked
 from lacewinggw.decisions.revisions import is_placement
 from lacewinggw.entry.placer import PURPOSE
 from lacewinggw.errors import UnsupportedMessage
 from lacewinggw.generated.messages.ttypes import LogEntry
 from lacewinggw.lab.standin import Outage
-from lacewinggw.platform.membership import MemberState
-from lacewinggw.platform.table import TableClient
 from lacewinggw.wire.peers import Exchange
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -6,19 +6,19 @@
 
 import pytest
 
-from lacewinggw.errors import PlatformThrottled, PlatformUnavailable, WriteUnknown
-from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.lab.standin import Outage
-from lacewinggw.lab.standins import PlatformStandIns
-from lacewinggw.platform.membership import (
+from lacewinggw.clients.membership import (
     Member,
     MemberRole,
     MembershipClient,
     MemberState,
     Unchanged,
 )
-from lacewinggw.platform.objects import ObjectClient
-from lacewinggw.platform.table import Accepted, Conflict, Put, Row, TableClient
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.clients.table import Accepted, Conflict, Put, Row, TableClient
+from lacewinggw.errors import PlatformThrottled, PlatformUnavailable, WriteUnknown
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.lab.standin import Outage
+from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.wire.http import HttpClient
 from lacewinggw.wire.network import Stream
 
--- a/tests/test_target_directory.py
+++ b/tests/test_target_directory.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from lacewinggw.clients.membership import Member, MemberRole, MemberState
 from lacewinggw.entry.targets import (
     IDLE_HEARD_PER_S,
     CallOutcome,
@@ -22,7 +23,6 @@
 from lacewinggw.ids import Address, HostId, Place
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.metrics import Metrics
-from lacewinggw.platform.membership import Member, MemberRole, MemberState
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
 pytestmark = pytest.mark.looptime(noop_cycles=2)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -8,6 +8,20 @@
 
 import pytest
 
+from lacewinggw.clients.engine import (
+    ActivateOrder,
+    AdapterOrder,
+    AnswerEnd,
+    EngineClient,
+    EngineRole,
+    Generation,
+    LoadOrder,
+    PieceBatch,
+    RoleOrder,
+    UnloadOrder,
+)
+from lacewinggw.clients.plain import PlainCall, PlainClient
+from lacewinggw.clients.weights import release_digest
 from lacewinggw.errors import (
     AnswerIncomplete,
     MalformedHttp,
@@ -23,20 +37,6 @@
 from lacewinggw.lab.plain import PlainStandIn
 from lacewinggw.lab.prompts import piece_text
 from lacewinggw.lab.runs import run_events
-from lacewinggw.platform.engine import (
-    ActivateOrder,
-    AdapterOrder,
-    AnswerEnd,
-    EngineClient,
-    EngineRole,
-    Generation,
-    LoadOrder,
-    PieceBatch,
-    RoleOrder,
-    UnloadOrder,
-)
-from lacewinggw.platform.plain import PlainCall, PlainClient
-from lacewinggw.platform.weights import release_digest
 from lacewinggw.wire.http import HttpServer, Request, Response
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_weight_sources.py
+++ b/tests/test_weight_sources.py
@@ -7,13 +7,13 @@
 
 import pytest
 
+from lacewinggw.clients.weights import ORIGIN, WeightsClient
 from lacewinggw.errors import PlatformThrottled, PlatformUnavailable, TimedOut, UnknownDigest
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.lab.weights import WeightsStandIn
-from lacewinggw.platform.weights import ORIGIN, WeightsClient
 
 pytestmark = pytest.mark.looptime
 
