--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -193,6 +193,29 @@
 struct HeardTarget { 1: Heartbeat heartbeat, 2: i64 age_ms }
 struct HeardTargets { 1: list<HeardTarget> targets }
 
+// ---- fleets declared in the operators' store --------------------------------------------
+
+// From entry to entry, on change and now and then: whether callers may be sent to the sender, and
+// how old its knowledge of the routes is. Ages are spans, so no clocks are compared.
+struct EntryNews {
+  1: string caller_address
+  2: bool ready
+  3: i64 routes_version
+  4: i64 routes_age_ms           // the routes were known to be the newest so long ago
+  5: list<string> leaving        // targets that the sender learned lately take no new work
+}
+
+struct HeldWeights { 1: string model, 2: i64 version }
+
+// From agent to entry: the work of the target beside it, as the target itself says now.
+struct TargetNews {
+  1: string target_id            // of this start of the target
+  2: i32 running
+  3: i32 queued
+  4: bool leaving = false
+  5: list<HeldWeights> held      // what the target answers with
+  6: bool loading = false        // it takes nothing until it has loaded
+}
 // ---- requests -------------------------------------------------------------------------
 
 enum Priority { URGENT = 1, NORMAL = 2, BULK = 3 }
@@ -301,6 +324,8 @@
   32: FetchHeard fetch_heard
   33: HeardTargets heard_targets
   60: Demand demand
+  70: EntryNews entry_news
+  71: TargetNews target_news
 }
 
 // NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -36,6 +36,8 @@
   11: i32 requests_per_address = 200           // of an account's limit, for each address told
   12: i32 requests_limit = 4096                // requests in progress at one entry
   13: i64 demand_ms = 250                      // between reports of demand to other entries
+  14: string ready_listen = ""                 // readiness probes; only on a shared platform
+  15: string directory_listen = ""             // address queries; only on a shared platform
 }
 
 struct AgentSettings {
@@ -94,6 +96,22 @@
   4: i64 dead_host_ms = 10000                  // missing from the list and silent for so long
 }
 
+// A fleet whose routes, targets and weights are declared in a store that its operators run. The
+// bounds are the operators' and replace the defaults here.
+struct FleetSettings {
+  1: required string store                     // address of the operators' store
+  2: list<string> regions                      // "place:region"
+  3: i64 leave_ms = 2000                       // a target that leaves gets nothing later than this
+  4: i64 apply_ms = 2000                       // a change of the routes is in force by then
+  5: i64 revocation_ms = 5000                  // a key taken away is refused by then, in touch or not
+  6: i64 grace_ms = 8000                       // between the signal to leave and the kill
+  7: i32 retry_percent = 20                    // retries as a share of a service's requests
+  8: i32 extra_retries = 100                   // retries of all entries beyond that share
+  9: i64 retry_window_ms = 10000               // over which retries are counted
+  10: i64 version_ms = 8000                    // a named version is on every target by then
+  11: i64 lapse_ms = 1900                      // a target unlisted by an outage is believed for so long
+}
+
 struct OperatorSettings {
   1: list<string> entries                      // operator addresses of entries
   2: string token = ""                         // operator's token
@@ -110,4 +128,5 @@
   7: RoutingSettings routing
   8: ConfigurationSettings configuration
   9: OperatorSettings operator
+  10: FleetSettings fleet
 }
--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -43,10 +43,17 @@
     async def manifest_by_digest(self, digest: Digest) -> messages.Manifest:
         """Return the manifest of a digest."""
 
-    async def chunk(self, chunk_hash: str) -> bytes:
+    async def fetch(self, manifest: messages.Manifest, index: int) -> bytes:
         """Return the bytes that the source sends for a chunk, unchecked."""
 
 
+class LocalChunks(Protocol):
+    """Chunks that lie on this host already, from before this process was started."""
+
+    async def read(self, digest: Digest) -> Mapping[int, bytes]:
+        """Return what may be chunks of a release, by index, unchecked; nothing if in doubt."""
+
+
 @dataclass
 class Traffic:
     """Bytes of one release that passed this host, by where they came from or went."""
@@ -130,6 +137,14 @@
             if chunk_hash in self._around.chunks:
                 self._take(None, index)
 
+    async def take_local(self, local: LocalChunks) -> None:
+        """Count in the chunks that lie on this host and whose hash holds."""
+        for index, data in (await local.read(self.digest)).items():
+            if index >= self._spread.chunk_count or index in self._spread.held:
+                continue
+            if await self._around.chunks.put(self.manifest.chunk_hashes[index], data):
+                self._take(None, index)
+
     def set_topology(self, topology: Topology) -> None:
         """Take a new view of the hosts due the release."""
         self._spread.set_topology(topology, _now())
@@ -234,7 +249,7 @@
                 source = self._around.origin
             case Store():
                 source = self._around.store
-        return await source.chunk(self.manifest.chunk_hashes[ask.index].hex())
+        return await source.fetch(self.manifest, ask.index)
 
     async def _receive_from(self, host: HostId, ask: Ask) -> bytes:
         link = self._around.mesh.link(host)
--- a/src/lacewinggw/agent/manifests.py
+++ b/src/lacewinggw/agent/manifests.py
@@ -21,10 +21,11 @@
     """Ask a neighbour that says it has the manifest, else the origin when it is this host's turn.
 
     Hosts that are not first at the origin go there only after `ORIGIN_AFTER_S` to twice that. A
-    manifest counts only when its chunk hashes give the digest.
+    manifest counts only when `check` returns it; usually, when its chunk hashes give the digest.
     """
 
-    def __init__(self, origin: WeightSource, rng: random.Random) -> None:
+    def __init__(self, origin: WeightSource, rng: random.Random, check: "CheckManifest") -> None:
+        self._check = check
         self.held_up_by = ""
         self._origin = origin
         self._rng = rng
@@ -51,7 +52,7 @@
         while True:
             try:
                 if is_first() or loop.time() >= origin_at:
-                    return check_manifest(await self._origin.manifest_by_digest(digest), digest)
+                    return self._check(await self._origin.manifest_by_digest(digest), digest)
             except LacewingError as error:
                 self._note(error)
                 pause_s = min(2 * pause_s, RETRY_LIMIT_S)
@@ -65,13 +66,26 @@
             link = await self._holders[digest].get()
         reply = await link.call(messages.FetchManifest(digest), CALL_S)
         self.held_up_by = ""
-        return check_manifest(reply.manifest, digest)
+        return self._check(reply.manifest, digest)
 
     def _note(self, error: Exception) -> None:
         if isinstance(error, LacewingError):
             self.held_up_by = str(error)
 
 
+CheckManifest = Callable[[messages.Manifest, Digest], messages.Manifest]
+
+
+def check_named(manifest: messages.Manifest, digest: Digest) -> messages.Manifest:
+    """Return a manifest that says itself which release it is of, where a release is a name.
+
+    Its chunk hashes are what its operators' origin gave to one of this fleet's processes.
+    """
+    if manifest.digest != digest or len(manifest.chunk_sizes) != len(manifest.chunk_hashes):
+        raise ManifestMismatch(f"a manifest of {manifest.digest} was given for {digest}")
+    return manifest
+
+
 def check_manifest(manifest: messages.Manifest, digest: Digest) -> messages.Manifest:
     """Return a manifest whose hashes give the digest; raise `ManifestMismatch` for another."""
     found = hashlib.sha256(b"".join(manifest.chunk_hashes)).hexdigest()
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -15,6 +15,7 @@
 
 from lacewinggw.agent.chunks import ChunkStore
 from lacewinggw.agent.downloads import (
+    LocalChunks,
     MakeSpread,
     OnChunk,
     ReleaseDownload,
@@ -22,7 +23,7 @@
     WeightSource,
 )
 from lacewinggw.agent.links import LiveGauge, Pacer
-from lacewinggw.agent.manifests import ManifestFinder
+from lacewinggw.agent.manifests import CheckManifest, ManifestFinder, check_manifest
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.agent.uploads import Uploader
 from lacewinggw.agent.views import DueRelease, HostViews, PlanLike
@@ -70,6 +71,8 @@
         store: WeightSource,
         metrics: Metrics,
         rng: random.Random,
+        check: CheckManifest = check_manifest,
+        local: LocalChunks | None = None,
     ) -> None:
         agent = settings.agent
         self.live = LiveGauge(agent.link_bytes_per_s, agent.weights_share_percent / PERCENT)
@@ -100,7 +103,8 @@
             self._note_upload,
             metrics,
         )
-        self._finder = ManifestFinder(origin, rng)
+        self._finder = ManifestFinder(origin, rng, check)
+        self._local = local
         self._sent = metrics.counter("weights_sent_bytes")
         metrics.read_gauge("weights_memory_bytes", lambda: self._chunks.held_bytes)
         metrics.read_gauge("peer_sent_bytes", lambda: node.sent_bytes)
@@ -120,9 +124,14 @@
         store: WeightSource,
         metrics: Metrics,
         rng: random.Random,
+        check: CheckManifest = check_manifest,
+        local: LocalChunks | None = None,
     ) -> "Spreader":
-        """Build the spreader that the settings describe."""
-        return cls(settings, node, origin, store, metrics, rng)
+        """Build the spreader that the settings describe.
+
+        `check` tells whether a manifest is the one asked for; `local` has chunks from before.
+        """
+        return cls(settings, node, origin, store, metrics, rng, check, local)
 
     def use_policy(self, plan: PlanLike, make_spread: MakeSpread) -> None:
         """Spread by another policy, from the next release on; for comparisons."""
@@ -184,6 +193,8 @@
         download = ReleaseDownload(
             manifest, self._around, self._tell_chunk, lambda: self.uploader.waiting
         )
+        if self._local is not None:
+            await download.take_local(self._local)
         self._downloads[due.digest] = download
         self._searches.pop(due.digest, None)
         download.begin()
@@ -213,6 +224,16 @@
             raise ChunkNotHeld(f"chunk {index} of {digest} is not here")
         return data
 
+    def manifest(self, digest: Digest) -> messages.Manifest | None:
+        """Return the manifest of a due release, None until it is known."""
+        download = self._downloads.get(digest)
+        return download.manifest if download else None
+
+    def is_complete(self, digest: Digest) -> bool:
+        """Tell whether every chunk of a due release holds its hash."""
+        download = self._downloads.get(digest)
+        return download is not None and download.spread.complete
+
     def chunk_count(self, digest: Digest) -> int:
         """Return how many chunks a due release has, 0 until its manifest is known."""
         download = self._downloads.get(digest)
--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -89,13 +89,21 @@
         return self._service
 
     async def read(
-        self, path: str, query: Query | None = None, headers: Headers | None = None
+        self,
+        path: str,
+        query: Query | None = None,
+        headers: Headers | None = None,
+        timeout_s: float | None = None,
     ) -> Response:
-        """Get; raise `PlatformUnavailable` or `PlatformThrottled` for whatever fails."""
+        """Get; raise `PlatformUnavailable` or `PlatformThrottled` for whatever fails.
+
+        `timeout_s` replaces the usual time limit, for a call that waits at the other side.
+        """
         target = join_path(path, query)
+        limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
             response = await self._http.request(
-                self._address, "GET", target, headers=headers, timeout_s=self._timeout_s
+                self._address, "GET", target, headers=headers, timeout_s=limit_s
             )
         except (OSError, TimeoutError, HttpError) as error:
             raise self._unavailable(error) from error
--- a/src/lacewinggw/clients/weights.py
+++ b/src/lacewinggw/clients/weights.py
@@ -105,6 +105,10 @@
             raise ManifestMismatch(f"the {self._service} has {manifest.digest} for {digest}")
         return manifest
 
+    async def fetch(self, manifest: Manifest, index: int) -> bytes:
+        """Return the bytes that the source sends for one of a release's chunks, unchecked."""
+        return await self.chunk(manifest.chunk_hashes[index].hex())
+
     async def chunk(self, chunk_hash: str) -> bytes:
         """Return the bytes that the source sends for a chunk, unchecked."""
         path = join_path(f"/chunks/{chunk_hash}")
--- /dev/null
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -0,0 +1,158 @@
+"""Which target of a service takes a request, and whether any can start it soon.
+
+What is ahead of a request at a target is this entry's own calls there, known exactly, and those of
+other entries by the target's last report, discounted by its age. A target takes requests up to its
+slots and a small queue, so that its batch never runs dry between one end and the next start; what
+is beyond waits here, where it can still go to whichever target is free first.
+"""
+
+import math
+import random
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.ejection import EjectionRules, Health, end_failed_call
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
+
+REPORT_DECAY_S = 0.5  # a report this old counts for 1/e; requests run for about a second
+QUEUED_SHARE = 0.25  # of a target's slots, offered beyond them: about one start per own call's end
+REMOTE_COST = 0.15  # a target in another place counts as that much fuller: borders are priced
+FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
+
+
+@dataclass
+class TargetLoad:
+    """What is known of one target's work; times in seconds by the caller's clock."""
+
+    entry: TargetEntry
+    in_flight: int = 0
+    reported: int = 0  # running and queued, by the last report
+    reported_own: int = 0  # of those, own ones when the report came
+    reported_at: float = -math.inf
+    full_until: float = 0.0
+    heard_at: float = -math.inf  # the last byte of any response
+    health: Health = field(default_factory=Health)
+
+    def ahead(self, now: float) -> float:
+        """Return how many requests are ahead of one more."""
+        others = max(0, self.reported - self.reported_own)
+        age_s = max(0.0, now - self.reported_at)
+        return self.in_flight + others * math.exp(-age_s / REPORT_DECAY_S)
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether one more request would start soon."""
+        slots = self.entry.slots
+        return self.full_until <= now and self.ahead(now) < slots + max(1.0, slots * QUEUED_SHARE)
+
+    def occupancy(self, now: float) -> float:
+        """Return the share of the slots that would be taken with one more request."""
+        return (self.ahead(now) + 1.0) / self.entry.slots
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What a request needs of a target.
+
+    `least_version` is the oldest version of `model` that may still be begun on; `avoid` are the
+    targets that have had the request already.
+    """
+
+    service: ServiceName
+    model: ModelName | None = None
+    least_version: int = 0
+    avoid: frozenset[TargetId] = frozenset()
+
+
+class TargetPool:
+    """The targets of all services, with their work as this entry knows it.
+
+    pool.sync(knowledge.targets)
+    load = pool.choose(Wish(service), now)
+    pool.begin(load, now)
+    pool.succeeded(load)
+    """
+
+    def __init__(self, place: Place, rules: EjectionRules, rng: random.Random) -> None:
+        self._place = place
+        self._rules = rules
+        self._rng = rng
+        self._loads: dict[TargetId, TargetLoad] = {}
+
+    @property
+    def loads(self) -> Mapping[TargetId, TargetLoad]:
+        """Every target, by its id."""
+        return self._loads
+
+    def sync(self, entries: Mapping[TargetId, TargetEntry]) -> None:
+        """Take the list of targets; what is known of those that stay is kept."""
+        for target in self._loads.keys() - entries.keys():
+            del self._loads[target]
+        for target, entry in entries.items():
+            known = self._loads.get(target)
+            if known is None:
+                self._loads[target] = TargetLoad(entry)
+            else:
+                known.entry = entry
+
+    def fitting(self, wish: Wish, leaving: Set[TargetId] = frozenset()) -> list[TargetLoad]:
+        """Return the targets that may run a request, however busy they are."""
+        return [
+            load
+            for target, load in self._loads.items()
+            if target not in leaving and self._fits(load, wish)
+        ]
+
+    def choose(self, fitting: Iterable[TargetLoad], now: float) -> TargetLoad | None:
+        """Return the one of `fitting` targets in which a request starts soonest, or None."""
+        usable = [load for load in fitting if load.has_room(now)]
+        healthy = [load for load in usable if load.health.may_take(now)]
+        if not healthy:
+            # All are failing, so the cause may not be theirs: any is better than none.
+            healthy = usable
+        return min(healthy, key=lambda load: self._cost(load, now), default=None)
+
+    def begin(self, load: TargetLoad, now: float) -> None:
+        """Note that a request goes to a target."""
+        load.in_flight += 1
+        load.health.note_begin(now)
+
+    def end(self, load: TargetLoad) -> None:
+        """Note that a request is over, however it ended."""
+        load.in_flight -= 1
+
+    def succeeded(self, load: TargetLoad) -> None:
+        """Note that a target served a request."""
+        load.health.note_success()
+
+    def failed(self, load: TargetLoad, now: float) -> bool:
+        """Note that a target failed a request; return whether it is left out by it."""
+        same = [each for each in self._loads.values() if each.entry.service == load.entry.service]
+        out_now = sum(each.health.out_until is not None for each in same)
+        return end_failed_call(load.health, now, out_now, len(same), self._rules)
+
+    def note_full(self, load: TargetLoad, now: float) -> None:
+        """Note that a target refused a request because it is full."""
+        load.full_until = now + FULL_PAUSE_S
+        load.health.note_nothing()
+
+    def note_report(self, target: TargetId, running: int, at: float) -> None:
+        """Take what a target said of its own work: requests running and queued."""
+        load = self._loads.get(target)
+        if load is None or at < load.reported_at:
+            return
+        load.reported = running
+        load.reported_own = load.in_flight
+        load.reported_at = at
+
+    def _fits(self, load: TargetLoad, wish: Wish) -> bool:
+        entry = load.entry
+        if entry.service != wish.service or entry.target in wish.avoid:
+            return False
+        if wish.model is None:
+            return True
+        return entry.weights.get(wish.model, -1) >= wish.least_version
+
+    def _cost(self, load: TargetLoad, now: float) -> tuple[float, float]:
+        remote = 0.0 if load.entry.place == self._place else REMOTE_COST
+        return (load.occupancy(now) + remote, self._rng.random())
--- /dev/null
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -0,0 +1,152 @@
+"""What a process believes of its fleet, how old that is, and what it still covers.
+
+Versions only rise: news that is older than what is known changes nothing, whoever tells it. Ages
+count on a clock that goes on while a host is suspended, from the sending of the call whose answer
+proved the news, so a process that was frozen finds its knowledge old before it admits anything.
+"""
+
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import dataclass
+
+from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.targetlist import DueVersion, TargetEntry, TargetPhase
+from lacewinggw.ids import ModelName, TargetId
+
+
+@dataclass(frozen=True)
+class KnowledgeRules:
+    """Bounds in seconds.
+
+    `revocation_s`: a key that was taken away counts no longer. `apply_s`: a change is in force.
+    `lapse_s`: a target that vanished from the list during an outage of the store is believed for
+    so long after the store's return. `settled_s`: for so long after an outage the list may still
+    lack targets that live. `version_s`: a named version is in use everywhere.
+    """
+
+    revocation_s: float = 5.0
+    apply_s: float = 2.0
+    lapse_s: float = 1.9
+    settled_s: float = 3.0
+    version_s: float = 8.0
+
+
+@dataclass(frozen=True)
+class Due:
+    """A version that is due, and when this process learned of it."""
+
+    version: int
+    learned_at: float
+
+
+class Knowledge:
+    """The routes, the versions due and the targets, as one process knows them.
+
+    knowledge.take_routes(table, proved_at=now)
+    if knowledge.covers_keys(now): ...
+    """
+
+    def __init__(self, rules: KnowledgeRules) -> None:
+        self.rules = rules
+        self.routes: RouteTable | None = None
+        self.due: dict[ModelName, Due] = {}
+        self._targets: dict[TargetId, TargetEntry] = {}
+        self._lapsing: dict[TargetId, float] = {}
+        self._left: set[TargetId] = set()
+        self._routes_proved_at = float("-inf")
+        self._outage_ended_at = float("-inf")
+
+    @property
+    def targets(self) -> Mapping[TargetId, TargetEntry]:
+        """Every target believed to be there, those that are leaving included."""
+        return self._targets
+
+    @property
+    def leaving(self) -> Set[TargetId]:
+        """The targets that take no new work."""
+        return self._left
+
+    def routes_age(self, now: float) -> float:
+        """Return how many seconds ago the routes were known to be the newest."""
+        return now - self._routes_proved_at
+
+    def covers_keys(self, now: float) -> bool:
+        """Tell whether a key that is on the table may be honoured still."""
+        return self.routes is not None and self.routes_age(now) < self.rules.revocation_s
+
+    def covers_denial(self, now: float) -> bool:
+        """Tell whether what the table lacks may be denied: something new would be known."""
+        return self.routes is not None and self.routes_age(now) < self.rules.apply_s
+
+    # ---- configuration --------------------------------------------------------------------
+
+    def take_routes(self, table: RouteTable) -> bool:
+        """Take a version of the routes unless it is older; return whether it is new."""
+        if self.routes is not None and table.version <= self.routes.version:
+            return False
+        self.routes = table
+        return True
+
+    def prove_routes(self, proved_at: float) -> None:
+        """Note that the routes known were the newest at a moment."""
+        self._routes_proved_at = max(self._routes_proved_at, proved_at)
+
+    def take_due(self, due: DueVersion, now: float, old: bool = False) -> bool:
+        """Take a version that is due unless it is older; return whether it is new.
+
+        An `old` one was named some time before this process looked: the time allowed for it is over
+        as soon as the process counts as settled.
+        """
+        known = self.due.get(due.model)
+        if known is not None and due.version <= known.version:
+            return False
+        used_s = max(0.0, self.rules.version_s - self.rules.settled_s) if old else 0.0
+        self.due[due.model] = Due(due.version, now - used_s)
+        return True
+
+    # ---- targets --------------------------------------------------------------------------
+
+    def note_outage_end(self, now: float) -> None:
+        """Note that the store answers again: what lapsed meanwhile is soon back or gone."""
+        self._outage_ended_at = now
+
+    def take_target(self, entry: TargetEntry) -> None:
+        """Take what the list says of a target; one that leaves never comes back."""
+        self._lapsing.pop(entry.target, None)
+        if entry.phase is TargetPhase.LEAVING:
+            self._left.add(entry.target)
+        elif entry.target in self._left:
+            return
+        self._targets[entry.target] = entry
+
+    def take_whole_list(self, entries: Iterable[TargetEntry], now: float) -> None:
+        """Take the whole list of targets; what is not on it has vanished."""
+        listed = {entry.target: entry for entry in entries}
+        for target in [each for each in self._targets if each not in listed]:
+            self.drop_target(target, now)
+        for entry in listed.values():
+            self.take_target(entry)
+
+    def drop_target(self, target: TargetId, now: float) -> None:
+        """Note that a target has vanished from the list.
+
+        After an outage of the store a live one is back soon, so it is believed a little longer,
+        unless it was leaving.
+        """
+        if target not in self._targets:
+            return
+        lapsed = now - self._outage_ended_at < self.rules.settled_s
+        if lapsed and target not in self._left:
+            until = self._outage_ended_at + self.rules.lapse_s
+            self._lapsing.setdefault(target, max(until, now))
+            return
+        del self._targets[target]
+
+    def note_leaving(self, target: TargetId) -> None:
+        """Note that a target leaves, as somebody other than the list said."""
+        self._left.add(target)
+
+    def expire(self, now: float) -> None:
+        """Let go of targets that did not come back after an outage."""
+        for target in [each for each, until in self._lapsing.items() if until <= now]:
+            del self._lapsing[target]
+            self._targets.pop(target, None)
--- a/src/lacewinggw/decisions/retries.py
+++ b/src/lacewinggw/decisions/retries.py
@@ -20,8 +20,8 @@
 class RetryBudget:
     """Counts the requests and retries of the last ten seconds.
 
-    In that time retries stay within `share` of the requests, or within three where that is more. A
-    retry is not counted as a request.
+    In that time retries stay within `share` of the requests and `extra` more, or within three where
+    that is more. A retry is not counted as a request.
 
         budget = RetryBudget(share=0.1)
         budget.note_call(now)
@@ -29,6 +29,7 @@
     """
 
     share: float
+    extra: float = 0.0
     _seconds: deque[_Second] = field(default_factory=deque)
     _retries_to_come: int = 0
 
@@ -44,7 +45,7 @@
         second = self._second(now)
         requests = sum(each.requests for each in self._seconds)
         retries = sum(each.retries for each in self._seconds)
-        if retries + 1 > max(LEAST, requests * self.share):
+        if retries + 1 > max(LEAST, requests * self.share + self.extra):
             return False
         second.retries += 1
         self._retries_to_come += 1
--- /dev/null
+++ b/src/lacewinggw/decisions/waiting.py
@@ -0,0 +1,78 @@
+"""Requests that wait at an entry for a target: in which order, how long, and how many.
+
+The load it answers: more requests than the targets can start. A queue without a bound makes every
+answer late; one that is bounded by time serves as many on time as the targets can carry and tells
+the others at once when to come back. The order is by priority, then requests that were refused
+before, then arrival.
+"""
+
+import heapq
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+RATE_MEMORY = 0.1  # weight of a new sample in the smoothed time between starts
+LONGEST_GAP_S = 0.5  # a pause in demand says nothing of how fast targets take work
+
+
+@dataclass(order=True)
+class Waiter:
+    """A request that waits; `until` is when it is refused, in seconds of the loop's clock."""
+
+    rank: tuple[int, int, int]
+    until: float = field(compare=False)
+    gone: bool = field(default=False, compare=False)
+
+
+class WaitingLine:
+    """The waiting requests of one service.
+
+    line = WaitingLine()
+    if line.expected_wait(priority) <= patience_s:
+        waiter = line.join(priority, returned=False, until=now + patience_s)
+    """
+
+    def __init__(self) -> None:
+        self._heap: list[Waiter] = []
+        self._numbers = itertools.count()
+        self._waiting = 0
+        self._start_gap_s = 0.0
+        self._started_at: float | None = None
+
+    def __len__(self) -> int:
+        return self._waiting
+
+    def expected_wait(self, priority: int) -> float:
+        """Return how long one more request of a priority would wait, in seconds."""
+        ahead = sum(1 for each in self._heap if not each.gone and each.rank[0] <= priority)
+        return ahead * self._start_gap_s
+
+    def join(self, priority: int, returned: bool, until: float) -> Waiter:
+        """Add a request; `returned` tells whether it was refused before."""
+        waiter = Waiter((priority, 0 if returned else 1, next(self._numbers)), until)
+        heapq.heappush(self._heap, waiter)
+        self._waiting += 1
+        return waiter
+
+    def leave(self, waiter: Waiter) -> None:
+        """Take a request out: it starts, is refused, or its caller has left."""
+        if waiter.gone:
+            return
+        waiter.gone = True
+        self._waiting -= 1
+        while self._heap and self._heap[0].gone:
+            heapq.heappop(self._heap)
+
+    def in_order(self) -> Iterator[Waiter]:
+        """Yield those that wait, the next one first."""
+        for waiter in sorted(self._heap):
+            if not waiter.gone:
+                yield waiter
+
+    def note_start(self, now: float) -> None:
+        """Note that a request started at a target, from the line or at once."""
+        last, self._started_at = self._started_at, now
+        if last is None or not self._waiting:
+            return
+        gap_s = min(LONGEST_GAP_S, now - last)
+        self._start_gap_s += RATE_MEMORY * (gap_s - self._start_gap_s)
--- /dev/null
+++ b/src/lacewinggw/fleet/announcer.py
@@ -0,0 +1,46 @@
+"""List this process for the others, however often the store fails at first."""
+
+import asyncio
+import random
+
+from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member
+from lacewinggw.errors import PlatformError
+from lacewinggw.fleet.feed import MemberRegister
+from lacewinggw.log import get_logger
+
+FIRST_RETRY_S = 0.3
+LONGEST_RETRY_S = 3.0  # nobody waits for it urgently: callers reach the others
+
+log = get_logger(__name__)
+
+
+class Announcer:
+    """Announces one member, once it succeeds."""
+
+    def __init__(self, register: MemberRegister, member: Member, rng: random.Random) -> None:
+        self._register = register
+        self._member = member
+        self._rng = rng
+        self._loop = Background("announce", self._run)
+
+    async def start(self) -> None:
+        """Begin to try."""
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop trying."""
+        await self._loop.close()
+
+    async def _run(self) -> None:
+        retry_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._register.announce(self._member)
+            except PlatformError as error:
+                log.info("announce_failed", error=error)
+                await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.5))
+                retry_s = min(LONGEST_RETRY_S, 2 * retry_s)
+            else:
+                log.info("announced", address=self._member.address)
+                return
--- /dev/null
+++ b/src/lacewinggw/fleet/bounds.py
@@ -0,0 +1,17 @@
+"""The bounds of a declared fleet, from the settings."""
+
+from lacewinggw.decisions.knowledge import KnowledgeRules
+from lacewinggw.generated.settings.ttypes import Settings
+
+MS_PER_S = 1000.0
+
+
+def knowledge_rules(settings: Settings) -> KnowledgeRules:
+    """Return the bounds on knowledge that the settings have."""
+    fleet = settings.fleet
+    return KnowledgeRules(
+        revocation_s=fleet.revocation_ms / MS_PER_S,
+        apply_s=fleet.apply_ms / MS_PER_S,
+        lapse_s=fleet.lapse_ms / MS_PER_S,
+        version_s=fleet.version_ms / MS_PER_S,
+    )
--- /dev/null
+++ b/src/lacewinggw/fleet/feed.py
@@ -0,0 +1,84 @@
+"""What a store tells of a fleet, whatever the store is.
+
+A feed is one topic at a time: a snapshot first, then the changes after its position. It is the
+adapter of a store that implements `FleetFeed`; everything else sees typed items only.
+
+    news = await feed.snapshot(Topic.TARGETS)
+    news = await feed.changes(Topic.TARGETS, news.position, wait_s=2.0)
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol, TypeAlias
+
+from lacewinggw.clients.membership import Member
+from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
+
+
+class Topic(Enum):
+    """What can be followed."""
+
+    CONFIGURATION = "configuration"  # the routes, and the versions of weights that are due
+    TARGETS = "targets"
+    MEMBERS = "members"  # the processes of the product itself
+
+
+@dataclass(frozen=True)
+class MemberEntry:
+    """A process of the product, under the key by which it is listed."""
+
+    member: Member
+
+
+Item: TypeAlias = RouteTable | DueVersion | TargetEntry | MemberEntry
+
+
+@dataclass(frozen=True)
+class Put:
+    """An item that is new or has changed."""
+
+    item: Item
+
+
+@dataclass(frozen=True)
+class Drop:
+    """An item that is no more: a target's id, or a member's host."""
+
+    key: str
+
+
+Change: TypeAlias = Put | Drop
+
+
+@dataclass(frozen=True)
+class News:
+    """Changes in order, up to a position; with `whole`, everything that there is."""
+
+    changes: tuple[Change, ...]
+    position: int
+    whole: bool = False
+
+
+class HistoryGone(Exception):
+    """The changes after a position are no longer kept: take a snapshot."""
+
+
+class FleetFeed(Protocol):
+    """A store's news. Both calls raise the kinds of `PlatformError`."""
+
+    async def snapshot(self, topic: Topic) -> News:
+        """Return everything of a topic, as of one moment after the call was sent."""
+
+    async def changes(self, topic: Topic, after: int, wait_s: float) -> News:
+        """Return what changed after a position, waiting up to `wait_s` seconds for something.
+
+        Raise `HistoryGone` when it is not known any more.
+        """
+
+
+class MemberRegister(Protocol):
+    """Where processes of the product are listed for one another."""
+
+    async def announce(self, member: Member) -> None:
+        """List a process, or change what is said of it; may be done again."""
--- /dev/null
+++ b/src/lacewinggw/fleet/follower.py
@@ -0,0 +1,105 @@
+"""Follow one topic of a feed, through every failure of the store behind it.
+
+The age of what is known counts from the sending of the call whose answer proved it. A wait that
+ends without news proves that nothing had changed when the wait was asked for.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from lacewinggw.background import Background
+from lacewinggw.clock import Clock
+from lacewinggw.errors import PlatformError
+from lacewinggw.fleet.feed import FleetFeed, HistoryGone, News, Topic
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
+
+log = get_logger(__name__)
+
+Apply = Callable[[News, float], None]
+
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 1.0  # a store that is back is noticed within this
+
+
+class TopicFollower:
+    """Keep a topic up to date; `apply` gets each piece of news with the moment it is proved for.
+
+    `wait_s` is how long one call waits for news; a connection that has gone silent is noticed
+    after that and a little more, so it bounds how old the knowledge may grow.
+    """
+
+    def __init__(
+        self,
+        topic: Topic,
+        feed: FleetFeed,
+        apply: Apply,
+        wait_s: float,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._topic = topic
+        self._feed = feed
+        self._apply = apply
+        self._wait_s = wait_s
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._position: int | None = None
+        self._lost_since: float | None = None
+        self._retry_s = FIRST_RETRY_S
+        self._reads = metrics.counter("store_reads", topic=topic)
+        self._loop = Background(f"follow {topic.value}", self._run)
+
+    @property
+    def lost_since(self) -> float | None:
+        """Since when the store has not answered, or None while it does."""
+        return self._lost_since
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop following."""
+        await self._loop.close()
+
+    async def _run(self) -> None:
+        while True:
+            sent_at = self._clock()
+            try:
+                news = await self._read()
+            except HistoryGone:
+                log.info("history_gone", topic=self._topic.value, position=self._position)
+                self._position = None
+                continue
+            except PlatformError as error:
+                await self._back_off(error)
+                continue
+            self._note_answer()
+            self._position = news.position
+            self._apply(news, sent_at)
+
+    async def _read(self) -> News:
+        self._reads.add()
+        if self._position is None:
+            return await self._feed.snapshot(self._topic)
+        return await self._feed.changes(self._topic, self._position, self._wait_s)
+
+    async def _back_off(self, error: PlatformError) -> None:
+        self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
+        if self._lost_since is None:
+            self._lost_since = self._clock()
+            log.warning("store_lost", topic=self._topic.value, error=error)
+        await asyncio.sleep(self._retry_s * self._rng.uniform(0.5, 1.5))
+        self._retry_s = min(LONGEST_RETRY_S, 2 * self._retry_s)
+
+    def _note_answer(self) -> None:
+        self._retry_s = FIRST_RETRY_S
+        if self._lost_since is None:
+            return
+        lost_s = self._clock() - self._lost_since
+        log.info("store_regained", topic=self._topic.value, lost_s=round(lost_s, 3))
+        self._lost_since = None
--- /dev/null
+++ b/src/lacewinggw/frontend/admission.py
@@ -0,0 +1,81 @@
+"""Whether a request may be served at all: its route, its client account, its time.
+
+Pure: everything follows from the knowledge at hand and its age. What is denied for good (no such
+route, no such key) is denied only by knowledge so fresh that something new would be in it.
+"""
+
+import random
+from dataclasses import dataclass
+
+from lacewinggw.decisions.deadlines import LONGEST_S
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.routes import ClientAccount, Route, RouteTable, pick_service
+from lacewinggw.errors import BadToken, NotReady, UnknownPath
+from lacewinggw.frontend.calls import Call, CallFacts
+from lacewinggw.ids import ServiceName
+
+CATCH_UP_MS = 300  # until a process that has just started, or was cut off, knows the routes
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """A request that may be served; `deadline` by the loop's clock, in seconds."""
+
+    call: Call
+    facts: CallFacts
+    route: Route
+    service: ServiceName
+    account: ClientAccount | None
+    priority: int
+    deadline: float
+
+
+def admit(
+    call: Call, facts: CallFacts, knowledge: Knowledge, now: float, rng: random.Random
+) -> Admitted:
+    """Return the request with its route and account; `now` is by the clock of the knowledge.
+
+    Raise `NotReady` while too little is known, `UnknownPath` and `BadToken` for what is denied.
+    """
+    table = knowledge.routes
+    if table is None:
+        raise NotReady("the routes are not known yet", retry_after_ms=CATCH_UP_MS)
+    route = _find_route(call, table, knowledge, now)
+    account = _find_account(facts, route, table, knowledge, now)
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    time_left_s = facts.time_left_s if facts.time_left_s is not None else LONGEST_S
+    return Admitted(
+        call=call,
+        facts=facts,
+        route=route,
+        service=pick_service(route.shares, rng.random()),
+        account=account,
+        priority=priority,
+        deadline=call.arrived_at + min(time_left_s, route.timeout_s),
+    )
+
+
+def _find_route(call: Call, table: RouteTable, knowledge: Knowledge, now: float) -> Route:
+    route = table.find(call.domain, call.path)
+    if route is not None:
+        return route
+    if not knowledge.covers_denial(now):
+        raise NotReady("the routes may have changed", retry_after_ms=CATCH_UP_MS)
+    raise UnknownPath(f"no route for {call.domain}{call.path}")
+
+
+def _find_account(
+    facts: CallFacts, route: Route, table: RouteTable, knowledge: Knowledge, now: float
+) -> ClientAccount | None:
+    account = table.account_of(facts.key)
+    if account is None and (route.anonymous or not table.accounts):
+        return None
+    if account is None:
+        if not knowledge.covers_denial(now):
+            raise NotReady("the keys may have changed", retry_after_ms=CATCH_UP_MS)
+        raise BadToken("no client account holds this key")
+    if not knowledge.covers_keys(now):
+        raise NotReady("keys cannot be checked: the store is out of reach", retry_after_ms=1000)
+    return account
--- /dev/null
+++ b/src/lacewinggw/frontend/callers.py
@@ -0,0 +1,310 @@
+"""Connections of callers: requests read within their limits, answers whole or as they come.
+
+While a request is in progress its connection is watched, so that a caller that leaves frees its
+target at once; what it sends meanwhile waits for its turn.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import h11
+
+from lacewinggw.decisions.routes import CallerLimits
+from lacewinggw.errors import LacewingError, MalformedHttp
+from lacewinggw.frontend.calls import Call, header_values
+from lacewinggw.log import get_logger
+from lacewinggw.wire.http import READ_BYTES, HeaderList, HttpError
+from lacewinggw.wire.network import Listener, Network, Stream
+from lacewinggw.wire.problems import problem_body, problem_headers
+
+BAD_REQUEST = 400
+CONTENT_TOO_LARGE = 413
+PIPELINED_BYTES = 1 << 16  # of further requests, taken in while one is in progress
+CLOSE_WAIT_S = 0.5  # for the caller to read a refusal before the connection is reset
+
+log = get_logger(__name__)
+
+
+class CallerGone(Exception):
+    """The caller closed its connection, or the way to it is cut."""
+
+
+class Caller:
+    """One connection: the requests on it, one after the other, and their answers."""
+
+    def __init__(self, stream: Stream, limits: CallerLimits) -> None:
+        self._stream = stream
+        self._limits = limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self._read_ahead = 0
+        self._close_after = False
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another request can follow on this connection."""
+        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        return done and not self._close_after
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of an answer has been sent."""
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+    def close_after_answer(self) -> None:
+        """Have the next answer be the last one, and say so in it."""
+        self._close_after = True
+
+    # ---- requests -------------------------------------------------------------------------
+
+    async def next_call(self) -> Call | None:
+        """Return the next request, or None when the caller is done.
+
+        Raise `HttpError` with the status for one that is refused, and `TimeoutError` for one that
+        comes too slowly.
+        """
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._read_ahead = 0
+        try:
+            event = await self._await_head()
+            if not isinstance(event, h11.Request):
+                return None
+            arrived_at = asyncio.get_running_loop().time()
+            headers = _decode_headers(event)
+            _check_framing(headers)
+            async with asyncio.timeout(self._limits.head_s + self._limits.idle_s):
+                body = await self._read_body()
+        except h11.RemoteProtocolError as error:
+            raise HttpError(
+                error.error_status_hint, f"not HTTP as it should be: {error}"
+            ) from error
+        method = event.method.decode("ascii")
+        domain = next(iter(header_values(headers, "host")), "")
+        target = event.target.decode("latin-1")
+        return Call(method, target, domain, headers, body, arrived_at)
+
+    async def _await_head(self) -> Any:
+        """Wait for the first byte as long as a caller may idle, then for the head."""
+        event = self._http.next_event()
+        if event is h11.NEED_DATA and not self._http.trailing_data[0]:
+            async with asyncio.timeout(self._limits.idle_s):
+                await self._receive()
+            event = self._http.next_event()
+        async with asyncio.timeout(self._limits.head_s):
+            while event is h11.NEED_DATA:
+                await self._receive()
+                event = self._http.next_event()
+        return event
+
+    async def _read_body(self) -> bytes:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._stream.write(self._http.send(go_on) or b"")
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._http.next_event()
+            match event:
+                case h11.EndOfMessage():
+                    return b"".join(parts)
+                case h11.Data():
+                    size += len(event.data)
+                    if size > self._limits.body_bytes:
+                        limit = self._limits.body_bytes
+                        raise HttpError(CONTENT_TOO_LARGE, f"the body is over {limit} bytes")
+                    parts.append(bytes(event.data))
+                case h11.NEED_DATA:
+                    await self._receive()
+                case _:
+                    raise CallerGone
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._stream.read(READ_BYTES)
+        except OSError as error:
+            raise CallerGone from error
+        self._http.receive_data(data)
+
+    async def watch(self) -> None:
+        """Return once the caller has left; what else it sends is kept for later."""
+        while self._read_ahead < PIPELINED_BYTES:
+            try:
+                data = await self._stream.read(READ_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            self._read_ahead += len(data)
+            self._http.receive_data(data)
+        await asyncio.Event().wait()
+
+    # ---- answers --------------------------------------------------------------------------
+
+    async def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+        """Send a whole answer."""
+        fields = [*headers, ("content-length", str(len(body)))]
+        data = self._head(status, fields)
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._write(data)
+
+    async def begin(self, status: int, headers: HeaderList, first: bytes = b"") -> None:
+        """Send the head of a streamed answer, and its first bytes with it."""
+        data = self._head(status, [*headers, ("transfer-encoding", "chunked")])
+        if first:
+            data += self._http.send(h11.Data(data=first)) or b""
+        await self._write(data)
+
+    async def send(self, data: bytes) -> None:
+        """Send more of a streamed answer."""
+        await self._write(self._http.send(h11.Data(data=data)) or b"")
+
+    async def end(self) -> None:
+        """Send the end of a streamed answer: it is whole."""
+        await self._write(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def refuse(self, error: LacewingError, status: int = 0, keep: bool = True) -> None:
+        """Send an error as a problem; with `keep` false it is the last answer."""
+        if self.has_begun:
+            return
+        if not keep:
+            self._close_after = True
+        headers = problem_headers(error)
+        if error.retry_after_ms:
+            headers["retry-after"] = f"{error.retry_after_ms / 1000:.3f}"
+        body = problem_body(error, status=status)
+        await self.answer(status or error.http_status, list(headers.items()), body)
+
+    def _head(self, status: int, headers: HeaderList) -> bytes:
+        fields = list(headers)
+        if self._close_after:
+            fields.append(("connection", "close"))
+        return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
+
+    async def _write(self, data: bytes) -> None:
+        try:
+            self._stream.write(data)
+            await self._stream.drain()
+        except OSError as error:
+            raise CallerGone from error
+
+
+def _decode_headers(event: h11.Request) -> HeaderList:
+    return [
+        (name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers.raw_items()
+    ]
+
+
+def _check_framing(headers: HeaderList) -> None:
+    """Refuse a body with two lengths, or with a length and chunks: proxies read them apart."""
+    lengths = header_values(headers, "content-length")
+    if len(lengths) > 1 or (lengths and header_values(headers, "transfer-encoding")):
+        raise HttpError(BAD_REQUEST, "the length of the body is said twice")
+
+
+Serve = Callable[[Call, Caller], Awaitable[None]]
+
+
+class CallerListener:
+    """Accepts callers and has each of their requests served.
+
+    `limits` gives those in force when a connection opens. `close(grace_s)` lets requests in
+    progress end.
+    """
+
+    def __init__(
+        self, network: Network, address: str, serve: Serve, limits: Callable[[], CallerLimits]
+    ) -> None:
+        self._network = network
+        self._address = address
+        self._serve = serve
+        self._limits = limits
+        self._listener: Listener | None = None
+        self._idle: set[asyncio.Task[None]] = set()
+        self._busy: set[asyncio.Task[None]] = set()
+        self._leaving = False
+
+    @property
+    def address(self) -> str:
+        """The bound address, once started."""
+        assert self._listener is not None, "start() comes first"
+        return self._listener.address
+
+    @property
+    def in_progress(self) -> int:
+        """How many requests are being served."""
+        return len(self._busy)
+
+    async def start(self) -> None:
+        """Bind and accept."""
+        self._listener = await self._network.listen(self._address, self._accept)
+
+    def leave(self) -> None:
+        """Have each answer from now on be the last on its connection."""
+        self._leaving = True
+
+    async def close(self, grace_s: float = 0.0) -> None:
+        """Stop accepting, let requests in progress end, then cut the rest."""
+        self.leave()
+        if self._listener is not None:
+            await self._listener.close()
+        for task in list(self._idle):
+            task.cancel()
+        if self._busy and grace_s > 0:
+            await asyncio.wait(set(self._busy), timeout=grace_s)
+        rest = {*self._idle, *self._busy}
+        for task in rest:
+            task.cancel()
+        if rest:
+            await asyncio.wait(rest)
+
+    async def _accept(self, stream: Stream) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        caller = Caller(stream, self._limits())
+        self._idle.add(task)
+        try:
+            await self._serve_all(caller, task)
+        except (CallerGone, OSError, TimeoutError, h11.LocalProtocolError):
+            return
+        except asyncio.CancelledError:
+            if not self._leaving:
+                raise
+        finally:
+            self._idle.discard(task)
+            self._busy.discard(task)
+            caller.close()
+
+    async def _serve_all(self, caller: Caller, task: "asyncio.Task[None]") -> None:
+        while True:
+            try:
+                call = await caller.next_call()
+            except HttpError as error:
+                log.info("call_malformed", status=error.status, reason=str(error))
+                await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
+                await self._let_it_read(caller)
+                return
+            if call is None:
+                return
+            self._busy.add(task)
+            self._idle.discard(task)
+            if self._leaving:
+                caller.close_after_answer()
+            await self._serve(call, caller)
+            self._busy.discard(task)
+            self._idle.add(task)
+            if not caller.may_go_on:
+                return
+
+    async def _let_it_read(self, caller: Caller) -> None:
+        """Read on for a moment: closing over unread bytes would take the refusal away."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(CLOSE_WAIT_S):
+                await caller.watch()
--- /dev/null
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -0,0 +1,125 @@
+"""What entries and agents tell this entry directly: who is ready, and how busy targets are.
+
+Links break and processes freeze, so everything heard has an age, and what is too old is not used.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+
+from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member, MemberRole
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.nearby import ReadyEntry
+from lacewinggw.entry.watches import Watched, Watches
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Address, HostId, Place
+from lacewinggw.wire.peers import PeerLink, PeerNode
+
+NEWS_S = 0.5  # between news without a change
+READY_S = 1.6  # news older than three of these intervals says nothing: the entry may be gone
+OTHER_PLACES_MOST = 2  # entries of each other place that are kept in touch with
+MS_PER_S = 1000
+
+
+@dataclass
+class _Heard:
+    """The last news of an entry."""
+
+    place: Place
+    news: messages.EntryNews
+    at: float
+
+
+class EntryNeighbours:
+    """Keeps links to other entries and exchanges news on them.
+
+    `compose` gives the news of this entry; `on_news` is told of each that comes.
+    """
+
+    def __init__(
+        self,
+        node: PeerNode,
+        me: HostId,
+        place: Place,
+        compose: Callable[[], messages.EntryNews],
+        on_news: Callable[[messages.EntryNews], None],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._me = me
+        self._place = place
+        self._compose = compose
+        self._on_news = on_news
+        self._clock = clock
+        self._heard: dict[HostId, _Heard] = {}
+        self._listeners: set[PeerLink] = set()
+        self._watches = Watches(node, me, lambda host: None, rng)
+        self._changed = asyncio.Event()
+        self._loop = Background("entry news", self._run)
+
+    async def start(self) -> None:
+        """Begin to tell and to listen."""
+        self._watches.start()
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self._loop.close()
+        await self._watches.close()
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Keep in touch with these entries: all of this place, some of each other."""
+        per_place: dict[Place, int] = {}
+        wanted: set[Watched] = set()
+        for member in sorted(members, key=lambda each: each.host):
+            if member.role is not MemberRole.ENTRY or member.host == self._me:
+                continue
+            count = per_place.get(member.place, 0)
+            if member.place != self._place and count >= OTHER_PLACES_MOST:
+                continue
+            per_place[member.place] = count + 1
+            wanted.add(Watched(member.host, member.address))
+        self._watches.set_targets(wanted)
+
+    def note_change(self) -> None:
+        """Tell the others soon: what this entry tells has changed."""
+        self._changed.set()
+
+    def take_watch(self, link: PeerLink, watch: messages.Watch) -> None:
+        """Send news over a link from now on, some at once, or stop."""
+        if watch.stop:
+            self._listeners.discard(link)
+            return
+        self._listeners.add(link)
+        link.notify(self._compose())
+
+    def take_news(self, link: PeerLink, news: messages.EntryNews) -> None:
+        """Take the news of another entry."""
+        place = Place(link.remote.place)
+        self._heard[HostId(link.remote.host)] = _Heard(place, news, self._clock())
+        self._on_news(news)
+
+    def ready(self) -> Sequence[ReadyEntry]:
+        """Return the other entries that are ready, by news that is fresh."""
+        now = self._clock()
+        return [
+            ReadyEntry(host, heard.place, Address(heard.news.caller_address))
+            for host, heard in self._heard.items()
+            if heard.news.ready and now - heard.at < READY_S
+        ]
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(NEWS_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            self._changed.clear()
+            self._listeners = {link for link in self._listeners if not link.closed.is_set()}
+            if self._listeners:
+                news = self._compose()
+                for link in self._listeners:
+                    link.notify(news)
--- /dev/null
+++ b/src/lacewinggw/frontend/offers.py
@@ -0,0 +1,158 @@
+"""One offer of a request to one target, and what became of it.
+
+`offer` sends the request and returns once the head of the answer is there. What came back is one of
+a few kinds, so that whoever decides on repeats knows what is proved:
+
+    match await offers.send(job, load):
+        case NotRun(): ...      # proved: the target did not run it
+        case Answer(): ...      # a head, with the body still to come
+        case Lost(): ...        # nothing is known
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from lacewinggw.decisions.deadlines import time_left_ms
+from lacewinggw.decisions.dispatch import TargetLoad
+from lacewinggw.errors import AnswerIncomplete
+from lacewinggw.frontend.admission import Admitted
+from lacewinggw.frontend.calls import AnswerFacts, CallCodec, Dispatch, pass_on
+from lacewinggw.wire.events import EventSplitter, StreamEvent
+from lacewinggw.wire.http import (
+    Headers,
+    HttpClient,
+    HttpError,
+    NotConnectedError,
+    StreamedResponse,
+)
+
+CONNECT_S = 0.4  # a connection within the fleet takes some ms; a full queue or a lost packet, 1 s
+WHOLE_LIMIT_BYTES = 16 << 20  # of an answer that is held until it is whole
+OK = 200
+FIRST_ERROR = 400
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The target did not run the request, and proved it; `full` where it had no room."""
+
+    reason: str
+    full: bool = False
+
+
+@dataclass(frozen=True)
+class Lost:
+    """The request may have run; there is no answer."""
+
+    reason: str
+
+
+@dataclass(frozen=True)
+class Answer:
+    """The head of an answer that belongs to the request."""
+
+    status: int
+    headers: Headers
+    facts: AnswerFacts
+    response: StreamedResponse
+
+    @property
+    def is_success(self) -> bool:
+        """Whether the target served the request."""
+        return self.status < FIRST_ERROR
+
+    async def close(self) -> None:
+        """Give up the rest of the body."""
+        await self.response.aclose()
+
+
+@dataclass(frozen=True)
+class Sending:
+    """What differs from one offer of a request to the next."""
+
+    version: int | None = None
+    resume_after: int | None = None
+    urgency: int = 5
+
+
+class Offers:
+    """Sends requests to targets, each on a connection of its own.
+
+    A fresh connection holds nothing that belongs to another request, and one that fails to open
+    proves that nothing was sent.
+    """
+
+    def __init__(self, http: HttpClient, codec: CallCodec) -> None:
+        self._http = http
+        self._codec = codec
+
+    async def send(
+        self, job: Admitted, load: TargetLoad, sending: Sending, patience_s: float
+    ) -> Answer | NotRun | Lost:
+        """Offer the request; wait for each read up to `patience_s` seconds."""
+        now = asyncio.get_running_loop().time()
+        dispatch = Dispatch(
+            target=load.entry.target,
+            account=job.account.name if job.account else None,
+            time_left_ms=max(1, time_left_ms(job.deadline, now)),
+            urgency=sending.urgency,
+            version=sending.version,
+            resume_after=sending.resume_after,
+        )
+        headers = self._codec.write_call(pass_on(job.call.headers), dispatch)
+        try:
+            response = await self._http.stream(
+                load.entry.address,
+                job.call.method,
+                job.call.target,
+                headers,
+                job.call.body,
+                patience_s,
+                CONNECT_S,
+            )
+        except NotConnectedError as error:
+            return NotRun(f"cannot connect: {error}")
+        except TimeoutError:
+            return Lost("no answer in time")
+        except (OSError, HttpError) as error:
+            return Lost(f"no answer: {error}")
+        return await self._sort(job, response)
+
+    async def _sort(self, job: Admitted, response: StreamedResponse) -> Answer | NotRun | Lost:
+        facts = self._codec.read_answer(response.status, response.headers)
+        if facts.call_id not in (None, job.facts.call_id):
+            await response.aclose()
+            return Lost("the answer belongs to another request")
+        if facts.not_run:
+            await response.aclose()
+            return NotRun(f"the target answered {response.status}", full=response.status == 503)
+        return Answer(response.status, response.headers, facts, response)
+
+
+async def read_whole(answer: Answer) -> bytes:
+    """Return the body of an answer; raise `AnswerIncomplete` when it breaks off."""
+    try:
+        return await answer.response.read(WHOLE_LIMIT_BYTES)
+    except (OSError, HttpError, TimeoutError) as error:
+        raise AnswerIncomplete(f"the answer broke off: {error}") from error
+    finally:
+        await answer.close()
+
+
+async def read_events(answer: Answer) -> AsyncIterator[list[StreamEvent]]:
+    """Yield the events of an answer as they come; raise `AnswerIncomplete` when it breaks off."""
+    splitter = EventSplitter()
+    try:
+        async with aclosing(answer.response.pieces()) as pieces:
+            async for data in pieces:
+                events = list(splitter.feed(data))
+                if events:
+                    yield events
+    except (OSError, HttpError, TimeoutError) as error:
+        raise AnswerIncomplete(f"the stream broke off: {error}") from error
+    finally:
+        await answer.close()
+    if splitter.is_torn:
+        raise AnswerIncomplete("the stream ended inside an event")
--- /dev/null
+++ b/src/lacewinggw/frontend/queue.py
@@ -0,0 +1,131 @@
+"""Where requests wait for a target: the pool's choices and the waiting lines, wired to futures."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass
+
+from lacewinggw.background import Background
+from lacewinggw.decisions.dispatch import TargetLoad, TargetPool, Wish
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.waiting import Waiter, WaitingLine
+from lacewinggw.errors import NoTarget, Overloaded
+from lacewinggw.ids import ServiceName
+from lacewinggw.metrics import Metrics
+
+TICK_S = 0.02  # reports age and pauses end without an event of their own
+RETRY_AFTER_MS = 300
+MS_PER_S = 1000
+
+
+@dataclass
+class _Waiting:
+    """A request in a line, and what it waits for."""
+
+    wish: Wish
+    found: "asyncio.Future[TargetLoad]"
+
+
+class RequestQueue:
+    """Gives each request a target at once, later, or not at all.
+
+    load = await queue.claim(wish, priority, returned=False, until=deadline)
+    ...
+    pool.end(load)
+    queue.advance(wish.service)
+    """
+
+    def __init__(self, knowledge: Knowledge, pool: TargetPool, metrics: Metrics) -> None:
+        self._knowledge = knowledge
+        self._pool = pool
+        self._lines: dict[ServiceName, WaitingLine] = defaultdict(WaitingLine)
+        self._waiting: dict[int, _Waiting] = {}
+        self._wait = metrics.latency("queue_wait")
+        metrics.read_gauge("requests_waiting", lambda: len(self._waiting))
+        self._loop = Background("request queue", self._run)
+
+    async def start(self) -> None:
+        """Begin to look after the lines."""
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self._loop.close()
+
+    async def claim(self, wish: Wish, priority: int, returned: bool, until: float) -> TargetLoad:
+        """Return a target with room, waiting for one up to `until` by the loop's clock.
+
+        Raise `NoTarget` when none may run the request, and `Overloaded` at once when the wait
+        would be too long, or later when it was.
+        """
+        now = _now()
+        line = self._lines[wish.service]
+        fitting = self._pool.fitting(wish, self._knowledge.leaving)
+        if not fitting:
+            reason = f"no target of {wish.service} may run the request"
+            raise NoTarget(reason, retry_after_ms=RETRY_AFTER_MS)
+        if not len(line):
+            load = self._pool.choose(fitting, now)
+            if load is not None:
+                return self._begin(line, load, now)
+        expected_s = line.expected_wait(priority)
+        if now + expected_s > until:
+            raise _overloaded(wish, expected_s)
+        return await self._wait_for(line, wish, line.join(priority, returned, until))
+
+    async def _wait_for(self, line: WaitingLine, wish: Wish, waiter: Waiter) -> TargetLoad:
+        joined_at = _now()
+        found = asyncio.get_running_loop().create_future()
+        self._waiting[id(waiter)] = _Waiting(wish, found)
+        try:
+            async with asyncio.timeout_at(waiter.until):
+                load: TargetLoad = await found
+        except TimeoutError:
+            if not found.cancelled() and found.done():
+                self._pool.end(found.result())
+            raise _overloaded(wish, line.expected_wait(waiter.rank[0])) from None
+        except asyncio.CancelledError:
+            if found.done() and not found.cancelled():
+                self._pool.end(found.result())
+            raise
+        finally:
+            line.leave(waiter)
+            self._waiting.pop(id(waiter), None)
+        self._wait.record(_now() - joined_at)
+        return load
+
+    def advance(self, service: ServiceName) -> None:
+        """Give targets to those that wait for a service, in order, as far as there is room."""
+        line = self._lines[service]
+        if not len(line):
+            return
+        now = _now()
+        for waiter in list(line.in_order()):
+            waiting = self._waiting.get(id(waiter))
+            if waiting is None or waiting.found.done():
+                continue
+            fitting = self._pool.fitting(waiting.wish, self._knowledge.leaving)
+            load = self._pool.choose(fitting, now)
+            if load is None:
+                return
+            waiting.found.set_result(self._begin(line, load, now))
+            line.leave(waiter)
+
+    def _begin(self, line: WaitingLine, load: TargetLoad, now: float) -> TargetLoad:
+        line.note_start(now)
+        self._pool.begin(load, now)
+        return load
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            for service in list(self._lines):
+                self.advance(service)
+
+
+def _overloaded(wish: Wish, expected_s: float) -> Overloaded:
+    wait_ms = max(RETRY_AFTER_MS, round(expected_s * MS_PER_S))
+    return Overloaded(f"the targets of {wish.service} are full", retry_after_ms=wait_ms)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/lacewinggw/frontend/relay.py
@@ -0,0 +1,357 @@
+"""One request from its arrival to its end: admitted, placed, offered, repeated, answered.
+
+Every end goes through here. "Not run" is said only of a request that was never offered, or whose
+every offer was proved not to have run.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.dispatch import TargetLoad, TargetPool, Wish
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.retries import RetryBudget
+from lacewinggw.decisions.routes import Repeat
+from lacewinggw.errors import (
+    AnswerIncomplete,
+    DeadlinePassed,
+    DeadlineTooNear,
+    LacewingError,
+    RequestRefused,
+    RetryBudgetSpent,
+    TargetFailed,
+    TargetRefused,
+)
+from lacewinggw.frontend.admission import Admitted, admit
+from lacewinggw.frontend.callers import Caller, CallerGone
+from lacewinggw.frontend.calls import Call, CallCodec
+from lacewinggw.frontend.offers import (
+    OK,
+    Answer,
+    Lost,
+    NotRun,
+    Offers,
+    Sending,
+    read_events,
+    read_whole,
+)
+from lacewinggw.frontend.queue import RequestQueue
+from lacewinggw.ids import ServiceName, TargetId
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
+from lacewinggw.wire.http import Headers
+
+log = get_logger(__name__)
+
+MS_PER_S = 1000
+OFFERS_MOST = 4  # of one request, those that proved not to have run included
+SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
+LEAST_SILENCE_S = 0.6
+PATIENCE_SHARE = 0.6  # of the objective that may pass in the queue: the rest is for the answer
+RETRY_AFTER_MS = 400  # where nothing is known of when there is room
+KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
+
+
+@dataclass
+class Job:
+    """What became of a request so far."""
+
+    admitted: Admitted
+    offers: int = 0
+    runs: int = 0  # offers that were not proved not to have run
+    avoid: set[TargetId] = field(default_factory=set)
+    last_event: int | None = None
+    failure: tuple[int, Headers, bytes] | None = None  # a target's own answer that says it failed
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may run once more."""
+        if self.runs == 0:
+            return self.offers < OFFERS_MOST
+        route = self.admitted.route
+        return route.repeat is not Repeat.NEVER and self.runs < route.attempts
+
+
+@dataclass(frozen=True)
+class RelayParts:
+    """What a relay works with."""
+
+    codec: CallCodec
+    knowledge: Knowledge
+    pool: TargetPool
+    queue: RequestQueue
+    offers: Offers
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    retry_share: float
+    extra_retries: float
+    version_s: float
+
+
+class Relay:
+    """Serves requests of callers.
+
+    relay = Relay(parts)
+    await relay.serve(call, caller)
+    """
+
+    def __init__(self, parts: RelayParts) -> None:
+        self._parts = parts
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._answered = parts.metrics.counter("requests", outcome="answered")
+        self._latency = parts.metrics.latency("request")
+
+    async def serve(self, call: Call, caller: Caller) -> None:
+        """Answer one request, unless its caller leaves first."""
+        work = asyncio.ensure_future(self._serve(call, caller))
+        watch = asyncio.ensure_future(caller.watch())
+        try:
+            await asyncio.wait((work, watch), return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                raise CallerGone
+            work.result()
+        finally:
+            await _end(work, watch)
+
+    async def _serve(self, call: Call, caller: Caller) -> None:
+        facts = self._parts.codec.read_call(call.headers)
+        began = _now()
+        job: Job | None = None
+        try:
+            parts = self._parts
+            job = Job(admit(call, facts, parts.knowledge, parts.clock(), parts.rng))
+            async with asyncio.timeout_at(job.admitted.deadline):
+                await self._run(job, caller)
+        except TimeoutError:
+            assert job is not None
+            await self._end_late(job, caller)
+        except LacewingError as error:
+            await self._refuse(call, facts.call_id, error, caller)
+        else:
+            self._answered.add()
+        self._latency.record(_now() - began)
+
+    async def _end_late(self, job: Job, caller: Caller) -> None:
+        """End a request whose time is over."""
+        call, call_id = job.admitted.call, job.admitted.facts.call_id
+        if caller.has_begun:
+            log.info("stream_out_of_time", request_id=call_id, last_event=job.last_event)
+            caller.close()
+            raise CallerGone
+        if job.runs:
+            error: LacewingError = DeadlinePassed("the target did not answer in time")
+        else:
+            error = DeadlineTooNear("no target could start the request in time")
+        await self._refuse(call, call_id, error, caller)
+
+    async def _refuse(self, call: Call, call_id: str, error: LacewingError, caller: Caller) -> None:
+        self._parts.metrics.note_error(error)
+        log.info(
+            "request_refused" if isinstance(error, RequestRefused) else "request_failed",
+            request_id=call_id,
+            domain=call.domain,
+            error=error,
+            held_ms=round((_now() - call.arrived_at) * MS_PER_S),
+            routes=self._routes_version,
+        )
+        if caller.has_begun:
+            caller.close()
+            raise CallerGone
+        await caller.refuse(error)
+
+    @property
+    def _routes_version(self) -> int:
+        table = self._parts.knowledge.routes
+        return table.version if table else 0
+
+    # ---- offers ---------------------------------------------------------------------------
+
+    async def _run(self, job: Job, caller: Caller) -> None:
+        while True:
+            try:
+                load = await self._claim(job)
+            except RequestRefused:
+                if job.runs == 0:
+                    raise
+                return await self._give_up(job, caller)
+            try:
+                if await self._offer(job, load, caller):
+                    return None
+            finally:
+                self._parts.pool.end(load)
+                self._parts.queue.advance(job.admitted.service)
+            if not job.may_repeat or not self._budget(job.admitted.service).take(_now()):
+                return await self._give_up(job, caller)
+
+    async def _give_up(self, job: Job, caller: Caller) -> None:
+        """Tell the caller that its request failed, in the target's own words if there are any."""
+        if job.failure is not None and not caller.has_begun:
+            status, headers, body = job.failure
+            return await caller.answer(status, _headers_to_caller(headers), body)
+        if job.runs:
+            raise TargetFailed("the target failed the request")
+        if job.may_repeat:
+            raise RetryBudgetSpent("too many requests are tried again", retry_after_ms=500)
+        raise TargetRefused("no target took the request", retry_after_ms=RETRY_AFTER_MS)
+
+    async def _claim(self, job: Job) -> TargetLoad:
+        """Return a target that takes the request now, waiting for one in the queue."""
+        admitted = job.admitted
+        wish = self._wish(job)
+        patience_s = PATIENCE_SHARE * admitted.route.objective_s
+        until = min(admitted.deadline, admitted.call.arrived_at + patience_s)
+        if job.offers:
+            until = admitted.deadline
+        load = await self._parts.queue.claim(wish, admitted.priority, False, until)
+        self._budget(admitted.service).note_call(_now())
+        return load
+
+    def _wish(self, job: Job) -> Wish:
+        admitted = job.admitted
+        model = admitted.facts.model
+        service = self._parts.knowledge.routes and self._parts.knowledge.routes.services.get(
+            admitted.service
+        )
+        if not service or service.engine is None or model is None:
+            return Wish(admitted.service, avoid=frozenset(job.avoid))
+        least = self._least_version(job)
+        return Wish(admitted.service, model, least, frozenset(job.avoid))
+
+    def _least_version(self, job: Job) -> int:
+        """Return the oldest version of the model that a request may still begin on."""
+        model = job.admitted.facts.model
+        due = self._parts.knowledge.due.get(model) if model else None
+        if due is None:
+            return 0
+        late = self._parts.clock() - due.learned_at > self._parts.version_s
+        return due.version if late else 0
+
+    def _budget(self, service: ServiceName) -> RetryBudget:
+        if service not in self._budgets:
+            parts = self._parts
+            self._budgets[service] = RetryBudget(parts.retry_share, parts.extra_retries)
+        return self._budgets[service]
+
+    async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
+        """Offer the request to a target; return whether the caller has its answer."""
+        job.offers += 1
+        job.avoid.add(load.entry.target)
+        sending = self._sending(job)
+        job.runs += 1
+        match await self._parts.offers.send(job.admitted, load, sending, self._silence_s(job)):
+            case NotRun(reason, full):
+                job.runs -= 1
+                self._note_not_run(job, load, reason, full)
+                return False
+            case Lost(reason):
+                self._note_failed(job, load, reason)
+                return False
+            case Answer() as answer:
+                load.heard_at = _now()
+                try:
+                    return await self._pass_on(job, load, answer, caller)
+                except AnswerIncomplete as error:
+                    self._note_failed(job, load, error.reason)
+                    return False
+                finally:
+                    await answer.close()
+
+    def _sending(self, job: Job) -> Sending:
+        facts = job.admitted.facts
+        resume_after = job.last_event if job.last_event is not None else facts.last_event
+        least = self._least_version(job)
+        return Sending(least or None, resume_after, min(9, 2 + job.admitted.priority))
+
+    def _silence_s(self, job: Job) -> float:
+        """Return how long a target may be silent: to the end where nobody else may be asked."""
+        rest_s = max(0.001, job.admitted.deadline - _now())
+        route = job.admitted.route
+        if route.repeat is Repeat.NEVER or job.runs >= route.attempts:
+            return rest_s
+        return min(rest_s, max(LEAST_SILENCE_S, SILENCE_FACTOR * route.objective_s))
+
+    def _note_not_run(self, job: Job, load: TargetLoad, reason: str, full: bool) -> None:
+        now = _now()
+        if full:
+            self._parts.pool.note_full(load, now)
+            self._parts.metrics.retry(RetryReason.TARGET_OVERLOADED)
+        else:
+            self._parts.pool.failed(load, now)
+            self._parts.metrics.retry(RetryReason.TARGET_UNREACHABLE)
+        self._log_offer(job, load, "not-run", reason)
+
+    def _note_failed(self, job: Job, load: TargetLoad, reason: str) -> None:
+        self._parts.pool.failed(load, _now())
+        self._parts.metrics.retry(RetryReason.TARGET_FAILED)
+        self._log_offer(job, load, "failed", reason)
+
+    def _log_offer(self, job: Job, load: TargetLoad, outcome: str, reason: str) -> None:
+        log.info(
+            "offer_ended",
+            request_id=job.admitted.facts.call_id,
+            target=load.entry.target,
+            outcome=outcome,
+            reason=reason,
+            offers=job.offers,
+            runs=job.runs,
+        )
+
+    # ---- answers --------------------------------------------------------------------------
+
+    async def _pass_on(self, job: Job, load: TargetLoad, answer: Answer, caller: Caller) -> bool:
+        if job.admitted.route.streams and answer.status == OK:
+            await self._pass_stream(job, answer, caller)
+            self._parts.pool.succeeded(load)
+            return True
+        body = await read_whole(answer)
+        if not answer.is_success:
+            job.failure = (answer.status, answer.headers, body)
+            self._note_failed(job, load, f"the target answered {answer.status}")
+            return False
+        if not answer.facts.sealed:
+            raise AnswerIncomplete("the answer lacks the target's mark")
+        self._parts.pool.succeeded(load)
+        await caller.answer(answer.status, _headers_to_caller(answer.headers), body)
+        return True
+
+    async def _pass_stream(self, job: Job, answer: Answer, caller: Caller) -> None:
+        """Pass events on as they come; those that the caller has already are left out."""
+        async for events in read_events(answer):
+            data = b"".join(event.data for event in events if _is_next(job, event.number))
+            if not data:
+                continue
+            if caller.has_begun:
+                await caller.send(data)
+            else:
+                await caller.begin(answer.status, _headers_to_caller(answer.headers), data)
+        if not caller.has_begun:
+            await caller.begin(answer.status, _headers_to_caller(answer.headers))
+        await caller.end()
+
+
+def _is_next(job: Job, number: int | None) -> bool:
+    """Tell whether an event is to be passed on, and note it as passed on."""
+    if number is None:
+        return True
+    if job.last_event is not None and number <= job.last_event:
+        return False
+    if job.last_event is not None and number != job.last_event + 1:
+        raise AnswerIncomplete(f"event {number} came after {job.last_event}")
+    job.last_event = number
+    return True
+
+
+def _headers_to_caller(headers: Headers) -> list[tuple[str, str]]:
+    return [(name, value) for name, value in headers.items() if name not in KEPT_BACK]
+
+
+async def _end(*tasks: "asyncio.Future[None]") -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/lacewinggw/ids.py
+++ b/src/lacewinggw/ids.py
@@ -13,6 +13,9 @@
 RequestId = NewType("RequestId", str)
 Account = NewType("Account", str)
 CommandId = NewType("CommandId", str)
+RouteName = NewType("RouteName", str)
+ModelName = NewType("ModelName", str)
+TargetId = NewType("TargetId", str)  # of one start of a target: a restart has another
 Revision = NewType("Revision", int)
 Nonce = NewType("Nonce", bytes)
 
--- /dev/null
+++ b/src/lacewinggw/loader/__init__.py
@@ -0,0 +1,1 @@
+"""The agent of a declared fleet: it brings weights to the target beside it."""
--- a/src/lacewinggw/settings.py
+++ b/src/lacewinggw/settings.py
@@ -195,7 +195,9 @@
 def kind_of_file(path: Path | str) -> ProcessKind:
     """Tell from its sections which kind of process a settings file is for."""
     ini = _parse_ini(_read_text(path), str(path))
-    for kind in (ProcessKind.ENTRY, ProcessKind.AGENT):
-        if ini.has_section(kind.value):
-            return kind
+    fleet = ini.has_section("fleet")
+    if ini.has_section("entry"):
+        return ProcessKind.FLEET_ENTRY if fleet else ProcessKind.ENTRY
+    if ini.has_section("agent"):
+        return ProcessKind.FLEET_AGENT if fleet else ProcessKind.AGENT
     return ProcessKind.OPERATOR if ini.has_section("operator") else ProcessKind.ENTRY
--- a/src/lacewinggw/settingskeys.py
+++ b/src/lacewinggw/settingskeys.py
@@ -24,6 +24,8 @@
     ENTRY = "entry"
     AGENT = "agent"
     OPERATOR = "operator"
+    FLEET_ENTRY = "fleet entry"  # an entry of a fleet declared in the operators' store
+    FLEET_AGENT = "fleet agent"
 
 
 POLICY_SECTIONS = ("spread", "requests", "routing", "configuration")
@@ -31,10 +33,18 @@
     ProcessKind.ENTRY: ("process", "platform", "entry", *POLICY_SECTIONS),
     ProcessKind.AGENT: ("process", "platform", "agent", *POLICY_SECTIONS),
     ProcessKind.OPERATOR: ("operator",),
+    ProcessKind.FLEET_ENTRY: ("process", "fleet", "entry", *POLICY_SECTIONS),
+    ProcessKind.FLEET_AGENT: ("process", "fleet", "agent", *POLICY_SECTIONS),
 }
 
-LISTENERS = ("caller_listen", "operator_listen", "peer_listen")
-PLATFORM_SERVICES = ("table", "objects", "origin", "weight_store", "membership")
+LISTENERS = (
+    "caller_listen",
+    "operator_listen",
+    "peer_listen",
+    "ready_listen",
+    "directory_listen",
+)
+PLATFORM_SERVICES = ("table", "objects", "origin", "weight_store", "membership", "store")
 ADDRESSES = {*LISTENERS, *PLATFORM_SERVICES, "caller_address", "target", "entries"}
 CHOICES = {
     "log_format": ("json", "text"),
--- a/src/lacewinggw/settingsvalues.py
+++ b/src/lacewinggw/settingsvalues.py
@@ -20,12 +20,14 @@
     "retry_percent",
     "urgent_percent",
     "eject_limit_percent",
+    "extra_retries",
+    "lapse_ms",
 }
 PERCENT_MAXIMUM = 100
 MAXIMUM = {TType.I32: 2**31 - 1, TType.I64: 2**63 - 1}
 PORT_MAXIMUM = 65535
 # Of the form "a:b"; the schema's comments say what the parts are.
-LIST_PARTS = {"operator_tokens": (2,), "accounts": (4, 5)}
+LIST_PARTS = {"operator_tokens": (2,), "accounts": (4, 5), "regions": (2,)}
 TRUE_WORDS = ("yes", "true", "on")
 FALSE_WORDS = ("no", "false", "off")
 
@@ -90,6 +92,8 @@
 def _list_remedy(key: Key) -> str:
     if key.field == "accounts":
         return "write account:token:requests-per-second:concurrency[:weight], one a line"
+    if key.field == "regions":
+        return "write place:region, one a line"
     return "write name:token, one a line"
 
 
--- a/src/lacewinggw/units.py
+++ b/src/lacewinggw/units.py
@@ -21,6 +21,7 @@
     "GB": 10**9,
     "GiB": 2**30,
 }
+RATES = {**{f"{unit}/s": size for unit, size in BYTES.items()}, "Mbit/s": 125_000}
 MILLISECONDS = {"ms": 1, "s": 1000, "min": 60_000, "h": 3_600_000}
 
 
@@ -47,9 +48,9 @@
 
 # Longest suffix first: `_bytes_per_s` also ends in `_s`.
 MEASURES = {
-    "_bytes_per_s": _measure("rate", {f"{u}/s": n for u, n in BYTES.items()}, 1, "125MB/s"),
+    "_bytes_per_s": _measure("rate", RATES, 1, "125MB/s"),
     "_bytes": _measure("size", BYTES, 1, "4MiB"),
-    "_percent": _measure("share", {"%": 1}, 1, "70%"),
+    "_percent": _measure("share", {"%": 1, "share": 100}, 1, "70%"),
     "_ms": _measure("time", MILLISECONDS, 1, "400ms"),
     "_s": _measure("time", MILLISECONDS, 1000, "5s"),
 }
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterable, AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, AsyncIterable, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
@@ -27,6 +27,7 @@
 log = get_logger(__name__)
 
 Headers = dict[str, str]
+HeaderList = Sequence[tuple[str, str]]  # in order, names as written, a name more than once
 
 
 @dataclass(frozen=True)
@@ -90,8 +91,8 @@
     return {name.decode("ascii"): value.decode("latin-1") for name, value in raw}
 
 
-def _encode_headers(headers: Headers) -> list[tuple[str, str]]:
-    return [(name, value) for name, value in headers.items()]
+def _encode_headers(headers: Headers | HeaderList) -> list[tuple[str, str]]:
+    return list(headers.items()) if isinstance(headers, dict) else list(headers)
 
 
 async def _next_event(connection: h11.Connection, stream: Stream, timeout_s: float) -> Any:
@@ -308,7 +309,7 @@
         self._release = release
         self._ended = False
 
-    async def pieces(self) -> AsyncIterator[bytes]:
+    async def pieces(self) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives; raise `OSError` when it is cut short.
 
         What came in one read is yielded together.
@@ -365,7 +366,7 @@
 
 
 class HttpClient:
-    """Make requests, keeping idle connections per address for reuse.
+    """Make requests, keeping up to `idle_connections` per address for reuse.
 
     Raises `NotConnectedError` when nothing was sent, other kinds of `OSError` (reset, cut short),
     `TimeoutError`, and `HttpError` when the other side breaks the protocol. Connecting may take
@@ -373,9 +374,15 @@
     request is ever sent twice: callers decide on retries.
     """
 
-    def __init__(self, network: Network, limits: HttpLimits | None = None) -> None:
+    def __init__(
+        self,
+        network: Network,
+        limits: HttpLimits | None = None,
+        idle_connections: int = IDLE_CONNECTIONS,
+    ) -> None:
         self._network = network
         self._limits = limits or HttpLimits()
+        self._idle_connections = idle_connections
         self._idle: dict[str, list[tuple[Stream, h11.Connection]]] = {}
         self._closed = False
 
@@ -411,15 +418,19 @@
         address: str,
         method: str,
         path: str,
-        headers: Headers | None = None,
+        headers: Headers | HeaderList | None = None,
         body: bytes = b"",
         timeout_s: float = 5.0,
+        connect_s: float | None = None,
     ) -> StreamedResponse:
-        """Make a request and return once its head is there; each read waits up to `timeout_s`."""
-        stream, connection = await self._take(address, timeout_s)
+        """Make a request and return once its head is there; each read waits up to `timeout_s`.
+
+        Connecting takes `connect_s` at most, or its share of `timeout_s`. A response that comes
+        before the body of the request was taken is read all the same.
+        """
+        stream, connection = await self._take(address, connect_s or timeout_s * CONNECT_SHARE)
         try:
             self._send_request(stream, connection, address, method, path, headers, body)
-            await stream.drain()
             event = await _next_event(connection, stream, timeout_s)
             while isinstance(event, h11.InformationalResponse):
                 event = await _next_event(connection, stream, timeout_s)
@@ -445,13 +456,15 @@
         address: str,
         method: str,
         path: str,
-        headers: Headers | None,
+        headers: Headers | HeaderList | None,
         body: bytes,
     ) -> None:
-        fields = {"host": address, **(headers or {})}
+        fields = _encode_headers(headers or {})
+        if all(name.lower() != "host" for name, _ in fields):
+            fields.insert(0, ("host", address))
         if body or method in ("POST", "PUT"):
-            fields["content-length"] = str(len(body))
-        head = h11.Request(method=method, target=path, headers=_encode_headers(fields))
+            fields.append(("content-length", str(len(body))))
+        head = h11.Request(method=method, target=path, headers=fields)
         data = connection.send(head) or b""
         if body:
             data += connection.send(h11.Data(data=body)) or b""
@@ -466,21 +479,21 @@
             reason = str(error) or f"{address} does not answer"
             raise NotConnectedError(reason) from error
 
-    async def _take(self, address: str, timeout_s: float) -> tuple[Stream, h11.Connection]:
+    async def _take(self, address: str, connect_s: float) -> tuple[Stream, h11.Connection]:
         kept = self._idle.get(address, [])
         while kept:
             stream, connection = kept.pop()
             if not stream.ended:
                 return stream, connection
             stream.close()
-        stream = await self._connect(address, timeout_s * CONNECT_SHARE)
+        stream = await self._connect(address, connect_s)
         limit = self._limits.head_bytes
         return stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=limit)
 
     def _keep(self, address: str, stream: Stream, connection: h11.Connection) -> None:
         kept = self._idle.setdefault(address, [])
         done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-        if not done or self._closed or len(kept) >= IDLE_CONNECTIONS:
+        if not done or self._closed or len(kept) >= self._idle_connections:
             stream.close()
             return
         connection.start_next_cycle()
