--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -67,6 +67,7 @@
   8: i64 silence_ms = 15000                    // nobody has it for so long: any rank may ask
   9: i32 gateways = 4                          // hosts per place that bring chunks into it
   10: i32 in_flight_total = 8                  // chunk requests to all neighbours together
+  11: i64 origin_backoff_ms = 8000             // longest pause after failures of the origin
 }
 
 struct RequestSettings {
@@ -110,6 +111,7 @@
   9: i64 retry_window_ms = 10000               // over which retries are counted
   10: i64 version_ms = 8000                    // a named version is on every target by then
   11: i64 lapse_ms = 1900                      // a target unlisted by an outage is believed for so long
+  12: bool first_start = false                 // the whole fleet starts for the first time: targets come filled
 }
 
 struct OperatorSettings {
--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -80,7 +80,7 @@
     chunks: ChunkStore
     mesh: Mesh
     origin: WeightSource
-    store: WeightSource
+    store: WeightSource | None
     downlink: Pacer
     place: Place
     rules: SpreadRules
@@ -248,6 +248,7 @@
             case Origin():
                 source = self._around.origin
             case Store():
+                assert self._around.store is not None, "the policy knows of no weight store"
                 source = self._around.store
         return await source.fetch(self.manifest, ask.index)
 
@@ -270,7 +271,9 @@
 
     def _fail(self, source: Source, index: int, error: LacewingError) -> None:
         failure = failure_of(error)
-        log.info("chunk_failed", source=str(source), index=index, reason=failure.value)
+        log.info(
+            "chunk_failed", source=str(source), index=index, failure=failure.value, error=error
+        )
         self._around.metrics.retry(retry_reason(source, failure))
         self._spread.failed(source, index, failure, _now())
 
--- a/src/lacewinggw/agent/uploads.py
+++ b/src/lacewinggw/agent/uploads.py
@@ -13,8 +13,8 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.peers import Exchange
 
-SLICE_S = 0.05
-SMALLEST_SLICE_BYTES = 16 << 10
+SLICE_S = 0.01  # a live answer waits at most so long behind a slice
+SMALLEST_SLICE_BYTES = 4 << 10  # 9 ms of a link of 3.8 Mbit/s, before a live answer gets its turn
 LARGEST_SLICE_BYTES = 256 << 10
 STUCK_S = 0.5
 
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -46,7 +46,7 @@
 GREET_S = 1.0
 
 
-def spread_rules(settings: Settings) -> SpreadRules:
+def spread_rules(settings: Settings, has_store: bool = True) -> SpreadRules:
     """Return the policy's constants as the settings have them."""
     spread, agent = settings.spread, settings.agent
     return SpreadRules(
@@ -57,6 +57,8 @@
         stall_s=spread.stall_ms / MS_PER_S,
         corrupt_limit=spread.corrupt_limit,
         silence_s=spread.silence_ms / MS_PER_S,
+        source_backoff_limit_s=spread.origin_backoff_ms / MS_PER_S,
+        has_store=has_store,
     )
 
 
@@ -68,7 +70,7 @@
         settings: Settings,
         node: PeerNode,
         origin: WeightSource,
-        store: WeightSource,
+        store: WeightSource | None,
         metrics: Metrics,
         rng: random.Random,
         check: CheckManifest = check_manifest,
@@ -90,7 +92,7 @@
             store=store,
             downlink=Pacer(self.live.weights_rate),
             place=self._place,
-            rules=spread_rules(settings),
+            rules=spread_rules(settings, has_store=store is not None),
             rng=rng,
             metrics=metrics,
         )
@@ -121,7 +123,7 @@
         settings: Settings,
         node: PeerNode,
         origin: WeightSource,
-        store: WeightSource,
+        store: WeightSource | None,
         metrics: Metrics,
         rng: random.Random,
         check: CheckManifest = check_manifest,
@@ -163,6 +165,8 @@
         share with them stay."""
         for digest in self._due.keys() - due.keys():
             self._stop(digest)
+        if due == self._due:
+            return
         fresh = due.keys() - self._due.keys()
         self._due = dict(due)
         self._derive_views()
@@ -229,10 +233,12 @@
         download = self._downloads.get(digest)
         return download.manifest if download else None
 
-    def is_complete(self, digest: Digest) -> bool:
-        """Tell whether every chunk of a due release holds its hash."""
+    def share_held(self, digest: Digest) -> float:
+        """Return the share of a due release's chunks that hold their hash, from 0 to 1."""
         download = self._downloads.get(digest)
-        return download is not None and download.spread.complete
+        if download is None or not download.spread.chunk_count:
+            return 0.0
+        return len(download.spread.held) / download.spread.chunk_count
 
     def chunk_count(self, digest: Digest) -> int:
         """Return how many chunks a due release has, 0 until its manifest is known."""
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -18,6 +18,7 @@
 REPORT_DECAY_S = 0.5  # a report this old counts for 1/e; requests run for about a second
 QUEUED_SHARE = 0.25  # of a target's slots, offered beyond them: about one start per own call's end
 REMOTE_COST = 0.15  # a target in another place counts as that much fuller: borders are priced
+LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
@@ -31,6 +32,7 @@
     reported_own: int = 0  # of those, own ones when the report came
     reported_at: float = -math.inf
     full_until: float = 0.0
+    loading_until: float = 0.0
     heard_at: float = -math.inf  # the last byte of any response
     health: Health = field(default_factory=Health)
 
@@ -43,7 +45,9 @@
     def has_room(self, now: float) -> bool:
         """Tell whether one more request would start soon."""
         slots = self.entry.slots
-        return self.full_until <= now and self.ahead(now) < slots + max(1.0, slots * QUEUED_SHARE)
+        if max(self.full_until, self.loading_until) > now:
+            return False
+        return self.ahead(now) < slots + max(1.0, slots * QUEUED_SHARE)
 
     def occupancy(self, now: float) -> float:
         """Return the share of the slots that would be taken with one more request."""
@@ -54,13 +58,14 @@
 class Wish:
     """What a request needs of a target.
 
-    `least_version` is the oldest version of `model` that may still be begun on; `avoid` are the
-    targets that have had the request already.
+    `least_version` is the oldest version of `model` that may still be begun on, `only_version` the
+    one that an answer has begun with; `avoid` are the targets that have had the request already.
     """
 
     service: ServiceName
     model: ModelName | None = None
     least_version: int = 0
+    only_version: int | None = None
     avoid: frozenset[TargetId] = frozenset()
 
 
@@ -136,11 +141,15 @@
         load.full_until = now + FULL_PAUSE_S
         load.health.note_nothing()
 
-    def note_report(self, target: TargetId, running: int, at: float) -> None:
-        """Take what a target said of its own work: requests running and queued."""
+    def note_report(self, target: TargetId, running: int, at: float, loading: bool = False) -> None:
+        """Take what a target said of its own work: requests running and queued.
+
+        One that is `loading` begins nothing until it says so again.
+        """
         load = self._loads.get(target)
         if load is None or at < load.reported_at:
             return
+        load.loading_until = at + LOADING_S if loading else 0.0
         load.reported = running
         load.reported_own = load.in_flight
         load.reported_at = at
@@ -151,7 +160,10 @@
             return False
         if wish.model is None:
             return True
-        return entry.weights.get(wish.model, -1) >= wish.least_version
+        held = entry.weights.get(wish.model, -1)
+        if wish.only_version is not None and held != wish.only_version:
+            return False
+        return held >= wish.least_version
 
     def _cost(self, load: TargetLoad, now: float) -> tuple[float, float]:
         remote = 0.0 if load.entry.place == self._place else REMOTE_COST
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -5,8 +5,8 @@
 proved the news, so a process that was frozen finds its knowledge old before it admits anything.
 """
 
-from collections.abc import Iterable, Mapping, Set
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping, Sequence, Set
+from dataclasses import dataclass, replace
 
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry, TargetPhase
@@ -20,7 +20,8 @@
     `revocation_s`: a key that was taken away counts no longer. `apply_s`: a change is in force.
     `lapse_s`: a target that vanished from the list during an outage of the store is believed for
     so long after the store's return. `settled_s`: for so long after an outage the list may still
-    lack targets that live. `version_s`: a named version is in use everywhere.
+    lack targets that live. `version_s`: a named version is in use everywhere. `begin_s`: a request
+    that is sent to a target begins there; more than its own short queue takes.
     """
 
     revocation_s: float = 5.0
@@ -28,6 +29,7 @@
     lapse_s: float = 1.9
     settled_s: float = 3.0
     version_s: float = 8.0
+    begin_s: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -48,7 +50,7 @@
     def __init__(self, rules: KnowledgeRules) -> None:
         self.rules = rules
         self.routes: RouteTable | None = None
-        self.due: dict[ModelName, Due] = {}
+        self._due: dict[ModelName, list[Due]] = {}
         self._targets: dict[TargetId, TargetEntry] = {}
         self._lapsing: dict[TargetId, float] = {}
         self._left: set[TargetId] = set()
@@ -96,13 +98,25 @@
         An `old` one was named some time before this process looked: the time allowed for it is over
         as soon as the process counts as settled.
         """
-        known = self.due.get(due.model)
-        if known is not None and due.version <= known.version:
+        named = self._due.setdefault(due.model, [])
+        if named and due.version <= named[-1].version:
             return False
         used_s = max(0.0, self.rules.version_s - self.rules.settled_s) if old else 0.0
-        self.due[due.model] = Due(due.version, now - used_s)
+        named.append(Due(due.version, now - used_s))
         return True
 
+    def due_versions(self, model: ModelName) -> Sequence[Due]:
+        """Return the versions of a model that were named, the oldest first."""
+        return self._due.get(model, ())
+
+    def least_version(self, model: ModelName, now: float) -> int:
+        """Return the oldest version on which a request may still begin; 0 for any."""
+        bound_s = self.rules.version_s - self.rules.begin_s
+        late = [
+            each.version for each in self.due_versions(model) if now - each.learned_at >= bound_s
+        ]
+        return max(late, default=0)
+
     # ---- targets --------------------------------------------------------------------------
 
     def note_outage_end(self, now: float) -> None:
@@ -116,6 +130,9 @@
             self._left.add(entry.target)
         elif entry.target in self._left:
             return
+        known = self._targets.get(entry.target)
+        if known is not None:
+            entry = replace(entry, weights=_newest(known.weights, entry.weights))
         self._targets[entry.target] = entry
 
     def take_whole_list(self, entries: Iterable[TargetEntry], now: float) -> None:
@@ -141,6 +158,21 @@
             return
         del self._targets[target]
 
+    def note_weights(self, target: TargetId, weights: Mapping[ModelName, int]) -> bool:
+        """Take what a target was heard to hold; return whether that is news.
+
+        Within one start of a target versions only rise, so news that overtakes the list, or comes
+        behind it, does no harm.
+        """
+        entry = self._targets.get(target)
+        if entry is None:
+            return False
+        merged = _newest(entry.weights, weights)
+        if merged == entry.weights:
+            return False
+        self._targets[target] = replace(entry, weights=merged)
+        return True
+
     def note_leaving(self, target: TargetId) -> None:
         """Note that a target leaves, as somebody other than the list said."""
         self._left.add(target)
@@ -150,3 +182,9 @@
         for target in [each for each, until in self._lapsing.items() if until <= now]:
             del self._lapsing[target]
             self._targets.pop(target, None)
+
+
+def _newest(
+    one: Mapping[ModelName, int], other: Mapping[ModelName, int]
+) -> Mapping[ModelName, int]:
+    return {model: max(one.get(model, 0), other.get(model, 0)) for model in {**one, **other}}
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -1,6 +1,7 @@
 """Where a chunk may come from, and what is known of each source."""
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TypeAlias
@@ -32,6 +33,7 @@
 
 ORIGIN = Origin()
 STORE = Store()
+NAMES: Mapping[Source, str] = {ORIGIN: "origin", STORE: "weight-store"}
 
 
 class FetchFailure(Enum):
@@ -87,7 +89,8 @@
 class SpreadRules:
     """The constants of the policy; times in seconds, sizes in bytes, rates in bytes per second.
 
-    `in_flight` bounds the chunks asked of one neighbour, `in_flight_total` of all together.
+    `in_flight` bounds the chunks asked of one neighbour, `in_flight_total` of all together;
+    `has_store` tells whether there is a weight store beside the origin.
     """
 
     link_bytes_per_s: float
@@ -99,6 +102,7 @@
     silence_s: float = 15.0
     source_backoff_s: float = 0.5
     source_backoff_limit_s: float = 8.0
+    has_store: bool = True
 
 
 class PlatformSources:
@@ -107,7 +111,9 @@
     def __init__(self, rules: SpreadRules, rng: random.Random) -> None:
         self._rules = rules
         self._rng = rng
-        self._states: dict[Source, SourceState] = {ORIGIN: SourceState(), STORE: SourceState()}
+        self._states: dict[Source, SourceState] = {ORIGIN: SourceState()}
+        if rules.has_store:
+            self._states[STORE] = SourceState()
 
     @property
     def failures(self) -> int:
@@ -117,9 +123,8 @@
     @property
     def bad(self) -> list[str]:
         """Those that gave too many corrupt chunks."""
-        named = {"origin": self._states[ORIGIN], "weight-store": self._states[STORE]}
         limit = self._rules.corrupt_limit
-        return [name for name, state in named.items() if state.corrupt >= limit]
+        return [NAMES[source] for source, state in self._states.items() if state.corrupt >= limit]
 
     def pick(self, now: float) -> Source | None:
         """Return the one to ask: the origin unless it failed lately; None when both did."""
--- /dev/null
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -0,0 +1,128 @@
+"""Which versions of its weights a target is to be brought to, in which order, and when.
+
+Versions can be named faster than they spread. Each has its own bound, after which nothing may begin
+on an older one, so a version that is on its way is not given up for the next one unless the next
+one is here before the bound of the first: what is half fetched serves nobody, and the source of the
+next one may fail.
+"""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+
+from lacewinggw.decisions.knowledge import Due
+from lacewinggw.decisions.pollers import rank_of
+from lacewinggw.ids import HostId
+
+FIRST_VERSION = 1  # of a model's weights, where no other has been named
+WAVES = 3  # a third of a service may be out at once; a wave lasts about one request's time
+WAVE_S = 1.2  # a target is emptied for 0.8 s and loads for 0.3 s
+LAST_MARGIN_S = 1.4  # before the bound: it is emptied, and nothing begins there any more
+SPARE_S = 1.0  # beyond the time that the rest of a version takes, to count on it in time
+OLD_STAYS_S = 2.0  # an older version that is at hand is loaded if it may serve for so long
+
+
+@dataclass(frozen=True)
+class UpgradeRules:
+    """`allowed_s` after it was named a version is in use; a copy takes `copy_s` to fetch."""
+
+    allowed_s: float
+    copy_s: float
+
+
+@dataclass(frozen=True)
+class Progress:
+    """The share of each version that is at hand here, from 0 to 1."""
+
+    shares: Mapping[int, float]
+
+    def is_complete(self, version: int) -> bool:
+        """Tell whether a version is at hand whole."""
+        return self.shares.get(version, 0.0) >= 1.0
+
+
+@dataclass(frozen=True)
+class Upgrade:
+    """What to do now: versions to fetch, the first one first, and the one to load, if any.
+
+    With `may_cut` other targets still have the old version, so that requests which are broken off
+    can go on there.
+    """
+
+    fetch: tuple[int, ...] = ()
+    load: int | None = None
+    may_cut: bool = False
+
+
+class UpgradePlan:
+    """The steps of one target among those of its service.
+
+    plan = UpgradePlan(rules, host, hosts)
+    plan.decide(current, due, progress, now)
+    """
+
+    def __init__(self, rules: UpgradeRules, host: HostId, hosts: Collection[HostId]) -> None:
+        self._rules = rules
+        wave = rank_of("upgrades", host, hosts) * WAVES // max(1, len(hosts))
+        self._waves_after = WAVES - 1 - wave
+
+    def decide(
+        self, current: int | None, due: Sequence[Due], progress: Progress, now: float
+    ) -> Upgrade:
+        """Return what to do for a target that has `current`, None for no version at all."""
+        if not due:
+            return self._for_first(current, progress)
+        if current is None:
+            return self._for_empty(due, progress, now)
+        pending = [each for each in due if each.version > current]
+        if not pending:
+            return Upgrade()
+        wanted = self._skip(pending, progress, now)
+        first = wanted[0]
+        load = None
+        if progress.is_complete(first.version) and now >= self._turn_at(pending[0]):
+            load = first.version
+        return Upgrade(_open(wanted, progress), load, may_cut=self._waves_after > 0)
+
+    def _for_first(self, current: int | None, progress: Progress) -> Upgrade:
+        if current is not None:
+            return Upgrade()
+        load = FIRST_VERSION if progress.is_complete(FIRST_VERSION) else None
+        return Upgrade((FIRST_VERSION,), load)
+
+    def _for_empty(self, due: Sequence[Due], progress: Progress, now: float) -> Upgrade:
+        """Bring the newest version, and meanwhile serve an older one that is at hand."""
+        newest = due[-1]
+        if progress.is_complete(newest.version):
+            return Upgrade((newest.version,), newest.version)
+        if now + OLD_STAYS_S < self._bound(newest):
+            older = [version for version in progress.shares if version < newest.version]
+            at_hand = [version for version in older if progress.is_complete(version)]
+            if at_hand:
+                return Upgrade((newest.version,), max(at_hand))
+        return Upgrade((newest.version,))
+
+    def _skip(self, pending: Sequence[Due], progress: Progress, now: float) -> Sequence[Due]:
+        """Leave out versions that a later one makes needless in time."""
+        bound = self._bound(pending[0])
+        newest = pending[-1]
+        rest_s = (1.0 - progress.shares.get(newest.version, 0.0)) * self._rules.copy_s
+        if now + rest_s + SPARE_S <= bound or progress.is_complete(newest.version):
+            return [newest]
+        return pending
+
+    def _turn_at(self, first: Due) -> float:
+        """Return when this target's wave begins, counted back from the bound."""
+        return self._bound(first) - LAST_MARGIN_S - self._waves_after * WAVE_S
+
+    def _bound(self, due: Due) -> float:
+        return due.learned_at + self._rules.allowed_s
+
+
+def _open(wanted: Sequence[Due], progress: Progress) -> tuple[int, ...]:
+    """Return the versions to fetch now: the next one only when those before are at hand."""
+    opened: list[int] = []
+    for each in wanted:
+        opened.append(each.version)
+        if not progress.is_complete(each.version):
+            break
+    return tuple(opened)
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
@@ -23,11 +24,19 @@
 LONGEST_RETRY_S = 1.0  # a store that is back is noticed within this
 
 
+@dataclass(frozen=True)
+class Wait:
+    """How long one call waits for news, and how long to let more gather after some came."""
+
+    for_news_s: float
+    after_news_s: float = 0.0
+
+
 class TopicFollower:
     """Keep a topic up to date; `apply` gets each piece of news with the moment it is proved for.
 
-    `wait_s` is how long one call waits for news; a connection that has gone silent is noticed
-    after that and a little more, so it bounds how old the knowledge may grow.
+    A connection that has gone silent is noticed after the wait and a little more, so the wait
+    bounds how old the knowledge may grow.
     """
 
     def __init__(
@@ -35,7 +44,7 @@
         topic: Topic,
         feed: FleetFeed,
         apply: Apply,
-        wait_s: float,
+        wait: Wait,
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
@@ -43,7 +52,7 @@
         self._topic = topic
         self._feed = feed
         self._apply = apply
-        self._wait_s = wait_s
+        self._wait = wait
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
@@ -81,12 +90,14 @@
             self._note_answer()
             self._position = news.position
             self._apply(news, sent_at)
+            if news.changes:
+                await asyncio.sleep(self._wait.after_news_s)
 
     async def _read(self) -> News:
         self._reads.add()
         if self._position is None:
             return await self._feed.snapshot(self._topic)
-        return await self._feed.changes(self._topic, self._position, self._wait_s)
+        return await self._feed.changes(self._topic, self._position, self._wait.for_news_s)
 
     async def _back_off(self, error: PlatformError) -> None:
         self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -83,12 +83,14 @@
     """What the head of an answer tells.
 
     With `not_run` the target says that it did not run the request; `call_id` is the request that
-    the answer belongs to, `sealed` whether it bears the target's mark.
+    the answer belongs to, `sealed` whether it bears the target's mark, `version` the version of the
+    weights that it comes from.
     """
 
     call_id: str | None
     not_run: bool
     sealed: bool
+    version: int | None = None
 
 
 class CallCodec(Protocol):
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -18,7 +18,7 @@
 from lacewinggw.fleet.announcer import Announcer
 from lacewinggw.fleet.bounds import knowledge_rules
 from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, MemberRegister, News, Put, Topic
-from lacewinggw.fleet.follower import TopicFollower
+from lacewinggw.fleet.follower import TopicFollower, Wait
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.neighbours import EntryNeighbours
@@ -28,7 +28,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
-from lacewinggw.ids import Address, HostId, Place, TargetId, new_incarnation
+from lacewinggw.ids import Address, HostId, ModelName, Place, TargetId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
@@ -39,9 +39,11 @@
 
 MS_PER_S = 1000.0
 PERCENT = 100.0
-ROUTES_WAIT_S = 1.2  # keeps the age of the routes within half of the shortest bound on keys
-LIST_WAIT_S = 4.0  # a silent connection is noticed within the bound on leaving targets and a window
-MEMBERS_WAIT_S = 15.0
+# The age of the routes stays within half of the shortest bound on keys.
+ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.15)
+# A silent connection is noticed within the bound on leaving targets and a window of stability.
+LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
+MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
 EXPIRE_S = 0.1
 ACCEPT_WHILE_LEAVING_S = (
     2.5  # callers that hold an old answer still come; told to go elsewhere then
@@ -125,7 +127,6 @@
                 rng=rng,
                 retry_share=fleet.retry_percent / PERCENT,
                 extra_retries=0.0,
-                version_s=fleet.version_ms / MS_PER_S,
             )
         )
         self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
@@ -138,9 +139,9 @@
             HttpServer(network, entry.operator_listen, pages.handle),
         ]
         self._followers = [
-            self._follow(Topic.CONFIGURATION, ROUTES_WAIT_S, rng),
-            self._follow(Topic.TARGETS, LIST_WAIT_S, rng),
-            self._follow(Topic.MEMBERS, MEMBERS_WAIT_S, rng),
+            self._follow(Topic.CONFIGURATION, ROUTES_WAIT, rng),
+            self._follow(Topic.TARGETS, LIST_WAIT, rng),
+            self._follow(Topic.MEMBERS, MEMBERS_WAIT, rng),
         ]
         self._announcer = Announcer(adapter.register, self._member(), rng)
         self._expiry = Background("expiry", self._expire)
@@ -228,13 +229,13 @@
 
     # ---- the store ------------------------------------------------------------------------
 
-    def _follow(self, topic: Topic, wait_s: float, rng: random.Random) -> TopicFollower:
+    def _follow(self, topic: Topic, wait: Wait, rng: random.Random) -> TopicFollower:
         feed, clock, metrics = self._adapter.feed, self._clock, self.metrics
 
         def apply(news: News, proved_at: float) -> None:
             self._apply(topic, news, proved_at)
 
-        return TopicFollower(topic, feed, apply, wait_s, clock, metrics, rng)
+        return TopicFollower(topic, feed, apply, wait, clock, metrics, rng)
 
     def _apply(self, topic: Topic, news: News, proved_at: float) -> None:
         match topic:
@@ -340,9 +341,13 @@
 
     def _take_target_news(self, news: messages.TargetNews) -> None:
         now = asyncio.get_running_loop().time()
-        self.pool.note_report(TargetId(news.target_id), news.running + news.queued, now)
+        target = TargetId(news.target_id)
+        self.pool.note_report(target, news.running + news.queued, now, news.loading)
         if news.leaving:
-            self.knowledge.note_leaving(TargetId(news.target_id))
+            self.knowledge.note_leaving(target)
+        held = {ModelName(each.model): each.version for each in news.held}
+        if self.knowledge.note_weights(target, held):
+            self.pool.sync(self.knowledge.targets)
 
 
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -62,6 +62,7 @@
     runs: int = 0  # offers that were not proved not to have run
     avoid: set[TargetId] = field(default_factory=set)
     last_event: int | None = None
+    version: int | None = None  # of the weights that the answer has begun with
     failure: tuple[int, Headers, bytes] | None = None  # a target's own answer that says it failed
 
     @property
@@ -87,7 +88,6 @@
     rng: random.Random
     retry_share: float
     extra_retries: float
-    version_s: float
 
 
 class Relay:
@@ -217,16 +217,14 @@
         if not service or service.engine is None or model is None:
             return Wish(admitted.service, avoid=frozenset(job.avoid))
         least = self._least_version(job)
-        return Wish(admitted.service, model, least, frozenset(job.avoid))
+        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid))
 
     def _least_version(self, job: Job) -> int:
         """Return the oldest version of the model that a request may still begin on."""
         model = job.admitted.facts.model
-        due = self._parts.knowledge.due.get(model) if model else None
-        if due is None:
+        if model is None:
             return 0
-        late = self._parts.clock() - due.learned_at > self._parts.version_s
-        return due.version if late else 0
+        return self._parts.knowledge.least_version(model, self._parts.clock())
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         if service not in self._budgets:
@@ -262,7 +260,8 @@
         facts = job.admitted.facts
         resume_after = job.last_event if job.last_event is not None else facts.last_event
         least = self._least_version(job)
-        return Sending(least or None, resume_after, min(9, 2 + job.admitted.priority))
+        version = job.version if job.version is not None else least or None
+        return Sending(version, resume_after, min(9, 2 + job.admitted.priority))
 
     def _silence_s(self, job: Job) -> float:
         """Return how long a target may be silent: to the end where nobody else may be asked."""
@@ -283,7 +282,9 @@
         self._log_offer(job, load, "not-run", reason)
 
     def _note_failed(self, job: Job, load: TargetLoad, reason: str) -> None:
-        self._parts.pool.failed(load, _now())
+        now = _now()
+        if load.loading_until <= now:
+            self._parts.pool.failed(load, now)
         self._parts.metrics.retry(RetryReason.TARGET_FAILED)
         self._log_offer(job, load, "failed", reason)
 
@@ -325,6 +326,7 @@
             if caller.has_begun:
                 await caller.send(data)
             else:
+                job.version = answer.facts.version
                 await caller.begin(answer.status, _headers_to_caller(answer.headers), data)
         if not caller.has_begun:
             await caller.begin(answer.status, _headers_to_caller(answer.headers))
--- a/src/lacewinggw/loader/keeper.py
+++ b/src/lacewinggw/loader/keeper.py
@@ -7,7 +7,6 @@
 
 import hashlib
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from lacewinggw.agent.weights import Spreader
 from lacewinggw.errors import TargetUnreachable
@@ -21,20 +20,6 @@
 log = get_logger(__name__)
 
 
-@dataclass(frozen=True)
-class Goal:
-    """The version that a target is to have, and from when it may take it (the boot clock)."""
-
-    model: ModelName
-    version: int
-    turn_at: float
-
-    @property
-    def release(self) -> Digest:
-        """The version as a release of the spread."""
-        return release_of(self.model, self.version)
-
-
 class StagedChunks:
     """The pieces that lie staged at the target, as chunks from before this process was started."""
 
@@ -63,7 +48,7 @@
         self._spreader = spreader
         self._metrics = metrics
         self._orders = metrics.counter("load_orders")
-        self._restaged = metrics.counter("staged_pieces_replaced")
+        self._replaced = metrics.counter("staged_pieces_replaced")
         self._staged: set[int] = set()  # pieces of `_staged_for` that this process staged or read
         self._staged_for: Digest | None = None
         self._loading = False
@@ -73,49 +58,53 @@
         """Whether an order was given whose end has not been reported."""
         return self._loading
 
-    async def advance(self, goal: Goal, report: LoadableReport, now: float) -> None:
-        """Do what the report shows to be missing; raise `TargetUnreachable`."""
-        if report.weights.get(goal.model) == goal.version:
+    def note_report(self, report: LoadableReport) -> None:
+        """Take what the target says now: a load is over once it is not busy any more."""
+        if not report.busy:
             self._loading = False
-            return
-        if report.busy:
-            return
-        self._loading = False
-        manifest = self._spreader.manifest(goal.release)
-        if manifest is None:
-            return
-        await self._stage(goal, manifest)
-        empty = goal.model not in report.weights
-        if not self._spreader.is_complete(goal.release) or not (empty or now >= goal.turn_at):
-            return
-        await self._load(goal, manifest, report)
 
-    async def _stage(self, goal: Goal, manifest: Manifest) -> None:
-        """Stage the verified pieces that are not staged yet."""
-        if self._staged_for != goal.release:
-            self._staged_for = goal.release
+    async def stage(self, model: ModelName, version: int) -> None:
+        """Stage the verified pieces of a version that are not staged yet."""
+        release = release_of(model, version)
+        if self._staged_for != release:
+            self._staged_for = release
             self._staged = set()
-        for index in sorted(self._spreader.held(goal.release) - self._staged):
-            await self._stage_piece(goal, index)
-
-    async def _stage_piece(self, goal: Goal, index: int) -> None:
-        data = self._spreader.chunk(goal.release, index)
-        await self._target.stage_piece(goal.model, index, data)
-        self._staged.add(index)
-
-    async def _load(self, goal: Goal, manifest: Manifest, report: LoadableReport) -> None:
-        """Check every piece where it lies, then give the order."""
-        for index, wanted in enumerate(manifest.chunk_hashes):
-            data = await self._target.read_piece(goal.model, index)
-            if data is None or hashlib.sha256(data).digest() != wanted:
-                self._restaged.add()
-                log.warning("staged_piece_replaced", release=goal.release, index=index)
-                await self._stage_piece(goal, index)
-        order = LoadOrder(goal.model, goal.version, Switch.FINISH, goal.version, report.orders)
+        for index in sorted(self._spreader.held(release) - self._staged):
+            await self._stage_piece(model, release, index)
+
+    async def load(
+        self, model: ModelName, version: int, switch: Switch, report: LoadableReport
+    ) -> None:
+        """Check every piece where it lies, then give the order; raise `TargetUnreachable`."""
+        release = release_of(model, version)
+        manifest = self._spreader.manifest(release)
+        if manifest is None:
+            return
+        await self.stage(model, version)
+        await self._check_staged(model, release, manifest)
+        order = LoadOrder(model, version, switch, version, report.orders)
         self._loading = True
         self._orders.add()
         outcome = await self._target.order(order)
-        log.info("load_ordered", release=goal.release, outcome=outcome.value, orders=report.orders)
+        log.info(
+            "load_ordered",
+            release=release,
+            outcome=outcome.value,
+            switch=switch.value,
+            running=report.running,
+        )
         if outcome is OrderOutcome.REFUSED:
             self._loading = False
             self._metrics.retry(RetryReason.ORDER_FAILED)
+
+    async def _check_staged(self, model: ModelName, release: Digest, manifest: Manifest) -> None:
+        for index, wanted in enumerate(manifest.chunk_hashes):
+            data = await self._target.read_piece(model, index)
+            if data is None or hashlib.sha256(data).digest() != wanted:
+                self._replaced.add()
+                log.warning("staged_piece_replaced", release=release, index=index)
+                await self._stage_piece(model, release, index)
+
+    async def _stage_piece(self, model: ModelName, release: Digest, index: int) -> None:
+        await self._target.stage_piece(model, index, self._spreader.chunk(release, index))
+        self._staged.add(index)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -13,13 +13,19 @@
 from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.clock import Clock, read_boot_clock
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.routes import RouteTable, Service
+from lacewinggw.decisions.routes import Repeat, RouteTable, Service
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.decisions.turns import turn_at
+from lacewinggw.decisions.upgrades import (
+    FIRST_VERSION,
+    Progress,
+    Upgrade,
+    UpgradePlan,
+    UpgradeRules,
+)
 from lacewinggw.errors import PlatformUnavailable, TargetUnreachable
 from lacewinggw.fleet.bounds import knowledge_rules
 from lacewinggw.fleet.feed import Drop, FleetFeed, News, Put, Topic
-from lacewinggw.fleet.follower import TopicFollower
+from lacewinggw.fleet.follower import TopicFollower, Wait
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
@@ -32,8 +38,9 @@
     TargetId,
     new_incarnation,
 )
-from lacewinggw.loader.keeper import Goal, StagedChunks, TargetLoader
-from lacewinggw.loader.target import LoadableReport, LoadableTarget
+from lacewinggw.loader.keeper import StagedChunks, TargetLoader
+from lacewinggw.loader.releases import release_of
+from lacewinggw.loader.target import LoadableReport, LoadableTarget, Switch
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
@@ -43,11 +50,13 @@
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
 
 MS_PER_S = 1000.0
-FIRST_VERSION = 1  # of a model's weights, where no other has been named
+COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
 NEWS_S = 0.2  # between news of the target's work: a border between regions is narrow and priced
-CONFIGURATION_WAIT_S = 4.0
-LIST_WAIT_S = 8.0  # leaving targets concern an agent only as neighbours in the spread
+EMPTYING_S = 0.8  # most requests end within it; those that do not go on elsewhere
+CONFIGURATION_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
+# Leaving targets concern an agent only as neighbours in the spread.
+LIST_WAIT = Wait(for_news_s=8.0, after_news_s=1.0)
 
 log = get_logger(__name__)
 
@@ -91,18 +100,6 @@
         return self._origin
 
 
-class _NoWeightStore:
-    """Stands where a fleet has no second source of weights."""
-
-    async def manifest_by_digest(self, digest: Digest) -> messages.Manifest:
-        """Have none."""
-        raise PlatformUnavailable(f"no weight store to have {digest} from")
-
-    async def fetch(self, manifest: messages.Manifest, index: int) -> bytes:
-        """Have none."""
-        raise PlatformUnavailable(f"no weight store to have {manifest.digest} from")
-
-
 class LoaderProcess:
     """Everything that runs in the slot on one target host of a declared fleet.
 
@@ -135,7 +132,7 @@
             settings,
             self._node,
             self._origin,
-            _NoWeightStore(),
+            None,  # there is no second source of weights
             self.metrics,
             rng,
             check_named,
@@ -145,6 +142,8 @@
         self._listeners: set[PeerLink] = set()
         self._report: LoadableReport | None = None
         self._told_at = 0.0
+        self._emptying_since: float | None = None
+        self._was_heard = False
         self._told: messages.TargetNews | None = None
         pages = HealthPages(Health(self.metrics, self._readiness))
         self._server = HttpServer(network, agent.operator_listen, pages.handle)
@@ -154,14 +153,12 @@
                 Topic.CONFIGURATION,
                 feed,
                 self._apply_configuration,
-                CONFIGURATION_WAIT_S,
+                CONFIGURATION_WAIT,
                 clock,
                 metrics,
                 rng,
             ),
-            TopicFollower(
-                Topic.TARGETS, feed, self._apply_targets, LIST_WAIT_S, clock, metrics, rng
-            ),
+            TopicFollower(Topic.TARGETS, feed, self._apply_targets, LIST_WAIT, clock, metrics, rng),
         ]
         self._reports = Background("target reports", self._watch_target)
         self._loads = Background("loading", self._keep_loaded)
@@ -233,18 +230,29 @@
         name = ServiceName(self._settings.agent.service_name)
         return routes.services.get(name) if routes else None
 
-    def _goal(self) -> Goal | None:
-        """Return the version that the target beside this process is to have."""
+    @property
+    def _rules(self) -> UpgradeRules:
+        """The time that is allowed, and that a copy takes by this host's link."""
+        figures = self._service.weights if self._service else None
+        size = figures.chunks * figures.chunk_bytes if figures else 0
+        copy_s = COPY_FACTOR * size / self._settings.agent.link_bytes_per_s
+        return UpgradeRules(self._settings.fleet.version_ms / MS_PER_S, copy_s)
+
+    @property
+    def _model(self) -> ModelName | None:
+        """The model that the target beside this process is to serve."""
         service = self._service
-        if service is None or not service.models:
-            return None
-        model = service.models[0]
-        due = self.knowledge.due.get(model)
-        if due is None:
-            return Goal(model, FIRST_VERSION, turn_at=0.0)
-        allowed_s = self._settings.fleet.version_ms / MS_PER_S
-        hosts = [HostId(host) for host in self._hosts_due()]
-        return Goal(model, due.version, turn_at(self._host, hosts, due.learned_at, allowed_s))
+        return service.models[0] if service is not None and service.models else None
+
+    def _upgrade(self, model: ModelName) -> Upgrade:
+        """Return what is to be done for the target; one that does not answer counts as empty."""
+        report = self._report
+        current = report.weights.get(model) if report else None
+        due = self.knowledge.due_versions(model)
+        versions = {FIRST_VERSION, *(each.version for each in due)}
+        shares = {each: self.spreader.share_held(release_of(model, each)) for each in versions}
+        plan = UpgradePlan(self._rules, self._host, self._hosts_due())
+        return plan.decide(current, due, Progress(shares), self._clock())
 
     def _hosts_due(self) -> list[HostId]:
         """Return the hosts whose targets are to have the version, this one included."""
@@ -257,18 +265,33 @@
         return sorted(hosts | {self._host})
 
     def _set_due(self) -> None:
-        routes = self.knowledge.routes
-        goal = self._goal()
-        if routes is None or goal is None:
+        """Have the spread bring what is to be fetched, and keep what others may still want."""
+        routes, model = self.knowledge.routes, self._model
+        if routes is None or model is None:
             return
         for service in routes.services.values():
             if service.origin is not None:
                 self._origin.point_to(service.origin)
         hosts = self._hosts_due()
         self.spreader.set_members(self._neighbours(hosts))
+        versions = self._upgrade(model).fetch or self._kept_version(model)
         prefer = messages.Prefer.ORIGIN_BYTES
-        due = DueRelease(goal.release, goal.release, tuple(hosts), prefer)
-        self.spreader.set_due({goal.release: due})
+        if self._awaits_first_report:
+            versions = ()
+        releases = [release_of(model, version) for version in versions]
+        due = {each: DueRelease(each, each, tuple(hosts), prefer) for each in releases}
+        self.spreader.set_due(due)
+
+    @property
+    def _awaits_first_report(self) -> bool:
+        """Whether the target may come with weights, at the first start of the whole fleet."""
+        return self._settings.fleet.first_start and not self._was_heard
+
+    def _kept_version(self, model: ModelName) -> tuple[int, ...]:
+        """Return the version that the target serves: others fetch its pieces from here."""
+        report = self._report
+        current = report.weights.get(model) if report else None
+        return () if current is None else (current,)
 
     def _neighbours(self, hosts: list[HostId]) -> list[Member]:
         port = self._settings.agent.peer_listen.rpartition(":")[2]
@@ -285,6 +308,8 @@
         while True:
             try:
                 self._report = await self._target.report()
+                self._loader.note_report(self._report)
+                self._was_heard = True
             except TargetUnreachable as error:
                 if self._report is not None:
                     log.warning("target_lost", error=error)
@@ -294,14 +319,47 @@
 
     async def _keep_loaded(self) -> None:
         while True:
-            goal, report = self._goal(), self._report
-            if goal is not None and report is not None:
-                try:
-                    await self._loader.advance(goal, report, self._clock())
-                except TargetUnreachable as error:
-                    log.info("load_step_failed", error=error)
-                self._report = None if self._loader.is_loading else self._report
             await asyncio.sleep(REPORT_S)
+            self._set_due()
+            model, report = self._model, self._report
+            if model is None or report is None or report.busy or self._loader.is_loading:
+                continue
+            try:
+                await self._advance(model, report)
+            except TargetUnreachable as error:
+                log.info("load_step_failed", error=error)
+
+    async def _advance(self, model: ModelName, report: LoadableReport) -> None:
+        upgrade = self._upgrade(model)
+        if upgrade.load is None:
+            self._emptying_since = None
+            if upgrade.fetch:
+                await self._loader.stage(model, upgrade.fetch[0])
+            return
+        if not self._is_emptied(report):
+            return
+        switch = Switch.CUT if upgrade.may_cut and self._all_resume() else Switch.FINISH
+        await self._loader.load(model, upgrade.load, switch, report)
+        self._emptying_since = None
+        self._tell_entries()
+
+    def _is_emptied(self, report: LoadableReport) -> bool:
+        """Tell whether what runs on the target has had its time; entries send nothing meanwhile."""
+        now = self._clock()
+        if self._emptying_since is None:
+            self._emptying_since = now
+            self._tell_entries()
+        return not report.running or now - self._emptying_since >= EMPTYING_S
+
+    def _all_resume(self) -> bool:
+        """Tell whether every request that the target may run can go on at another one."""
+        routes = self.knowledge.routes
+        name = ServiceName(self._settings.agent.service_name)
+        return routes is not None and all(
+            route.repeat is Repeat.RESUMABLE
+            for route in routes.routes
+            if any(share.service == name for share in route.shares)
+        )
 
     # ---- entries --------------------------------------------------------------------------
 
@@ -320,7 +378,10 @@
         """Send news of the target's work to the entries that listen, when it has changed."""
         now = self._clock()
         news = self._compose()
-        if news is None or (news == self._told) or now - self._told_at < NEWS_S:
+        if news is None or news == self._told:
+            return
+        urgent = self._told is None or news.loading != self._told.loading
+        if not urgent and now - self._told_at < NEWS_S:
             return
         self._told, self._told_at = news, now
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
@@ -337,7 +398,7 @@
             queued=report.queued,
             leaving=target.target in self.knowledge.leaving,
             held=[_held(model, version) for model, version in report.weights.items()],
-            loading=self._loader.is_loading,
+            loading=self._loader.is_loading or self._emptying_since is not None,
         )
 
     def _own_target(self) -> TargetEntry | None:
