--- a/src/lacewinggw/agent/links.py
+++ b/src/lacewinggw/agent/links.py
@@ -5,6 +5,8 @@
 
 from lacewinggw.decisions.yielding import YieldPolicy, YieldRules
 
+CATCH_UP_S = 0.02  # timers fire some ms late, slice after slice; that much is made up for
+
 Rate = Callable[[], float]
 
 
@@ -13,7 +15,7 @@
 
 
 class Pacer:
-    """One direction of the link, as a token bucket that holds no burst.
+    """One direction of the link, as a token bucket that holds a burst of `CATCH_UP_S` only.
 
     Bytes sent wait until the end of their time on the link; bytes received have had theirs, and
     wait only while earlier ones are still coming in. `rate` gives bytes per second and may change.
@@ -25,7 +27,7 @@
 
     async def send(self, size: int) -> None:
         """Wait until `size` bytes have had their time on the link."""
-        self._free_at = max(_now(), self._free_at) + size / self._rate()
+        self._free_at = max(_now() - CATCH_UP_S, self._free_at) + size / self._rate()
         await _sleep_until(self._free_at)
 
     async def receive(self, size: int) -> None:
--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -4,6 +4,11 @@
 on an older one, so a version that is on its way is not given up for the next one unless the next
 one is here before the bound of the first: what is half fetched serves nobody, and the source of the
 next one may fail.
+
+A version takes most of its time to arrive, on all targets at about the same moment, and a target
+that lets its requests end before it loads is out for two seconds. So half of a service takes the
+version the moment it is there, and what it breaks off goes on at the other half; that half is
+emptied, as new requests go to the first, and takes the version just before the bound.
 """
 
 from collections.abc import Collection, Mapping, Sequence
@@ -14,9 +19,8 @@
 from lacewinggw.ids import HostId
 
 FIRST_VERSION = 1  # of a model's weights, where no other has been named
-WAVES = 3  # a third of a service may be out at once; a wave lasts about one request's time
-WAVE_S = 1.2  # a target is emptied for 0.8 s and loads for 0.3 s
-LAST_MARGIN_S = 1.4  # before the bound: it is emptied, and nothing begins there any more
+EMPTYING_S = 1.0  # most running requests end within it, those of the usual length all
+LAST_MARGIN_S = 0.6  # before the bound: an order then still keeps anything from beginning late
 SPARE_S = 1.0  # beyond the time that the rest of a version takes, to count on it in time
 OLD_STAYS_S = 2.0  # an older version that is at hand is loaded if it may serve for so long
 
@@ -45,7 +49,7 @@
     """What to do now: versions to fetch, the first one first, and the one to load, if any.
 
     With `may_cut` other targets still have the old version, so that requests which are broken off
-    can go on there.
+    can go on there; without, the target is emptied first and what is left ends by itself.
     """
 
     fetch: tuple[int, ...] = ()
@@ -62,8 +66,7 @@
 
     def __init__(self, rules: UpgradeRules, host: HostId, hosts: Collection[HostId]) -> None:
         self._rules = rules
-        wave = rank_of("upgrades", host, hosts) * WAVES // max(1, len(hosts))
-        self._waves_after = WAVES - 1 - wave
+        self._is_early = 2 * (rank_of("upgrades", host, hosts) + 1) <= len(hosts)
 
     def decide(
         self, current: int | None, due: Sequence[Due], progress: Progress, now: float
@@ -78,10 +81,9 @@
             return Upgrade()
         wanted = self._skip(pending, progress, now)
         first = wanted[0]
-        load = None
-        if progress.is_complete(first.version) and now >= self._turn_at(pending[0]):
-            load = first.version
-        return Upgrade(_open(wanted, progress), load, may_cut=self._waves_after > 0)
+        has_turn = self._is_early or now >= self._late_turn_at(pending[0])
+        load = first.version if has_turn and progress.is_complete(first.version) else None
+        return Upgrade(_open(wanted, progress), load, may_cut=self._is_early)
 
     def _for_first(self, current: int | None, progress: Progress) -> Upgrade:
         if current is not None:
@@ -110,9 +112,9 @@
             return [newest]
         return pending
 
-    def _turn_at(self, first: Due) -> float:
-        """Return when this target's wave begins, counted back from the bound."""
-        return self._bound(first) - LAST_MARGIN_S - self._waves_after * WAVE_S
+    def _late_turn_at(self, first: Due) -> float:
+        """Return when the late half begins to empty its targets, counted back from the bound."""
+        return self._bound(first) - LAST_MARGIN_S - EMPTYING_S
 
     def _bound(self, due: Due) -> float:
         return due.learned_at + self._rules.allowed_s
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -45,6 +45,7 @@
 LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
 EXPIRE_S = 0.1
+EXTRA_SHARE = 0.8  # of the fleet's extra retries: entries may count one another wrongly for a while
 ACCEPT_WHILE_LEAVING_S = (
     2.5  # callers that hold an old answer still come; told to go elsewhere then
 )
@@ -126,7 +127,8 @@
                 metrics=self.metrics,
                 rng=rng,
                 retry_share=fleet.retry_percent / PERCENT,
-                extra_retries=0.0,
+                extra_retries=EXTRA_SHARE * fleet.extra_retries,
+                count_entries=self._count_entries,
             )
         )
         self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
@@ -206,6 +208,9 @@
             caller_address=Address(entry.caller_address or entry.caller_listen),
         )
 
+    def _count_entries(self) -> int:
+        return max(1, len(self._members))
+
     def _readiness(self) -> Readiness:
         version = self.knowledge.routes.version if self.knowledge.routes else 0
         reason = "" if self.is_ready else "the routes or the targets are not known, or it leaves"
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from lacewinggw.clock import Clock
@@ -49,6 +50,7 @@
 SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
 LEAST_SILENCE_S = 0.6
 PATIENCE_SHARE = 0.6  # of the objective that may pass in the queue: the rest is for the answer
+RESUMED_PRIORITY = -1  # before all: its caller has part of the answer already
 RETRY_AFTER_MS = 400  # where nothing is known of when there is room
 KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
@@ -88,6 +90,7 @@
     rng: random.Random
     retry_share: float
     extra_retries: float
+    count_entries: Callable[[], int]
 
 
 class Relay:
@@ -129,6 +132,11 @@
             await self._end_late(job, caller)
         except LacewingError as error:
             await self._refuse(call, facts.call_id, error, caller)
+        except (CallerGone, OSError):
+            raise
+        except Exception:
+            log.exception("request_broke", request_id=facts.call_id)
+            await self._refuse(call, facts.call_id, LacewingError("the process failed"), caller)
         else:
             self._answered.add()
         self._latency.record(_now() - began)
@@ -204,7 +212,8 @@
         until = min(admitted.deadline, admitted.call.arrived_at + patience_s)
         if job.offers:
             until = admitted.deadline
-        load = await self._parts.queue.claim(wish, admitted.priority, False, until)
+        priority = RESUMED_PRIORITY if job.runs else admitted.priority
+        load = await self._parts.queue.claim(wish, priority, False, until)
         self._budget(admitted.service).note_call(_now())
         return load
 
@@ -227,10 +236,10 @@
         return self._parts.knowledge.least_version(model, self._parts.clock())
 
     def _budget(self, service: ServiceName) -> RetryBudget:
-        if service not in self._budgets:
-            parts = self._parts
-            self._budgets[service] = RetryBudget(parts.retry_share, parts.extra_retries)
-        return self._budgets[service]
+        parts = self._parts
+        budget = self._budgets.setdefault(service, RetryBudget(parts.retry_share))
+        budget.extra = parts.extra_retries / parts.count_entries()
+        return budget
 
     async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
         """Offer the request to a target; return whether the caller has its answer."""
@@ -261,7 +270,8 @@
         resume_after = job.last_event if job.last_event is not None else facts.last_event
         least = self._least_version(job)
         version = job.version if job.version is not None else least or None
-        return Sending(version, resume_after, min(9, 2 + job.admitted.priority))
+        urgency = 0 if job.runs else min(9, 2 + job.admitted.priority)
+        return Sending(version, resume_after, urgency)
 
     def _silence_s(self, job: Job) -> float:
         """Return how long a target may be silent: to the end where nobody else may be asked."""
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -16,6 +16,7 @@
 from lacewinggw.decisions.routes import Repeat, RouteTable, Service
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
 from lacewinggw.decisions.upgrades import (
+    EMPTYING_S,
     FIRST_VERSION,
     Progress,
     Upgrade,
@@ -53,7 +54,6 @@
 COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
 NEWS_S = 0.2  # between news of the target's work: a border between regions is narrow and priced
-EMPTYING_S = 0.8  # most requests end within it; those that do not go on elsewhere
 CONFIGURATION_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
 # Leaving targets concern an agent only as neighbours in the spread.
 LIST_WAIT = Wait(for_news_s=8.0, after_news_s=1.0)
@@ -336,9 +336,9 @@
             if upgrade.fetch:
                 await self._loader.stage(model, upgrade.fetch[0])
             return
-        if not self._is_emptied(report):
-            return
         switch = Switch.CUT if upgrade.may_cut and self._all_resume() else Switch.FINISH
+        if switch is Switch.FINISH and not self._is_emptied(report):
+            return
         await self._loader.load(model, upgrade.load, switch, report)
         self._emptying_since = None
         self._tell_entries()
