Leave live answers their part of the link while weights spread

Cause: 4 KB slices paced at 92 to 99% of the link, with 5% of headers and 8% of live events on top, are more than the link carries, and the queue before it holds every event up. Ruled out: fewer chunks in flight alone (2 instead of 3: 0.6 s longer).

--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -140,6 +140,11 @@
         self._views.other_plan = plan
         self._around = replace(self._around, make_spread=make_spread)
 
+    def set_origin_rate(self, bytes_per_s: float) -> None:
+        """Have the releases that are due from now on count on this rate of the origin's link."""
+        rules = replace(self._around.rules, origin_bytes_per_s=bytes_per_s)
+        self._around = replace(self._around, rules=rules)
+
     async def start(self) -> None:
         """Begin to serve and to fetch."""
         await self.uploader.start()
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -90,7 +90,8 @@
     """The constants of the policy; times in seconds, sizes in bytes, rates in bytes per second.
 
     `in_flight` bounds the chunks asked of one neighbour, `in_flight_total` of all together;
-    `has_store` tells whether there is a weight store beside the origin.
+    `has_store` tells whether there is a weight store beside the origin, `origin_bytes_per_s` the
+    rate of the origin's link where it is known.
     """
 
     link_bytes_per_s: float
@@ -103,6 +104,7 @@
     source_backoff_s: float = 0.5
     source_backoff_limit_s: float = 8.0
     has_store: bool = True
+    origin_bytes_per_s: float | None = None
 
 
 class PlatformSources:
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -65,7 +65,9 @@
         self.neighbours: dict[HostId, NeighbourState] = {}
         self.stalls = 0
         self.corrupt_chunks = 0
-        self._chunk_s = max(sizes, default=0) / rules.link_bytes_per_s  # the largest, whole link
+        largest = max(sizes, default=0)
+        self._chunk_s = largest / rules.link_bytes_per_s  # over the whole link
+        self._origin_chunk_s = largest / (rules.origin_bytes_per_s or rules.link_bytes_per_s)
         self._place = place
         self._rng = rng
         self._started_at = now
@@ -108,7 +110,7 @@
     def patience_s(self) -> float:
         """How long a column may stand still before the next in rank steps in, in seconds."""
         columns = len(self._topology.columns) if self._topology else 1
-        return self.rules.patience_s + 2 * columns * self._chunk_s
+        return self.rules.patience_s + 2 * columns * self._origin_chunk_s
 
     def missing_everywhere(self, now: float) -> list[int]:
         """Return the chunks that nobody known has, once nothing has moved for a while."""
@@ -306,13 +308,18 @@
         Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
         have all wait for the few that hold it.
         """
-        while len(self._fetches) < self.rules.in_flight_total:
+        while len(self._fetches) + self._source_fetches < self.rules.in_flight_total:
             request = self._next_request(now)
             if request is None:
                 yield from self._ask_again(now)
                 return
             yield request
 
+    @property
+    def _source_fetches(self) -> int:
+        """Chunks on their way from the origin: others wait for them, so they count twice."""
+        return sum(1 for index in self._fetches if self._is_source_fetch(index))
+
     def _next_request(self, now: float) -> Ask | None:
         local = self._holdings.local
         for host in self._by_load(now):
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -40,7 +40,7 @@
 MS_PER_S = 1000.0
 PERCENT = 100.0
 # The age of the routes stays within half of the shortest bound on keys.
-ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.15)
+ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability.
 LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -272,6 +272,7 @@
         for service in routes.services.values():
             if service.origin is not None:
                 self._origin.point_to(service.origin)
+                self.spreader.set_origin_rate(service.origin_bytes_per_s)
         hosts = self._hosts_due()
         self.spreader.set_members(self._neighbours(hosts))
         versions = self._upgrade(model).fetch or self._kept_version(model)
