--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -207,6 +207,27 @@
 
 struct HeldWeights { 1: string model, 2: i64 version }
 
+struct NamedVersion { 1: i64 version, 2: i64 age_ms }
+struct ServiceTarget { 1: string target_id, 2: string address, 3: string place }
+
+// From entry to agent, on change and now and then: what concerns the agent's service, so that agents
+// need not read the store, whose answers are large and come over the link of the target.
+struct FleetNews {
+  1: string service_name
+  2: i64 routes_version
+  3: string model
+  4: i32 layers
+  5: i32 chunks
+  6: i32 chunk_bytes
+  7: i64 warmup_ms
+  8: string origin = ""
+  9: i64 origin_bytes_per_s = 0
+  10: bool resumable = false     // every request of the service can go on at another target
+  11: list<NamedVersion> named
+  12: i64 targets_position       // of the store's news that `targets` stand for
+  13: list<ServiceTarget> targets
+}
+
 // From agent to entry: the work of the target beside it, as the target itself says now.
 struct TargetNews {
   1: string target_id            // of this start of the target
@@ -326,6 +347,7 @@
   60: Demand demand
   70: EntryNews entry_news
   71: TargetNews target_news
+  72: FleetNews fleet_news
 }
 
 // NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -2,8 +2,7 @@
 
 What is ahead of a request at a target is this entry's own calls there, known exactly, and those of
 other entries by the target's last report, discounted by its age. A target takes requests up to its
-slots and a small queue, so that its batch never runs dry between one end and the next start; what
-is beyond waits here, where it can still go to whichever target is free first.
+slots; what is beyond waits here, where it can still go to whichever target is free first.
 """
 
 import math
@@ -16,7 +15,7 @@
 from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
 
 REPORT_DECAY_S = 0.5  # a report this old counts for 1/e; requests run for about a second
-QUEUED_SHARE = 0.25  # of a target's slots, offered beyond them: about one start per own call's end
+QUEUED = 0.0  # requests offered beyond the slots: each would wait there for some 100 ms
 REMOTE_COST = 0.15  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
@@ -47,7 +46,7 @@
         slots = self.entry.slots
         if max(self.full_until, self.loading_until) > now:
             return False
-        return self.ahead(now) < slots + max(1.0, slots * QUEUED_SHARE)
+        return self.ahead(now) < slots + QUEUED
 
     def occupancy(self, now: float) -> float:
         """Return the share of the slots that would be taken with one more request."""
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -21,7 +21,8 @@
     `lapse_s`: a target that vanished from the list during an outage of the store is believed for
     so long after the store's return. `settled_s`: for so long after an outage the list may still
     lack targets that live. `version_s`: a named version is in use everywhere. `begin_s`: a request
-    that is sent to a target begins there; more than its own short queue takes.
+    that is sent to a target begins there; more than its own short queue takes. `slack_s`: by so
+    much a version may have been named before this process learned of it.
     """
 
     revocation_s: float = 5.0
@@ -29,7 +30,8 @@
     lapse_s: float = 1.9
     settled_s: float = 3.0
     version_s: float = 8.0
-    begin_s: float = 0.5
+    begin_s: float = 1.5
+    slack_s: float = 0.5
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/src/lacewinggw/decisions/punctuality.py
@@ -0,0 +1,66 @@
+"""How long a request may wait for a target and still be worth the wait.
+
+The load it answers: more requests than the targets can start. A caller is served well by the first
+part of an answer within the route's objective, counted from its first attempt, and far less well
+later. So a request waits only while it can still be on time; what cannot is told at once when to
+come back. One that came back is late already: it waits behind those that can be on time, but
+longer, since to refuse it again is the worst of all.
+"""
+
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.routes import EngineFigures, Route
+from lacewinggw.ids import RouteName
+
+RETURNED_AFTER_S = 0.1  # a caller's time is shorter by this: it is not its first attempt
+CONTENTION = 1.6  # others' prompts are read in between: measured at 13 to 16 requests at once
+PLAIN_SHARE = 0.4  # of the objective that a plain target takes; operators set it at 3 to 5 times
+LATE_PATIENCE_S = 1.5  # of a request that is late already
+LATE_SHARE = 0.5  # of the time that it has left, so that the answer has the other half
+
+
+@dataclass(frozen=True)
+class Patience:
+    """How long a request may wait; `is_late` when it cannot be on time any more."""
+
+    wait_s: float
+    is_late: bool
+
+
+@dataclass
+class CallerTimes:
+    """The time that callers of each route usually give, by which a later attempt is known.
+
+    times = CallerTimes()
+    elapsed_s = times.elapsed(route.name, time_left_s)
+    """
+
+    _longest_s: dict[RouteName, float] = field(default_factory=dict)
+
+    def elapsed(self, route: RouteName, time_left_s: float | None) -> float:
+        """Return how long ago the caller's first attempt was, as far as its time left tells."""
+        if time_left_s is None:
+            return 0.0
+        longest_s = max(time_left_s, self._longest_s.get(route, 0.0))
+        self._longest_s[route] = longest_s
+        elapsed_s = longest_s - time_left_s
+        return elapsed_s if elapsed_s > RETURNED_AFTER_S else 0.0
+
+
+def first_part_s(route: Route, engine: EngineFigures | None, prompt_tokens: int) -> float:
+    """Return how long a target takes to the first part of its answer, once it has started."""
+    if engine is None:
+        return PLAIN_SHARE * route.objective_s
+    read_s = prompt_tokens / engine.read_tokens_per_s
+    step_s = engine.step_s + engine.slots * engine.step_per_request_s
+    return CONTENTION * (read_s + engine.stride * step_s)
+
+
+def patience(
+    route: Route, engine: EngineFigures | None, prompt_tokens: int, elapsed_s: float, left_s: float
+) -> Patience:
+    """Return how long a request may wait that has `left_s` seconds left."""
+    spare_s = route.objective_s - elapsed_s - first_part_s(route, engine, prompt_tokens)
+    if spare_s > 0:
+        return Patience(min(spare_s, left_s), is_late=False)
+    return Patience(min(LATE_PATIENCE_S, LATE_SHARE * left_s), is_late=True)
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -2,8 +2,8 @@
 
 The load it answers: more requests than the targets can start. A queue without a bound makes every
 answer late; one that is bounded by time serves as many on time as the targets can carry and tells
-the others at once when to come back. The order is by priority, then requests that were refused
-before, then arrival.
+the others at once when to come back. The order is by priority, then those that can still be on
+time, then arrival.
 """
 
 import heapq
@@ -28,8 +28,8 @@
     """The waiting requests of one service.
 
     line = WaitingLine()
-    if line.expected_wait(priority) <= patience_s:
-        waiter = line.join(priority, returned=False, until=now + patience_s)
+    if line.expected_wait(priority, is_late=False) <= patience_s:
+        waiter = line.join(priority, is_late=False, until=now + patience_s)
     """
 
     def __init__(self) -> None:
@@ -42,14 +42,15 @@
     def __len__(self) -> int:
         return self._waiting
 
-    def expected_wait(self, priority: int) -> float:
-        """Return how long one more request of a priority would wait, in seconds."""
-        ahead = sum(1 for each in self._heap if not each.gone and each.rank[0] <= priority)
+    def expected_wait(self, priority: int, is_late: bool) -> float:
+        """Return how long one more request would wait, in seconds."""
+        rank = (priority, int(is_late))
+        ahead = sum(1 for each in self._heap if not each.gone and each.rank[:2] <= rank)
         return ahead * self._start_gap_s
 
-    def join(self, priority: int, returned: bool, until: float) -> Waiter:
-        """Add a request; `returned` tells whether it was refused before."""
-        waiter = Waiter((priority, 0 if returned else 1, next(self._numbers)), until)
+    def join(self, priority: int, is_late: bool, until: float) -> Waiter:
+        """Add a request; one that `is_late` goes behind those that can be on time."""
+        waiter = Waiter((priority, int(is_late), next(self._numbers)), until)
         heapq.heappush(self._heap, waiter)
         self._waiting += 1
         return waiter
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -21,6 +21,7 @@
 Apply = Callable[[News, float], None]
 
 FIRST_RETRY_S = 0.1
+IDLE_S = 0.2  # between looks whether the topic has to be read again
 LONGEST_RETRY_S = 1.0  # a store that is back is noticed within this
 
 
@@ -36,7 +37,8 @@
     """Keep a topic up to date; `apply` gets each piece of news with the moment it is proved for.
 
     A connection that has gone silent is noticed after the wait and a little more, so the wait
-    bounds how old the knowledge may grow.
+    bounds how old the knowledge may grow. While `is_needed` says no, as somebody else tells what
+    is new, nothing is read but the first snapshot.
     """
 
     def __init__(
@@ -48,7 +50,9 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        is_needed: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_needed = is_needed
         self._topic = topic
         self._feed = feed
         self._apply = apply
@@ -62,6 +66,11 @@
         self._reads = metrics.counter("store_reads", topic=topic)
         self._loop = Background(f"follow {topic.value}", self._run)
 
+    @property
+    def position(self) -> int:
+        """How far the topic is known, as the store counts; 0 before the first answer."""
+        return self._position or 0
+
     @property
     def lost_since(self) -> float | None:
         """Since when the store has not answered, or None while it does."""
@@ -77,6 +86,9 @@
 
     async def _run(self) -> None:
         while True:
+            if self._position is not None and not self._is_needed():
+                await asyncio.sleep(IDLE_S)
+                continue
             sent_at = self._clock()
             try:
                 news = await self._read()
--- /dev/null
+++ b/src/lacewinggw/fleet/newsletter.py
@@ -0,0 +1,67 @@
+"""What an entry tells an agent of the fleet, and what the agent makes of it.
+
+An agent needs little: what its service's weights are made of, which versions were named how long
+ago, where the origin is and which targets take part. Ages travel as spans, so no clocks are
+compared; they are as of the sending, and what a message takes on its way is well within the margins
+of a change of weights.
+"""
+
+from collections.abc import Sequence
+
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.routes import Repeat, RouteTable, Service
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import ServiceName
+
+MS_PER_S = 1000.0
+
+
+def compose_news(
+    knowledge: Knowledge, service: Service, position: int, now: float
+) -> messages.FleetNews | None:
+    """Return the news for the agents of a service, None while too little is known."""
+    table = knowledge.routes
+    if table is None or service.weights is None or not service.models:
+        return None
+    model = service.models[0]
+    origin = next((each for each in table.services.values() if each.origin is not None), None)
+    return messages.FleetNews(
+        service_name=service.name,
+        routes_version=table.version,
+        model=model,
+        layers=service.weights.layers,
+        chunks=service.weights.chunks,
+        chunk_bytes=service.weights.chunk_bytes,
+        warmup_ms=round(service.weights.warmup_s * MS_PER_S),
+        origin=origin.origin if origin else "",
+        origin_bytes_per_s=round(origin.origin_bytes_per_s) if origin else 0,
+        resumable=all_resume(table, service.name),
+        named=[
+            messages.NamedVersion(due.version, round((now - due.learned_at) * MS_PER_S))
+            for due in knowledge.due_versions(model)
+        ],
+        targets_position=position,
+        targets=[_told(each) for each in _staying(knowledge, service.name)],
+    )
+
+
+def all_resume(table: RouteTable, name: ServiceName) -> bool:
+    """Tell whether every request of a service can go on at another target."""
+    return all(
+        route.repeat is Repeat.RESUMABLE
+        for route in table.routes
+        if any(share.service == name for share in route.shares)
+    )
+
+
+def _staying(knowledge: Knowledge, name: ServiceName) -> Sequence[TargetEntry]:
+    return [
+        entry
+        for entry in knowledge.targets.values()
+        if entry.service == name and entry.target not in knowledge.leaving
+    ]
+
+
+def _told(entry: TargetEntry) -> messages.ServiceTarget:
+    return messages.ServiceTarget(entry.target, entry.address, entry.place)
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -77,6 +77,14 @@
     urgency: int = 5
 
 
+@dataclass(frozen=True)
+class OfferLimits:
+    """How long to wait, in seconds: for the head of the answer, and between parts of its body."""
+
+    begin_s: float
+    silence_s: float
+
+
 class Offers:
     """Sends requests to targets, each on a connection of its own.
 
@@ -89,9 +97,9 @@
         self._codec = codec
 
     async def send(
-        self, job: Admitted, load: TargetLoad, sending: Sending, patience_s: float
+        self, job: Admitted, load: TargetLoad, sending: Sending, limits: OfferLimits
     ) -> Answer | NotRun | Lost:
-        """Offer the request; wait for each read up to `patience_s` seconds."""
+        """Offer the request; return once the head of the answer is there, or will not come."""
         now = asyncio.get_running_loop().time()
         dispatch = Dispatch(
             target=load.entry.target,
@@ -109,8 +117,9 @@
                 job.call.target,
                 headers,
                 job.call.body,
-                patience_s,
+                limits.silence_s,
                 CONNECT_S,
+                limits.begin_s,
             )
         except NotConnectedError as error:
             return NotRun(f"cannot connect: {error}")
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
 
 from lacewinggw.background import Background
@@ -12,6 +13,7 @@
 from lacewinggw.decisions.ejection import EjectionRules
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.nearby import ReadyEntry, choose_entries
+from lacewinggw.decisions.pollers import rank_of
 from lacewinggw.decisions.routes import CallerLimits, RouteTable
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
 from lacewinggw.entry.watches import Watched, Watches
@@ -19,6 +21,7 @@
 from lacewinggw.fleet.bounds import knowledge_rules
 from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, MemberRegister, News, Put, Topic
 from lacewinggw.fleet.follower import TopicFollower, Wait
+from lacewinggw.fleet.newsletter import compose_news
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.neighbours import EntryNeighbours
@@ -45,6 +48,9 @@
 LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
 EXPIRE_S = 0.1
+FLEET_NEWS_S = 1.5  # between news for agents without a change
+GATHER_S = 0.02  # changes that come together are told together
+SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
 EXTRA_SHARE = 0.8  # of the fleet's extra retries: entries may count one another wrongly for a while
 ACCEPT_WHILE_LEAVING_S = (
     2.5  # callers that hold an old answer still come; told to go elsewhere then
@@ -140,12 +146,15 @@
             HttpServer(network, entry.directory_listen, directory),
             HttpServer(network, entry.operator_listen, pages.handle),
         ]
+        self._targets_follower = self._follow(Topic.TARGETS, LIST_WAIT, rng)
         self._followers = [
             self._follow(Topic.CONFIGURATION, ROUTES_WAIT, rng),
-            self._follow(Topic.TARGETS, LIST_WAIT, rng),
+            self._targets_follower,
             self._follow(Topic.MEMBERS, MEMBERS_WAIT, rng),
         ]
         self._announcer = Announcer(adapter.register, self._member(), rng)
+        self._fleet_changed = asyncio.Event()
+        self._fleet_news = Background("fleet news", self._tell_agents)
         self._expiry = Background("expiry", self._expire)
 
     @classmethod
@@ -172,6 +181,7 @@
         self._agents.start()
         await self.queue.start()
         self._expiry.start()
+        self._fleet_news.start()
         await self._announcer.start()
 
     async def drain(self) -> None:
@@ -187,6 +197,7 @@
         """Stop at once."""
         await self._callers.close()
         await self._announcer.close()
+        await self._fleet_news.close()
         await self._expiry.close()
         for follower in self._followers:
             await follower.close()
@@ -260,6 +271,7 @@
                     due, self._clock(), news.whole
                 ):
                     log.info("version_due", model=due.model, version=due.version)
+                    self._fleet_changed.set()
         self.knowledge.prove_routes(proved_at)
 
     def _apply_targets(self, news: News) -> None:
@@ -284,20 +296,16 @@
     def _sync_targets(self) -> None:
         self.pool.sync(self.knowledge.targets)
         self._agents.set_targets(self._agents_wanted())
+        self._fleet_changed.set()
 
     def _agents_wanted(self) -> set[Watched]:
-        """Return the agents beside the model engines; an agent listens where entries do."""
-        port = self._settings.entry.peer_listen.rpartition(":")[2]
+        """Return the agents beside the model engines."""
         routes = self.knowledge.routes
         if routes is None:
             return set()
-        wanted = set()
-        for entry in self.knowledge.targets.values():
-            service = routes.services.get(entry.service)
-            if service is not None and service.engine is not None:
-                host = entry.address.rpartition(":")[0]
-                wanted.add(Watched(HostId(host), Address(f"{host}:{port}")))
-        return wanted
+        engines = {name for name, each in routes.services.items() if each.engine is not None}
+        targets = self.knowledge.targets.values()
+        return {self._agent_of(entry) for entry in targets if entry.service in engines}
 
     def _apply_members(self, news: News) -> None:
         if news.whole:
@@ -310,6 +318,41 @@
                     self._members.pop(HostId(key), None)
         self._neighbours.set_members(self._members.values())
 
+    async def _tell_agents(self) -> None:
+        """Tell agents what concerns their service, on change and now and then."""
+        while True:
+            self._send_fleet_news()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FLEET_NEWS_S):
+                    await self._fleet_changed.wait()
+            self._fleet_changed.clear()
+            await asyncio.sleep(GATHER_S)
+
+    def _send_fleet_news(self) -> None:
+        routes = self.knowledge.routes
+        if routes is None or not self._has_list:
+            return
+        speakers = [self._host, *(entry.host for entry in self._neighbours.ready())]
+        for service in routes.services.values():
+            news = compose_news(
+                self.knowledge, service, self._targets_follower.position, self._clock()
+            )
+            if news is None:
+                continue
+            for entry in self.knowledge.targets.values():
+                agent = self._agent_of(entry)
+                if entry.service == service.name and self._speaks_to(agent.host, speakers):
+                    self._node.notify_open(agent.address, news)
+
+    def _speaks_to(self, agent: HostId, speakers: Sequence[HostId]) -> bool:
+        return rank_of(f"fleet news/{agent}", self._host, speakers) < SPEAKERS
+
+    def _agent_of(self, entry: TargetEntry) -> Watched:
+        """Return the agent beside a target; agents listen on the port on which entries do."""
+        port = self._settings.entry.peer_listen.rpartition(":")[2]
+        host = entry.address.rpartition(":")[0]
+        return Watched(HostId(host), Address(f"{host}:{port}"))
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_S)
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -1,6 +1,7 @@
 """Where requests wait for a target: the pool's choices and the waiting lines, wired to futures."""
 
 import asyncio
+import random
 from collections import defaultdict
 from dataclasses import dataclass
 
@@ -13,7 +14,8 @@
 from lacewinggw.metrics import Metrics
 
 TICK_S = 0.02  # reports age and pauses end without an event of their own
-RETRY_AFTER_MS = 300
+RETRY_AFTER_MS = 300  # until a target may run the request, where none may now
+RETURN_S = (0.8, 2.0)  # a burst lasts some seconds, and callers wait for a third of their time
 MS_PER_S = 1000
 
 
@@ -28,7 +30,7 @@
 class RequestQueue:
     """Gives each request a target at once, later, or not at all.
 
-    load = await queue.claim(wish, priority, returned=False, until=deadline)
+    load = await queue.claim(wish, priority, is_late=False, until=deadline)
     ...
     pool.end(load)
     queue.advance(wish.service)
@@ -51,7 +53,7 @@
         """Stop."""
         await self._loop.close()
 
-    async def claim(self, wish: Wish, priority: int, returned: bool, until: float) -> TargetLoad:
+    async def claim(self, wish: Wish, priority: int, is_late: bool, until: float) -> TargetLoad:
         """Return a target with room, waiting for one up to `until` by the loop's clock.
 
         Raise `NoTarget` when none may run the request, and `Overloaded` at once when the wait
@@ -67,10 +69,10 @@
             load = self._pool.choose(fitting, now)
             if load is not None:
                 return self._begin(line, load, now)
-        expected_s = line.expected_wait(priority)
+        expected_s = line.expected_wait(priority, is_late)
         if now + expected_s > until:
-            raise _overloaded(wish, expected_s)
-        return await self._wait_for(line, wish, line.join(priority, returned, until))
+            raise _overloaded(wish)
+        return await self._wait_for(line, wish, line.join(priority, is_late, until))
 
     async def _wait_for(self, line: WaitingLine, wish: Wish, waiter: Waiter) -> TargetLoad:
         joined_at = _now()
@@ -82,7 +84,7 @@
         except TimeoutError:
             if not found.cancelled() and found.done():
                 self._pool.end(found.result())
-            raise _overloaded(wish, line.expected_wait(waiter.rank[0])) from None
+            raise _overloaded(wish) from None
         except asyncio.CancelledError:
             if found.done() and not found.cancelled():
                 self._pool.end(found.result())
@@ -122,8 +124,9 @@
                 self.advance(service)
 
 
-def _overloaded(wish: Wish, expected_s: float) -> Overloaded:
-    wait_ms = max(RETRY_AFTER_MS, round(expected_s * MS_PER_S))
+def _overloaded(wish: Wish) -> Overloaded:
+    """Return the refusal; its callers come back spread out, not as a second burst."""
+    wait_ms = round(random.uniform(*RETURN_S) * MS_PER_S)
     return Overloaded(f"the targets of {wish.service} are full", retry_after_ms=wait_ms)
 
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -12,8 +12,9 @@
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import TargetLoad, TargetPool, Wish
 from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
 from lacewinggw.decisions.retries import RetryBudget
-from lacewinggw.decisions.routes import Repeat
+from lacewinggw.decisions.routes import Repeat, Service
 from lacewinggw.errors import (
     AnswerIncomplete,
     DeadlinePassed,
@@ -32,6 +33,7 @@
     Answer,
     Lost,
     NotRun,
+    OfferLimits,
     Offers,
     Sending,
     read_events,
@@ -49,8 +51,8 @@
 OFFERS_MOST = 4  # of one request, those that proved not to have run included
 SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
 LEAST_SILENCE_S = 0.6
-PATIENCE_SHARE = 0.6  # of the objective that may pass in the queue: the rest is for the answer
-RESUMED_PRIORITY = -1  # before all: its caller has part of the answer already
+LEAST_S = 0.001  # a time limit of nothing would not even send the request
+REPEAT_PRIORITY = -1  # before all: work was done for it, and its caller may have part of the answer
 RETRY_AFTER_MS = 400  # where nothing is known of when there is room
 KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
@@ -103,6 +105,7 @@
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._times = CallerTimes()
         self._answered = parts.metrics.counter("requests", outcome="answered")
         self._latency = parts.metrics.latency("request")
 
@@ -208,26 +211,38 @@
         """Return a target that takes the request now, waiting for one in the queue."""
         admitted = job.admitted
         wish = self._wish(job)
-        patience_s = PATIENCE_SHARE * admitted.route.objective_s
-        until = min(admitted.deadline, admitted.call.arrived_at + patience_s)
+        now = _now()
+        left_s = admitted.deadline - now
         if job.offers:
-            until = admitted.deadline
-        priority = RESUMED_PRIORITY if job.runs else admitted.priority
-        load = await self._parts.queue.claim(wish, priority, False, until)
+            # What was offered once goes on wherever there is room, as long as its caller waits.
+            load = await self._parts.queue.claim(wish, REPEAT_PRIORITY, False, admitted.deadline)
+        else:
+            wait = self._patience(admitted, left_s)
+            until = now + wait.wait_s
+            load = await self._parts.queue.claim(wish, admitted.priority, wait.is_late, until)
         self._budget(admitted.service).note_call(_now())
         return load
 
+    def _patience(self, admitted: Admitted, left_s: float) -> Patience:
+        facts, route = admitted.facts, admitted.route
+        elapsed_s = self._times.elapsed(route.name, facts.time_left_s)
+        service = self._service(admitted.service)
+        engine = service.engine if service else None
+        return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s)
+
     def _wish(self, job: Job) -> Wish:
         admitted = job.admitted
         model = admitted.facts.model
-        service = self._parts.knowledge.routes and self._parts.knowledge.routes.services.get(
-            admitted.service
-        )
-        if not service or service.engine is None or model is None:
+        service = self._service(admitted.service)
+        if service is None or service.engine is None or model is None:
             return Wish(admitted.service, avoid=frozenset(job.avoid))
         least = self._least_version(job)
         return Wish(admitted.service, model, least, job.version, frozenset(job.avoid))
 
+    def _service(self, name: ServiceName) -> Service | None:
+        table = self._parts.knowledge.routes
+        return table.services.get(name) if table else None
+
     def _least_version(self, job: Job) -> int:
         """Return the oldest version of the model that a request may still begin on."""
         model = job.admitted.facts.model
@@ -247,7 +262,7 @@
         job.avoid.add(load.entry.target)
         sending = self._sending(job)
         job.runs += 1
-        match await self._parts.offers.send(job.admitted, load, sending, self._silence_s(job)):
+        match await self._parts.offers.send(job.admitted, load, sending, self._limits(job, load)):
             case NotRun(reason, full):
                 job.runs -= 1
                 self._note_not_run(job, load, reason, full)
@@ -273,13 +288,23 @@
         urgency = 0 if job.runs else min(9, 2 + job.admitted.priority)
         return Sending(version, resume_after, urgency)
 
-    def _silence_s(self, job: Job) -> float:
-        """Return how long a target may be silent: to the end where nobody else may be asked."""
-        rest_s = max(0.001, job.admitted.deadline - _now())
+    def _limits(self, job: Job, load: TargetLoad) -> OfferLimits:
+        """Return how long a target may be silent: to the end where nobody else may be asked.
+
+        What has not begun when the target's weights run out must not begin at all.
+        """
+        rest_s = max(LEAST_S, job.admitted.deadline - _now())
+        silence_s = rest_s
         route = job.admitted.route
-        if route.repeat is Repeat.NEVER or job.runs >= route.attempts:
-            return rest_s
-        return min(rest_s, max(LEAST_SILENCE_S, SILENCE_FACTOR * route.objective_s))
+        if route.repeat is not Repeat.NEVER and job.runs < route.attempts:
+            silence_s = min(rest_s, max(LEAST_SILENCE_S, SILENCE_FACTOR * route.objective_s))
+        begin_s = silence_s
+        model = job.admitted.facts.model
+        if model is not None:
+            knowledge = self._parts.knowledge
+            left_s = knowledge.begin_by(load.entry.target, model) - self._parts.clock()
+            begin_s = max(LEAST_S, min(silence_s, left_s))
+        return OfferLimits(begin_s, silence_s)
 
     def _note_not_run(self, job: Job, load: TargetLoad, reason: str, full: bool) -> None:
         now = _now()
--- /dev/null
+++ b/src/lacewinggw/loader/assignment.py
@@ -0,0 +1,154 @@
+"""What an agent knows of its part: its model, the versions named, and who takes part with it.
+
+It is told by entries, which read the store anyway; while none of them speaks, it reads the store.
+Either way versions only rise, and the list of targets with the higher position counts.
+"""
+
+from collections.abc import Mapping, Sequence
+
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.knowledge import Due, Knowledge, KnowledgeRules
+from lacewinggw.decisions.routes import RouteTable, WeightsFigures
+from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
+from lacewinggw.fleet.feed import Drop, News, Put
+from lacewinggw.fleet.newsletter import all_resume
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId
+from lacewinggw.log import get_logger
+
+MS_PER_S = 1000.0
+FRESH_S = (
+    4.0  # news of entries comes every 1.5 s; after more than two that did not, the store is read
+)
+
+log = get_logger(__name__)
+
+
+class Assignment:
+    """The part of the agent beside the target at `address`, of the service `name`."""
+
+    def __init__(
+        self, name: ServiceName, address: Address, rules: KnowledgeRules, clock: Clock
+    ) -> None:
+        self.model: ModelName | None = None
+        self.figures: WeightsFigures | None = None
+        self.origin: Address | None = None
+        self.origin_bytes_per_s = 0.0
+        self.resumable = False
+        self._name = name
+        self._address = address
+        self._clock = clock
+        self._knowledge = Knowledge(rules)
+        self._told_version = 0
+        self._position = 0
+        self._heard_at = float("-inf")
+
+    @property
+    def is_told(self) -> bool:
+        """Whether an entry spoke lately, so that the store need not be read."""
+        return self._clock() - self._heard_at < FRESH_S
+
+    @property
+    def due(self) -> Sequence[Due]:
+        """The versions that were named, the oldest first."""
+        return self._knowledge.due_versions(self.model) if self.model else ()
+
+    @property
+    def hosts(self) -> Mapping[HostId, Place]:
+        """The hosts whose targets take part, those that are leaving left out."""
+        return {
+            HostId(entry.address.rpartition(":")[0]): entry.place
+            for entry in self._knowledge.targets.values()
+            if entry.service == self._name and entry.target not in self._knowledge.leaving
+        }
+
+    @property
+    def own_target(self) -> TargetId | None:
+        """The present start of the target beside the agent, None until it is listed."""
+        mine = [
+            entry.target
+            for entry in self._knowledge.targets.values()
+            if entry.address == self._address
+        ]
+        return mine[-1] if mine else None
+
+    def is_leaving(self, target: TargetId) -> bool:
+        """Tell whether a target takes no new work."""
+        return target in self._knowledge.leaving
+
+    # ---- from the store -------------------------------------------------------------------
+
+    def take_configuration(self, news: News, _: float) -> None:
+        """Take what the store says of routes and versions."""
+        for change in news.changes:
+            match change:
+                case Put(RouteTable() as table):
+                    self._take_table(table)
+                case Put(DueVersion() as due):
+                    self._take_due(due, self._clock(), news.whole)
+
+    def take_targets(self, news: News, _: float) -> None:
+        """Take what the store says of targets."""
+        now = self._clock()
+        items = [change.item for change in news.changes if isinstance(change, Put)]
+        entries = [item for item in items if isinstance(item, TargetEntry)]
+        self._position = max(self._position, news.position)
+        if news.whole:
+            self._knowledge.take_whole_list(entries, now)
+            return
+        for entry in entries:
+            self._knowledge.take_target(entry)
+        for change in news.changes:
+            match change:
+                case Drop(key):
+                    self._knowledge.drop_target(TargetId(key), now)
+
+    def _take_table(self, table: RouteTable) -> None:
+        if not self._knowledge.take_routes(table):
+            return
+        service = table.services.get(self._name)
+        if service is None or service.weights is None or not service.models:
+            return
+        self.model, self.figures = service.models[0], service.weights
+        self.resumable = all_resume(table, self._name)
+        for each in table.services.values():
+            if each.origin is not None:
+                self.origin, self.origin_bytes_per_s = each.origin, each.origin_bytes_per_s
+
+    def _take_due(self, due: DueVersion, now: float, old: bool) -> None:
+        if self._knowledge.take_due(due, now, old):
+            log.info("version_due", model=due.model, version=due.version, old=old)
+
+    # ---- from entries ---------------------------------------------------------------------
+
+    def take_news(self, news: messages.FleetNews) -> None:
+        """Take what an entry says."""
+        if news.service_name != self._name:
+            return
+        now = self._clock()
+        self._heard_at = now
+        if news.routes_version >= self._told_version:
+            self._told_version = news.routes_version
+            self._take_figures(news)
+        model = ModelName(news.model)
+        for named in news.named:
+            learned_at = now - named.age_ms / MS_PER_S
+            self._take_due(DueVersion(model, named.version), learned_at, old=False)
+        if news.targets_position >= self._position:
+            self._position = news.targets_position
+            listed = [self._listed(each) for each in news.targets]
+            self._knowledge.take_whole_list(listed, now)
+
+    def _take_figures(self, news: messages.FleetNews) -> None:
+        self.model = ModelName(news.model)
+        self.figures = WeightsFigures(
+            news.layers, news.chunks, news.chunk_bytes, news.warmup_ms / MS_PER_S
+        )
+        self.resumable = news.resumable
+        self.origin = Address(news.origin) if news.origin else None
+        self.origin_bytes_per_s = float(news.origin_bytes_per_s)
+
+    def _listed(self, told: messages.ServiceTarget) -> TargetEntry:
+        return TargetEntry(
+            TargetId(told.target_id), self._name, Address(told.address), Place(told.place)
+        )
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from lacewinggw.agent.downloads import WeightSource
@@ -12,9 +12,6 @@
 from lacewinggw.background import Background
 from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.clock import Clock, read_boot_clock
-from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.routes import Repeat, RouteTable, Service
-from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
 from lacewinggw.decisions.upgrades import (
     EMPTYING_S,
     FIRST_VERSION,
@@ -25,8 +22,8 @@
 )
 from lacewinggw.errors import PlatformUnavailable, TargetUnreachable
 from lacewinggw.fleet.bounds import knowledge_rules
-from lacewinggw.fleet.feed import Drop, FleetFeed, News, Put, Topic
-from lacewinggw.fleet.follower import TopicFollower, Wait
+from lacewinggw.fleet.feed import FleetFeed, Topic
+from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
@@ -35,10 +32,11 @@
     Digest,
     HostId,
     ModelName,
+    Place,
     ServiceName,
-    TargetId,
     new_incarnation,
 )
+from lacewinggw.loader.assignment import Assignment
 from lacewinggw.loader.keeper import StagedChunks, TargetLoader
 from lacewinggw.loader.releases import release_of
 from lacewinggw.loader.target import LoadableReport, LoadableTarget, Switch
@@ -54,9 +52,7 @@
 COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
 NEWS_S = 0.2  # between news of the target's work: a border between regions is narrow and priced
-CONFIGURATION_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
-# Leaving targets concern an agent only as neighbours in the spread.
-LIST_WAIT = Wait(for_news_s=8.0, after_news_s=1.0)
+STORE_WAIT = Wait(for_news_s=4.0, after_news_s=0.5)  # only while no entry speaks
 
 log = get_logger(__name__)
 
@@ -119,7 +115,12 @@
     ) -> None:
         process, agent = settings.process, settings.agent
         self.metrics = Metrics()
-        self.knowledge = Knowledge(knowledge_rules(settings))
+        self.assignment = Assignment(
+            ServiceName(agent.service_name),
+            Address(agent.target),
+            knowledge_rules(settings),
+            clock,
+        )
         self.incarnation = new_incarnation(rng)
         self._settings = settings
         self._clock = clock
@@ -147,18 +148,10 @@
         self._told: messages.TargetNews | None = None
         pages = HealthPages(Health(self.metrics, self._readiness))
         self._server = HttpServer(network, agent.operator_listen, pages.handle)
-        feed, metrics = adapter.feed, self.metrics
+        part = self.assignment
         self._followers = [
-            TopicFollower(
-                Topic.CONFIGURATION,
-                feed,
-                self._apply_configuration,
-                CONFIGURATION_WAIT,
-                clock,
-                metrics,
-                rng,
-            ),
-            TopicFollower(Topic.TARGETS, feed, self._apply_targets, LIST_WAIT, clock, metrics, rng),
+            self._follow(Topic.CONFIGURATION, adapter, part.take_configuration, rng),
+            self._follow(Topic.TARGETS, adapter, part.take_targets, rng),
         ]
         self._reports = Background("target reports", self._watch_target)
         self._loads = Background("loading", self._keep_loaded)
@@ -168,6 +161,20 @@
         """Build the process that the settings describe."""
         return cls(settings, adapter, TcpNetwork(), read_boot_clock, random.SystemRandom())
 
+    def _follow(
+        self, topic: Topic, adapter: LoaderAdapter, apply: Apply, rng: random.Random
+    ) -> TopicFollower:
+        return TopicFollower(
+            topic,
+            adapter.feed,
+            apply,
+            STORE_WAIT,
+            self._clock,
+            self.metrics,
+            rng,
+            is_needed=lambda: not self.assignment.is_told,
+        )
+
     # ---- life -----------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -199,108 +206,57 @@
 
     # ---- what is due ----------------------------------------------------------------------
 
-    def _apply_configuration(self, news: News, _: float) -> None:
-        for change in news.changes:
-            match change:
-                case Put(RouteTable() as table) if self.knowledge.take_routes(table):
-                    log.info("routes_taken", version=table.version)
-                case Put(DueVersion() as due) if self.knowledge.take_due(
-                    due, self._clock(), news.whole
-                ):
-                    log.info("version_due", model=due.model, version=due.version)
-        self._set_due()
-
-    def _apply_targets(self, news: News, _: float) -> None:
-        now = self._clock()
-        items = [change.item for change in news.changes if isinstance(change, Put)]
-        entries = [item for item in items if isinstance(item, TargetEntry)]
-        if news.whole:
-            self.knowledge.take_whole_list(entries, now)
-        for entry in entries:
-            self.knowledge.take_target(entry)
-        for change in news.changes:
-            match change:
-                case Drop(key):
-                    self.knowledge.drop_target(TargetId(key), now)
-        self._set_due()
-
-    @property
-    def _service(self) -> Service | None:
-        routes = self.knowledge.routes
-        name = ServiceName(self._settings.agent.service_name)
-        return routes.services.get(name) if routes else None
-
     @property
     def _rules(self) -> UpgradeRules:
         """The time that is allowed, and that a copy takes by this host's link."""
-        figures = self._service.weights if self._service else None
+        figures = self.assignment.figures
         size = figures.chunks * figures.chunk_bytes if figures else 0
         copy_s = COPY_FACTOR * size / self._settings.agent.link_bytes_per_s
         return UpgradeRules(self._settings.fleet.version_ms / MS_PER_S, copy_s)
 
-    @property
-    def _model(self) -> ModelName | None:
-        """The model that the target beside this process is to serve."""
-        service = self._service
-        return service.models[0] if service is not None and service.models else None
-
     def _upgrade(self, model: ModelName) -> Upgrade:
         """Return what is to be done for the target; one that does not answer counts as empty."""
-        report = self._report
-        current = report.weights.get(model) if report else None
-        due = self.knowledge.due_versions(model)
+        current = self._current(model)
+        due = self.assignment.due
         versions = {FIRST_VERSION, *(each.version for each in due)}
         shares = {each: self.spreader.share_held(release_of(model, each)) for each in versions}
-        plan = UpgradePlan(self._rules, self._host, self._hosts_due())
+        plan = UpgradePlan(self._rules, self._host, {*self.assignment.hosts, self._host})
         return plan.decide(current, due, Progress(shares), self._clock())
 
-    def _hosts_due(self) -> list[HostId]:
-        """Return the hosts whose targets are to have the version, this one included."""
-        name = self._settings.agent.service_name
-        hosts = {
-            _host_of(entry)
-            for entry in self.knowledge.targets.values()
-            if entry.service == name and entry.target not in self.knowledge.leaving
-        }
-        return sorted(hosts | {self._host})
+    def _current(self, model: ModelName) -> int | None:
+        return self._report.weights.get(model) if self._report else None
 
     def _set_due(self) -> None:
         """Have the spread bring what is to be fetched, and keep what others may still want."""
-        routes, model = self.knowledge.routes, self._model
-        if routes is None or model is None:
+        part = self.assignment
+        if part.model is None:
             return
-        for service in routes.services.values():
-            if service.origin is not None:
-                self._origin.point_to(service.origin)
-                self.spreader.set_origin_rate(service.origin_bytes_per_s)
-        hosts = self._hosts_due()
-        self.spreader.set_members(self._neighbours(hosts))
-        versions = self._upgrade(model).fetch or self._kept_version(model)
+        if part.origin is not None:
+            self._origin.point_to(part.origin)
+            self.spreader.set_origin_rate(part.origin_bytes_per_s)
+        self.spreader.set_members(self._neighbours(part.hosts))
+        hosts = tuple(sorted({*part.hosts, self._host}))
         prefer = messages.Prefer.ORIGIN_BYTES
-        if self._awaits_first_report:
-            versions = ()
-        releases = [release_of(model, version) for version in versions]
-        due = {each: DueRelease(each, each, tuple(hosts), prefer) for each in releases}
+        releases = [release_of(part.model, version) for version in self._versions(part.model)]
+        due = {each: DueRelease(each, each, hosts, prefer) for each in releases}
         self.spreader.set_due(due)
 
-    @property
-    def _awaits_first_report(self) -> bool:
-        """Whether the target may come with weights, at the first start of the whole fleet."""
-        return self._settings.fleet.first_start and not self._was_heard
+    def _versions(self, model: ModelName) -> Sequence[int]:
+        """Return the versions to fetch, or the one that the target serves, for others to fetch.
 
-    def _kept_version(self, model: ModelName) -> tuple[int, ...]:
-        """Return the version that the target serves: others fetch its pieces from here."""
-        report = self._report
-        current = report.weights.get(model) if report else None
-        return () if current is None else (current,)
+        At the first start of a whole fleet targets come with weights: theirs is awaited.
+        """
+        if self._settings.fleet.first_start and not self._was_heard:
+            return ()
+        current = self._current(model)
+        kept = () if current is None else (current,)
+        return self._upgrade(model).fetch or kept
 
-    def _neighbours(self, hosts: list[HostId]) -> list[Member]:
+    def _neighbours(self, hosts: Mapping[HostId, Place]) -> list[Member]:
         port = self._settings.agent.peer_listen.rpartition(":")[2]
-        places = {_host_of(entry): entry.place for entry in self.knowledge.targets.values()}
         return [
-            Member(host, places[host], MemberRole.AGENT, Address(f"{host}:{port}"))
-            for host in hosts
-            if host in places
+            Member(host, place, MemberRole.AGENT, Address(f"{host}:{port}"))
+            for host, place in sorted(hosts.items())
         ]
 
     # ---- the target -----------------------------------------------------------------------
@@ -322,7 +278,7 @@
         while True:
             await asyncio.sleep(REPORT_S)
             self._set_due()
-            model, report = self._model, self._report
+            model, report = self.assignment.model, self._report
             if model is None or report is None or report.busy or self._loader.is_loading:
                 continue
             try:
@@ -337,7 +293,7 @@
             if upgrade.fetch:
                 await self._loader.stage(model, upgrade.fetch[0])
             return
-        switch = Switch.CUT if upgrade.may_cut and self._all_resume() else Switch.FINISH
+        switch = Switch.CUT if upgrade.may_cut and self.assignment.resumable else Switch.FINISH
         if switch is Switch.FINISH and not self._is_emptied(report):
             return
         await self._loader.load(model, upgrade.load, switch, report)
@@ -352,16 +308,6 @@
             self._tell_entries()
         return not report.running or now - self._emptying_since >= EMPTYING_S
 
-    def _all_resume(self) -> bool:
-        """Tell whether every request that the target may run can go on at another one."""
-        routes = self.knowledge.routes
-        name = ServiceName(self._settings.agent.service_name)
-        return routes is not None and all(
-            route.repeat is Repeat.RESUMABLE
-            for route in routes.routes
-            if any(share.service == name for share in route.shares)
-        )
-
     # ---- entries --------------------------------------------------------------------------
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -372,6 +318,8 @@
                 else:
                     self._listeners.add(exchange.link)
                     self._told = None
+            case messages.FleetNews() as news:
+                self.assignment.take_news(news)
             case _:
                 await self.spreader.handle(exchange)
 
@@ -390,27 +338,18 @@
             link.notify(news)
 
     def _compose(self) -> messages.TargetNews | None:
-        report, target = self._report, self._own_target()
+        report, target = self._report, self.assignment.own_target
         if report is None or target is None:
             return None
         return messages.TargetNews(
-            target_id=target.target,
+            target_id=target,
             running=report.running,
             queued=report.queued,
-            leaving=target.target in self.knowledge.leaving,
+            leaving=self.assignment.is_leaving(target),
             held=[_held(model, version) for model, version in report.weights.items()],
             loading=self._loader.is_loading or self._emptying_since is not None,
         )
 
-    def _own_target(self) -> TargetEntry | None:
-        address = self._settings.agent.target
-        mine = [each for each in self.knowledge.targets.values() if each.address == address]
-        return mine[-1] if mine else None
-
-
-def _host_of(entry: TargetEntry) -> HostId:
-    return HostId(entry.address.rpartition(":")[0])
-
 
 def _held(model: ModelName, version: int) -> messages.HeldWeights:
     return messages.HeldWeights(model, version)
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -422,18 +422,21 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         connect_s: float | None = None,
+        head_s: float | None = None,
     ) -> StreamedResponse:
         """Make a request and return once its head is there; each read waits up to `timeout_s`.
 
-        Connecting takes `connect_s` at most, or its share of `timeout_s`. A response that comes
-        before the body of the request was taken is read all the same.
+        Connecting takes `connect_s` at most, or its share of `timeout_s`; the head is waited for up
+        to `head_s`, if given. A response that comes before the body of the request was taken is
+        read all the same.
         """
         stream, connection = await self._take(address, connect_s or timeout_s * CONNECT_SHARE)
         try:
             self._send_request(stream, connection, address, method, path, headers, body)
-            event = await _next_event(connection, stream, timeout_s)
+            wait_s = timeout_s if head_s is None else head_s
+            event = await _next_event(connection, stream, wait_s)
             while isinstance(event, h11.InformationalResponse):
-                event = await _next_event(connection, stream, timeout_s)
+                event = await _next_event(connection, stream, wait_s)
             if not isinstance(event, h11.Response):
                 raise ConnectionResetError(f"{address} closed the connection without an answer")
         except h11.RemoteProtocolError as error:
--- /dev/null
+++ b/tests/fleet/test_dispatch.py
@@ -0,0 +1,99 @@
+"""Which target takes a request: by work known and reported, by weights, by health."""
+
+import random
+
+import pytest
+
+from lacewinggw.decisions.dispatch import TargetPool, Wish
+from lacewinggw.decisions.ejection import EjectionRules
+from lacewinggw.decisions.targetlist import TargetEntry
+
+RULES = EjectionRules(after=3, out_s=1.0, limit=0.5)
+
+
+def entry(name, place="hall", slots=4, **weights):
+    return TargetEntry(name, "writer", f"10.0.0.1:{name}", place, slots=slots, weights=weights)
+
+
+@pytest.fixture
+def pool():
+    pool = TargetPool("hall", RULES, random.Random(1))
+    pool.sync({name: entry(name, market=1) for name in ("a", "b", "c")})
+    return pool
+
+
+def choose(pool, now=0.0, **wish):
+    load = pool.choose(pool.fitting(Wish("writer", **wish)), now)
+    return load.entry.target if load else None
+
+
+def fill(pool, name, count):
+    for _ in range(count):
+        pool.begin(pool.loads[name], 0.0)
+
+
+def test_the_target_with_least_own_work(pool):
+    fill(pool, "a", 2)
+    fill(pool, "b", 1)
+    assert choose(pool) == "c"
+
+
+def test_work_of_others_counts_and_fades(pool):
+    fill(pool, "b", 1)
+    fill(pool, "c", 1)
+    pool.note_report("a", 4, at=0.0)
+    assert choose(pool, now=0.0) in ("b", "c")
+    assert choose(pool, now=1.0) == "a"
+
+
+def test_own_work_is_not_counted_twice(pool):
+    fill(pool, "a", 3)
+    pool.note_report("a", 3, at=0.0)
+    assert pool.loads["a"].ahead(0.0) == 3
+
+
+def test_no_target_has_room_beyond_its_slots(pool):
+    for name in ("a", "b", "c"):
+        fill(pool, name, 4)
+    assert choose(pool) is None
+
+
+def test_a_full_target_is_left_alone_for_a_moment(pool):
+    pool.note_full(pool.loads["a"], now=0.0)
+    assert "a" not in {choose(pool, now=0.01) for _ in range(20)}
+    assert "a" in {choose(pool, now=0.1) for _ in range(50)}
+
+
+def test_a_loading_target_is_left_alone_until_it_says_so_no_more(pool):
+    pool.note_report("a", 0, at=0.0, loading=True)
+    assert "a" not in {choose(pool, now=1.0) for _ in range(20)}
+    pool.note_report("a", 0, at=1.0)
+    assert "a" in {choose(pool, now=1.0) for _ in range(50)}
+
+
+def test_only_targets_with_the_weights_wished_for(pool):
+    pool.sync({"a": entry("a", market=1), "b": entry("b", market=2), "c": entry("c")})
+    assert {choose(pool, model="market") for _ in range(50)} == {"a", "b"}
+    assert choose(pool, model="market", least_version=2) == "b"
+    assert choose(pool, model="market", only_version=1) == "a"
+
+
+def test_a_near_target_before_a_far_one_as_full(pool):
+    pool.sync({"a": entry("a"), "b": entry("b", place="room")})
+    assert {choose(pool) for _ in range(20)} == {"a"}
+    fill(pool, "a", 2)
+    assert choose(pool) == "b"
+
+
+def test_a_failing_target_goes_out_and_comes_back_by_one_trial(pool):
+    for _ in range(3):
+        pool.failed(pool.loads["a"], now=0.0)
+    assert "a" not in {choose(pool, now=0.5) for _ in range(30)}
+    assert "a" in {choose(pool, now=1.1) for _ in range(50)}
+
+
+def test_when_all_fail_any_is_better_than_none(pool):
+    pool.sync({"a": entry("a")})
+    for _ in range(5):
+        pool.failed(pool.loads["a"], now=0.0)
+    assert choose(pool, now=0.1) == "a"
--- /dev/null
+++ b/tests/fleet/test_upgrades.py
@@ -0,0 +1,91 @@
+"""Versions that are named one after the other, and the halves of a service that take them."""
+
+import pytest
+
+from lacewinggw.decisions.knowledge import Due
+from lacewinggw.decisions.upgrades import Progress, Upgrade, UpgradePlan, UpgradeRules
+
+RULES = UpgradeRules(allowed_s=8.0, copy_s=5.0)
+HOSTS = [f"10.0.0.{number}" for number in range(8)]
+NAMED_AT = 100.0
+DUE = [Due(2, NAMED_AT)]
+
+
+def plans():
+    return [UpgradePlan(RULES, host, HOSTS) for host in HOSTS]
+
+
+def early_plan():
+    return next(plan for plan in plans() if decide(plan, 1, DUE, {2: 1.0}, 106.0).load)
+
+
+def late_plan():
+    return next(plan for plan in plans() if not decide(plan, 1, DUE, {2: 1.0}, 106.0).load)
+
+
+def decide(plan, current, due, shares, now):
+    return plan.decide(current, due, Progress(shares), now)
+
+
+def test_half_of_the_service_takes_a_version_as_soon_as_it_is_there():
+    at_once = [decide(plan, 1, DUE, {2: 1.0}, 105.0) for plan in plans()]
+    assert [upgrade.load for upgrade in at_once].count(2) == 4
+    assert all(upgrade.may_cut for upgrade in at_once if upgrade.load)
+
+
+def test_the_other_half_begins_to_empty_just_before_the_bound():
+    loads = [decide(late_plan(), 1, DUE, {2: 1.0}, now).load for now in (106.3, 106.5)]
+    assert loads == [None, 2]
+    assert not decide(late_plan(), 1, DUE, {2: 1.0}, 106.5).may_cut
+
+
+def test_a_single_target_is_never_cut():
+    plan = UpgradePlan(RULES, HOSTS[0], HOSTS[:1])
+    assert decide(plan, 1, DUE, {2: 1.0}, 105.0) == Upgrade((2,))
+    assert decide(plan, 1, DUE, {2: 1.0}, 107.0) == Upgrade((2,), load=2)
+
+
+def test_nothing_is_loaded_that_is_not_whole():
+    assert decide(early_plan(), 1, DUE, {2: 0.98}, 110.0) == Upgrade((2,), may_cut=True)
+
+
+def test_a_target_at_the_newest_version_has_nothing_to_do():
+    assert decide(early_plan(), 2, DUE, {2: 1.0}, 105.0) == Upgrade()
+
+
+def test_a_version_on_its_way_is_finished_before_the_next_one():
+    due = [*DUE, Due(3, NAMED_AT + 3.0)]
+    assert decide(early_plan(), 1, due, {2: 0.6}, 103.0).fetch == (2,)
+    whole = decide(early_plan(), 1, due, {2: 1.0}, 104.5)
+    assert (whole.fetch, whole.load) == ((2, 3), 2)
+
+
+def test_a_version_is_left_out_when_the_next_one_is_here_in_time():
+    due = [*DUE, Due(3, NAMED_AT + 0.5)]
+    assert decide(early_plan(), 1, due, {2: 0.1}, 100.5).fetch == (3,)
+
+
+def test_the_next_version_counts_by_the_bound_of_the_one_left_out():
+    due = [*DUE, Due(3, NAMED_AT + 0.5)]
+    assert decide(late_plan(), 1, due, {3: 1.0}, 106.5).load == 3
+
+
+@pytest.mark.parametrize(
+    ("shares", "load"),
+    [({3: 1.0}, 3), ({3: 0.5}, None), ({2: 1.0, 3: 0.5}, 2)],
+    ids=["newest is there", "nothing is there", "an older one is there"],
+)
+def test_an_empty_target_takes_what_may_serve_for_a_while(shares, load):
+    due = [*DUE, Due(3, NAMED_AT + 3.0)]
+    upgrade = decide(early_plan(), None, due, shares, 104.0)
+    assert (upgrade.fetch, upgrade.load) == ((3,), load)
+
+
+def test_an_empty_target_does_not_take_what_is_soon_over():
+    due = [*DUE, Due(3, NAMED_AT)]
+    assert decide(early_plan(), None, due, {2: 1.0, 3: 0.5}, 107.0).load is None
+
+
+def test_an_empty_target_takes_the_first_version_where_none_was_named():
+    assert decide(early_plan(), None, [], {1: 1.0}, 0.0) == Upgrade((1,), load=1)
+    assert decide(early_plan(), 1, [], {1: 1.0}, 0.0) == Upgrade()
