--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -119,6 +119,13 @@
         ]
         return max(late, default=0)
 
+    def begin_by(self, target: TargetId, model: ModelName) -> float:
+        """Return until when a request may begin on the weights that a target is known to hold."""
+        entry = self._targets.get(target)
+        held = entry.weights.get(model, 0) if entry else 0
+        newer = [each.learned_at for each in self.due_versions(model) if each.version > held]
+        return min(newer, default=math.inf) + self.rules.version_s - self.rules.slack_s
+
     # ---- targets --------------------------------------------------------------------------
 
     def note_outage_end(self, now: float) -> None:
