--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -5,6 +5,7 @@
 proved the news, so a process that was frozen finds its knowledge old before it admits anything.
 """
 
+import math
 from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -38,7 +38,8 @@
 
     A connection that has gone silent is noticed after the wait and a little more, so the wait
     bounds how old the knowledge may grow. While `is_needed` says no, as somebody else tells what
-    is new, nothing is read but the first snapshot.
+    is new, nothing is read but the first snapshot. `on_regained` is told, before the news, when the
+    store answers again.
     """
 
     def __init__(
@@ -51,8 +52,10 @@
         metrics: Metrics,
         rng: random.Random,
         is_needed: Callable[[], bool] = lambda: True,
+        on_regained: Callable[[float], None] = lambda now: None,
     ) -> None:
         self._is_needed = is_needed
+        self._on_regained = on_regained
         self._topic = topic
         self._feed = feed
         self._apply = apply
@@ -126,3 +129,4 @@
         lost_s = self._clock() - self._lost_since
         log.info("store_regained", topic=self._topic.value, lost_s=round(lost_s, 3))
         self._lost_since = None
+        self._on_regained(self._clock())
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -251,7 +251,8 @@
         def apply(news: News, proved_at: float) -> None:
             self._apply(topic, news, proved_at)
 
-        return TopicFollower(topic, feed, apply, wait, clock, metrics, rng)
+        regained = self.knowledge.note_outage_end
+        return TopicFollower(topic, feed, apply, wait, clock, metrics, rng, on_regained=regained)
 
     def _apply(self, topic: Topic, news: News, proved_at: float) -> None:
         match topic:
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -76,6 +76,10 @@
         """Tell whether a target takes no new work."""
         return target in self._knowledge.leaving
 
+    def note_regained(self, now: float) -> None:
+        """Note that the store answers again."""
+        self._knowledge.note_outage_end(now)
+
     # ---- from the store -------------------------------------------------------------------
 
     def take_configuration(self, news: News, _: float) -> None:
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -173,6 +173,7 @@
             self.metrics,
             rng,
             is_needed=lambda: not self.assignment.is_told,
+            on_regained=self.assignment.note_regained,
         )
 
     # ---- life -----------------------------------------------------------------------------
