Prove the path of requests, the store's troubles and the burst of weights without the bench

Stand-ins that speak the platform's published calls (store, target, origin), whole fleets of entries and agents on an in-memory network under virtual time. Found by them and mended: with every key taken away no key was asked for any more.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.made
-CHECKED := src tests tools
+CHECKED := src platform tests tools
 TEST_PROCESSES ?= 8
 
 .PHONY: venv demo test lint format types schema schema-check docs sizes binary clean
--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -129,6 +129,7 @@
     routes: tuple[Route, ...] = ()
     services: Mapping[ServiceName, Service] = field(default_factory=dict)
     accounts: Mapping[str, ClientAccount] = field(default_factory=dict)  # by key
+    needs_key: bool = False  # on every route that is not anonymous, even if nobody holds one
     limits: CallerLimits = field(default_factory=CallerLimits)
     _by_domain: dict[str, list[Route]] = field(default_factory=dict, compare=False, repr=False)
 
--- a/src/lacewinggw/frontend/admission.py
+++ b/src/lacewinggw/frontend/admission.py
@@ -70,7 +70,7 @@
     facts: CallFacts, route: Route, table: RouteTable, knowledge: Knowledge, now: float
 ) -> ClientAccount | None:
     account = table.account_of(facts.key)
-    if account is None and (route.anonymous or not table.accounts):
+    if account is None and (route.anonymous or not table.needs_key):
         return None
     if account is None:
         if not knowledge.covers_denial(now):
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -33,6 +33,7 @@
 from lacewinggw.health import Health, Readiness
 from lacewinggw.ids import Address, HostId, ModelName, Place, TargetId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.logstream import LogStream
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import Handler, HttpClient, HttpServer
@@ -407,5 +408,7 @@
 async def run_frontend(settings: Settings, adapter: FrontendAdapter) -> None:
     """Run an entry until it is asked to leave."""
     process = FrontendProcess.from_config(settings, adapter)
-    configure_process_log(settings.process, "entry", process.incarnation)
+    stream = LogStream.for_stdout()
+    configure_process_log(settings.process, "entry", process.incarnation, stream)
+    process.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
     await run_until_signalled(process.start, process.drain, process.close)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -67,6 +68,9 @@
     avoid: set[TargetId] = field(default_factory=set)
     last_event: int | None = None
     version: int | None = None  # of the weights that the answer has begun with
+    target: TargetId | None = None  # that was offered the request last
+    waited_s: float = 0.0
+    ahead: float = 0.0  # requests ahead of it at that target, as far as was known
     failure: tuple[int, Headers, bytes] | None = None  # a target's own answer that says it failed
 
     @property
@@ -142,8 +146,28 @@
             await self._refuse(call, facts.call_id, LacewingError("the process failed"), caller)
         else:
             self._answered.add()
+            self._log_answered(job)
         self._latency.record(_now() - began)
 
+    def _log_answered(self, job: Job) -> None:
+        now = _now()
+        knowledge = self._parts.knowledge
+        log.info(
+            "request_answered",
+            request_id=job.admitted.facts.call_id,
+            route=job.admitted.route.name,
+            target=job.target,
+            weights=job.version,
+            took_ms=_to_ms(now - job.admitted.call.arrived_at),
+            waited_ms=_to_ms(job.waited_s),
+            ahead=job.ahead,
+            offers=job.offers,
+            runs=job.runs,
+            last_event=job.last_event,
+            routes=self._routes_version,
+            routes_age_ms=_to_ms(knowledge.routes_age(self._parts.clock())),
+        )
+
     async def _end_late(self, job: Job, caller: Caller) -> None:
         """End a request whose time is over."""
         call, call_id = job.admitted.call, job.admitted.facts.call_id
@@ -164,8 +188,9 @@
             request_id=call_id,
             domain=call.domain,
             error=error,
-            held_ms=round((_now() - call.arrived_at) * MS_PER_S),
+            held_ms=_to_ms(_now() - call.arrived_at),
             routes=self._routes_version,
+            routes_age_ms=_to_ms(self._parts.knowledge.routes_age(self._parts.clock())),
         )
         if caller.has_begun:
             caller.close()
@@ -220,6 +245,8 @@
             wait = self._patience(admitted, left_s)
             until = now + wait.wait_s
             load = await self._parts.queue.claim(wish, admitted.priority, wait.is_late, until)
+        job.target, job.waited_s = load.entry.target, job.waited_s + _now() - now
+        job.ahead = round(load.ahead(now) - 1.0, 1)
         self._budget(admitted.service).note_call(_now())
         return load
 
@@ -390,5 +417,9 @@
     await asyncio.wait(tasks)
 
 
+def _to_ms(seconds: float) -> int | None:
+    return round(seconds * MS_PER_S) if math.isfinite(seconds) else None
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -41,6 +41,7 @@
 from lacewinggw.loader.releases import release_of
 from lacewinggw.loader.target import LoadableReport, LoadableTarget, Switch
 from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.logstream import LogStream
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpServer
@@ -359,5 +360,7 @@
 async def run_loader(settings: Settings, adapter: LoaderAdapter) -> None:
     """Run an agent until it is asked to leave."""
     process = LoaderProcess.from_config(settings, adapter)
-    configure_process_log(settings.process, "agent", process.incarnation)
+    stream = LogStream.for_stdout()
+    configure_process_log(settings.process, "agent", process.incarnation, stream)
+    process.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
     await run_until_signalled(process.start, process.drain, process.close)
--- a/src/lacewinggw/log.py
+++ b/src/lacewinggw/log.py
@@ -9,7 +9,7 @@
 import logging
 import sys
 from enum import Enum
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 import structlog
 
@@ -19,6 +19,16 @@
 Logger = structlog.typing.FilteringBoundLogger
 
 
+class LineStream(Protocol):
+    """What log lines are written to."""
+
+    def write(self, text: str, /) -> int:
+        """Write a line."""
+
+    def flush(self) -> None:
+        """Write what is kept."""
+
+
 class LogFormat(Enum):
     """How a line is written."""
 
@@ -29,7 +39,7 @@
 def configure_log(
     log_format: LogFormat,
     level: str,
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
 ) -> None:
     """Set logging up for the process; to `stream`, or to standard error."""
     out = stream or sys.stderr
@@ -43,7 +53,7 @@
             _renderer(log_format),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(_level_number(level)),
-        logger_factory=structlog.WriteLoggerFactory(file=out),
+        logger_factory=structlog.WriteLoggerFactory(file=out),  # type: ignore[arg-type]
         cache_logger_on_first_use=False,
     )
 
@@ -52,7 +62,7 @@
     settings: ProcessSettings,
     role: str,
     incarnation: str,
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
 ) -> None:
     """Set logging up from settings, with host, place, role and incarnation on every line."""
     configure_log(LogFormat(settings.log_format), settings.log_level, stream)
--- /dev/null
+++ b/tests/fleet/platform_standins.py
@@ -0,0 +1,394 @@
+"""Stand-ins of the platform's services, by their published calls: store, engine, origin.
+
+They are small and obey: tests tell them how to fail. Everything runs on an in-memory network.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.wire.http import HttpServer, Request, Response, json_response
+
+STORE = "10.9.0.1:8007"
+ORIGIN = "10.9.0.2:8006"
+MODEL = "market"
+LLM = "writer"
+DESK = "desk"
+KEY = "key-of-growers"
+CHUNKS = 8
+CHUNK_BYTES = 1024
+
+
+def manifest(version: int, **changes: object) -> dict:
+    """Return what operators write as the routes, in the platform's words."""
+    route = {
+        "TimeoutMs": 6000,
+        "TargetLatencyMs": 400,
+        "Priority": 1,
+        "Attempts": 2,
+        "AllowAnonymous": False,
+    }
+    engine = {
+        "Slots": 4,
+        "KvCapacityTokens": 100000,
+        "Stride": 6,
+        "Models": [{"Name": MODEL, "WarmupS": 0.1}],
+        "step_ms": 6.73,
+        "per_seq_ms": 0.02,
+        "context_per_k": 0.0068,
+        "read_per_s": 30600.0,
+        "pairs_per_m": 0.647,
+        "chunk": 2048,
+        "layers": 4,
+        "Chunks": CHUNKS,
+        "ChunkBytes": CHUNK_BYTES,
+    }
+    return {
+        "Version": version,
+        "Routes": [
+            {
+                **route,
+                "Name": "report",
+                "Host": "notes.example",
+                "Prefix": "/report/",
+                "Kind": "streaming",
+                "ResumeStreams": True,
+                "TargetGapMs": 300,
+                "Service": LLM,
+            },
+            {
+                **route,
+                "Name": "sheet",
+                "Host": "notes.example",
+                "Prefix": "/sheet/",
+                "Kind": "non_idempotent",
+                "TimeoutMs": 1200,
+                "Service": DESK,
+            },
+            {
+                **route,
+                "Name": "tally",
+                "Host": "notes.example",
+                "Prefix": "/tally/",
+                "Kind": "idempotent",
+                "TimeoutMs": 1200,
+                "Service": DESK,
+            },
+        ],
+        "Services": [
+            {"Name": LLM, "HealthPath": "/health", "ConnectionLimit": 50, "Engine": engine},
+            {"Name": DESK, "HealthPath": "/health", "ConnectionLimit": 50},
+            {"Name": "ledger", "Origin": ORIGIN, "Zone": "hall", "LinkMbps": 9.9},
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 4096,
+            "MaxBodyBytes": 10000,
+            "HeaderTimeoutMs": 1000,
+            "IdleTimeoutMs": 5000,
+        },
+        "Tenants": [{"Name": "growers", "ApiKeys": [KEY], "Priority": 1}],
+        **changes,
+    }
+
+
+@dataclass
+class Row:
+    """A row of a table and the version that wrote it; `value` is None once it is dropped."""
+
+    table: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class StoreStandIn:
+    """The store: rows, feeds, transactions. `refusal` is a status that every call then gets."""
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        self.refusal = 0
+        self.calls: list[str] = []
+        self.forgotten = 0  # history up to this version is gone
+        self.deaf = False  # a feed hears nothing and waits its time out
+        self._rows: dict[tuple[str, str], Row] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+        self._server = HttpServer(network, STORE, self._handle)
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def close(self) -> None:
+        await self._server.close()
+
+    def put(self, table: str, key: str, value: dict | None) -> None:
+        self._version += 1
+        data = None if value is None else json.dumps(value).encode()
+        self._rows[table, key] = Row(table, key, data, self._version)
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def forget_history(self) -> None:
+        self.forgotten = self._version
+
+    def rows(self, table: str) -> dict[str, dict]:
+        return {
+            row.key: json.loads(row.value)
+            for row in self._rows.values()
+            if row.table == table and row.value is not None
+        }
+
+    async def _handle(self, request: Request) -> Response:
+        self.calls.append(request.path)
+        if self.refusal:
+            return Response(self.refusal)
+        match request.path:
+            case "/rows-get":
+                rows = [row for row in self._in(request.query["Table"]) if row.value is not None]
+                return self._answer(rows)
+            case "/rows-feed":
+                return await self._feed(request.query)
+            case "/rows-tx":
+                for row in json.loads(request.body)["Write"]:
+                    self.put(row["Table"], row["Key"], json.loads(base64.b64decode(row["Value"])))
+                return json_response(200, {"SchemaVersion": self._version, "CurrentTimeMs": 0})
+        return Response(404)
+
+    async def _feed(self, query: dict[str, str]) -> Response:
+        after, wait_s = int(query["AfterRevision"]), int(query["WaitMs"]) / 1000
+        if after < self.forgotten:
+            return Response(410)
+        end = asyncio.get_running_loop().time() + wait_s
+        while self.deaf or not self._after(query["Table"], after):
+            try:
+                async with asyncio.timeout_at(end):
+                    await self._changed.wait()
+            except TimeoutError:
+                break
+        rows = [] if self.deaf else self._after(query["Table"], after)
+        return self._answer(rows)
+
+    def _in(self, table: str) -> list[Row]:
+        return sorted(
+            (row for row in self._rows.values() if row.table == table), key=lambda row: row.key
+        )
+
+    def _after(self, table: str, version: int) -> list[Row]:
+        return [row for row in self._in(table) if row.version > version]
+
+    def _answer(self, rows: list[Row]) -> Response:
+        told = [
+            {
+                "Table": row.table,
+                "part": "",
+                "Key": row.key,
+                "SchemaVersion": row.version,
+                **(
+                    {"Deleted": True}
+                    if row.value is None
+                    else {"Value": base64.b64encode(row.value).decode()}
+                ),
+            }
+            for row in rows
+        ]
+        body = {"Rows": told, "HasMore": False, "SchemaVersion": self._version, "CurrentTimeMs": 0}
+        return json_response(200, body)
+
+
+def target_row(service: str, address: str, zone: str = "hall", **changes: object) -> dict:
+    """Return what a target writes of itself."""
+    models = [{"Name": MODEL, "Version": 1, "Adapters": []}] if service == LLM else []
+    return {
+        "Service": service,
+        "Address": address,
+        "Zone": zone,
+        "Version": "v1",
+        "Slots": 4,
+        "State": "ready",
+        "ColdRemainingMs": 0,
+        "Models": models,
+        **changes,
+    }
+
+
+@dataclass
+class Behaviour:
+    """How a target answers; counts are of requests, from the first one on."""
+
+    shed: int = 0  # so many are refused as not run
+    errors: int = 0  # so many get a 500
+    cut_after: int | None = None  # a stream breaks off after so many events
+    silent_after: int | None = None  # it stops after so many events and stays open
+    silent: int = 0  # so many get no answer at all
+    pause_s: float = 0.01
+    events: int = 5
+    wrong_id: bool = False
+
+
+class TargetStandIn:
+    """A target: answers, streams, and for a model engine its report, staging area and orders."""
+
+    def __init__(self, network: MemoryNetwork, target_id: str, address: str) -> None:
+        self.target_id = target_id
+        self.address = address
+        self.behaviour = Behaviour()
+        self.seen: list[Request] = []
+        self.abandoned = 0
+        self.running = 0
+        self.weights: dict[str, int] = {MODEL: 1}
+        self.staged: dict[int, bytes] = {}
+        self.orders: list[dict] = []
+        self.loaded: list[bytes] = []
+        self.busy = False
+        self._network = network
+        self._server = HttpServer(network, address, self._handle)
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def close(self) -> None:
+        await self._server.close()
+
+    async def _handle(self, request: Request) -> Response:
+        match request.path.split("/")[1:]:
+            case ["report"]:
+                return self._report()
+            case ["stage-put", _]:
+                self.staged[int(request.query["ItemCount"])] = request.body
+                return Response(200)
+            case ["stage-get", _]:
+                return self._staged(request)
+            case ["order"]:
+                return self._order(json.loads(request.body))
+        self.seen.append(request)
+        return await self._answer(request)
+
+    async def _answer(self, request: Request) -> Response:
+        behaviour = self.behaviour
+        headers = {
+            "x-attempt-id": "other" if behaviour.wrong_id else request.headers["x-attempt-id"],
+            "x-response-seal": f"seal-of-{self.target_id}",
+        }
+        if request.headers.get("x-expected-instance") != self.target_id:
+            return Response(421)
+        if behaviour.shed > 0:
+            behaviour.shed -= 1
+            return Response(503, {"x-not-executed": "1"})
+        if behaviour.silent > 0:
+            behaviour.silent -= 1
+            await asyncio.sleep(3600)
+        if behaviour.errors > 0:
+            behaviour.errors -= 1
+            return Response(500, headers, b"failed")
+        if request.path.startswith("/report"):
+            headers["content-type"] = "text/event-stream"
+            headers["x-weight-versions"] = str(self.weights.get(MODEL, 0))
+            first = int(request.headers.get("last-event-id", 0)) + 1
+            return Response(200, headers, self._stream(first))
+        await asyncio.sleep(behaviour.pause_s)
+        return Response(200, headers, b"answer of " + self.target_id.encode())
+
+    async def _stream(self, first: int) -> AsyncIterator[bytes]:
+        behaviour = self.behaviour
+        self.running += 1
+        try:
+            for sent, number in enumerate(range(first, behaviour.events + 1)):
+                if behaviour.cut_after == sent:
+                    behaviour.cut_after = None
+                    yield b"id: 99\nda"
+                    raise ConnectionResetError
+                if behaviour.silent_after == sent:
+                    behaviour.silent_after = None
+                    await asyncio.sleep(3600)
+                await asyncio.sleep(behaviour.pause_s)
+                yield f"id: {number}\ndata: piece {number}\n\n".encode()
+        except (asyncio.CancelledError, GeneratorExit):
+            self.abandoned += 1
+            raise
+        finally:
+            self.running -= 1
+
+    def _report(self) -> Response:
+        models = [{"Name": name, "Version": held} for name, held in self.weights.items()]
+        return json_response(
+            200,
+            {
+                "Models": models,
+                "Busy": self.busy,
+                "Sequence": len(self.orders),
+                "QueuedRequests": 0,
+                "ActiveRequests": self.running,
+            },
+        )
+
+    def _staged(self, request: Request) -> Response:
+        if "ItemCount" not in request.query:
+            return json_response(200, {"held": sorted(self.staged)})
+        data = self.staged.get(int(request.query["ItemCount"]))
+        return Response(404) if data is None else Response(200, {}, data)
+
+    def _order(self, order: dict) -> Response:
+        if order["Precondition"] != len(self.orders):
+            return Response(409)
+        self.orders.append(order)
+        self.loaded = [self.staged.get(index, b"") for index in range(CHUNKS)]
+        self.busy = True
+        asyncio.get_running_loop().call_later(0.2, self._finish, order)
+        return Response(202)
+
+    def _finish(self, order: dict) -> None:
+        self.busy = False
+        self.weights[order["Model"]] = order["Version"]
+
+
+def piece(version: int, index: int) -> bytes:
+    """Return a piece of a version's weights."""
+    seed = f"{version}/{index}".encode()
+    return hashlib.sha256(seed).digest() * (CHUNK_BYTES // 32)
+
+
+@dataclass
+class OriginFaults:
+    """What goes wrong at the origin."""
+
+    down: bool = False
+    corrupt: set[int] = field(default_factory=set)  # pieces sent spoilt, once each
+
+
+class OriginStandIn:
+    """The origin of weights, which counts what it sends."""
+
+    def __init__(self, network: MemoryNetwork) -> None:
+        self.faults = OriginFaults()
+        self.sent: list[int] = []
+        self._server = HttpServer(network, ORIGIN, self._handle)
+
+    async def start(self) -> None:
+        await self._server.start()
+
+    async def close(self) -> None:
+        await self._server.close()
+
+    async def _handle(self, request: Request) -> Response:
+        if self.faults.down:
+            raise ConnectionResetError
+        version = int(request.query.get("Version", 1))
+        if request.path.startswith("/manifest/"):
+            hashes = [hashlib.sha256(piece(version, index)).hexdigest() for index in range(CHUNKS)]
+            body = {
+                "Model": MODEL,
+                "Version": version,
+                "ChunkBytes": CHUNK_BYTES,
+                "Digests": hashes,
+            }
+            return json_response(200, body)
+        index = int(request.query["ItemCount"])
+        self.sent.append(index)
+        data = piece(version, index)
+        if index in self.faults.corrupt:
+            self.faults.corrupt.discard(index)
+            data = b"\0" + data[1:]
+        return Response(200, {}, data)
--- /dev/null
+++ b/tests/fleet/test_store_troubles.py
@@ -0,0 +1,84 @@
+"""What entries and agents believe through the troubles of the store, singly and in pairs."""
+
+import asyncio
+
+import pytest
+from declared_fleet import running_fleet
+from platform_standins import manifest, target_row
+
+pytestmark = pytest.mark.looptime
+
+
+async def test_a_key_is_refused_once_it_may_have_been_taken_away():
+    async with running_fleet() as fleet:
+        fleet.store.refusal = 503
+        await asyncio.sleep(2.0)
+        assert (await fleet.ask("/sheet/1")).status == 200
+        await asyncio.sleep(4.0)
+        assert (await fleet.ask("/sheet/1")).status == 503
+
+
+async def test_a_key_taken_away_is_denied():
+    async with running_fleet() as fleet:
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        await asyncio.sleep(0.6)
+        assert (await fleet.ask("/sheet/1")).status == 401
+
+
+async def test_a_store_that_falls_silent_is_left_for_a_new_connection():
+    async with running_fleet() as fleet:
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        await asyncio.sleep(3.0)
+        fleet.network.heal("10.1.0.1", "10.9.0.1")
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        await asyncio.sleep(2.0)
+        assert (await fleet.ask("/sheet/1")).status == 401
+        assert fleet.entries[0].knowledge.routes.version == 4
+
+
+async def test_cut_and_revoked_at_once():
+    async with running_fleet() as fleet:
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        await asyncio.sleep(5.2)
+        assert (await fleet.ask("/sheet/1")).status == 503
+
+
+async def test_forgotten_history_and_a_leaving_target_at_once():
+    async with running_fleet() as fleet:
+        fleet.store.deaf = True
+        row = target_row("desk", "10.3.0.1:8080", State="draining")
+        fleet.store.put("servers", "i-desk0", row)
+        fleet.store.forget_history()
+        await asyncio.sleep(1.0)
+        fleet.store.deaf = False
+        await asyncio.sleep(4.0)
+        assert "i-desk0" in fleet.entries[0].knowledge.leaving
+        for _ in range(6):
+            assert (await fleet.ask("/tally/1", "GET")).status == 200
+        assert not fleet.targets["desk0"].seen
+
+
+async def test_targets_that_lapsed_in_an_outage_serve_on_until_they_are_back():
+    async with running_fleet() as fleet:
+        fleet.store.refusal = 503
+        await asyncio.sleep(4.5)
+        for name in ("desk0", "desk1"):
+            fleet.store.put("servers", f"i-{name}", None)
+        fleet.store.refusal = 0
+        await asyncio.sleep(1.4)
+        assert len(fleet.entries[0].pool.loads) == 4
+        fleet.store.put("servers", "i-desk0", target_row("desk", "10.3.0.1:8080"))
+        await asyncio.sleep(2.5)
+        assert {"i-desk0"} == {name for name in fleet.entries[0].pool.loads if "desk" in name}
+
+
+async def test_a_fresh_entry_knows_what_the_store_says_now():
+    async with running_fleet() as fleet:
+        fleet.store.put("op", "config", manifest(9))
+        fleet.store.put("servers", "i-desk0", None)
+        fleet.store.forget_history()
+        entry = await fleet.add_entry(2)
+        await asyncio.sleep(0.5)
+        assert entry.knowledge.routes.version == 9
+        assert "i-desk0" not in entry.knowledge.targets
--- /dev/null
+++ b/tests/fleet/test_weights_burst.py
@@ -0,0 +1,138 @@
+"""From a named version to every engine, and from nothing, with origin, pieces, orders failing."""
+
+import asyncio
+
+import pytest
+from declared_fleet import DeclaredFleet, running_fleet
+from platform_standins import CHUNKS, LLM, MODEL, TargetStandIn, piece
+
+pytestmark = pytest.mark.looptime
+
+EVERY_PIECE = [piece(2, index) for index in range(CHUNKS)]
+
+
+async def with_agents(fleet: DeclaredFleet) -> list[TargetStandIn]:
+    engines = [name for name in fleet.targets if name.startswith("engine")]
+    for name in engines:
+        target = fleet.targets[name]
+        target.staged = {index: piece(1, index) for index in range(CHUNKS)}
+        await fleet.add_agent(name)
+    await asyncio.sleep(1.5)
+    return [fleet.targets[name] for name in engines]
+
+
+def name_version(fleet: DeclaredFleet, version: int) -> None:
+    fleet.store.put("op", f"version/{MODEL}", {"Model": MODEL, "Version": version})
+
+
+async def test_every_engine_has_a_named_version_in_time():
+    async with running_fleet(engines=4) as fleet:
+        engines = await with_agents(fleet)
+        name_version(fleet, 2)
+        await asyncio.sleep(8.0)
+        assert [engine.weights[MODEL] for engine in engines] == [2] * 4
+        assert all(engine.loaded == EVERY_PIECE for engine in engines)
+        assert sorted(fleet.origin.sent) == list(range(CHUNKS))
+
+
+async def test_half_of_the_engines_serve_the_old_version_until_the_others_have_the_new_one():
+    async with running_fleet(engines=4) as fleet:
+        engines = await with_agents(fleet)
+        name_version(fleet, 2)
+        await asyncio.sleep(4.0)
+        assert sorted(engine.weights[MODEL] for engine in engines) == [1, 1, 2, 2]
+        assert [engine.busy for engine in engines] == [False] * 4
+
+
+async def test_a_piece_that_turned_bad_where_it_lies_is_staged_again():
+    async with running_fleet(engines=1) as fleet:
+        (engine,) = await with_agents(fleet)
+        name_version(fleet, 2)
+        await asyncio.sleep(4.0)
+        engine.staged[3] = b"rotten"
+        await asyncio.sleep(4.0)
+        assert engine.loaded == EVERY_PIECE
+
+
+async def test_a_piece_that_came_spoilt_from_the_origin_is_fetched_again():
+    async with running_fleet(engines=2) as fleet:
+        engines = await with_agents(fleet)
+        fleet.origin.faults.corrupt = {1, 5}
+        name_version(fleet, 2)
+        await asyncio.sleep(8.0)
+        assert all(engine.loaded == EVERY_PIECE for engine in engines)
+
+
+async def test_an_origin_that_is_away_for_a_while_is_asked_again():
+    async with running_fleet(engines=2) as fleet:
+        engines = await with_agents(fleet)
+        fleet.origin.faults.down = True
+        name_version(fleet, 2)
+        await asyncio.sleep(3.0)
+        fleet.origin.faults.down = False
+        await asyncio.sleep(6.0)
+        assert [engine.weights[MODEL] for engine in engines] == [2, 2]
+
+
+async def test_an_empty_engine_gets_its_pieces_from_the_others():
+    async with running_fleet(engines=2) as fleet:
+        await with_agents(fleet)
+        empty = await fleet.add_target("empty", LLM, "10.2.0.9", Models=[])
+        empty.weights = {}
+        await fleet.add_agent("empty")
+        await asyncio.sleep(4.0)
+        assert empty.weights == {MODEL: 1}
+        assert fleet.origin.sent == []
+
+
+async def test_an_engine_that_restarted_uses_what_is_still_staged():
+    async with running_fleet(engines=1) as fleet:
+        (engine,) = await with_agents(fleet)
+        engine.weights = {}
+        await asyncio.sleep(1.0)
+        assert engine.weights == {MODEL: 1}
+        assert fleet.origin.sent == []
+
+
+async def test_an_order_that_is_refused_is_given_anew_from_what_the_engine_says():
+    async with running_fleet(engines=1) as fleet:
+        (engine,) = await with_agents(fleet)
+        name_version(fleet, 2)
+        await asyncio.sleep(4.0)
+        engine.orders.append({"Operation": "of somebody else"})
+        await asyncio.sleep(4.0)
+        assert engine.weights == {MODEL: 2}
+
+
+async def test_agents_learn_of_a_version_while_the_store_turns_them_away():
+    async with running_fleet(engines=2) as fleet:
+        engines = await with_agents(fleet)
+        for number in (1, 2):
+            fleet.network.cut(f"10.2.0.{number}", "10.9.0.1")
+        name_version(fleet, 2)
+        await asyncio.sleep(8.0)
+        assert [engine.weights[MODEL] for engine in engines] == [2, 2]
+
+
+async def test_agents_read_the_store_themselves_while_no_entry_speaks():
+    async with running_fleet(engines=2) as fleet:
+        engines = await with_agents(fleet)
+        await fleet.entries[0].close()
+        await asyncio.sleep(5.0)
+        name_version(fleet, 2)
+        await asyncio.sleep(8.0)
+        assert [engine.weights[MODEL] for engine in engines] == [2, 2]
+
+
+async def test_agents_leave_the_store_alone_while_entries_speak():
+    async with running_fleet(engines=2) as fleet:
+        await with_agents(fleet)
+        for number in (1, 2):
+            fleet.network.cut(f"10.2.0.{number}", "10.9.0.1")
+        await asyncio.sleep(10.0)
+        retries = [agent.metrics.snapshot() for agent in fleet.agents.values()]
+        reads = [
+            sum(count for name, count in each.counters.items() if name.startswith("store_reads"))
+            for each in retries
+        ]
+        assert max(reads) <= 4
