--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -221,7 +221,8 @@
         )
 
     def _count_entries(self) -> int:
-        return max(1, len(self._members))
+        """Return how many entries there are; 0 while that is not known."""
+        return len(self._members)
 
     def _readiness(self) -> Readiness:
         version = self.knowledge.routes.version if self.knowledge.routes else 0
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -71,6 +71,8 @@
     target: TargetId | None = None  # that was offered the request last
     waited_s: float = 0.0
     ahead: float = 0.0  # requests ahead of it at that target, as far as was known
+    offered_at: float = 0.0
+    first_s: float | None = None  # from the offer to the first part of the answer
     failure: tuple[int, Headers, bytes] | None = None  # a target's own answer that says it failed
 
     @property
@@ -160,6 +162,7 @@
             weights=job.version,
             took_ms=_to_ms(now - job.admitted.call.arrived_at),
             waited_ms=_to_ms(job.waited_s),
+            first_ms=None if job.first_s is None else _to_ms(job.first_s),
             ahead=job.ahead,
             offers=job.offers,
             runs=job.runs,
@@ -280,12 +283,14 @@
     def _budget(self, service: ServiceName) -> RetryBudget:
         parts = self._parts
         budget = self._budgets.setdefault(service, RetryBudget(parts.retry_share))
-        budget.extra = parts.extra_retries / parts.count_entries()
+        entries = parts.count_entries()
+        budget.extra = parts.extra_retries / entries if entries else 0.0
         return budget
 
     async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
         """Offer the request to a target; return whether the caller has its answer."""
         job.offers += 1
+        job.offered_at = _now()
         job.avoid.add(load.entry.target)
         sending = self._sending(job)
         job.runs += 1
@@ -389,6 +394,7 @@
                 await caller.send(data)
             else:
                 job.version = answer.facts.version
+                job.first_s = _now() - job.offered_at
                 await caller.begin(answer.status, _headers_to_caller(answer.headers), data)
         if not caller.has_begun:
             await caller.begin(answer.status, _headers_to_caller(answer.headers))
