--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -14,8 +14,8 @@
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
 
-REPORT_DECAY_S = 0.5  # a report this old counts for 1/e; requests run for about a second
-QUEUED = 0.0  # requests offered beyond the slots: each would wait there for some 100 ms
+REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
+BATCH_SHARE = 0.75  # of a model engine's slots: in a fuller batch prompts wait for one another
 REMOTE_COST = 0.15  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
@@ -43,10 +43,10 @@
 
     def has_room(self, now: float) -> bool:
         """Tell whether one more request would start soon."""
-        slots = self.entry.slots
+        slots = self.entry.slots * (BATCH_SHARE if self.entry.weights else 1.0)
         if max(self.full_until, self.loading_until) > now:
             return False
-        return self.ahead(now) < slots + QUEUED
+        return self.ahead(now) < slots
 
     def occupancy(self, now: float) -> float:
         """Return the share of the slots that would be taken with one more request."""
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -52,6 +52,7 @@
 MS_PER_S = 1000.0
 COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
+UNCHANGED_S = 0.6  # between news that say the same again
 NEWS_S = 0.2  # between news of the target's work: a border between regions is narrow and priced
 STORE_WAIT = Wait(for_news_s=4.0, after_news_s=0.5)  # only while no entry speaks
 
@@ -329,10 +330,11 @@
         """Send news of the target's work to the entries that listen, when it has changed."""
         now = self._clock()
         news = self._compose()
-        if news is None or news == self._told:
+        if news is None:
             return
         urgent = self._told is None or news.loading != self._told.loading
-        if not urgent and now - self._told_at < NEWS_S:
+        pause_s = UNCHANGED_S if news == self._told else NEWS_S
+        if not urgent and now - self._told_at < pause_s:
             return
         self._told, self._told_at = news, now
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
