Have entries vouch for one another's knowledge of the routes

One entry a place reads the store every 1.2 s, the others ask it and one elsewhere; the age counts from the question. An entry that the store turns away serves keys on, and one that is cut off from all is ready no more.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -195,6 +195,8 @@
 
 // ---- fleets declared in the operators' store --------------------------------------------
 
+struct NamedModelVersion { 1: string model, 2: i64 version, 3: i64 age_ms }
+
 // From entry to entry, on change and now and then: whether callers may be sent to the sender, and
 // how old its knowledge of the routes is. Ages are spans, so no clocks are compared.
 struct EntryNews {
@@ -203,7 +205,12 @@
   3: i64 routes_version
   4: i64 routes_age_ms           // the routes were known to be the newest so long ago
   5: list<string> leaving        // targets that the sender learned lately take no new work
+  6: list<NamedModelVersion> named
+  7: binary routes = ""          // as the store has them, for one who asked with an older version
 }
+// From entry to entry: what do you know, and how old is it? The age counts back from the sending of
+// this question, so that a reply that was held up makes nothing look newer than it is.
+struct AskNews { 1: i64 routes_version }
 
 struct HeldWeights { 1: string model, 2: i64 version }
 
@@ -348,6 +355,7 @@
   70: EntryNews entry_news
   71: TargetNews target_news
   72: FleetNews fleet_news
+  73: AskNews ask_news
 }
 
 // NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -112,6 +112,11 @@
         """Return the versions of a model that were named, the oldest first."""
         return self._due.get(model, ())
 
+    @property
+    def named(self) -> Sequence[tuple[ModelName, Due]]:
+        """Every version that was named, with its model."""
+        return [(model, due) for model, named in self._due.items() for due in named]
+
     def least_version(self, model: ModelName, now: float) -> int:
         """Return the oldest version on which a request may still begin; 0 for any."""
         bound_s = self.rules.version_s - self.rules.begin_s
--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -131,6 +131,7 @@
     accounts: Mapping[str, ClientAccount] = field(default_factory=dict)  # by key
     needs_key: bool = False  # on every route that is not anonymous, even if nobody holds one
     limits: CallerLimits = field(default_factory=CallerLimits)
+    source: bytes = field(default=b"", compare=False, repr=False)  # as the operators wrote it
     _by_domain: dict[str, list[Route]] = field(default_factory=dict, compare=False, repr=False)
 
     def __post_init__(self) -> None:
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -47,7 +47,7 @@
         topic: Topic,
         feed: FleetFeed,
         apply: Apply,
-        wait: Wait,
+        wait: Callable[[], Wait],
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
@@ -106,13 +106,13 @@
             self._position = news.position
             self._apply(news, sent_at)
             if news.changes:
-                await asyncio.sleep(self._wait.after_news_s)
+                await asyncio.sleep(self._wait().after_news_s)
 
     async def _read(self) -> News:
         self._reads.add()
         if self._position is None:
             return await self._feed.snapshot(self._topic)
-        return await self._feed.changes(self._topic, self._position, self._wait.for_news_s)
+        return await self._feed.changes(self._topic, self._position, self._wait().for_news_s)
 
     async def _back_off(self, error: PlatformError) -> None:
         self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -23,11 +23,21 @@
 MS_PER_S = 1000
 
 
+@dataclass(frozen=True)
+class KnownEntry:
+    """Another entry that was heard lately, ready or not, and where it listens for this one."""
+
+    host: HostId
+    place: Place
+    address: Address
+
+
 @dataclass
 class _Heard:
     """The last news of an entry."""
 
     place: Place
+    address: Address
     news: messages.EntryNews
     at: float
 
@@ -97,8 +107,9 @@
 
     def take_news(self, link: PeerLink, news: messages.EntryNews) -> None:
         """Take the news of another entry."""
-        place = Place(link.remote.place)
-        self._heard[HostId(link.remote.host)] = _Heard(place, news, self._clock())
+        remote = link.remote
+        heard = _Heard(Place(remote.place), Address(remote.address), news, self._clock())
+        self._heard[HostId(remote.host)] = heard
         self._on_news(news)
 
     def ready(self) -> Sequence[ReadyEntry]:
@@ -110,6 +121,15 @@
             if heard.news.ready and now - heard.at < READY_S
         ]
 
+    def known(self) -> Sequence[KnownEntry]:
+        """Return the other entries that were heard lately."""
+        now = self._clock()
+        return [
+            KnownEntry(host, heard.place, heard.address)
+            for host, heard in self._heard.items()
+            if now - heard.at < READY_S
+        ]
+
     async def _run(self) -> None:
         while True:
             try:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -1,6 +1,7 @@
 """The entry process of a declared fleet: its knowledge, its queue and its sockets."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence
 from contextlib import suppress
@@ -28,6 +29,7 @@
 from lacewinggw.frontend.offers import Offers
 from lacewinggw.frontend.queue import RequestQueue
 from lacewinggw.frontend.relay import Relay, RelayParts
+from lacewinggw.frontend.vouching import VOUCHED_S, DecodeRoutes, Self, Voucher, is_reader
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
@@ -43,12 +45,15 @@
 
 MS_PER_S = 1000.0
 PERCENT = 100.0
-# The age of the routes stays within half of the shortest bound on keys.
-ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
+# The age of the routes stays within half of the shortest bound on keys: a few entries read often,
+# and the others ask them; who gets no answer reads often itself.
+READER_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
+ASKER_WAIT = Wait(for_news_s=2.4, after_news_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability.
 LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
 EXPIRE_S = 0.1
+LONGEST_AGE_S = 3600.0  # of knowledge that was never proved
 FLEET_NEWS_S = 1.5  # between news for agents without a change
 GATHER_S = 0.02  # changes that come together are told together
 SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
@@ -72,6 +77,7 @@
     codec: CallCodec
     ready_page: Callable[[Callable[[], bool]], Handler]
     directory_page: Callable[[Resolve, float], Handler]
+    decode_routes: DecodeRoutes
 
 
 class FrontendProcess:
@@ -110,6 +116,14 @@
         self._neighbours = EntryNeighbours(
             self._node, self._host, self._place, self._compose_news, self._take_news, clock, rng
         )
+        self._voucher = Voucher(
+            self._node,
+            Self(self._host, self._place),
+            self.knowledge,
+            adapter.decode_routes,
+            self._neighbours.known,
+            clock,
+        )
         self._agents = Watches(self._node, self._host, lambda host: None, rng)
         routing = settings.routing
         self.pool = TargetPool(
@@ -147,11 +161,11 @@
             HttpServer(network, entry.directory_listen, directory),
             HttpServer(network, entry.operator_listen, pages.handle),
         ]
-        self._targets_follower = self._follow(Topic.TARGETS, LIST_WAIT, rng)
+        self._targets_follower = self._follow(Topic.TARGETS, lambda: LIST_WAIT, rng)
         self._followers = [
-            self._follow(Topic.CONFIGURATION, ROUTES_WAIT, rng),
+            self._follow(Topic.CONFIGURATION, self._routes_wait, rng),
             self._targets_follower,
-            self._follow(Topic.MEMBERS, MEMBERS_WAIT, rng),
+            self._follow(Topic.MEMBERS, lambda: MEMBERS_WAIT, rng),
         ]
         self._announcer = Announcer(adapter.register, self._member(), rng)
         self._fleet_changed = asyncio.Event()
@@ -166,7 +180,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
-        return self.knowledge.routes is not None and self._has_list and not self._leaving
+        knows = self.knowledge.covers_keys(self._clock()) and self._has_list
+        return knows and not self._leaving
 
     # ---- life -----------------------------------------------------------------------------
 
@@ -179,6 +194,7 @@
             await server.start()
         await self._callers.start()
         await self._neighbours.start()
+        await self._voucher.start()
         self._agents.start()
         await self.queue.start()
         self._expiry.start()
@@ -203,6 +219,7 @@
         for follower in self._followers:
             await follower.close()
         await self.queue.close()
+        await self._voucher.close()
         await self._neighbours.close()
         await self._agents.close()
         for server in self._servers:
@@ -247,7 +264,7 @@
 
     # ---- the store ------------------------------------------------------------------------
 
-    def _follow(self, topic: Topic, wait: Wait, rng: random.Random) -> TopicFollower:
+    def _follow(self, topic: Topic, wait: Callable[[], Wait], rng: random.Random) -> TopicFollower:
         feed, clock, metrics = self._adapter.feed, self._clock, self.metrics
 
         def apply(news: News, proved_at: float) -> None:
@@ -256,6 +273,13 @@
         regained = self.knowledge.note_outage_end
         return TopicFollower(topic, feed, apply, wait, clock, metrics, rng, on_regained=regained)
 
+    def _routes_wait(self) -> Wait:
+        vouched = self.knowledge.routes_age(self._clock()) < VOUCHED_S
+        me = Self(self._host, self._place)
+        return (
+            ASKER_WAIT if vouched and not is_reader(me, self._neighbours.known()) else READER_WAIT
+        )
+
     def _apply(self, topic: Topic, news: News, proved_at: float) -> None:
         match topic:
             case Topic.CONFIGURATION:
@@ -370,24 +394,33 @@
         match exchange.message:
             case messages.Watch() as watch:
                 self._neighbours.take_watch(exchange.link, watch)
+            case messages.AskNews() as question:
+                exchange.finish(self._compose_news(question.routes_version))
             case messages.EntryNews() as news:
                 self._neighbours.take_news(exchange.link, news)
             case messages.TargetNews() as news:
                 self._take_target_news(news)
 
-    def _compose_news(self) -> messages.EntryNews:
-        routes = self.knowledge.routes
-        age_s = min(self.knowledge.routes_age(self._clock()), 3600.0)
+    def _compose_news(self, known_version: int | None = None) -> messages.EntryNews:
+        """Return the news of this entry, with the routes for one that knows older ones."""
+        routes, now = self.knowledge.routes, self._clock()
+        age_s = min(self.knowledge.routes_age(now), LONGEST_AGE_S)
         return messages.EntryNews(
             caller_address=self._member().caller_address,
             ready=self.is_ready,
             routes_version=routes.version if routes else 0,
-            routes_age_ms=round(age_s * MS_PER_S),
-            leaving=[],
+            routes_age_ms=math.ceil(age_s * MS_PER_S),
+            leaving=sorted(self.knowledge.leaving & self.knowledge.targets.keys()),
+            named=[
+                messages.NamedModelVersion(model, due.version, round((now - due.learned_at) * 1000))
+                for model, due in self.knowledge.named
+            ],
+            routes=_newer_source(routes, known_version),
         )
 
     def _take_news(self, news: messages.EntryNews) -> None:
-        for target in news.leaving or []:
+        """Take what other entries push; the age of the routes counts only when it was asked for."""
+        for target in news.leaving:
             self.knowledge.note_leaving(TargetId(target))
 
     def _take_target_news(self, news: messages.TargetNews) -> None:
@@ -401,6 +434,12 @@
             self.pool.sync(self.knowledge.targets)
 
 
+def _newer_source(routes: RouteTable | None, known_version: int | None) -> bytes:
+    if routes is None or known_version is None or routes.version <= known_version:
+        return b""
+    return routes.source
+
+
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
     pairs = [item.partition(":") for item in items]
     return [(Place(place), region) for place, _, region in pairs]
--- /dev/null
+++ b/src/lacewinggw/frontend/vouching.py
@@ -0,0 +1,126 @@
+"""Learn from other entries how new the knowledge of the routes is, and what is newer.
+
+A few entries read the store often; the others ask them, which costs the store nothing and keeps an
+entry serving that the store turns away. The age of what a reply tells counts from the sending of
+the question, so no clocks are compared and a reply that was held up proves less, never more.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from lacewinggw.background import Background
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.pollers import ranked
+from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.targetlist import DueVersion
+from lacewinggw.errors import LacewingError
+from lacewinggw.frontend.neighbours import KnownEntry
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import HostId, ModelName, Place, TargetId
+from lacewinggw.log import get_logger
+from lacewinggw.wire.peers import PeerLink, PeerNode
+
+ASK_S = 0.8  # between questions: an age then stays within the reader's wait and this
+ANSWER_S = 0.5  # between regions an answer takes some ms, over a full link some 100
+ASKED = 2  # entries: the reader of this place and one of another
+VOUCHED_S = 2.6  # routes that are read often, or vouched for, are not older than this
+MS_PER_S = 1000.0
+PURPOSE = "routes reader"
+
+log = get_logger(__name__)
+
+DecodeRoutes = Callable[[bytes], RouteTable]
+
+
+@dataclass(frozen=True)
+class Self:
+    """This entry's host and place."""
+
+    host: HostId
+    place: Place
+
+
+def is_reader(me: Self, others: Iterable[KnownEntry]) -> bool:
+    """Tell whether this entry reads the store often, for the others of its place."""
+    near = [me.host, *(entry.host for entry in others if entry.place == me.place)]
+    return ranked(PURPOSE, near)[0] == me.host
+
+
+def choose_asked(me: Self, others: Iterable[KnownEntry]) -> list[KnownEntry]:
+    """Return the entries to ask: the first reader of this place, and one of another place."""
+    known = {entry.host: entry for entry in others}
+    order = [known[HostId(host)] for host in ranked(PURPOSE, known)]
+    near = [entry for entry in order if entry.place == me.place]
+    far = [entry for entry in order if entry.place != me.place]
+    return [*near[:1], *far[: ASKED - len(near[:1])]]
+
+
+class Voucher:
+    """Asks other entries, and takes what they answer into the knowledge."""
+
+    def __init__(
+        self,
+        node: PeerNode,
+        me: Self,
+        knowledge: Knowledge,
+        decode: DecodeRoutes,
+        others: Callable[[], Iterable[KnownEntry]],
+        clock: Clock,
+    ) -> None:
+        self._node = node
+        self._me = me
+        self._knowledge = knowledge
+        self._decode = decode
+        self._others = others
+        self._clock = clock
+        self._loop = Background("vouching", self._run)
+
+    async def start(self) -> None:
+        """Begin to ask."""
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop asking."""
+        await self._loop.close()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(ASK_S)
+            if self._knows_enough:
+                continue
+            asked = choose_asked(self._me, self._others())
+            await asyncio.gather(*(self._ask(entry) for entry in asked))
+
+    @property
+    def _knows_enough(self) -> bool:
+        """Whether this entry reads the store for its place, and the store answers it."""
+        fresh = self._knowledge.routes_age(self._clock()) < VOUCHED_S
+        return fresh and is_reader(self._me, self._others())
+
+    async def _ask(self, entry: KnownEntry) -> None:
+        routes = self._knowledge.routes
+        question = messages.AskNews(routes.version if routes else 0)
+        sent_at = self._clock()
+        try:
+            link: PeerLink = await asyncio.wait_for(self._node.link(entry.address), ANSWER_S)
+            news = await link.call(question, ANSWER_S)
+        except (LacewingError, TimeoutError, OSError) as error:
+            log.debug("entry_did_not_vouch", entry=entry.host, error=error)
+            return
+        self._take(news, sent_at)
+
+    def _take(self, news: messages.EntryNews, sent_at: float) -> None:
+        knowledge = self._knowledge
+        for target in news.leaving:
+            knowledge.note_leaving(TargetId(target))
+        for named in news.named:
+            due = DueVersion(ModelName(named.model), named.version)
+            knowledge.take_due(due, sent_at - named.age_ms / MS_PER_S)
+        if news.routes:
+            table = self._decode(news.routes)
+            if knowledge.take_routes(table):
+                log.info("routes_taken", version=table.version, source="entry")
+        if knowledge.routes is not None and news.routes_version >= knowledge.routes.version:
+            knowledge.prove_routes(sent_at - news.routes_age_ms / MS_PER_S)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -170,7 +170,7 @@
             topic,
             adapter.feed,
             apply,
-            STORE_WAIT,
+            lambda: STORE_WAIT,
             self._clock,
             self.metrics,
             rng,
--- /dev/null
+++ b/tests/fleet/test_vouching.py
@@ -0,0 +1,97 @@
+"""Entries that vouch for one another: who reads, who asks, and what a reply proves."""
+
+import asyncio
+
+import pytest
+from declared_fleet import running_fleet
+from platform_standins import manifest
+
+from lacewinggw.frontend.neighbours import KnownEntry
+from lacewinggw.frontend.vouching import Self, choose_asked, is_reader
+
+pytestmark = pytest.mark.looptime
+
+ENTRIES = [
+    KnownEntry(f"entry-{number}", "hall" if number < 4 else "room", f"10.1.0.{number}:7700")
+    for number in range(8)
+]
+
+
+def others(host):
+    return [entry for entry in ENTRIES if entry.host != host]
+
+
+def test_one_entry_a_place_reads():
+    readers = [
+        entry for entry in ENTRIES if is_reader(Self(entry.host, entry.place), others(entry.host))
+    ]
+    assert sorted(entry.place for entry in readers) == ["hall", "room"]
+
+
+def test_one_near_and_one_far_are_asked():
+    asked = choose_asked(Self("entry-0", "hall"), others("entry-0"))
+    assert [entry.place for entry in asked] == ["hall", "room"]
+
+
+def test_an_entry_that_is_alone_asks_nobody_and_reads():
+    assert choose_asked(Self("entry-0", "hall"), []) == []
+    assert is_reader(Self("entry-0", "hall"), [])
+
+
+async def test_an_entry_that_the_store_turns_away_serves_on():
+    async with running_fleet(entries=2) as fleet:
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        await asyncio.sleep(10.0)
+        assert (await fleet.ask("/sheet/1")).status == 200
+
+
+async def test_it_learns_of_a_key_that_is_taken_away():
+    async with running_fleet(entries=2) as fleet:
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        await asyncio.sleep(4.0)
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        await asyncio.sleep(3.0)
+        assert (await fleet.ask("/sheet/1")).status == 401
+
+
+async def test_cut_off_from_all_it_refuses_keys_and_is_ready_no_more():
+    async with running_fleet(entries=2) as fleet:
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        fleet.network.cut("10.1.0.1", "10.1.0.2")
+        await asyncio.sleep(6.5)
+        assert (await fleet.ask("/sheet/1")).status == 503
+        assert (await fleet.get("10.1.0.1:8002", "/readiness"))[0] == 503
+
+
+async def test_an_answer_that_was_held_up_proves_less():
+    async with running_fleet(entries=2) as fleet:
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        fleet.network.hold("10.1.0.2")
+        await asyncio.sleep(4.0)
+        fleet.network.let_go("10.1.0.2")
+        await asyncio.sleep(0.1)
+        age_s = fleet.entries[0].knowledge.routes_age(asyncio.get_running_loop().time())
+        assert age_s > 3.5
+
+
+async def test_a_fresh_entry_learns_the_routes_from_another_while_the_store_is_down():
+    async with running_fleet(entries=1) as fleet:
+        entry = await fleet.add_entry(2)
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.2", "10.9.0.1")
+        fleet.store.put("op", "config", manifest(7))
+        await asyncio.sleep(2.5)
+        assert entry.knowledge.routes.version == 7
+
+
+async def test_the_store_is_read_seldom_where_others_vouch():
+    async with running_fleet(entries=4) as fleet:
+        await asyncio.sleep(2.0)
+        fleet.store.calls.clear()
+        await asyncio.sleep(20.0)
+        # One reader at 1.2 s, three at 2.4 s, and four lists of targets at 4 s: 62 in 20 s.
+        assert len(fleet.store.calls) < 70
