Keep little on its way over a link that turns out narrow, and offer nothing over a clogged one

Now the chunks on their way follow the time that each takes, and a connection that takes over 250 ms carries no request.

--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -27,6 +27,7 @@
 
 TICK_S = 0.1
 SOURCES_PER_CHUNK = 2
+SLOW_FACTOR = 1.8  # a chunk usually shares the link with as many as may be on their way
 RAREST_OF = 64  # chunks looked at to find a rare one; looking at all costs time with their square
 
 
@@ -308,13 +309,25 @@
         Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
         have all wait for the few that hold it.
         """
-        while len(self._fetches) + self._source_fetches < self.rules.in_flight_total:
+        while len(self._fetches) + self._source_fetches < self._in_flight_limit:
             request = self._next_request(now)
             if request is None:
                 yield from self._ask_again(now)
                 return
             yield request
 
+    @property
+    def _in_flight_limit(self) -> int:
+        """How many chunks may be on their way: fewer when the link turns out to be narrower.
+
+        Whatever is on its way stands before live requests in the link's queue.
+        """
+        limit = self.rules.in_flight_total
+        usual_s = limit * self._chunk_s
+        if self._fetch_s <= SLOW_FACTOR * usual_s:
+            return limit
+        return max(1, round(limit * usual_s / self._fetch_s))
+
     @property
     def _source_fetches(self) -> int:
         """Chunks on their way from the origin: others wait for them, so they count twice."""
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -28,7 +28,7 @@
     StreamedResponse,
 )
 
-CONNECT_S = 0.4  # a connection within the fleet takes some ms; a full queue or a lost packet, 1 s
+CONNECT_S = 0.25  # it takes some ms; over a link with a queue of a second nothing is to be sent
 WHOLE_LIMIT_BYTES = 16 << 20  # of an answer that is held until it is whole
 OK = 200
 FIRST_ERROR = 400
--- /dev/null
+++ b/tests/fleet/test_narrow_link.py
@@ -0,0 +1,42 @@
+"""A link that turns out to be narrow gets fewer chunks at once: live requests share its queue."""
+
+import random
+
+import pytest
+
+from lacewinggw.decisions.sources import Neighbour, SpreadRules
+from lacewinggw.decisions.spread import Ask, ReleaseSpread
+from lacewinggw.decisions.topology import DueHost, TopologyPlan
+
+CHUNK_BYTES = 32768
+RULES = SpreadRules(link_bytes_per_s=408_000, in_flight=1, in_flight_total=3, has_store=False)
+PLAN = TopologyPlan(local=8, remote=2, columns=2, ranks=3, per_place=False)
+
+
+def spread_among(count):
+    hosts = [DueHost(f"host-{number}", "hall") for number in range(count)]
+    spread = ReleaseSpread([CHUNK_BYTES] * 64, RULES, "hall", random.Random(1), 0.0)
+    spread.set_topology(PLAN.derive(hosts[0], hosts, "release"), 0.0)
+    for host in hosts[1:]:
+        spread.link_up(host.host, host.place, "first")
+        spread.have(host.host, range(64), 0.0)
+    return spread
+
+
+def on_their_way_after(fetch_s):
+    """Return how many chunks are on their way once each took this long, again and again."""
+    spread = spread_among(6)
+    now, asked = 0.0, []
+    for _ in range(12):
+        asked += [action for action in spread.decide(now) if isinstance(action, Ask)]
+        now += fetch_s
+        for ask in asked:
+            assert isinstance(ask.source, Neighbour)
+            spread.arrived(ask.source, ask.index, now)
+        asked = []
+    return len([action for action in spread.decide(now) if isinstance(action, Ask)])
+
+
+@pytest.mark.parametrize(("fetch_s", "count"), [(0.08, 3), (0.3, 3), (0.6, 1), (1.5, 1)])
+def test_fewer_chunks_at_once_over_a_narrow_link(fetch_s, count):
+    assert on_their_way_after(fetch_s) == count
