--- a/src/lacewinggw/agent/links.py
+++ b/src/lacewinggw/agent/links.py
@@ -15,19 +15,20 @@
 
 
 class Pacer:
-    """One direction of the link, as a token bucket that holds a burst of `CATCH_UP_S` only.
+    """One direction of the link, as a token bucket that holds no burst but `catch_up_s` of it.
 
     Bytes sent wait until the end of their time on the link; bytes received have had theirs, and
     wait only while earlier ones are still coming in. `rate` gives bytes per second and may change.
     """
 
-    def __init__(self, rate: Rate) -> None:
+    def __init__(self, rate: Rate, catch_up_s: float = 0.0) -> None:
         self._rate = rate
+        self._catch_up_s = catch_up_s
         self._free_at = 0.0
 
     async def send(self, size: int) -> None:
         """Wait until `size` bytes have had their time on the link."""
-        self._free_at = max(_now() - CATCH_UP_S, self._free_at) + size / self._rate()
+        self._free_at = max(_now() - self._catch_up_s, self._free_at) + size / self._rate()
         await _sleep_until(self._free_at)
 
     async def receive(self, size: int) -> None:
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -22,7 +22,7 @@
     Surroundings,
     WeightSource,
 )
-from lacewinggw.agent.links import LiveGauge, Pacer
+from lacewinggw.agent.links import CATCH_UP_S, LiveGauge, Pacer
 from lacewinggw.agent.manifests import CheckManifest, ManifestFinder, check_manifest
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.agent.uploads import Uploader
@@ -97,7 +97,7 @@
             metrics=metrics,
         )
         self.uploader = Uploader(
-            Pacer(self.live.weights_rate),
+            Pacer(self.live.weights_rate, CATCH_UP_S),
             self.live.weights_rate,
             2 * self._settings.in_flight,
             self._find,
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -171,6 +171,7 @@
         self._fleet_changed = asyncio.Event()
         self._fleet_news = Background("fleet news", self._tell_agents)
         self._expiry = Background("expiry", self._expire)
+        self._show_knowledge()
 
     @classmethod
     def from_config(cls, settings: Settings, adapter: FrontendAdapter) -> "FrontendProcess":
@@ -237,6 +238,14 @@
             caller_address=Address(entry.caller_address or entry.caller_listen),
         )
 
+    def _show_knowledge(self) -> None:
+        knowledge, metrics = self.knowledge, self.metrics
+        metrics.read_gauge("routes_age", lambda: knowledge.routes_age(self._clock()))
+        metrics.read_gauge("targets_known", lambda: len(knowledge.targets))
+        metrics.read_gauge(
+            "routes_version", lambda: knowledge.routes.version if knowledge.routes else 0
+        )
+
     def _count_entries(self) -> int:
         """Return how many entries there are; 0 while that is not known."""
         return len(self._members)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -114,6 +114,7 @@
         self._times = CallerTimes()
         self._answered = parts.metrics.counter("requests", outcome="answered")
         self._latency = parts.metrics.latency("request")
+        self._first_part = parts.metrics.latency("first_part")
 
     async def serve(self, call: Call, caller: Caller) -> None:
         """Answer one request, unless its caller leaves first."""
@@ -356,6 +357,7 @@
         self._log_offer(job, load, "failed", reason)
 
     def _log_offer(self, job: Job, load: TargetLoad, outcome: str, reason: str) -> None:
+        self._parts.metrics.count("offers", outcome=outcome)
         log.info(
             "offer_ended",
             request_id=job.admitted.facts.call_id,
@@ -395,6 +397,7 @@
             else:
                 job.version = answer.facts.version
                 job.first_s = _now() - job.offered_at
+                self._first_part.record(job.first_s)
                 await caller.begin(answer.status, _headers_to_caller(answer.headers), data)
         if not caller.has_begun:
             await caller.begin(answer.status, _headers_to_caller(answer.headers))
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -45,10 +45,10 @@
     "configuration_snapshots_adopted": _counter("both", "Times a snapshot replaced the state."),
     "configuration_store_reads": _counter("entry", "Reads of the log's tail from the table."),
     "configuration_upstreams_left": _counter("both", "Peers left for another as source of news."),
-    "target_fences_unkept": _counter(
-        "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
-    ),
-    "service_replicas": _gauge("entry", "Replicas of a service: declared, placed, and serving."),
+    "first_part": _latency("entry", "Time from an offer to the first part of its answer."),
+    "load_orders": _counter("agent", "Orders to a target to load what is staged."),
+    "log_lines_dropped": _gauge("both", "Log lines dropped, over the rate or for a slow reader."),
+    "offers": _counter("entry", "Offers of requests straight to targets, by what became of them."),
     "operator_refusals": _counter("entry", "Operators' calls refused, by kind of error."),
     "peer_sent_bytes": _gauge("agent", "Bytes sent to other processes of the fleet, in all."),
     "pieces_held": _gauge(
@@ -62,9 +62,19 @@
     "request_errors": _counter("entry", "Requests that ended with an error, by code and kind."),
     "requests": _counter("entry", "Requests that ended, by outcome."),
     "requests_in_progress": _gauge("entry", "Requests admitted and not ended yet."),
+    "requests_waiting": _gauge("entry", "Requests that wait for a target with room."),
     "reservations": _gauge("agent", "Reservations given and not used yet."),
     "retries": _counter("both", "What was tried again, by reason."),
+    "routes_age": _gauge("entry", "Seconds since the routes were known to be the newest."),
+    "routes_version": _gauge("entry", "Version of the routes in force."),
+    "service_replicas": _gauge("entry", "Replicas of a service: declared, placed, and serving."),
+    "staged_pieces_replaced": _counter("agent", "Staged pieces found spoilt before an order."),
+    "store_reads": _counter("both", "Reads of the operators' store, by topic."),
+    "target_fences_unkept": _counter(
+        "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
+    ),
     "targets_ejected": _counter("entry", "Times a failing target was left out of the choice."),
+    "targets_known": _gauge("entry", "Targets believed to be there, leaving ones included."),
     "uploads_stuck": _counter("agent", "Uploads given up because the receiver took nothing."),
     "weights_bytes": _counter("agent", "Bytes of verified chunks received, by kind of source."),
     "weights_memory_bytes": _gauge("agent", "Bytes of verified chunks held in memory."),
--- a/src/lacewinggw/settingskeys.py
+++ b/src/lacewinggw/settingskeys.py
@@ -24,8 +24,8 @@
     ENTRY = "entry"
     AGENT = "agent"
     OPERATOR = "operator"
-    FLEET_ENTRY = "fleet entry"  # an entry of a fleet declared in the operators' store
-    FLEET_AGENT = "fleet agent"
+    FLEET_ENTRY = "fleet-entry"  # an entry of a fleet declared in the operators' store
+    FLEET_AGENT = "fleet-agent"
 
 
 POLICY_SECTIONS = ("spread", "requests", "routing", "configuration")
