--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -23,21 +23,20 @@
 from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, MemberRegister, News, Put, Topic
 from lacewinggw.fleet.follower import TopicFollower, Wait
 from lacewinggw.fleet.newsletter import compose_news
+from lacewinggw.fleet.running import run_process
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.neighbours import EntryNeighbours
 from lacewinggw.frontend.offers import Offers
 from lacewinggw.frontend.queue import RequestQueue
-from lacewinggw.frontend.relay import Relay, RelayParts
+from lacewinggw.frontend.relay import Relay, RelayParts, RetryLimits
 from lacewinggw.frontend.vouching import VOUCHED_S, DecodeRoutes, Self, Voucher, is_reader
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
 from lacewinggw.ids import Address, HostId, ModelName, Place, TargetId, new_incarnation
-from lacewinggw.log import configure_process_log, get_logger
-from lacewinggw.logstream import LogStream
+from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import Handler, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
@@ -76,7 +75,7 @@
     register: MemberRegister
     codec: CallCodec
     ready_page: Callable[[Callable[[], bool]], Handler]
-    directory_page: Callable[[Resolve, float], Handler]
+    directory_page: Callable[[Resolve, Callable[[], float]], Handler]
     decode_routes: DecodeRoutes
 
 
@@ -147,14 +146,13 @@
                 clock=clock,
                 metrics=self.metrics,
                 rng=rng,
-                retry_share=fleet.retry_percent / PERCENT,
-                extra_retries=EXTRA_SHARE * fleet.extra_retries,
+                retries=self._retry_limits,
                 count_entries=self._count_entries,
             )
         )
         self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
         ready = adapter.ready_page(lambda: self.is_ready)
-        directory = adapter.directory_page(self.resolve, entry.address_ttl_ms / MS_PER_S)
+        directory = adapter.directory_page(self.resolve, self._address_ttl_s)
         pages = HealthPages(Health(self.metrics, self._readiness))
         self._servers = [
             HttpServer(network, entry.ready_listen, ready),
@@ -238,6 +236,19 @@
             caller_address=Address(entry.caller_address or entry.caller_listen),
         )
 
+    def _retry_limits(self) -> RetryLimits:
+        fleet = self._settings.fleet
+        return RetryLimits(fleet.retry_percent / PERCENT, EXTRA_SHARE * fleet.extra_retries)
+
+    def apply(self, settings: Settings) -> None:
+        """Take in changed settings: the bounds of the fleet, and what a caller is told.
+
+        Addresses stay as they are until the next start.
+        """
+        self._settings.fleet = settings.fleet
+        self._settings.entry.address_ttl_ms = settings.entry.address_ttl_ms
+        self.knowledge.rules = knowledge_rules(settings)
+
     def _show_knowledge(self) -> None:
         knowledge, metrics = self.knowledge, self.metrics
         metrics.read_gauge("routes_age", lambda: knowledge.routes_age(self._clock()))
@@ -263,6 +274,9 @@
     async def _serve(self, call: Call, caller: Caller) -> None:
         await self.relay.serve(call, caller)
 
+    def _address_ttl_s(self) -> float:
+        return self._settings.entry.address_ttl_ms / MS_PER_S
+
     def resolve(self, domain: str, place: Place) -> Sequence[Address]:
         """Return the addresses at which a caller in `place` may ask."""
         entries = list(self._neighbours.ready())
@@ -454,10 +468,9 @@
     return [(Place(place), region) for place, _, region in pairs]
 
 
-async def run_frontend(settings: Settings, adapter: FrontendAdapter) -> None:
-    """Run an entry until it is asked to leave."""
+async def run_frontend(
+    settings: Settings, adapter: FrontendAdapter, path: str, load: Callable[[], Settings]
+) -> None:
+    """Run an entry until it is asked to leave; `load` reads the file at `path` again."""
     process = FrontendProcess.from_config(settings, adapter)
-    stream = LogStream.for_stdout()
-    configure_process_log(settings.process, "entry", process.incarnation, stream)
-    process.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
-    await run_until_signalled(process.start, process.drain, process.close)
+    await run_process(process, settings, "entry", path, load)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -84,6 +84,14 @@
         return route.repeat is not Repeat.NEVER and self.runs < route.attempts
 
 
+@dataclass(frozen=True)
+class RetryLimits:
+    """Retries as a share of requests, and beyond it as a number for all entries together."""
+
+    share: float
+    extra: float
+
+
 @dataclass(frozen=True)
 class RelayParts:
     """What a relay works with."""
@@ -96,8 +104,7 @@
     clock: Clock
     metrics: Metrics
     rng: random.Random
-    retry_share: float
-    extra_retries: float
+    retries: Callable[[], RetryLimits]
     count_entries: Callable[[], int]
 
 
@@ -282,10 +289,11 @@
         return self._parts.knowledge.least_version(model, self._parts.clock())
 
     def _budget(self, service: ServiceName) -> RetryBudget:
-        parts = self._parts
-        budget = self._budgets.setdefault(service, RetryBudget(parts.retry_share))
-        entries = parts.count_entries()
-        budget.extra = parts.extra_retries / entries if entries else 0.0
+        limits = self._parts.retries()
+        budget = self._budgets.setdefault(service, RetryBudget(limits.share))
+        entries = self._parts.count_entries()
+        budget.share = limits.share
+        budget.extra = limits.extra / entries if entries else 0.0
         return budget
 
     async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -76,6 +76,10 @@
         """Tell whether a target takes no new work."""
         return target in self._knowledge.leaving
 
+    def apply(self, rules: KnowledgeRules) -> None:
+        """Take in changed bounds."""
+        self._knowledge.rules = rules
+
     def note_regained(self, now: float) -> None:
         """Note that the store answers again."""
         self._knowledge.note_outage_end(now)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -24,6 +24,7 @@
 from lacewinggw.fleet.bounds import knowledge_rules
 from lacewinggw.fleet.feed import FleetFeed, Topic
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
+from lacewinggw.fleet.running import run_process
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
@@ -40,10 +41,8 @@
 from lacewinggw.loader.keeper import StagedChunks, TargetLoader
 from lacewinggw.loader.releases import release_of
 from lacewinggw.loader.target import LoadableReport, LoadableTarget, Switch
-from lacewinggw.log import configure_process_log, get_logger
-from lacewinggw.logstream import LogStream
+from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
-from lacewinggw.service import run_until_signalled
 from lacewinggw.wire.http import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
@@ -203,6 +202,11 @@
         await self._server.close()
         await self._node.close()
 
+    def apply(self, settings: Settings) -> None:
+        """Take in changed settings: the bounds of the fleet; the rest at the next start."""
+        self._settings.fleet = settings.fleet
+        self.assignment.apply(knowledge_rules(settings))
+
     def _readiness(self) -> Readiness:
         ready = self._report is not None
         return Readiness(ready, "" if ready else "the target has not answered yet")
@@ -359,10 +363,9 @@
     return messages.HeldWeights(model, version)
 
 
-async def run_loader(settings: Settings, adapter: LoaderAdapter) -> None:
-    """Run an agent until it is asked to leave."""
+async def run_loader(
+    settings: Settings, adapter: LoaderAdapter, path: str, load: Callable[[], Settings]
+) -> None:
+    """Run an agent until it is asked to leave; `load` reads the file at `path` again."""
     process = LoaderProcess.from_config(settings, adapter)
-    stream = LogStream.for_stdout()
-    configure_process_log(settings.process, "agent", process.incarnation, stream)
-    process.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
-    await run_until_signalled(process.start, process.drain, process.close)
+    await run_process(process, settings, "agent", path, load)
