--- a/src/lacewinggw/cli.py
+++ b/src/lacewinggw/cli.py
@@ -8,6 +8,7 @@
   lacewinggw ask [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] --file FILE
   lacewinggw plan [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--check] DIR
   lacewinggw apply [--settings FILE] [--entry ADDR] [--token TOKEN] [--json] [--at N] DIR
+  lacewinggw explain REQUEST FILE...
   lacewinggw --help
   lacewinggw --version
 
@@ -18,11 +19,13 @@
   ask    Put a query or a command to the fleet, as in: lacewinggw ask show services
   plan   Show what the declarations in DIR would change.
   apply  Change it, as one revision, all or nothing.
+  explain  Tell from log files what became of a request, by its id.
 
 Options:
   --settings FILE  INI file of settings; docs/SETTINGS.md lists the keys. For ask, plan and apply
                    its section [operator] gives the entries and the token.
-  --role ROLE      Check as entry, agent or operator; else as the file's sections show.
+  --role ROLE      Check as entry, agent, operator, fleet-entry or fleet-agent; else as the file's
+                   sections show.
   --entry ADDR     Operator address of an entry; several with commas between.
   --token TOKEN    Operator's token.
   --json           Print JSON instead of a table.
@@ -137,7 +140,7 @@
             return run_entry_process(file)
         case {"agent": True, "--settings": file}:
             return run_agent_process(file)
-        case {"check": True, "FILE": file, "--role": role}:
+        case {"check": True, "FILE": [file], "--role": role}:
             return check_settings(file, role)
         case {"ask": True, "--file": str(file)}:
             return ask(shell_options(options), read_words(file))
@@ -147,6 +150,8 @@
             return plan(shell_options(options), Path(folder), check)
         case {"apply": True, "DIR": folder, "--at": revision}:
             return apply(shell_options(options), Path(folder), _parse_revision(revision))
+        case {"explain": True, "REQUEST": request_id, "FILE": files}:
+            return explain_request(request_id, files)
         case _:
             raise BadUsage("no command is named")
 
@@ -177,6 +182,16 @@
     return ExitCode.OK
 
 
+def explain_request(request_id: str, files: Sequence[str]) -> int:
+    """Print what the logs say of a request, oldest first."""
+    from lacewinggw.operators.requeststory import find_story, read_lines, tell_line
+
+    texts = [line for file in files for line in read_words(file).splitlines()]
+    for line in find_story(read_lines(texts), request_id):
+        print(tell_line(line))
+    return ExitCode.OK
+
+
 def _role_of(file: str, role: str | None) -> ProcessKind:
     if role is None:
         return kind_of_file(file)
--- /dev/null
+++ b/tests/fleet/test_request_story.py
@@ -0,0 +1,55 @@
+"""One request's story out of the logs of many processes."""
+
+import json
+
+import pytest
+
+from lacewinggw.cli import ExitCode, main
+
+LINES = [
+    {"event": "routes_taken", "host": "entry-1", "version": 4, "timestamp": "T1"},
+    {"event": "routes_taken", "host": "entry-2", "version": 4, "timestamp": "T1"},
+    {"event": "routes_taken", "host": "entry-1", "version": 5, "timestamp": "T2"},
+    {
+        "event": "offer_ended",
+        "host": "entry-1",
+        "request_id": "r1",
+        "outcome": "not-run",
+        "timestamp": "T3",
+    },
+    {
+        "event": "request_refused",
+        "host": "entry-1",
+        "request_id": "r1",
+        "error": "overloaded",
+        "timestamp": "T4",
+    },
+    {"event": "request_answered", "host": "entry-2", "request_id": "r2", "timestamp": "T4"},
+]
+
+
+@pytest.fixture
+def log(tmp_path):
+    path = tmp_path / "fleet.log"
+    texts = [f"  12.0 edge-1 {json.dumps(line)}" for line in reversed(LINES)]
+    path.write_text("\n".join(["no json here", "{broken", *texts]))
+    return str(path)
+
+
+def test_a_request_is_told_with_what_its_entry_believed(log, capsys):
+    assert main(["explain", "r1", log]) == ExitCode.OK
+    told = capsys.readouterr().out.splitlines()
+    assert told == [
+        "T2 entry-1  routes_taken  version=5",
+        "T3 entry-1  offer_ended  outcome=not-run",
+        "T4 entry-1  request_refused  error=overloaded",
+    ]
+
+
+def test_an_unknown_request_is_an_error_with_a_remedy(log, capsys):
+    assert main(["explain", "r9", log]) == ExitCode.FAILED
+    assert "logs of all entries" in capsys.readouterr().err
+
+
+def test_a_file_that_is_not_there_is_an_error(capsys):
+    assert main(["explain", "r1", "/nowhere/at/all"]) != ExitCode.OK
