--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -19,6 +19,7 @@
 from lacewinggw.ids import HostId
 
 FIRST_VERSION = 1  # of a model's weights, where no other has been named
+EARLY_SHARE = 0.5  # of a service: what these break off must fit on the others
 EMPTYING_S = 1.0  # most running requests end within it, those of the usual length all
 LAST_MARGIN_S = 0.6  # before the bound: an order then still keeps anything from beginning late
 SPARE_S = 1.0  # beyond the time that the rest of a version takes, to count on it in time
@@ -66,7 +67,8 @@
 
     def __init__(self, rules: UpgradeRules, host: HostId, hosts: Collection[HostId]) -> None:
         self._rules = rules
-        self._is_early = 2 * (rank_of("upgrades", host, hosts) + 1) <= len(hosts)
+        rank = rank_of("upgrades", host, hosts)
+        self._is_early = rank + 1 <= EARLY_SHARE * len(hosts)
 
     def decide(
         self, current: int | None, due: Sequence[Due], progress: Progress, now: float
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -136,11 +136,13 @@
             await _end(work, watch)
 
     async def _serve(self, call: Call, caller: Caller) -> None:
-        facts = self._parts.codec.read_call(call.headers)
         began = _now()
         job: Job | None = None
+        call_id = ""
         try:
             parts = self._parts
+            facts = parts.codec.read_call(call.headers)
+            call_id = facts.call_id
             job = Job(admit(call, facts, parts.knowledge, parts.clock(), parts.rng))
             async with asyncio.timeout_at(job.admitted.deadline):
                 await self._run(job, caller)
@@ -148,12 +150,12 @@
             assert job is not None
             await self._end_late(job, caller)
         except LacewingError as error:
-            await self._refuse(call, facts.call_id, error, caller)
+            await self._refuse(call, call_id, error, caller)
         except (CallerGone, OSError):
             raise
         except Exception:
-            log.exception("request_broke", request_id=facts.call_id)
-            await self._refuse(call, facts.call_id, LacewingError("the process failed"), caller)
+            log.exception("request_broke", request_id=call_id)
+            await self._refuse(call, call_id, LacewingError("the process failed"), caller)
         else:
             self._answered.add()
             self._log_answered(job)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -51,6 +51,9 @@
 MS_PER_S = 1000.0
 COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
+# Of the link, for the answers of a target that runs any: ten streams take 7% of it, and with less
+# room than this their events wait in its queue (docs/design/fleet.md).
+LIVE_SHARE = 0.125
 UNCHANGED_S = 0.6  # between news that say the same again
 NEWS_S = 0.2  # between news of the target's work: a border between regions is narrow and priced
 STORE_WAIT = Wait(for_news_s=4.0, after_news_s=0.5)  # only while no entry speaks
@@ -274,6 +277,7 @@
                 self._report = await self._target.report()
                 self._loader.note_report(self._report)
                 self._was_heard = True
+                self._leave_room(self._report)
             except TargetUnreachable as error:
                 if self._report is not None:
                     log.warning("target_lost", error=error)
@@ -281,6 +285,12 @@
             self._tell_entries()
             await asyncio.sleep(REPORT_S)
 
+    def _leave_room(self, report: LoadableReport) -> None:
+        """Have weights leave answers their part of the link while the target makes any."""
+        if report.running:
+            link_bytes_per_s = self._settings.agent.link_bytes_per_s
+            self.spreader.live.note_bytes(round(LIVE_SHARE * link_bytes_per_s * REPORT_S))
+
     async def _keep_loaded(self) -> None:
         while True:
             await asyncio.sleep(REPORT_S)
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -268,6 +268,8 @@
 
     async def _answer(self, request: Request) -> Response:
         behaviour = self.behaviour
+        if "x-attempt-id" not in request.headers:
+            return Response(400, {"x-not-executed": "1"})
         headers = {
             "x-attempt-id": "other" if behaviour.wrong_id else request.headers["x-attempt-id"],
             "x-response-seal": f"seal-of-{self.target_id}",
