--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -53,6 +53,7 @@
 SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
 LEAST_SILENCE_S = 0.6
 LEAST_S = 0.001  # a time limit of nothing would not even send the request
+RESUME_WAIT_S = 1.5  # a caller gives a stream up after a pause of two seconds or more
 REPEAT_PRIORITY = -1  # before all: work was done for it, and its caller may have part of the answer
 RETRY_AFTER_MS = 400  # where nothing is known of when there is room
 KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
@@ -251,9 +252,10 @@
         wish = self._wish(job)
         now = _now()
         left_s = admitted.deadline - now
-        if job.offers:
-            # What was offered once goes on wherever there is room, as long as its caller waits.
-            load = await self._parts.queue.claim(wish, REPEAT_PRIORITY, False, admitted.deadline)
+        if job.runs:
+            # Work was done for it: it goes on wherever there is room, while its caller waits.
+            until = min(admitted.deadline, now + RESUME_WAIT_S)
+            load = await self._parts.queue.claim(wish, REPEAT_PRIORITY, False, until)
         else:
             wait = self._patience(admitted, left_s)
             until = now + wait.wait_s
@@ -265,7 +267,8 @@
 
     def _patience(self, admitted: Admitted, left_s: float) -> Patience:
         facts, route = admitted.facts, admitted.route
-        elapsed_s = self._times.elapsed(route.name, facts.time_left_s)
+        held_s = _now() - admitted.call.arrived_at
+        elapsed_s = held_s + self._times.elapsed(route.name, facts.time_left_s)
         service = self._service(admitted.service)
         engine = service.engine if service else None
         return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s)
--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -271,3 +271,13 @@
         fleet.store.put("op", "config", manifest(5, Routes=routes[:1]))
         await asyncio.sleep(0.6)
         assert (await fleet.ask("/sheet/1")).status == 404
+
+
+async def test_what_no_target_takes_is_not_held_to_the_end():
+    async with running_fleet(desks=0, engines=4) as fleet:
+        for target in fleet.targets.values():
+            target.behaviour.shed = 100
+        began = asyncio.get_running_loop().time()
+        reply = await fleet.ask("/report/1", X_Model="market")
+        assert reply.status == 503
+        assert asyncio.get_running_loop().time() - began < 2.0
