--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -5,7 +5,7 @@
 
 import pytest
 from declared_fleet import running_fleet
-from platform_standins import KEY, manifest, target_row
+from platform_standins import KEY, LLM, manifest, target_row
 
 pytestmark = pytest.mark.looptime
 
@@ -274,10 +274,15 @@
 
 
 async def test_what_no_target_takes_is_not_held_to_the_end():
-    async with running_fleet(desks=0, engines=4) as fleet:
-        for target in fleet.targets.values():
-            target.behaviour.shed = 100
+    async with running_fleet(desks=0, engines=1) as fleet:
+        fleet.targets["engine0"].behaviour.pause_s = 1.0
+        long_ones = [asyncio.ensure_future(fleet.ask("/report/1", X_Model="market")) for _ in "abc"]
+        await asyncio.sleep(0.2)
+        refusing = await fleet.add_target("refusing", LLM, "10.2.0.9")
+        refusing.behaviour.shed = 100
+        await asyncio.sleep(0.8)
         began = asyncio.get_running_loop().time()
         reply = await fleet.ask("/report/1", X_Model="market")
-        assert reply.status == 503
+        assert reply.status == 503 and refusing.seen
         assert asyncio.get_running_loop().time() - began < 2.0
+        await asyncio.gather(*long_ones)
