--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -16,7 +16,7 @@
 
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
 BATCH_SHARE = 0.75  # of a model engine's slots: in a fuller batch prompts wait for one another
-REMOTE_COST = 0.15  # a target in another place counts as that much fuller: borders are priced
+REMOTE_COST = 0.3  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
