--- a/src/lacewinggw/decisions/punctuality.py
+++ b/src/lacewinggw/decisions/punctuality.py
@@ -57,10 +57,18 @@
 
 
 def patience(
-    route: Route, engine: EngineFigures | None, prompt_tokens: int, elapsed_s: float, left_s: float
+    route: Route,
+    engine: EngineFigures | None,
+    prompt_tokens: int,
+    elapsed_s: float,
+    left_s: float,
+    late_share: float = 1.0,
 ) -> Patience:
-    """Return how long a request may wait that has `left_s` seconds left."""
+    """Return how long a request may wait that has `left_s` seconds left.
+
+    `late_share` is the share of late requests that started lately: what waits in vain waits less.
+    """
     spare_s = route.objective_s - elapsed_s - first_part_s(route, engine, prompt_tokens)
     if spare_s > 0:
         return Patience(min(spare_s, left_s), is_late=False)
-    return Patience(min(LATE_PATIENCE_S, LATE_SHARE * left_s), is_late=True)
+    return Patience(late_share * min(LATE_PATIENCE_S, LATE_SHARE * left_s), is_late=True)
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 
 RATE_MEMORY = 0.1  # weight of a new sample in the smoothed time between starts
+LATE_MEMORY = 0.1  # weight of one late request in the share of them that started
+LATE_LEAST = 0.1  # so that there is always a sample
 LONGEST_GAP_S = 0.5  # a pause in demand says nothing of how fast targets take work
 
 
@@ -23,6 +25,11 @@
     until: float = field(compare=False)
     gone: bool = field(default=False, compare=False)
 
+    @property
+    def is_late(self) -> bool:
+        """Whether it cannot be on time any more."""
+        return self.rank[1] > 0
+
 
 class WaitingLine:
     """The waiting requests of one service.
@@ -38,10 +45,23 @@
         self._waiting = 0
         self._start_gap_s = 0.0
         self._started_at: float | None = None
+        self._late_share = 1.0
 
     def __len__(self) -> int:
         return self._waiting
 
+    @property
+    def late_share(self) -> float:
+        """The share of late requests that started lately, from `LATE_LEAST` to 1.
+
+        In a burst they start after it; in an overload that goes on they only wait in vain.
+        """
+        return max(LATE_LEAST, self._late_share)
+
+    def note_late_end(self, started: bool) -> None:
+        """Note whether a late request that waited has started."""
+        self._late_share += LATE_MEMORY * (float(started) - self._late_share)
+
     def expected_wait(self, priority: int, is_late: bool) -> float:
         """Return how long one more request would wait, in seconds."""
         rank = (priority, int(is_late))
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -74,6 +74,10 @@
             raise _overloaded(wish)
         return await self._wait_for(line, wish, line.join(priority, is_late, until))
 
+    def late_share(self, service: ServiceName) -> float:
+        """Return the share of late requests for a service that started lately."""
+        return self._lines[service].late_share
+
     async def _wait_for(self, line: WaitingLine, wish: Wish, waiter: Waiter) -> TargetLoad:
         joined_at = _now()
         found = asyncio.get_running_loop().create_future()
@@ -84,6 +88,8 @@
         except TimeoutError:
             if not found.cancelled() and found.done():
                 self._pool.end(found.result())
+            if waiter.is_late:
+                line.note_late_end(started=False)
             raise _overloaded(wish) from None
         except asyncio.CancelledError:
             if found.done() and not found.cancelled():
@@ -93,6 +99,8 @@
             line.leave(waiter)
             self._waiting.pop(id(waiter), None)
         self._wait.record(_now() - joined_at)
+        if waiter.is_late:
+            line.note_late_end(started=True)
         return load
 
     def advance(self, service: ServiceName) -> None:
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -271,7 +271,8 @@
         elapsed_s = held_s + self._times.elapsed(route.name, facts.time_left_s)
         service = self._service(admitted.service)
         engine = service.engine if service else None
-        return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s)
+        late_share = self._parts.queue.late_share(admitted.service)
+        return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s, late_share)
 
     def _wish(self, job: Job) -> Wish:
         admitted = job.admitted
--- a/tests/fleet/test_punctuality.py
+++ b/tests/fleet/test_punctuality.py
@@ -62,3 +62,16 @@
     assert line.expected_wait(0, is_late=False) == 0.0
     line.join(1, is_late=True, until=9.0)
     assert line.expected_wait(1, is_late=True) > line.expected_wait(1, is_late=False)
+
+
+def test_late_requests_wait_less_while_others_wait_in_vain():
+    line = WaitingLine()
+    assert line.late_share == 1.0
+    for _ in range(20):
+        line.note_late_end(started=False)
+    starved = line.late_share
+    assert starved < 0.2
+    assert patience(REPORT, ENGINE, 1000, 1.5, 4.5, starved).wait_s < 0.3
+    for _ in range(20):
+        line.note_late_end(started=True)
+    assert line.late_share > 0.8
