--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -60,6 +60,12 @@
     whole: bool = False
 
 
+def listed_targets(news: News) -> list[TargetEntry]:
+    """Return the targets that news puts on the list."""
+    items = [change.item for change in news.changes if isinstance(change, Put)]
+    return [item for item in items if isinstance(item, TargetEntry)]
+
+
 class HistoryGone(Exception):
     """The changes after a position are no longer kept: take a snapshot."""
 
--- /dev/null
+++ b/src/lacewinggw/frontend/agents.py
@@ -0,0 +1,118 @@
+"""The agents beside the model engines: what they tell this entry, and what it tells them."""
+
+import asyncio
+import random
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from lacewinggw.background import Background
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.dispatch import TargetPool
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.pollers import rank_of
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.entry.watches import Watched, Watches
+from lacewinggw.fleet.newsletter import compose_news
+from lacewinggw.frontend.sight import Sight
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Address, HostId, ModelName, TargetId
+from lacewinggw.wire.peers import PeerNode
+
+FLEET_NEWS_S = 1.5  # between news for agents without a change
+GATHER_S = 0.02  # changes that come together are told together
+SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
+
+
+class AgentLinks:
+    """Keeps a link to the agent of each model engine.
+
+    An agent is told by a few entries only: those that rank first for it among `speakers`, the
+    entries that are ready. It listens on the port on which entries do.
+    """
+
+    def __init__(
+        self,
+        node: PeerNode,
+        me: HostId,
+        port: str,
+        knowledge: Knowledge,
+        pool: TargetPool,
+        speakers: Callable[[], Sequence[HostId]],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._node = node
+        self._me = me
+        self._port = port
+        self._knowledge = knowledge
+        self._pool = pool
+        self._speakers = speakers
+        self._clock = clock
+        self._sight: Sight | None = None
+        self._watches = Watches(node, me, lambda host: None, rng)
+        self._changed = asyncio.Event()
+        self._loop = Background("fleet news", self._run)
+
+    async def start(self, sight: Sight) -> None:
+        """Begin to listen, and to tell what `sight` brings."""
+        self._sight = sight
+        self._watches.start()
+        self._loop.start()
+
+    async def close(self) -> None:
+        """Stop."""
+        await self._loop.close()
+        await self._watches.close()
+
+    def note_change(self) -> None:
+        """Watch the agents of the targets that there are now, and tell all what is new."""
+        routes = self._knowledge.routes
+        if routes is not None:
+            engines = {name for name, each in routes.services.items() if each.engine is not None}
+            targets = self._knowledge.targets.values()
+            self._watches.set_targets(
+                {self._agent_of(entry) for entry in targets if entry.service in engines}
+            )
+        self._changed.set()
+
+    def take_news(self, news: messages.TargetNews) -> None:
+        """Take what an agent says of its target."""
+        target = TargetId(news.target_id)
+        now = asyncio.get_running_loop().time()
+        self._pool.note_report(target, news.running + news.queued, now, news.loading)
+        if news.leaving:
+            self._knowledge.note_leaving(target)
+        if self._sight is not None:
+            held = {ModelName(each.model): each.version for each in news.held}
+            self._sight.note_weights(target, held)
+
+    def _agent_of(self, entry: TargetEntry) -> Watched:
+        host = entry.address.rpartition(":")[0]
+        return Watched(HostId(host), Address(f"{host}:{self._port}"))
+
+    async def _run(self) -> None:
+        while True:
+            self._tell()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(FLEET_NEWS_S):
+                    await self._changed.wait()
+            self._changed.clear()
+            await asyncio.sleep(GATHER_S)
+
+    def _tell(self) -> None:
+        routes, sight = self._knowledge.routes, self._sight
+        if routes is None or sight is None or not sight.has_targets:
+            return
+        speakers = self._speakers()
+        for service in routes.services.values():
+            position = sight.targets_position
+            news = compose_news(self._knowledge, service, position, self._clock())
+            if news is None:
+                continue
+            for entry in self._knowledge.targets.values():
+                agent = self._agent_of(entry)
+                if entry.service == service.name and self._speaks_to(agent.host, speakers):
+                    self._node.notify_open(agent.address, news)
+
+    def _speaks_to(self, agent: HostId, speakers: Sequence[HostId]) -> bool:
+        return rank_of(f"fleet news/{agent}", self._me, speakers) < SPEAKERS
--- /dev/null
+++ b/src/lacewinggw/frontend/sight.py
@@ -0,0 +1,159 @@
+"""What an entry believes of its fleet, kept up to date from the store."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from lacewinggw.background import Background
+from lacewinggw.clients.membership import Member
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.dispatch import TargetPool
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
+from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, News, Put, Topic, listed_targets
+from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
+from lacewinggw.ids import HostId, ModelName, TargetId
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+
+# The age of the routes stays within half of the shortest bound on keys: a few entries read often,
+# and the others ask them; who gets no answer reads often itself.
+READER_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
+ASKER_WAIT = Wait(for_news_s=2.4, after_news_s=0.4)
+# A silent connection is noticed within the bound on leaving targets and a window of stability.
+LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
+MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
+EXPIRE_S = 0.1  # between looks for targets that did not come back after an outage
+
+log = get_logger(__name__)
+
+
+class Sight:
+    """Follows the store's topics into the knowledge and the pool of targets.
+
+    `reads_often` tells whether this entry is to read the routes often. `on_change` is called when
+    targets or versions have changed, `on_members` when the list of entries has.
+    """
+
+    def __init__(
+        self,
+        feed: FleetFeed,
+        knowledge: Knowledge,
+        pool: TargetPool,
+        clock: Clock,
+        metrics: Metrics,
+        rng: random.Random,
+        reads_often: Callable[[], bool],
+        on_change: Callable[[], None],
+        on_members: Callable[[], None],
+    ) -> None:
+        self.members: dict[HostId, Member] = {}
+        self._feed = feed
+        self._knowledge = knowledge
+        self._pool = pool
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        self._reads_often = reads_often
+        self._on_change = on_change
+        self._on_members = on_members
+        self._has_list = False
+        self._targets = self._follow(Topic.TARGETS, self._apply_targets, lambda: LIST_WAIT)
+        self._followers = [
+            self._follow(Topic.CONFIGURATION, self._apply_configuration, self._routes_wait),
+            self._targets,
+            self._follow(Topic.MEMBERS, self._apply_members, lambda: MEMBERS_WAIT),
+        ]
+        self._expiry = Background("expiry", self._expire)
+
+    @property
+    def has_targets(self) -> bool:
+        """Whether the list of targets has been read."""
+        return self._has_list
+
+    @property
+    def targets_position(self) -> int:
+        """How far the list of targets is known, as the store counts."""
+        return self._targets.position
+
+    async def start(self) -> None:
+        """Begin to follow."""
+        for follower in self._followers:
+            await follower.start()
+        self._expiry.start()
+
+    async def close(self) -> None:
+        """Stop following."""
+        await self._expiry.close()
+        for follower in self._followers:
+            await follower.close()
+
+    def note_weights(self, target: TargetId, weights: Mapping[ModelName, int]) -> None:
+        """Take what a target was heard to hold."""
+        if self._knowledge.note_weights(target, weights):
+            self._pool.sync(self._knowledge.targets)
+
+    def _follow(self, topic: Topic, apply: Apply, wait: Callable[[], Wait]) -> TopicFollower:
+        return TopicFollower(
+            topic,
+            self._feed,
+            apply,
+            wait,
+            self._clock,
+            self._metrics,
+            self._rng,
+            on_regained=self._knowledge.note_outage_end,
+        )
+
+    def _routes_wait(self) -> Wait:
+        return READER_WAIT if self._reads_often() else ASKER_WAIT
+
+    def _apply_configuration(self, news: News, proved_at: float) -> None:
+        now = self._clock()
+        for change in news.changes:
+            match change:
+                case Put(RouteTable() as table) if self._knowledge.take_routes(table):
+                    log.info("routes_taken", version=table.version, routes=len(table.routes))
+                case Put(DueVersion() as due) if self._knowledge.take_due(due, now, news.whole):
+                    log.info("version_due", model=due.model, version=due.version)
+        self._knowledge.prove_routes(proved_at)
+        if news.changes:
+            self._on_change()
+
+    def _apply_targets(self, news: News, _: float) -> None:
+        now = self._clock()
+        if news.whole:
+            self._knowledge.take_whole_list(listed_targets(news), now)
+            self._has_list = True
+        else:
+            for change in news.changes:
+                match change:
+                    case Put(TargetEntry() as entry):
+                        self._knowledge.take_target(entry)
+                    case Drop(key):
+                        self._knowledge.drop_target(TargetId(key), now)
+        self._sync()
+
+    def _sync(self) -> None:
+        self._pool.sync(self._knowledge.targets)
+        self._on_change()
+
+    def _apply_members(self, news: News, _: float) -> None:
+        if news.whole:
+            self.members.clear()
+        for change in news.changes:
+            match change:
+                case Put(MemberEntry(member)):
+                    self.members[member.host] = member
+                case Drop(key):
+                    self.members.pop(HostId(key), None)
+        self._on_members()
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            known = len(self._knowledge.targets)
+            self._knowledge.expire(self._clock())
+            if len(self._knowledge.targets) != known:
+                self._sync()
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -10,7 +10,7 @@
 from lacewinggw.decisions.knowledge import Due, Knowledge, KnowledgeRules
 from lacewinggw.decisions.routes import RouteTable, WeightsFigures
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import Drop, News, Put
+from lacewinggw.fleet.feed import Drop, News, Put, listed_targets
 from lacewinggw.fleet.newsletter import all_resume
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId
@@ -98,8 +98,7 @@
     def take_targets(self, news: News, _: float) -> None:
         """Take what the store says of targets."""
         now = self._clock()
-        items = [change.item for change in news.changes if isinstance(change, Put)]
-        entries = [item for item in items if isinstance(item, TargetEntry)]
+        entries = listed_targets(news)
         self._position = max(self._position, news.position)
         if news.whole:
             self._knowledge.take_whole_list(entries, now)
