--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -102,7 +102,6 @@
 struct FleetSettings {
   1: required string store                     // address of the operators' store
   2: list<string> regions                      // "place:region"
-  3: i64 leave_ms = 2000                       // a target that leaves gets nothing later than this
   4: i64 apply_ms = 2000                       // a change of the routes is in force by then
   5: i64 revocation_ms = 5000                  // a key taken away is refused by then, in touch or not
   6: i64 grace_ms = 8000                       // between the signal to leave and the kill
--- a/src/lacewinggw/decisions/retries.py
+++ b/src/lacewinggw/decisions/retries.py
@@ -18,7 +18,7 @@
 
 @dataclass
 class RetryBudget:
-    """Counts the requests and retries of the last ten seconds.
+    """Counts the requests and retries of the last seconds: ten, unless told otherwise.
 
     In that time retries stay within `share` of the requests and `extra` more, or within three where
     that is more. A retry is not counted as a request.
@@ -30,6 +30,7 @@
 
     share: float
     extra: float = 0.0
+    window_s: float = WINDOW_S
     _seconds: deque[_Second] = field(default_factory=deque)
     _retries_to_come: int = 0
 
@@ -53,7 +54,7 @@
 
     def _second(self, now: float) -> _Second:
         number = int(now)
-        while self._seconds and self._seconds[0].number <= number - WINDOW_S:
+        while self._seconds and self._seconds[0].number <= number - self.window_s:
             self._seconds.popleft()
         if not self._seconds or self._seconds[-1].number != number:
             self._seconds.append(_Second(number))
--- /dev/null
+++ b/src/lacewinggw/frontend/jobs.py
@@ -0,0 +1,45 @@
+"""What became of one request so far."""
+
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.routes import Repeat
+from lacewinggw.frontend.admission import Admitted
+from lacewinggw.ids import TargetId
+from lacewinggw.wire.http import Headers
+
+OFFERS_MOST = 4  # of one request, those that proved not to have run included
+
+
+@dataclass(frozen=True)
+class FailedAnswer:
+    """A target's own answer that says it failed; passed on when nothing better comes."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass
+class Job:
+    """What became of a request so far."""
+
+    admitted: Admitted
+    offers: int = 0
+    runs: int = 0  # offers that were not proved not to have run
+    avoid: set[TargetId] = field(default_factory=set)
+    last_event: int | None = None
+    version: int | None = None  # of the weights that the answer has begun with
+    target: TargetId | None = None  # that was offered the request last
+    waited_s: float = 0.0
+    ahead: float = 0.0  # requests ahead of it at that target, as far as was known
+    offered_at: float = 0.0
+    first_s: float | None = None  # from the offer to the first part of the answer
+    failure: FailedAnswer | None = None
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether the request may run once more."""
+        if self.runs == 0:
+            return self.offers < OFFERS_MOST
+        route = self.admitted.route
+        return route.repeat is not Repeat.NEVER and self.runs < route.attempts
--- /dev/null
+++ b/src/lacewinggw/frontend/placing.py
@@ -0,0 +1,151 @@
+"""Where a request goes next, how long it waits for that, and what a target is told and allowed."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.dispatch import TargetLoad, Wish
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
+from lacewinggw.decisions.retries import RetryBudget
+from lacewinggw.decisions.routes import Repeat, Service
+from lacewinggw.frontend.admission import Admitted
+from lacewinggw.frontend.jobs import Job
+from lacewinggw.frontend.offers import OfferLimits, Sending
+from lacewinggw.frontend.queue import RequestQueue
+from lacewinggw.ids import ServiceName
+
+SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
+LEAST_SILENCE_S = 0.6
+LEAST_S = 0.001  # a time limit of nothing would not even send the request
+RESUME_WAIT_S = 1.5  # a caller gives a stream up after a pause of two seconds or more
+REPEAT_PRIORITY = -1  # before all: work was done for it, and its caller may have part of the answer
+MOST_URGENT = 0
+URGENCY_BASE = 2  # of a request with priority 0 that nobody has worked on yet
+LEAST_URGENT = 9
+
+
+@dataclass(frozen=True)
+class RetryLimits:
+    """Retries in a window: a share of requests, and a number more for all entries together."""
+
+    share: float
+    extra: float
+    window_s: float
+
+
+class Placing:
+    """Chooses targets for requests and counts retries against the budget.
+
+    load = await placing.claim(job)
+    sending, limits = placing.sending(job), placing.limits(job, load)
+    """
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        queue: RequestQueue,
+        clock: Clock,
+        retries: Callable[[], RetryLimits],
+        count_entries: Callable[[], int],
+    ) -> None:
+        self._knowledge = knowledge
+        self._queue = queue
+        self._clock = clock
+        self._retries = retries
+        self._count_entries = count_entries
+        self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._times = CallerTimes()
+
+    async def claim(self, job: Job) -> TargetLoad:
+        """Return a target that takes the request now, waiting for one in the queue."""
+        admitted = job.admitted
+        wish = self._wish(job)
+        now = _now()
+        left_s = admitted.deadline - now
+        if job.runs:
+            # Work was done for it: it goes on wherever there is room, while its caller waits.
+            until = min(admitted.deadline, now + RESUME_WAIT_S)
+            load = await self._queue.claim(wish, REPEAT_PRIORITY, False, until)
+        else:
+            wait = self._patience(admitted, left_s)
+            until = now + wait.wait_s
+            load = await self._queue.claim(wish, admitted.priority, wait.is_late, until)
+        job.target, job.waited_s = load.entry.target, job.waited_s + _now() - now
+        job.ahead = round(load.ahead(now) - 1.0, 1)
+        self._budget(admitted.service).note_call(_now())
+        return load
+
+    def may_repeat(self, job: Job) -> bool:
+        """Tell whether a request may be offered once more, and count it if so."""
+        return job.may_repeat and self._budget(job.admitted.service).take(_now())
+
+    def _patience(self, admitted: Admitted, left_s: float) -> Patience:
+        facts, route = admitted.facts, admitted.route
+        held_s = _now() - admitted.call.arrived_at
+        elapsed_s = held_s + self._times.elapsed(route.name, facts.time_left_s)
+        service = self._service(admitted.service)
+        engine = service.engine if service else None
+        late_share = self._queue.late_share(admitted.service)
+        return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s, late_share)
+
+    def _wish(self, job: Job) -> Wish:
+        admitted = job.admitted
+        model = admitted.facts.model
+        service = self._service(admitted.service)
+        if service is None or service.engine is None or model is None:
+            return Wish(admitted.service, avoid=frozenset(job.avoid))
+        least = self._least_version(job)
+        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid))
+
+    def _service(self, name: ServiceName) -> Service | None:
+        table = self._knowledge.routes
+        return table.services.get(name) if table else None
+
+    def _least_version(self, job: Job) -> int:
+        """Return the oldest version of the model that a request may still begin on."""
+        model = job.admitted.facts.model
+        if model is None:
+            return 0
+        return self._knowledge.least_version(model, self._clock())
+
+    def _budget(self, service: ServiceName) -> RetryBudget:
+        limits = self._retries()
+        budget = self._budgets.setdefault(service, RetryBudget(limits.share))
+        budget.window_s = limits.window_s
+        entries = self._count_entries()
+        budget.share = limits.share
+        budget.extra = limits.extra / entries if entries else 0.0
+        return budget
+
+    def sending(self, job: Job) -> Sending:
+        """Return what the next target is told of a request beside the caller's own head."""
+        facts = job.admitted.facts
+        resume_after = job.last_event if job.last_event is not None else facts.last_event
+        least = self._least_version(job)
+        version = job.version if job.version is not None else least or None
+        usual = min(LEAST_URGENT, URGENCY_BASE + job.admitted.priority)
+        urgency = MOST_URGENT if job.runs else usual
+        return Sending(version, resume_after, urgency)
+
+    def limits(self, job: Job, load: TargetLoad) -> OfferLimits:
+        """Return how long a target may be silent: to the end where nobody else may be asked.
+
+        What has not begun when the target's weights run out must not begin at all.
+        """
+        rest_s = max(LEAST_S, job.admitted.deadline - _now())
+        silence_s = rest_s
+        route = job.admitted.route
+        if route.repeat is not Repeat.NEVER and job.runs < route.attempts:
+            silence_s = min(rest_s, max(LEAST_SILENCE_S, SILENCE_FACTOR * route.objective_s))
+        begin_s = silence_s
+        model = job.admitted.facts.model
+        if model is not None:
+            left_s = self._knowledge.begin_by(load.entry.target, model) - self._clock()
+            begin_s = max(LEAST_S, min(silence_s, left_s))
+        return OfferLimits(begin_s, silence_s)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -22,8 +22,9 @@
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.neighbours import EntryNeighbours
 from lacewinggw.frontend.offers import Offers
+from lacewinggw.frontend.placing import Placing, RetryLimits
 from lacewinggw.frontend.queue import RequestQueue
-from lacewinggw.frontend.relay import Relay, RelayParts, RetryLimits
+from lacewinggw.frontend.relay import Relay, RelayParts
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.frontend.vouching import VOUCHED_S, DecodeRoutes, Self, Voucher, is_reader
 from lacewinggw.generated.messages import ttypes as messages
@@ -136,18 +137,20 @@
         )
         self.queue = RequestQueue(self.knowledge, self.pool, self.metrics)
         self._http = HttpClient(network, idle_connections=0)
+        placing = Placing(
+            self.knowledge, self.queue, clock, self._retry_limits, self._count_entries
+        )
         self.relay = Relay(
             RelayParts(
                 codec=adapter.codec,
                 knowledge=self.knowledge,
                 pool=self.pool,
                 queue=self.queue,
+                placing=placing,
                 offers=Offers(self._http, adapter.codec),
                 clock=clock,
                 metrics=self.metrics,
                 rng=rng,
-                retries=self._retry_limits,
-                count_entries=self._count_entries,
             )
         )
         self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
@@ -223,7 +226,11 @@
 
     def _retry_limits(self) -> RetryLimits:
         fleet = self._settings.fleet
-        return RetryLimits(fleet.retry_percent / PERCENT, EXTRA_SHARE * fleet.extra_retries)
+        return RetryLimits(
+            share=fleet.retry_percent / PERCENT,
+            extra=EXTRA_SHARE * fleet.extra_retries,
+            window_s=fleet.retry_window_ms / MS_PER_S,
+        )
 
     def apply(self, settings: Settings) -> None:
         """Take in changed settings: the bounds of the fleet, and what a caller is told.
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -7,15 +7,11 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.dispatch import TargetLoad, TargetPool, Wish
+from lacewinggw.decisions.dispatch import TargetLoad, TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
-from lacewinggw.decisions.retries import RetryBudget
-from lacewinggw.decisions.routes import Repeat, Service
 from lacewinggw.errors import (
     AnswerIncomplete,
     DeadlinePassed,
@@ -26,22 +22,21 @@
     TargetFailed,
     TargetRefused,
 )
-from lacewinggw.frontend.admission import Admitted, admit
+from lacewinggw.frontend.admission import admit
 from lacewinggw.frontend.callers import Caller, CallerGone
 from lacewinggw.frontend.calls import Call, CallCodec
+from lacewinggw.frontend.jobs import FailedAnswer, Job
 from lacewinggw.frontend.offers import (
     OK,
     Answer,
     Lost,
     NotRun,
-    OfferLimits,
     Offers,
-    Sending,
     read_events,
     read_whole,
 )
+from lacewinggw.frontend.placing import Placing
 from lacewinggw.frontend.queue import RequestQueue
-from lacewinggw.ids import ServiceName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
 from lacewinggw.wire.http import Headers
@@ -49,50 +44,10 @@
 log = get_logger(__name__)
 
 MS_PER_S = 1000
-OFFERS_MOST = 4  # of one request, those that proved not to have run included
-SILENCE_FACTOR = 3.0  # of the route's objective: a target that is silent longer is left
-LEAST_SILENCE_S = 0.6
-LEAST_S = 0.001  # a time limit of nothing would not even send the request
-RESUME_WAIT_S = 1.5  # a caller gives a stream up after a pause of two seconds or more
-REPEAT_PRIORITY = -1  # before all: work was done for it, and its caller may have part of the answer
 RETRY_AFTER_MS = 400  # where nothing is known of when there is room
 KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
 
-@dataclass
-class Job:
-    """What became of a request so far."""
-
-    admitted: Admitted
-    offers: int = 0
-    runs: int = 0  # offers that were not proved not to have run
-    avoid: set[TargetId] = field(default_factory=set)
-    last_event: int | None = None
-    version: int | None = None  # of the weights that the answer has begun with
-    target: TargetId | None = None  # that was offered the request last
-    waited_s: float = 0.0
-    ahead: float = 0.0  # requests ahead of it at that target, as far as was known
-    offered_at: float = 0.0
-    first_s: float | None = None  # from the offer to the first part of the answer
-    failure: tuple[int, Headers, bytes] | None = None  # a target's own answer that says it failed
-
-    @property
-    def may_repeat(self) -> bool:
-        """Whether the request may run once more."""
-        if self.runs == 0:
-            return self.offers < OFFERS_MOST
-        route = self.admitted.route
-        return route.repeat is not Repeat.NEVER and self.runs < route.attempts
-
-
-@dataclass(frozen=True)
-class RetryLimits:
-    """Retries as a share of requests, and beyond it as a number for all entries together."""
-
-    share: float
-    extra: float
-
-
 @dataclass(frozen=True)
 class RelayParts:
     """What a relay works with."""
@@ -101,12 +56,11 @@
     knowledge: Knowledge
     pool: TargetPool
     queue: RequestQueue
+    placing: Placing
     offers: Offers
     clock: Clock
     metrics: Metrics
     rng: random.Random
-    retries: Callable[[], RetryLimits]
-    count_entries: Callable[[], int]
 
 
 class Relay:
@@ -118,8 +72,6 @@
 
     def __init__(self, parts: RelayParts) -> None:
         self._parts = parts
-        self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._times = CallerTimes()
         self._answered = parts.metrics.counter("requests", outcome="answered")
         self._latency = parts.metrics.latency("request")
         self._first_part = parts.metrics.latency("first_part")
@@ -221,7 +173,7 @@
     async def _run(self, job: Job, caller: Caller) -> None:
         while True:
             try:
-                load = await self._claim(job)
+                load = await self._parts.placing.claim(job)
             except RequestRefused:
                 if job.runs == 0:
                     raise
@@ -232,84 +184,30 @@
             finally:
                 self._parts.pool.end(load)
                 self._parts.queue.advance(job.admitted.service)
-            if not job.may_repeat or not self._budget(job.admitted.service).take(_now()):
+            if not self._parts.placing.may_repeat(job):
                 return await self._give_up(job, caller)
 
     async def _give_up(self, job: Job, caller: Caller) -> None:
         """Tell the caller that its request failed, in the target's own words if there are any."""
         if job.failure is not None and not caller.has_begun:
-            status, headers, body = job.failure
-            return await caller.answer(status, _headers_to_caller(headers), body)
+            failure = job.failure
+            headers = _headers_to_caller(failure.headers)
+            return await caller.answer(failure.status, headers, failure.body)
         if job.runs:
             raise TargetFailed("the target failed the request")
         if job.may_repeat:
             raise RetryBudgetSpent("too many requests are tried again", retry_after_ms=500)
         raise TargetRefused("no target took the request", retry_after_ms=RETRY_AFTER_MS)
 
-    async def _claim(self, job: Job) -> TargetLoad:
-        """Return a target that takes the request now, waiting for one in the queue."""
-        admitted = job.admitted
-        wish = self._wish(job)
-        now = _now()
-        left_s = admitted.deadline - now
-        if job.runs:
-            # Work was done for it: it goes on wherever there is room, while its caller waits.
-            until = min(admitted.deadline, now + RESUME_WAIT_S)
-            load = await self._parts.queue.claim(wish, REPEAT_PRIORITY, False, until)
-        else:
-            wait = self._patience(admitted, left_s)
-            until = now + wait.wait_s
-            load = await self._parts.queue.claim(wish, admitted.priority, wait.is_late, until)
-        job.target, job.waited_s = load.entry.target, job.waited_s + _now() - now
-        job.ahead = round(load.ahead(now) - 1.0, 1)
-        self._budget(admitted.service).note_call(_now())
-        return load
-
-    def _patience(self, admitted: Admitted, left_s: float) -> Patience:
-        facts, route = admitted.facts, admitted.route
-        held_s = _now() - admitted.call.arrived_at
-        elapsed_s = held_s + self._times.elapsed(route.name, facts.time_left_s)
-        service = self._service(admitted.service)
-        engine = service.engine if service else None
-        late_share = self._parts.queue.late_share(admitted.service)
-        return patience(route, engine, facts.prompt_tokens, elapsed_s, left_s, late_share)
-
-    def _wish(self, job: Job) -> Wish:
-        admitted = job.admitted
-        model = admitted.facts.model
-        service = self._service(admitted.service)
-        if service is None or service.engine is None or model is None:
-            return Wish(admitted.service, avoid=frozenset(job.avoid))
-        least = self._least_version(job)
-        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid))
-
-    def _service(self, name: ServiceName) -> Service | None:
-        table = self._parts.knowledge.routes
-        return table.services.get(name) if table else None
-
-    def _least_version(self, job: Job) -> int:
-        """Return the oldest version of the model that a request may still begin on."""
-        model = job.admitted.facts.model
-        if model is None:
-            return 0
-        return self._parts.knowledge.least_version(model, self._parts.clock())
-
-    def _budget(self, service: ServiceName) -> RetryBudget:
-        limits = self._parts.retries()
-        budget = self._budgets.setdefault(service, RetryBudget(limits.share))
-        entries = self._parts.count_entries()
-        budget.share = limits.share
-        budget.extra = limits.extra / entries if entries else 0.0
-        return budget
-
     async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
         """Offer the request to a target; return whether the caller has its answer."""
         job.offers += 1
         job.offered_at = _now()
         job.avoid.add(load.entry.target)
-        sending = self._sending(job)
+        placing = self._parts.placing
+        sending, limits = placing.sending(job), placing.limits(job, load)
         job.runs += 1
-        match await self._parts.offers.send(job.admitted, load, sending, self._limits(job, load)):
+        match await self._parts.offers.send(job.admitted, load, sending, limits):
             case NotRun(reason, full):
                 job.runs -= 1
                 self._note_not_run(job, load, reason, full)
@@ -327,32 +225,6 @@
                 finally:
                     await answer.close()
 
-    def _sending(self, job: Job) -> Sending:
-        facts = job.admitted.facts
-        resume_after = job.last_event if job.last_event is not None else facts.last_event
-        least = self._least_version(job)
-        version = job.version if job.version is not None else least or None
-        urgency = 0 if job.runs else min(9, 2 + job.admitted.priority)
-        return Sending(version, resume_after, urgency)
-
-    def _limits(self, job: Job, load: TargetLoad) -> OfferLimits:
-        """Return how long a target may be silent: to the end where nobody else may be asked.
-
-        What has not begun when the target's weights run out must not begin at all.
-        """
-        rest_s = max(LEAST_S, job.admitted.deadline - _now())
-        silence_s = rest_s
-        route = job.admitted.route
-        if route.repeat is not Repeat.NEVER and job.runs < route.attempts:
-            silence_s = min(rest_s, max(LEAST_SILENCE_S, SILENCE_FACTOR * route.objective_s))
-        begin_s = silence_s
-        model = job.admitted.facts.model
-        if model is not None:
-            knowledge = self._parts.knowledge
-            left_s = knowledge.begin_by(load.entry.target, model) - self._parts.clock()
-            begin_s = max(LEAST_S, min(silence_s, left_s))
-        return OfferLimits(begin_s, silence_s)
-
     def _note_not_run(self, job: Job, load: TargetLoad, reason: str, full: bool) -> None:
         now = _now()
         if full:
@@ -391,7 +263,7 @@
             return True
         body = await read_whole(answer)
         if not answer.is_success:
-            job.failure = (answer.status, answer.headers, body)
+            job.failure = FailedAnswer(answer.status, answer.headers, body)
             self._note_failed(job, load, f"the target answered {answer.status}")
             return False
         if not answer.facts.sealed:
