--- a/src/lacewinggw/agent/links.py
+++ b/src/lacewinggw/agent/links.py
@@ -6,6 +6,7 @@
 from lacewinggw.decisions.yielding import YieldPolicy, YieldRules
 
 CATCH_UP_S = 0.02  # timers fire some ms late, slice after slice; that much is made up for
+BURST_S = 0.25  # chunks of several neighbours that come in together are not told one by one
 
 Rate = Callable[[], float]
 
@@ -33,7 +34,7 @@
 
     async def receive(self, size: int) -> None:
         """Wait until `size` bytes that just came in fit what the link carries."""
-        self._free_at = max(_now(), self._free_at + size / self._rate())
+        self._free_at = max(_now() - self._catch_up_s, self._free_at + size / self._rate())
         await _sleep_until(self._free_at)
 
 
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -22,7 +22,7 @@
     Surroundings,
     WeightSource,
 )
-from lacewinggw.agent.links import CATCH_UP_S, LiveGauge, Pacer
+from lacewinggw.agent.links import BURST_S, CATCH_UP_S, LiveGauge, Pacer
 from lacewinggw.agent.manifests import CheckManifest, ManifestFinder, check_manifest
 from lacewinggw.agent.mesh import Mesh
 from lacewinggw.agent.uploads import Uploader
@@ -90,7 +90,7 @@
             mesh=self._mesh,
             origin=origin,
             store=store,
-            downlink=Pacer(self.live.weights_rate),
+            downlink=Pacer(self.live.weights_rate, BURST_S),
             place=self._place,
             rules=spread_rules(settings, has_store=store is not None),
             rng=rng,
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -31,7 +31,7 @@
     lapse_s: float = 1.9
     settled_s: float = 3.0
     version_s: float = 8.0
-    begin_s: float = 1.5
+    begin_s: float = 0.9
     slack_s: float = 0.5
 
 
--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -11,6 +11,7 @@
 emptied, as new requests go to the first, and takes the version just before the bound.
 """
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -23,6 +24,7 @@
 EMPTYING_S = 1.0  # most running requests end within it, those of the usual length all
 LAST_MARGIN_S = 0.6  # before the bound: an order then still keeps anything from beginning late
 SPARE_S = 1.0  # beyond the time that the rest of a version takes, to count on it in time
+NEARLY = 0.9  # of a version: the rest of it leaves room on the link for the next one
 OLD_STAYS_S = 2.0  # an older version that is at hand is loaded if it may serve for so long
 
 
@@ -40,9 +42,13 @@
 
     shares: Mapping[int, float]
 
+    def share(self, version: int) -> float:
+        """Return the share of a version that is at hand."""
+        return self.shares.get(version, 0.0)
+
     def is_complete(self, version: int) -> bool:
         """Tell whether a version is at hand whole."""
-        return self.shares.get(version, 0.0) >= 1.0
+        return self.share(version) >= 1.0
 
 
 @dataclass(frozen=True)
@@ -50,12 +56,14 @@
     """What to do now: versions to fetch, the first one first, and the one to load, if any.
 
     With `may_cut` other targets still have the old version, so that requests which are broken off
-    can go on there; without, the target is emptied first and what is left ends by itself.
+    can go on there; without, the target is emptied first and what is left ends by itself. The order
+    is given by `order_by`, emptied or not.
     """
 
     fetch: tuple[int, ...] = ()
     load: int | None = None
     may_cut: bool = False
+    order_by: float = math.inf
 
 
 class UpgradePlan:
@@ -81,11 +89,16 @@
         pending = [each for each in due if each.version > current]
         if not pending:
             return Upgrade()
-        wanted = self._skip(pending, progress, now)
+        wanted = self._wanted(pending, progress, now)
         first = wanted[0]
-        has_turn = self._is_early or now >= self._late_turn_at(pending[0])
-        load = first.version if has_turn and progress.is_complete(first.version) else None
-        return Upgrade(_open(wanted, progress), load, may_cut=self._is_early)
+        fetch = _open(wanted, progress)
+        if not progress.is_complete(first.version):
+            return Upgrade(fetch)
+        if not self._is_early and now < self._late_turn_at(pending[0]):
+            return Upgrade(fetch)
+        return Upgrade(
+            fetch, first.version, self._is_early, self._bound(pending[0]) - LAST_MARGIN_S
+        )
 
     def _for_first(self, current: int | None, progress: Progress) -> Upgrade:
         if current is not None:
@@ -105,12 +118,13 @@
                 return Upgrade((newest.version,), max(at_hand))
         return Upgrade((newest.version,))
 
-    def _skip(self, pending: Sequence[Due], progress: Progress, now: float) -> Sequence[Due]:
-        """Leave out versions that a later one makes needless in time."""
-        bound = self._bound(pending[0])
-        newest = pending[-1]
-        rest_s = (1.0 - progress.shares.get(newest.version, 0.0)) * self._rules.copy_s
-        if now + rest_s + SPARE_S <= bound or progress.is_complete(newest.version):
+    def _wanted(self, pending: Sequence[Due], progress: Progress, now: float) -> Sequence[Due]:
+        """Return the versions to bring, those left out that are not worth their time."""
+        oldest, newest = pending[0], pending[-1]
+        if oldest is newest:
+            return [newest]
+        rest_s = (1.0 - progress.share(newest.version)) * self._rules.copy_s
+        if now + rest_s + SPARE_S <= self._bound(oldest) or progress.is_complete(newest.version):
             return [newest]
         return pending
 
@@ -123,10 +137,10 @@
 
 
 def _open(wanted: Sequence[Due], progress: Progress) -> tuple[int, ...]:
-    """Return the versions to fetch now: the next one only when those before are at hand."""
+    """Return the versions to fetch now: the next one only when those before are nearly there."""
     opened: list[int] = []
     for each in wanted:
         opened.append(each.version)
-        if not progress.is_complete(each.version):
+        if progress.share(each.version) < NEARLY:
             break
     return tuple(opened)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -311,19 +311,20 @@
                 await self._loader.stage(model, upgrade.fetch[0])
             return
         switch = Switch.CUT if upgrade.may_cut and self.assignment.resumable else Switch.FINISH
-        if switch is Switch.FINISH and not self._is_emptied(report):
+        if switch is Switch.FINISH and not self._is_emptied(report, upgrade.order_by):
             return
         await self._loader.load(model, upgrade.load, switch, report)
         self._emptying_since = None
         self._tell_entries()
 
-    def _is_emptied(self, report: LoadableReport) -> bool:
+    def _is_emptied(self, report: LoadableReport, order_by: float) -> bool:
         """Tell whether what runs on the target has had its time; entries send nothing meanwhile."""
         now = self._clock()
         if self._emptying_since is None:
             self._emptying_since = now
             self._tell_entries()
-        return not report.running or now - self._emptying_since >= EMPTYING_S
+        waited_s = now - self._emptying_since
+        return not report.running or waited_s >= EMPTYING_S or now >= order_by
 
     # ---- entries --------------------------------------------------------------------------
 
--- a/tests/fleet/test_upgrades.py
+++ b/tests/fleet/test_upgrades.py
@@ -42,11 +42,12 @@
 def test_a_single_target_is_never_cut():
     plan = UpgradePlan(RULES, HOSTS[0], HOSTS[:1])
     assert decide(plan, 1, DUE, {2: 1.0}, 105.0) == Upgrade((2,))
-    assert decide(plan, 1, DUE, {2: 1.0}, 107.0) == Upgrade((2,), load=2)
+    upgrade = decide(plan, 1, DUE, {2: 1.0}, 107.0)
+    assert (upgrade.load, upgrade.may_cut) == (2, False)
 
 
 def test_nothing_is_loaded_that_is_not_whole():
-    assert decide(early_plan(), 1, DUE, {2: 0.98}, 110.0) == Upgrade((2,), may_cut=True)
+    assert decide(early_plan(), 1, DUE, {2: 0.98}, 110.0) == Upgrade((2,))
 
 
 def test_a_target_at_the_newest_version_has_nothing_to_do():
@@ -65,11 +66,21 @@
     assert decide(early_plan(), 1, due, {2: 0.1}, 100.5).fetch == (3,)
 
 
+def test_the_next_version_is_begun_when_the_first_is_nearly_there():
+    due = [*DUE, Due(3, NAMED_AT + 4.0)]
+    assert decide(late_plan(), 1, due, {2: 0.7}, 104.1).fetch == (2,)
+    assert decide(late_plan(), 1, due, {2: 0.95}, 105.0).fetch == (2, 3)
+
+
 def test_the_next_version_counts_by_the_bound_of_the_one_left_out():
     due = [*DUE, Due(3, NAMED_AT + 0.5)]
     assert decide(late_plan(), 1, due, {3: 1.0}, 106.5).load == 3
 
 
+def test_an_order_is_not_put_off_beyond_the_bound():
+    assert decide(late_plan(), 1, DUE, {2: 1.0}, 107.0).order_by == pytest.approx(107.4)
+
+
 @pytest.mark.parametrize(
     ("shares", "load"),
     [({3: 1.0}, 3), ({3: 0.5}, None), ({2: 1.0, 3: 0.5}, 2)],
