--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -18,6 +18,7 @@
 BATCH_SHARE = 0.75  # of a model engine's slots: in a fuller batch prompts wait for one another
 REMOTE_COST = 0.3  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
+SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
@@ -137,9 +138,13 @@
 
     def note_full(self, load: TargetLoad, now: float) -> None:
         """Note that a target refused a request because it is full."""
-        load.full_until = now + FULL_PAUSE_S
+        load.full_until = max(load.full_until, now + FULL_PAUSE_S)
         load.health.note_nothing()
 
+    def note_silent(self, load: TargetLoad, now: float) -> None:
+        """Note that a target did not answer in time: it, or the link to it, is stuck."""
+        load.full_until = max(load.full_until, now + SILENT_PAUSE_S)
+
     def note_report(self, target: TargetId, running: int, at: float, loading: bool = False) -> None:
         """Take what a target said of its own work: requests running and queued.
 
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -27,6 +27,7 @@
 
 TICK_S = 0.1
 SOURCES_PER_CHUNK = 2
+LATE_FACTOR = 3.0  # one chunk may meet a busy sender; over this it is the link
 SLOW_FACTOR = 1.8  # a chunk usually shares the link with as many as may be on their way
 RAREST_OF = 64  # chunks looked at to find a rare one; looking at all costs time with their square
 
@@ -309,21 +310,25 @@
         Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
         have all wait for the few that hold it.
         """
-        while len(self._fetches) + self._source_fetches < self._in_flight_limit:
+        while len(self._fetches) + self._source_fetches < self._in_flight_limit(now):
             request = self._next_request(now)
             if request is None:
                 yield from self._ask_again(now)
                 return
             yield request
 
-    @property
-    def _in_flight_limit(self) -> int:
+    def _in_flight_limit(self, now: float) -> int:
         """How many chunks may be on their way: fewer when the link turns out to be narrower.
 
-        Whatever is on its way stands before live requests in the link's queue.
+        Whatever is on its way stands before live requests in the link's queue. One chunk that is
+        late shows it at once, the time that most take a little later.
         """
         limit = self.rules.in_flight_total
         usual_s = limit * self._chunk_s
+        begun = [fetch.asked_at for fetches in self._fetches.values() for fetch in fetches]
+        oldest_s = now - min(begun, default=now)
+        if oldest_s > LATE_FACTOR * usual_s:
+            return 1
         if self._fetch_s <= SLOW_FACTOR * usual_s:
             return limit
         return max(1, round(limit * usual_s / self._fetch_s))
@@ -356,7 +361,12 @@
         return room and not state.left and state.avoid_until <= now
 
     def _ask_again(self, now: float) -> Iterator[Action]:
-        """Ask a second source for the last chunks, when they take longer than most."""
+        """Ask a second source for the last chunks, when they take longer than most.
+
+        Not over a link that is narrow: there the second copy only stands in the way of the first.
+        """
+        if self._in_flight_limit(now) < self.rules.in_flight_total:
+            return
         for index, fetches in sorted(self._fetches.items()):
             oldest = fetches[0]
             if len(fetches) >= SOURCES_PER_CHUNK or now - oldest.asked_at < 2 * self._fetch_s:
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -44,9 +44,10 @@
 
 @dataclass(frozen=True)
 class Lost:
-    """The request may have run; there is no answer."""
+    """The request may have run; there is no answer. `silent` where none came in time."""
 
     reason: str
+    silent: bool = False
 
 
 @dataclass(frozen=True)
@@ -124,7 +125,7 @@
         except NotConnectedError as error:
             return NotRun(f"cannot connect: {error}")
         except TimeoutError:
-            return Lost("no answer in time")
+            return Lost("no answer in time", silent=True)
         except (OSError, HttpError) as error:
             return Lost(f"no answer: {error}")
         return await self._sort(job, response)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -212,7 +212,9 @@
                 job.runs -= 1
                 self._note_not_run(job, load, reason, full)
                 return False
-            case Lost(reason):
+            case Lost(reason, silent):
+                if silent:
+                    self._parts.pool.note_silent(load, _now())
                 self._note_failed(job, load, reason)
                 return False
             case Answer() as answer:
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -75,6 +75,13 @@
     assert "a" in {choose(pool, now=0.1) for _ in range(50)}
 
 
+def test_a_silent_target_is_left_alone_for_longer(pool):
+    pool.note_silent(pool.loads["a"], now=0.0)
+    pool.note_full(pool.loads["b"], now=0.0)
+    assert {choose(pool, now=0.5) for _ in range(50)} == {"b", "c"}
+    assert "a" in {choose(pool, now=1.1) for _ in range(50)}
+
+
 def test_a_loading_target_is_left_alone_until_it_says_so_no_more(pool):
     pool.note_report("a", 0, at=0.0, loading=True)
     assert "a" not in {choose(pool, now=1.0) for _ in range(20)}
--- a/tests/fleet/test_narrow_link.py
+++ b/tests/fleet/test_narrow_link.py
@@ -40,3 +40,19 @@
 @pytest.mark.parametrize(("fetch_s", "count"), [(0.08, 3), (0.3, 3), (0.6, 1), (1.5, 1)])
 def test_fewer_chunks_at_once_over_a_narrow_link(fetch_s, count):
     assert on_their_way_after(fetch_s) == count
+
+
+def test_one_late_chunk_stops_further_ones_at_once():
+    spread = spread_among(6)
+    assert len(spread.decide(0.0)) == 3
+    spread.arrived(Neighbour("host-1"), next(iter(spread.neighbours["host-1"].asked)), 0.08)
+    assert spread.decide(0.9) == []
+
+
+def test_no_second_copy_is_asked_for_over_a_narrow_link():
+    spread = spread_among(6)
+    for index in range(62):
+        spread.arrived(None, index, 0.0)
+    first = spread.decide(0.0)
+    assert {ask.index for ask in first} == {62, 63}
+    assert spread.decide(0.9) == []
