--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -13,6 +13,8 @@
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry, TargetPhase
 from lacewinggw.ids import ModelName, TargetId
 
+DENIAL_FACTOR = 2.0  # the age of routes that others vouch for goes up to 1.3 of the bound
+
 
 @dataclass(frozen=True)
 class KnowledgeRules:
@@ -79,8 +81,12 @@
         return self.routes is not None and self.routes_age(now) < self.rules.revocation_s
 
     def covers_denial(self, now: float) -> bool:
-        """Tell whether what the table lacks may be denied: something new would be known."""
-        return self.routes is not None and self.routes_age(now) < self.rules.apply_s
+        """Tell whether what the table lacks may be denied: something new would be known.
+
+        An entry in touch hears of a change at once, whatever the age of its last proof; one that is
+        not finds out within `DENIAL_FACTOR` times the bound on changes.
+        """
+        return self.routes is not None and self.routes_age(now) < DENIAL_FACTOR * self.rules.apply_s
 
     # ---- configuration --------------------------------------------------------------------
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -45,6 +45,7 @@
 
 MS_PER_S = 1000
 RETRY_AFTER_MS = 400  # where nothing is known of when there is room
+REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 KEPT_BACK = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
 
@@ -142,7 +143,8 @@
             caller.close()
             raise CallerGone
         if job.runs:
-            error: LacewingError = DeadlinePassed("the target did not answer in time")
+            reason = "the target did not answer in time"
+            error: LacewingError = DeadlinePassed(reason, remedy=REPEAT_REMEDY)
         else:
             error = DeadlineTooNear("no target could start the request in time")
         await self._refuse(call, call_id, error, caller)
@@ -194,7 +196,7 @@
             headers = _headers_to_caller(failure.headers)
             return await caller.answer(failure.status, headers, failure.body)
         if job.runs:
-            raise TargetFailed("the target failed the request")
+            raise TargetFailed("the target failed the request", remedy=REPEAT_REMEDY)
         if job.may_repeat:
             raise RetryBudgetSpent("too many requests are tried again", retry_after_ms=500)
         raise TargetRefused("no target took the request", retry_after_ms=RETRY_AFTER_MS)
