--- /dev/null
+++ b/tests/fleet/test_adapter.py
@@ -0,0 +1,196 @@
+"""What the platform writes, as the product's types; and the other way round."""
+
+import base64
+import json
+
+import pytest
+from lacewinggw_platform.fleet import decode_routes, decode_target
+from lacewinggw_platform.heads import PlatformHeads
+from lacewinggw_platform.store import PlatformStore
+from platform_standins import KEY, LLM, ORIGIN, manifest, target_row
+
+from lacewinggw.decisions.routes import Repeat
+from lacewinggw.decisions.targetlist import TargetPhase
+from lacewinggw.errors import MalformedHttp, PlatformUnavailable
+from lacewinggw.fleet.feed import Drop, HistoryGone, Put, Topic
+from lacewinggw.frontend.calls import Dispatch
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.wire.http import HttpClient, HttpServer, Response, json_response
+
+HEAD = [
+    ("Host", "notes.example"),
+    ("X-Attempt-Id", "a1"),
+    ("X-Deadline-Remaining", "6093"),
+    ("X-Key", KEY),
+    ("X-Model", "market"),
+    ("X-Token-Counts", "1460,80"),
+    ("X-Length-Hint", "70"),
+    ("Last-Event-Id", "12"),
+    ("X-Tenant", "forged"),
+]
+HEADS = PlatformHeads()
+
+
+def encoded(value):
+    return json.dumps(value).encode()
+
+
+# ---- routes and targets ---------------------------------------------------------------------
+
+
+def test_routes_as_operators_write_them():
+    table = decode_routes(encoded(manifest(7)))
+    report = table.find("notes.example", "/report/1")
+    assert table.version == 7 and table.needs_key
+    assert (report.repeat, report.streams, report.attempts) == (Repeat.RESUMABLE, True, 2)
+    assert (report.timeout_s, report.objective_s, report.gap_s) == (6.0, 0.4, 0.3)
+    assert table.find("notes.example", "/sheet/1").repeat is Repeat.NEVER
+    assert table.find("notes.example", "/tally/1").repeat is Repeat.IDEMPOTENT
+    assert table.account_of(KEY).name == "growers"
+    assert table.services["ledger"].origin == ORIGIN
+    assert table.services["ledger"].origin_bytes_per_s == pytest.approx(9.9 * 125_000)
+    assert table.services[LLM].weights.chunks == 8
+    assert decode_routes(table.source) == table
+
+
+def test_a_stream_that_may_not_be_resumed_is_never_repeated():
+    value = manifest(7)
+    value["Routes"][0]["ResumeStreams"] = False
+    assert decode_routes(encoded(value)).routes[0].repeat is Repeat.NEVER
+
+
+def test_routes_without_keys_need_none():
+    value = manifest(7)
+    del value["Tenants"]
+    assert not decode_routes(encoded(value)).needs_key
+
+
+@pytest.mark.parametrize(
+    ("state", "phase"), [("ready", TargetPhase.READY), ("draining", TargetPhase.LEAVING)]
+)
+def test_a_target_as_it_lists_itself(state, phase):
+    entry = decode_target("i-1", encoded(target_row(LLM, "10.2.0.1:8080", State=state)))
+    assert (entry.target, entry.phase, entry.slots) == ("i-1", phase, 4)
+    assert entry.weights == {"market": 1}
+
+
+# ---- heads ----------------------------------------------------------------------------------
+
+
+def test_what_a_caller_s_head_tells():
+    facts = HEADS.read_call(HEAD)
+    assert (facts.call_id, facts.time_left_s, facts.key) == ("a1", 6.093, KEY)
+    assert (facts.model, facts.prompt_tokens, facts.output_tokens) == ("market", 1460, 80)
+    assert (facts.last_event, facts.expected_tokens) == (12, 70)
+
+
+def test_what_cannot_be_read_counts_as_not_said():
+    head = [("X-Attempt-Id", "a1"), ("X-Deadline-Remaining", "soon"), ("X-Token-Counts", "many")]
+    facts = HEADS.read_call(head)
+    assert (facts.time_left_s, facts.prompt_tokens, facts.model) == (None, 0, None)
+
+
+def test_a_head_without_an_id_is_refused():
+    with pytest.raises(MalformedHttp):
+        HEADS.read_call([("Host", "notes.example")])
+
+
+def test_what_a_target_is_told_instead():
+    told = HEADS.write_call(HEAD, Dispatch("i-1", "growers", 5000, 3, 2, 20))
+    values = {name.lower(): value for name, value in told}
+    assert "x-key" not in values
+    assert [value for name, value in told if name.lower() == "x-tenant"] == ["growers"]
+    assert [value for name, value in told if name.lower() == "last-event-id"] == ["20"]
+    assert (values["x-expected-instance"], values["x-expected-version"]) == ("i-1", "2")
+    assert (values["x-deadline-remaining"], values["x-request-priority"]) == ("5000", "3")
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "not_run"),
+    [
+        (503, {"x-not-executed": "1"}, True),
+        (421, {}, True),
+        (503, {}, False),
+        (500, {"x-response-seal": "s"}, False),
+    ],
+)
+def test_only_a_target_that_says_so_did_not_run_a_request(status, headers, not_run):
+    assert HEADS.read_answer(status, headers).not_run is not_run
+
+
+# ---- the store ------------------------------------------------------------------------------
+
+
+def row(key, value, version):
+    data = base64.b64encode(encoded(value)).decode()
+    return {"Table": "servers", "part": "", "Key": key, "Value": data, "SchemaVersion": version}
+
+
+class PagedStore:
+    """A store that answers each call with the next of some responses."""
+
+    def __init__(self, *responses):
+        self.network = MemoryNetwork()
+        self.queries = []
+        self._responses = list(responses)
+        self._server = HttpServer(self.network, "10.9.0.1:8007", self._handle)
+
+    async def __aenter__(self):
+        await self._server.start()
+        self.client = HttpClient(self.network)
+        return PlatformStore(self.client, "10.9.0.1:8007")
+
+    async def __aexit__(self, *_):
+        await self.client.close()
+        await self._server.close()
+
+    async def _handle(self, request):
+        self.queries.append(request.query)
+        return self._responses.pop(0)
+
+
+@pytest.mark.looptime
+async def test_a_snapshot_is_read_page_by_page_from_the_first_one_s_version():
+    pages = PagedStore(
+        json_response(
+            200,
+            {"Rows": [row("a", target_row(LLM, "x:1"), 3)], "HasMore": True, "SchemaVersion": 9},
+        ),
+        json_response(
+            200,
+            {"Rows": [row("b", target_row(LLM, "x:2"), 4)], "HasMore": False, "SchemaVersion": 11},
+        ),
+    )
+    async with pages as store:
+        news = await store.snapshot(Topic.TARGETS)
+    assert [change.item.target for change in news.changes] == ["a", "b"]
+    assert (news.position, news.whole) == (9, True)
+    assert pages.queries[1]["From"] == "a\0"
+
+
+@pytest.mark.looptime
+async def test_changes_and_drops_in_order():
+    gone = {"Table": "servers", "part": "", "Key": "b", "SchemaVersion": 5, "Deleted": True}
+    rows = [row("a", target_row(LLM, "x:1"), 4), gone]
+    async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 5})) as store:
+        news = await store.changes(Topic.TARGETS, 3, 1.0)
+    assert [type(change) for change in news.changes] == [Put, Drop]
+    assert (news.position, news.whole) == (5, False)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [(410, HistoryGone), (503, PlatformUnavailable), (500, PlatformUnavailable)],
+)
+async def test_each_refusal_of_the_store(status, error):
+    async with PagedStore(Response(status)) as store:
+        with pytest.raises(error):
+            await store.changes(Topic.TARGETS, 3, 1.0)
+
+
+@pytest.mark.looptime
+async def test_rows_of_the_operators_that_are_not_known_are_passed_over():
+    rows = [{**row("something/new", {"a": 1}, 4), "Table": "op"}]
+    async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 4})) as store:
+        assert (await store.changes(Topic.CONFIGURATION, 3, 1.0)).changes == ()
