List the fault of old rows after a loss of power as known red, with its test

A target that is reborn at its address answers 421 with its own id; the row of the start before is offered requests again and again until it lapses. The test fails for that.

--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -286,3 +286,21 @@
         assert reply.status == 503 and refusing.seen
         assert asyncio.get_running_loop().time() - began < 2.0
         await asyncio.gather(*long_ones)
+
+
+async def test_a_start_of_a_target_that_is_proved_gone_is_offered_nothing_more():
+    async with running_fleet(desks=1) as fleet:
+        reborn = fleet.targets["desk0"]
+        reborn.target_id = "i-reborn"
+        misdirected = []
+        answer = reborn._answer
+
+        async def count(request):
+            if request.headers["x-expected-instance"] != reborn.target_id:
+                misdirected.append(request)
+            return await answer(request)
+
+        reborn._answer = count
+        for _ in range(3):
+            await fleet.ask("/sheet/1")
+        assert len(misdirected) == 1
