Drop what the change left dead, and name two bare numbers

TargetLoad.heard_at was set and never read, RouteTable.knows_domain never called; the usual urgency and the status of a full target have names now. No behaviour changes.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -33,7 +33,6 @@
     reported_at: float = -math.inf
     full_until: float = 0.0
     loading_until: float = 0.0
-    heard_at: float = -math.inf  # the last byte of any response
     health: Health = field(default_factory=Health)
 
     def ahead(self, now: float) -> float:
--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -148,10 +148,6 @@
                 return route
         return None
 
-    def knows_domain(self, domain: str) -> bool:
-        """Tell whether any route has this domain."""
-        return domain in self._by_domain
-
     def account_of(self, key: str) -> ClientAccount | None:
         """Return the client account that holds a key, or None."""
         return self.accounts.get(key)
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -18,7 +18,13 @@
 from lacewinggw.decisions.dispatch import TargetLoad
 from lacewinggw.errors import AnswerIncomplete
 from lacewinggw.frontend.admission import Admitted
-from lacewinggw.frontend.calls import AnswerFacts, CallCodec, Dispatch, pass_on
+from lacewinggw.frontend.calls import (
+    USUAL_URGENCY,
+    AnswerFacts,
+    CallCodec,
+    Dispatch,
+    pass_on,
+)
 from lacewinggw.wire.events import EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
@@ -31,6 +37,7 @@
 CONNECT_S = 0.25  # it takes some ms; over a link with a queue of a second nothing is to be sent
 WHOLE_LIMIT_BYTES = 16 << 20  # of an answer that is held until it is whole
 OK = 200
+BUSY = 503  # what a target without room answers
 FIRST_ERROR = 400
 
 
@@ -75,7 +82,7 @@
 
     version: int | None = None
     resume_after: int | None = None
-    urgency: int = 5
+    urgency: int = USUAL_URGENCY
 
 
 @dataclass(frozen=True)
@@ -137,7 +144,7 @@
             return Lost("the answer belongs to another request")
         if facts.not_run:
             await response.aclose()
-            return NotRun(f"the target answered {response.status}", full=response.status == 503)
+            return NotRun(f"the target answered {response.status}", full=response.status == BUSY)
         return Answer(response.status, response.headers, facts, response)
 
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -220,7 +220,6 @@
                 self._note_failed(job, load, reason)
                 return False
             case Answer() as answer:
-                load.heard_at = _now()
                 try:
                     return await self._pass_on(job, load, answer, caller)
                 except AnswerIncomplete as error:
