Leave a start of a target as soon as another answers at its address

Cause: after a loss of power engines start anew with new ids, and their old rows stay listed for three heartbeats. Change: such an answer proves the start gone; it is left at once and other entries are told. A 421 for other weights names the id that was meant, and changes nothing. With it: what left long ago is forgotten a minute after the list lacks it (the set grew with each target ever seen), and agents let lapsed targets go as entries do.

--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -13,6 +13,7 @@
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry, TargetPhase
 from lacewinggw.ids import ModelName, TargetId
 
+LEFT_KEPT_S = 60.0  # a store that serves stale reads is seconds behind, a frozen entry little more
 DENIAL_FACTOR = 2.0  # the age of routes that others vouch for goes up to 1.3 of the bound
 
 
@@ -59,6 +60,7 @@
         self._targets: dict[TargetId, TargetEntry] = {}
         self._lapsing: dict[TargetId, float] = {}
         self._left: set[TargetId] = set()
+        self._unlisted_since: dict[TargetId, float] = {}  # of those that left
         self._routes_proved_at = float("-inf")
         self._outage_ended_at = float("-inf")
 
@@ -199,10 +201,18 @@
         self._left.add(target)
 
     def expire(self, now: float) -> None:
-        """Let go of targets that did not come back after an outage."""
+        """Let go of targets that did not come back after an outage, and forget those long gone."""
         for target in [each for each, until in self._lapsing.items() if until <= now]:
             del self._lapsing[target]
             self._targets.pop(target, None)
+        self._forget_left(now)
+
+    def _forget_left(self, now: float) -> None:
+        for target in self._left - self._targets.keys():
+            since = self._unlisted_since.setdefault(target, now)
+            if now - since >= LEFT_KEPT_S:
+                self._left.discard(target)
+                del self._unlisted_since[target]
 
 
 def _newest(
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -84,13 +84,14 @@
 
     With `not_run` the target says that it did not run the request; `call_id` is the request that
     the answer belongs to, `sealed` whether it bears the target's mark, `version` the version of the
-    weights that it comes from.
+    weights that it comes from, `answered_by` the target at the address, where the answer names it.
     """
 
     call_id: str | None
     not_run: bool
     sealed: bool
     version: int | None = None
+    answered_by: TargetId | None = None
 
 
 class CallCodec(Protocol):
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -43,10 +43,14 @@
 
 @dataclass(frozen=True)
 class NotRun:
-    """The target did not run the request, and proved it; `full` where it had no room."""
+    """The target did not run the request, and proved it.
+
+    `full` where it had no room, `is_gone` where another target answers at its address by now.
+    """
 
     reason: str
     full: bool = False
+    is_gone: bool = False
 
 
 @dataclass(frozen=True)
@@ -135,16 +139,22 @@
             return Lost("no answer in time", silent=True)
         except (OSError, HttpError) as error:
             return Lost(f"no answer: {error}")
-        return await self._sort(job, response)
+        return await self._sort(job, load, response)
 
-    async def _sort(self, job: Admitted, response: StreamedResponse) -> Answer | NotRun | Lost:
+    async def _sort(
+        self, job: Admitted, load: TargetLoad, response: StreamedResponse
+    ) -> Answer | NotRun | Lost:
         facts = self._codec.read_answer(response.status, response.headers)
         if facts.call_id not in (None, job.facts.call_id):
             await response.aclose()
             return Lost("the answer belongs to another request")
         if facts.not_run:
             await response.aclose()
-            return NotRun(f"the target answered {response.status}", full=response.status == BUSY)
+            return NotRun(
+                f"the target answered {response.status}",
+                full=response.status == BUSY,
+                is_gone=facts.answered_by not in (None, load.entry.target),
+            )
         return Answer(response.status, response.headers, facts, response)
 
 
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -151,6 +151,7 @@
                 clock=clock,
                 metrics=self.metrics,
                 rng=rng,
+                on_gone=self._neighbours.note_change,
             )
         )
         self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -7,6 +7,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lacewinggw.clock import Clock
@@ -51,7 +52,7 @@
 
 @dataclass(frozen=True)
 class RelayParts:
-    """What a relay works with."""
+    """What a relay works with; `on_gone` is called when a target is found to be gone."""
 
     codec: CallCodec
     knowledge: Knowledge
@@ -62,6 +63,7 @@
     clock: Clock
     metrics: Metrics
     rng: random.Random
+    on_gone: Callable[[], None] = lambda: None
 
 
 class Relay:
@@ -210,9 +212,9 @@
         sending, limits = placing.sending(job), placing.limits(job, load)
         job.runs += 1
         match await self._parts.offers.send(job.admitted, load, sending, limits):
-            case NotRun(reason, full):
+            case NotRun() as proof:
                 job.runs -= 1
-                self._note_not_run(job, load, reason, full)
+                self._note_not_run(job, load, proof)
                 return False
             case Lost(reason, silent):
                 if silent:
@@ -228,15 +230,23 @@
                 finally:
                     await answer.close()
 
-    def _note_not_run(self, job: Job, load: TargetLoad, reason: str, full: bool) -> None:
+    def _note_not_run(self, job: Job, load: TargetLoad, proof: NotRun) -> None:
         now = _now()
-        if full:
+        if proof.is_gone:
+            self._note_gone(load)
+        if proof.full:
             self._parts.pool.note_full(load, now)
             self._parts.metrics.retry(RetryReason.TARGET_OVERLOADED)
         else:
             self._parts.pool.failed(load, now)
             self._parts.metrics.retry(RetryReason.TARGET_UNREACHABLE)
-        self._log_offer(job, load, "not-run", reason)
+        self._log_offer(job, load, "not-run", proof.reason)
+
+    def _note_gone(self, load: TargetLoad) -> None:
+        """Leave a start of a target that is over, though the list still has it for some seconds."""
+        log.info("target_gone", target=load.entry.target, address=load.entry.address)
+        self._parts.knowledge.note_leaving(load.entry.target)
+        self._parts.on_gone()
 
     def _note_failed(self, job: Job, load: TargetLoad, reason: str) -> None:
         now = _now()
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -98,6 +98,7 @@
     def take_targets(self, news: News, _: float) -> None:
         """Take what the store says of targets."""
         now = self._clock()
+        self._knowledge.expire(now)
         entries = listed_targets(news)
         self._position = max(self._position, news.position)
         if news.whole:
@@ -133,6 +134,7 @@
         if news.service_name != self._name:
             return
         now = self._clock()
+        self._knowledge.expire(now)
         self._heard_at = now
         if news.routes_version >= self._told_version:
             self._told_version = news.routes_version
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -275,7 +275,7 @@
             "x-response-seal": f"seal-of-{self.target_id}",
         }
         if request.headers.get("x-expected-instance") != self.target_id:
-            return Response(421)
+            return Response(421, {"x-instance-id": self.target_id})
         if behaviour.shed > 0:
             behaviour.shed -= 1
             return Response(503, {"x-not-executed": "1"})
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -66,6 +66,17 @@
     assert "a" in knowledge.leaving
 
 
+def test_what_left_long_ago_is_forgotten_once_the_list_lacks_it(knowledge):
+    knowledge.take_target(target("a", TargetPhase.LEAVING))
+    knowledge.take_target(target("bb", TargetPhase.LEAVING))
+    knowledge.drop_target("a", now=100.0)
+    for now in (100.0, 159.0):
+        knowledge.expire(now)
+        assert set(knowledge.leaving) == {"a", "bb"}
+    knowledge.expire(160.0)
+    assert set(knowledge.leaving) == {"bb"}
+
+
 def test_a_target_that_left_the_list_is_gone_at_once_while_the_store_is_sound(knowledge):
     knowledge.take_target(target("a"))
     knowledge.drop_target("a", now=100.0)
