Tell a slow source of chunks from a narrow link, and bring in what it holds up

Ruled out: the origin (64 chunks out by 2 s), orders, the border (the third place had all at 24.4 s). Change: the pace is kept by source (decisions/linkpace.py): the link is narrow when chunks of the quickest source are slow, or nothing comes from several; a late chunk of one source takes no room. What only a slow host of the place shows is brought in again by the next in rank, or asked of a second source.

--- /dev/null
+++ b/src/lacewinggw/decisions/linkpace.py
@@ -0,0 +1,80 @@
+"""How fast chunks come in over this host's link, and whether the link or one source is to blame.
+
+Whatever is on its way stands before live requests in the link's queue, so a link that turns out to
+be narrow gets fewer chunks at once. A source that is slow by itself (its own link is narrow, its
+host is short of processor time) must not count as that: its chunks are late while those of others
+come as usual, and the link has room for more of these.
+"""
+
+from collections.abc import Collection, Hashable
+from dataclasses import dataclass, field
+
+LATE_FACTOR = 3.0  # one chunk may meet a busy sender; over this it is the link or the source
+SLOW_FACTOR = 1.8  # a chunk usually shares the link with as many as may be on their way
+MEMORY = 0.2  # weight of a new chunk in the smoothed time of its source
+PROBE_LIMIT = 2  # chunks while one source alone is waited for: the second tells link from source
+
+
+@dataclass(frozen=True)
+class OnItsWay:
+    """A chunk that was asked of a source, in seconds of the loop's clock."""
+
+    source: Hashable
+    asked_at: float
+
+
+@dataclass
+class LinkPace:
+    """What chunks that came tell of the link.
+
+    `limit` chunks may be on their way over a link of the expected width, and each then takes
+    `usual_s` at most.
+
+        pace = LinkPace(usual_s=0.25, limit=3)
+        pace.note_arrival(source, took_s=0.2, now=now)
+        pace.limit_now(on_their_way, now)
+    """
+
+    usual_s: float
+    limit: int
+    _times: dict[Hashable, float] = field(default_factory=dict)
+    _arrived_at: float = 0.0
+
+    def note_arrival(self, source: Hashable, took_s: float, now: float) -> None:
+        """Note that a chunk came, and how long after it was asked for."""
+        known_s = self._times.get(source, took_s)
+        self._times[source] = known_s + MEMORY * (took_s - known_s)
+        self._arrived_at = now
+
+    @property
+    def chunk_s(self) -> float:
+        """How long a chunk takes from the quickest source; 0 before the first has come."""
+        return min(self._times.values(), default=0.0)
+
+    def is_late(self, fetch: OnItsWay, now: float) -> bool:
+        """Tell whether a chunk takes longer than a busy sender explains."""
+        return now - fetch.asked_at > LATE_FACTOR * self.usual_s
+
+    def is_slow(self, source: Hashable) -> bool:
+        """Tell whether chunks of a source are usually late."""
+        return self._times.get(source, 0.0) > LATE_FACTOR * self.usual_s
+
+    def limit_now(self, fetches: Collection[OnItsWay], now: float) -> int:
+        """Return how many chunks may be on their way, late ones of slow sources left out."""
+        if fetches and self._is_quiet(fetches, now):
+            sources = {fetch.source for fetch in fetches}
+            return PROBE_LIMIT if len(sources) == 1 else 1
+        if self.chunk_s <= SLOW_FACTOR * self.usual_s:
+            return self.limit
+        return max(1, round(self.limit * self.usual_s / self.chunk_s))
+
+    def count(self, fetches: Collection[OnItsWay], now: float) -> int:
+        """Return how many chunks fill the link: late ones do not while others come as usual."""
+        if self._is_quiet(fetches, now):
+            return len(fetches)
+        return sum(not self.is_late(fetch, now) for fetch in fetches)
+
+    def _is_quiet(self, fetches: Collection[OnItsWay], now: float) -> bool:
+        """Tell whether nothing came since the last chunk that is late by now was asked for."""
+        newest_at = max((fetch.asked_at for fetch in fetches), default=now)
+        return now - max(newest_at, self._arrived_at) > LATE_FACTOR * self.usual_s
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -11,6 +11,7 @@
 from typing import TypeAlias
 
 from lacewinggw.decisions.holdings import Holdings
+from lacewinggw.decisions.linkpace import LinkPace, OnItsWay
 from lacewinggw.decisions.sources import (
     Fetch,
     FetchFailure,
@@ -27,8 +28,10 @@
 
 TICK_S = 0.1
 SOURCES_PER_CHUNK = 2
-LATE_FACTOR = 3.0  # one chunk may meet a busy sender; over this it is the link
-SLOW_FACTOR = 1.8  # a chunk usually shares the link with as many as may be on their way
+STAND_IN_RANK = 1  # of a column: the next one after its gateway
+LATE_TURN_S = (
+    0.4  # between the turns of those that may bring in once more what one host is slow with
+)
 RAREST_OF = 64  # chunks looked at to find a rare one; looking at all costs time with their square
 
 
@@ -81,7 +84,8 @@
         self._import_moved_at: list[float] = []
         self._left: dict[HostId, Incarnation] = {}
         self._platform = PlatformSources(rules, rng)
-        self._fetch_s = 0.0
+        limit = rules.in_flight_total
+        self._pace = LinkPace(limit * self._chunk_s, limit)
 
     @property
     def chunk_count(self) -> int:
@@ -186,7 +190,7 @@
         for fetch in fetches:
             self._forget_asked(fetch.source, index)
             if fetch.source == source:
-                self._note_time(now - fetch.asked_at)
+                self._pace.note_arrival(source, now - fetch.asked_at, now)
         self._holdings.hold(index)
         for state in self.neighbours.values():
             state.offers.discard(index)
@@ -258,6 +262,7 @@
                 continue
             yield from self._import_from_places(column, ranks, now)
             yield from self._import_from_origin(column, ranks, now)
+        yield from self._import_stuck(now)
 
     def _ready_to_import(self, now: float) -> bool:
         """Tell whether the neighbours have said what they hold, or had the time to."""
@@ -275,6 +280,35 @@
             if host is not None:
                 yield self._ask(Neighbour(host), index, now)
 
+    def _import_stuck(self, now: float) -> Iterator[Action]:
+        """Bring in once more what only a slow host of this place has, next in rank after it.
+
+        Such a host passes its column on far slower than the others could bring it in themselves.
+        """
+        slow = {host for host in self.neighbours if self._is_slow(host)}
+        if not slow:
+            return
+        assert self._topology is not None
+        for index in sorted(self.missing - self._fetches.keys()):
+            if self._topology.columns[self._holdings.column(index)].in_place != STAND_IN_RANK:
+                continue
+            if self._link_load(now) >= self._pace.limit_now(self._on_their_way, now):
+                return
+            host = self._pick_holder(index, now, local=False)
+            if host is not None and host not in slow and self._near_holders(index) <= slow:
+                yield self._ask(Neighbour(host), index, now)
+
+    def _is_slow(self, host: HostId) -> bool:
+        state = self.neighbours[host]
+        return state.place == self._place and self._pace.is_slow(Neighbour(host))
+
+    def _near_holders(self, index: int) -> set[HostId]:
+        return {
+            host
+            for host, state in self.neighbours.items()
+            if state.place == self._place and index in state.chunks
+        }
+
     def _import_from_origin(self, column: int, ranks: ColumnRanks, now: float) -> Iterator[Action]:
         rank = ranks.at_origin
         if not self._has_turn(rank, self._column_moved_at[column], now):
@@ -310,28 +344,24 @@
         Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
         have all wait for the few that hold it.
         """
-        while len(self._fetches) + self._source_fetches < self._in_flight_limit(now):
+        while self._link_load(now) < self._pace.limit_now(self._on_their_way, now):
             request = self._next_request(now)
             if request is None:
                 yield from self._ask_again(now)
                 return
             yield request
 
-    def _in_flight_limit(self, now: float) -> int:
-        """How many chunks may be on their way: fewer when the link turns out to be narrower.
+    @property
+    def _on_their_way(self) -> list[OnItsWay]:
+        return [
+            OnItsWay(fetch.source, fetch.asked_at)
+            for fetches in self._fetches.values()
+            for fetch in fetches[:1]
+        ]
 
-        Whatever is on its way stands before live requests in the link's queue. One chunk that is
-        late shows it at once, the time that most take a little later.
-        """
-        limit = self.rules.in_flight_total
-        usual_s = limit * self._chunk_s
-        begun = [fetch.asked_at for fetches in self._fetches.values() for fetch in fetches]
-        oldest_s = now - min(begun, default=now)
-        if oldest_s > LATE_FACTOR * usual_s:
-            return 1
-        if self._fetch_s <= SLOW_FACTOR * usual_s:
-            return limit
-        return max(1, round(limit * usual_s / self._fetch_s))
+    def _link_load(self, now: float) -> int:
+        """Return how many chunks fill the link."""
+        return self._pace.count(self._on_their_way, now) + self._source_fetches
 
     @property
     def _source_fetches(self) -> int:
@@ -361,21 +391,34 @@
         return room and not state.left and state.avoid_until <= now
 
     def _ask_again(self, now: float) -> Iterator[Action]:
-        """Ask a second source for the last chunks, when they take longer than most.
+        """Ask a second source for chunks that take longer than most, when nothing else is on offer.
 
         Not over a link that is narrow: there the second copy only stands in the way of the first.
         """
-        if self._in_flight_limit(now) < self.rules.in_flight_total:
+        if self._pace.limit_now(self._on_their_way, now) < self.rules.in_flight_total:
             return
         for index, fetches in sorted(self._fetches.items()):
             oldest = fetches[0]
-            if len(fetches) >= SOURCES_PER_CHUNK or now - oldest.asked_at < 2 * self._fetch_s:
+            if len(fetches) >= SOURCES_PER_CHUNK or not isinstance(oldest.source, Neighbour):
                 continue
-            if not isinstance(oldest.source, Neighbour):
+            if now - oldest.asked_at < 2 * max(self._pace.chunk_s, self._pace.usual_s):
                 continue
-            host = self._pick_holder(index, now, local=True)
-            if host is not None:
-                yield self._ask(Neighbour(host), index, now, endgame=True)
+            source = self._second_source(index, oldest, now)
+            if source is not None:
+                yield self._ask(source, index, now, endgame=True)
+
+    def _second_source(self, index: int, oldest: Fetch, now: float) -> Source | None:
+        """Return who else may give a chunk: beyond this place only what is late, and in turn."""
+        host = self._pick_holder(index, now, local=True)
+        if host is not None:
+            return Neighbour(host)
+        assert self._topology is not None
+        ranks = self._topology.columns[self._holdings.column(index)]
+        late_s = now - oldest.asked_at
+        if ranks.in_place is None or late_s < (ranks.in_place + 2) * LATE_TURN_S:
+            return None
+        host = self._pick_holder(index, now, local=False)
+        return Neighbour(host) if host is not None else self._platform.pick(now)
 
     def _break_silence(self, now: float) -> Iterator[Action]:
         """Nobody has shown anything for long: ask whoever may have a chunk, whatever the rank."""
@@ -451,9 +494,6 @@
         if moved_at:
             moved_at[self._holdings.column(index)] = now
 
-    def _note_time(self, seconds: float) -> None:
-        self._fetch_s = seconds if not self._fetch_s else 0.8 * self._fetch_s + 0.2 * seconds
-
     def _note_neighbour_failed(
         self, host: HostId, index: int, failure: FetchFailure, now: float
     ) -> None:
--- /dev/null
+++ b/tests/fleet/spread_links.py
@@ -0,0 +1,185 @@
+"""Hosts that spread one release over modelled links, without sockets, in virtual time.
+
+Each direction of a host's link is a queue: a chunk takes its size over the rate, one after the
+other, as the paced uplinks of agents do. Only the decisions are real.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.sources import Neighbour, SpreadRules
+from lacewinggw.decisions.spread import TICK_S, Ask, Cancel, ReleaseSpread
+from lacewinggw.decisions.topology import DueHost, TopologyPlan
+from lacewinggw.decisions.uploads import UploadQueue, UploadRequest
+from lacewinggw.ids import Digest, HostId, Incarnation, Place
+
+DIGEST = Digest("market@2")
+CHUNK_BYTES = 32768
+CHUNKS = 64
+LINK_BYTES_PER_S = 475_000 * 0.86  # 3.8 Mbit/s, less the part that live answers are left
+ORIGIN_BYTES_PER_S = 1_237_500  # 9.9 Mbit/s
+LATENCY_S = 0.002
+PLAN = TopologyPlan(local=8, remote=2, columns=8, ranks=3, per_place=False)
+RULES = SpreadRules(
+    link_bytes_per_s=LINK_BYTES_PER_S,
+    in_flight=1,
+    in_flight_total=3,
+    patience_s=0.1,
+    source_backoff_limit_s=1.0,
+    has_store=False,
+    origin_bytes_per_s=ORIGIN_BYTES_PER_S,
+)
+
+Rate = Callable[[float], float]
+
+
+@dataclass
+class Host:
+    """One host: its decisions, its link and what it has to send."""
+
+    due: DueHost
+    spread: ReleaseSpread
+    rate: Rate
+    queue: UploadQueue = field(default_factory=lambda: UploadQueue(2))
+    sending: bool = False
+    down_free_at: float = 0.0
+    completed_at: float | None = None
+
+
+class LinkedHosts:
+    """A whole fleet, run to its end.
+
+    fleet = LinkedHosts({"hall": 5, "room": 5}, rates={"hall-0": lambda now: 119_000})
+    fleet.run()
+    """
+
+    def __init__(
+        self,
+        places: Mapping[str, int],
+        rates: Mapping[str, Rate] | None = None,
+        seed: int = 1,
+        plan: TopologyPlan = PLAN,
+        rules: SpreadRules = RULES,
+    ) -> None:
+        self.now = 0.0
+        self.origin_chunks = 0
+        self.border_chunks = 0
+        self._rng = random.Random(seed)
+        self._numbers = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._origin_free_at = 0.0
+        dues = [
+            DueHost(HostId(f"{place}-{number}"), Place(place))
+            for place, count in places.items()
+            for number in range(count)
+        ]
+        self.hosts: dict[HostId, Host] = {}
+        for due in dues:
+            spread = ReleaseSpread([CHUNK_BYTES] * CHUNKS, rules, due.place, self._rng, 0.0)
+            spread.set_topology(plan.derive(due, dues, DIGEST), 0.0)
+            rate = (rates or {}).get(due.host, lambda now: LINK_BYTES_PER_S)
+            self.hosts[due.host] = Host(due, spread, rate)
+        self._link_all(dues, plan)
+
+    @property
+    def completed(self) -> dict[HostId, float | None]:
+        """When each host had the release whole."""
+        return {name: host.completed_at for name, host in self.hosts.items()}
+
+    def run(self, until_s: float = 60.0) -> None:
+        """Run until every host has the release, or for `until_s`."""
+        for host in self.hosts.values():
+            self._at(self._rng.random() * TICK_S, lambda host=host: self._tick(host))
+        while self._events and any(each.completed_at is None for each in self.hosts.values()):
+            self.now, _, event = heapq.heappop(self._events)
+            if self.now > until_s:
+                return
+            event()
+
+    def _at(self, delay_s: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.now + delay_s, next(self._numbers), event))
+
+    def _link_all(self, dues: list[DueHost], plan: TopologyPlan) -> None:
+        wished = {due.host: plan.derive(due, dues, DIGEST).neighbours for due in dues}
+        for due in dues:
+            for other in dues:
+                if other.host in wished[due.host] or due.host in wished[other.host]:
+                    spread = self.hosts[due.host].spread
+                    spread.link_up(other.host, other.place, Incarnation("first"))
+                    spread.have(other.host, (), 0.0)
+
+    def _tick(self, host: Host) -> None:
+        self._decide(host)
+        self._at(TICK_S, lambda: self._tick(host))
+
+    def _decide(self, host: Host) -> None:
+        for action in host.spread.decide(self.now):
+            match action:
+                case Ask(Neighbour(name), index):
+                    self._at(LATENCY_S, lambda n=name, i=index: self._queue(n, host, i))
+                case Ask(_, index):
+                    self._send_from_origin(host, index)
+                case Cancel(Neighbour(name), index):
+                    request = UploadRequest(host.due.host, DIGEST, index)
+                    self.hosts[name].queue.cancel(request)
+
+    def _send_from_origin(self, host: Host, index: int) -> None:
+        self.origin_chunks += 1
+        begin = max(self.now, self._origin_free_at)
+        self._origin_free_at = begin + CHUNK_BYTES / ORIGIN_BYTES_PER_S
+        source = next(
+            fetch.source
+            for fetch in host.spread._fetches[index]
+            if not isinstance(fetch.source, Neighbour)
+        )
+        self._at(self._origin_free_at - self.now, lambda: self._receive(host, source, index))
+
+    def _queue(self, name: HostId, receiver: Host, index: int) -> None:
+        sender = self.hosts[name]
+        remote = sender.due.place != receiver.due.place
+        sender.queue.add(UploadRequest(receiver.due.host, DIGEST, index, remote))
+        self._send_next(sender)
+
+    def _send_next(self, sender: Host) -> None:
+        if sender.sending:
+            return
+        request = sender.queue.take(lambda host, _: len(self.hosts[host].spread.held))
+        if request is None:
+            return
+        sender.sending = True
+        took_s = CHUNK_BYTES / sender.rate(self.now)
+
+        def sent() -> None:
+            sender.sending = False
+            receiver = self.hosts[request.host]
+            source = Neighbour(sender.due.host)
+            self._at(LATENCY_S, lambda: self._receive(receiver, source, request.index))
+            self._send_next(sender)
+
+        self._at(took_s, sent)
+
+    def _receive(self, host: Host, source: object, index: int) -> None:
+        """Take a chunk in once the downlink, which was free for most of its time, carried it."""
+        took_s = CHUNK_BYTES / host.rate(self.now)
+        host.down_free_at = max(self.now, host.down_free_at + took_s)
+        self._at(host.down_free_at - self.now, lambda: self._take(host, source, index))
+
+    def _take(self, host: Host, source: object, index: int) -> None:
+        if index in host.spread.held:
+            return
+        if isinstance(source, Neighbour):
+            self.border_chunks += self.hosts[source.host].due.place != host.due.place
+        host.spread.arrived(source, index, self.now)
+        if host.spread.complete:
+            host.completed_at = self.now
+        for name in list(host.spread.neighbours):
+            other = self.hosts[name]
+            waiting = len(host.queue)
+            self._at(
+                LATENCY_S,
+                lambda o=other, w=waiting: o.spread.have(host.due.host, [index], self.now, w),
+            )
+        self._decide(host)
--- a/tests/fleet/test_narrow_link.py
+++ b/tests/fleet/test_narrow_link.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from spread_links import CHUNKS, LINK_BYTES_PER_S, LinkedHosts
 
 from lacewinggw.decisions.sources import Neighbour, SpreadRules
 from lacewinggw.decisions.spread import Ask, ReleaseSpread
@@ -56,3 +57,49 @@
     first = spread.decide(0.0)
     assert {ask.index for ask in first} == {62, 63}
     assert spread.decide(0.9) == []
+
+
+def test_one_slow_source_does_not_count_as_a_narrow_link():
+    spread = spread_among(6)
+    now, asked = 0.0, list(spread.decide(0.0))
+    slow = asked[0]
+    for _ in range(20):
+        now += 0.15
+        for ask in [each for each in asked if each.source != slow.source]:
+            spread.arrived(ask.source, ask.index, now)
+        asked = [slow, *spread.decide(now)]
+    assert len(asked) == 1 + 3  # the slow source's chunk fills nothing of the link
+
+
+def test_the_only_source_that_is_waited_for_does_not_keep_others_from_being_asked():
+    spread = spread_among(2)
+    assert len(spread.decide(0.0)) == 1
+    spread.link_up("host-9", "hall", "first")
+    spread.have("host-9", range(64), 1.0)
+    assert Neighbour("host-9") in [ask.source for ask in spread.decide(1.0)]
+
+
+def squeezed_rate(now):
+    """Return the rate of a link that has a quarter of its width for seven seconds."""
+    return LINK_BYTES_PER_S / 4 if 1.2 < now < 8.2 else LINK_BYTES_PER_S
+
+
+@pytest.mark.parametrize(
+    ("squeezed", "seed"),
+    [
+        (("hall-1", "room-0"), 1),
+        (("hall-1", "room-0"), 2),
+        (("hall-0", "room-2"), 1),
+        (("hall-1", "room-3"), 1),
+        (("hall-0", "room-4"), 1),
+    ],
+)
+def test_hosts_behind_narrow_links_hold_up_nobody_else(squeezed, seed):
+    """Two of fifteen links are narrow: the others have the release about as soon as without."""
+    rates = dict.fromkeys(squeezed, squeezed_rate)
+    fleet = LinkedHosts({"hall": 5, "room": 5, "desk": 5}, rates, seed)
+    fleet.run()
+    others = [at for host, at in fleet.completed.items() if host not in squeezed]
+    assert None not in others
+    assert max(others) < 7.0  # 5.8 s with no narrow link
+    assert fleet.origin_chunks <= 1.05 * CHUNKS
