Choose targets by how long connecting to them takes, too

Change: connecting shows the queue of a link; it counts against a target, fading within a second, and one that did not open is left alone for 0.4 s.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -19,6 +19,12 @@
 REMOTE_COST = 0.3  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
+# Connecting takes a way and back over the link of a target, the first part of the answer another:
+# with 0.1 s each, half of the usual objective is gone. That counts as much as 0.8 of the slots.
+LINK_COST_PER_S = 8.0
+LINK_DECAY_S = 1.0  # what connecting took that long ago counts for 1/e: the queue of a link moves
+CLOGGED_S = 0.2  # what did not open within it was not refused: it stands in a queue
+CLOGGED_PAUSE_S = 0.4  # a target behind such a link is left alone so long: about what a queue holds
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
@@ -33,6 +39,8 @@
     reported_at: float = -math.inf
     full_until: float = 0.0
     loading_until: float = 0.0
+    connect_s: float = 0.0
+    connected_at: float = -math.inf
     health: Health = field(default_factory=Health)
 
     def ahead(self, now: float) -> float:
@@ -41,6 +49,22 @@
         age_s = max(0.0, now - self.reported_at)
         return self.in_flight + others * math.exp(-age_s / REPORT_DECAY_S)
 
+    def note_connect(self, took_s: float, now: float) -> None:
+        """Note how long connecting took: it shows the queue of the target's link."""
+        known_s = self.link_delay(now)
+        self.connect_s = max(took_s, (known_s + took_s) / 2)
+        self.connected_at = now
+
+    def note_unconnected(self, waited_s: float, now: float) -> None:
+        """Note that connecting failed, refused at once or given up after a wait."""
+        self.note_connect(waited_s, now)
+        if waited_s >= CLOGGED_S:
+            self.full_until = max(self.full_until, now + CLOGGED_PAUSE_S)
+
+    def link_delay(self, now: float) -> float:
+        """Return how long connecting would take, as far as is known, in seconds."""
+        return self.connect_s * math.exp(-max(0.0, now - self.connected_at) / LINK_DECAY_S)
+
     def has_room(self, now: float) -> bool:
         """Tell whether one more request would start soon."""
         slots = self.entry.slots * (BATCH_SHARE if self.entry.weights else 1.0)
@@ -170,4 +194,5 @@
 
     def _cost(self, load: TargetLoad, now: float) -> tuple[float, float]:
         remote = 0.0 if load.entry.place == self._place else REMOTE_COST
-        return (load.occupancy(now) + remote, self._rng.random())
+        link = LINK_COST_PER_S * load.link_delay(now)
+        return (load.occupancy(now) + remote + link, self._rng.random())
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -132,8 +132,11 @@
                 limits.silence_s,
                 CONNECT_S,
                 limits.begin_s,
+                lambda took_s: load.note_connect(took_s, now + took_s),
             )
         except NotConnectedError as error:
+            ended_at = asyncio.get_running_loop().time()
+            load.note_unconnected(ended_at - now, ended_at)
             return NotRun(f"cannot connect: {error}")
         except TimeoutError:
             return Lost("no answer in time", silent=True)
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -423,14 +423,18 @@
         timeout_s: float = 5.0,
         connect_s: float | None = None,
         head_s: float | None = None,
+        on_connected: Callable[[float], None] | None = None,
     ) -> StreamedResponse:
         """Make a request and return once its head is there; each read waits up to `timeout_s`.
 
         Connecting takes `connect_s` at most, or its share of `timeout_s`; the head is waited for up
         to `head_s`, if given. A response that comes before the body of the request was taken is
-        read all the same.
+        read all the same. `on_connected` is told how many seconds connecting took.
         """
+        began = asyncio.get_running_loop().time()
         stream, connection = await self._take(address, connect_s or timeout_s * CONNECT_SHARE)
+        if on_connected is not None:
+            on_connected(asyncio.get_running_loop().time() - began)
         try:
             self._send_request(stream, connection, address, method, path, headers, body)
             wait_s = timeout_s if head_s is None else head_s
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -115,3 +115,32 @@
     for _ in range(5):
         pool.failed(pool.loads["a"], now=0.0)
     assert choose(pool, now=0.1) == "a"
+
+
+def test_a_target_behind_a_queue_is_left_for_one_that_is_fuller(pool):
+    for name in ("b", "c"):
+        fill(pool, name, 1)
+    pool.loads["a"].note_connect(0.1, now=10.0)
+    assert choose(pool, now=10.0) in ("b", "c")
+    assert choose(pool, now=13.0) == "a"  # the queue may be gone by then
+
+
+def test_slow_connections_to_all_targets_change_nothing(pool):
+    fill(pool, "a", 1)
+    fill(pool, "b", 1)
+    for load in pool.loads.values():
+        load.note_connect(0.15, now=10.0)
+    assert choose(pool, now=10.0) == "c"
+
+
+def test_a_target_that_cannot_be_connected_to_is_left_alone_for_a_moment(pool):
+    for name in ("b", "c"):
+        fill(pool, name, 3)
+    pool.loads["a"].note_unconnected(0.25, now=10.0)
+    assert choose(pool, now=10.3) is None
+    assert choose(pool, now=10.5) == "a"
+
+
+def test_a_refused_connection_says_nothing_of_the_link(pool):
+    pool.loads["a"].note_unconnected(0.004, now=10.0)
+    assert pool.loads["a"].has_room(10.0)
