--- a/src/lacewinggw/agent/uploads.py
+++ b/src/lacewinggw/agent/uploads.py
@@ -1,6 +1,12 @@
-"""Send chunks to the neighbours that ask for them, one at a time over the paced uplink."""
+"""Send chunks to the neighbours that ask for them over the paced uplink, a few by turns.
+
+A receiver is sent chunks by as many neighbours at once. If each of them sent one chunk at the full
+rate of its link, they would meet as a burst before the receiver's link, and live requests behind
+them. By turns each sends at a part of its rate, and the parts add up to about the link.
+"""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -17,17 +23,27 @@
 SMALLEST_SLICE_BYTES = 4 << 10  # 9 ms of a link of 3.8 Mbit/s, before a live answer gets its turn
 LARGEST_SLICE_BYTES = 256 << 10
 STUCK_S = 0.5
+# Chunks sent by turns. Modelled for 15 hosts (tests/fleet/spread_links.py): with 1 a slice waits
+# 36 ms before the link of its receiver, with 3 it waits 10 ms and all is there 0.1 s later.
+UPLOADS_AT_ONCE = 3
 
 FindChunk = Callable[[Digest, int], bytes | None]
 NoteUpload = Callable[[Digest, int], None]
 
 
-@dataclass
+@dataclass(eq=False)
 class _Upload:
-    """A request in the queue, and the exchange that waits for it."""
+    """A request, the exchange that waits for it, and how much of the chunk has been sent."""
 
+    request: UploadRequest
     exchange: Exchange
     done: asyncio.Event
+    sent_bytes: int = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nobody waits for the rest."""
+        return self.done.is_set() or self.exchange.link.closed.is_set()
 
 
 class Uploader:
@@ -82,7 +98,7 @@
             raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
         if not self._queue.add(request):
             raise LinkBusy(f"{request.host} has too many chunks waiting")
-        upload = _Upload(exchange, asyncio.Event())
+        upload = _Upload(request, exchange, asyncio.Event())
         self._waiting[request] = upload
         self._arrived.set()
         try:
@@ -104,36 +120,55 @@
         self._queue.forget(digest)
 
     async def _run(self) -> None:
+        turns: deque[_Upload] = deque()
         while True:
-            request = self._queue.take(self._held_by)
-            if request is None:
+            self._fill(turns)
+            if not turns:
                 self._arrived.clear()
                 await self._arrived.wait()
                 continue
-            upload = self._waiting[request]
+            upload = turns.popleft()
+            if upload.is_over:
+                continue
             try:
-                await self._send(request, upload)
+                is_whole = await self._send_slice(upload)
             except LacewingError as error:
                 upload.exchange.finish(error.to_failure())
-            upload.done.set()
+                upload.done.set()
+                continue
+            if is_whole:
+                upload.done.set()
+            else:
+                turns.append(upload)
 
-    async def _send(self, request: UploadRequest, upload: _Upload) -> None:
+    def _fill(self, turns: deque[_Upload]) -> None:
+        """Begin with further chunks, as far as there are turns for them."""
+        while len(turns) < UPLOADS_AT_ONCE:
+            request = self._queue.take(self._held_by)
+            if request is None:
+                return
+            turns.append(self._waiting[request])
+
+    async def _send_slice(self, upload: _Upload) -> bool:
+        """Send the next slice of a chunk; return whether it was the last."""
+        request = upload.request
         data = self.find(request.digest, request.index)
         if data is None:
             raise ChunkNotHeld(f"chunk {request.index} of {request.digest} is not here")
-        step = self._slice_bytes()
-        for start in range(0, len(data), step):
-            piece = data[start : start + step]
-            await self._pacer.send(len(piece))
-            if upload.done.is_set() or upload.exchange.link.closed.is_set():
-                return
-            message = ChunkData(request.digest, request.index, piece)
-            if start + step >= len(data):
-                upload.exchange.finish(message)
-            else:
-                upload.exchange.reply(message)
-            self._note(request.digest, len(piece))
-            await self._drain(upload)
+        piece = data[upload.sent_bytes : upload.sent_bytes + self._slice_bytes()]
+        await self._pacer.send(len(piece))
+        if upload.is_over:
+            return True
+        upload.sent_bytes += len(piece)
+        message = ChunkData(request.digest, request.index, piece)
+        is_last = upload.sent_bytes >= len(data)
+        if is_last:
+            upload.exchange.finish(message)
+        else:
+            upload.exchange.reply(message)
+        self._note(request.digest, len(piece))
+        await self._drain(upload)
+        return is_last
 
     async def _drain(self, upload: _Upload) -> None:
         try:
--- a/src/lacewinggw/decisions/linkpace.py
+++ b/src/lacewinggw/decisions/linkpace.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection, Hashable
 from dataclasses import dataclass, field
 
-LATE_FACTOR = 3.0  # one chunk may meet a busy sender; over this it is the link or the source
+LATE_FACTOR = 3.0  # a chunk may meet a busy sender; over this it is the link or the source
 SLOW_FACTOR = 1.8  # a chunk usually shares the link with as many as may be on their way
 MEMORY = 0.2  # weight of a new chunk in the smoothed time of its source
 PROBE_LIMIT = 2  # chunks while one source alone is waited for: the second tells link from source
@@ -31,26 +31,32 @@
     `usual_s` at most.
 
         pace = LinkPace(usual_s=0.25, limit=3)
-        pace.note_arrival(source, took_s=0.2, now=now)
+        pace.note_arrival(fetch, now)
         pace.limit_now(on_their_way, now)
     """
 
     usual_s: float
     limit: int
-    _times: dict[Hashable, float] = field(default_factory=dict)
+    _times: dict[Hashable, float] = field(default_factory=dict)  # of a chunk, from each source
     _arrived_at: float = 0.0
 
-    def note_arrival(self, source: Hashable, took_s: float, now: float) -> None:
-        """Note that a chunk came, and how long after it was asked for."""
-        known_s = self._times.get(source, took_s)
-        self._times[source] = known_s + MEMORY * (took_s - known_s)
-        self._arrived_at = now
-
     @property
-    def chunk_s(self) -> float:
+    def fastest_s(self) -> float:
         """How long a chunk takes from the quickest source; 0 before the first has come."""
         return min(self._times.values(), default=0.0)
 
+    def note_arrival(self, fetch: OnItsWay, now: float) -> None:
+        """Note that a chunk came."""
+        took_s = now - fetch.asked_at
+        known_s = self._times.get(fetch.source, took_s)
+        self._times[fetch.source] = known_s + MEMORY * (took_s - known_s)
+        self._arrived_at = now
+
+    def note_overtaken(self, fetch: OnItsWay, now: float) -> None:
+        """Note that a chunk came from elsewhere before this source gave it."""
+        known_s = self._times.get(fetch.source, 0.0)
+        self._times[fetch.source] = max(known_s, now - fetch.asked_at)
+
     def is_late(self, fetch: OnItsWay, now: float) -> bool:
         """Tell whether a chunk takes longer than a busy sender explains."""
         return now - fetch.asked_at > LATE_FACTOR * self.usual_s
@@ -61,12 +67,17 @@
 
     def limit_now(self, fetches: Collection[OnItsWay], now: float) -> int:
         """Return how many chunks may be on their way, late ones of slow sources left out."""
-        if fetches and self._is_quiet(fetches, now):
-            sources = {fetch.source for fetch in fetches}
-            return PROBE_LIMIT if len(sources) == 1 else 1
-        if self.chunk_s <= SLOW_FACTOR * self.usual_s:
+        if self._is_quiet(fetches, now):
+            return PROBE_LIMIT if len(_sources(fetches)) == 1 else 1
+        if self.fastest_s <= SLOW_FACTOR * self.usual_s:
             return self.limit
-        return max(1, round(self.limit * self.usual_s / self.chunk_s))
+        return max(1, round(self.limit * self.usual_s / self.fastest_s))
+
+    def is_narrow(self, fetches: Collection[OnItsWay], now: float) -> bool:
+        """Tell whether the link is to blame for what is late, not one source."""
+        if self._is_quiet(fetches, now) and len(_sources(fetches)) > 1:
+            return True
+        return self.fastest_s > SLOW_FACTOR * self.usual_s
 
     def count(self, fetches: Collection[OnItsWay], now: float) -> int:
         """Return how many chunks fill the link: late ones do not while others come as usual."""
@@ -78,3 +89,7 @@
         """Tell whether nothing came since the last chunk that is late by now was asked for."""
         newest_at = max((fetch.asked_at for fetch in fetches), default=now)
         return now - max(newest_at, self._arrived_at) > LATE_FACTOR * self.usual_s
+
+
+def _sources(fetches: Collection[OnItsWay]) -> set[Hashable]:
+    return {fetch.source for fetch in fetches}
--- a/src/lacewinggw/decisions/sources.py
+++ b/src/lacewinggw/decisions/sources.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias
 
 from lacewinggw.decisions.holdings import ChunkSet
+from lacewinggw.decisions.linkpace import OnItsWay
 from lacewinggw.ids import HostId, Incarnation, Place
 
 
@@ -84,6 +85,10 @@
     asked_at: float
     moved_at: float
 
+    def as_paced(self) -> OnItsWay:
+        """Return what the pace of the link needs of it."""
+        return OnItsWay(self.source, self.asked_at)
+
 
 @dataclass(frozen=True)
 class SpreadRules:
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -84,8 +84,7 @@
         self._import_moved_at: list[float] = []
         self._left: dict[HostId, Incarnation] = {}
         self._platform = PlatformSources(rules, rng)
-        limit = rules.in_flight_total
-        self._pace = LinkPace(limit * self._chunk_s, limit)
+        self._pace = LinkPace(rules.in_flight_total * self._chunk_s, rules.in_flight_total)
 
     @property
     def chunk_count(self) -> int:
@@ -190,7 +189,9 @@
         for fetch in fetches:
             self._forget_asked(fetch.source, index)
             if fetch.source == source:
-                self._pace.note_arrival(source, now - fetch.asked_at, now)
+                self._pace.note_arrival(fetch.as_paced(), now)
+            else:
+                self._pace.note_overtaken(fetch.as_paced(), now)
         self._holdings.hold(index)
         for state in self.neighbours.values():
             state.offers.discard(index)
@@ -292,7 +293,7 @@
         for index in sorted(self.missing - self._fetches.keys()):
             if self._topology.columns[self._holdings.column(index)].in_place != STAND_IN_RANK:
                 continue
-            if self._link_load(now) >= self._pace.limit_now(self._on_their_way, now):
+            if not self._has_room(now):
                 return
             host = self._pick_holder(index, now, local=False)
             if host is not None and host not in slow and self._near_holders(index) <= slow:
@@ -344,7 +345,7 @@
         Choosing the neighbour first keeps every uplink busy; choosing the rarest chunk first would
         have all wait for the few that hold it.
         """
-        while self._link_load(now) < self._pace.limit_now(self._on_their_way, now):
+        while self._has_room(now):
             request = self._next_request(now)
             if request is None:
                 yield from self._ask_again(now)
@@ -353,15 +354,13 @@
 
     @property
     def _on_their_way(self) -> list[OnItsWay]:
-        return [
-            OnItsWay(fetch.source, fetch.asked_at)
-            for fetches in self._fetches.values()
-            for fetch in fetches[:1]
-        ]
+        return [fetches[0].as_paced() for fetches in self._fetches.values()]
 
-    def _link_load(self, now: float) -> int:
-        """Return how many chunks fill the link."""
-        return self._pace.count(self._on_their_way, now) + self._source_fetches
+    def _has_room(self, now: float) -> bool:
+        """Tell whether one more chunk may be on its way over the link."""
+        fetches = self._on_their_way
+        load = self._pace.count(fetches, now) + self._source_fetches
+        return load < self._pace.limit_now(fetches, now)
 
     @property
     def _source_fetches(self) -> int:
@@ -395,13 +394,13 @@
 
         Not over a link that is narrow: there the second copy only stands in the way of the first.
         """
-        if self._pace.limit_now(self._on_their_way, now) < self.rules.in_flight_total:
+        if self._pace.is_narrow(self._on_their_way, now):
             return
         for index, fetches in sorted(self._fetches.items()):
             oldest = fetches[0]
             if len(fetches) >= SOURCES_PER_CHUNK or not isinstance(oldest.source, Neighbour):
                 continue
-            if now - oldest.asked_at < 2 * max(self._pace.chunk_s, self._pace.usual_s):
+            if now - oldest.asked_at < 2 * max(self._pace.fastest_s, self._pace.usual_s):
                 continue
             source = self._second_source(index, oldest, now)
             if source is not None:
