Offer nothing to a target whose answers stand still, nor to a caller about to give up

The first offer was given up after 1.2 s of silence, the second went to the other such engine at 1.24 s, and its caller left at 2.4 s before it arrived. Change: a target of which this entry waits for something, and nothing has come for 0.5 s, gets nothing more unless that holds for all; a stream that nobody has begun is offered again only until 0.6 s before its caller gives up. An offer for which no connection opened is no retry: it put load on nobody.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -19,6 +19,9 @@
 REMOTE_COST = 0.3  # a target in another place counts as that much fuller: borders are priced
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
+# Of a target with work of this entry, after which it gets no more: events of one stream or another
+# come every 0.1 s, and in an overload every 0.3 s. Callers give up after two seconds.
+STALLED_S = 0.5
 # Connecting takes a way and back over the link of a target, the first part of the answer another:
 # with 0.1 s each, half of the usual objective is gone. That counts as much as 0.8 of the slots.
 LINK_COST_PER_S = 8.0
@@ -39,6 +42,8 @@
     reported_at: float = -math.inf
     full_until: float = 0.0
     loading_until: float = 0.0
+    heard_at: float = -math.inf
+    busy_since: float = -math.inf
     connect_s: float = 0.0
     connected_at: float = -math.inf
     health: Health = field(default_factory=Health)
@@ -61,6 +66,14 @@
         if waited_s >= CLOGGED_S:
             self.full_until = max(self.full_until, now + CLOGGED_PAUSE_S)
 
+    def note_heard(self, now: float) -> None:
+        """Note that part of an answer came."""
+        self.heard_at = now
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether nothing of what this entry waits for has come for long."""
+        return self.in_flight > 0 and now - max(self.heard_at, self.busy_since) > STALLED_S
+
     def link_delay(self, now: float) -> float:
         """Return how long connecting would take, as far as is known, in seconds."""
         return self.connect_s * math.exp(-max(0.0, now - self.connected_at) / LINK_DECAY_S)
@@ -133,7 +146,10 @@
 
     def choose(self, fitting: Iterable[TargetLoad], now: float) -> TargetLoad | None:
         """Return the one of `fitting` targets in which a request starts soonest, or None."""
-        usable = [load for load in fitting if load.has_room(now)]
+        fitting = list(fitting)
+        # If nobody is heard, the cause is this entry's: then all are as good as before.
+        moving = [load for load in fitting if not load.is_stalled(now)] or fitting
+        usable = [load for load in moving if load.has_room(now)]
         healthy = [load for load in usable if load.health.may_take(now)]
         if not healthy:
             # All are failing, so the cause may not be theirs: any is better than none.
@@ -142,6 +158,8 @@
 
     def begin(self, load: TargetLoad, now: float) -> None:
         """Note that a request goes to a target."""
+        if load.in_flight == 0:
+            load.busy_since = now
         load.in_flight += 1
         load.health.note_begin(now)
 
--- a/src/lacewinggw/frontend/jobs.py
+++ b/src/lacewinggw/frontend/jobs.py
@@ -26,6 +26,7 @@
     admitted: Admitted
     offers: int = 0
     runs: int = 0  # offers that were not proved not to have run
+    arrived: bool = True  # whether the last offer reached its target, run or not
     avoid: set[TargetId] = field(default_factory=set)
     last_event: int | None = None
     version: int | None = None  # of the weights that the answer has begun with
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -45,12 +45,14 @@
 class NotRun:
     """The target did not run the request, and proved it.
 
-    `full` where it had no room, `is_gone` where another target answers at its address by now.
+    `full` where it had no room, `is_gone` where another target answers at its address by now; it
+    had not even `arrived` where no connection opened.
     """
 
     reason: str
     full: bool = False
     is_gone: bool = False
+    arrived: bool = True
 
 
 @dataclass(frozen=True)
@@ -137,7 +139,7 @@
         except NotConnectedError as error:
             ended_at = asyncio.get_running_loop().time()
             load.note_unconnected(ended_at - now, ended_at)
-            return NotRun(f"cannot connect: {error}")
+            return NotRun(f"cannot connect: {error}", arrived=False)
         except TimeoutError:
             return Lost("no answer in time", silent=True)
         except (OSError, HttpError) as error:
@@ -147,6 +149,7 @@
     async def _sort(
         self, job: Admitted, load: TargetLoad, response: StreamedResponse
     ) -> Answer | NotRun | Lost:
+        load.note_heard(asyncio.get_running_loop().time())
         facts = self._codec.read_answer(response.status, response.headers)
         if facts.call_id not in (None, job.facts.call_id):
             await response.aclose()
--- a/src/lacewinggw/frontend/placing.py
+++ b/src/lacewinggw/frontend/placing.py
@@ -10,6 +10,7 @@
 from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routes import Repeat, Service
+from lacewinggw.errors import DeadlineTooNear
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.frontend.jobs import Job
 from lacewinggw.frontend.offers import OfferLimits, Sending
@@ -20,6 +21,11 @@
 LEAST_SILENCE_S = 0.6
 LEAST_S = 0.001  # a time limit of nothing would not even send the request
 RESUME_WAIT_S = 1.5  # a caller gives a stream up after a pause of two seconds or more
+# A caller gives a stream up after the longest of these without an event (the operators' figures).
+LEAST_GAP_S = 2.0
+GAP_OBJECTIVES = 4.0
+GAP_PAUSES = 8.0
+LAST_OFFER_S = 0.6  # before that: what is offered later has its first event too late, mostly
 REPEAT_PRIORITY = -1  # before all: work was done for it, and its caller may have part of the answer
 MOST_URGENT = 0
 URGENCY_BASE = 2  # of a request with priority 0 that nobody has worked on yet
@@ -67,6 +73,10 @@
         if job.runs:
             # Work was done for it: it goes on wherever there is room, while its caller waits.
             until = min(admitted.deadline, now + RESUME_WAIT_S)
+            if job.last_event is None:
+                until = min(until, abandons_at(admitted) - LAST_OFFER_S)
+            if until <= now:
+                raise DeadlineTooNear("the caller is about to give up")
             load = await self._queue.claim(wish, REPEAT_PRIORITY, False, until)
         else:
             wait = self._patience(admitted, left_s)
@@ -74,11 +84,17 @@
             load = await self._queue.claim(wish, admitted.priority, wait.is_late, until)
         job.target, job.waited_s = load.entry.target, job.waited_s + _now() - now
         job.ahead = round(load.ahead(now) - 1.0, 1)
-        self._budget(admitted.service).note_call(_now())
+        if job.arrived:
+            self._budget(admitted.service).note_call(_now())
         return load
 
     def may_repeat(self, job: Job) -> bool:
-        """Tell whether a request may be offered once more, and count it if so."""
+        """Tell whether a request may be offered once more, and count it if so.
+
+        An offer that reached no target put no load on one: another in its place is not a retry.
+        """
+        if not job.arrived:
+            return job.may_repeat
         return job.may_repeat and self._budget(job.admitted.service).take(_now())
 
     def _patience(self, admitted: Admitted, left_s: float) -> Patience:
@@ -147,5 +163,14 @@
         return OfferLimits(begin_s, silence_s)
 
 
+def abandons_at(admitted: Admitted) -> float:
+    """Return when a caller gives up a stream of which it has no event yet."""
+    route = admitted.route
+    if not route.streams:
+        return admitted.deadline
+    gap_s = max(LEAST_GAP_S, GAP_OBJECTIVES * route.objective_s, GAP_PAUSES * route.gap_s)
+    return admitted.call.arrived_at + gap_s
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -232,6 +232,7 @@
 
     def _note_not_run(self, job: Job, load: TargetLoad, proof: NotRun) -> None:
         now = _now()
+        job.arrived = proof.arrived
         if proof.is_gone:
             self._note_gone(load)
         if proof.full:
@@ -250,6 +251,7 @@
 
     def _note_failed(self, job: Job, load: TargetLoad, reason: str) -> None:
         now = _now()
+        job.arrived = True
         if load.loading_until <= now:
             self._parts.pool.failed(load, now)
         self._parts.metrics.retry(RetryReason.TARGET_FAILED)
@@ -271,7 +273,7 @@
 
     async def _pass_on(self, job: Job, load: TargetLoad, answer: Answer, caller: Caller) -> bool:
         if job.admitted.route.streams and answer.status == OK:
-            await self._pass_stream(job, answer, caller)
+            await self._pass_stream(job, load, answer, caller)
             self._parts.pool.succeeded(load)
             return True
         body = await read_whole(answer)
@@ -285,9 +287,12 @@
         await caller.answer(answer.status, _headers_to_caller(answer.headers), body)
         return True
 
-    async def _pass_stream(self, job: Job, answer: Answer, caller: Caller) -> None:
+    async def _pass_stream(
+        self, job: Job, load: TargetLoad, answer: Answer, caller: Caller
+    ) -> None:
         """Pass events on as they come; those that the caller has already are left out."""
         async for events in read_events(answer):
+            load.note_heard(_now())
             data = b"".join(event.data for event in events if _is_next(job, event.number))
             if not data:
                 continue
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -120,6 +120,7 @@
 def test_a_target_behind_a_queue_is_left_for_one_that_is_fuller(pool):
     for name in ("b", "c"):
         fill(pool, name, 1)
+        pool.loads[name].note_heard(10.0)
     pool.loads["a"].note_connect(0.1, now=10.0)
     assert choose(pool, now=10.0) in ("b", "c")
     assert choose(pool, now=13.0) == "a"  # the queue may be gone by then
@@ -136,6 +137,7 @@
 def test_a_target_that_cannot_be_connected_to_is_left_alone_for_a_moment(pool):
     for name in ("b", "c"):
         fill(pool, name, 3)
+        pool.loads[name].note_heard(10.2)
     pool.loads["a"].note_unconnected(0.25, now=10.0)
     assert choose(pool, now=10.3) is None
     assert choose(pool, now=10.5) == "a"
@@ -144,3 +146,31 @@
 def test_a_refused_connection_says_nothing_of_the_link(pool):
     pool.loads["a"].note_unconnected(0.004, now=10.0)
     assert pool.loads["a"].has_room(10.0)
+
+
+def test_a_target_whose_answers_stand_still_gets_no_more(pool):
+    for name in ("b", "c"):
+        fill(pool, name, 2)
+    pool.begin(pool.loads["a"], 10.0)
+    for load in pool.loads.values():
+        load.note_heard(10.2)
+    for name in ("b", "c"):
+        pool.loads[name].note_heard(10.7)
+    assert choose(pool, now=10.6) == "a"
+    assert choose(pool, now=10.8) in ("b", "c")
+    pool.loads["a"].note_heard(10.9)
+    assert choose(pool, now=11.0) == "a"
+
+
+def test_nothing_heard_from_anybody_is_no_reason_to_stop(pool):
+    for name in ("a", "b", "c"):
+        pool.begin(pool.loads[name], 10.0)
+    assert choose(pool, now=12.0) is not None
+
+
+def test_an_idle_target_does_not_stand_still(pool):
+    for name in ("b", "c"):
+        fill(pool, name, 1)
+        pool.loads[name].note_heard(20.0)
+    pool.loads["a"].note_heard(10.0)
+    assert choose(pool, now=20.0) == "a"
--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -304,3 +304,33 @@
         for _ in range(3):
             await fleet.ask("/sheet/1")
         assert len(misdirected) == 1
+
+
+async def test_a_stream_is_not_offered_again_when_its_caller_is_about_to_give_up():
+    async with running_fleet() as fleet:
+        for name in ("engine0", "engine1"):
+            fleet.targets[name].behaviour.pause_s = 0.45
+        long_ones = [
+            asyncio.ensure_future(fleet.ask("/report/1", X_Model="market")) for _ in "abcde"
+        ]
+        await asyncio.sleep(0.1)
+        for name in ("engine0", "engine1"):
+            fleet.targets[name].behaviour.silent = 1
+        began = asyncio.get_running_loop().time()
+        reply = await fleet.ask("/report/1", X_Model="market")
+        took_s = asyncio.get_running_loop().time() - began
+        assert reply.status == 502 and took_s < 2.0  # of the 2.4 s that its caller waits
+        await asyncio.gather(*long_ones)
+
+
+async def test_an_offer_that_reached_nobody_is_no_retry():
+    async with running_fleet(desks=1) as fleet:
+        budget = fleet.entries[0].relay._parts.placing._budget("desk")
+        budget.share, budget.extra = 0.0, 0.0
+        await fleet.targets["desk0"].close()
+        fleet.store.put("servers", "i-gone", target_row("desk", "10.2.0.77:8080"))
+        await asyncio.sleep(0.5)
+        for _ in range(8):
+            reply = await fleet.ask("/sheet/1")
+            assert reply.status == 503 and json.loads(reply.body)["code"] != "LW-6011"
+        assert sum(each.retries for each in budget._seconds) == 0
