Have agents' news show the queue before a target's link

This entry had nothing running there that could have stood still, and news of its agent still came, only later and later, so the engine looked idle. Ruled out: the time limit of the first offer (1.2 s as set); connecting (it took under 0.25 s). Change: news carries when it was sent, by the agent's clock. What a message takes beyond the least that was seen is the queue; over 0.4 s a target gets nothing, below that it counts as fuller. Clocks are not compared, drift is allowed for. Tests fail before.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -243,7 +243,9 @@
   4: bool leaving = false
   5: list<HeldWeights> held      // what the target answers with
   6: bool loading = false        // it takes nothing until it has loaded
+  7: i64 sent_ms                 // by the agent's own clock: only its differences say something
 }
+
 // ---- requests -------------------------------------------------------------------------
 
 enum Priority { URGENT = 1, NORMAL = 2, BULK = 3 }
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from lacewinggw.decisions.ejection import EjectionRules, Health, end_failed_call
+from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
 
@@ -25,7 +26,7 @@
 # Connecting takes a way and back over the link of a target, the first part of the answer another:
 # with 0.1 s each, half of the usual objective is gone. That counts as much as 0.8 of the slots.
 LINK_COST_PER_S = 8.0
-LINK_DECAY_S = 1.0  # what connecting took that long ago counts for 1/e: the queue of a link moves
+QUEUE_S = 0.4  # before a target's link: a request behind it has its first event too late
 CLOGGED_S = 0.2  # what did not open within it was not refused: it stands in a queue
 CLOGGED_PAUSE_S = 0.4  # a target behind such a link is left alone so long: about what a queue holds
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
@@ -44,8 +45,8 @@
     loading_until: float = 0.0
     heard_at: float = -math.inf
     busy_since: float = -math.inf
-    connect_s: float = 0.0
-    connected_at: float = -math.inf
+    connects: LinkDelay = field(default_factory=LinkDelay)
+    news: LinkDelay = field(default_factory=LinkDelay)
     health: Health = field(default_factory=Health)
 
     def ahead(self, now: float) -> float:
@@ -56,9 +57,7 @@
 
     def note_connect(self, took_s: float, now: float) -> None:
         """Note how long connecting took: it shows the queue of the target's link."""
-        known_s = self.link_delay(now)
-        self.connect_s = max(took_s, (known_s + took_s) / 2)
-        self.connected_at = now
+        self.connects.note_wait(took_s, now)
 
     def note_unconnected(self, waited_s: float, now: float) -> None:
         """Note that connecting failed, refused at once or given up after a wait."""
@@ -75,8 +74,12 @@
         return self.in_flight > 0 and now - max(self.heard_at, self.busy_since) > STALLED_S
 
     def link_delay(self, now: float) -> float:
-        """Return how long connecting would take, as far as is known, in seconds."""
-        return self.connect_s * math.exp(-max(0.0, now - self.connected_at) / LINK_DECAY_S)
+        """Return how long the queue before the target's link is, as far as is known, in seconds."""
+        return max(self.connects.now(now), self.news.now(now))
+
+    def is_reachable(self, now: float) -> bool:
+        """Tell whether a request would get through to the target in time."""
+        return not self.is_stalled(now) and self.link_delay(now) < QUEUE_S
 
     def has_room(self, now: float) -> bool:
         """Tell whether one more request would start soon."""
@@ -147,9 +150,9 @@
     def choose(self, fitting: Iterable[TargetLoad], now: float) -> TargetLoad | None:
         """Return the one of `fitting` targets in which a request starts soonest, or None."""
         fitting = list(fitting)
-        # If nobody is heard, the cause is this entry's: then all are as good as before.
-        moving = [load for load in fitting if not load.is_stalled(now)] or fitting
-        usable = [load for load in moving if load.has_room(now)]
+        # If none can be reached, the cause is this entry's: then all are as good as before.
+        reachable = [load for load in fitting if load.is_reachable(now)] or fitting
+        usable = [load for load in reachable if load.has_room(now)]
         healthy = [load for load in usable if load.health.may_take(now)]
         if not healthy:
             # All are failing, so the cause may not be theirs: any is better than none.
@@ -186,14 +189,24 @@
         """Note that a target did not answer in time: it, or the link to it, is stuck."""
         load.full_until = max(load.full_until, now + SILENT_PAUSE_S)
 
-    def note_report(self, target: TargetId, running: int, at: float, loading: bool = False) -> None:
+    def note_report(
+        self,
+        target: TargetId,
+        running: int,
+        at: float,
+        loading: bool = False,
+        sent_s: float | None = None,
+    ) -> None:
         """Take what a target said of its own work: requests running and queued.
 
-        One that is `loading` begins nothing until it says so again.
+        One that is `loading` begins nothing until it says so again. `sent_s` is when it said so, by
+        its own clock.
         """
         load = self._loads.get(target)
         if load is None or at < load.reported_at:
             return
+        if sent_s is not None:
+            load.news.note(sent_s, at)
         load.loading_until = at + LOADING_S if loading else 0.0
         load.reported = running
         load.reported_own = load.in_flight
--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -20,6 +20,7 @@
 
 FLEET_NEWS_S = 1.5  # between news for agents without a change
 GATHER_S = 0.02  # changes that come together are told together
+MS_PER_S = 1000.0
 SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
 
 
@@ -79,7 +80,8 @@
         """Take what an agent says of its target."""
         target = TargetId(news.target_id)
         now = asyncio.get_running_loop().time()
-        self._pool.note_report(target, news.running + news.queued, now, news.loading)
+        sent_s = news.sent_ms / MS_PER_S
+        self._pool.note_report(target, news.running + news.queued, now, news.loading, sent_s)
         if news.leaving:
             self._knowledge.note_leaving(target)
         if self._sight is not None:
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping, Sequence
+from copy import copy
 from dataclasses import dataclass
 
 from lacewinggw.agent.downloads import WeightSource
@@ -353,8 +354,10 @@
             return
         self._told, self._told_at = news, now
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
+        stamped = copy(news)
+        stamped.sent_ms = round(now * MS_PER_S)
         for link in self._listeners:
-            link.notify(news)
+            link.notify(stamped)
 
     def _compose(self) -> messages.TargetNews | None:
         report, target = self._report, self.assignment.own_target
@@ -367,6 +370,7 @@
             leaving=self.assignment.is_leaving(target),
             held=[_held(model, version) for model, version in report.weights.items()],
             loading=self._loader.is_loading or self._emptying_since is not None,
+            sent_ms=0,
         )
 
 
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -174,3 +174,15 @@
         pool.loads[name].note_heard(20.0)
     pool.loads["a"].note_heard(10.0)
     assert choose(pool, now=20.0) == "a"
+
+
+def test_a_target_whose_reports_stand_in_a_queue_is_left(pool):
+    for name in ("b", "c"):
+        fill(pool, name, 2)
+        pool.loads[name].note_heard(10.7)
+    pool.note_report("a", 0, at=10.0, sent_s=500.0)
+    pool.note_report("a", 0, at=10.7, sent_s=500.2)
+    assert choose(pool, now=10.7) in ("b", "c")
+    for at in (10.8, 10.9, 11.0):
+        pool.note_report("a", 0, at=at, sent_s=490.0 + at)
+    assert choose(pool, now=11.0) == "a"
