--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -24,6 +24,7 @@
     Store,
 )
 from lacewinggw.decisions.topology import ColumnRanks, Topology
+from lacewinggw.decisions.turns import ColumnTurns
 from lacewinggw.ids import HostId, Incarnation, Place
 
 TICK_S = 0.1
@@ -81,8 +82,8 @@
         self._fetches: dict[int, list[Fetch]] = {}
         self._holdings = Holdings(len(sizes))
         self._topology: Topology | None = None
-        self._column_moved_at: list[float] = []
-        self._import_moved_at: list[float] = []
+        self._at_origin = ColumnTurns()
+        self._in_place = ColumnTurns()
         self._left: dict[HostId, Incarnation] = {}
         self._platform = PlatformSources(rules, rng)
         self._pace = LinkPace(rules.in_flight_total * self._chunk_s, rules.in_flight_total)
@@ -134,8 +135,8 @@
     def set_topology(self, topology: Topology, now: float) -> None:
         """Take a new view of the hosts due the release."""
         if self._topology is None:
-            self._column_moved_at = [now] * len(topology.columns)
-            self._import_moved_at = [now] * len(topology.columns)
+            self._at_origin.begin(len(topology.columns), now)
+            self._in_place.begin(len(topology.columns), now)
             self._holdings.set_columns(len(topology.columns))
         self._topology = topology
 
@@ -284,7 +285,7 @@
         return all(host in self.neighbours and self.neighbours[host].told for host in wished)
 
     def _import_from_places(self, column: int, ranks: ColumnRanks, now: float) -> Iterator[Action]:
-        if not self._has_turn(ranks.in_place, self._import_moved_at[column], now):
+        if not self._in_place.has_turn(column, ranks.in_place, self.patience_s, now):
             return
         for index in sorted(self._holdings.elsewhere[column] - self._fetches.keys()):
             host = self._pick_holder(index, now, local=False)
@@ -322,7 +323,7 @@
 
     def _import_from_origin(self, column: int, ranks: ColumnRanks, now: float) -> Iterator[Action]:
         rank = ranks.at_origin
-        if not self._has_turn(rank, self._column_moved_at[column], now):
+        if not self._at_origin.has_turn(column, rank, self.patience_s, now):
             return
         if any(self._is_source_fetch(index) for index in self._column_fetches(column)):
             return
@@ -440,11 +441,6 @@
 
     # ---- choices --------------------------------------------------------------------------
 
-    def _has_turn(self, rank: int | None, moved_at: float, now: float) -> bool:
-        if rank is None:
-            return False
-        return rank == 0 or now - moved_at >= rank * self.patience_s
-
     def _pick_holder(self, index: int, now: float, local: bool) -> HostId | None:
         """Return the holder of a chunk with least to send, in this place or in others."""
         asked_already = {fetch.source for fetch in self._fetches.get(index, ())}
@@ -494,15 +490,11 @@
                 state.offers.add(index)
             if not holdings.is_shown(index):
                 self._progress_at = now
-                self._note_moved(self._column_moved_at, index, now)
+                self._at_origin.note_moved(holdings.column(index), now)
             if local and not holdings.local[index]:
-                self._note_moved(self._import_moved_at, index, now)
+                self._in_place.note_moved(holdings.column(index), now)
         holdings.show(index, local)
 
-    def _note_moved(self, moved_at: list[float], index: int, now: float) -> None:
-        if moved_at:
-            moved_at[self._holdings.column(index)] = now
-
     def _note_neighbour_failed(
         self, host: HostId, index: int, failure: FetchFailure, now: float
     ) -> None:
--- /dev/null
+++ b/src/lacewinggw/decisions/targetload.py
@@ -0,0 +1,82 @@
+"""What an entry knows of one target: its work, its weights, and how well it is reached.
+
+Of the work its own calls are known exactly, and those of others by the target's last report, which
+counts for less as it ages.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from lacewinggw.decisions.ejection import Health
+from lacewinggw.decisions.linkdelay import LinkDelay
+from lacewinggw.decisions.targetlist import TargetEntry
+
+REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
+BATCH_SHARE = 0.75  # of a model engine's slots: in a fuller batch prompts wait for one another
+# Of a target with work of this entry, after which it gets no more: events of one stream or another
+# come every 0.1 s, and in an overload every 0.3 s. Callers give up after two seconds.
+STALLED_S = 0.5
+QUEUE_S = 0.4  # before a target's link: a request behind it has its first event too late
+CLOGGED_S = 0.2  # what did not open within it was not refused: it stands in a queue
+CLOGGED_PAUSE_S = 0.4  # a target behind such a link is left alone so long: about what a queue holds
+
+
+@dataclass
+class TargetLoad:
+    """What is known of one target's work; times in seconds by the caller's clock."""
+
+    entry: TargetEntry
+    in_flight: int = 0
+    reported: int = 0  # running and queued, by the last report
+    reported_own: int = 0  # of those, own ones when the report came
+    reported_at: float = -math.inf
+    full_until: float = 0.0
+    loading_until: float = 0.0
+    heard_at: float = -math.inf
+    busy_since: float = -math.inf
+    connects: LinkDelay = field(default_factory=LinkDelay)
+    news: LinkDelay = field(default_factory=LinkDelay)
+    health: Health = field(default_factory=Health)
+
+    def ahead(self, now: float) -> float:
+        """Return how many requests are ahead of one more."""
+        others = max(0, self.reported - self.reported_own)
+        age_s = max(0.0, now - self.reported_at)
+        return self.in_flight + others * math.exp(-age_s / REPORT_DECAY_S)
+
+    def note_connect(self, took_s: float, now: float) -> None:
+        """Note how long connecting took: it shows the queue of the target's link."""
+        self.connects.note_wait(took_s, now)
+
+    def note_unconnected(self, waited_s: float, now: float) -> None:
+        """Note that connecting failed, refused at once or given up after a wait."""
+        self.note_connect(waited_s, now)
+        if waited_s >= CLOGGED_S:
+            self.full_until = max(self.full_until, now + CLOGGED_PAUSE_S)
+
+    def note_heard(self, now: float) -> None:
+        """Note that part of an answer came."""
+        self.heard_at = now
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether nothing of what this entry waits for has come for long."""
+        return self.in_flight > 0 and now - max(self.heard_at, self.busy_since) > STALLED_S
+
+    def link_delay(self, now: float) -> float:
+        """Return how long the queue before the target's link is, as far as is known, in seconds."""
+        return max(self.connects.now(now), self.news.now(now))
+
+    def is_reachable(self, now: float) -> bool:
+        """Tell whether a request would get through to the target in time."""
+        return not self.is_stalled(now) and self.link_delay(now) < QUEUE_S
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether one more request would start soon."""
+        slots = self.entry.slots * (BATCH_SHARE if self.entry.weights else 1.0)
+        if max(self.full_until, self.loading_until) > now:
+            return False
+        return self.ahead(now) < slots
+
+    def occupancy(self, now: float) -> float:
+        """Return the share of the slots that would be taken with one more request."""
+        return (self.ahead(now) + 1.0) / self.entry.slots
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 
 from lacewinggw.decisions.deadlines import time_left_ms
-from lacewinggw.decisions.dispatch import TargetLoad
+from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.errors import AnswerIncomplete
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.frontend.calls import (
--- a/src/lacewinggw/frontend/placing.py
+++ b/src/lacewinggw/frontend/placing.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass
 
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.dispatch import TargetLoad, Wish
+from lacewinggw.decisions.dispatch import Wish
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routes import Repeat, Service
+from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.errors import DeadlineTooNear
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.frontend.jobs import Job
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass
 
 from lacewinggw.background import Background
-from lacewinggw.decisions.dispatch import TargetLoad, TargetPool, Wish
+from lacewinggw.decisions.dispatch import TargetPool, Wish
 from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.decisions.waiting import Waiter, WaitingLine
 from lacewinggw.errors import NoTarget, Overloaded
 from lacewinggw.ids import ServiceName
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.dispatch import TargetLoad, TargetPool
+from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.errors import (
     AnswerIncomplete,
     DeadlinePassed,
