--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -134,6 +134,7 @@
             self._reads_often,
             self._agents.note_change,
             self._note_members,
+            self._neighbours.note_change,
         )
         self.queue = RequestQueue(self.knowledge, self.pool, self.metrics)
         self._http = HttpClient(network, idle_connections=0)
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -21,9 +21,13 @@
 # and the others ask them; who gets no answer reads often itself.
 READER_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
 ASKER_WAIT = Wait(for_news_s=2.4, after_news_s=0.4)
-# A silent connection is noticed within the bound on leaving targets and a window of stability.
-LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.3)
-MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=0.5)
+# A silent connection is noticed within the bound on leaving targets and a window of stability. Each
+# change of the list wakes whoever follows it. Entries that read often tell of targets that leave, and
+# agents of weights, so that the others can let changes gather; with what a call takes that stays well
+# within the two seconds after which a leaving target may get nothing.
+READER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.4)
+ASKER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=1.2)
+MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=1.0)
 EXPIRE_S = 0.1  # between looks for targets that did not come back after an outage
 
 log = get_logger(__name__)
@@ -33,7 +37,8 @@
     """Follows the store's topics into the knowledge and the pool of targets.
 
     `reads_often` tells whether this entry is to read the routes often. `on_change` is called when
-    targets or versions have changed, `on_members` when the list of entries has.
+    targets or versions have changed, `on_members` when the list of entries has, `on_leaving` when
+    targets leave.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         reads_often: Callable[[], bool],
         on_change: Callable[[], None],
         on_members: Callable[[], None],
+        on_leaving: Callable[[], None],
     ) -> None:
         self.members: dict[HostId, Member] = {}
         self._feed = feed
@@ -58,8 +64,10 @@
         self._reads_often = reads_often
         self._on_change = on_change
         self._on_members = on_members
+        self._on_leaving = on_leaving
+        self._leaving_told = 0
         self._has_list = False
-        self._targets = self._follow(Topic.TARGETS, self._apply_targets, lambda: LIST_WAIT)
+        self._targets = self._follow(Topic.TARGETS, self._apply_targets, self._list_wait)
         self._followers = [
             self._follow(Topic.CONFIGURATION, self._apply_configuration, self._routes_wait),
             self._targets,
@@ -109,6 +117,9 @@
     def _routes_wait(self) -> Wait:
         return READER_WAIT if self._reads_often() else ASKER_WAIT
 
+    def _list_wait(self) -> Wait:
+        return READER_LIST_WAIT if self._reads_often() else ASKER_LIST_WAIT
+
     def _apply_configuration(self, news: News, proved_at: float) -> None:
         now = self._clock()
         for change in news.changes:
@@ -138,6 +149,9 @@
     def _sync(self) -> None:
         self._pool.sync(self._knowledge.targets)
         self._on_change()
+        if len(self._knowledge.leaving) != self._leaving_told:
+            self._leaving_told = len(self._knowledge.leaving)
+            self._on_leaving()
 
     def _apply_members(self, news: News, _: float) -> None:
         if news.whole:
--- a/tests/fleet/test_store_troubles.py
+++ b/tests/fleet/test_store_troubles.py
@@ -4,7 +4,7 @@
 
 import pytest
 from declared_fleet import running_fleet
-from platform_standins import manifest, target_row
+from platform_standins import LLM, MODEL, manifest, target_row
 
 pytestmark = pytest.mark.looptime
 
@@ -82,3 +82,28 @@
         await asyncio.sleep(0.5)
         assert entry.knowledge.routes.version == 9
         assert "i-desk0" not in entry.knowledge.targets
+
+
+async def test_a_list_that_changes_often_costs_few_calls_where_others_read_it():
+    async with running_fleet(entries=4) as fleet:
+        await asyncio.sleep(2.0)
+        before = fleet.store.calls.count("/rows-feed")
+        for number in range(24):
+            weights = [{"Name": MODEL, "Version": number}]
+            fleet.store.put(
+                "servers", "i-engine0", target_row(LLM, "10.2.0.1:8080", Models=weights)
+            )
+            await asyncio.sleep(0.25)
+        # In six seconds: one entry reads each change that does not come within 0.4 s of the last.
+        assert fleet.store.calls.count("/rows-feed") - before < 55
+
+
+async def test_a_target_that_leaves_is_left_by_all_within_a_second():
+    async with running_fleet(entries=4) as fleet:
+        await asyncio.sleep(2.0)
+        weights = [{"Name": MODEL, "Version": 1}]
+        fleet.store.put("servers", "i-engine1", target_row(LLM, "10.2.0.2:8080", Models=weights))
+        await asyncio.sleep(0.1)  # all have just taken in a change, and let others gather
+        fleet.store.put("servers", "i-engine0", target_row(LLM, "10.2.0.1:8080", State="draining"))
+        await asyncio.sleep(0.6)
+        assert all("i-engine0" in entry.knowledge.leaving for entry in fleet.entries)
