--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -22,9 +22,9 @@
 READER_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
 ASKER_WAIT = Wait(for_news_s=2.4, after_news_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability. Each
-# change of the list wakes whoever follows it. Entries that read often tell of targets that leave, and
-# agents of weights, so that the others can let changes gather; with what a call takes that stays well
-# within the two seconds after which a leaving target may get nothing.
+# change of the list wakes whoever follows it. Entries that read often tell of targets that leave,
+# and agents of weights, so that the others can let changes gather; with the time of a call that is
+# still within the two seconds after which a leaving target may get nothing.
 READER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.4)
 ASKER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=1.2)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=1.0)
