--- a/src/lacewinggw/agent/views.py
+++ b/src/lacewinggw/agent/views.py
@@ -23,17 +23,12 @@
 
 @dataclass(frozen=True)
 class DueRelease:
-    """A release that this host is to hold, and all the hosts due it.
-
-    With `seed_only` it is only to leave the origin for now: hosts fetch their columns there, and
-    nothing moves between hosts.
-    """
+    """A release that this host is to hold, and all the hosts due it."""
 
     name: str
     digest: Digest
     hosts: tuple[HostId, ...]
     prefer: Prefer
-    seed_only: bool = False
 
 
 class HostViews:
--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -174,8 +174,6 @@
             return
         fresh = due.keys() - self._due.keys()
         self._due = dict(due)
-        for digest, download in self._downloads.items():
-            download.spread.seed_only = self._due[digest].seed_only
         self._derive_views()
         for digest in fresh:
             task = asyncio.get_running_loop().create_task(self._find_manifest(due[digest]))
@@ -206,7 +204,6 @@
         )
         if self._local is not None:
             await download.take_local(self._local)
-        download.spread.seed_only = self._due[due.digest].seed_only
         self._downloads[due.digest] = download
         self._searches.pop(due.digest, None)
         download.begin()
--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -55,9 +55,6 @@
 class Upgrade:
     """What to do now: versions to fetch, the first one first, and the one to load, if any.
 
-    Of versions to `seed` one copy is to be had from the origin, whose link is idle and which may
-    fail later; they spread from host to host when their turn to be fetched comes.
-
     With `may_cut` other targets still have the old version, so that requests which are broken off
     can go on there; without, the target is emptied first and what is left ends by itself. The order
     is given by `order_by`, emptied or not.
@@ -67,7 +64,6 @@
     load: int | None = None
     may_cut: bool = False
     order_by: float = math.inf
-    seed: tuple[int, ...] = ()
 
 
 class UpgradePlan:
@@ -96,13 +92,12 @@
         wanted = self._wanted(pending, progress, now)
         first = wanted[0]
         fetch = _open(wanted, progress)
-        seed = tuple(each.version for each in wanted[len(fetch) :])
         if not progress.is_complete(first.version):
-            return Upgrade(fetch, seed=seed)
+            return Upgrade(fetch)
         if not self._is_early and now < self._late_turn_at(pending[0]):
-            return Upgrade(fetch, seed=seed)
+            return Upgrade(fetch)
         order_by = self._bound(pending[0]) - LAST_MARGIN_S
-        return Upgrade(fetch, first.version, self._is_early, order_by, seed)
+        return Upgrade(fetch, first.version, self._is_early, order_by)
 
     def _for_first(self, current: int | None, progress: Progress) -> Upgrade:
         if current is not None:
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from copy import copy
 from dataclasses import dataclass
 
@@ -246,25 +246,20 @@
         self.spreader.set_members(self._neighbours(part.hosts))
         hosts = tuple(sorted({*part.hosts, self._host}))
         prefer = messages.Prefer.ORIGIN_BYTES
-        due: dict[Digest, DueRelease] = {}
-        for version, seed_only in self._versions(part.model).items():
-            release = release_of(part.model, version)
-            due[release] = DueRelease(release, release, hosts, prefer, seed_only)
+        releases = [release_of(part.model, version) for version in self._versions(part.model)]
+        due = {each: DueRelease(each, each, hosts, prefer) for each in releases}
         self.spreader.set_due(due)
 
-    def _versions(self, model: ModelName) -> Mapping[int, bool]:
+    def _versions(self, model: ModelName) -> Sequence[int]:
         """Return the versions to fetch, or the one that the target serves, for others to fetch.
 
-        Each with whether it is only to leave the origin. At the first start of a whole fleet
-        targets come with weights: theirs is awaited.
+        At the first start of a whole fleet targets come with weights: theirs is awaited.
         """
         if self._settings.fleet.first_start and not self._was_heard:
-            return {}
+            return ()
         current = self._current(model)
         kept = () if current is None else (current,)
-        upgrade = self._upgrade(model)
-        fetched = upgrade.fetch or kept
-        return {**dict.fromkeys(upgrade.seed, True), **dict.fromkeys(fetched, False)}
+        return self._upgrade(model).fetch or kept
 
     def _neighbours(self, hosts: Mapping[HostId, Place]) -> list[Member]:
         port = self._settings.agent.peer_listen.rpartition(":")[2]
