--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -89,6 +89,15 @@
             healthy = usable
         return min(healthy, key=lambda load: self._cost(load, now), default=None)
 
+    def reach_changes(self, now: float) -> list[TargetLoad]:
+        """Return the targets that can be reached by now and could not, or the other way round."""
+        changed = [
+            load for load in self._loads.values() if load.is_reachable(now) != load.was_reachable
+        ]
+        for load in changed:
+            load.was_reachable = not load.was_reachable
+        return changed
+
     def begin(self, load: TargetLoad, now: float) -> None:
         """Note that a request goes to a target."""
         if load.in_flight == 0:
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -36,6 +36,7 @@
     busy_since: float = -math.inf
     connects: LinkDelay = field(default_factory=LinkDelay)
     news: LinkDelay = field(default_factory=LinkDelay)
+    was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
 
     def ahead(self, now: float) -> float:
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -12,8 +12,10 @@
 from lacewinggw.decisions.waiting import Waiter, WaitingLine
 from lacewinggw.errors import NoTarget, Overloaded
 from lacewinggw.ids import ServiceName
+from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
+LOOK_S = 0.25  # between looks for targets that cannot be reached any more, to log them
 TICK_S = 0.02  # reports age and pauses end without an event of their own
 # Until a target may run a request where none may now: after a loss of power targets are back within
 # 1.5 s, weights that are late take longer. A caller waits for a third of its time at most.
@@ -21,6 +23,8 @@
 RETURN_S = (0.8, 2.0)  # a burst lasts some seconds, and callers wait for a third of their time
 MS_PER_S = 1000
 
+log = get_logger(__name__)
+
 
 @dataclass
 class _Waiting:
@@ -129,10 +133,25 @@
         return load
 
     async def _run(self) -> None:
+        look_at = 0.0
         while True:
             await asyncio.sleep(TICK_S)
             for service in list(self._lines):
                 self.advance(service)
+            if _now() >= look_at:
+                look_at = _now() + LOOK_S
+                self._log_reach()
+
+    def _log_reach(self) -> None:
+        now = _now()
+        for load in self._pool.reach_changes(now):
+            log.info(
+                "target_reachable" if load.was_reachable else "target_unreachable",
+                target=load.entry.target,
+                stalled=load.is_stalled(now),
+                queue_ms=round(load.link_delay(now) * MS_PER_S),
+                in_flight=load.in_flight,
+            )
 
 
 def _overloaded(wish: Wish) -> Overloaded:
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -186,3 +186,11 @@
     for at in (10.8, 10.9, 11.0):
         pool.note_report("a", 0, at=at, sent_s=490.0 + at)
     assert choose(pool, now=11.0) == "a"
+
+
+def test_a_change_of_reach_is_told_once(pool):
+    pool.begin(pool.loads["a"], 10.0)
+    told = [[load.entry.target for load in pool.reach_changes(now)] for now in (10.1, 10.6, 10.7)]
+    assert told == [[], ["a"], []]
+    pool.loads["a"].note_heard(10.8)
+    assert [load.was_reachable for load in pool.reach_changes(10.9)] == [True]
