--- a/tests/fleet/test_store_troubles.py
+++ b/tests/fleet/test_store_troubles.py
@@ -107,3 +107,47 @@
         fleet.store.put("servers", "i-engine0", target_row(LLM, "10.2.0.1:8080", State="draining"))
         await asyncio.sleep(0.6)
         assert all("i-engine0" in entry.knowledge.leaving for entry in fleet.entries)
+
+
+async def test_frozen_and_revoked_at_once():
+    """A request that waited out a freeze is not admitted by a key that is gone by then."""
+    async with running_fleet() as fleet:
+        fleet.network.hold("10.1.0.1")
+        asked = asyncio.ensure_future(fleet.ask("/sheet/1"))
+        await asyncio.sleep(1.0)
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        await asyncio.sleep(5.5)
+        fleet.network.let_go("10.1.0.1")
+        assert (await asked).status in (401, 503)
+        assert not fleet.targets["desk0"].seen and not fleet.targets["desk1"].seen
+
+
+async def test_restarted_and_changed_at_once():
+    """An entry that starts while the store is away never goes back behind what others know."""
+    async with running_fleet(entries=2) as fleet:
+        routes = manifest(5)["Routes"]
+        fleet.store.put("op", "config", manifest(5, Routes=routes[:1]))
+        await asyncio.sleep(0.3)
+        await fleet.entries[1].close()
+        fleet.store.refusal = 503
+        await fleet.add_entry(3)
+        reply = await fleet.ask("/sheet/1", entry=2)
+        assert reply.status == 503
+        fleet.store.refusal = 0
+        await asyncio.sleep(1.5)
+        assert (await fleet.ask("/sheet/1", entry=2)).status == 404
+        assert fleet.entries[2].knowledge.routes.version == 5
+
+
+async def test_turned_away_and_leaving_at_once():
+    """An entry that the store turns away hears from another one that a target leaves."""
+    async with running_fleet(entries=3) as fleet:
+        await asyncio.sleep(1.0)
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        row = target_row("desk", "10.3.0.1:8080", State="draining")
+        fleet.store.put("servers", "i-desk0", row)
+        await asyncio.sleep(1.0)
+        assert "i-desk0" in fleet.entries[0].knowledge.leaving
+        for _ in range(6):
+            assert (await fleet.ask("/tally/1", "GET")).status == 200
+        assert not fleet.targets["desk0"].seen
