--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the platform's services, by their published calls: store, engine, origin.
 
-They are small and obey: tests tell them how to fail. Everything runs on an in-memory network.
+They are small and obey: tests tell them how to fail. What every stand-in knows of outages, delays
+and lost replies is the lab's. Everything runs on an in-memory network.
 """
 
 import asyncio
@@ -8,10 +9,11 @@
 import hashlib
 import json
 from collections.abc import AsyncIterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import HttpServer, Request, Response, json_response
+from lacewinggw.lab.standin import StandIn
+from lacewinggw.wire.http import Request, Response, json_response
 
 STORE = "10.9.0.1:8007"
 ORIGIN = "10.9.0.2:8006"
@@ -105,24 +107,17 @@
     version: int
 
 
-class StoreStandIn:
-    """The store: rows, feeds, transactions. `refusal` is a status that every call then gets."""
+class StoreStandIn(StandIn):
+    """The store: rows, feeds, transactions."""
 
     def __init__(self, network: MemoryNetwork) -> None:
-        self.refusal = 0
+        super().__init__(network, STORE)
         self.calls: list[str] = []
         self.forgotten = 0  # history up to this version is gone
         self.deaf = False  # a feed hears nothing and waits its time out
         self._rows: dict[tuple[str, str], Row] = {}
         self._version = 0
         self._changed = asyncio.Event()
-        self._server = HttpServer(network, STORE, self._handle)
-
-    async def start(self) -> None:
-        await self._server.start()
-
-    async def close(self) -> None:
-        await self._server.close()
 
     def put(self, table: str, key: str, value: dict | None) -> None:
         self._version += 1
@@ -141,10 +136,8 @@
             if row.table == table and row.value is not None
         }
 
-    async def _handle(self, request: Request) -> Response:
+    async def answer(self, request: Request) -> Response:
         self.calls.append(request.path)
-        if self.refusal:
-            return Response(self.refusal)
         match request.path:
             case "/rows-get":
                 rows = [row for row in self._in(request.query["Table"]) if row.value is not None]
@@ -154,7 +147,8 @@
             case "/rows-tx":
                 for row in json.loads(request.body)["Write"]:
                     self.put(row["Table"], row["Key"], json.loads(base64.b64decode(row["Value"])))
-                return json_response(200, {"SchemaVersion": self._version, "CurrentTimeMs": 0})
+                body = {"SchemaVersion": self._version, "CurrentTimeMs": 0}
+                return self.written(json_response(200, body))
         return Response(404)
 
     async def _feed(self, query: dict[str, str]) -> Response:
@@ -228,12 +222,12 @@
     wrong_id: bool = False
 
 
-class TargetStandIn:
+class TargetStandIn(StandIn):
     """A target: answers, streams, and for a model engine its report, staging area and orders."""
 
     def __init__(self, network: MemoryNetwork, target_id: str, address: str) -> None:
+        super().__init__(network, address)
         self.target_id = target_id
-        self.address = address
         self.behaviour = Behaviour()
         self.seen: list[Request] = []
         self.abandoned = 0
@@ -243,16 +237,8 @@
         self.orders: list[dict] = []
         self.loaded: list[bytes] = []
         self.busy = False
-        self._network = network
-        self._server = HttpServer(network, address, self._handle)
-
-    async def start(self) -> None:
-        await self._server.start()
 
-    async def close(self) -> None:
-        await self._server.close()
-
-    async def _handle(self, request: Request) -> Response:
+    async def answer(self, request: Request) -> Response:
         match request.path.split("/")[1:]:
             case ["report"]:
                 return self._report()
@@ -352,31 +338,15 @@
     return hashlib.sha256(seed).digest() * (CHUNK_BYTES // 32)
 
 
-@dataclass
-class OriginFaults:
-    """What goes wrong at the origin."""
-
-    down: bool = False
-    corrupt: set[int] = field(default_factory=set)  # pieces sent spoilt, once each
-
-
-class OriginStandIn:
-    """The origin of weights, which counts what it sends."""
+class OriginStandIn(StandIn):
+    """The origin of weights, which counts what it sends. `corrupt` are pieces sent spoilt, once."""
 
     def __init__(self, network: MemoryNetwork) -> None:
-        self.faults = OriginFaults()
+        super().__init__(network, ORIGIN)
+        self.corrupt: set[int] = set()
         self.sent: list[int] = []
-        self._server = HttpServer(network, ORIGIN, self._handle)
-
-    async def start(self) -> None:
-        await self._server.start()
-
-    async def close(self) -> None:
-        await self._server.close()
 
-    async def _handle(self, request: Request) -> Response:
-        if self.faults.down:
-            raise ConnectionResetError
+    async def answer(self, request: Request) -> Response:
         version = int(request.query.get("Version", 1))
         if request.path.startswith("/manifest/"):
             hashes = [hashlib.sha256(piece(version, index)).hexdigest() for index in range(CHUNKS)]
@@ -390,7 +360,7 @@
         index = int(request.query["ItemCount"])
         self.sent.append(index)
         data = piece(version, index)
-        if index in self.faults.corrupt:
-            self.faults.corrupt.discard(index)
+        if index in self.corrupt:
+            self.corrupt.discard(index)
             data = b"\0" + data[1:]
         return Response(200, {}, data)
--- a/tests/fleet/test_reloading.py
+++ b/tests/fleet/test_reloading.py
@@ -9,6 +9,7 @@
 from declared_fleet import running_fleet
 
 from lacewinggw.errors import SettingsUnreadable
+from lacewinggw.lab.standin import Outage
 from lacewinggw.reloading import SettingsWatch
 from lacewinggw.settings import default_settings
 
@@ -71,6 +72,6 @@
         settings = default_settings()
         settings.fleet.revocation_ms = 1000
         fleet.entries[0].apply(settings)
-        fleet.store.refusal = 503
+        fleet.store.faults.outage = Outage.REFUSE
         await asyncio.sleep(2.0)
         assert (await fleet.ask("/sheet/1")).status == 503
--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -7,6 +7,8 @@
 from declared_fleet import running_fleet
 from platform_standins import KEY, LLM, manifest, target_row
 
+from lacewinggw.lab.standin import Outage
+
 pytestmark = pytest.mark.looptime
 
 STREAM = b"".join(f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6))
@@ -53,7 +55,7 @@
 
 async def test_nothing_is_denied_before_the_routes_are_known():
     async with running_fleet() as fleet:
-        fleet.store.refusal = 503
+        fleet.store.faults.outage = Outage.REFUSE
         await fleet.add_entry(2)
         reply = await fleet.ask("/nowhere/", entry=1)
         assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
--- a/tests/fleet/test_store_troubles.py
+++ b/tests/fleet/test_store_troubles.py
@@ -6,12 +6,14 @@
 from declared_fleet import running_fleet
 from platform_standins import LLM, MODEL, manifest, target_row
 
+from lacewinggw.lab.standin import Outage
+
 pytestmark = pytest.mark.looptime
 
 
 async def test_a_key_is_refused_once_it_may_have_been_taken_away():
     async with running_fleet() as fleet:
-        fleet.store.refusal = 503
+        fleet.store.faults.outage = Outage.REFUSE
         await asyncio.sleep(2.0)
         assert (await fleet.ask("/sheet/1")).status == 200
         await asyncio.sleep(4.0)
@@ -61,11 +63,11 @@
 
 async def test_targets_that_lapsed_in_an_outage_serve_on_until_they_are_back():
     async with running_fleet() as fleet:
-        fleet.store.refusal = 503
+        fleet.store.faults.outage = Outage.REFUSE
         await asyncio.sleep(4.5)
         for name in ("desk0", "desk1"):
             fleet.store.put("servers", f"i-{name}", None)
-        fleet.store.refusal = 0
+        fleet.store.faults.outage = Outage.NONE
         await asyncio.sleep(1.4)
         assert len(fleet.entries[0].pool.loads) == 4
         fleet.store.put("servers", "i-desk0", target_row("desk", "10.3.0.1:8080"))
@@ -129,11 +131,11 @@
         fleet.store.put("op", "config", manifest(5, Routes=routes[:1]))
         await asyncio.sleep(0.3)
         await fleet.entries[1].close()
-        fleet.store.refusal = 503
+        fleet.store.faults.outage = Outage.REFUSE
         await fleet.add_entry(3)
         reply = await fleet.ask("/sheet/1", entry=2)
         assert reply.status == 503
-        fleet.store.refusal = 0
+        fleet.store.faults.outage = Outage.NONE
         await asyncio.sleep(1.5)
         assert (await fleet.ask("/sheet/1", entry=2)).status == 404
         assert fleet.entries[2].knowledge.routes.version == 5
@@ -151,3 +153,32 @@
         for _ in range(6):
             assert (await fleet.ask("/tally/1", "GET")).status == 200
         assert not fleet.targets["desk0"].seen
+
+
+async def test_a_write_whose_answer_is_lost_lists_an_entry_all_the_same():
+    async with running_fleet() as fleet:
+        fleet.store.faults.lose_next = 2
+        await fleet.add_entry(2)
+        await asyncio.sleep(3.0)
+        assert set(fleet.store.rows("lacewinggw-members")) == {"entry-1", "entry-2"}
+        assert fleet.entries[1].is_ready
+
+
+async def test_a_slow_store_delays_changes_and_nothing_else():
+    async with running_fleet() as fleet:
+        fleet.store.faults.delay_s = 0.25  # 60 times as long as usual
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        asked = [(await fleet.ask("/tally/1", "GET")).status for _ in range(3)]
+        assert set(asked) <= {200, 401}
+        await asyncio.sleep(2.0)
+        assert (await fleet.ask("/tally/1", "GET")).status == 401
+
+
+async def test_a_store_that_hangs_is_noticed_within_the_bound_on_keys():
+    async with running_fleet() as fleet:
+        fleet.store.faults.outage = Outage.HANG
+        await asyncio.sleep(5.2)
+        assert (await fleet.ask("/sheet/1")).status == 503
+        fleet.store.faults.outage = Outage.NONE
+        await asyncio.sleep(5.0)
+        assert (await fleet.ask("/sheet/1")).status == 200
--- a/tests/fleet/test_weights_burst.py
+++ b/tests/fleet/test_weights_burst.py
@@ -6,6 +6,8 @@
 from declared_fleet import DeclaredFleet, running_fleet
 from platform_standins import CHUNKS, LLM, MODEL, TargetStandIn, piece
 
+from lacewinggw.lab.standin import Outage
+
 pytestmark = pytest.mark.looptime
 
 EVERY_PIECE = [piece(2, index) for index in range(CHUNKS)]
@@ -57,7 +59,7 @@
 async def test_a_piece_that_came_spoilt_from_the_origin_is_fetched_again():
     async with running_fleet(engines=2) as fleet:
         engines = await with_agents(fleet)
-        fleet.origin.faults.corrupt = {1, 5}
+        fleet.origin.corrupt = {1, 5}
         name_version(fleet, 2)
         await asyncio.sleep(8.0)
         assert all(engine.loaded == EVERY_PIECE for engine in engines)
@@ -66,10 +68,10 @@
 async def test_an_origin_that_is_away_for_a_while_is_asked_again():
     async with running_fleet(engines=2) as fleet:
         engines = await with_agents(fleet)
-        fleet.origin.faults.down = True
+        fleet.origin.faults.outage = Outage.CUT
         name_version(fleet, 2)
         await asyncio.sleep(3.0)
-        fleet.origin.faults.down = False
+        fleet.origin.faults.outage = Outage.NONE
         await asyncio.sleep(6.0)
         assert [engine.weights[MODEL] for engine in engines] == [2, 2]
 
