--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -10,6 +10,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+from virtual import run_virtual
+
 from lacewinggw.agent.requests import RequestService
 from lacewinggw.agent.target import TargetGate, TargetKind
 from lacewinggw.clients.engine import EngineClient
@@ -321,3 +323,20 @@
             await each.target.close()
         await fleet.platform.close()
         await asyncio.sleep(1)
+
+
+def fleet_test(**sizes):
+    """Run an async test of one fleet on virtual time."""
+
+    def decorate(test):
+        def run():
+            async def body():
+                async with request_fleet(**sizes) as fleet:
+                    await test(fleet)
+
+            run_virtual(body())
+
+        run.__name__ = test.__name__
+        return run
+
+    return decorate
