Reset the connection of an offer that was given up, so that nothing of it arrives later

The connection had opened in time; what was sent stood in the link's queue, and closing a connection has the kernel go on sending what it holds. Change: what is given up is reset, with a linger time of nothing.

--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -141,6 +141,11 @@
         self._outgoing.end()
         self._incoming.end()
 
+    def abort(self) -> None:
+        """Reset the stream: what is in flight is lost."""
+        if not self.closed:
+            self.break_off()
+
     def break_off(self) -> None:
         """Lose the connection: both readers raise `ConnectionResetError`."""
         self.closed = True
--- a/src/lacewinggw/lab/slopeplatform.py
+++ b/src/lacewinggw/lab/slopeplatform.py
@@ -53,6 +53,10 @@
         """Close the stream."""
         self._stream.close()
 
+    def abort(self) -> None:
+        """Reset the stream."""
+        self._stream.abort()
+
     async def wait_closed(self) -> None:
         """Wait until the stream is closed."""
         await self._stream.wait_closed()
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -358,7 +358,7 @@
         """Cut the connection unless the body was read to its end."""
         if not self._ended:
             self._ended = True
-            self._stream.close()
+            self._stream.abort()
 
 
 class NotConnectedError(ConnectionRefusedError):
@@ -447,7 +447,8 @@
             stream.close()
             raise HttpError(502, f"{address} broke HTTP: {error}") from error
         except BaseException:
-            stream.close()
+            # A request that was given up must not arrive later, out of a queue of the link.
+            stream.abort()
             raise
         received = _decode_headers(event.headers)
 
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -5,13 +5,17 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Protocol
 
 from lacewinggw.errors import ListenFailed
 
 READ_BUFFER_BYTES = 1 << 18
 CONNECT_TIMEOUT_S = 3.0
+LINGER_NOTHING = struct.pack("ii", 1, 0)  # on, zero seconds: closing resets, and drops what waits
 
 
 class Stream(Protocol):
@@ -36,6 +40,9 @@
     def close(self) -> None:
         """Close the stream at once; what is queued may still be sent."""
 
+    def abort(self) -> None:
+        """Reset the stream: what the other side has not got by now it will not get."""
+
     async def wait_closed(self) -> None:
         """Wait until the stream is closed."""
 
@@ -105,6 +112,16 @@
         """Close the stream at once; what is queued may still be sent."""
         self._writer.close()
 
+    def abort(self) -> None:
+        """Reset the stream: what the other side has not got by now it will not get.
+
+        Without a linger time of nothing the kernel would go on sending what it holds.
+        """
+        with suppress(OSError):
+            peer = self._writer.get_extra_info("socket")
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOTHING)
+        self._writer.transport.abort()
+
     async def wait_closed(self) -> None:
         """Wait until the stream is closed, however it ended."""
         try:
