Take each entry of the store by itself, and each start of a target for itself

Cause, of the first: one row whose value is no JSON, or lacks a field, raised KeyError, ValueError or AttributeError for the whole batch, which ended the follower as long as the row stood. Decoding is by row now, into types, each field checked; a row that cannot be read names no target, is logged and counted once a revision, and the last good routes hold. A known target whose row turns unreadable is let go at once: it may be leaving, and nobody could tell.

Cause, of the second: what is believed of a target went by its id alone, and a target may start again under its id: one that came back empty was offered requests, one that drained and came back never. Beliefs go by name and birth now; news of a start before changes nothing, and an agent tells of a new start before the list does.

The tests fail without it: 15 kinds of bad rows in 3 tables, a running fleet beside them, starts in either order, through an outage.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -204,7 +204,7 @@
   2: bool ready
   3: i64 routes_version
   4: i64 routes_age_ms           // the routes were known to be the newest so long ago
-  5: list<string> leaving        // targets that the sender learned lately take no new work
+  5: list<string> leaving        // starts of targets that, as the sender learned, take no new work
   6: list<NamedModelVersion> named
   7: binary routes = ""          // as the store has them, for one who asked with an older version
 }
@@ -215,7 +215,7 @@
 struct HeldWeights { 1: string model, 2: i64 version }
 
 struct NamedVersion { 1: i64 version, 2: i64 age_ms }
-struct ServiceTarget { 1: string target_id, 2: string address, 3: string place }
+struct ServiceTarget { 1: string name, 2: string address, 3: string place, 4: i64 born_ms = 0 }
 
 // From entry to agent, on change and now and then: what concerns the agent's service, so that agents
 // need not read the store, whose answers are large and come over the link of the target.
@@ -237,13 +237,14 @@
 
 // From agent to entry: the work of the target beside it, as the target itself says now.
 struct TargetNews {
-  1: string target_id            // of this start of the target
+  1: string name                 // of the target; a new start of it may bear it again
   2: i32 running
   3: i32 queued
   4: bool leaving = false
   5: list<HeldWeights> held      // what the target answers with
   6: bool loading = false        // it takes nothing until it has loaded
   7: i64 sent_ms                 // by the agent's own clock: only its differences say something
+  8: i64 born_ms = 0             // of the start that this is about; 0 where it does not tell
 }
 
 // ---- requests -------------------------------------------------------------------------
--- a/src/lacewinggw/clients/membership.py
+++ b/src/lacewinggw/clients/membership.py
@@ -1,5 +1,6 @@
 """Client of the platform's list of hosts, which lags behind what is so."""
 
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from enum import Enum
 from typing import Any
@@ -55,7 +56,7 @@
     return {**asdict(member), "role": member.role.value, "state": member.state.value}
 
 
-def member_from_json(value: dict[str, Any]) -> Member:
+def member_from_json(value: Mapping[str, Any]) -> Member:
     """Return the member that a JSON object stands for; raise `KeyError` or `ValueError`."""
     return Member(
         host=HostId(str(value["host"])),
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -11,7 +11,7 @@
 
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry, TargetPhase
-from lacewinggw.ids import ModelName, TargetId
+from lacewinggw.ids import ModelName, TargetId, TargetName
 
 LEFT_KEPT_S = 60.0  # a store that serves stale reads is seconds behind, a frozen entry little more
 DENIAL_FACTOR = 2.0  # the age of routes that others vouch for goes up to 1.3 of the bound
@@ -60,7 +60,8 @@
         self._targets: dict[TargetId, TargetEntry] = {}
         self._lapsing: dict[TargetId, float] = {}
         self._left: set[TargetId] = set()
-        self._unlisted_since: dict[TargetId, float] = {}  # of those that left
+        self._unlisted_since: dict[TargetId, float] = {}  # of starts kept in mind only
+        self._starts: dict[TargetName, TargetEntry] = {}  # the newest start that was listed
         self._routes_proved_at = float("-inf")
         self._outage_ended_at = float("-inf")
 
@@ -147,7 +148,17 @@
         self._outage_ended_at = now
 
     def take_target(self, entry: TargetEntry) -> None:
-        """Take what the list says of a target; one that leaves never comes back."""
+        """Take what the list says of a target; a start that leaves never comes back.
+
+        A start that was born later under the same name ends the one before, and what is heard of
+        that one afterwards, from a read that is behind, counts for nothing.
+        """
+        newest = self._starts.get(entry.name)
+        if newest is not None and entry.born_ms < newest.born_ms:
+            return
+        if newest is not None and newest.target != entry.target:
+            self._forget_start(newest.target)
+        self._starts[entry.name] = entry
         self._lapsing.pop(entry.target, None)
         if entry.phase is TargetPhase.LEAVING:
             self._left.add(entry.target)
@@ -160,19 +171,21 @@
 
     def take_whole_list(self, entries: Iterable[TargetEntry], now: float) -> None:
         """Take the whole list of targets; what is not on it has vanished."""
-        listed = {entry.target: entry for entry in entries}
-        for target in [each for each in self._targets if each not in listed]:
-            self.drop_target(target, now)
+        listed = {entry.name: entry for entry in entries}
+        known = {entry.name for entry in self._targets.values()}
+        for name in known - listed.keys():
+            self.drop_target(name, now)
         for entry in listed.values():
             self.take_target(entry)
 
-    def drop_target(self, target: TargetId, now: float) -> None:
+    def drop_target(self, name: TargetName, now: float) -> None:
         """Note that a target has vanished from the list.
 
         After an outage of the store a live one is back soon, so it is believed a little longer,
         unless it was leaving.
         """
-        if target not in self._targets:
+        target = self._listed_start(name)
+        if target is None:
             return
         lapsed = now - self._outage_ended_at < self.rules.settled_s
         if lapsed and target not in self._left:
@@ -181,6 +194,26 @@
             return
         del self._targets[target]
 
+    def disown_target(self, name: TargetName) -> None:
+        """Let go of a target whose entry cannot be read: nobody can tell whether it may be used.
+
+        It may be leaving, or its name may stand for something else by now. A readable entry brings
+        it back.
+        """
+        target = self._listed_start(name)
+        if target is not None:
+            self._forget_start(target)
+
+    def note_born(self, name: TargetName, born_ms: int) -> None:
+        """Note when a target was born, as told by its host: an earlier start of it is over.
+
+        The list follows within a heartbeat of the target; until then the new start is not used, as
+        its weights are not known.
+        """
+        newest = self._starts.get(name)
+        if newest is not None and newest.born_ms < born_ms:
+            self.note_leaving(newest.target)
+
     def note_weights(self, target: TargetId, weights: Mapping[ModelName, int]) -> bool:
         """Take what a target was heard to hold; return whether that is news.
 
@@ -203,16 +236,30 @@
     def expire(self, now: float) -> None:
         """Let go of targets that did not come back after an outage, and forget those long gone."""
         for target in [each for each, until in self._lapsing.items() if until <= now]:
-            del self._lapsing[target]
-            self._targets.pop(target, None)
+            self._forget_start(target)
         self._forget_left(now)
 
+    def _listed_start(self, name: TargetName) -> TargetId | None:
+        newest = self._starts.get(name)
+        if newest is None or newest.target not in self._targets:
+            return None
+        return newest.target
+
+    def _forget_start(self, target: TargetId) -> None:
+        self._lapsing.pop(target, None)
+        self._targets.pop(target, None)
+
     def _forget_left(self, now: float) -> None:
-        for target in self._left - self._targets.keys():
+        starts = {entry.target: entry.name for entry in self._starts.values()}
+        for target in (self._left | starts.keys()) - self._targets.keys():
             since = self._unlisted_since.setdefault(target, now)
             if now - since >= LEFT_KEPT_S:
                 self._left.discard(target)
+                if target in starts:
+                    del self._starts[starts[target]]
                 del self._unlisted_since[target]
+        for target in self._unlisted_since.keys() & self._targets.keys():
+            del self._unlisted_since[target]
 
 
 def _newest(
--- a/src/lacewinggw/errors.py
+++ b/src/lacewinggw/errors.py
@@ -380,6 +380,15 @@
     default_remedy = "check that the address in [platform] is that of the right service"
 
 
+class EntryUnreadable(PlatformError):
+    """An entry of the store is not what it should be: another writer left or spoilt it."""
+
+    code = "LW-3007"
+    kind = "entry-unreadable"
+    http_status = 502
+    default_remedy = "find out who wrote the entry; until it is written anew it counts for nothing"
+
+
 # ---- configuration -------------------------------------------------------------------------
 
 
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -48,7 +48,19 @@
     key: str
 
 
-Change: TypeAlias = Put | Drop
+@dataclass(frozen=True)
+class Unreadable:
+    """An entry that cannot be read, as another writer left or spoilt it: it says nothing.
+
+    `revision` is the store's, so that one entry is told of once.
+    """
+
+    key: str
+    revision: int
+    reason: str
+
+
+Change: TypeAlias = Put | Drop | Unreadable
 
 
 @dataclass(frozen=True)
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -12,7 +12,7 @@
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
 from lacewinggw.errors import PlatformError
-from lacewinggw.fleet.feed import FleetFeed, HistoryGone, News, Topic
+from lacewinggw.fleet.feed import FleetFeed, HistoryGone, News, Topic, Unreadable
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
 
@@ -67,6 +67,8 @@
         self._lost_since: float | None = None
         self._retry_s = FIRST_RETRY_S
         self._reads = metrics.counter("store_reads", topic=topic)
+        self._unreadable = metrics.counter("store_entries_unreadable", topic=topic)
+        self._told_unreadable: dict[str, int] = {}  # the revision that was told, by key
         self._loop = Background(f"follow {topic.value}", self._run)
 
     @property
@@ -104,6 +106,7 @@
                 continue
             self._note_answer()
             self._position = news.position
+            self._tell_unreadable(news)
             self._apply(news, sent_at)
             if news.changes:
                 await asyncio.sleep(self._wait().after_news_s)
@@ -114,6 +117,26 @@
             return await self._feed.snapshot(self._topic)
         return await self._feed.changes(self._topic, self._position, self._wait().for_news_s)
 
+    def _tell_unreadable(self, news: News) -> None:
+        """Log and count each entry that cannot be read, once a revision of it."""
+        found = [each for each in news.changes if isinstance(each, Unreadable)]
+        if news.whole:
+            listed = {each.key for each in found}
+            for key in self._told_unreadable.keys() - listed:
+                del self._told_unreadable[key]
+        for each in found:
+            if self._told_unreadable.get(each.key) == each.revision:
+                continue
+            self._told_unreadable[each.key] = each.revision
+            self._unreadable.add()
+            log.warning(
+                "store_entry_unreadable",
+                topic=self._topic.value,
+                key=each.key,
+                revision=each.revision,
+                reason=each.reason,
+            )
+
     async def _back_off(self, error: PlatformError) -> None:
         self._metrics.retry(RetryReason.PLATFORM_UNAVAILABLE)
         if self._lost_since is None:
--- a/src/lacewinggw/fleet/newsletter.py
+++ b/src/lacewinggw/fleet/newsletter.py
@@ -64,4 +64,4 @@
 
 
 def _told(entry: TargetEntry) -> messages.ServiceTarget:
-    return messages.ServiceTarget(entry.target, entry.address, entry.place)
+    return messages.ServiceTarget(entry.name, entry.address, entry.place, entry.born_ms)
--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -10,13 +10,14 @@
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.pollers import rank_of
-from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetlist import TargetEntry, start_of
 from lacewinggw.entry.watches import Watched, Watches
 from lacewinggw.fleet.newsletter import compose_news
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import Address, HostId, ModelName, TargetId
+from lacewinggw.ids import Address, HostId, ModelName, TargetName
 from lacewinggw.wire.peers import PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 FLEET_NEWS_S = 1.5  # between news for agents without a change
 GATHER_S = 0.02  # changes that come together are told together
@@ -78,7 +79,10 @@
 
     def take_news(self, news: messages.TargetNews) -> None:
         """Take what an agent says of its target."""
-        target = TargetId(news.target_id)
+        require_sound(news)
+        name = TargetName(news.name)
+        self._knowledge.note_born(name, news.born_ms)
+        target = start_of(name, news.born_ms)
         now = asyncio.get_running_loop().time()
         sent_s = news.sent_ms / MS_PER_S
         self._pool.note_report(target, news.running + news.queued, now, news.loading, sent_s)
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lacewinggw.ids import Account, ModelName, TargetId
+from lacewinggw.ids import Account, ModelName, TargetName
 from lacewinggw.wire.http import HeaderList, Headers
 
 USUAL_URGENCY = 5  # of a request that says nothing; 0 is the most urgent, 9 the least
@@ -70,7 +70,7 @@
     given. `resume_after` is the last event that the caller has.
     """
 
-    target: TargetId
+    target: TargetName
     account: Account | None
     time_left_ms: int
     urgency: int = USUAL_URGENCY
@@ -91,7 +91,7 @@
     not_run: bool
     sealed: bool
     version: int | None = None
-    answered_by: TargetId | None = None
+    answered_by: TargetName | None = None
 
 
 class CallCodec(Protocol):
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -116,7 +116,7 @@
         """Offer the request; return once the head of the answer is there, or will not come."""
         now = asyncio.get_running_loop().time()
         dispatch = Dispatch(
-            target=load.entry.target,
+            target=load.entry.name,
             account=job.account.name if job.account else None,
             time_left_ms=max(1, time_left_ms(job.deadline, now)),
             urgency=sending.urgency,
@@ -159,7 +159,7 @@
             return NotRun(
                 f"the target answered {response.status}",
                 full=response.status == BUSY,
-                is_gone=facts.answered_by not in (None, load.entry.target),
+                is_gone=facts.answered_by not in (None, load.entry.name),
             )
         return Answer(response.status, response.headers, facts, response)
 
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -37,6 +37,7 @@
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 MS_PER_S = 1000.0
 PERCENT = 100.0
@@ -300,6 +301,7 @@
             case messages.AskNews() as question:
                 exchange.finish(self._compose_news(question.routes_version))
             case messages.EntryNews() as news:
+                require_sound(news)
                 self._neighbours.take_news(exchange.link, news)
             case messages.TargetNews() as news:
                 self._agents.take_news(news)
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -11,9 +11,18 @@
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, News, Put, Topic, listed_targets
+from lacewinggw.fleet.feed import (
+    Drop,
+    FleetFeed,
+    MemberEntry,
+    News,
+    Put,
+    Topic,
+    Unreadable,
+    listed_targets,
+)
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
-from lacewinggw.ids import HostId, ModelName, TargetId
+from lacewinggw.ids import HostId, ModelName, TargetId, TargetName
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
@@ -137,13 +146,14 @@
         if news.whole:
             self._knowledge.take_whole_list(listed_targets(news), now)
             self._has_list = True
-        else:
-            for change in news.changes:
-                match change:
-                    case Put(TargetEntry() as entry):
-                        self._knowledge.take_target(entry)
-                    case Drop(key):
-                        self._knowledge.drop_target(TargetId(key), now)
+        for change in news.changes:
+            match change:
+                case Put(TargetEntry() as entry) if not news.whole:
+                    self._knowledge.take_target(entry)
+                case Drop(key):
+                    self._knowledge.drop_target(TargetName(key), now)
+                case Unreadable(key):
+                    self._knowledge.disown_target(TargetName(key))
         self._sync()
 
     def _sync(self) -> None:
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -21,6 +21,7 @@
 from lacewinggw.ids import HostId, ModelName, Place, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.wire.peers import PeerLink, PeerNode
+from lacewinggw.wire.soundness import require_sound
 
 ASK_S = 0.8  # between questions: an age then stays within the reader's wait and this
 ANSWER_S = 0.5  # between regions an answer takes some ms, over a full link some 100
@@ -106,12 +107,12 @@
         try:
             link: PeerLink = await asyncio.wait_for(self._node.link(entry.address), ANSWER_S)
             news = await link.call(question, ANSWER_S)
+            self._take(news, sent_at)
         except (LacewingError, TimeoutError, OSError) as error:
             log.debug("entry_did_not_vouch", entry=entry.host, error=error)
-            return
-        self._take(news, sent_at)
 
     def _take(self, news: messages.EntryNews, sent_at: float) -> None:
+        require_sound(news)
         knowledge = self._knowledge
         for target in news.leaving:
             knowledge.note_leaving(TargetId(target))
--- a/src/lacewinggw/ids.py
+++ b/src/lacewinggw/ids.py
@@ -15,6 +15,7 @@
 CommandId = NewType("CommandId", str)
 RouteName = NewType("RouteName", str)
 ModelName = NewType("ModelName", str)
+TargetName = NewType("TargetName", str)  # as its operators list it: a restart may keep it
 TargetId = NewType("TargetId", str)  # of one start of a target: a restart has another
 Revision = NewType("Revision", int)
 Nonce = NewType("Nonce", bytes)
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -10,11 +10,12 @@
 from lacewinggw.decisions.knowledge import Due, Knowledge, KnowledgeRules
 from lacewinggw.decisions.routes import RouteTable, WeightsFigures
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import Drop, News, Put, listed_targets
+from lacewinggw.fleet.feed import Drop, News, Put, Unreadable, listed_targets
 from lacewinggw.fleet.newsletter import all_resume
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId
+from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId, TargetName
 from lacewinggw.log import get_logger
+from lacewinggw.wire.soundness import require_sound
 
 MS_PER_S = 1000.0
 FRESH_S = (
@@ -63,14 +64,12 @@
         }
 
     @property
-    def own_target(self) -> TargetId | None:
+    def own_target(self) -> TargetEntry | None:
         """The present start of the target beside the agent, None until it is listed."""
         mine = [
-            entry.target
-            for entry in self._knowledge.targets.values()
-            if entry.address == self._address
+            entry for entry in self._knowledge.targets.values() if entry.address == self._address
         ]
-        return mine[-1] if mine else None
+        return max(mine, key=lambda entry: entry.born_ms, default=None)
 
     def is_leaving(self, target: TargetId) -> bool:
         """Tell whether a target takes no new work."""
@@ -103,13 +102,14 @@
         self._position = max(self._position, news.position)
         if news.whole:
             self._knowledge.take_whole_list(entries, now)
-            return
-        for entry in entries:
-            self._knowledge.take_target(entry)
         for change in news.changes:
             match change:
+                case Put(TargetEntry() as entry) if not news.whole:
+                    self._knowledge.take_target(entry)
                 case Drop(key):
-                    self._knowledge.drop_target(TargetId(key), now)
+                    self._knowledge.drop_target(TargetName(key), now)
+                case Unreadable(key):
+                    self._knowledge.disown_target(TargetName(key))
 
     def _take_table(self, table: RouteTable) -> None:
         if not self._knowledge.take_routes(table):
@@ -131,6 +131,7 @@
 
     def take_news(self, news: messages.FleetNews) -> None:
         """Take what an entry says."""
+        require_sound(news)
         if news.service_name != self._name:
             return
         now = self._clock()
@@ -159,5 +160,9 @@
 
     def _listed(self, told: messages.ServiceTarget) -> TargetEntry:
         return TargetEntry(
-            TargetId(told.target_id), self._name, Address(told.address), Place(told.place)
+            TargetName(told.name),
+            self._name,
+            Address(told.address),
+            Place(told.place),
+            born_ms=told.born_ms,
         )
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -363,13 +363,14 @@
         if report is None or target is None:
             return None
         return messages.TargetNews(
-            target_id=target,
+            name=target.name,
             running=report.running,
             queued=report.queued,
-            leaving=self.assignment.is_leaving(target),
+            leaving=self.assignment.is_leaving(target.target),
             held=[_held(model, version) for model, version in report.weights.items()],
             loading=self._loader.is_loading or self._emptying_since is not None,
             sent_ms=0,
+            born_ms=report.born_ms,
         )
 
 
--- a/src/lacewinggw/loader/target.py
+++ b/src/lacewinggw/loader/target.py
@@ -14,6 +14,7 @@
 
     `weights` are the versions of models that it holds whole; `orders` counts the orders it has
     taken since its start, by which one that went unanswered is told from one that was lost.
+    `born_ms` tells that start from others, in Unix milliseconds; 0 where it is not told.
     """
 
     running: int
@@ -21,6 +22,7 @@
     busy: bool
     orders: int
     weights: Mapping[ModelName, int] = field(default_factory=dict)
+    born_ms: int = 0
 
 
 class Switch(Enum):
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -69,6 +69,9 @@
     "routes_version": _gauge("entry", "Version of the routes in force."),
     "service_replicas": _gauge("entry", "Replicas of a service: declared, placed, and serving."),
     "staged_pieces_replaced": _counter("agent", "Staged pieces found spoilt before an order."),
+    "store_entries_unreadable": _counter(
+        "both", "Entries of the operators' store that cannot be read, by topic."
+    ),
     "store_reads": _counter("both", "Reads of the operators' store, by topic."),
     "target_fences_unkept": _counter(
         "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -23,6 +23,7 @@
 KEY = "key-of-growers"
 CHUNKS = 8
 CHUNK_BYTES = 1024
+BORN_MS = 1_764_700_000_000  # of the first start of each target
 
 
 def manifest(version: int, **changes: object) -> dict:
@@ -204,6 +205,7 @@
         "State": "ready",
         "ColdRemainingMs": 0,
         "Models": models,
+        "born": BORN_MS,
         **changes,
     }
 
@@ -237,6 +239,14 @@
         self.orders: list[dict] = []
         self.loaded: list[bytes] = []
         self.busy = False
+        self.born_ms = BORN_MS
+
+    def restart(self) -> None:
+        """Start again under the same id: nothing is held or known of before."""
+        self.born_ms += 60_000
+        self.weights = {}
+        self.orders = []
+        self.busy = False
 
     async def answer(self, request: Request) -> Response:
         match request.path.split("/")[1:]:
@@ -309,6 +319,7 @@
                 "Sequence": len(self.orders),
                 "QueuedRequests": 0,
                 "ActiveRequests": self.running,
+                "born": self.born_ms,
             },
         )
 
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -7,12 +7,12 @@
 from lacewinggw_platform.fleet import decode_routes, decode_target
 from lacewinggw_platform.heads import PlatformHeads
 from lacewinggw_platform.store import PlatformStore
-from platform_standins import KEY, LLM, ORIGIN, manifest, target_row
+from platform_standins import BORN_MS, KEY, LLM, ORIGIN, manifest, target_row
 
 from lacewinggw.decisions.routes import Repeat
-from lacewinggw.decisions.targetlist import TargetPhase
-from lacewinggw.errors import MalformedHttp, PlatformUnavailable
-from lacewinggw.fleet.feed import Drop, HistoryGone, Put, Topic
+from lacewinggw.decisions.targetlist import TargetPhase, start_of
+from lacewinggw.errors import MalformedHttp, PlatformError, PlatformUnavailable
+from lacewinggw.fleet.feed import Drop, HistoryGone, Put, Topic, Unreadable
 from lacewinggw.frontend.calls import Dispatch
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.wire.http import HttpClient, HttpServer, Response, json_response
@@ -70,7 +70,8 @@
 )
 def test_a_target_as_it_lists_itself(state, phase):
     entry = decode_target("i-1", encoded(target_row(LLM, "10.2.0.1:8080", State=state)))
-    assert (entry.target, entry.phase, entry.slots) == ("i-1", phase, 4)
+    assert (entry.name, entry.phase, entry.slots) == ("i-1", phase, 4)
+    assert entry.target == start_of("i-1", BORN_MS)
     assert entry.weights == {"market": 1}
 
 
@@ -163,7 +164,7 @@
     )
     async with pages as store:
         news = await store.snapshot(Topic.TARGETS)
-    assert [change.item.target for change in news.changes] == ["a", "b"]
+    assert [change.item.name for change in news.changes] == ["a", "b"]
     assert (news.position, news.whole) == (9, True)
     assert pages.queries[1]["From"] == "a\0"
 
@@ -189,6 +190,59 @@
             await store.changes(Topic.TARGETS, 3, 1.0)
 
 
+def written(row_value):
+    return base64.b64encode(encoded(row_value)).decode()
+
+
+GOOD = target_row(LLM, "10.2.0.1:8080")
+BAD_VALUES = {
+    "no base64": "%%%",
+    "no JSON": base64.b64encode(b"{").decode(),
+    "a list": written([1]),
+    "no value": None,
+    "no address": written({key: value for key, value in GOOD.items() if key != "Address"}),
+    "an address of another type": written({**GOOD, "Address": 7}),
+    "an address without a port": written({**GOOD, "Address": "10.2.0.1"}),
+    "slots of another type": written({**GOOD, "Slots": "four"}),
+    "a state that is not known": written({**GOOD, "State": "dancing"}),
+    "no place": written({**GOOD, "Zone": None}),
+    "weights of another type": written({**GOOD, "Models": {"market": 1}}),
+    "a model without a version": written({**GOOD, "Models": [{"Name": "market"}]}),
+    "no birth": written({key: value for key, value in GOOD.items() if key != "born"}),
+    "a birth of another type": written({**GOOD, "born": 1.5}),
+    "a birth that is true": written({**GOOD, "born": True}),
+}
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("topic", list(Topic))
+@pytest.mark.parametrize("kind", BAD_VALUES)
+async def test_a_row_of_another_writer_says_nothing_and_the_others_hold(topic, kind):
+    good = {
+        Topic.TARGETS: row("b", GOOD, 5),
+        Topic.CONFIGURATION: row("version/m", {"Model": "m", "Version": 2}, 5),
+        Topic.MEMBERS: row("h", {"host": "h", "place": "p", "role": "entry", "address": "x"}, 5),
+    }[topic]
+    key = {Topic.TARGETS: "a", Topic.CONFIGURATION: "config", Topic.MEMBERS: "a"}[topic]
+    bad = {"Table": "t", "part": "", "Key": key, "Value": BAD_VALUES[kind], "SchemaVersion": 4}
+    async with PagedStore(json_response(200, {"Rows": [bad, good], "SchemaVersion": 5})) as store:
+        news = await store.changes(topic, 3, 1.0)
+    assert [type(change) for change in news.changes] == [Unreadable, Put]
+    told = news.changes[0]
+    assert (told.key, told.revision) == (key, 4) and told.reason
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    "page",
+    [[], {}, {"Rows": 3, "SchemaVersion": 1}, {"Rows": [3], "SchemaVersion": 1}, {"Rows": []}],
+)
+async def test_an_answer_about_rows_that_is_not_understood_is_an_error_of_the_store(page):
+    async with PagedStore(json_response(200, page)) as store:
+        with pytest.raises(PlatformError):
+            await store.changes(Topic.TARGETS, 3, 1.0)
+
+
 @pytest.mark.looptime
 async def test_rows_of_the_operators_that_are_not_known_are_passed_over():
     rows = [{**row("something/new", {"a": 1}, 4), "Table": "op"}]
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -22,8 +22,9 @@
     return Knowledge(RULES)
 
 
-def target(name, phase=TargetPhase.READY, **weights):
-    return TargetEntry(name, "desk", f"10.0.0.1:{len(name)}", "hall", phase, weights=weights)
+def target(name, phase=TargetPhase.READY, born_ms=0, **weights):
+    address = f"10.0.0.1:{len(name)}"
+    return TargetEntry(name, "desk", address, "hall", phase, weights=weights, born_ms=born_ms)
 
 
 def test_nothing_is_covered_before_the_routes_are_known(knowledge):
@@ -129,3 +130,70 @@
     knowledge.take_target(target("a", market=1))
     assert knowledge.targets["a"].weights == {"market": 2}
     assert not knowledge.note_weights("gone", {"market": 2})
+
+
+# ---- starts of a target under one name ------------------------------------------------------
+
+
+def test_a_start_that_drained_and_left_does_not_keep_the_next_one_out(knowledge):
+    knowledge.take_target(target("a", TargetPhase.LEAVING, born_ms=1))
+    knowledge.drop_target("a", now=100.0)
+    knowledge.take_target(target("a", born_ms=2))
+    assert set(knowledge.targets) == {"a/2"} and "a/2" not in knowledge.leaving
+
+
+def test_a_new_start_ends_the_one_before_and_holds_nothing_of_it(knowledge):
+    knowledge.take_target(target("a", born_ms=1, market=3))
+    knowledge.take_target(target("a", born_ms=2))
+    assert set(knowledge.targets) == {"a/2"}
+    assert knowledge.targets["a/2"].weights == {}
+    assert not knowledge.note_weights("a/1", {"market": 4})
+
+
+@pytest.mark.parametrize("gone_between", [False, True])
+def test_what_is_read_late_of_the_start_before_changes_nothing(knowledge, gone_between):
+    knowledge.take_target(target("a", born_ms=2))
+    if gone_between:
+        knowledge.drop_target("a", now=100.0)
+    knowledge.take_target(target("a", born_ms=1, market=3))
+    assert set(knowledge.targets) == (set() if gone_between else {"a/2"})
+
+
+def test_a_new_start_that_is_listed_after_an_outage_is_the_only_one(knowledge):
+    knowledge.take_target(target("a", born_ms=1))
+    knowledge.note_outage_end(100.0)
+    knowledge.take_whole_list([], now=100.1)
+    knowledge.take_target(target("a", born_ms=2))
+    knowledge.expire(100.2)
+    assert set(knowledge.targets) == {"a/2"}
+    knowledge.expire(103.0)
+    assert set(knowledge.targets) == {"a/2"}
+
+
+def test_a_start_that_its_host_says_is_over_gets_nothing_before_the_list_says_so(knowledge):
+    knowledge.take_target(target("a", born_ms=1))
+    knowledge.note_born("a", 1)
+    assert not knowledge.leaving
+    knowledge.note_born("a", 2)
+    assert knowledge.leaving == {"a/1"}
+    knowledge.note_born("a", 1)  # news that was held up
+    knowledge.take_target(target("a", born_ms=2))
+    assert set(knowledge.targets) == {"a/2"} and "a/2" not in knowledge.leaving
+
+
+def test_a_target_whose_entry_cannot_be_read_is_let_go_until_it_can_be(knowledge):
+    knowledge.take_target(target("a", born_ms=1))
+    knowledge.note_outage_end(100.0)
+    knowledge.disown_target("a")
+    assert not knowledge.targets
+    knowledge.take_target(target("a", born_ms=1))
+    assert set(knowledge.targets) == {"a/1"}
+
+
+def test_starts_that_are_long_gone_are_forgotten(knowledge):
+    knowledge.take_target(target("a", born_ms=5))
+    knowledge.drop_target("a", now=100.0)
+    knowledge.expire(100.0)
+    knowledge.expire(161.0)
+    knowledge.take_target(target("a", born_ms=4))
+    assert set(knowledge.targets) == {"a/4"}
