Add a model of a declared fleet on virtual time, with load patterns as tests

Entries run the product's own relay, queue and pool unchanged, without sockets; engines batch by the published figures; callers give up and come back.

--- /dev/null
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -0,0 +1,265 @@
+"""The modelled fleet: entries with the product's own decisions, before modelled engines."""
+
+import asyncio
+import random
+
+from lacewinggw.decisions.dispatch import TargetPool
+from lacewinggw.decisions.ejection import EjectionRules
+from lacewinggw.decisions.knowledge import Knowledge, KnowledgeRules
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.frontend.callers import CallerGone
+from lacewinggw.frontend.calls import Call
+from lacewinggw.frontend.placing import Placing, RetryLimits
+from lacewinggw.frontend.queue import RequestQueue
+from lacewinggw.frontend.relay import Relay, RelayParts
+from lacewinggw.ids import Address, Place, TargetId, TargetName
+from lacewinggw.lab.fleetmodel.callers import Crowd, Door, ModelCaller, Story
+from lacewinggw.lab.fleetmodel.engine import ModelEngine
+from lacewinggw.lab.fleetmodel.offers import ModelCall, ModelCodec, ModelOffers
+from lacewinggw.lab.fleetmodel.profile import (
+    MODEL,
+    WRITER,
+    FleetProfile,
+    LoadPattern,
+    Window,
+)
+from lacewinggw.metrics import Metrics
+
+NEWS_S = 0.2  # between news of an engine's work
+BOOT_S = 0.5  # from the return of power until an entry serves and an engine has loaded
+
+
+class ModelEntry:
+    """One entry: its knowledge, pool, queue and relay, wired to modelled engines."""
+
+    def __init__(
+        self,
+        profile: FleetProfile,
+        place: str,
+        engines: dict[TargetId, ModelEngine],
+        entries: list[TargetEntry],
+        calls: dict[str, ModelCall],
+        rng: random.Random,
+    ) -> None:
+        loop_time = asyncio.get_running_loop().time
+        self.is_open = True
+        self.metrics = Metrics()
+        self.pool = TargetPool(Place(place), EjectionRules(3, 1.0, 0.5), rng)
+        self._serving: set[asyncio.Task[None]] = set()
+        knowledge = Knowledge(KnowledgeRules())
+        knowledge.take_routes(profile.table)
+        knowledge.prove_routes(loop_time() + 3600.0)
+        for entry in entries:
+            knowledge.take_target(entry)
+        self.pool.sync(knowledge.targets)
+        self.queue = RequestQueue(knowledge, self.pool, self.metrics)
+        limits = RetryLimits(0.2, profile.extra_retries, 10.0)
+        placing = Placing(knowledge, self.queue, loop_time, lambda: limits, lambda: profile.entries)
+        codec = ModelCodec(calls)
+        offers = ModelOffers(profile, engines, calls, place)
+        self._relay = Relay(
+            RelayParts(
+                codec=codec,
+                knowledge=knowledge,
+                pool=self.pool,
+                queue=self.queue,
+                placing=placing,
+                offers=offers,  # type: ignore[arg-type]
+                clock=loop_time,
+                metrics=self.metrics,
+                rng=rng,
+            )
+        )
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        await self.queue.start()
+
+    async def close(self) -> None:
+        """Lose power: break off what is served."""
+        self.is_open = False
+        for task in list(self._serving):
+            task.cancel()
+        await self.queue.close()
+
+    async def serve(self, call: Call, caller: ModelCaller) -> None:
+        """Answer a request of a caller; raise `CallerGone` when it ends without an answer."""
+        task = asyncio.ensure_future(self._relay.serve(call, caller))  # type: ignore[arg-type]
+        self._serving.add(task)
+        try:
+            await asyncio.wait([task])
+        finally:
+            self._serving.discard(task)
+            task.cancel()
+        if task.cancelled() or task.exception() is not None:
+            raise CallerGone
+
+
+class ModelFleet:
+    """A fleet that plays one load pattern.
+
+    fleet = ModelFleet(profile, pattern, seed=1)
+    stories = await fleet.play()
+    """
+
+    def __init__(self, profile: FleetProfile, pattern: LoadPattern, seed: int) -> None:
+        self._profile = profile
+        self._pattern = pattern
+        self._rng = random.Random(seed)
+        self._calls: dict[str, ModelCall] = {}
+        self._engines: dict[TargetId, ModelEngine] = {}
+        self._listed: list[TargetEntry] = []
+        self._entries: list[ModelEntry] = []
+        self._began = 0.0
+
+    @property
+    def rejected(self) -> int:
+        """Offers that engines had no room for."""
+        return sum(engine.rejected for engine in self._engines.values())
+
+    async def play(self) -> list[Story]:
+        """Run the whole pattern and return what became of each request."""
+        self._add_engines()
+        await self._add_entries()
+        loop = asyncio.get_running_loop()
+        self._began = loop.time()
+        crowd = Crowd(self._profile, self._doors, self._calls, self._rng, self._pattern.impatient)
+        tasks = [loop.create_task(self._tell(target)) for target in self._engines]
+        tasks += [loop.create_task(self._follow(each)) for each in self._events()]
+        await crowd.run(self._pattern.length_s, self._factor)
+        for task in tasks:
+            task.cancel()
+        for entry in self._entries:
+            await entry.close()
+        for engine in self._engines.values():
+            await engine.close()
+        return crowd.stories
+
+    def _doors(self) -> list[Door]:
+        return list(self._entries)
+
+    def _factor(self, elapsed_s: float) -> float:
+        factor = 1.0
+        for window, times in self._pattern.bursts:
+            if window.begin_s <= elapsed_s < window.end_s:
+                factor *= times
+        return factor
+
+    # ---- parts ----------------------------------------------------------------------------
+
+    def _place(self, index: int) -> str:
+        return f"place-{index % self._profile.places}"
+
+    def _add_engines(self) -> None:
+        for index in range(self._profile.engines):
+            entry = TargetEntry(
+                TargetName(f"i-{index}"),
+                WRITER,
+                Address(f"10.2.0.{index + 1}:8080"),
+                Place(self._place(index)),
+                slots=self._profile.figures.slots,
+                weights={MODEL: 1},
+            )
+            engine = ModelEngine(self._profile.figures, self._profile.queue)
+            engine.start()
+            self._engines[entry.target] = engine
+            self._listed.append(entry)
+
+    async def _add_entries(self) -> None:
+        for index in range(self._profile.entries):
+            rng = random.Random(self._rng.random())
+            entry = ModelEntry(
+                self._profile, self._place(index), self._engines, self._listed, self._calls, rng
+            )
+            await entry.start()
+            self._entries.append(entry)
+
+    async def _tell(self, target: TargetId) -> None:
+        """Tell every entry now and then how busy an engine is."""
+        await asyncio.sleep(self._rng.uniform(0.0, NEWS_S))
+        while True:
+            engine, now = self._engines[target], asyncio.get_running_loop().time()
+            if engine.is_up:
+                for entry in self._entries:
+                    entry.pool.note_report(target, engine.running, now, engine.is_loading, now)
+            await asyncio.sleep(NEWS_S)
+
+    # ---- what happens ---------------------------------------------------------------------
+
+    def _events(self) -> list["_Event"]:
+        events: list[_Event] = []
+        turn = 0.0
+        for window, share in self._pattern.outages:
+            events.append(_Outage(window, turn, turn + share))
+            turn = (turn + share) % 1.0
+        events += [_PowerLoss(window) for window in self._pattern.power_losses]
+        events += [_Slow(window, share, factor) for window, share, factor in self._pattern.slow]
+        return events
+
+    async def _follow(self, event: "_Event") -> None:
+        await self._until(event.window.begin_s)
+        match event:
+            case _Outage(window, begin, end):
+                engines = self._part(begin, end)
+                for engine in engines:
+                    engine.is_loading = True
+                await self._until(window.end_s)
+                for engine in engines:
+                    engine.is_loading = False
+            case _Slow(window, share, factor):
+                engines = self._part(0.0, share)
+                for engine in engines:
+                    engine.factor = factor
+                await self._until(window.end_s)
+                for engine in engines:
+                    engine.factor = 1.0
+            case _PowerLoss(window):
+                for engine in self._engines.values():
+                    engine.lose_power()
+                lost, self._entries = self._entries, []
+                for entry in lost:
+                    await entry.close()
+                await self._until(window.end_s + BOOT_S)
+                for engine in self._engines.values():
+                    engine.is_up = True
+                await self._add_entries()
+
+    def _part(self, begin: float, end: float) -> list[ModelEngine]:
+        engines = list(self._engines.values())
+        return engines[round(begin * len(engines)) : round(end * len(engines))]
+
+    async def _until(self, at_s: float) -> None:
+        await asyncio.sleep(max(0.0, self._began + at_s - asyncio.get_running_loop().time()))
+
+
+class _Event:
+    """Something that happens to the fleet."""
+
+    window: Window
+
+
+class _Outage(_Event):
+    """A part of the engines takes other weights."""
+
+    __match_args__ = ("window", "begin", "end")
+
+    def __init__(self, window: Window, begin: float, end: float) -> None:
+        self.window, self.begin, self.end = window, begin, end
+
+
+class _Slow(_Event):
+    """A part of the engines works slowly."""
+
+    __match_args__ = ("window", "share", "factor")
+
+    def __init__(self, window: Window, share: float, factor: float) -> None:
+        self.window, self.share, self.factor = window, share, factor
+
+
+class _PowerLoss(_Event):
+    """Everything stops and begins anew."""
+
+    __match_args__ = ("window",)
+
+    def __init__(self, window: Window) -> None:
+        self.window = window
--- /dev/null
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -0,0 +1,135 @@
+"""Offers to modelled engines, in place of those over HTTP: what comes back is of the same kinds."""
+
+import asyncio
+from collections.abc import AsyncGenerator, Mapping
+from dataclasses import dataclass
+
+from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.frontend.admission import Admitted
+from lacewinggw.frontend.calls import AnswerFacts, CallFacts, Dispatch
+from lacewinggw.frontend.offers import OK, Answer, Lost, NotRun, OfferLimits, Sending
+from lacewinggw.ids import TargetId
+from lacewinggw.lab.fleetmodel.engine import EngineJob, ModelEngine
+from lacewinggw.lab.fleetmodel.profile import FleetProfile
+from lacewinggw.wire.http import HeaderList, Headers
+
+VERSION = 1
+CONNECT_S = 0.25
+
+
+@dataclass(frozen=True)
+class ModelCall:
+    """What a request asks for, beside what its head tells."""
+
+    facts: CallFacts
+    prompt_tokens: int
+    events: int
+
+
+class ModelCodec:
+    """Reads heads that consist of a request's id alone."""
+
+    def __init__(self, calls: Mapping[str, ModelCall]) -> None:
+        self._calls = calls
+
+    def read_call(self, headers: HeaderList) -> CallFacts:
+        """Return what the request tells."""
+        return self._calls[headers[0][1]].facts
+
+    def write_call(self, headers: HeaderList, dispatch: Dispatch) -> HeaderList:
+        """Return the head as it is: engines here are asked directly."""
+        return headers
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerFacts:
+        """Return what an engine's head would tell."""
+        return AnswerFacts(None, False, True, VERSION)
+
+
+class ModelResponse:
+    """The answer of a modelled engine, event by event."""
+
+    status = OK
+
+    def __init__(self, engine: ModelEngine, job: EngineJob, first: int, hop_s: float) -> None:
+        self.headers: Headers = {}
+        self._events = engine.events(job)
+        self._first = first
+        self._hop_s = hop_s
+
+    async def pieces(self) -> AsyncGenerator[bytes, None]:
+        """Yield the events as they travel."""
+        yield _event(self._first)
+        async for number in self._events:
+            yield _event(number)
+
+    async def aclose(self) -> None:
+        """Give up the rest."""
+        await self._events.aclose()
+
+
+class ModelOffers:
+    """The offers of one entry; `place` is its own."""
+
+    def __init__(
+        self,
+        profile: FleetProfile,
+        engines: Mapping[TargetId, ModelEngine],
+        calls: Mapping[str, ModelCall],
+        place: str,
+    ) -> None:
+        self._profile = profile
+        self._engines = engines
+        self._calls = calls
+        self._place = place
+
+    async def send(
+        self, job: Admitted, load: TargetLoad, sending: Sending, limits: OfferLimits
+    ) -> Answer | NotRun | Lost:
+        """Offer a request; return once its first event is there, or will not come."""
+        hop_s = self._profile.hop_s if load.entry.place != self._place else 0.0002
+        engine, call = self._engines[load.entry.target], self._calls[job.facts.call_id]
+        await asyncio.sleep(3 * hop_s)
+        if not engine.is_up:
+            load.note_unconnected(CONNECT_S, _now())
+            return NotRun("cannot connect", arrived=False)
+        load.note_connect(2 * hop_s, _now())
+        done = sending.resume_after or 0
+        accepted = engine.accept(
+            call.prompt_tokens, max(1, call.events - done), sending.urgency, done + 1
+        )
+        if accepted is None:
+            return NotRun("the engine is full", full=True)
+        return await self._await_first(engine, accepted, load, limits, hop_s)
+
+    async def _await_first(
+        self,
+        engine: ModelEngine,
+        accepted: EngineJob,
+        load: TargetLoad,
+        limits: OfferLimits,
+        hop_s: float,
+    ) -> Answer | Lost:
+        try:
+            async with asyncio.timeout(limits.begin_s):
+                first = await accepted.events.get()
+                await asyncio.sleep(hop_s)
+        except TimeoutError:
+            accepted.abandoned = True
+            return Lost("no answer in time", silent=True)
+        except asyncio.CancelledError:
+            accepted.abandoned = True
+            raise
+        if first is None:
+            return Lost("the engine broke off")
+        load.note_heard(_now())
+        response = ModelResponse(engine, accepted, first, hop_s)
+        facts = AnswerFacts(None, False, True, VERSION)
+        return Answer(OK, {}, facts, response)  # type: ignore[arg-type]
+
+
+def _event(number: int) -> bytes:
+    return f"id: {number}\ndata: x\n\n".encode()
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/lacewinggw/lab/fleetmodel/profile.py
@@ -0,0 +1,139 @@
+"""What a modelled fleet consists of: its engines, its routes and its callers."""
+
+from dataclasses import dataclass, field, replace
+
+from lacewinggw.decisions.routes import EngineFigures, Repeat, Route, RouteTable, Service
+from lacewinggw.decisions.routes import ServiceShare as Share
+from lacewinggw.ids import ModelName, RouteName, ServiceName
+
+MODEL = ModelName("market")
+WRITER = ServiceName("writer")
+DOMAIN = "notes.example"
+USUAL_LEFT_S = 6.0  # what a caller gives a request at first
+
+
+@dataclass(frozen=True)
+class CallKind:
+    """One kind of request: how often it comes, what it is worth, and its sizes in tokens.
+
+    `spread` is the standard deviation of the logarithm of a prompt's length, and of an answer's.
+    """
+
+    name: str
+    share: float
+    worth: float
+    late_worth: float
+    objective_s: float
+    prompt_tokens: float
+    answer_events: float
+    spread: float = 0.8
+    longest_prompt: int = 3880
+    longest_answer: int = 50
+
+
+@dataclass(frozen=True)
+class FleetProfile:
+    """A fleet: entries and engines over places, and the load of its callers a second."""
+
+    entries: int
+    engines: int
+    places: int
+    calls_per_s: float
+    figures: EngineFigures
+    kinds: tuple[CallKind, ...]
+    gap_s: float = 0.4
+    hop_s: float = 0.0028  # one way between places
+    caller_hop_s: float = 0.003
+    queue: int = 32  # requests that an engine holds beyond its slots
+    retries: int = 1
+    extra_retries: float = 100.0
+
+    @property
+    def table(self) -> RouteTable:
+        """The routes that its operators declare."""
+        routes = tuple(
+            Route(
+                RouteName(kind.name),
+                DOMAIN,
+                f"/{kind.name}/",
+                Repeat.RESUMABLE,
+                streams=True,
+                timeout_s=USUAL_LEFT_S,
+                objective_s=kind.objective_s,
+                shares=(Share(WRITER, 1.0),),
+                attempts=2,
+                gap_s=self.gap_s,
+            )
+            for kind in self.kinds
+        )
+        service = Service(WRITER, engine=self.figures, models=(MODEL,))
+        return RouteTable(1, routes, {WRITER: service})
+
+
+BLEND_KINDS = (
+    CallKind("digest", 0.406, 2.4, 0.6, 0.5, 1290, 20.3),
+    CallKind("note", 0.308, 2.0, 0.49, 0.4, 787, 20.3),
+    CallKind("query", 0.286, 1.5, 0.37, 0.4, 607, 13.9),
+)
+BLEND_FIGURES = EngineFigures(
+    slots=16,
+    step_s=0.00927,
+    step_per_request_s=0.0000232,
+    context_s_per_kilotoken=0.0000322,
+    read_tokens_per_s=20_700.0,
+    pair_s_per_million=0.00118,
+    chunk_tokens=2048,
+    stride=5,
+    memory_tokens=317_000,
+    usual_prompt_tokens=937,
+    usual_answer_tokens=90,
+)
+
+
+def small_fleet(calls_per_s: float = 70.0) -> FleetProfile:
+    """Return six entries before eleven engines of 16 slots."""
+    return FleetProfile(6, 11, 3, calls_per_s, BLEND_FIGURES, BLEND_KINDS)
+
+
+def grown_fleet(calls_per_s: float = 236.0) -> FleetProfile:
+    """Return 45 entries before 36 engines of 12 slots."""
+    figures = replace(BLEND_FIGURES, slots=12)
+    return FleetProfile(45, 36, 3, calls_per_s, figures, BLEND_KINDS, extra_retries=254.0)
+
+
+@dataclass(frozen=True)
+class Window:
+    """A span of time, in seconds from the start of the load."""
+
+    begin_s: float
+    end_s: float
+
+
+@dataclass(frozen=True)
+class LoadPattern:
+    """What happens to a fleet under load; times in seconds from the start of the load.
+
+    `bursts` multiply the load. In `outages` a share of the engines is out, as when they take other
+    weights: they say so, let their requests end, and begin nothing. In `power_losses` every entry
+    and engine stops and begins anew. `slow` engines take several times as long.
+    """
+
+    name: str
+    length_s: float = 20.0
+    bursts: tuple[tuple[Window, float], ...] = ()
+    outages: tuple[tuple[Window, float], ...] = ()
+    power_losses: tuple[Window, ...] = ()
+    slow: tuple[tuple[Window, float, float], ...] = ()  # window, share of the engines, factor
+    impatient: float = 0.0  # share of callers that come back at once, whatever they are told
+    counted: Window = field(default=Window(2.0, 19.0))
+
+
+PATTERNS: tuple[LoadPattern, ...] = (
+    LoadPattern("steady"),
+    LoadPattern("burst", bursts=((Window(5.0, 8.0), 1.7),)),
+    LoadPattern("half out", outages=((Window(5.0, 7.5), 0.5), (Window(7.5, 10.0), 0.5))),
+    LoadPattern("all out", outages=((Window(5.0, 9.0), 1.0),)),
+    LoadPattern("power loss", power_losses=(Window(6.0, 7.6),)),
+    LoadPattern("slow engines", slow=((Window(5.0, 11.0), 0.2, 7.5),)),
+    LoadPattern("impatient", bursts=((Window(5.0, 9.0), 1.5),), impatient=0.3),
+)
--- /dev/null
+++ b/src/lacewinggw/lab/fleetmodel/results.py
@@ -0,0 +1,70 @@
+"""What a played pattern came to, in shares and seconds."""
+
+import math
+import statistics
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from lacewinggw.lab.fleetmodel.callers import Story
+from lacewinggw.lab.fleetmodel.profile import FleetProfile, LoadPattern
+
+WINDOW_S = 2.0
+WORST_WINDOWS = 2
+
+
+@dataclass(frozen=True)
+class PatternResult:
+    """Shares from 0 to 1: of worth earned, of requests on time, late, and never served.
+
+    `worst` is the share of worth in the worst two windows of two seconds, `first_s` the median
+    time to the first event of those that were served, `refused_again` the share that came back
+    after a refusal and was not served.
+    """
+
+    earned: float
+    on_time: float
+    late: float
+    unserved: float
+    worst: float
+    first_s: float
+    refused_again: float
+
+
+def sum_up(
+    profile: FleetProfile, pattern: LoadPattern, stories: Sequence[Story], began: float
+) -> PatternResult:
+    """Return the shares over the part of the pattern that counts."""
+    counted = pattern.counted
+    kept = [story for story in stories if counted.begin_s <= story.asked_at - began < counted.end_s]
+    on_time = sum(story.is_on_time(profile.gap_s) for story in kept) / len(kept)
+    served = sum(story.whole for story in kept) / len(kept)
+    again = sum(story.refusals > 0 and not story.whole for story in kept) / len(kept)
+    return PatternResult(
+        earned=_earned(profile, kept),
+        on_time=on_time,
+        late=served - on_time,
+        unserved=1.0 - served,
+        worst=_worst(profile, kept),
+        first_s=statistics.median(story.first_s for story in kept if story.first_s is not None),
+        refused_again=again,
+    )
+
+
+def _earned(profile: FleetProfile, stories: Sequence[Story]) -> float:
+    owed = sum(story.kind.worth * story.size for story in stories)
+    return sum(_worth(profile, story) for story in stories) / owed
+
+
+def _worth(profile: FleetProfile, story: Story) -> float:
+    if not story.whole:
+        return 0.0
+    kind = story.kind
+    return story.size * (kind.worth if story.is_on_time(profile.gap_s) else kind.late_worth)
+
+
+def _worst(profile: FleetProfile, stories: Sequence[Story]) -> float:
+    windows: dict[int, list[Story]] = {}
+    for story in stories:
+        windows.setdefault(math.floor(story.asked_at / WINDOW_S), []).append(story)
+    shares = sorted(_earned(profile, each) for each in windows.values())
+    return statistics.fmean(shares[:WORST_WINDOWS])
