--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -6,20 +6,28 @@
 """
 
 import random
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from lacewinggw.decisions.ejection import EjectionRules, end_failed_call
 from lacewinggw.decisions.targetlist import TargetEntry
-from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.decisions.targetload import Claim, TargetLoad
 from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
 
-REMOTE_COST = 0.3  # a target in another place counts as that much fuller: borders are priced
+# A target in another place counts as that much fuller. Borders are narrow and priced. And the fewer
+# entries choose among the same targets by the same news, the fewer meet at one: modelled, 0.89 of
+# requests are on time at the usual load with 0.3, 0.62 without any.
+REMOTE_COST = 0.6
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
 # Connecting takes a way and back over the link of a target, the first part of the answer another:
 # with 0.1 s each, half of the usual objective is gone. That counts as much as 0.8 of the slots.
 LINK_COST_PER_S = 8.0
+# An engine reads prompts between the tokens of the others, so what it has yet to read delays the
+# first event of the next request, while requests that are being answered hardly do: 0.1 s of
+# reading counts as much as 0.8 of the slots. Modelled, 0.96 of requests are on time at the usual
+# load instead of 0.89, and 0.83 instead of 0.76 through a burst of 1.7 times that.
+READING_COST_PER_S = 8.0
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
@@ -29,6 +37,7 @@
 
     `least_version` is the oldest version of `model` that may still be begun on, `only_version` the
     one that an answer has begun with; `avoid` are the targets that have had the request already.
+    Reading its prompt takes a target `reading_s` seconds.
     """
 
     service: ServiceName
@@ -36,6 +45,20 @@
     least_version: int = 0
     only_version: int | None = None
     avoid: frozenset[TargetId] = frozenset()
+    reading_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Draw:
+    """How many targets are drawn at random, of this place and of others; the best of them is taken.
+
+    Other entries choose at the same moment by the same news, and would all take the least busy one.
+    Modelled with 45 entries before 36 engines, 0.94 of requests are on time at the usual load
+    instead of 0.59; with 6 before 11 it is the same.
+    """
+
+    near: int = 2
+    far: int = 1
 
 
 class TargetPool:
@@ -43,12 +66,17 @@
 
     pool.sync(knowledge.targets)
     load = pool.choose(Wish(service), now)
-    pool.begin(load, now)
+    claim = pool.begin(load, now)
+    pool.note_read(claim)
     pool.succeeded(load)
+    pool.end(claim)
     """
 
-    def __init__(self, place: Place, rules: EjectionRules, rng: random.Random) -> None:
+    def __init__(
+        self, place: Place, rules: EjectionRules, rng: random.Random, draw: Draw | None = None
+    ) -> None:
         self._place = place
+        self._draw = draw or Draw()
         self._rules = rules
         self._rng = rng
         self._loads: dict[TargetId, TargetLoad] = {}
@@ -77,17 +105,23 @@
             if target not in leaving and self._fits(load, wish)
         ]
 
-    def choose(self, fitting: Iterable[TargetLoad], now: float) -> TargetLoad | None:
-        """Return the one of `fitting` targets in which a request starts soonest, or None."""
+    def choose(
+        self, fitting: Iterable[TargetLoad], now: float, is_late: bool = False
+    ) -> TargetLoad | None:
+        """Return the one of `fitting` targets in which a request starts soonest, or None.
+
+        One that `is_late` starts only where there is room left over.
+        """
         fitting = list(fitting)
         # If none can be reached, the cause is this entry's: then all are as good as before.
         reachable = [load for load in fitting if load.is_reachable(now)] or fitting
-        usable = [load for load in reachable if load.has_room(now)]
+        usable = [load for load in reachable if load.has_room(now, is_late)]
         healthy = [load for load in usable if load.health.may_take(now)]
         if not healthy:
             # All are failing, so the cause may not be theirs: any is better than none.
             healthy = usable
-        return min(healthy, key=lambda load: self._cost(load, now), default=None)
+        candidates = self._candidates(healthy, now)
+        return min(candidates, key=lambda load: self._cost(load, now), default=None)
 
     def reach_changes(self, now: float) -> list[TargetLoad]:
         """Return the targets that can be reached by now and could not, or the other way round."""
@@ -98,16 +132,24 @@
             load.was_reachable = not load.was_reachable
         return changed
 
-    def begin(self, load: TargetLoad, now: float) -> None:
-        """Note that a request goes to a target."""
+    def begin(self, load: TargetLoad, now: float, reading_s: float = 0.0) -> Claim:
+        """Note that a request goes to a target, which reads its prompt in `reading_s` seconds."""
         if load.in_flight == 0:
             load.busy_since = now
         load.in_flight += 1
+        load.reading_s += reading_s
         load.health.note_begin(now)
+        return Claim(load, reading_s)
 
-    def end(self, load: TargetLoad) -> None:
+    def note_read(self, claim: Claim) -> None:
+        """Note that a request's prompt is read, or will not be."""
+        claim.load.reading_s -= claim.reading_s
+        claim.reading_s = 0.0
+
+    def end(self, claim: Claim) -> None:
         """Note that a request is over, however it ended."""
-        load.in_flight -= 1
+        self.note_read(claim)
+        claim.load.in_flight -= 1
 
     def succeeded(self, load: TargetLoad) -> None:
         """Note that a target served a request."""
@@ -162,7 +204,19 @@
             return False
         return held >= wish.least_version
 
+    def _candidates(self, loads: Sequence[TargetLoad], now: float) -> list[TargetLoad]:
+        near = [load for load in loads if load.entry.place == self._place]
+        far = [load for load in loads if load.entry.place != self._place]
+        # Of another place only those are taken whose agents are heard, if there are any: nothing
+        # is known of the others' work.
+        far = [load for load in far if load.is_heard(now)] or far
+        return self._sample(near, self._draw.near) + self._sample(far, self._draw.far)
+
+    def _sample(self, loads: list[TargetLoad], count: int) -> list[TargetLoad]:
+        return loads if len(loads) <= count else self._rng.sample(loads, count)
+
     def _cost(self, load: TargetLoad, now: float) -> tuple[float, float]:
         remote = 0.0 if load.entry.place == self._place else REMOTE_COST
         link = LINK_COST_PER_S * load.link_delay(now)
-        return (load.occupancy(now) + remote + link, self._rng.random())
+        reading = READING_COST_PER_S * load.reading_s
+        return (load.occupancy(now) + remote + link + reading, self._rng.random())
--- a/src/lacewinggw/decisions/punctuality.py
+++ b/src/lacewinggw/decisions/punctuality.py
@@ -47,11 +47,17 @@
         return elapsed_s if elapsed_s > RETURNED_AFTER_S else 0.0
 
 
+def reading_time(engine: EngineFigures, prompt_tokens: int) -> float:
+    """Return how long an engine takes to read a prompt by itself, in seconds."""
+    pairs = prompt_tokens * prompt_tokens / 2
+    return prompt_tokens / engine.read_tokens_per_s + pairs / 1e6 * engine.pair_s_per_million
+
+
 def first_part_s(route: Route, engine: EngineFigures | None, prompt_tokens: int) -> float:
     """Return how long a target takes to the first part of its answer, once it has started."""
     if engine is None:
         return PLAIN_SHARE * route.objective_s
-    read_s = prompt_tokens / engine.read_tokens_per_s
+    read_s = reading_time(engine, prompt_tokens)
     step_s = engine.step_s + engine.slots * engine.step_per_request_s
     return CONTENTION * (read_s + engine.stride * step_s)
 
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -11,8 +11,12 @@
 from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
 
+HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
-BATCH_SHARE = 0.75  # of a model engine's slots: in a fuller batch prompts wait for one another
+# Of the slots of a target, for requests that are late already. What is left lets those that can be
+# on time start at once while late ones are caught up on: modelled, 0.65 of the worth instead of
+# 0.61 around four seconds in which nothing could be served.
+LATE_ROOM = 0.8
 # Of a target with work of this entry, after which it gets no more: events of one stream or another
 # come every 0.1 s, and in an overload every 0.3 s. Callers give up after two seconds.
 STALLED_S = 0.5
@@ -21,12 +25,21 @@
 CLOGGED_PAUSE_S = 0.4  # a target behind such a link is left alone so long: about what a queue holds
 
 
+@dataclass
+class Claim:
+    """Room that was taken at a target, and how long reading the prompt there takes, in seconds."""
+
+    load: "TargetLoad"
+    reading_s: float = 0.0
+
+
 @dataclass
 class TargetLoad:
     """What is known of one target's work; times in seconds by the caller's clock."""
 
     entry: TargetEntry
     in_flight: int = 0
+    reading_s: float = 0.0  # that it takes to read the prompts of own calls that have no event yet
     reported: int = 0  # running and queued, by the last report
     reported_own: int = 0  # of those, own ones when the report came
     reported_at: float = -math.inf
@@ -45,6 +58,10 @@
         age_s = max(0.0, now - self.reported_at)
         return self.in_flight + others * math.exp(-age_s / REPORT_DECAY_S)
 
+    def is_heard(self, now: float) -> bool:
+        """Tell whether the target's agent told of its work lately."""
+        return now - self.reported_at < HEARD_S
+
     def note_connect(self, took_s: float, now: float) -> None:
         """Note how long connecting took: it shows the queue of the target's link."""
         self.connects.note_wait(took_s, now)
@@ -71,12 +88,11 @@
         """Tell whether a request would get through to the target in time."""
         return not self.is_stalled(now) and self.link_delay(now) < QUEUE_S
 
-    def has_room(self, now: float) -> bool:
-        """Tell whether one more request would start soon."""
-        slots = self.entry.slots * (BATCH_SHARE if self.entry.weights else 1.0)
+    def has_room(self, now: float, is_late: bool = False) -> bool:
+        """Tell whether one more request would start soon; one that `is_late` leaves others room."""
         if max(self.full_until, self.loading_until) > now:
             return False
-        return self.ahead(now) < slots
+        return self.ahead(now) < self.entry.slots * (LATE_ROOM if is_late else 1.0)
 
     def occupancy(self, now: float) -> float:
         """Return the share of the slots that would be taken with one more request."""
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -3,7 +3,11 @@
 The load it answers: more requests than the targets can start. A queue without a bound makes every
 answer late; one that is bounded by time serves as many on time as the targets can carry and tells
 the others at once when to come back. The order is by priority, then those that can still be on
-time, then arrival.
+time, the newest of them first, then those that are late, the oldest first.
+
+The newest first, because whoever waits in the order of arrival starts when its time has nearly run
+out: an overload that lasts a second makes everybody late, and stays. Modelled, with half of the
+engines out for five seconds, 0.70 of the worth instead of 0.58.
 """
 
 import heapq
@@ -65,12 +69,15 @@
     def expected_wait(self, priority: int, is_late: bool) -> float:
         """Return how long one more request would wait, in seconds."""
         rank = (priority, int(is_late))
-        ahead = sum(1 for each in self._heap if not each.gone and each.rank[:2] <= rank)
+        ahead = sum(1 for each in self._heap if not each.gone and each.rank[:2] < rank)
+        if is_late:
+            ahead += sum(1 for each in self._heap if not each.gone and each.rank[:2] == rank)
         return ahead * self._start_gap_s
 
     def join(self, priority: int, is_late: bool, until: float) -> Waiter:
         """Add a request; one that `is_late` goes behind those that can be on time."""
-        waiter = Waiter((priority, int(is_late), next(self._numbers)), until)
+        number = next(self._numbers)
+        waiter = Waiter((priority, int(is_late), number if is_late else -number), until)
         heapq.heappush(self._heap, waiter)
         self._waiting += 1
         return waiter
--- a/src/lacewinggw/frontend/placing.py
+++ b/src/lacewinggw/frontend/placing.py
@@ -7,10 +7,10 @@
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import Wish
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience
+from lacewinggw.decisions.punctuality import CallerTimes, Patience, patience, reading_time
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routes import Repeat, Service
-from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.decisions.targetload import Claim, TargetLoad
 from lacewinggw.errors import DeadlineTooNear
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.frontend.jobs import Job
@@ -45,8 +45,8 @@
 class Placing:
     """Chooses targets for requests and counts retries against the budget.
 
-    load = await placing.claim(job)
-    sending, limits = placing.sending(job), placing.limits(job, load)
+    claim = await placing.claim(job)
+    sending, limits = placing.sending(job), placing.limits(job, claim.load)
     """
 
     def __init__(
@@ -65,8 +65,8 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._times = CallerTimes()
 
-    async def claim(self, job: Job) -> TargetLoad:
-        """Return a target that takes the request now, waiting for one in the queue."""
+    async def claim(self, job: Job) -> Claim:
+        """Return room at a target that takes the request now, waiting for one in the queue."""
         admitted = job.admitted
         wish = self._wish(job)
         now = _now()
@@ -78,16 +78,17 @@
                 until = min(until, abandons_at(admitted) - LAST_OFFER_S)
             if until <= now:
                 raise DeadlineTooNear("the caller is about to give up")
-            load = await self._queue.claim(wish, REPEAT_PRIORITY, False, until)
+            claim = await self._queue.claim(wish, REPEAT_PRIORITY, False, until)
         else:
             wait = self._patience(admitted, left_s)
             until = now + wait.wait_s
-            load = await self._queue.claim(wish, admitted.priority, wait.is_late, until)
+            claim = await self._queue.claim(wish, admitted.priority, wait.is_late, until)
+        load = claim.load
         job.target, job.waited_s = load.entry.target, job.waited_s + _now() - now
         job.ahead = round(load.ahead(now) - 1.0, 1)
         if job.arrived:
             self._budget(admitted.service).note_call(_now())
-        return load
+        return claim
 
     def may_repeat(self, job: Job) -> bool:
         """Tell whether a request may be offered once more, and count it if so.
@@ -114,7 +115,8 @@
         if service is None or service.engine is None or model is None:
             return Wish(admitted.service, avoid=frozenset(job.avoid))
         least = self._least_version(job)
-        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid))
+        reading_s = reading_time(service.engine, admitted.facts.prompt_tokens)
+        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid), reading_s)
 
     def _service(self, name: ServiceName) -> Service | None:
         table = self._knowledge.routes
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -8,7 +8,7 @@
 from lacewinggw.background import Background
 from lacewinggw.decisions.dispatch import TargetPool, Wish
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.decisions.targetload import Claim, TargetLoad
 from lacewinggw.decisions.waiting import Waiter, WaitingLine
 from lacewinggw.errors import NoTarget, Overloaded
 from lacewinggw.ids import ServiceName
@@ -31,15 +31,15 @@
     """A request in a line, and what it waits for."""
 
     wish: Wish
-    found: "asyncio.Future[TargetLoad]"
+    found: "asyncio.Future[Claim]"
 
 
 class RequestQueue:
     """Gives each request a target at once, later, or not at all.
 
-    load = await queue.claim(wish, priority, is_late=False, until=deadline)
+    claim = await queue.claim(wish, priority, is_late=False, until=deadline)
     ...
-    pool.end(load)
+    pool.end(claim)
     queue.advance(wish.service)
     """
 
@@ -60,8 +60,8 @@
         """Stop."""
         await self._loop.close()
 
-    async def claim(self, wish: Wish, priority: int, is_late: bool, until: float) -> TargetLoad:
-        """Return a target with room, waiting for one up to `until` by the loop's clock.
+    async def claim(self, wish: Wish, priority: int, is_late: bool, until: float) -> Claim:
+        """Return room at a target, waiting for one up to `until` by the loop's clock.
 
         Raise `NoTarget` when none may run the request, and `Overloaded` at once when the wait
         would be too long, or later when it was.
@@ -73,9 +73,9 @@
             reason = f"no target of {wish.service} may run the request"
             raise NoTarget(reason, retry_after_ms=_draw_ms(ABSENT_RETURN_S))
         if not len(line):
-            load = self._pool.choose(fitting, now)
+            load = self._pool.choose(fitting, now, is_late)
             if load is not None:
-                return self._begin(line, load, now)
+                return self._begin(line, load, wish, now)
         expected_s = line.expected_wait(priority, is_late)
         if now + expected_s > until:
             raise _overloaded(wish)
@@ -85,13 +85,13 @@
         """Return the share of late requests for a service that started lately."""
         return self._lines[service].late_share
 
-    async def _wait_for(self, line: WaitingLine, wish: Wish, waiter: Waiter) -> TargetLoad:
+    async def _wait_for(self, line: WaitingLine, wish: Wish, waiter: Waiter) -> Claim:
         joined_at = _now()
         found = asyncio.get_running_loop().create_future()
         self._waiting[id(waiter)] = _Waiting(wish, found)
         try:
             async with asyncio.timeout_at(waiter.until):
-                load: TargetLoad = await found
+                claim: Claim = await found
         except TimeoutError:
             if not found.cancelled() and found.done():
                 self._pool.end(found.result())
@@ -108,7 +108,7 @@
         self._wait.record(_now() - joined_at)
         if waiter.is_late:
             line.note_late_end(started=True)
-        return load
+        return claim
 
     def advance(self, service: ServiceName) -> None:
         """Give targets to those that wait for a service, in order, as far as there is room."""
@@ -121,16 +121,15 @@
             if waiting is None or waiting.found.done():
                 continue
             fitting = self._pool.fitting(waiting.wish, self._knowledge.leaving)
-            load = self._pool.choose(fitting, now)
+            load = self._pool.choose(fitting, now, waiter.is_late)
             if load is None:
                 return
-            waiting.found.set_result(self._begin(line, load, now))
+            waiting.found.set_result(self._begin(line, load, waiting.wish, now))
             line.leave(waiter)
 
-    def _begin(self, line: WaitingLine, load: TargetLoad, now: float) -> TargetLoad:
+    def _begin(self, line: WaitingLine, load: TargetLoad, wish: Wish, now: float) -> Claim:
         line.note_start(now)
-        self._pool.begin(load, now)
-        return load
+        return self._pool.begin(load, now, wish.reading_s)
 
     async def _run(self) -> None:
         look_at = 0.0
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -13,7 +13,7 @@
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.decisions.targetload import Claim, TargetLoad
 from lacewinggw.errors import (
     AnswerIncomplete,
     DeadlinePassed,
@@ -178,16 +178,16 @@
     async def _run(self, job: Job, caller: Caller) -> None:
         while True:
             try:
-                load = await self._parts.placing.claim(job)
+                claim = await self._parts.placing.claim(job)
             except RequestRefused:
                 if job.runs == 0:
                     raise
                 return await self._give_up(job, caller)
             try:
-                if await self._offer(job, load, caller):
+                if await self._offer(job, claim, caller):
                     return None
             finally:
-                self._parts.pool.end(load)
+                self._parts.pool.end(claim)
                 self._parts.queue.advance(job.admitted.service)
             if not self._parts.placing.may_repeat(job):
                 return await self._give_up(job, caller)
@@ -204,15 +204,18 @@
             raise RetryBudgetSpent("too many requests are tried again", retry_after_ms=500)
         raise TargetRefused("no target took the request", retry_after_ms=RETRY_AFTER_MS)
 
-    async def _offer(self, job: Job, load: TargetLoad, caller: Caller) -> bool:
+    async def _offer(self, job: Job, claim: Claim, caller: Caller) -> bool:
         """Offer the request to a target; return whether the caller has its answer."""
+        load = claim.load
         job.offers += 1
         job.offered_at = _now()
         job.avoid.add(load.entry.target)
         placing = self._parts.placing
         sending, limits = placing.sending(job), placing.limits(job, load)
         job.runs += 1
-        match await self._parts.offers.send(job.admitted, load, sending, limits):
+        outcome = await self._parts.offers.send(job.admitted, load, sending, limits)
+        self._parts.pool.note_read(claim)
+        match outcome:
             case NotRun() as proof:
                 job.runs -= 1
                 self._note_not_run(job, load, proof)
