--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -25,6 +25,9 @@
 LAST_MARGIN_S = 0.6  # before the bound: an order then still keeps anything from beginning late
 SPARE_S = 1.0  # beyond the time that the rest of a version takes, to count on it in time
 NEARLY = 0.9  # of a version: the rest of it leaves room on the link for the next one
+# That a version has to serve before the next one is due: taking it costs 0.4 s, and what begins on
+# it does so up to 0.9 s before that.
+OLD_SERVES_S = 1.8
 OLD_STAYS_S = 2.0  # an older version that is at hand is loaded if it may serve for so long
 
 
@@ -120,12 +123,24 @@
     def _wanted(self, pending: Sequence[Due], progress: Progress, now: float) -> Sequence[Due]:
         """Return the versions to bring, those left out that are not worth their time."""
         oldest, newest = pending[0], pending[-1]
-        if oldest is newest:
+        if oldest is newest or progress.is_complete(newest.version):
             return [newest]
-        rest_s = (1.0 - progress.share(newest.version)) * self._rules.copy_s
-        if now + rest_s + SPARE_S <= self._bound(oldest) or progress.is_complete(newest.version):
+        if self._ready_at(newest, progress, now) + SPARE_S <= self._bound(oldest):
             return [newest]
-        return pending
+        pairs = zip(pending, pending[1:], strict=False)
+        worth_it = [each for each, next_ in pairs if self._serves_long(each, next_, progress, now)]
+        return [*worth_it, newest]
+
+    def _serves_long(self, due: Due, next_: Due, progress: Progress, now: float) -> bool:
+        """Tell whether a version would serve for a while before the next one must be in use.
+
+        After an outage of the source the missing pieces of a version that is all but over would
+        come before those of the next one, and keep a service out for as long as they take.
+        """
+        return self._ready_at(due, progress, now) + OLD_SERVES_S <= self._bound(next_)
+
+    def _ready_at(self, due: Due, progress: Progress, now: float) -> float:
+        return now + (1.0 - progress.share(due.version)) * self._rules.copy_s
 
     def _late_turn_at(self, first: Due) -> float:
         """Return when the late half begins to empty its targets, counted back from the bound."""
--- a/tests/fleet/test_upgrades.py
+++ b/tests/fleet/test_upgrades.py
@@ -100,3 +100,16 @@
 def test_an_empty_target_takes_the_first_version_where_none_was_named():
     assert decide(early_plan(), None, [], {1: 1.0}, 0.0) == Upgrade((1,), load=1)
     assert decide(early_plan(), 1, [], {1: 1.0}, 0.0) == Upgrade()
+
+
+def test_a_version_that_can_serve_no_more_is_left_for_the_next_one():
+    """Two versions two seconds apart, and a source that is away from half a second after that."""
+    due = [*DUE, Due(3, NAMED_AT + 2.0)]
+    assert decide(early_plan(), 1, due, {2: 0.95}, 103.0).fetch == (2, 3)
+    assert decide(early_plan(), 1, due, {2: 0.95}, 108.5).fetch == (3,)
+
+
+def test_a_version_that_is_whole_is_loaded_only_if_it_still_serves():
+    due = [*DUE, Due(3, NAMED_AT + 2.0)]
+    assert decide(early_plan(), 1, due, {2: 1.0}, 107.0).load == 2
+    assert decide(early_plan(), 1, due, {2: 1.0}, 108.5).load is None
