Read the routes once a place, and hear only a few agents of other places

Now one entry a place reads, pushes that something is new, and the others ask it; entries hear the agents of their place, two of each other place, and those that they tell. New tests: calls of 2 and of 7 entries, routes new at all within 0.6 s, who hears whom.

--- a/src/lacewinggw/decisions/nearby.py
+++ b/src/lacewinggw/decisions/nearby.py
@@ -1,16 +1,23 @@
-"""Which entries a caller is told to use: near ones that are ready, others when there are none.
+"""Who deals with whom: which entries callers use, and which targets' agents an entry hears.
+
+A caller is told of near entries that are ready, and of others when there are none.
 
 Callers keep an answer for a while and choose among its addresses at random, so an answer names
 every entry that may be used from the caller's place, and no entry that is leaving.
+
+An entry hears the agents of its own place, and a few of each other place, to which requests spill
+over: with every agent at every entry news would grow with both, and most of it would cross borders.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from lacewinggw.decisions.pollers import ranked
 from lacewinggw.ids import Address, HostId, Place
 
 NEAR_LEAST = 2  # entries of the caller's own place that are enough without others
 ANSWER_MOST = 64  # addresses that an answer may hold
+FAR_WATCHED = 2  # agents of each other place: two spread what spills over, and one may fail
 
 
 @dataclass(frozen=True)
@@ -34,3 +41,15 @@
     if len(near) < NEAR_LEAST:
         near = known
     return sorted(entry.address for entry in near)[:ANSWER_MOST]
+
+
+def choose_watched(me: HostId, place: Place, agents: Mapping[HostId, Place]) -> set[HostId]:
+    """Return the agents that an entry hears: all of its place, a few of each other.
+
+    Which few differs from entry to entry, so that all agents are heard by about as many.
+    """
+    watched = {host for host, where in agents.items() if where == place}
+    for other in set(agents.values()) - {place}:
+        hosts = (host for host, where in agents.items() if where == other)
+        watched.update(HostId(host) for host in ranked(f"watched by {me}", hosts)[:FAR_WATCHED])
+    return watched
--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -9,13 +9,14 @@
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.nearby import choose_watched
 from lacewinggw.decisions.pollers import rank_of
 from lacewinggw.decisions.targetlist import TargetEntry, start_of
 from lacewinggw.entry.watches import Watched, Watches
 from lacewinggw.fleet.newsletter import compose_news
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import Address, HostId, ModelName, TargetName
+from lacewinggw.ids import Address, HostId, ModelName, Place, TargetName
 from lacewinggw.wire.peers import PeerNode
 from lacewinggw.wire.soundness import require_sound
 
@@ -26,7 +27,7 @@
 
 
 class AgentLinks:
-    """Keeps a link to the agent of each model engine.
+    """Keeps links to the agents of model engines: those near, a few others, and those it tells.
 
     An agent is told by a few entries only: those that rank first for it among `speakers`, the
     entries that are ready. It listens on the port on which entries do.
@@ -36,6 +37,7 @@
         self,
         node: PeerNode,
         me: HostId,
+        place: Place,
         port: str,
         knowledge: Knowledge,
         pool: TargetPool,
@@ -45,6 +47,7 @@
     ) -> None:
         self._node = node
         self._me = me
+        self._place = place
         self._port = port
         self._knowledge = knowledge
         self._pool = pool
@@ -68,15 +71,23 @@
 
     def note_change(self) -> None:
         """Watch the agents of the targets that there are now, and tell all what is new."""
-        routes = self._knowledge.routes
-        if routes is not None:
-            engines = {name for name, each in routes.services.items() if each.engine is not None}
-            targets = self._knowledge.targets.values()
-            self._watches.set_targets(
-                {self._agent_of(entry) for entry in targets if entry.service in engines}
-            )
+        self._watch()
         self._changed.set()
 
+    def _watch(self) -> None:
+        routes = self._knowledge.routes
+        if routes is None:
+            return
+        engines = {name for name, each in routes.services.items() if each.engine is not None}
+        entries = [entry for entry in self._knowledge.targets.values() if entry.service in engines]
+        agents = {self._agent_of(entry): entry.place for entry in entries}
+        places = {agent.host: place for agent, place in agents.items()}
+        wanted = choose_watched(self._me, self._place, places)
+        speakers = self._speakers()
+        self._watches.set_targets(
+            {a for a in agents if a.host in wanted or self._speaks_to(a.host, speakers)}
+        )
+
     def take_news(self, news: messages.TargetNews) -> None:
         """Take what an agent says of its target."""
         require_sound(news)
@@ -98,6 +109,7 @@
 
     async def _run(self) -> None:
         while True:
+            self._watch()  # those that this entry is to tell change as entries come and go
             self._tell()
             with suppress(TimeoutError):
                 async with asyncio.timeout(FLEET_NEWS_S):
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -118,6 +118,7 @@
         self._agents = AgentLinks(
             self._node,
             self._host,
+            self._place,
             entry.peer_listen.rpartition(":")[2],
             self.knowledge,
             self.pool,
@@ -327,6 +328,7 @@
         """Take what other entries push; the age of the routes counts only when it was asked for."""
         for target in news.leaving:
             self.knowledge.note_leaving(TargetId(target))
+        self._voucher.note_newer(news)
 
 
 def _newer_source(routes: RouteTable | None, known_version: int | None) -> bytes:
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -26,10 +26,10 @@
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
-# The age of the routes stays within half of the shortest bound on keys: a few entries read often,
-# and the others ask them; who gets no answer reads often itself.
-READER_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
-ASKER_WAIT = Wait(for_news_s=2.4, after_news_s=0.4)
+# The age of the routes stays within half of the shortest bound on keys: one entry a place reads,
+# and the others ask it and are told when something is new; who gets no answer reads itself. Calls
+# for the routes then grow with the places, not with the entries.
+ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability. Each
 # change of the list wakes whoever follows it. Entries that read often tell of targets that leave,
 # and agents of weights, so that the others can let changes gather; with the time of a call that is
@@ -45,9 +45,10 @@
 class Sight:
     """Follows the store's topics into the knowledge and the pool of targets.
 
-    `reads_often` tells whether this entry is to read the routes often. `on_change` is called when
-    targets or versions have changed, `on_members` when the list of entries has, `on_leaving` when
-    targets leave.
+    `reads_often` tells whether this entry reads for its place, or nobody tells it what is new.
+    `on_change` is called when targets or versions have changed, `on_members` when the list of
+    entries has, `on_urgent` when the entries that do not read have to be told something at once:
+    targets leave, routes or versions are new.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         reads_often: Callable[[], bool],
         on_change: Callable[[], None],
         on_members: Callable[[], None],
-        on_leaving: Callable[[], None],
+        on_urgent: Callable[[], None],
     ) -> None:
         self.members: dict[HostId, Member] = {}
         self._feed = feed
@@ -73,12 +74,14 @@
         self._reads_often = reads_often
         self._on_change = on_change
         self._on_members = on_members
-        self._on_leaving = on_leaving
+        self._on_urgent = on_urgent
         self._leaving_told = 0
         self._has_list = False
         self._targets = self._follow(Topic.TARGETS, self._apply_targets, self._list_wait)
         self._followers = [
-            self._follow(Topic.CONFIGURATION, self._apply_configuration, self._routes_wait),
+            self._follow(
+                Topic.CONFIGURATION, self._apply_configuration, lambda: ROUTES_WAIT, reads_often
+            ),
             self._targets,
             self._follow(Topic.MEMBERS, self._apply_members, lambda: MEMBERS_WAIT),
         ]
@@ -111,7 +114,13 @@
         if self._knowledge.note_weights(target, weights):
             self._pool.sync(self._knowledge.targets)
 
-    def _follow(self, topic: Topic, apply: Apply, wait: Callable[[], Wait]) -> TopicFollower:
+    def _follow(
+        self,
+        topic: Topic,
+        apply: Apply,
+        wait: Callable[[], Wait],
+        is_needed: Callable[[], bool] = lambda: True,
+    ) -> TopicFollower:
         return TopicFollower(
             topic,
             self._feed,
@@ -120,12 +129,10 @@
             self._clock,
             self._metrics,
             self._rng,
+            is_needed,
             on_regained=self._knowledge.note_outage_end,
         )
 
-    def _routes_wait(self) -> Wait:
-        return READER_WAIT if self._reads_often() else ASKER_WAIT
-
     def _list_wait(self) -> Wait:
         return READER_LIST_WAIT if self._reads_often() else ASKER_LIST_WAIT
 
@@ -140,6 +147,8 @@
         self._knowledge.prove_routes(proved_at)
         if news.changes:
             self._on_change()
+        if news.changes and self._reads_often():
+            self._on_urgent()
 
     def _apply_targets(self, news: News, _: float) -> None:
         now = self._clock()
@@ -161,7 +170,7 @@
         self._on_change()
         if len(self._knowledge.leaving) != self._leaving_told:
             self._leaving_told = len(self._knowledge.leaving)
-            self._on_leaving()
+            self._on_urgent()
 
     def _apply_members(self, news: News, _: float) -> None:
         if news.whole:
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from lacewinggw.background import Background
@@ -76,6 +77,7 @@
         self._decode = decode
         self._others = others
         self._clock = clock
+        self._wake = asyncio.Event()
         self._loop = Background("vouching", self._run)
 
     async def start(self) -> None:
@@ -86,9 +88,20 @@
         """Stop asking."""
         await self._loop.close()
 
+    def note_newer(self, news: messages.EntryNews) -> None:
+        """Ask at once if an entry has pushed that it knows newer routes or versions."""
+        routes = self._knowledge.routes
+        newer = routes is None or news.routes_version > routes.version
+        known = {(model, due.version) for model, due in self._knowledge.named}
+        if newer or any((each.model, each.version) not in known for each in news.named):
+            self._wake.set()
+
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(ASK_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(ASK_S):
+                    await self._wake.wait()
+            self._wake.clear()
             if self._knows_enough:
                 continue
             asked = choose_asked(self._me, self._others())
--- /dev/null
+++ b/tests/fleet/test_nearby.py
@@ -0,0 +1,30 @@
+"""Which agents an entry hears: those of its place, and a few of each other."""
+
+from collections import Counter
+
+from lacewinggw.decisions.nearby import FAR_WATCHED, choose_watched
+
+PLACES = ("hall", "room", "shed")
+AGENTS = {f"10.2.{index % 3}.{index}": PLACES[index % 3] for index in range(36)}
+
+
+def test_all_of_the_place_and_a_few_of_each_other():
+    watched = choose_watched("entry-1", "hall", AGENTS)
+    counts = Counter(AGENTS[host] for host in watched)
+    assert counts == {"hall": 12, "room": FAR_WATCHED, "shed": FAR_WATCHED}
+
+
+def test_different_entries_hear_different_agents_of_other_places():
+    far = Counter(
+        host
+        for number in range(45)
+        for host in choose_watched(f"entry-{number}", "hall", AGENTS)
+        if AGENTS[host] != "hall"
+    )
+    assert len(far) == 24 and max(far.values()) <= 15
+
+
+def test_what_changes_elsewhere_changes_little():
+    before = choose_watched("entry-1", "hall", AGENTS)
+    without = {host: place for host, place in AGENTS.items() if host != min(before)}
+    assert len(before - choose_watched("entry-1", "hall", without)) == 1
--- a/tests/fleet/test_vouching.py
+++ b/tests/fleet/test_vouching.py
@@ -97,3 +97,31 @@
         await asyncio.sleep(20.0)
         # One reader at 1.2 s, three at 2.4 s, and four lists of targets at 4 s: 62 in 20 s.
         assert len(fleet.store.calls) < 70
+
+
+async def test_calls_for_the_routes_grow_with_the_places_and_not_with_the_entries():
+    counts = []
+    for entries in (2, 7):
+        async with running_fleet(entries=entries) as fleet:
+            await asyncio.sleep(3.0)
+            began = sum(reads(entry) for entry in fleet.entries)
+            await asyncio.sleep(12.0)
+            counts.append(sum(reads(entry) for entry in fleet.entries) - began)
+    assert counts[1] <= counts[0] + 2, counts
+
+
+def reads(entry):
+    wanted = 'lacewinggw_store_reads{topic="configuration"}'
+    lines = [line for line in entry.metrics.render().splitlines() if line.startswith(wanted)]
+    return sum(float(line.rpartition(" ")[2]) for line in lines)
+
+
+async def test_an_entry_that_does_not_read_has_new_routes_as_soon_as_the_one_that_does():
+    async with running_fleet(entries=4) as fleet:
+        await asyncio.sleep(4.0)
+        fleet.store.put("op", "config", manifest(4))
+        fleet.store.put("op", "version/market", {"Model": "market", "Version": 2})
+        await asyncio.sleep(0.6)  # the reader lets changes gather for 0.4 s
+        for entry in fleet.entries:
+            assert entry.knowledge.routes.version == 4
+            assert [due.version for _, due in entry.knowledge.named] == [2]
