Count routes as vouched for through a whole round of reading and asking

Cause, found by tracing a test that passed for the wrong reason: an entry that asks saw its routes as too old (over 2.6 s) at the end of each wait of its reader, and read the store itself: the age goes up to twice the reader's wait and the time between two questions, 3.2 s. After a pause the first call does not wait, so that it proves at once.

--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -68,6 +68,7 @@
         self._position: int | None = None
         self._lost_since: float | None = None
         self._retry_s = FIRST_RETRY_S
+        self._is_idle = False
         self._reads = metrics.counter("store_reads", topic=topic)
         self._unreadable = metrics.counter("store_entries_unreadable", topic=topic)
         self._told_unreadable: dict[str, int] = {}  # the revision that was told, by key
@@ -94,6 +95,7 @@
     async def _run(self) -> None:
         while True:
             if self._position is not None and not self._is_needed():
+                self._is_idle = True
                 await asyncio.sleep(IDLE_S)
                 continue
             sent_at = self._clock()
@@ -119,7 +121,10 @@
             return await self._feed.snapshot(self._topic)
         # A call that waits for news of a store that is away may hang long after its return: entries
         # knew nothing new for up to 4.8 s after a silent outage. One that does not wait ends soon.
-        wait_s = 0.0 if self._lost_since is not None else self._wait().for_news_s
+        # After a pause it proves at once that what is known is the newest.
+        is_urgent = self._lost_since is not None or self._is_idle
+        self._is_idle = False
+        wait_s = 0.0 if is_urgent else self._wait().for_news_s
         return await self._feed.changes(self._topic, self._position, wait_s)
 
     def _tell_unreadable(self, news: News) -> None:
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -28,7 +28,9 @@
 ASK_S = 0.8  # between questions: an age then stays within the reader's wait and this
 ANSWER_S = 0.5  # between regions an answer takes some ms, over a full link some 100
 ASKED = 2  # entries: the reader of this place and one of another
-VOUCHED_S = 2.6  # routes that are read often, or vouched for, are not older than this
+# Routes that are read, or vouched for, are not older than this: one wait of the reader that proved
+# them when it began, the next one in progress, and the time between two questions.
+VOUCHED_S = 3.4
 PACK_LEVEL = 1  # 350 KB take 3 ms, and come out at 35
 ROUTES_LIMIT_BYTES = 16 << 20  # a store takes rows of some MB at most
 MS_PER_S = 1000.0
