Have two entries a place read the routes, and ask for newer ones whoever has them

Cause: with one reader a place, a reader that the store turns away kept its place at old routes: the others asked it, it answered, and another place was asked for the age only. Now two entries a place read, all hear those of all places, and whoever says that it has newer routes is asked for them, near ones first. test_vouching: one, two and three readers of a place turned away just before a change; with the code before, all four entries of that place keep the old routes (run: 3 of 3 cases fail).

--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -12,24 +12,30 @@
 from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.nearby import ReadyEntry
+from lacewinggw.decisions.pollers import weight
 from lacewinggw.entry.watches import Watched, Watches
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, Place
 from lacewinggw.wire.peers import PeerLink, PeerNode
 
+PURPOSE = "routes reader"
 NEWS_S = 0.5  # between news without a change
 READY_S = 1.6  # news older than three of these intervals says nothing: the entry may be gone
-OTHER_PLACES_MOST = 2  # entries of each other place that are kept in touch with
+READERS_PER_PLACE = 2  # entries that read the routes, for one may be turned away by the store
 MS_PER_S = 1000
 
 
 @dataclass(frozen=True)
 class KnownEntry:
-    """Another entry that was heard lately, ready or not, and where it listens for this one."""
+    """Another entry that was heard lately, ready or not, and where it listens for this one.
+
+    Its routes were `routes_age_s` old when it was heard, and are that much older by now.
+    """
 
     host: HostId
     place: Place
     address: Address
+    routes_age_s: float = 0.0
 
 
 @dataclass
@@ -42,10 +48,20 @@
     at: float
 
 
+def reading_order(host: HostId) -> tuple[int, HostId]:
+    """Return a key that sorts entries by who reads the routes first."""
+    return (-weight(PURPOSE, host), host)
+
+
+def _known(host: HostId, heard: _Heard, now: float) -> KnownEntry:
+    age_s = heard.news.routes_age_ms / MS_PER_S + now - heard.at
+    return KnownEntry(host, heard.place, heard.address, age_s)
+
+
 class EntryNeighbours:
     """Keeps links to other entries and exchanges news on them.
 
-    `compose` gives the news of this entry; `on_news` is told of each that comes.
+    `compose` gives the news of this entry; `on_news` is told of each that comes, and from whom.
     """
 
     def __init__(
@@ -54,7 +70,7 @@
         me: HostId,
         place: Place,
         compose: Callable[[], messages.EntryNews],
-        on_news: Callable[[messages.EntryNews], None],
+        on_news: Callable[[KnownEntry, messages.EntryNews], None],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -80,14 +96,14 @@
         await self._watches.close()
 
     def set_members(self, members: Iterable[Member]) -> None:
-        """Keep in touch with these entries: all of this place, some of each other."""
+        """Keep in touch with all entries of this place, and with those of each other that read."""
         per_place: dict[Place, int] = {}
         wanted: set[Watched] = set()
-        for member in sorted(members, key=lambda each: each.host):
+        for member in sorted(members, key=lambda each: reading_order(each.host)):
             if member.role is not MemberRole.ENTRY or member.host == self._me:
                 continue
             count = per_place.get(member.place, 0)
-            if member.place != self._place and count >= OTHER_PLACES_MOST:
+            if member.place != self._place and count >= READERS_PER_PLACE:
                 continue
             per_place[member.place] = count + 1
             wanted.add(Watched(member.host, member.address))
@@ -110,7 +126,7 @@
         remote = link.remote
         heard = _Heard(Place(remote.place), Address(remote.address), news, self._clock())
         self._heard[HostId(remote.host)] = heard
-        self._on_news(news)
+        self._on_news(_known(HostId(remote.host), heard, heard.at), news)
 
     def ready(self) -> Sequence[ReadyEntry]:
         """Return the other entries that are ready, by news that is fresh."""
@@ -125,7 +141,7 @@
         """Return the other entries that were heard lately."""
         now = self._clock()
         return [
-            KnownEntry(host, heard.place, heard.address)
+            _known(host, heard, now)
             for host, heard in self._heard.items()
             if now - heard.at < READY_S
         ]
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -20,7 +20,7 @@
 from lacewinggw.frontend.agents import AgentLinks
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
-from lacewinggw.frontend.neighbours import EntryNeighbours
+from lacewinggw.frontend.neighbours import EntryNeighbours, KnownEntry
 from lacewinggw.frontend.offers import Offers
 from lacewinggw.frontend.placing import Placing, RetryLimits
 from lacewinggw.frontend.queue import RequestQueue
@@ -342,11 +342,11 @@
             self._packed_version, self._packed = routes.version, pack_routes(routes.source)
         return self._packed
 
-    def _take_news(self, news: messages.EntryNews) -> None:
+    def _take_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
         """Take what other entries push; the age of the routes counts only when it was asked for."""
         for target in news.leaving:
             self.knowledge.note_leaving(TargetId(target))
-        self._voucher.note_newer(news)
+        self._voucher.note_news(entry, news)
 
 
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -14,11 +14,10 @@
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.knowledge import Knowledge
-from lacewinggw.decisions.pollers import ranked
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.targetlist import DueVersion
 from lacewinggw.errors import LacewingError, ProtocolViolation
-from lacewinggw.frontend.neighbours import KnownEntry
+from lacewinggw.frontend.neighbours import READERS_PER_PLACE, KnownEntry, reading_order
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import HostId, ModelName, Place, TargetId
 from lacewinggw.log import get_logger
@@ -34,7 +33,7 @@
 PACK_LEVEL = 1  # 350 KB take 3 ms, and come out at 35
 ROUTES_LIMIT_BYTES = 16 << 20  # a store takes rows of some MB at most
 MS_PER_S = 1000.0
-PURPOSE = "routes reader"
+FAR_PAUSE_S = 0.1  # so that newer routes come from this place if anybody here has them too
 
 log = get_logger(__name__)
 
@@ -50,15 +49,20 @@
 
 
 def is_reader(me: Self, others: Iterable[KnownEntry]) -> bool:
-    """Tell whether this entry reads the store often, for the others of its place."""
-    near = [me.host, *(entry.host for entry in others if entry.place == me.place)]
-    return ranked(PURPOSE, near)[0] == me.host
+    """Tell whether this entry reads the routes, for the others of its place."""
+    near = [entry.host for entry in others if entry.place == me.place]
+    before = [host for host in near if reading_order(host) < reading_order(me.host)]
+    return len(before) < READERS_PER_PLACE
 
 
 def choose_asked(me: Self, others: Iterable[KnownEntry]) -> list[KnownEntry]:
-    """Return the entries to ask: the first reader of this place, and one of another place."""
-    known = {entry.host: entry for entry in others}
-    order = [known[HostId(host)] for host in ranked(PURPOSE, known)]
+    """Return the entries to ask: the first reader of this place, and one of another place.
+
+    One whose own routes are old, as the store turns it away, comes after the others.
+    """
+    order = sorted(
+        others, key=lambda entry: (entry.routes_age_s > VOUCHED_S, reading_order(entry.host))
+    )
     near = [entry for entry in order if entry.place == me.place]
     far = [entry for entry in order if entry.place != me.place]
     return [*near[:1], *far[: ASKED - len(near[:1])]]
@@ -100,6 +104,7 @@
         self._others = others
         self._clock = clock
         self._wake = asyncio.Event()
+        self._newer_at: KnownEntry | None = None
         self._loop = Background("vouching", self._run)
 
     async def start(self) -> None:
@@ -110,13 +115,20 @@
         """Stop asking."""
         await self._loop.close()
 
-    def note_newer(self, news: messages.EntryNews) -> None:
-        """Ask at once if an entry has pushed that it knows newer routes or versions."""
+    def note_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
+        """Ask an entry at once if it has pushed that it knows newer routes or versions."""
+        if not self._is_newer(news):
+            return
+        if self._newer_at is None or entry.place == self._me.place:
+            self._newer_at = entry
+        self._wake.set()
+
+    def _is_newer(self, news: messages.EntryNews) -> bool:
         routes = self._knowledge.routes
-        newer = routes is None or news.routes_version > routes.version
+        if routes is None or news.routes_version > routes.version:
+            return True
         known = {(model, due.version) for model, due in self._knowledge.named}
-        if newer or any((each.model, each.version) not in known for each in news.named):
-            self._wake.set()
+        return any((each.model, each.version) not in known for each in news.named)
 
     async def _run(self) -> None:
         while True:
@@ -124,10 +136,21 @@
                 async with asyncio.timeout(ASK_S):
                     await self._wake.wait()
             self._wake.clear()
+            await self._ask_newer()
             if self._knows_enough:
                 continue
             await self._ask_all(choose_asked(self._me, self._others()))
 
+    async def _ask_newer(self) -> None:
+        """Ask the entry that said that it knows something newer; one far off a little later."""
+        entry = self._newer_at
+        if entry is None:
+            return
+        if entry.place != self._me.place:
+            await asyncio.sleep(FAR_PAUSE_S)
+        entry, self._newer_at = self._newer_at or entry, None
+        await self._ask(entry, wants_routes=True)
+
     async def _ask_all(self, asked: Sequence[KnownEntry]) -> None:
         """Ask the first one for newer routes, the others only how old theirs are.
 
@@ -159,6 +182,8 @@
             link: PeerLink = await asyncio.wait_for(self._node.link(entry.address), ANSWER_S)
             news = await link.call(question, ANSWER_S)
             self._take(news, sent_at)
+            if not wants_routes:
+                self.note_news(entry, news)
         except (LacewingError, TimeoutError, OSError) as error:
             log.debug("entry_did_not_vouch", entry=entry.host, error=error)
             return False
--- a/tests/fleet/test_vouching.py
+++ b/tests/fleet/test_vouching.py
@@ -8,7 +8,7 @@
 from platform_standins import manifest
 
 from lacewinggw.errors import ProtocolViolation
-from lacewinggw.frontend.neighbours import KnownEntry
+from lacewinggw.frontend.neighbours import KnownEntry, reading_order
 from lacewinggw.frontend.vouching import (
     ROUTES_LIMIT_BYTES,
     Self,
@@ -30,11 +30,11 @@
     return [entry for entry in ENTRIES if entry.host != host]
 
 
-def test_one_entry_a_place_reads():
+def test_two_entries_a_place_read():
     readers = [
         entry for entry in ENTRIES if is_reader(Self(entry.host, entry.place), others(entry.host))
     ]
-    assert sorted(entry.place for entry in readers) == ["hall", "room"]
+    assert sorted(entry.place for entry in readers) == ["hall", "hall", "room", "room"]
 
 
 def test_one_near_and_one_far_are_asked():
@@ -110,7 +110,7 @@
 
 async def test_calls_for_the_routes_grow_with_the_places_and_not_with_the_entries():
     counts = []
-    for entries in (2, 7):
+    for entries in (3, 8):
         async with running_fleet(entries=entries) as fleet:
             await asyncio.sleep(3.0)
             began = sum(reads(entry) for entry in fleet.entries)
@@ -159,3 +159,20 @@
     for bad in (b"routes", pack_routes(bytes(ROUTES_LIMIT_BYTES + 1))):
         with pytest.raises(ProtocolViolation):
             unpack_routes(bad)
+
+
+@pytest.mark.parametrize("out", [1, 2, 3])
+async def test_readers_that_the_store_turns_away_keep_nobody_from_new_routes(out):
+    """The first readers of a place are turned away just before the routes change."""
+    async with running_fleet(entries=0) as fleet:
+        for number in range(1, 9):
+            await fleet.add_entry(number, "hall" if number <= 4 else "room")
+        await asyncio.sleep(6.0)
+        here = sorted(range(1, 5), key=lambda number: reading_order(f"entry-{number}"))[:out]
+        for number in here:
+            fleet.network.cut(f"10.1.0.{number}", "10.9.0.1")
+        await asyncio.sleep(0.3)
+        fleet.store.put("op", "config", manifest(5))
+        await asyncio.sleep(1.2)
+        versions = [entry.knowledge.routes.version for entry in fleet.entries]
+        assert versions == [5] * 8
