Take news of the list in one place, and add the model's command, lacewinggw-lab patterns

The same match over changes of the list stood in the entry's sight and the agent's assignment. No behaviour changes: the tests of both pass as they were.

--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -10,19 +10,11 @@
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.routes import RouteTable
-from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import (
-    Drop,
-    FleetFeed,
-    MemberEntry,
-    News,
-    Put,
-    Topic,
-    Unreadable,
-    listed_targets,
-)
+from lacewinggw.decisions.targetlist import DueVersion
+from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, News, Put, Topic
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
-from lacewinggw.ids import HostId, ModelName, TargetId, TargetName
+from lacewinggw.fleet.listing import take_listing
+from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
@@ -151,18 +143,8 @@
             self._on_urgent()
 
     def _apply_targets(self, news: News, _: float) -> None:
-        now = self._clock()
-        if news.whole:
-            self._knowledge.take_whole_list(listed_targets(news), now)
-            self._has_list = True
-        for change in news.changes:
-            match change:
-                case Put(TargetEntry() as entry) if not news.whole:
-                    self._knowledge.take_target(entry)
-                case Drop(key):
-                    self._knowledge.drop_target(TargetName(key), now)
-                case Unreadable(key):
-                    self._knowledge.disown_target(TargetName(key))
+        take_listing(self._knowledge, news, self._clock())
+        self._has_list = self._has_list or news.whole
         self._sync()
 
     def _sync(self) -> None:
--- a/src/lacewinggw/lab/cli.py
+++ b/src/lacewinggw/lab/cli.py
@@ -12,7 +12,7 @@
   demo      The main job: spread a model, serve it, move to a second one under load.
   standins  Run the platform's stand-ins until SIGTERM; print their addresses as JSON.
   targets   Run engines or plain services until SIGTERM; print their addresses as JSON.
-  spread, requests, load, config, faults, slopes, report
+  spread, requests, load, config, faults, slopes, patterns, report
             Experiments; `lacewinggw-lab <experiment> --help` tells the options of each.
 
 Options:
@@ -49,7 +49,7 @@
 from lacewinggw.log import LogFormat, configure_log
 from lacewinggw.wire.network import TcpNetwork
 
-EXPERIMENTS = ("spread", "requests", "load", "config", "faults", "slopes", "report")
+EXPERIMENTS = ("spread", "requests", "load", "config", "faults", "slopes", "patterns", "report")
 BAD_INPUT = 2
 
 Options = dict[str, Any]
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -10,7 +10,8 @@
 from lacewinggw.decisions.knowledge import Due, Knowledge, KnowledgeRules
 from lacewinggw.decisions.routes import RouteTable, WeightsFigures
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import Drop, News, Put, Unreadable, listed_targets
+from lacewinggw.fleet.feed import News, Put
+from lacewinggw.fleet.listing import take_listing
 from lacewinggw.fleet.newsletter import all_resume
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId, TargetName
@@ -98,18 +99,8 @@
         """Take what the store says of targets."""
         now = self._clock()
         self._knowledge.expire(now)
-        entries = listed_targets(news)
         self._position = max(self._position, news.position)
-        if news.whole:
-            self._knowledge.take_whole_list(entries, now)
-        for change in news.changes:
-            match change:
-                case Put(TargetEntry() as entry) if not news.whole:
-                    self._knowledge.take_target(entry)
-                case Drop(key):
-                    self._knowledge.drop_target(TargetName(key), now)
-                case Unreadable(key):
-                    self._knowledge.disown_target(TargetName(key))
+        take_listing(self._knowledge, news, now)
 
     def _take_table(self, table: RouteTable) -> None:
         if not self._knowledge.take_routes(table):
