Count news of an engine wherever its birth is told, in its entry, its report, or neither

Cause, found on reading the change again: with the birth in reports only, an agent's first news would have ended the start that is listed without one for good; with it in entries only, all news of the engine would have counted for nothing. Three cases of the new tests fail without it. Where no birth is told at all, as on the deployments so far, nothing changes.

--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -208,10 +208,10 @@
         """Note when a target was born, as told by its host: an earlier start of it is over.
 
         The list follows within a heartbeat of the target; until then the new start is not used, as
-        its weights are not known.
+        its weights are not known. It says nothing where the list does not tell births.
         """
         newest = self._starts.get(name)
-        if newest is not None and newest.born_ms < born_ms:
+        if newest is not None and 0 < newest.born_ms < born_ms:
             self.note_leaving(newest.target)
 
     def note_weights(self, target: TargetId, weights: Mapping[ModelName, int]) -> bool:
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -18,8 +18,8 @@
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
-# The age of the routes stays within half of the shortest bound on keys: one entry a place reads,
-# and the others ask it and are told when something is new; who gets no answer reads itself. Calls
+# The age of the routes stays well within the shortest bound on keys: two entries a place read, and
+# the others ask them and are told when something is new; who gets no answer reads itself. Calls
 # for the routes then grow with the places, not with the entries.
 ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability. Each
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -13,6 +13,7 @@
 from lacewinggw.background import Background
 from lacewinggw.clients.membership import Member, MemberRole
 from lacewinggw.clock import Clock, read_boot_clock
+from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.upgrades import (
     EMPTYING_S,
     FIRST_VERSION,
@@ -370,10 +371,15 @@
             held=[_held(model, version) for model, version in report.weights.items()],
             loading=self._loader.is_loading or self._emptying_since is not None,
             sent_ms=0,
-            born_ms=report.born_ms,
+            born_ms=_told_birth(target, report),
         )
 
 
+def _told_birth(target: TargetEntry, report: LoadableReport) -> int:
+    """Return when the target was born as it says itself, if entries know births from the list."""
+    return (report.born_ms or target.born_ms) if target.born_ms else 0
+
+
 def _held(model: ModelName, version: int) -> messages.HeldWeights:
     return messages.HeldWeights(model, version)
 
--- a/tests/fleet/test_entries_of_others.py
+++ b/tests/fleet/test_entries_of_others.py
@@ -5,7 +5,9 @@
 
 import pytest
 from declared_fleet import running_fleet
-from platform_standins import DESK, LLM, Row, manifest, target_row
+from platform_standins import BORN_MS, DESK, LLM, Row, manifest, target_row
+
+from lacewinggw.decisions.targetlist import start_of
 
 pytestmark = pytest.mark.looptime
 
@@ -132,3 +134,17 @@
     for data in BAD[:1] + BAD[2:3]:
         with pytest.raises(ValueError):
             json.loads(data)
+
+
+@pytest.mark.parametrize(("in_row", "in_report"), [(True, False), (False, True), (False, False)])
+async def test_news_of_an_engine_counts_wherever_its_birth_is_told(in_row, in_report):
+    async with running_fleet(engines=0) as fleet:
+        born_ms = BORN_MS if in_row else 0
+        engine = await fleet.add_target("engine0", LLM, "10.2.0.1", born=born_ms)
+        engine.born_ms = BORN_MS if in_report else 0
+        await fleet.add_agent("engine0")
+        await asyncio.sleep(3.0)
+        now = asyncio.get_running_loop().time()
+        entry = fleet.entries[0]
+        assert entry.pool.loads[start_of(engine.target_id, born_ms)].is_heard(now)
+        assert await served(fleet, "/report/1", X_Model="market")
--- a/tests/fleet/test_knowledge.py
+++ b/tests/fleet/test_knowledge.py
@@ -197,3 +197,9 @@
     knowledge.expire(161.0)
     knowledge.take_target(target("a", born_ms=4))
     assert set(knowledge.targets) == {"a/4"}
+
+
+def test_a_birth_says_nothing_where_the_list_tells_none(knowledge):
+    knowledge.take_target(target("a"))
+    knowledge.note_born("a", 7)
+    assert not knowledge.leaving and set(knowledge.targets) == {"a"}
