Take nothing more on a connection that was busy when an entry began to close

Ruled out: a listener that goes on accepting (it is closed 2.5 s after SIGTERM). The test fails without the change.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -230,6 +230,7 @@
         self._idle: set[asyncio.Task[None]] = set()
         self._busy: set[asyncio.Task[None]] = set()
         self._leaving = False
+        self._closing = False
 
     @property
     def address(self) -> str:
@@ -253,6 +254,7 @@
     async def close(self, grace_s: float = 0.0) -> None:
         """Stop accepting, let requests in progress end, then cut the rest."""
         self.leave()
+        self._closing = True
         if self._listener is not None:
             await self._listener.close()
         for task in list(self._idle):
@@ -300,7 +302,8 @@
             await self._serve(call, caller)
             self._busy.discard(task)
             self._idle.add(task)
-            if not caller.may_go_on:
+            # A request on a connection that was busy when closing began would be cut midway.
+            if self._closing or not caller.may_go_on:
                 return
 
     async def _let_it_read(self, caller: Caller) -> None:
--- /dev/null
+++ b/tests/fleet/test_callers_leaving.py
@@ -0,0 +1,68 @@
+"""Connections of callers while an entry leaves: what is taken is answered."""
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from lacewinggw.decisions.routes import CallerLimits
+from lacewinggw.frontend.callers import CallerListener
+from lacewinggw.lab.memory import MemoryNetwork
+
+pytestmark = pytest.mark.looptime
+
+ADDRESS = "10.1.0.1:8005"
+REQUEST = b"GET /tally/1 HTTP/1.1\r\nHost: notes.example\r\n\r\n"
+GRACE_S = 4.8
+
+
+class Entry:
+    """A listener whose answers take as long as told, and that notes what it has taken."""
+
+    def __init__(self):
+        self.network = MemoryNetwork()
+        self.taken = 0
+        self.answer_s = 0.0
+        self.listener = CallerListener(self.network, ADDRESS, self._serve, CallerLimits)
+
+    async def _serve(self, call, caller):
+        self.taken += 1
+        await asyncio.sleep(self.answer_s)
+        await caller.answer(200, [("content-length", "2")], b"ok")
+
+    async def connect(self):
+        return await self.network.view("10.200.0.1").connect(ADDRESS)
+
+
+async def test_nothing_more_is_taken_on_a_connection_that_was_busy_when_closing_began():
+    entry = Entry()
+    await entry.listener.start()
+    stream = await entry.connect()
+    entry.answer_s = 3.0
+    stream.write(REQUEST)
+    await asyncio.sleep(0.1)
+    entry.listener.leave()
+    await asyncio.sleep(0.5)
+    closing = asyncio.ensure_future(entry.listener.close(GRACE_S))
+    await asyncio.sleep(2.0)
+    assert b"200" in await stream.read(1 << 16)  # the one in progress is answered whole
+    entry.answer_s = 60.0
+    with suppress(ConnectionResetError):
+        stream.write(REQUEST)
+    await closing
+    assert entry.taken == 1  # the next one is not taken, so not cut off either
+
+
+async def test_a_connection_that_is_kept_goes_on_until_closing_begins():
+    entry = Entry()
+    await entry.listener.start()
+    stream = await entry.connect()
+    for _ in range(2):
+        stream.write(REQUEST)
+        assert b"200" in await stream.read(1 << 16)
+    entry.listener.leave()
+    stream.write(REQUEST)
+    answer = await stream.read(1 << 16)
+    assert b"200" in answer and b"connection: close" in answer.lower()
+    assert entry.taken == 3
+    await entry.listener.close()
