Tell no other entry when a version was named, where that is a guess

Cause: a process that starts reads the store whole and counts a version that it finds there as named five seconds ago, to be safe. The test fails without the change.

--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -40,10 +40,16 @@
 
 @dataclass(frozen=True)
 class Due:
-    """A version that is due, and when this process learned of it."""
+    """A version that is due, and when this process learned of it.
+
+    A process that has just started finds a version named at some time before, and counts it as
+    named the earlier for that. Such a guess is its own caution and nothing to tell to others, who
+    were there and know better.
+    """
 
     version: int
     learned_at: float
+    is_guess: bool = False
 
 
 class Knowledge:
@@ -114,7 +120,7 @@
         if named and due.version <= named[-1].version:
             return False
         used_s = max(0.0, self.rules.version_s - self.rules.settled_s) if old else 0.0
-        named.append(Due(due.version, now - used_s))
+        named.append(Due(due.version, now - used_s, is_guess=old))
         return True
 
     def due_versions(self, model: ModelName) -> Sequence[Due]:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -329,6 +329,7 @@
             named=[
                 messages.NamedModelVersion(model, due.version, round((now - due.learned_at) * 1000))
                 for model, due in self.knowledge.named
+                if not due.is_guess
             ],
             routes=self._newer_routes(known_version),
         )
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -53,3 +53,22 @@
         fleet.store.faults.outage = Outage.NONE
         await asyncio.sleep(2.9)
         assert start_of("i-desk0", BORN_MS) not in fleet.entries[0].knowledge.targets
+
+
+async def test_an_entry_that_has_just_started_does_not_make_others_take_a_version_for_older():
+    """A version is named while the store is silent; a process that starts then reads it whole."""
+    async with running_fleet(entries=3) as fleet:
+        await asyncio.sleep(5.0)
+        fleet.store.faults.outage = Outage.HANG
+        await asyncio.sleep(2.0)
+        fleet.store.put("op", "version/market", {"Model": "market", "Version": 2})
+        await asyncio.sleep(AWAY_S - 2.0)
+        fleet.store.faults.outage = Outage.NONE
+        returned_at = asyncio.get_running_loop().time()
+        await fleet.add_entry(4)
+        await asyncio.sleep(3.0)
+        for entry in fleet.entries[:3]:
+            (_, due), *_ = entry.knowledge.named
+            assert due.version == 2 and due.learned_at >= returned_at - 0.1
+        (_, due), *_ = fleet.entries[3].knowledge.named
+        assert due.is_guess
