Write the model's events as data classes, and drop what nothing reads

Read once more as a newcomer: three classes of events stood by hand where frozen data classes say the same; two counters and a constant of the model were read by nobody. The lab only: nothing that runs on the platform changes.

--- a/src/lacewinggw/lab/fleetmodel/callers.py
+++ b/src/lacewinggw/lab/fleetmodel/callers.py
@@ -42,7 +42,6 @@
     longest_gap_s: float = 0.0
     whole: bool = False
     refusals: int = 0
-    held_s: float = 0.0
 
     def is_on_time(self, gap_s: float) -> bool:
         """Tell whether it was served within its objective, without too long a pause."""
@@ -197,8 +196,6 @@
                 return
         finally:
             serving.cancel()
-        if not caller.has_begun:
-            caller.story.held_s += _now() - began
 
     def _draw(self, mean: float, spread: float, most: int) -> int:
         drawn = self._rng.lognormvariate(math.log(mean) - spread**2 / 2, spread)
--- a/src/lacewinggw/lab/fleetmodel/engine.py
+++ b/src/lacewinggw/lab/fleetmodel/engine.py
@@ -7,8 +7,6 @@
 
 from lacewinggw.decisions.routes import EngineFigures
 
-IDLE_S = 3600.0
-
 
 class EngineDown(OSError):
     """The engine lost power or was killed while it worked on a request."""
@@ -40,7 +38,6 @@
         self.factor = 1.0  # how much slower than declared it works
         self.is_up = True
         self.is_loading = False
-        self.rejected = 0
         self._figures = figures
         self._queue = queue
         self._waiting: deque[EngineJob] = deque()
@@ -68,7 +65,6 @@
     ) -> EngineJob | None:
         """Take a request, or None when there is no room for it."""
         if self.is_loading or self.running >= self._figures.slots + self._queue:
-            self.rejected += 1
             return None
         job = EngineJob(prompt_tokens, prompt_tokens, events, urgency, first_event)
         self._waiting.append(job)
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+from dataclasses import dataclass
+from typing import TypeAlias
 
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.ejection import EjectionRules
@@ -112,11 +114,6 @@
         self._entries: list[ModelEntry] = []
         self._began = 0.0
 
-    @property
-    def rejected(self) -> int:
-        """Offers that engines had no room for."""
-        return sum(engine.rejected for engine in self._engines.values())
-
     async def play(self) -> list[Story]:
         """Run the whole pattern and return what became of each request."""
         self._add_engines()
@@ -232,34 +229,29 @@
         await asyncio.sleep(max(0.0, self._began + at_s - asyncio.get_running_loop().time()))
 
 
-class _Event:
-    """Something that happens to the fleet."""
+@dataclass(frozen=True)
+class _Outage:
+    """A part of the engines takes other weights; `begin` and `end` are shares of all of them."""
 
     window: Window
+    begin: float
+    end: float
 
 
-class _Outage(_Event):
-    """A part of the engines takes other weights."""
-
-    __match_args__ = ("window", "begin", "end")
-
-    def __init__(self, window: Window, begin: float, end: float) -> None:
-        self.window, self.begin, self.end = window, begin, end
-
-
-class _Slow(_Event):
-    """A part of the engines works slowly."""
+@dataclass(frozen=True)
+class _Slow:
+    """A share of the engines takes `factor` times as long."""
 
-    __match_args__ = ("window", "share", "factor")
-
-    def __init__(self, window: Window, share: float, factor: float) -> None:
-        self.window, self.share, self.factor = window, share, factor
+    window: Window
+    share: float
+    factor: float
 
 
-class _PowerLoss(_Event):
+@dataclass(frozen=True)
+class _PowerLoss:
     """Everything stops and begins anew."""
 
-    __match_args__ = ("window",)
+    window: Window
+
 
-    def __init__(self, window: Window) -> None:
-        self.window = window
+_Event: TypeAlias = _Outage | _Slow | _PowerLoss
