Log whence routes came, how large and how old, and when an entry hears that it is behind

The logs could not tell a copy of the routes that is held up on its way from one that nobody asked for: routes_taken named no source entry, no size and no age, and an entry that knew of a newer version without having it said nothing. Counter vouching_total{outcome}.

--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -112,6 +112,7 @@
             adapter.decode_routes,
             self._neighbours.known,
             clock,
+            self.metrics,
         )
         routing = settings.routing
         self.pool = TargetPool(
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -29,6 +29,7 @@
 READER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.4)
 ASKER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=1.2)
 MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=1.0)
+MS_PER_S = 1000
 EXPIRE_S = 0.1  # between looks for targets that did not come back after an outage
 
 log = get_logger(__name__)
@@ -133,7 +134,14 @@
         for change in news.changes:
             match change:
                 case Put(RouteTable() as table) if self._knowledge.take_routes(table):
-                    log.info("routes_taken", version=table.version, routes=len(table.routes))
+                    log.info(
+                        "routes_taken",
+                        version=table.version,
+                        source="store",
+                        routes=len(table.routes),
+                        bytes=len(table.source),
+                        age_ms=round((now - proved_at) * MS_PER_S),
+                    )
                 case Put(DueVersion() as due) if self._knowledge.take_due(due, now, news.whole):
                     log.info("version_due", model=due.model, version=due.version)
         self._knowledge.prove_routes(proved_at)
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -21,6 +21,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import HostId, ModelName, Place, TargetId
 from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
 from lacewinggw.wire.peers import PeerLink, PeerNode
 from lacewinggw.wire.soundness import require_sound
 
@@ -96,7 +97,11 @@
         decode: DecodeRoutes,
         others: Callable[[], Iterable[KnownEntry]],
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
+        self._answers = metrics.counter("vouching", outcome="answered")
+        self._failures = metrics.counter("vouching", outcome="failed")
+        self._heard_version = 0
         self._node = node
         self._me = me
         self._knowledge = knowledge
@@ -119,6 +124,9 @@
         """Ask an entry at once if it has pushed that it knows newer routes or versions."""
         if not self._is_newer(news):
             return
+        if news.routes_version > self._heard_version:
+            self._heard_version = news.routes_version
+            log.info("routes_heard_of", version=news.routes_version, entry=entry.host)
         if self._newer_at is None or entry.place == self._me.place:
             self._newer_at = entry
         self._wake.set()
@@ -181,15 +189,17 @@
         try:
             link: PeerLink = await asyncio.wait_for(self._node.link(entry.address), ANSWER_S)
             news = await link.call(question, ANSWER_S)
-            self._take(news, sent_at)
+            self._take(news, entry, sent_at)
             if not wants_routes:
                 self.note_news(entry, news)
         except (LacewingError, TimeoutError, OSError) as error:
+            self._failures.add()
             log.debug("entry_did_not_vouch", entry=entry.host, error=error)
             return False
+        self._answers.add()
         return True
 
-    def _take(self, news: messages.EntryNews, sent_at: float) -> None:
+    def _take(self, news: messages.EntryNews, entry: KnownEntry, sent_at: float) -> None:
         require_sound(news)
         knowledge = self._knowledge
         for target in news.leaving:
@@ -200,6 +210,13 @@
         if news.routes:
             table = self._decode(unpack_routes(news.routes))
             if knowledge.take_routes(table):
-                log.info("routes_taken", version=table.version, source="entry")
+                log.info(
+                    "routes_taken",
+                    version=table.version,
+                    source="entry",
+                    entry=entry.host,
+                    bytes=len(news.routes),
+                    age_ms=round((self._clock() - sent_at) * MS_PER_S) + news.routes_age_ms,
+                )
         if knowledge.routes is not None and news.routes_version >= knowledge.routes.version:
             knowledge.prove_routes(sent_at - news.routes_age_ms / MS_PER_S)
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -79,6 +79,7 @@
     "targets_ejected": _counter("entry", "Times a failing target was left out of the choice."),
     "targets_known": _gauge("entry", "Targets believed to be there, leaving ones included."),
     "uploads_stuck": _counter("agent", "Uploads given up because the receiver took nothing."),
+    "vouching": _counter("entry", "Questions to other entries for the routes, by outcome."),
     "weights_bytes": _counter("agent", "Bytes of verified chunks received, by kind of source."),
     "weights_memory_bytes": _gauge("agent", "Bytes of verified chunks held in memory."),
     "weights_sent_bytes": _counter("agent", "Bytes of chunks sent to other hosts."),
