--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -2,15 +2,17 @@
 
 Streams are pairs of byte queues with a latency. Faults are made by host: an address belongs to the
 host that its IP part names. `cut` parts two hosts, `lose` takes one away as on power loss, `hold`
-keeps all that it sends and receives back for a while, as if its processes were paused.
+keeps all that it sends and receives back for a while, as if its processes were paused. Between
+groups of hosts the network is as narrow as `part_regions` says, and as wide as may be without it.
 """
 
 import asyncio
 import itertools
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from lacewinggw.lab.border import SLICE_BYTES, Border
 from lacewinggw.wire.network import Accept, Listener, Stream, split_address
 
 WINDOW_BYTES = 1 << 20
@@ -28,12 +30,15 @@
     in `held` waits for `catch_up`.
     """
 
-    def __init__(self, latency_s: float, ends: Cut, held: set[str]) -> None:
+    def __init__(
+        self, latency_s: float, ends: Cut, held: set[str], border: Border | None = None
+    ) -> None:
         self.reader = asyncio.StreamReader(limit=WINDOW_BYTES)
         self.late = 0
         self._latency_s = latency_s
         self._ends = ends
         self._held = held
+        self._border = border
         self._in_flight = 0
         self._queue: deque[bytes | None] = deque()
         self._room = asyncio.Event()
@@ -50,20 +55,24 @@
         self._in_flight += len(data)
         if self._in_flight > WINDOW_BYTES:
             self._room.clear()
-        self._queue.append(data)
-        asyncio.get_running_loop().call_later(self._latency_s, self._arrive)
+        step = len(data) if self._border is None else SLICE_BYTES
+        for start in range(0, len(data), max(step, 1)):
+            piece = data[start : start + step]
+            self._queue.append(piece)
+            self._transmit(len(piece))
 
     def end(self) -> None:
         if self._ended:
             return
         self._ended = True
         self._queue.append(None)
-        asyncio.get_running_loop().call_later(self._latency_s, self._arrive)
+        self._transmit(0)
 
     def break_off(self) -> None:
         self._ended = True
         self.late = 0
         self._room.set()
+        self.drop_unsent()
         if self.reader.exception() is None and not self.reader.at_eof():
             self.reader.set_exception(ConnectionResetError("the connection was cut"))
 
@@ -78,6 +87,24 @@
         for _ in range(late):
             self._arrive()
 
+    def drop_unsent(self) -> None:
+        """Forget what still waits before a narrow link: its receiver has closed the stream."""
+        if self._border is None:
+            return
+        dropped = [self._queue.pop() for _ in range(self._border.drop(self))]
+        if None in dropped:
+            self._queue.append(None)
+            self._arrive_later()
+
+    def _transmit(self, size: int) -> None:
+        if self._border is None:
+            self._arrive_later()
+        else:
+            self._border.send(self, size, self._arrive_later)
+
+    def _arrive_later(self) -> None:
+        asyncio.get_running_loop().call_later(self._latency_s, self._arrive)
+
     def _arrive(self) -> None:
         if not self._held.isdisjoint(self._ends):
             self.late += 1
@@ -139,6 +166,7 @@
             return
         self.closed = True
         self._outgoing.end()
+        self._incoming.drop_unsent()
         self._incoming.end()
 
     def abort(self) -> None:
@@ -187,6 +215,9 @@
     cuts: set[Cut] = field(default_factory=set)
     lost: set[str] = field(default_factory=set)
     held: set[str] = field(default_factory=set)
+    regions: dict[str, str] = field(default_factory=dict)
+    borders: dict[tuple[str, str], Border] = field(default_factory=dict)
+    border_bytes_per_s: float = 0.0
     ports: "itertools.count[int]" = field(default_factory=lambda: itertools.count(FIRST_PORT))
 
 
@@ -233,8 +264,9 @@
         accept = fabric.accepts.get(address)
         if accept is None or ends in fabric.cuts or not fabric.lost.isdisjoint(ends):
             raise ConnectionRefusedError(f"nobody answers at {address}")
-        there = _Pipe(self.latency_s, ends, fabric.held)
-        back = _Pipe(self.latency_s, ends, fabric.held)
+        here, remote = self._ip, split_address(address)[0]
+        there = _Pipe(self.latency_s, ends, fabric.held, self._border(here, remote))
+        back = _Pipe(self.latency_s, ends, fabric.held, self._border(remote, here))
         near, far = MemoryStream(back, there, ends), MemoryStream(there, back, ends)
         self._keep_open(near, far)
         task = asyncio.get_running_loop().create_task(self._run(accept, far))
@@ -253,6 +285,24 @@
         """Let two hosts connect again."""
         self._fabric.cuts.discard(frozenset((one, other)))
 
+    def part_regions(self, regions: Mapping[str, str], bytes_per_s: float) -> None:
+        """Have hosts of two regions share a link each way; `regions` gives each host's region.
+
+        It holds for connections that are opened from now on. A host without a region is next to
+        all.
+        """
+        self._fabric.regions.update(regions)
+        self._fabric.border_bytes_per_s = bytes_per_s
+
+    def _border(self, sender: str, receiver: str) -> Border | None:
+        fabric = self._fabric
+        ends = (fabric.regions.get(sender, ""), fabric.regions.get(receiver, ""))
+        if "" in ends or ends[0] == ends[1]:
+            return None
+        if ends not in fabric.borders:
+            fabric.borders[ends] = Border(fabric.border_bytes_per_s)
+        return fabric.borders[ends]
+
     def lose(self, ip: str) -> None:
         """Lose a host at once, as on power loss, until something listens there again.
 
--- a/tests/test_memory_network.py
+++ b/tests/test_memory_network.py
@@ -25,3 +25,48 @@
     await done.wait()
     assert await stream.readexactly(200) == bytes(range(200))
     assert await stream.read(1) == b""
+
+
+async def test_connections_share_a_narrow_border_evenly() -> None:
+    """Two large sendings and a small one that begins with them: the small one is not held up."""
+    network = MemoryNetwork()
+    network.part_regions({"10.0.0.1": "north", "10.0.0.2": "south"}, bytes_per_s=100_000)
+    sizes = {1: 200_000, 2: 200_000, 3: 10_000}
+
+    async def accept(stream: Stream) -> None:
+        number = (await stream.readexactly(1))[0]
+        stream.write(bytes(sizes[number]))
+        await stream.drain()
+        await asyncio.sleep(60)
+
+    listener = await network.view("10.0.0.1").listen("10.0.0.1:80", accept)
+    clock = asyncio.get_running_loop().time
+    ended: dict[int, float] = {}
+
+    async def fetch(number: int) -> None:
+        stream = await network.view("10.0.0.2").connect(listener.address)
+        stream.write(bytes([number]))
+        await stream.readexactly(sizes[number])
+        ended[number] = clock()
+
+    await asyncio.gather(*(fetch(number) for number in sizes))
+    assert ended[3] < 0.7
+    assert all(3.9 < ended[number] < 4.5 for number in (1, 2))
+
+
+async def test_what_nobody_reads_any_more_leaves_a_border_to_others() -> None:
+    network = MemoryNetwork()
+    network.part_regions({"10.0.0.1": "north", "10.0.0.2": "south"}, bytes_per_s=100_000)
+
+    async def accept(stream: Stream) -> None:
+        stream.write(bytes(500_000))
+        await asyncio.sleep(60)
+
+    listener = await network.view("10.0.0.1").listen("10.0.0.1:80", accept)
+    given_up = await network.view("10.0.0.2").connect(listener.address)
+    await given_up.readexactly(10_000)
+    given_up.close()
+    began = asyncio.get_running_loop().time()
+    other = await network.view("10.0.0.2").connect(listener.address)
+    await other.readexactly(100_000)
+    assert asyncio.get_running_loop().time() - began < 1.2
