--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -294,6 +294,11 @@
         self._fabric.regions.update(regions)
         self._fabric.border_bytes_per_s = bytes_per_s
 
+    def crossed_bytes(self, sender: str, receiver: str) -> int:
+        """Return how many bytes have crossed from one region to another."""
+        border = self._fabric.borders.get((sender, receiver))
+        return border.sent_bytes if border is not None else 0
+
     def _border(self, sender: str, receiver: str) -> Border | None:
         fabric = self._fabric
         ends = (fabric.regions.get(sender, ""), fabric.regions.get(receiver, ""))
