Have a fleet that starts anew bring large routes over a border once a place

Each entry and agent read the routes whole as it started, so after a loss of power a border carried a copy for each process behind it.

An entry that starts reads the list of entries, some KB, and by its rank in its place reads the routes at once or waits 0.3 s or more to be told. Versions that a fresh entry found named are told as guesses, which only another fresh one takes; who knows all that its informant knew goes on from its position. An agent gives up its read once an entry has told it.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -195,7 +195,8 @@
 
 // ---- fleets declared in the operators' store --------------------------------------------
 
-struct NamedModelVersion { 1: string model, 2: i64 version, 3: i64 age_ms }
+// The age is a guess where the sender has just started and found the version named already.
+struct NamedModelVersion { 1: string model, 2: i64 version, 3: i64 age_ms, 4: bool is_guess = false }
 
 // From entry to entry, on change and now and then: whether callers may be sent to the sender, and
 // how old its knowledge of the routes is. Ages are spans, so no clocks are compared.
@@ -206,7 +207,7 @@
   4: i64 routes_age_ms           // the routes were known to be the newest so long ago
   5: list<string> leaving        // starts of targets that, as the sender learned, take no new work
   6: list<NamedModelVersion> named
-  8: i64 routes_position = 0     // how far the sender knows the store's changes, if it may be relied on
+  8: i64 routes_position = 0     // how far the sender knows the store's changes of routes and versions
 }
 // Before the answer to a question that wants newer routes: the routes as the store has them, zlib, in
 // parts, so that one who takes them over a narrow link sees them come.
--- a/src/lacewinggw/decisions/readers.py
+++ b/src/lacewinggw/decisions/readers.py
@@ -23,6 +23,9 @@
 # Half a second is enough for 50 KB over a border with 1 Mbit/s left. Where the first entry of a
 # place fails, the next one still has the routes within the shortest bound on changes, 2 s.
 FETCH_STEP_S = 0.5
+# At the start of many entries at once: a whole copy from the store, and its way through the place.
+START_STEP_S = 0.3
+LIST_WAIT_S = 0.2  # for the list of entries, a few KB, by which an entry that starts knows its rank
 
 
 @dataclass(frozen=True)
@@ -85,6 +88,14 @@
     return FETCH_STEP_S * _step_of(rank)
 
 
+def start_wait_s(rank: int | None) -> float:
+    """Return how long an entry that starts waits to be told the routes before it reads them.
+
+    Its rank is that among the listed entries of its place; None while the list is not here.
+    """
+    return LIST_WAIT_S if rank is None else START_STEP_S * max(0, _step_of(rank) - 1)
+
+
 def _step_of(rank: int) -> int:
     """Return 0 for the first, 1 for the next, 2 for the two after it, 3 for the next four."""
     return rank.bit_length()
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -23,6 +23,7 @@
 
 FIRST_RETRY_S = 0.1
 IDLE_S = 0.2  # between looks whether the topic has to be read again
+START_IDLE_S = 0.02  # the same while nothing is known of it
 # A store that is back is noticed within half as much again. Three seconds after its return an entry
 # counts as in touch, and by then it must have let go of targets that vanished meanwhile.
 LONGEST_RETRY_S = 0.5
@@ -45,7 +46,7 @@
 
     A connection that has gone silent is noticed after the wait and a little more, so the wait
     bounds how old the knowledge may grow. While `is_needed` says no, as somebody else tells what
-    is new, nothing is read but the first snapshot. `on_regained` is told, before the news, when the
+    is new, nothing is read. `on_regained` is told, before the news, when the
     store answers again.
     """
 
@@ -99,7 +100,7 @@
 
     def interrupt(self) -> None:
         """Give up a call in progress; whether another one is made is asked anew."""
-        if self._call is not None and self._position is not None:
+        if self._call is not None:
             self._call.cancel()
 
     async def start(self) -> None:
@@ -112,9 +113,9 @@
 
     async def _run(self) -> None:
         while True:
-            if self._position is not None and not self._is_needed():
+            if not self._is_needed():
                 self._is_idle = True
-                await asyncio.sleep(IDLE_S)
+                await asyncio.sleep(IDLE_S if self._position is not None else START_IDLE_S)
                 continue
             sent_at = self._clock()
             try:
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -43,7 +43,7 @@
     """Fetches what other entries say that they know.
 
     `on_fetching` is told when routes are about to be fetched; `on_taken` when they are here, with
-    the position in the store up to which their sender knew all.
+    the position in the store up to which all is known now, 0 if that is not known.
     """
 
     def __init__(
@@ -104,8 +104,11 @@
     def _is_newer(self, news: messages.EntryNews) -> bool:
         if self._has_newer_routes(news):
             return True
+        return not self._knows_named(each for each in news.named if not each.is_guess)
+
+    def _knows_named(self, named: Iterable[messages.NamedModelVersion]) -> bool:
         known = {(model, due.version) for model, due in self._knowledge.named}
-        return any((each.model, each.version) not in known for each in news.named)
+        return all((each.model, each.version) in known for each in named)
 
     def _has_newer_routes(self, news: messages.EntryNews) -> bool:
         routes = self._knowledge.routes
@@ -164,9 +167,9 @@
             async with asyncio.timeout(PART_S):
                 link = await self._node.link(entry.address, LANE)
             packed, news = await _receive(link.open(question))
+            take_answer(self._knowledge, news, sent_at)
             if packed:
                 self._take_routes(packed, news, entry, sent_at)
-            take_answer(self._knowledge, news, sent_at)
         except (LacewingError, TimeoutError, OSError) as error:
             self._failed.add()
             log.info("routes_not_fetched", entry=entry.host, error=error)
@@ -190,7 +193,8 @@
             bytes=len(packed),
             age_ms=round((self._clock() - sent_at) * MS_PER_S) + news.routes_age_ms,
         )
-        self._on_taken(news.routes_position)
+        knows_all = self._knows_named(news.named)
+        self._on_taken(news.routes_position if knows_all else 0)
 
 
 async def _receive(call: OutgoingCall) -> tuple[bytes, messages.EntryNews]:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -19,6 +19,7 @@
     fallback_age_s,
     is_reader,
     rank_in_place,
+    start_wait_s,
 )
 from lacewinggw.decisions.routes import CallerLimits
 from lacewinggw.fleet.announcer import Announcer
@@ -101,6 +102,7 @@
         self._host = HostId(process.host)
         self._place = Place(process.place)
         self._leaving = False
+        self._started_at = math.inf
         self._packed_version = 0  # of the routes as other entries get them, in parts
         self._packed: Sequence[bytes] = ()
         self.incarnation = new_incarnation(rng)
@@ -159,7 +161,7 @@
             self.metrics,
             rng,
             self._reads_often,
-            lambda: self._fetcher.is_fetching,
+            self._reads_routes,
             self._agents.note_change,
             self._note_members,
             self._neighbours.note_change,
@@ -210,6 +212,7 @@
 
     async def start(self) -> None:
         """Begin to follow the store, then to take callers."""
+        self._started_at = self._clock()
         await self._sight.start()
         await self._node.start(self._settings.entry.peer_listen)
         for server in self._servers:
@@ -295,6 +298,24 @@
             return True
         return self.knowledge.routes_age(self._clock()) >= fallback_age_s(rank)
 
+    def _reads_routes(self) -> bool:
+        """Tell whether this entry is to read the routes now, as nobody brings them."""
+        if self._fetcher.is_fetching:
+            return False
+        if self.knowledge.routes is not None:
+            return self._reads_often()
+        rank = None
+        if self._sight.has_members:
+            rank = rank_in_place(self._me, self._listed())
+        return self._clock() - self._started_at >= start_wait_s(rank)
+
+    def _listed(self) -> Sequence[KnownEntry]:
+        return [
+            KnownEntry(member.host, member.place, member.address)
+            for member in self._sight.members.values()
+            if member.role is MemberRole.ENTRY
+        ]
+
     def _leave_routes(self) -> None:
         self._sight.leave_routes()
 
@@ -358,9 +379,10 @@
             routes_age_ms=math.ceil(age_s * MS_PER_S),
             leaving=sorted(self.knowledge.leaving & self.knowledge.targets.keys()),
             named=[
-                messages.NamedModelVersion(model, due.version, round((now - due.learned_at) * 1000))
+                messages.NamedModelVersion(
+                    model, due.version, round((now - due.learned_at) * MS_PER_S), due.is_guess
+                )
                 for model, due in self.knowledge.named
-                if not due.is_guess
             ],
             routes_position=self._sight.routes_position,
         )
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -40,7 +40,7 @@
     """Follows the store's topics into the knowledge and the pool of targets.
 
     `reads_often` tells whether this entry reads for its place, or nobody tells it what is new;
-    `is_fetching` whether newer routes are on their way from another entry.
+    `reads_routes` whether it is to read the routes now.
 
     `on_change` is called when targets or versions have changed, `on_members` when the list of
     entries has, `on_urgent` when the entries that do not read have to be told something at once:
@@ -56,7 +56,7 @@
         metrics: Metrics,
         rng: random.Random,
         reads_often: Callable[[], bool],
-        is_fetching: Callable[[], bool],
+        reads_routes: Callable[[], bool],
         on_change: Callable[[], None],
         on_members: Callable[[], None],
         on_urgent: Callable[[], None],
@@ -70,18 +70,18 @@
         self._rng = rng
         self._store_clock = StoreClock()
         self._reads_often = reads_often
-        self._is_fetching = is_fetching
         self._on_change = on_change
         self._on_members = on_members
         self._on_urgent = on_urgent
         self._leaving_told = 0
         self._has_list = False
+        self._has_members = False
         self._targets = self._follow(Topic.TARGETS, self._apply_targets, self._list_wait)
         self._configuration = self._follow(
             Topic.CONFIGURATION,
             self._apply_configuration,
             lambda: ROUTES_WAIT,
-            lambda: self._reads_often() and not self._is_fetching(),
+            reads_routes,
         )
         self._followers = [
             self._configuration,
@@ -102,14 +102,14 @@
 
     @property
     def routes_position(self) -> int:
-        """How far routes and versions due are known, as the store counts; 0 if not to be told.
-
-        Whoever relies on it must not miss a version that was named, and a guess is not told.
-        """
-        if any(due.is_guess for _, due in self._knowledge.named):
-            return 0
+        """How far routes and versions due are known, as the store counts."""
         return self._configuration.position
 
+    @property
+    def has_members(self) -> bool:
+        """Whether the list of entries has been read."""
+        return self._has_members
+
     def leave_routes(self) -> None:
         """Stop reading the routes while another entry sends them.
 
@@ -196,6 +196,7 @@
             self._on_urgent()
 
     def _apply_members(self, news: News, _: float) -> None:
+        self._has_members = True
         if news.whole:
             self.members.clear()
         for change in news.changes:
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -33,14 +33,21 @@
 def take_answer(knowledge: Knowledge, news: messages.EntryNews, sent_at: float) -> None:
     """Take what another entry answered to a question that was sent at a moment.
 
+    Who has just started counts versions that it finds named as older than they may be. Such a guess
+    is taken only by one that has just started as well: others were there and know better.
+
     Raise `ProtocolViolation` for an answer that is not sound.
     """
     require_sound(news)
     for target in news.leaving:
         knowledge.note_leaving(TargetId(target))
+    starts = knowledge.routes is None
     for named in news.named:
         due = DueVersion(ModelName(named.model), named.version)
-        knowledge.take_due(due, sent_at - named.age_ms / MS_PER_S)
+        if not named.is_guess:
+            knowledge.take_due(due, sent_at - named.age_ms / MS_PER_S)
+        elif starts:
+            knowledge.take_due(due, sent_at, old=True)
     knowledge.take_proof(news.routes_version, sent_at - news.routes_age_ms / MS_PER_S)
 
 
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -341,10 +341,18 @@
                     self._listeners.add(exchange.link)
                     self._told = None
             case messages.FleetNews() as news:
+                was_told = self.assignment.is_told
                 self.assignment.take_news(news)
+                if self.assignment.is_told and not was_told:
+                    self._leave_store()
             case _:
                 await self.spreader.handle(exchange)
 
+    def _leave_store(self) -> None:
+        """Give up reads that an entry made needless: routes may take a second over this link."""
+        for follower in self._followers:
+            follower.interrupt()
+
     def _tell_entries(self) -> None:
         """Send news of the target's work to the entries that listen, when it has changed."""
         now = self._clock()
--- a/tests/fleet/test_narrow_border.py
+++ b/tests/fleet/test_narrow_border.py
@@ -16,13 +16,14 @@
 
 import pytest
 from declared_fleet import running_fleet
-from platform_standins import KEY, manifest
+from platform_standins import KEY, MODEL, manifest
 
 from lacewinggw.decisions.readers import reading_order
 
 pytestmark = pytest.mark.looptime
 
 STORE_IP = "10.9.0.1"
+ENGINE_IP = "10.2.0.1"
 REGIONS = {"hall": "north", "room": "south", "shed": "east"}  # the store stands in the north
 IN_FORCE_S = 3.0  # a change that was confirmed
 
@@ -162,3 +163,17 @@
         await asyncio.sleep(2.5)
         assert versions(fleet) == [5] * 15
         assert all(entry.is_ready for entry in fleet.entries)
+
+
+async def test_an_agent_that_an_entry_tells_reads_no_whole_copy_of_the_routes():
+    routes = grown_routes(5, extra=700)
+    size = 4 / 3 * len(json.dumps(routes))
+    async with parted_fleet({"hall": 1, "room": 2}, size / 8) as fleet:
+        fleet.store.put("op", "config", routes)
+        fleet.network.part_regions({ENGINE_IP: "south"}, size / 8)
+        await asyncio.sleep(4.0)
+        before = fleet.network.crossed_bytes("north", "south")
+        agent = await fleet.add_agent("engine0", "room")
+        await asyncio.sleep(4.0)
+        assert agent.assignment.model == MODEL
+        assert fleet.network.crossed_bytes("north", "south") - before < size / 3
--- a/tests/fleet/test_store_return.py
+++ b/tests/fleet/test_store_return.py
@@ -55,8 +55,15 @@
         assert start_of("i-desk0", BORN_MS) not in fleet.entries[0].knowledge.targets
 
 
-async def test_an_entry_that_has_just_started_does_not_make_others_take_a_version_for_older():
-    """A version is named while the store is silent; a process that starts then reads it whole."""
+@pytest.mark.parametrize("is_alone", [False, True])
+async def test_an_entry_that_has_just_started_does_not_make_others_take_a_version_for_older(
+    is_alone,
+):
+    """A version is named while the store is silent; a process that starts then reads it whole.
+
+    If it hears of others only after that, what it knows is a guess; else they tell it.
+    """
+    others = [f"10.1.0.{number}" for number in (1, 2, 3)]
     async with running_fleet(entries=3) as fleet:
         await asyncio.sleep(5.0)
         fleet.store.faults.outage = Outage.HANG
@@ -65,10 +72,17 @@
         await asyncio.sleep(AWAY_S - 2.0)
         fleet.store.faults.outage = Outage.NONE
         returned_at = asyncio.get_running_loop().time()
+        for other in others:
+            if is_alone:
+                fleet.network.cut("10.1.0.4", other)
         await fleet.add_entry(4)
+        await asyncio.sleep(1.0)
+        for other in others:
+            fleet.network.heal("10.1.0.4", other)
         await asyncio.sleep(3.0)
         for entry in fleet.entries[:3]:
             (_, due), *_ = entry.knowledge.named
             assert due.version == 2 and due.learned_at >= returned_at - 0.1
         (_, due), *_ = fleet.entries[3].knowledge.named
-        assert due.is_guess
+        assert due.version == 2
+        assert due.is_guess if is_alone else due.learned_at >= returned_at - 0.1
