--- /dev/null
+++ b/tests/test_service_calls.py
@@ -0,0 +1,56 @@
+"""Calls to services of the platform over links that have little room.
+
+A read that had a limit for its whole answer never ended over a link on which the answer took longer,
+and began anew each time; see `fleet/test_narrow_border.py` for what came of it.
+"""
+
+import asyncio
+
+import pytest
+
+from lacewinggw.clients.objects import ObjectClient
+from lacewinggw.errors import PlatformUnavailable
+from lacewinggw.lab.memory import MemoryNetwork
+from lacewinggw.lab.objects import ObjectStandIn
+
+pytestmark = pytest.mark.looptime
+
+SERVICE_IP = "10.0.0.1"
+CLIENT_IP = "10.0.0.2"
+TIMEOUT_S = 1.0
+BORDER_BYTES_PER_S = 500_000
+DATA = bytes(range(256)) * 8192  # 2 MB: four seconds
+
+
+async def start(network: MemoryNetwork) -> tuple[ObjectStandIn, ObjectClient]:
+    """Start a service and its client on either side of a narrow border."""
+    network.part_regions({SERVICE_IP: "north", CLIENT_IP: "south"}, BORDER_BYTES_PER_S)
+    service = ObjectStandIn(network.view(SERVICE_IP), f"{SERVICE_IP}:80")
+    await service.start()
+    beside = ObjectClient(network.view(SERVICE_IP), service.address, TIMEOUT_S)
+    await beside.put("snapshot", DATA)
+    await beside.close()
+    return service, ObjectClient(network.view(CLIENT_IP), service.address, TIMEOUT_S)
+
+
+async def test_an_answer_that_takes_longer_than_the_limit_is_read_while_it_comes() -> None:
+    service, client = await start(MemoryNetwork())
+    began = asyncio.get_running_loop().time()
+    assert await client.get("snapshot") == DATA
+    assert 4.0 < asyncio.get_running_loop().time() - began < 5.0
+    await client.close()
+    await service.close()
+
+
+async def test_an_answer_that_stands_still_is_given_up_within_the_limit() -> None:
+    network = MemoryNetwork()
+    service, client = await start(network)
+    reading = asyncio.ensure_future(client.get("snapshot"))
+    await asyncio.sleep(2.0)
+    network.hold(SERVICE_IP)
+    began = asyncio.get_running_loop().time()
+    with pytest.raises(PlatformUnavailable):
+        await reading
+    assert asyncio.get_running_loop().time() - began < TIMEOUT_S + 0.1
+    await client.close()
+    await service.close()
