Limit reads of the platform's services by a pause in their answers, not by their length

It holds for the clients of the table, the objects, the list of processes and the origin of weights too.

--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -72,7 +72,7 @@
 
 
 class ServiceCalls:
-    """Calls to one address, each with a time limit in seconds.
+    """Calls to one address, each with a time limit in seconds for a silence of the other side.
 
     Owns no connection: the `HttpClient` belongs to the client that made it.
     """
@@ -98,15 +98,16 @@
     ) -> Response:
         """Get; raise `PlatformUnavailable` or `PlatformThrottled` for whatever fails.
 
-        `timeout_s` replaces the usual time limit, for a call that waits at the other side. With
-        `pause_s` it is the limit until the answer begins, which then goes on as long as it keeps
-        coming.
+        The answer has to begin within the time limit, and may then take as long as it keeps coming,
+        with no pause longer than `pause_s`, or the limit: one that is cut off and begun anew would
+        never end over a link without much room. `timeout_s` replaces the usual limit, for a call
+        that waits at the other side.
         """
         target = join_path(path, query)
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
             response = await self._http.request(
-                self._address, "GET", target, headers, timeout_s=limit_s, pause_s=pause_s
+                self._address, "GET", target, headers, timeout_s=limit_s, pause_s=pause_s or limit_s
             )
         except (OSError, TimeoutError, HttpError) as error:
             raise self._unavailable(error) from error
