--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -1,7 +1,7 @@
 """Calls to services of the platform over links that have little room.
 
-A read that had a limit for its whole answer never ended over a link on which the answer took longer,
-and began anew each time; see `fleet/test_narrow_border.py` for what came of it.
+A read that had a limit for its whole answer never ended over a link on which that took longer, and
+began anew each time; see `fleet/test_narrow_border.py` for what came of it.
 """
 
 import asyncio
