Show a key that is honoured too long after a feed that went deaf: a test, known red

Found on reading the change: an answer counts from when it was composed, but a feed that overlooks a change for a second says until its end that nothing has changed.

--- a/tests/fleet/test_store_troubles.py
+++ b/tests/fleet/test_store_troubles.py
@@ -195,3 +195,22 @@
         fleet.store.faults.outage = Outage.NONE
         await asyncio.sleep(5.0)
         assert (await fleet.ask("/sheet/1")).status == 200
+
+
+@pytest.mark.parametrize("begun_s", [0.1, 0.4, 0.7, 1.0])
+async def test_a_key_that_is_taken_away_while_the_feed_is_deaf_is_refused_in_time(begun_s):
+    """The feed overlooks a change for a second, then the store is out of reach.
+
+    A wait that ended in that second without news told that nothing had changed, and a key was
+    honoured for five seconds from its end, not from its beginning.
+    """
+    async with running_fleet() as fleet:
+        await asyncio.sleep(begun_s)
+        fleet.store.deaf = True
+        fleet.store.put("op", "config", manifest(4, Tenants=[{"Name": "growers", "ApiKeys": []}]))
+        revoked_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(1.0)
+        fleet.store.faults.outage = Outage.CUT
+        fleet.network.cut("10.1.0.1", "10.9.0.1")
+        await asyncio.sleep(revoked_at + 5.05 - asyncio.get_running_loop().time())
+        assert (await fleet.ask("/sheet/1")).status in (401, 503)
