Let an entry read the store again as soon as one of its informants has failed it

Cause: an entry that is told of newer routes leaves its own read and asks who told. If those fall silent at once it asked one after the other, 0.8 s each, four of them in three places, before it read the store: over the shortest bound on changes. Modelled, two informants that freeze: nobody of a place knew the routes after 1.3 s, two of three do now, and all after 2.0 s as before.

A wait for an answer may be longer than an answer may take to come: the limits add up.

--- a/src/lacewinggw/decisions/storeclock.py
+++ b/src/lacewinggw/decisions/storeclock.py
@@ -9,8 +9,8 @@
     clock.place(sent_at=100.0, received_at=100.01, told_s=5.0)  # 100.0
     clock.place(sent_at=101.0, received_at=102.21, told_s=7.2)  # 102.2, not 101.0
 
-A store whose feed overlooks changes for a moment, before it drops its history, says until the end of
-a wait that nothing has changed. So what must hold under any trouble counts from the sending.
+A store whose feed overlooks changes for a moment, before it drops its history, says until the end
+of a wait that nothing has changed. So what must hold under any trouble counts from the sending.
 """
 
 from collections import deque
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -124,16 +124,20 @@
                 self._is_fetching = False
 
     async def _fetch_all(self) -> None:
+        """Ask one after the other; once the first has failed, the store may be read meanwhile."""
+        has_failed = False
         while holder := self._choose_holder():
             entry, news = holder
-            if self._has_newer_routes(news) and not self._is_fetching:
+            if self._has_newer_routes(news) and not (self._is_fetching or has_failed):
                 self._is_fetching = True
                 self._on_fetching()
             if self._has_newer_routes(news) and entry.place != self._me.place:
                 await self._wait_for_near_holder()
                 entry, _ = self._choose_holder() or holder
             self._holders.pop(entry.host, None)
-            await self._fetch(entry)
+            if not await self._fetch(entry):
+                has_failed = True
+                self._is_fetching = False
 
     def _choose_holder(self) -> tuple[KnownEntry, messages.EntryNews] | None:
         """Return who has something newer still: one of this place if there is one."""
@@ -158,7 +162,8 @@
         except TimeoutError:
             log.debug("routes_not_in_place", waited_s=wait_s)
 
-    async def _fetch(self, entry: KnownEntry) -> None:
+    async def _fetch(self, entry: KnownEntry) -> bool:
+        """Ask an entry for all that it knows; return whether it answered."""
         routes = self._knowledge.routes
         question = messages.AskNews(routes.version if routes else 0, wants_routes=True)
         sent_at = self._clock()
@@ -175,8 +180,9 @@
             log.info("routes_not_fetched", entry=entry.host, error=error)
             if link is not None:
                 link.close()  # what is still on its way would hold up the next copy
-            return
+            return False
         self._fetched.add()
+        return True
 
     def _take_routes(
         self, packed: bytes, news: messages.EntryNews, entry: KnownEntry, sent_at: float
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -413,7 +413,7 @@
         keeps coming: no pause in it is longer than `pause_s`. For large answers over narrow links,
         which a limit for the whole would cut off and have begun anew, time after time.
         """
-        limit_s = timeout_s if pause_s is None else LONGEST_ANSWER_S
+        limit_s = timeout_s if pause_s is None else timeout_s + LONGEST_ANSWER_S
         read_s = timeout_s if pause_s is None else pause_s
         async with asyncio.timeout(limit_s):
             reply = await self.stream(
--- a/tests/fleet/test_narrow_border.py
+++ b/tests/fleet/test_narrow_border.py
@@ -19,6 +19,7 @@
 from platform_standins import KEY, MODEL, manifest
 
 from lacewinggw.decisions.readers import reading_order
+from lacewinggw.lab.standin import wait_while
 
 pytestmark = pytest.mark.looptime
 
@@ -26,6 +27,7 @@
 ENGINE_IP = "10.2.0.1"
 REGIONS = {"hall": "north", "room": "south", "shed": "east"}  # the store stands in the north
 IN_FORCE_S = 3.0  # a change that was confirmed
+SHORTEST_IN_FORCE_S = 2.0  # the same where it is shortest
 
 
 def grown_routes(version, extra):
@@ -177,3 +179,24 @@
         await asyncio.sleep(4.0)
         assert agent.assignment.model == MODEL
         assert fleet.network.crossed_bytes("north", "south") - before < size / 3
+
+
+async def test_entries_whose_informants_fall_silent_read_the_store_without_asking_all_of_them():
+    """Two entries tell of newer routes and freeze; the store turned the others away until then."""
+    async with parted_fleet({"hall": 2, "room": 3}, 1_000_000) as fleet:
+        here = [f"10.1.0.{number}" for number in (3, 4, 5)]
+        for ip in here:
+            fleet.network.cut(ip, STORE_IP)
+        await asyncio.sleep(0.2)
+        fleet.store.put("op", "config", grown_routes(5, extra=20))
+        await wait_while(
+            lambda: not all(each._fetcher.is_fetching for each in fleet.entries[2:]), 0.0005
+        )
+        for number in (1, 2):
+            fleet.network.hold(f"10.1.0.{number}")
+        for ip in here:
+            fleet.network.heal(ip, STORE_IP)
+        await asyncio.sleep(1.3)  # one of them was given up after 0.8 s
+        assert 5 in versions(fleet)[2:]
+        await asyncio.sleep(SHORTEST_IN_FORCE_S - 1.3)
+        assert versions(fleet)[2:] == [5] * 3
