Compose what an entry tells others in a module of its own

A test for entries that the store turns away from their start: without listening back they never know the routes.

--- /dev/null
+++ b/src/lacewinggw/frontend/entrynews.py
@@ -0,0 +1,56 @@
+"""What an entry tells other entries: its news, and its routes to those that know older ones."""
+
+import math
+from collections.abc import Sequence
+
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.ids import Address
+from lacewinggw.wire.packing import pack_routes, split_parts
+
+MS_PER_S = 1000.0
+LONGEST_AGE_S = 3600.0  # of knowledge that was never proved
+
+
+def compose_entry_news(
+    knowledge: Knowledge, routes_position: int, caller_address: Address, ready: bool, now: float
+) -> messages.EntryNews:
+    """Return the news of an entry; `routes_position` is how far it knows the store's changes."""
+    routes = knowledge.routes
+    return messages.EntryNews(
+        caller_address=caller_address,
+        ready=ready,
+        routes_version=routes.version if routes else 0,
+        routes_age_ms=_to_told_ms(knowledge.routes_age(now)),
+        routes_seen_age_ms=_to_told_ms(knowledge.routes_seen_age(now)),
+        leaving=sorted(knowledge.leaving & knowledge.targets.keys()),
+        named=[
+            messages.NamedModelVersion(
+                model, due.version, round((now - due.learned_at) * MS_PER_S), due.is_guess
+            )
+            for model, due in knowledge.named
+        ],
+        routes_position=routes_position,
+    )
+
+
+def _to_told_ms(age_s: float) -> int:
+    return math.ceil(min(age_s, LONGEST_AGE_S) * MS_PER_S)
+
+
+class PackedRoutes:
+    """The routes as other entries get them: packed once a version, in parts."""
+
+    def __init__(self, knowledge: Knowledge) -> None:
+        self._knowledge = knowledge
+        self._version = 0
+        self._parts: Sequence[bytes] = ()
+
+    def parts_for(self, known_version: int) -> Sequence[bytes]:
+        """Return the parts of the routes for an entry that knows a version; none if not older."""
+        routes = self._knowledge.routes
+        if routes is None or routes.version <= known_version:
+            return ()
+        if self._version != routes.version:
+            self._version, self._parts = routes.version, split_parts(pack_routes(routes.source))
+        return self._parts
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -29,6 +29,7 @@
 from lacewinggw.frontend.agents import AgentLinks
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
+from lacewinggw.frontend.entrynews import PackedRoutes, compose_entry_news
 from lacewinggw.frontend.fetching import DecodeRoutes, RoutesFetcher
 from lacewinggw.frontend.neighbours import EntryNeighbours
 from lacewinggw.frontend.offers import Offers
@@ -45,14 +46,12 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.http import Handler, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
-from lacewinggw.wire.packing import pack_routes, split_parts
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 from lacewinggw.wire.soundness import require_sound
 
 MS_PER_S = 1000.0
 PERCENT = 100.0
-LONGEST_AGE_S = 3600.0  # of knowledge that was never proved
 EXTRA_SHARE = 0.8  # of the fleet's extra retries: entries may count one another wrongly for a while
 ACCEPT_WHILE_LEAVING_S = 2.5  # callers that hold an old answer still come
 LAST_MARGIN_S = 0.7  # before the kill, for what is left to be closed in order
@@ -103,8 +102,7 @@
         self._place = Place(process.place)
         self._leaving = False
         self._started_at = math.inf
-        self._packed_version = 0  # of the routes as other entries get them, in parts
-        self._packed: Sequence[bytes] = ()
+        self._packed_routes = PackedRoutes(self.knowledge)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
         self._node = PeerNode(network, identity, process.fleet_key, self._handle)
@@ -118,7 +116,7 @@
             self.knowledge,
             adapter.decode_routes,
             self._neighbours.known,
-            self._leave_routes,
+            lambda: self._sight.leave_routes(),
             self._note_routes_taken,
             clock,
             self.metrics,
@@ -316,9 +314,6 @@
             if member.role is MemberRole.ENTRY
         ]
 
-    def _leave_routes(self) -> None:
-        self._sight.leave_routes()
-
     def _note_routes_taken(self, position: int) -> None:
         """Go on from what another entry knew, and hand it on in this place."""
         self._sight.note_routes_taken(position)
@@ -361,7 +356,8 @@
                 self._neighbours.take_watch(exchange.link, watch)
             case messages.AskNews() as question:
                 if question.wants_routes:
-                    self._send_routes(exchange, question.routes_version)
+                    for part in self._packed_routes.parts_for(question.routes_version):
+                        exchange.reply(messages.RoutesPart(part))
                 exchange.finish(self._compose_news())
             case messages.EntryNews() as news:
                 require_sound(news)
@@ -370,34 +366,14 @@
                 self._agents.take_news(news)
 
     def _compose_news(self) -> messages.EntryNews:
-        routes, now = self.knowledge.routes, self._clock()
-        return messages.EntryNews(
-            caller_address=self._member().caller_address,
-            ready=self.is_ready,
-            routes_version=routes.version if routes else 0,
-            routes_age_ms=_to_told_ms(self.knowledge.routes_age(now)),
-            routes_seen_age_ms=_to_told_ms(self.knowledge.routes_seen_age(now)),
-            leaving=sorted(self.knowledge.leaving & self.knowledge.targets.keys()),
-            named=[
-                messages.NamedModelVersion(
-                    model, due.version, round((now - due.learned_at) * MS_PER_S), due.is_guess
-                )
-                for model, due in self.knowledge.named
-            ],
-            routes_position=self._sight.routes_position,
+        return compose_entry_news(
+            self.knowledge,
+            self._sight.routes_position,
+            self._member().caller_address,
+            self.is_ready,
+            self._clock(),
         )
 
-    def _send_routes(self, exchange: Exchange, known_version: int) -> None:
-        """Send the routes, packed, to an entry that knows older ones."""
-        routes = self.knowledge.routes
-        if routes is None or routes.version <= known_version:
-            return
-        if self._packed_version != routes.version:
-            self._packed_version = routes.version
-            self._packed = split_parts(pack_routes(routes.source))
-        for part in self._packed:
-            exchange.reply(messages.RoutesPart(part))
-
     def _take_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
         """Take what other entries push; the age of the routes counts only when it was asked for."""
         for target in news.leaving:
@@ -405,10 +381,6 @@
         self._fetcher.note_news(entry, news)
 
 
-def _to_told_ms(age_s: float) -> int:
-    return math.ceil(min(age_s, LONGEST_AGE_S) * MS_PER_S)
-
-
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
     pairs = [item.partition(":") for item in items]
     return [(Place(place), region) for place, _, region in pairs]
--- a/tests/fleet/test_vouching.py
+++ b/tests/fleet/test_vouching.py
@@ -175,3 +175,15 @@
         await asyncio.sleep(1.2)
         versions = [entry.knowledge.routes.version for entry in fleet.entries]
         assert versions == [5] * 8
+
+
+async def test_an_entry_that_the_store_turns_away_from_its_start_has_routes_from_others():
+    """It has no list of the others, who have it on theirs and listen to it again."""
+    async with running_fleet(entries=3) as fleet:
+        await asyncio.sleep(3.0)
+        await fleet.entries.pop().close()
+        fleet.network.cut("10.1.0.3", "10.9.0.1")
+        entry = await fleet.add_entry(3)
+        await asyncio.sleep(3.0)
+        assert entry.knowledge.routes.version == 2
+        assert entry.knowledge.covers_keys(asyncio.get_running_loop().time())
