Let a follower that is not needed look seldom after a while

An agent that was told before its first read looked every 20 ms for good, twice: a hundred looks a second. They go from 20 to 200 ms now.

--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -22,8 +22,10 @@
 Apply = Callable[[News, Proof], None]
 
 FIRST_RETRY_S = 0.1
-IDLE_S = 0.2  # between looks whether the topic has to be read again
-START_IDLE_S = 0.02  # the same while nothing is known of it
+# Between looks whether the topic has to be read: soon at first, as an entry that starts waits for
+# some ms only, then less often, for each look of an idle process costs it a little time.
+FIRST_IDLE_S = 0.02
+LONGEST_IDLE_S = 0.2
 # A store that is back is noticed within half as much again. Three seconds after its return an entry
 # counts as in touch, and by then it must have let go of targets that vanished meanwhile.
 LONGEST_RETRY_S = 0.5
@@ -78,6 +80,7 @@
         self._lost_since: float | None = None
         self._retry_s = FIRST_RETRY_S
         self._is_idle = False
+        self._idle_s = FIRST_IDLE_S
         self._reads = metrics.counter("store_reads", topic=topic)
         self._unreadable = metrics.counter("store_entries_unreadable", topic=topic)
         self._told_unreadable: dict[str, int] = {}  # the revision that was told, by key
@@ -115,8 +118,10 @@
         while True:
             if not self._is_needed():
                 self._is_idle = True
-                await asyncio.sleep(IDLE_S if self._position is not None else START_IDLE_S)
+                await asyncio.sleep(self._idle_s)
+                self._idle_s = min(LONGEST_IDLE_S, 2 * self._idle_s)
                 continue
+            self._idle_s = FIRST_IDLE_S
             sent_at = self._clock()
             try:
                 news = await self._read_unless_interrupted()
