Log what tells attempts at one request together, whatever their ids

Callers of a request that crashes targets got 502 under a new id each time, so the logs of entries could not be compared. offer_ended has a digest of method, domain, path, account and body. Ruled out: the id of the attempt (new each time), the prompt's parts alone (plain services have none). No decision uses it yet.

--- a/src/lacewinggw/frontend/admission.py
+++ b/src/lacewinggw/frontend/admission.py
@@ -4,16 +4,19 @@
 route, no such key) is denied only by knowledge so fresh that something new would be in it.
 """
 
+import hashlib
 import random
 from dataclasses import dataclass
+from functools import cached_property
 
 from lacewinggw.decisions.deadlines import LONGEST_S
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.routes import ClientAccount, Route, RouteTable, pick_service
 from lacewinggw.errors import BadToken, NotReady, UnknownPath
 from lacewinggw.frontend.calls import Call, CallFacts
-from lacewinggw.ids import ServiceName
+from lacewinggw.ids import RequestDigest, ServiceName
 
+DIGEST_BYTES = 12
 CATCH_UP_MS = 300  # until a process that has just started, or was cut off, knows the routes
 
 
@@ -29,6 +32,20 @@
     priority: int
     deadline: float
 
+    @cached_property
+    def digest(self) -> RequestDigest:
+        """What is the same in each attempt at this request: all that its caller asks, and who asks.
+
+        Attempts have ids of their own, and a caller may come back to any entry.
+        """
+        asked = (self.call.method, self.call.domain, self.call.target)
+        who = self.account.name if self.account else ""
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (*asked, who):
+            digest.update(part.encode() + b"\0")
+        digest.update(self.call.body)
+        return RequestDigest(digest.hexdigest())
+
 
 def admit(
     call: Call, facts: CallFacts, knowledge: Knowledge, now: float, rng: random.Random
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -267,6 +267,8 @@
         log.info(
             "offer_ended",
             request_id=job.admitted.facts.call_id,
+            # The next attempt has another id: this tells that it is the same request.
+            digest=job.admitted.digest,
             target=load.entry.target,
             outcome=outcome,
             reason=reason,
--- a/src/lacewinggw/ids.py
+++ b/src/lacewinggw/ids.py
@@ -11,6 +11,7 @@
 Digest = NewType("Digest", str)  # lower-case hexadecimal SHA-256
 Incarnation = NewType("Incarnation", str)
 RequestId = NewType("RequestId", str)
+RequestDigest = NewType("RequestDigest", str)  # the same for each attempt at one request
 Account = NewType("Account", str)
 CommandId = NewType("CommandId", str)
 RouteName = NewType("RouteName", str)
