Show that a request that crashes targets reaches them again and again

In a fleet of 4 entries before 6 targets, 36 attempts in 12 s at one request: 17 arrivals at targets later than 3 s after the third of them had ended, where 3 are allowed.

--- a/tests/fleet/declared_fleet.py
+++ b/tests/fleet/declared_fleet.py
@@ -76,9 +76,20 @@
         target = TargetStandIn(self.network.view(ip), f"i-{name}", f"{ip}:8080")
         await target.start()
         self.targets[name] = target
-        self.store.put("servers", target.target_id, target_row(service, target.address, **row))
+        self._list(target, service, row)
+        target.on_start = lambda: self._list(target, service, row)
         return target
 
+    def _list(self, target: TargetStandIn, service: str, row: dict[str, object]) -> None:
+        """Put a start of a target on the list, and take the one before it off."""
+        number = len(target.ended_at)
+        if number:
+            name = target.target_id.partition(".")[0]
+            self.store.put("servers", f"{name}.{number - 1}" if number > 1 else name, None)
+        born = {} if "born" in row else {"born": target.born_ms}
+        listed = target_row(service, target.address, **row, **born)
+        self.store.put("servers", target.target_id, listed)
+
     async def add_entry(self, number: int = 1, place: str = "hall") -> FrontendProcess:
         ip = f"10.1.0.{number}"
         settings = self._settings(f"entry-{number}", place)
@@ -138,6 +149,7 @@
         entry: int = 0,
         left_ms: int = 6000,
         leave_after_s: float | None = None,
+        body: bytes = b"",
         **headers: str,
     ) -> Reply:
         """Ask an entry on a connection of its own; leave it after a while, if asked to."""
@@ -146,11 +158,11 @@
             "X-Attempt-Id": f"attempt-{random.random()}",
             "X-Deadline-Remaining": str(left_ms),
             "X-Key": KEY,
-            "Content-Length": "0",
+            "Content-Length": str(len(body)),
         }
         fields.update({name.replace("_", "-"): value for name, value in headers.items()})
         head = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
-        sent = f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode()
+        sent = f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
         return await self.send(sent, entry, leave_after_s)
 
     async def send(self, sent: bytes, entry: int = 0, leave_after_s: float | None = None) -> Reply:
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -8,7 +8,7 @@
 import base64
 import hashlib
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 from lacewinggw.lab.memory import MemoryNetwork
@@ -231,6 +231,8 @@
     pause_s: float = 0.01
     events: int = 5
     wrong_id: bool = False
+    crashes_on: frozenset[bytes] = frozenset()  # bodies: it ends after the first event of such one
+    back_s: float = 2.5  # after an end, under another id
 
 
 class TargetStandIn(StandIn):
@@ -241,6 +243,10 @@
         self.target_id = target_id
         self.behaviour = Behaviour()
         self.seen: list[Request] = []
+        self.seen_at: list[float] = []
+        self.ended_at: list[float] = []
+        self.on_start: Callable[[], None] = lambda: None
+        self._ending: asyncio.Task[None] | None = None
         self.abandoned = 0
         self.running = 0
         self.weights: dict[str, int] = {MODEL: 1}
@@ -250,6 +256,23 @@
         self.busy = False
         self.born_ms = BORN_MS
 
+    def crash(self) -> None:
+        """End at once, with all that runs, and be back later under another id."""
+        if self._ending is None:
+            self.ended_at.append(asyncio.get_running_loop().time())
+            self._ending = asyncio.get_running_loop().create_task(self._end_and_return())
+
+    async def _end_and_return(self) -> None:
+        await self.close()
+        await asyncio.sleep(self.behaviour.back_s)
+        self.target_id = f"{self.target_id.partition('.')[0]}.{len(self.ended_at)}"
+        self.born_ms += 60_000
+        self.orders = []
+        self.busy = False
+        await self.start()
+        self._ending = None
+        self.on_start()
+
     def restart(self) -> None:
         """Start again under the same id: nothing is held or known of before."""
         self.born_ms += 60_000
@@ -269,6 +292,7 @@
             case ["order"]:
                 return self._order(json.loads(request.body))
         self.seen.append(request)
+        self.seen_at.append(asyncio.get_running_loop().time())
         return await self._answer(request)
 
     async def _answer(self, request: Request) -> Response:
@@ -294,15 +318,17 @@
             headers["content-type"] = "text/event-stream"
             headers["x-weight-versions"] = str(self.weights.get(MODEL, 0))
             first = int(request.headers.get("last-event-id", 0)) + 1
-            return Response(200, headers, self._stream(first))
+            return Response(200, headers, self._stream(first, request.body))
         await asyncio.sleep(behaviour.pause_s)
         return Response(200, headers, b"answer of " + self.target_id.encode())
 
-    async def _stream(self, first: int) -> AsyncIterator[bytes]:
+    async def _stream(self, first: int, body: bytes) -> AsyncIterator[bytes]:
         behaviour = self.behaviour
         self.running += 1
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
+                if sent and body in behaviour.crashes_on:
+                    self.crash()
                 if behaviour.cut_after == sent:
                     behaviour.cut_after = None
                     yield b"id: 99\nda"
