Keep a request that crashes targets away from them, at all entries

What callers saw: one request ended each target that began it, was resumed at a second one, failed with 502, and came again at another entry under another id; 30 targets ended in 13 s, and 160 of 929 requests of ten seconds were refused or failed.

Cause: entries knew a request by the id of one attempt, and a crash only as a failed offer of one target, so nothing connected an attempt with the crashes of those before. A retry without memory over attempts and processes, a query of death.

Mended: an address that refuses connections after a connection broke proves that its target ended; entries tell each other which requests, by digest, were there; the one that was on three targets in turn, and on more than any other that shares one with it, reaches none for an hour. Agents lease no slot to a suspect beside another suspect. The verdict is a row beside the list of processes.

Why it holds: knowledge goes by what is asked, not by an attempt or a process; either the other entries or the store is enough to learn it; an entry that starts is told both ways. Whoever is served is cleared, targets that end at one moment count once, and nobody is judged before all had time to tell.

Switched off one by one, the store, the greeting of those that begin to listen, telling and keeping suspects apart are each missed by a test.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -222,6 +222,17 @@
   2: bool wants_routes = true    // send newer ones along: they are large, so one of those asked does
 }
 
+// A request was sent to a target `ran_ms` before that ended, `age_ms` ago.
+struct TargetCrash { 1: string request_digest, 2: string target, 3: i64 ran_ms, 4: i64 age_ms }
+struct ServedRequest { 1: string request_digest, 2: i64 age_ms }
+// From entry to entry, at once: requests that were running on targets as these ended, those of them
+// that were served since, and those that are kept away from targets.
+struct CrashNews {
+  1: list<TargetCrash> crashes
+  2: list<ServedRequest> served
+  3: list<string> quarantined
+}
+
 struct HeldWeights { 1: string model, 2: i64 version }
 
 struct NamedVersion { 1: i64 version, 2: i64 age_ms }
@@ -329,6 +340,7 @@
   3: bool late                   // it cannot be on time any more
   4: i32 wait_ms                 // how long it may wait in line
   5: i32 reading_us              // how long the target takes to read its prompt
+  6: string suspect = ""         // digest of a request that may end targets: it is put beside no other
 }
 enum SlotState { GRANTED = 1, QUEUED = 2, DECLINED = 3 }
 struct SlotTold { 1: SlotState state }
@@ -387,6 +399,7 @@
   74: RoutesPart routes_part
   75: AskSlot ask_slot
   76: SlotTold slot_told
+  77: CrashNews crash_news
 }
 
 // NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -12,7 +12,7 @@
 from lacewinggw.decisions.ejection import EjectionRules, end_failed_call
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetload import Claim, TargetLoad
-from lacewinggw.ids import ModelName, Place, ServiceName, TargetId
+from lacewinggw.ids import ModelName, Place, RequestDigest, ServiceName, TargetId
 
 # A target in another place counts as that much fuller. Borders are narrow and priced. And the fewer
 # entries choose among the same targets by the same news, the fewer meet at one: modelled, 0.89 of
@@ -37,7 +37,7 @@
 
     `least_version` is the oldest version of `model` that may still be begun on, `only_version` the
     one that an answer has begun with; `avoid` are the targets that have had the request already.
-    Reading its prompt takes a target `reading_s` seconds.
+    Reading its prompt takes a target `reading_s` seconds. A `suspect` may end the target.
     """
 
     service: ServiceName
@@ -46,6 +46,7 @@
     only_version: int | None = None
     avoid: frozenset[TargetId] = frozenset()
     reading_s: float = 0.0
+    suspect: RequestDigest | None = None
 
 
 @dataclass(frozen=True)
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -17,7 +17,7 @@
 
 from lacewinggw.decisions.targetload import LATE_ROOM
 from lacewinggw.decisions.waiting import Waiter, WaitingLine
-from lacewinggw.ids import LeaseId
+from lacewinggw.ids import LeaseId, RequestDigest
 
 # Until a request that has a lease shows in a target's report: the lease's way to the entry, a
 # connection, and the pause between two reports.
@@ -33,13 +33,15 @@
     """What a request needs of a target's slots.
 
     `rank` 0 goes first; one that `is_late` cannot be on time any more. It may wait `wait_s` in
-    line, and reading its prompt takes the target `reading_s`; both in seconds.
+    line, and reading its prompt takes the target `reading_s`; both in seconds. A `suspect` may end
+    the target that begins it.
     """
 
     rank: int
     is_late: bool
     wait_s: float
     reading_s: float = 0.0
+    suspect: RequestDigest | None = None
 
 
 @dataclass
@@ -132,6 +134,8 @@
             if waiter.until < now:
                 self._forget(key)
                 continue
+            if self._has_other_suspect(lease.wish):
+                continue
             if not self._has_room(lease.wish, now):
                 if lease.wish.is_late:
                     continue
@@ -147,6 +151,15 @@
             return False
         return self.taken < self.slots * (LATE_ROOM if wish.is_late else 1.0)
 
+    def _has_other_suspect(self, wish: SlotWish) -> bool:
+        """Tell whether a request and one that runs are suspects: an end would tell of neither."""
+        if wish.suspect is None:
+            return False
+        return any(
+            lease.given_at is not None and lease.wish.suspect not in (None, wish.suspect)
+            for lease in self._leases.values()
+        )
+
     def _forget(self, key: LeaseId) -> None:
         lease = self._leases.pop(key, None)
         if lease is None:
--- a/src/lacewinggw/errors.py
+++ b/src/lacewinggw/errors.py
@@ -45,6 +45,7 @@
     RETRY_BUDGET = "retry-budget"
     CALLER_LEFT = "caller-left"
     NOT_READY = "not-ready"
+    QUARANTINED = "quarantined"
 
 
 _BY_CODE: dict[str, type["LacewingError"]] = {}
@@ -661,6 +662,15 @@
     default_remedy = "send the request to another address, or again after the given time"
 
 
+class RequestQuarantined(RequestRefused):
+    """Each target that began the same request ended; it reaches none until its time is over."""
+
+    code = "LW-6016"
+    kind = Refusal.QUARANTINED.value
+    refusal = Refusal.QUARANTINED
+    default_remedy = "do not send the request again as it is; its operators can lift the quarantine"
+
+
 # ---- requests that may have run ------------------------------------------------------------
 
 
--- a/src/lacewinggw/fleet/announcer.py
+++ b/src/lacewinggw/fleet/announcer.py
@@ -6,7 +6,7 @@
 from lacewinggw.background import Background
 from lacewinggw.clients.membership import Member
 from lacewinggw.errors import PlatformError
-from lacewinggw.fleet.feed import MemberRegister
+from lacewinggw.fleet.ownrows import OwnRows, member_row
 from lacewinggw.log import get_logger
 
 FIRST_RETRY_S = 0.3
@@ -18,8 +18,8 @@
 class Announcer:
     """Announces one member, once it succeeds."""
 
-    def __init__(self, register: MemberRegister, member: Member, rng: random.Random) -> None:
-        self._register = register
+    def __init__(self, rows: OwnRows, member: Member, rng: random.Random) -> None:
+        self._rows = rows
         self._member = member
         self._rng = rng
         self._loop = Background("announce", self._run)
@@ -36,7 +36,7 @@
         retry_s = FIRST_RETRY_S
         while True:
             try:
-                await self._register.announce(self._member)
+                await self._rows.put(member_row(self._member))
             except PlatformError as error:
                 log.info("announce_failed", error=error)
                 await asyncio.sleep(retry_s * self._rng.uniform(0.5, 1.5))
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -14,6 +14,7 @@
 from lacewinggw.clients.membership import Member
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
+from lacewinggw.ids import RequestDigest, ServiceName
 
 
 class Topic(Enum):
@@ -21,7 +22,7 @@
 
     CONFIGURATION = "configuration"  # the routes, and the versions of weights that are due
     TARGETS = "targets"
-    MEMBERS = "members"  # the processes of the product itself
+    MEMBERS = "members"  # the product's own: its processes, and the requests in quarantine
 
 
 @dataclass(frozen=True)
@@ -31,7 +32,26 @@
     member: Member
 
 
-Item: TypeAlias = RouteTable | DueVersion | TargetEntry | MemberEntry
+@dataclass(frozen=True)
+class QuarantinedRequest:
+    """A request that ends targets, kept where it outlasts all processes.
+
+    `crashes` is on how many targets it was as they ended.
+    """
+
+    request: RequestDigest
+    service: ServiceName
+    crashes: int
+
+
+@dataclass(frozen=True)
+class Lifted:
+    """A request that is not in quarantine any more."""
+
+    request: RequestDigest
+
+
+Item: TypeAlias = RouteTable | DueVersion | TargetEntry | MemberEntry | QuarantinedRequest
 
 
 @dataclass(frozen=True)
@@ -43,7 +63,7 @@
 
 @dataclass(frozen=True)
 class Drop:
-    """An item that is no more: a target's id, or a member's host."""
+    """An item that is no more: a target's id, a member's host, or a quarantine's key."""
 
     key: str
 
@@ -97,10 +117,3 @@
 
         Raise `HistoryGone` when it is not known any more.
         """
-
-
-class MemberRegister(Protocol):
-    """Where processes of the product are listed for one another."""
-
-    async def announce(self, member: Member) -> None:
-        """List a process, or change what is said of it; may be done again."""
--- /dev/null
+++ b/src/lacewinggw/fleet/ownrows.py
@@ -0,0 +1,64 @@
+"""What the product itself keeps in the operators' store: its processes, requests in quarantine.
+
+Both stand in one list, told apart by their keys, so that who follows the one has the other with the
+same call.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from lacewinggw.clients.membership import Member, member_from_json, member_to_json
+from lacewinggw.fleet.feed import MemberEntry, QuarantinedRequest
+from lacewinggw.ids import RequestDigest, ServiceName
+
+QUARANTINE_PREFIX = "quarantine/"  # a host's name has no slash, so no process has such a key
+
+
+@dataclass(frozen=True)
+class OwnRow:
+    """A row of the product's list: its key, and what it says."""
+
+    key: str
+    value: Mapping[str, object] = field(default_factory=dict)
+
+
+class OwnRows(Protocol):
+    """Where the product's own rows are kept. Calls raise the kinds of `PlatformError`."""
+
+    async def put(self, row: OwnRow) -> None:
+        """Write a row, whether it is there or not; may be done again."""
+
+    async def remove(self, key: str) -> None:
+        """Remove a row if it is there; may be done again."""
+
+
+def member_row(member: Member) -> OwnRow:
+    """Return the row of a process."""
+    return OwnRow(member.host, member_to_json(member))
+
+
+def quarantine_row(entry: QuarantinedRequest) -> OwnRow:
+    """Return the row of a request that ends targets."""
+    value = {"service": entry.service, "crashes": entry.crashes}
+    return OwnRow(quarantine_key(entry.request), value)
+
+
+def quarantine_key(request: RequestDigest) -> str:
+    """Return the key under which a request in quarantine is listed."""
+    return f"{QUARANTINE_PREFIX}{request}"
+
+
+def quarantined_by(key: str) -> RequestDigest | None:
+    """Return the request that a key lists as in quarantine, None for another kind of key."""
+    if not key.startswith(QUARANTINE_PREFIX):
+        return None
+    return RequestDigest(key.removeprefix(QUARANTINE_PREFIX))
+
+
+def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | QuarantinedRequest:
+    """Return what a row says; raise `KeyError` or `ValueError` for one that says nothing."""
+    request = quarantined_by(key)
+    if request is None:
+        return MemberEntry(member_from_json(value))
+    return QuarantinedRequest(request, ServiceName(str(value["service"])), int(value["crashes"]))
--- a/src/lacewinggw/frontend/agentslots.py
+++ b/src/lacewinggw/frontend/agentslots.py
@@ -41,6 +41,7 @@
             late=wish.is_late,
             wait_ms=max(0, round(wish.wait_s * MS_PER_S)),
             reading_us=round(wish.reading_s * US_PER_S),
+            suspect=wish.suspect or "",
         )
         return AgentSlotCall(link.open(question))
 
--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -49,6 +49,7 @@
     """Keeps links to other entries and exchanges news on them.
 
     `compose` gives the news of this entry; `on_news` is told of each that comes, and from whom.
+    `greet` gives what an entry that begins to listen is told besides, if there is anything.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         place: Place,
         compose: Callable[[], messages.EntryNews],
         on_news: Callable[[KnownEntry, messages.EntryNews], None],
+        greet: Callable[[], messages.CrashNews | None],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -65,6 +67,7 @@
         self._place = place
         self._compose = compose
         self._on_news = on_news
+        self._greet = greet
         self._clock = clock
         self._heard: dict[HostId, _Heard] = {}
         self._listeners: set[PeerLink] = set()
@@ -110,6 +113,9 @@
             return
         self._listeners.add(link)
         link.notify(self._compose())
+        greeting = self._greet()
+        if greeting is not None:
+            link.notify(greeting)
         self._listen_back(link)
 
     def _listen_back(self, link: PeerLink) -> None:
@@ -130,6 +136,12 @@
         self._heard[HostId(remote.host)] = heard
         self._on_news(_known(HostId(remote.host), heard, heard.at), news)
 
+    def tell(self, news: messages.CrashNews | messages.EntryNews) -> None:
+        """Send something to all entries that listen."""
+        self._listeners = {link for link in self._listeners if not link.closed.is_set()}
+        for link in self._listeners:
+            link.notify(news)
+
     def ready(self) -> Sequence[ReadyEntry]:
         """Return the other entries that are ready, by news that is fresh."""
         now = self._clock()
@@ -156,8 +168,5 @@
             except TimeoutError:
                 pass
             self._changed.clear()
-            self._listeners = {link for link in self._listeners if not link.closed.is_set()}
             if self._listeners:
-                news = self._compose()
-                for link in self._listeners:
-                    link.notify(news)
+                self.tell(self._compose())
--- a/src/lacewinggw/frontend/placing.py
+++ b/src/lacewinggw/frontend/placing.py
@@ -55,12 +55,14 @@
         clock: Clock,
         retries: Callable[[], RetryLimits],
         count_entries: Callable[[], int],
+        is_suspect: Callable[[Admitted], bool] = lambda admitted: False,
     ) -> None:
         self._knowledge = knowledge
         self._queue = queue
         self._clock = clock
         self._retries = retries
         self._count_entries = count_entries
+        self._is_suspect = is_suspect
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._times = CallerTimes()
 
@@ -116,7 +118,10 @@
             return Wish(admitted.service, avoid=frozenset(job.avoid))
         least = self._least_version(job)
         reading_s = reading_time(service.engine, admitted.facts.prompt_tokens)
-        return Wish(admitted.service, model, least, job.version, frozenset(job.avoid), reading_s)
+        suspect = admitted.digest if self._is_suspect(admitted) else None
+        return Wish(
+            admitted.service, model, least, job.version, frozenset(job.avoid), reading_s, suspect
+        )
 
     def _service(self, name: ServiceName) -> Service | None:
         table = self._knowledge.routes
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -25,12 +25,14 @@
 from lacewinggw.decisions.routes import CallerLimits
 from lacewinggw.fleet.announcer import Announcer
 from lacewinggw.fleet.bounds import knowledge_rules
-from lacewinggw.fleet.feed import FleetFeed, MemberRegister
+from lacewinggw.fleet.feed import FleetFeed
+from lacewinggw.fleet.ownrows import OwnRows
 from lacewinggw.fleet.running import run_process
 from lacewinggw.frontend.agents import AgentLinks
 from lacewinggw.frontend.agentslots import AgentSlots
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
+from lacewinggw.frontend.crashes import CrashWatch
 from lacewinggw.frontend.entrynews import PackedRoutes, compose_entry_news, digest_targets
 from lacewinggw.frontend.fetching import DecodeRoutes, RoutesFetcher
 from lacewinggw.frontend.neighbours import EntryNeighbours
@@ -68,7 +70,7 @@
     """How the operators' platform speaks: its store, its heads of requests, and its two pages."""
 
     feed: FleetFeed
-    register: MemberRegister
+    rows: OwnRows
     codec: CallCodec
     ready_page: Callable[[Callable[[], bool]], Handler]
     directory_page: Callable[[Resolve, Callable[[], float]], Handler]
@@ -109,7 +111,14 @@
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
         self._node = PeerNode(network, identity, process.fleet_key, self._handle)
         self._neighbours = EntryNeighbours(
-            self._node, self._host, self._place, self._compose_news, self._take_news, clock, rng
+            self._node,
+            self._host,
+            self._place,
+            self._compose_news,
+            self._take_news,
+            lambda: self._crashes.news(),
+            clock,
+            rng,
         )
         self._me = Self(self._host, self._place)
         self._fetcher = RoutesFetcher(
@@ -166,12 +175,27 @@
             self._agents.note_change,
             self._note_members,
             self._neighbours.note_change,
+            lambda change: self._crashes.take_listed(change),
         )
         slots = AgentSlots(self._node, entry.peer_listen.rpartition(":")[2])
         self.queue = RequestQueue(self.knowledge, self.pool, self.metrics, slots.ask)
         self._http = HttpClient(network, idle_connections=0)
+        self._crashes = CrashWatch(
+            self._http,
+            adapter.rows,
+            self._neighbours.tell,
+            lambda: is_reader(self._me, self._neighbours.known()),
+            clock,
+            self.metrics,
+            rng,
+        )
         placing = Placing(
-            self.knowledge, self.queue, clock, self._retry_limits, self._count_entries
+            self.knowledge,
+            self.queue,
+            clock,
+            self._retry_limits,
+            self._count_entries,
+            self._crashes.is_suspect,
         )
         self.relay = Relay(
             RelayParts(
@@ -181,6 +205,7 @@
                 queue=self.queue,
                 placing=placing,
                 offers=Offers(self._http, adapter.codec),
+                crashes=self._crashes,
                 clock=clock,
                 metrics=self.metrics,
                 rng=rng,
@@ -196,7 +221,7 @@
             HttpServer(network, entry.directory_listen, directory),
             HttpServer(network, entry.operator_listen, pages.handle),
         ]
-        self._announcer = Announcer(adapter.register, self._member(), rng)
+        self._announcer = Announcer(adapter.rows, self._member(), rng)
         self._show_knowledge()
 
     @classmethod
@@ -225,6 +250,7 @@
         await self._fetcher.start()
         await self._agents.start(self._sight)
         await self.queue.start()
+        await self._crashes.start()
         await self._announcer.start()
 
     async def drain(self) -> None:
@@ -242,6 +268,7 @@
         await self._announcer.close()
         await self._sight.close()
         await self.queue.close()
+        await self._crashes.close()
         await self._voucher.close()
         await self._fetcher.close()
         await self._neighbours.close()
@@ -374,6 +401,8 @@
                 self._neighbours.take_news(exchange.link, news)
             case messages.TargetNews() as news:
                 self._agents.take_news(news)
+            case messages.CrashNews() as news:
+                self._crashes.take_news(news)
 
     def _compose_news(self) -> messages.EntryNews:
         return compose_entry_news(
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -108,7 +108,7 @@
         """Return a slot that an agent gives."""
         began = _now()
         rank = max(0, priority - FIRST_PRIORITY)
-        slot_wish = SlotWish(rank, is_late, until - began, wish.reading_s)
+        slot_wish = SlotWish(rank, is_late, until - began, wish.reading_s, wish.suspect)
         search = SlotSearch(
             self._ask_slot,
             lambda asked: self._pool.choose_asked(
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -19,6 +19,7 @@
     DeadlinePassed,
     DeadlineTooNear,
     LacewingError,
+    RequestQuarantined,
     RequestRefused,
     RetryBudgetSpent,
     TargetFailed,
@@ -27,6 +28,7 @@
 from lacewinggw.frontend.admission import admit
 from lacewinggw.frontend.callers import Caller, CallerGone
 from lacewinggw.frontend.calls import Call, CallCodec
+from lacewinggw.frontend.crashes import CrashWatch
 from lacewinggw.frontend.jobs import FailedAnswer, Job
 from lacewinggw.frontend.offers import (
     OK,
@@ -61,6 +63,7 @@
     queue: RequestQueue
     placing: Placing
     offers: Offers
+    crashes: CrashWatch
     clock: Clock
     metrics: Metrics
     rng: random.Random
@@ -180,7 +183,7 @@
     async def _run(self, job: Job, caller: Caller) -> None:
         while True:
             try:
-                claim = await self._parts.placing.claim(job)
+                claim = await self._claim(job)
             except RequestRefused:
                 if job.runs == 0:
                     raise
@@ -190,9 +193,24 @@
                     return None
             finally:
                 self._parts.queue.end(claim)
-            if not self._parts.placing.may_repeat(job):
+            # Known by now, the last target may be one of several that ended under the request.
+            is_quarantined = self._parts.crashes.is_quarantined(job.admitted)
+            if is_quarantined or not self._parts.placing.may_repeat(job):
                 return await self._give_up(job, caller)
 
+    async def _claim(self, job: Job) -> Claim:
+        """Return room at a target for a request that is not kept away from targets."""
+        parts = self._parts
+        parts.crashes.require_allowed(job.admitted)
+        claim = await parts.placing.claim(job)
+        try:
+            # It waited, and others may have found meanwhile that it ends targets.
+            parts.crashes.require_allowed(job.admitted)
+        except RequestQuarantined:
+            parts.queue.end(claim)
+            raise
+        return claim
+
     async def _give_up(self, job: Job, caller: Caller) -> None:
         """Tell the caller that its request failed, in the target's own words if there are any."""
         if job.failure is not None and not caller.has_begun:
@@ -201,6 +219,7 @@
             return await caller.answer(failure.status, headers, failure.body)
         if job.runs:
             raise TargetFailed("the target failed the request", remedy=REPEAT_REMEDY)
+        self._parts.crashes.require_allowed(job.admitted)
         if job.may_repeat:
             raise RetryBudgetSpent("too many requests are tried again", retry_after_ms=500)
         raise TargetRefused("no target took the request", retry_after_ms=RETRY_AFTER_MS)
@@ -225,16 +244,28 @@
                 if silent:
                     self._parts.pool.note_silent(load, _now())
                 self._note_failed(job, load, reason)
+                if not silent:
+                    await self._note_lost(job, load)
                 return False
             case Answer() as answer:
                 try:
-                    return await self._pass_on(job, load, answer, caller)
+                    is_served = await self._pass_on(job, load, answer, caller)
                 except AnswerIncomplete as error:
                     self._note_failed(job, load, error.reason)
+                    await self._note_lost(job, load)
                     return False
+                else:
+                    if is_served:
+                        self._parts.crashes.note_served(job.admitted)
+                    return is_served
                 finally:
                     await answer.close()
 
+    async def _note_lost(self, job: Job, load: TargetLoad) -> None:
+        """Have it found out whether the target ended under the request."""
+        began_at = self._parts.clock() - (_now() - job.offered_at)
+        await self._parts.crashes.note_lost(job.admitted, load.entry, began_at)
+
     def _note_not_run(self, job: Job, load: TargetLoad, proof: NotRun) -> None:
         now = _now()
         job.arrived = proof.arrived
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -13,9 +13,19 @@
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.storeclock import Proof, StoreClock
 from lacewinggw.decisions.targetlist import DueVersion
-from lacewinggw.fleet.feed import Drop, FleetFeed, MemberEntry, News, Put, Topic
+from lacewinggw.fleet.feed import (
+    Drop,
+    FleetFeed,
+    Lifted,
+    MemberEntry,
+    News,
+    Put,
+    QuarantinedRequest,
+    Topic,
+)
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.fleet.listing import take_listing
+from lacewinggw.fleet.ownrows import quarantined_by
 from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -46,7 +56,8 @@
 
     `on_change` is called when targets or versions have changed, `on_members` when the list of
     entries has, `on_urgent` when the entries that do not read have to be told something at once:
-    targets leave, routes or versions are new.
+    targets leave, routes or versions are new. `on_quarantine` is told of each request that the
+    store lists as one that ends targets, or lists no more.
     """
 
     def __init__(
@@ -63,6 +74,7 @@
         on_change: Callable[[], None],
         on_members: Callable[[], None],
         on_urgent: Callable[[], None],
+        on_quarantine: Callable[[QuarantinedRequest | Lifted], None],
     ) -> None:
         self.members: dict[HostId, Member] = {}
         self._feed = feed
@@ -76,6 +88,7 @@
         self._on_change = on_change
         self._on_members = on_members
         self._on_urgent = on_urgent
+        self._on_quarantine = on_quarantine
         self._leaving_told = 0
         self._has_list = False
         self._list_read_at = -math.inf
@@ -216,6 +229,10 @@
             match change:
                 case Put(MemberEntry(member)):
                     self.members[member.host] = member
+                case Put(QuarantinedRequest() as entry):
+                    self._on_quarantine(entry)
+                case Drop(key) if (request := quarantined_by(key)) is not None:
+                    self._on_quarantine(Lifted(request))
                 case Drop(key):
                     self.members.pop(HostId(key), None)
         self._on_members()
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -19,7 +19,7 @@
 from lacewinggw.lab.fleetmodel.agent import ModelAgent, ModelSlots
 from lacewinggw.lab.fleetmodel.callers import Crowd, Door, ModelCaller, Story
 from lacewinggw.lab.fleetmodel.engine import ModelEngine
-from lacewinggw.lab.fleetmodel.offers import ModelCall, ModelCodec, ModelOffers
+from lacewinggw.lab.fleetmodel.offers import ModelCall, ModelCodec, ModelCrashes, ModelOffers
 from lacewinggw.lab.fleetmodel.profile import (
     MODEL,
     WRITER,
@@ -74,6 +74,7 @@
                 queue=self.queue,
                 placing=placing,
                 offers=offers,  # type: ignore[arg-type]
+                crashes=ModelCrashes(),  # type: ignore[arg-type]
                 clock=loop_time,
                 metrics=self.metrics,
                 rng=rng,
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator, Mapping
 from dataclasses import dataclass
 
+from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.frontend.calls import AnswerFacts, CallFacts, Dispatch
@@ -133,3 +134,20 @@
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
+
+
+class ModelCrashes:
+    """Stands for the watch of requests that end targets: none of the modelled ones does."""
+
+    def require_allowed(self, admitted: Admitted) -> None:
+        """Let each request reach targets."""
+
+    def is_quarantined(self, admitted: Admitted) -> bool:
+        """Tell that a request may reach targets."""
+        return False
+
+    async def note_lost(self, admitted: Admitted, entry: TargetEntry, began_at: float) -> None:
+        """Take no note."""
+
+    def note_served(self, admitted: Admitted) -> None:
+        """Take no note."""
--- a/src/lacewinggw/loader/slots.py
+++ b/src/lacewinggw/loader/slots.py
@@ -7,7 +7,7 @@
 from lacewinggw.decisions.slots import SlotLedger, SlotWish
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import SlotState
-from lacewinggw.ids import LeaseId
+from lacewinggw.ids import LeaseId, RequestDigest
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.peers import Exchange
@@ -114,7 +114,8 @@
 
 
 def _wish_of(ask: messages.AskSlot) -> SlotWish:
-    return SlotWish(ask.rank, ask.late, ask.wait_ms / MS_PER_S, ask.reading_us / US_PER_S)
+    suspect = RequestDigest(ask.suspect) if ask.suspect else None
+    return SlotWish(ask.rank, ask.late, ask.wait_ms / MS_PER_S, ask.reading_us / US_PER_S, suspect)
 
 
 def _now() -> float:
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -63,6 +63,7 @@
     "requests": _counter("entry", "Requests that ended, by outcome."),
     "requests_in_progress": _gauge("entry", "Requests admitted and not ended yet."),
     "requests_waiting": _gauge("entry", "Requests that wait for a target with room."),
+    "requests_quarantined": _gauge("entry", "Requests kept away from targets, as these ended."),
     "reservations": _gauge("agent", "Reservations given and not used yet."),
     "retries": _counter("both", "What was tried again, by reason."),
     "routes_age": _gauge("entry", "Seconds since the routes were known to be the newest."),
@@ -77,6 +78,7 @@
         "both", "Entries of the operators' store that cannot be read, by topic."
     ),
     "store_reads": _counter("both", "Reads of the operators' store, by topic."),
+    "target_crashes": _counter("entry", "Targets found to have ended under requests."),
     "target_fences_unkept": _counter(
         "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
     ),
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -397,6 +397,18 @@
                 stream.close()
         self._idle.clear()
 
+    async def refuses(self, address: str, timeout_s: float) -> bool:
+        """Tell whether an address refuses connections at once: no process listens there.
+
+        A host that is cut off does not answer, which proves nothing.
+        """
+        try:
+            stream = await self._connect(address, timeout_s)
+        except NotConnectedError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        stream.close()
+        return False
+
     async def request(
         self,
         address: str,
--- a/tests/fleet/crashing.py
+++ b/tests/fleet/crashing.py
@@ -1,13 +1,18 @@
 """A request that ends each target that begins it, asked again and again, and others beside it."""
 
 import asyncio
+import random
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from declared_fleet import DeclaredFleet, Reply
 
+from lacewinggw.frontend.process import FrontendProcess
+
 CRASHING = b"a request that no target survives"
 NOTICE_S = 3.0  # what an entry has to notice that a third target ended
 ALLOWED_LATER = 3  # arrivals after that
+ATTEMPTS = 2  # of a caller at a request
 
 
 @dataclass
@@ -23,26 +28,43 @@
     seconds: float,
     crashing_per_s: float = 3.0,
     others_per_s: float = 12.0,
-    body: bytes = CRASHING,
+    seed: int = 1,
 ) -> Played:
-    """Ask for some seconds, at each entry in turn; return when all is answered."""
+    """Ask for some seconds, at entries drawn from the seed; return when all is answered.
+
+    Whoever is refused comes back once, as callers do, with the same body.
+    """
     played = Played()
-    crashing = _ask_often(fleet, seconds, crashing_per_s, lambda _: body, played.crashing)
-    others = _ask_often(fleet, seconds, others_per_s, lambda n: b"other %d" % n, played.others)
+    rng = random.Random(seed)
+    crashing = _ask_often(fleet, seconds, crashing_per_s, rng, None, played.crashing)
+    others = _ask_often(fleet, seconds, others_per_s, rng, "other", played.others)
     await asyncio.gather(crashing, others)
     return played
 
 
-async def _ask_often(fleet, seconds, per_s, body_of, replies) -> None:
-    async def ask(number: int) -> None:
-        body = body_of(number)
-        entry = number % len(fleet.entries)
-        replies.append(await fleet.ask("/report/1", entry=entry, body=body, X_Model="market"))
+async def _ask_often(
+    fleet: DeclaredFleet,
+    seconds: float,
+    per_s: float,
+    rng: random.Random,
+    name: str | None,
+    replies: list[Reply],
+) -> None:
+    async def ask(body: bytes) -> None:
+        for _ in range(ATTEMPTS):
+            entry = rng.randrange(len(fleet.entries))
+            reply = await fleet.ask("/report/1", entry=entry, body=body, X_Model="market")
+            replies.append(reply)
+            if reply.whole and reply.status < 500:
+                return
+            await asyncio.sleep(rng.uniform(0.1, 1.0))
 
     asked = []
-    for number in range(round(seconds * per_s)):
-        asked.append(asyncio.ensure_future(ask(number)))
-        await asyncio.sleep(1 / per_s)
+    end = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < end:
+        body = CRASHING if name is None else f"{name} {rng.random()}".encode()
+        asked.append(asyncio.ensure_future(ask(body)))
+        await asyncio.sleep(rng.expovariate(per_s))
     await asyncio.gather(*asked)
 
 
@@ -67,12 +89,43 @@
     return [at for at in arrivals(fleet, body) if at > noticed_at]
 
 
-async def add_engines(fleet: DeclaredFleet, engines: int, pause_s: float = 0.1) -> None:
+async def add_engines(
+    fleet: DeclaredFleet, engines: int, pause_s: float = 0.1, places: Sequence[str] = ("hall",)
+) -> None:
     """Add model engines with agents, which end under the request, to a fleet."""
     for number in range(engines):
         name = f"engine{number}"
-        target = await fleet.add_target(name, "writer", f"10.2.0.{number + 1}")
+        place = places[number % len(places)]
+        target = await fleet.add_target(name, "writer", f"10.2.0.{number + 1}", zone=place)
         target.behaviour.pause_s = pause_s
         target.behaviour.crashes_on = frozenset({CRASHING})
-        await fleet.add_agent(name)
+        await fleet.add_agent(name, place)
     await asyncio.sleep(2.0)
+
+
+def crashing_refused(played: Played) -> list[Reply]:
+    """Return the answers that say that the request is kept away from targets, and has not run."""
+    return [
+        reply
+        for reply in played.crashing
+        if reply.status == 503 and b"quarantined" in reply.body and "retry-after" in reply.headers
+    ]
+
+
+def quarantined(entry: FrontendProcess) -> int:
+    """Return how many requests an entry keeps away from targets."""
+    wanted = "lacewinggw_requests_quarantined "
+    lines = [line for line in entry.metrics.render().splitlines() if line.startswith(wanted)]
+    return round(float(lines[0].removeprefix(wanted)))
+
+
+async def restart_entries(fleet: DeclaredFleet, count: int) -> None:
+    """End the first entries at one moment, and start them anew without anything of before."""
+    for entry in fleet.entries[:count]:
+        await entry.close()
+    later = fleet.entries[count:]
+    fleet.entries.clear()
+    for number in range(count):
+        await fleet.add_entry(number + 1)
+    fleet.entries.extend(later)
+    await asyncio.sleep(1.0)
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -147,8 +147,11 @@
             case "/rows-feed":
                 return await self._feed(request.query)
             case "/rows-tx":
-                for row in json.loads(request.body)["Write"]:
+                change = json.loads(request.body)
+                for row in change["Write"]:
                     self.put(row["Table"], row["Key"], json.loads(base64.b64decode(row["Value"])))
+                for row in change["Remove"]:
+                    self.put(row["Table"], row["Key"], None)
                 body = {"SchemaVersion": self._version, "CurrentTimeMs": self._time_ms()}
                 return self.written(json_response(200, body))
         return Response(404)
