Show what a store that comes back older makes entries miss

In the tests' fleet, after a drill: a change that is never seen where the versions of before are passed at once (routes 2 instead of 5 at all three entries, 2 s after it was made), 10 of 20 requests offered to a target that had vanished before, rows of our own that stay lost. The stand-in of the store has the drill.

--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -117,17 +117,45 @@
         self.calls: list[str] = []
         self.forgotten = 0  # history up to this version is gone
         self.deaf = False  # a feed hears nothing and waits its time out
+        self.era = 1
         self._rows: dict[tuple[str, str], Row] = {}
+        self._written: list[tuple[float, Row]] = []  # in this era, and when
         self._version = 0
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: dict | None) -> None:
         self._version += 1
         data = None if value is None else json.dumps(value).encode()
-        self._rows[table, key] = Row(table, key, data, self._version)
+        row = Row(table, key, data, self._version)
+        self._rows[table, key] = row
+        self._written.append((asyncio.get_running_loop().time(), row))
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
+    async def drill(self, age_s: float, away_s: float = 0.5) -> list[Row]:
+        """Be away for a moment, and come back from a copy; return the rows that are lost with it."""
+        await self.close()
+        await asyncio.sleep(away_s)
+        copied_at = asyncio.get_running_loop().time() - away_s - age_s
+        lost = [row for at, row in self._written if at > copied_at]
+        self._written = [(at, row) for at, row in self._written if at <= copied_at]
+        self._rows = {(row.table, row.key): row for _, row in self._written}
+        self._version = max((row.version for _, row in self._written), default=0)
+        self.era += 1
+        await self.start()
+        return lost
+
+    def write_again(self, lost: list[Row], *tables: str) -> None:
+        """Write what the operators or the targets had in tables, as they do after a drill."""
+        newest = {(row.table, row.key): row for row in lost if row.table in tables}
+        for row in newest.values():
+            self.put(row.table, row.key, None if row.value is None else json.loads(row.value))
+
+    async def _handle(self, request: Request) -> Response:
+        response = await super()._handle(request)
+        response.headers["store-era"] = str(self.era)
+        return response
+
     def forget_history(self) -> None:
         self.forgotten = self._version
 
@@ -158,7 +186,7 @@
 
     async def _feed(self, query: dict[str, str]) -> Response:
         after, wait_s = int(query["AfterRevision"]), int(query["WaitMs"]) / 1000
-        if after < self.forgotten:
+        if after < self.forgotten or after > self._version:
             return Response(410)
         end = asyncio.get_running_loop().time() + wait_s
         while self.deaf or not self._after(query["Table"], after):
