Tell a store that came back older by its era, and read all of it again

What callers would see: after a drill, changes that never come into force at entries (routes 2 instead of 5 at three of three), requests sent to targets that had vanished before (10 of 20), rows of our own lost for good. Cause: a version of the store was kept, compared and told as a bare number, which a restored store gives out again; nothing read its era.

Mended: StorePosition, era and version, wherever one is kept, compared or told; each answer and each entry's news tells the era; on a new one all that is followed is read whole, spread over 0.8 s where nobody waits for it. Vanished targets come back only by their own writes, those that the copy lacks are believed as after an outage, the clock of the store is taken anew, own rows are written again.

Why it holds: an older era compares less whatever its number, in the follower, at agents and between entries, and reads of it that come late are dropped. The product's own way has no notion of an era: open.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -211,6 +211,7 @@
   8: i64 routes_position = 0     // how far the sender knows the store's changes of routes and versions
   10: i64 targets_age_ms         // the sender's list of targets was the store's so long ago
   11: i64 targets_digest         // of the starts of targets on it, and of those that leave
+  12: i64 store_era = 0          // in which `routes_position` counts
 }
 // Before the answer to a question that wants newer routes: the routes as the store has them, zlib, in
 // parts, so that one who takes them over a narrow link sees them come.
@@ -254,6 +255,7 @@
   11: list<NamedVersion> named
   12: i64 targets_position       // of the store's news that `targets` stand for
   13: list<ServiceTarget> targets
+  14: i64 store_era = 0          // in which `targets_position` counts
 }
 
 // From agent to entry: the work of the target beside it, as the target itself says now.
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -225,9 +225,19 @@
             entry = replace(entry, weights=_newest(known.weights, entry.weights))
         self._targets[entry.target] = entry
 
-    def take_whole_list(self, entries: Iterable[TargetEntry], now: float) -> None:
-        """Take the whole list of targets; what is not on it has vanished."""
-        listed = {entry.name: entry for entry in entries}
+    def take_whole_list(
+        self, entries: Iterable[TargetEntry], now: float, is_restored: bool = False
+    ) -> None:
+        """Take the whole list of targets; what is not on it has vanished.
+
+        A list that `is_restored` from an older copy names targets that have vanished since. They
+        come back only as they write again themselves, for then they live.
+        """
+        listed = {
+            entry.name: entry
+            for entry in entries
+            if not (is_restored and self._has_vanished(entry))
+        }
         known = {entry.name for entry in self._targets.values()}
         for name in known - listed.keys():
             self.drop_target(name, now)
@@ -295,6 +305,13 @@
             self._forget_start(target)
         self._forget_left(now)
 
+    def _has_vanished(self, entry: TargetEntry) -> bool:
+        """Tell whether a start was on the list before, and is not now."""
+        newest = self._starts.get(entry.name)
+        if newest is None or entry.target in self._targets:
+            return False
+        return entry.born_ms <= newest.born_ms
+
     def _listed_start(self, name: TargetName) -> TargetId | None:
         newest = self._starts.get(name)
         if newest is None or newest.target not in self._targets:
--- a/src/lacewinggw/decisions/storeclock.py
+++ b/src/lacewinggw/decisions/storeclock.py
@@ -33,6 +33,10 @@
     def __init__(self) -> None:
         self._differences: deque[tuple[float, float]] = deque()  # descending, with their moments
 
+    def forget(self) -> None:
+        """Forget all answers: another store speaks, with a clock of its own."""
+        self._differences.clear()
+
     def prove(self, sent_at: float, received_at: float, told_s: float | None) -> Proof:
         """Return the proof that an answer is."""
         return Proof(sent_at, self.place(sent_at, received_at, told_s))
--- a/src/lacewinggw/fleet/announcer.py
+++ b/src/lacewinggw/fleet/announcer.py
@@ -16,23 +16,35 @@
 
 
 class Announcer:
-    """Announces one member, once it succeeds."""
+    """Announces one member, once it succeeds, and again where that was lost."""
 
     def __init__(self, rows: OwnRows, member: Member, rng: random.Random) -> None:
         self._rows = rows
         self._member = member
         self._rng = rng
+        self._is_due = asyncio.Event()
         self._loop = Background("announce", self._run)
 
     async def start(self) -> None:
         """Begin to try."""
+        self._is_due.set()
         self._loop.start()
 
     async def close(self) -> None:
         """Stop trying."""
         await self._loop.close()
 
+    def announce_again(self) -> None:
+        """Announce it once more, as the store has lost it."""
+        self._is_due.set()
+
     async def _run(self) -> None:
+        while True:
+            await self._is_due.wait()
+            self._is_due.clear()
+            await self._announce()
+
+    async def _announce(self) -> None:
         retry_s = FIRST_RETRY_S
         while True:
             try:
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -13,6 +13,7 @@
 
 from lacewinggw.clients.membership import Member
 from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
 from lacewinggw.ids import RequestDigest, ServiceName
 
@@ -87,13 +88,17 @@
 class News:
     """Changes in order, up to a position; with `whole`, everything that there is.
 
+    With `restored` it is everything that a store has which came back from an older copy: what it
+    lacks may be written again, what it has may have been gone before.
+
     `told_s` is the store's own steady clock as it composed the news; None if it did not say.
     """
 
     changes: tuple[Change, ...]
-    position: int
+    position: StorePosition
     whole: bool = False
     told_s: float | None = None
+    restored: bool = False
 
 
 def listed_targets(news: News) -> list[TargetEntry]:
@@ -112,7 +117,7 @@
     async def snapshot(self, topic: Topic) -> News:
         """Return everything of a topic, as of one moment after the call was sent."""
 
-    async def changes(self, topic: Topic, after: int, wait_s: float) -> News:
+    async def changes(self, topic: Topic, after: StorePosition, wait_s: float) -> News:
         """Return what changed after a position, waiting up to `wait_s` seconds for something.
 
         Raise `HistoryGone` when it is not known any more.
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -7,12 +7,14 @@
 import asyncio
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.storeclock import Proof, StoreClock
+from lacewinggw.decisions.storeposition import NOWHERE, StorePosition
 from lacewinggw.errors import PlatformError
+from lacewinggw.fleet.era import StoreEra
 from lacewinggw.fleet.feed import FleetFeed, HistoryGone, News, Topic, Unreadable
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
@@ -29,6 +31,10 @@
 # A store that is back is noticed within half as much again. Three seconds after its return an entry
 # counts as in touch, and by then it must have let go of targets that vanished meanwhile.
 LONGEST_RETRY_S = 0.5
+# All entries read a store that was restored whole. Those that the others wait for read at once, the
+# others within the second in which a restored store is to have all back that processes write.
+URGENT_SPREAD_S = 0.1
+VOUCHED_SPREAD_S = 0.8
 VOUCHED_STEP_S = 0.1  # between looks whether somebody still vouches for what is known
 
 
@@ -63,6 +69,7 @@
         metrics: Metrics,
         rng: random.Random,
         store_clock: StoreClock,
+        era: StoreEra,
         is_needed: Callable[[], bool] = lambda: True,
         is_vouched: Callable[[], bool] = lambda: False,
         on_regained: Callable[[float], None] = lambda now: None,
@@ -78,8 +85,12 @@
         self._metrics = metrics
         self._rng = rng
         self._store_clock = store_clock
+        self._era = era
+        era.subscribe(self._note_new_era)
+        self._was_read = False
+        self._is_restored = False  # the store is another than the one that was read
         self._call: asyncio.Task[News] | None = None
-        self._position: int | None = None
+        self._position: StorePosition | None = None
         self._lost_since: float | None = None
         self._retry_s = FIRST_RETRY_S
         self._is_idle = False
@@ -90,19 +101,25 @@
         self._loop = Background(f"follow {topic.value}", self._run)
 
     @property
-    def position(self) -> int:
-        """How far the topic is known, as the store counts; 0 before the first answer."""
-        return self._position or 0
+    def position(self) -> StorePosition:
+        """How far the topic is known, as the store counts."""
+        return self._position or NOWHERE
 
     @property
     def lost_since(self) -> float | None:
         """Since when the store has not answered, or None while it does."""
         return self._lost_since
 
-    def advance(self, position: int) -> None:
+    def advance(self, position: StorePosition) -> None:
         """Note that all up to a position of the store is known from somebody else."""
         if position > self.position:
             self._position = position
+            self._is_restored = self._is_restored and position.era < self._era.current
+
+    def _note_new_era(self) -> None:
+        """Read the topic whole again: the store may lack what was read, and have had more."""
+        self._is_restored = self._was_read
+        self.interrupt()
 
     def interrupt(self) -> None:
         """Give up a call in progress; whether another one is made is asked anew."""
@@ -125,7 +142,7 @@
                 self._idle_s = min(LONGEST_IDLE_S, 2 * self._idle_s)
                 continue
             self._idle_s = FIRST_IDLE_S
-            if self._position is not None and self._is_vouched():
+            if self._position is not None and not self._is_restored and self._is_vouched():
                 await asyncio.sleep(VOUCHED_STEP_S)
                 continue
             sent_at = self._clock()
@@ -142,12 +159,22 @@
                 await self._back_off(error)
                 continue
             self._note_answer()
+            if not self._is_of_now(news):
+                continue
+            if self._is_restored:
+                news = replace(news, restored=True)
+                self._is_restored = False
             self._position = max(self.position, news.position)
+            self._was_read = True
             self._tell_unreadable(news)
             self._apply(news, self._store_clock.prove(sent_at, self._clock(), news.told_s))
             if news.changes:
                 await asyncio.sleep(self._wait().after_news_s)
 
+    def _is_of_now(self, news: News) -> bool:
+        """Tell whether news is of the present era, and whole where the era is new."""
+        return self._era.note(news.position.era) and (news.whole or not self._is_restored)
+
     async def _read_unless_interrupted(self) -> News:
         self._call = asyncio.get_running_loop().create_task(self._read())
         try:
@@ -162,7 +189,10 @@
 
     async def _read(self) -> News:
         self._reads.add()
-        if self._position is None:
+        if self._is_restored:
+            spread_s = VOUCHED_SPREAD_S if self._is_vouched() else URGENT_SPREAD_S
+            await asyncio.sleep(self._rng.uniform(0.0, spread_s))
+        if self._position is None or self._is_restored:
             return await self._feed.snapshot(self._topic)
         # A call that waits for news of a store that is away may hang long after its return: entries
         # knew nothing new for up to 4.8 s after a silent outage. One that does not wait ends soon.
--- a/src/lacewinggw/fleet/listing.py
+++ b/src/lacewinggw/fleet/listing.py
@@ -9,7 +9,7 @@
 def take_listing(knowledge: Knowledge, news: News, now: float) -> None:
     """Take targets that are new, changed or gone; one that cannot be read is let go at once."""
     if news.whole:
-        knowledge.take_whole_list(listed_targets(news), now)
+        knowledge.take_whole_list(listed_targets(news), now, news.restored)
     for change in news.changes:
         match change:
             case Put(TargetEntry() as entry) if not news.whole:
--- a/src/lacewinggw/fleet/newsletter.py
+++ b/src/lacewinggw/fleet/newsletter.py
@@ -10,6 +10,7 @@
 
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.routes import Repeat, RouteTable, Service
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import ServiceName
@@ -18,7 +19,7 @@
 
 
 def compose_news(
-    knowledge: Knowledge, service: Service, position: int, now: float
+    knowledge: Knowledge, service: Service, position: StorePosition, now: float
 ) -> messages.FleetNews | None:
     """Return the news for the agents of a service, None while too little is known."""
     table = knowledge.routes
@@ -41,7 +42,8 @@
             messages.NamedVersion(due.version, round((now - due.learned_at) * MS_PER_S))
             for due in knowledge.due_versions(model)
         ],
-        targets_position=position,
+        targets_position=position.revision,
+        store_era=position.era,
         targets=[_told(each) for each in _staying(knowledge, service.name)],
     )
 
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -7,7 +7,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from contextlib import suppress
 from dataclasses import dataclass, field
 
@@ -219,6 +219,14 @@
                 if self._ledger.lift(request):
                     log.info("quarantine_lifted", digest=request, source="store")
 
+    def write_again(self, listed: Set[str]) -> None:
+        """Write requests that end targets, and that were seen here, where the list lacks them."""
+        for request in self._ledger.quarantined:
+            service = self._services.get(request)
+            if service is not None and quarantine_key(request) not in listed:
+                crashes = self._ledger.crash_count(request)
+                self._note_to_write(request, QuarantinedRequest(request, service, crashes))
+
     def _take_quarantine(self, request: RequestDigest, source: str) -> bool:
         if not self._ledger.quarantine(request, self._clock()):
             return False
--- a/src/lacewinggw/frontend/entrynews.py
+++ b/src/lacewinggw/frontend/entrynews.py
@@ -6,6 +6,7 @@
 import xxhash
 
 from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address
 from lacewinggw.wire.packing import pack_routes, split_parts
@@ -16,7 +17,7 @@
 
 def compose_entry_news(
     knowledge: Knowledge,
-    routes_position: int,
+    routes_position: StorePosition,
     targets_age_s: float,
     caller_address: Address,
     ready: bool,
@@ -40,7 +41,8 @@
             )
             for model, due in knowledge.named
         ],
-        routes_position=routes_position,
+        routes_position=routes_position.revision,
+        store_era=routes_position.era,
         targets_age_ms=_to_told_ms(targets_age_s),
         targets_digest=digest_targets(knowledge),
     )
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -19,6 +19,7 @@
     reading_order,
 )
 from lacewinggw.decisions.routes import RouteTable
+from lacewinggw.decisions.storeposition import NOWHERE, StorePosition
 from lacewinggw.errors import LacewingError, ProtocolViolation, TimedOut
 from lacewinggw.frontend.vouching import MS_PER_S, take_answer
 from lacewinggw.generated.messages import ttypes as messages
@@ -43,7 +44,7 @@
     """Fetches what other entries say that they know.
 
     `on_fetching` is told when routes are about to be fetched; `on_taken` when they are here, with
-    the position in the store up to which all is known now, 0 if that is not known.
+    the position in the store up to which all is known now, `NOWHERE` if that is not known.
     """
 
     def __init__(
@@ -54,7 +55,7 @@
         decode: DecodeRoutes,
         others: Callable[[], Iterable[KnownEntry]],
         on_fetching: Callable[[], None],
-        on_taken: Callable[[int], None],
+        on_taken: Callable[[StorePosition], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -200,7 +201,8 @@
             age_ms=round((self._clock() - sent_at) * MS_PER_S) + news.routes_age_ms,
         )
         knows_all = self._knows_named(news.named)
-        self._on_taken(news.routes_position if knows_all else 0)
+        position = StorePosition(news.store_era, news.routes_position)
+        self._on_taken(position if knows_all else NOWHERE)
 
 
 async def _receive(call: OutgoingCall) -> tuple[bytes, messages.EntryNews]:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
 
 from lacewinggw.clients.membership import Member, MemberRole
@@ -23,6 +23,7 @@
     start_wait_s,
 )
 from lacewinggw.decisions.routes import CallerLimits
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.fleet.announcer import Announcer
 from lacewinggw.fleet.bounds import knowledge_rules
 from lacewinggw.fleet.feed import FleetFeed
@@ -176,6 +177,7 @@
             self._note_members,
             self._neighbours.note_change,
             lambda change: self._crashes.take_listed(change),
+            self._note_restored,
         )
         slots = AgentSlots(self._node, entry.peer_listen.rpartition(":")[2])
         self.queue = RequestQueue(self.knowledge, self.pool, self.metrics, slots.ask)
@@ -351,13 +353,19 @@
             if member.role is MemberRole.ENTRY
         ]
 
-    def _note_routes_taken(self, position: int) -> None:
+    def _note_routes_taken(self, position: StorePosition) -> None:
         """Go on from what another entry knew, and hand it on in this place."""
         self._sight.note_routes_taken(position)
         self._agents.note_change()
         if is_reader(self._me, self._neighbours.known()):
             self._neighbours.note_change()
 
+    def _note_restored(self, keys: Set[str]) -> None:
+        """Write again what is ours and not in a store that came back from an older copy."""
+        if self._host not in keys:
+            self._announcer.announce_again()
+        self._crashes.write_again(keys)
+
     def _note_members(self) -> None:
         self._neighbours.set_members(self._sight.members.values())
 
@@ -416,6 +424,7 @@
 
     def _take_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
         """Take what other entries push; the age of the routes counts only when it was asked for."""
+        self._sight.era.note(news.store_era)
         for target in news.leaving:
             self.knowledge.note_leaving(TargetId(target))
         self._fetcher.note_news(entry, news)
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping, Set
 
 from lacewinggw.background import Background
 from lacewinggw.clients.membership import Member
@@ -12,7 +12,9 @@
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.storeclock import Proof, StoreClock
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import DueVersion
+from lacewinggw.fleet.era import StoreEra
 from lacewinggw.fleet.feed import (
     Drop,
     FleetFeed,
@@ -25,7 +27,7 @@
 )
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.fleet.listing import take_listing
-from lacewinggw.fleet.ownrows import quarantined_by
+from lacewinggw.fleet.ownrows import quarantine_key, quarantined_by
 from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -57,7 +59,8 @@
     `on_change` is called when targets or versions have changed, `on_members` when the list of
     entries has, `on_urgent` when the entries that do not read have to be told something at once:
     targets leave, routes or versions are new. `on_quarantine` is told of each request that the
-    store lists as one that ends targets, or lists no more.
+    store lists as one that ends targets, or lists no more; `on_restored` of the keys of our own
+    rows that a store has which came back from an older copy.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         on_members: Callable[[], None],
         on_urgent: Callable[[], None],
         on_quarantine: Callable[[QuarantinedRequest | Lifted], None],
+        on_restored: Callable[[Set[str]], None],
     ) -> None:
         self.members: dict[HostId, Member] = {}
         self._feed = feed
@@ -84,11 +88,15 @@
         self._metrics = metrics
         self._rng = rng
         self._store_clock = StoreClock()
+        self.era = StoreEra(metrics)
+        self.era.subscribe(self._store_clock.forget)
+        self.era.subscribe(lambda: knowledge.note_outage_end(clock()))
         self._reads_often = reads_often
         self._on_change = on_change
         self._on_members = on_members
         self._on_urgent = on_urgent
         self._on_quarantine = on_quarantine
+        self._on_restored = on_restored
         self._leaving_told = 0
         self._has_list = False
         self._list_read_at = -math.inf
@@ -115,7 +123,7 @@
         return self._has_list
 
     @property
-    def targets_position(self) -> int:
+    def targets_position(self) -> StorePosition:
         """How far the list of targets is known, as the store counts."""
         return self._targets.position
 
@@ -124,7 +132,7 @@
         return now - self._list_read_at
 
     @property
-    def routes_position(self) -> int:
+    def routes_position(self) -> StorePosition:
         """How far routes and versions due are known, as the store counts."""
         return self._configuration.position
 
@@ -141,7 +149,7 @@
         """
         self._configuration.interrupt()
 
-    def note_routes_taken(self, position: int) -> None:
+    def note_routes_taken(self, position: StorePosition) -> None:
         """Note that another entry gave the routes, and how far its knowledge went."""
         self._configuration.advance(position)
 
@@ -179,6 +187,7 @@
             self._metrics,
             self._rng,
             self._store_clock,
+            self.era,
             is_needed,
             is_vouched,
             on_regained=self._knowledge.note_outage_end,
@@ -223,7 +232,10 @@
 
     def _apply_members(self, news: News, _: Proof) -> None:
         self._has_members = True
-        if news.whole:
+        if news.restored:
+            # Those that the copy lacks write themselves again; they count on, as shares go by them.
+            self._on_restored(frozenset(_own_keys(news)))
+        elif news.whole:
             self.members.clear()
         for change in news.changes:
             match change:
@@ -244,3 +256,13 @@
             self._knowledge.expire(self._clock())
             if len(self._knowledge.targets) != known:
                 self._sync()
+
+
+def _own_keys(news: News) -> Iterator[str]:
+    """Yield the keys of our own rows in the news."""
+    for change in news.changes:
+        match change:
+            case Put(MemberEntry(member)):
+                yield member.host
+            case Put(QuarantinedRequest(request)):
+                yield quarantine_key(request)
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -10,6 +10,7 @@
 from lacewinggw.decisions.knowledge import Due, Knowledge, KnowledgeRules
 from lacewinggw.decisions.routes import RouteTable, WeightsFigures
 from lacewinggw.decisions.storeclock import Proof
+from lacewinggw.decisions.storeposition import NOWHERE, StorePosition
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
 from lacewinggw.fleet.feed import News, Put
 from lacewinggw.fleet.listing import take_listing
@@ -43,7 +44,7 @@
         self._clock = clock
         self._knowledge = Knowledge(rules)
         self._told_version = 0
-        self._position = 0
+        self._position = NOWHERE
         self._heard_at = float("-inf")
 
     @property
@@ -136,8 +137,9 @@
         for named in news.named:
             learned_at = now - named.age_ms / MS_PER_S
             self._take_due(DueVersion(model, named.version), learned_at, old=False)
-        if news.targets_position >= self._position:
-            self._position = news.targets_position
+        position = StorePosition(news.store_era, news.targets_position)
+        if position >= self._position:
+            self._position = position
             listed = [self._listed(each) for each in news.targets]
             self._knowledge.take_whole_list(listed, now)
 
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -26,6 +26,7 @@
 from lacewinggw.decisions.yielding import live_share
 from lacewinggw.errors import PlatformUnavailable, TargetUnreachable
 from lacewinggw.fleet.bounds import knowledge_rules
+from lacewinggw.fleet.era import StoreEra
 from lacewinggw.fleet.feed import FleetFeed, Topic
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.fleet.running import run_process
@@ -173,6 +174,9 @@
         self._server = HttpServer(network, agent.operator_listen, pages.handle)
         part = self.assignment
         self._store_clock = StoreClock()
+        self._era = StoreEra(self.metrics)
+        self._era.subscribe(self._store_clock.forget)
+        self._era.subscribe(lambda: part.note_regained(clock()))
         self._followers = [
             self._follow(Topic.CONFIGURATION, adapter, part.take_configuration, rng),
             self._follow(Topic.TARGETS, adapter, part.take_targets, rng),
@@ -197,6 +201,7 @@
             self.metrics,
             rng,
             self._store_clock,
+            self._era,
             is_needed=lambda: not self.assignment.is_told,
             on_regained=self.assignment.note_regained,
         )
@@ -396,6 +401,7 @@
                 await self._slots.serve(exchange, ask)
             case messages.FleetNews() as news:
                 was_told = self.assignment.is_told
+                self._era.note(news.store_era)
                 self.assignment.take_news(news)
                 if self.assignment.is_told and not was_told:
                     self._leave_store()
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -77,6 +77,7 @@
     "store_entries_unreadable": _counter(
         "both", "Entries of the operators' store that cannot be read, by topic."
     ),
+    "store_eras": _counter("both", "Times the operators' store came back from an older copy."),
     "store_reads": _counter("both", "Reads of the operators' store, by topic."),
     "target_crashes": _counter("entry", "Targets found to have ended under requests."),
     "target_fences_unkept": _counter(
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -133,7 +133,7 @@
         changed.set()
 
     async def drill(self, age_s: float, away_s: float = 0.5) -> list[Row]:
-        """Be away for a moment, and come back from a copy; return the rows that are lost with it."""
+        """Be away for a moment, and come back from a copy; return the rows that are lost."""
         await self.close()
         await asyncio.sleep(away_s)
         copied_at = asyncio.get_running_loop().time() - away_s - age_s
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -10,6 +10,7 @@
 from platform_standins import BORN_MS, KEY, LLM, ORIGIN, manifest, target_row
 
 from lacewinggw.decisions.routes import Repeat
+from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import TargetPhase, start_of
 from lacewinggw.errors import MalformedHttp, PlatformError, PlatformUnavailable
 from lacewinggw.fleet.feed import (
@@ -173,7 +174,7 @@
     async with pages as store:
         news = await store.snapshot(Topic.TARGETS)
     assert [change.item.name for change in news.changes] == ["a", "b"]
-    assert (news.position, news.whole) == (9, True)
+    assert (news.position, news.whole) == (StorePosition(0, 9), True)
     assert pages.queries[1]["From"] == "a\0"
 
 
@@ -182,9 +183,9 @@
     gone = {"Table": "servers", "part": "", "Key": "b", "SchemaVersion": 5, "Deleted": True}
     rows = [row("a", target_row(LLM, "x:1"), 4), gone]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 5})) as store:
-        news = await store.changes(Topic.TARGETS, 3, 1.0)
+        news = await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
     assert [type(change) for change in news.changes] == [Put, Drop]
-    assert (news.position, news.whole) == (5, False)
+    assert (news.position, news.whole) == (StorePosition(0, 5), False)
 
 
 @pytest.mark.looptime
@@ -195,7 +196,7 @@
 async def test_each_refusal_of_the_store(status, error):
     async with PagedStore(Response(status)) as store:
         with pytest.raises(error):
-            await store.changes(Topic.TARGETS, 3, 1.0)
+            await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
 
 
 def test_a_target_that_does_not_tell_its_birth_goes_by_its_name():
@@ -240,7 +241,7 @@
     key = {Topic.TARGETS: "a", Topic.CONFIGURATION: "config", Topic.MEMBERS: "a"}[topic]
     bad = {"Table": "t", "part": "", "Key": key, "Value": BAD_VALUES[kind], "SchemaVersion": 4}
     async with PagedStore(json_response(200, {"Rows": [bad, good], "SchemaVersion": 5})) as store:
-        news = await store.changes(topic, 3, 1.0)
+        news = await store.changes(topic, StorePosition(0, 3), 1.0)
     assert [type(change) for change in news.changes] == [Unreadable, Put]
     told = news.changes[0]
     assert (told.key, told.revision) == (key, 4) and told.reason
@@ -255,7 +256,7 @@
         {**row("quarantine/ef56", {}, 7), "Deleted": True},
     ]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 7})) as store:
-        news = await store.changes(Topic.MEMBERS, 3, 1.0)
+        news = await store.changes(Topic.MEMBERS, StorePosition(0, 3), 1.0)
     assert news.changes[0] == Put(QuarantinedRequest("ab12", "writer", 3))
     assert [type(change) for change in news.changes] == [Put, Put, Unreadable, Drop]
     assert quarantined_by(news.changes[3].key) == "ef56"
@@ -277,11 +278,11 @@
 async def test_an_answer_about_rows_that_is_not_understood_is_an_error_of_the_store(page):
     async with PagedStore(json_response(200, page)) as store:
         with pytest.raises(PlatformError):
-            await store.changes(Topic.TARGETS, 3, 1.0)
+            await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
 
 
 @pytest.mark.looptime
 async def test_rows_of_the_operators_that_are_not_known_are_passed_over():
     rows = [{**row("something/new", {"a": 1}, 4), "Table": "op"}]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 4})) as store:
-        assert (await store.changes(Topic.CONFIGURATION, 3, 1.0)).changes == ()
+        assert (await store.changes(Topic.CONFIGURATION, StorePosition(0, 3), 1.0)).changes == ()
--- a/tests/fleet/test_store_drill.py
+++ b/tests/fleet/test_store_drill.py
@@ -1,9 +1,10 @@
 """A store that comes back from a copy some seconds old, with versions that it gives out again.
 
-An entry goes on from the version up to which it knows the store's changes. After a drill that version
-stands for something else, and where the store has passed it before the next read, nothing tells: the
-changes in between were never seen, and an agent took no list of targets from entries until the
-store's versions had passed the old ones. What processes had written of themselves stayed lost.
+An entry goes on from the version up to which it knows the store's changes. After a drill that
+version stands for something else, and where the store has passed it before the next read, nothing
+tells: the changes in between were never seen (routes 2 instead of 5 at all three entries, 2 s after
+they had changed). Targets that had vanished came back with the copy, and got 10 of 20 requests.
+What processes had written of themselves stayed lost. A version was kept as a bare number.
 """
 
 import asyncio
@@ -13,6 +14,8 @@
 from declared_fleet import running_fleet
 from platform_standins import KEY, LLM, manifest, target_row
 
+from lacewinggw.decisions.storeposition import StorePosition
+
 pytestmark = pytest.mark.looptime
 
 OWN = "lacewinggw-members"
@@ -152,3 +155,9 @@
         fleet.store.put("op", "config", manifest(9))
         await asyncio.sleep(IN_FORCE_S)
         assert fleet.entries[0].knowledge.routes.version == 9
+
+
+def test_a_position_of_another_era_is_not_compared_by_its_number():
+    assert StorePosition(2, 10) > StorePosition(1, 500)
+    with pytest.raises(TypeError):
+        assert StorePosition(1, 500) > 400
--- a/tests/fuzz/test_fuzz_entries.py
+++ b/tests/fuzz/test_fuzz_entries.py
@@ -78,7 +78,7 @@
 @given(st.sampled_from(Topic), st.lists(sources() | VALUES, max_size=4))
 def test_each_row_of_an_answer_counts_by_itself(topic, values):
     rows = [{"Key": f"k{index}", "Value": as_value(each)} for index, each in enumerate(values)]
-    page = _decode_page({"Rows": rows, "SchemaVersion": 9})
+    page = _decode_page({"Rows": rows, "SchemaVersion": 9}, 0)
     changes = list(_changes(topic, page.rows))
     assert all(isinstance(change, Put | Drop | Unreadable) for change in changes)
 
