Deal with news from other processes without a task for each

Processes now deal with notifications where they are read; what may wait (chunks, calls) is left to tasks.

--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -49,10 +49,11 @@
 from lacewinggw.ids import Address, HostId, Place, TargetId, new_incarnation
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
+from lacewinggw.wire.frames import Message
 from lacewinggw.wire.http import Handler, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
-from lacewinggw.wire.peers import Exchange, Identity, PeerNode
+from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
 from lacewinggw.wire.soundness import require_sound
 
 MS_PER_S = 1000.0
@@ -110,7 +111,9 @@
         self._packed_routes = PackedRoutes(self.knowledge)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
-        self._node = PeerNode(network, identity, process.fleet_key, self._handle)
+        self._node = PeerNode(
+            network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
+        )
         self._neighbours = EntryNeighbours(
             self._node,
             self._host,
@@ -397,20 +400,24 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         match exchange.message:
-            case messages.Watch() as watch:
-                self._neighbours.take_watch(exchange.link, watch)
             case messages.AskNews() as question:
                 if question.wants_routes:
                     for part in self._packed_routes.parts_for(question.routes_version):
                         exchange.reply(messages.RoutesPart(part))
                 exchange.finish(self._compose_news())
+
+    def _take_notice(self, link: PeerLink, message: Message) -> bool:
+        match message:
+            case messages.Watch() as watch:
+                self._neighbours.take_watch(link, watch)
             case messages.EntryNews() as news:
                 require_sound(news)
-                self._neighbours.take_news(exchange.link, news)
+                self._neighbours.take_news(link, news)
             case messages.TargetNews() as news:
                 self._agents.take_news(news)
             case messages.CrashNews() as news:
                 self._crashes.take_news(news)
+        return True
 
     def _compose_news(self) -> messages.EntryNews:
         return compose_entry_news(
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -49,6 +49,7 @@
 from lacewinggw.loader.target import LoadableReport, LoadableTarget, Switch
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
+from lacewinggw.wire.frames import Message
 from lacewinggw.wire.http import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
@@ -149,7 +150,9 @@
         self._target = adapter.target
         self._origin = _NamedOrigin(adapter.make_origin)
         identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
-        self._node = PeerNode(network, identity, process.fleet_key, self._handle)
+        self._node = PeerNode(
+            network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
+        )
         self.spreader = Spreader.from_config(
             settings,
             self._node,
@@ -391,14 +394,19 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         match exchange.message:
+            case messages.AskSlot() as ask:
+                await self._slots.serve(exchange, ask)
+            case _:
+                await self.spreader.handle(exchange)
+
+    def _take_notice(self, link: PeerLink, message: Message) -> bool:
+        match message:
             case messages.Watch() as watch:
                 if watch.stop:
-                    self._listeners.discard(exchange.link)
+                    self._listeners.discard(link)
                 else:
-                    self._listeners.add(exchange.link)
+                    self._listeners.add(link)
                     self._told = None
-            case messages.AskSlot() as ask:
-                await self._slots.serve(exchange, ask)
             case messages.FleetNews() as news:
                 was_told = self.assignment.is_told
                 self._era.note(news.store_era)
@@ -406,7 +414,8 @@
                 if self.assignment.is_told and not was_told:
                     self._leave_store()
             case _:
-                await self.spreader.handle(exchange)
+                return False  # chunks and have-maps, which may wait for room
+        return True
 
     def _leave_store(self) -> None:
         """Give up reads that an entry made needless: routes may take a second over this link."""
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -300,6 +300,8 @@
                 call = self._calls.get(frame.call)
                 if call is not None:
                     call.take((message, frame.kind == FrameKind.LAST))
+            case FrameKind.NOTIFY if self._take_notice(message):
+                return
             case FrameKind.REQUEST | FrameKind.NOTIFY:
                 self._begin(frame, message)
             case FrameKind.FOLLOW:
@@ -309,6 +311,22 @@
             case _:
                 raise ProtocolViolation(f"a frame of unknown kind {frame.kind}")
 
+    def _take_notice(self, message: Message) -> bool:
+        """Have a notification dealt with here and now; return whether it was.
+
+        Most of what an idle process hears is news, and a task for each costs more than the news.
+        """
+        if self._node.on_notice is None:
+            return False
+        try:
+            return self._node.on_notice(self, message)
+        except LacewingError as error:
+            log.info("peer_notice_refused", peer=self.remote.host, error=error)
+        except Exception:
+            kind = type(message).__name__
+            log.exception("peer-handler-failed", peer=self.remote.host, message=kind)
+        return True
+
     def _begin(self, frame: messages.Frame, message: Message) -> None:
         wants_reply = frame.kind == FrameKind.REQUEST
         exchange = Exchange(self, frame.call, message, wants_reply)
@@ -339,6 +357,9 @@
     await node.start("10.0.0.1:7000")
     link = await node.link("10.0.0.2:7000")
     reply = await link.call(messages.FetchLog(0, 100), timeout_s=2.0)
+
+    `on_notice` deals with notifications without waiting for anything, and returns False for those
+    that are left to `handler`.
     """
 
     def __init__(
@@ -350,11 +371,13 @@
         revision: Callable[[], int] = lambda: 0,
         on_revision: Callable[[PeerLink, int], None] | None = None,
         on_link: Callable[[PeerLink], None] | None = None,
+        on_notice: Callable[[PeerLink, Message], bool] | None = None,
     ) -> None:
         self.identity = identity
         self.sent_bytes = 0
         self.handler = handler
         self.revision = revision
+        self.on_notice = on_notice
         self._network = network
         self._key = fleet_key.encode()
         self._on_revision = on_revision
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -132,3 +132,31 @@
     assert seen == [7]
     await client.close()
     await server.close()
+
+
+async def test_a_notice_is_dealt_with_at_once_and_one_that_fails_ends_no_link():
+    heard = []
+
+    def take(link, message):
+        heard.append((link.remote.host, message.note))
+        if message.note == "bad":
+            raise ValueError("cannot be read")
+        return message.note != "later"
+
+    handled = []
+
+    async def handle(exchange):
+        handled.append(exchange.message.note)
+
+    network = MemoryNetwork()
+    alpha = make_node(network, "10.0.0.1", handle, on_notice=take)
+    await alpha.start("10.0.0.1:7000")
+    beta = make_node(network, "10.0.0.2", handle)
+    link = await beta.link("10.0.0.1:7000")
+    for note in ("good", "bad", "later", "good"):
+        link.notify(messages.Done(note))
+    await asyncio.sleep(0.1)
+    assert [note for _, note in heard] == ["good", "bad", "later", "good"]
+    assert handled == ["later"] and not link.closed.is_set()
+    await beta.close()
+    await alpha.close()
