--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -63,6 +63,7 @@
         clock: Clock,
         rng: random.Random,
     ) -> None:
+        self._node = node
         self._me = me
         self._place = place
         self._compose = compose
@@ -139,8 +140,7 @@
     def tell(self, news: messages.CrashNews | messages.EntryNews) -> None:
         """Send something to all entries that listen."""
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
-        for link in self._listeners:
-            link.notify(news)
+        self._node.notify_all(self._listeners, news)
 
     def ready(self) -> Sequence[ReadyEntry]:
         """Return the other entries that are ready, by news that is fresh."""
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -438,8 +438,7 @@
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
         stamped = copy(news)
         stamped.sent_ms = round(now * MS_PER_S)
-        for link in self._listeners:
-            link.notify(stamped)
+        self._node.notify_all(self._listeners, stamped)
 
     def _compose(self) -> messages.TargetNews | None:
         report, target = self._report, self.assignment.own_target
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -11,7 +11,7 @@
 import itertools
 import secrets
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from lacewinggw.errors import (
@@ -39,6 +39,7 @@
 HANDSHAKE_TIMEOUT_S = 5.0
 HANDSHAKE_LIMIT_BYTES = 4096
 NONCE_BYTES = 16
+NO_CALL = 0  # the number of a frame that nobody answers
 FOLLOW_LIMIT = 1024
 READ_BYTES = 1 << 16
 
@@ -206,7 +207,7 @@
 
     def notify(self, message: Message) -> None:
         """Send a message that has no answer; lost without a word if the link is closed."""
-        self.send(0, FrameKind.NOTIFY, message)
+        self.send(NO_CALL, FrameKind.NOTIFY, message)
 
     def open(self, message: Message) -> OutgoingCall:
         """Start a call; raise `ConnectionLost` when the link is closed already."""
@@ -228,11 +229,16 @@
 
     def send(self, call: int, kind: FrameKind, message: Message) -> None:
         """Queue a frame; frames queued in one turn of the loop leave in one write."""
+        if not self.closed.is_set():
+            self.queue(encode_frame(call, kind, self._node.revision(), message))
+
+    def queue(self, frame: bytes) -> None:
+        """Queue a frame that is encoded already, unless the link is closed."""
         if self.closed.is_set():
             return
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
-        self._unsent.append(encode_frame(call, kind, self._node.revision(), message))
+        self._unsent.append(frame)
 
     async def drain(self) -> None:
         """Wait until little is queued, so that a fast sender cannot fill the memory."""
@@ -454,6 +460,12 @@
         if known is not None:
             known.notify(message)
 
+    def notify_all(self, links: Iterable[PeerLink], message: Message) -> None:
+        """Send one message on many links of this node that are open: it is encoded once."""
+        frame = encode_frame(NO_CALL, FrameKind.NOTIFY, self.revision(), message)
+        for link in links:
+            link.queue(frame)
+
     async def call(
         self, address: str, message: Message, timeout_s: float, lane: str = ""
     ) -> Message:
