Write down crashes in turn before a verdict, so that they outlast all entries

Cause: only verdicts were in the store, and a verdict takes half a second longer. Mended: an entry that saw two crashes in turn writes them at once, in the row that the verdict goes into, and removes it when the request is served. Why it holds: whoever starts reads the list before it knows any target, and the next crash is the third for it too.

--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -106,6 +106,15 @@
         """Return on how many targets a request was as they ended, those of others included."""
         return len(self._crashes.get(request, ()))
 
+    def targets_in_turn(self, request: RequestDigest) -> list[TargetId]:
+        """Return the targets that ended under a request one after the other.
+
+        Those that ended under one that is kept away count only for that one.
+        """
+        known = self._crashes.get(request, {})
+        counted = known if request in self._quarantined else self._unexplained(request)
+        return [crash.target for crash in _in_turn(known[each].crash for each in counted)]
+
     def note_crash(self, crash: Crash, now: float) -> bool:
         """Take a crash; return whether it was not known, and counts."""
         if self._served.get(crash.request, -math.inf) >= crash.at or now - crash.at > MEMORY_S:
@@ -211,7 +220,7 @@
         known = self._crashes[request]
         learned = [known[target] for target in self._unexplained(request)]
         settled = [each.crash for each in learned if each.learned_at + SETTLE_S <= now]
-        return _count_in_turn(settled) >= QUARANTINE_CRASHES
+        return len(_in_turn(settled)) >= QUARANTINE_CRASHES
 
     def _unexplained(self, request: RequestDigest) -> set[TargetId]:
         """Return the targets that ended under a request and not under one that is kept away."""
@@ -233,14 +242,14 @@
             del self._served[next(iter(self._served))]
 
 
-def _count_in_turn(crashes: Iterable[Crash]) -> int:
-    """Return how often a request ended a target and was sent to the next one after that.
+def _in_turn(crashes: Iterable[Crash]) -> list[Crash]:
+    """Return the crashes of targets to which a request was sent after the one before had ended.
 
     Targets that end at one moment, as their host or their zone fails, count once: a lookup that is
     asked for often may be running on all of them.
     """
-    count, last_at = 0, -math.inf
+    found: list[Crash] = []
     for crash in sorted(crashes, key=lambda each: each.at):
-        if crash.began_at >= last_at:
-            count, last_at = count + 1, crash.at
-    return count
+        if not found or crash.began_at >= found[-1].at:
+            found.append(crash)
+    return found
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -15,7 +15,7 @@
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.ids import RequestDigest, ServiceName
+from lacewinggw.ids import RequestDigest, ServiceName, TargetId
 
 
 class Topic(Enum):
@@ -23,7 +23,7 @@
 
     CONFIGURATION = "configuration"  # the routes, and the versions of weights that are due
     TARGETS = "targets"
-    MEMBERS = "members"  # the product's own: its processes, and the requests in quarantine
+    MEMBERS = "members"  # the product's own: its processes, and the requests that end targets
 
 
 @dataclass(frozen=True)
@@ -34,25 +34,26 @@
 
 
 @dataclass(frozen=True)
-class QuarantinedRequest:
-    """A request that ends targets, kept where it outlasts all processes.
+class CrashingRequest:
+    """What is known of a request that may end targets, kept where it outlasts all processes.
 
-    `crashes` is on how many targets it was as they ended.
+    `targets` ended under it, one after the other; it is kept away from all if `is_quarantined`.
     """
 
     request: RequestDigest
     service: ServiceName
-    crashes: int
+    targets: tuple[TargetId, ...]
+    is_quarantined: bool
 
 
 @dataclass(frozen=True)
 class Lifted:
-    """A request that is not in quarantine any more."""
+    """A request that is not suspected any more, nor in quarantine."""
 
     request: RequestDigest
 
 
-Item: TypeAlias = RouteTable | DueVersion | TargetEntry | MemberEntry | QuarantinedRequest
+Item: TypeAlias = RouteTable | DueVersion | TargetEntry | MemberEntry | CrashingRequest
 
 
 @dataclass(frozen=True)
@@ -64,7 +65,7 @@
 
 @dataclass(frozen=True)
 class Drop:
-    """An item that is no more: a target's id, a member's host, or a quarantine's key."""
+    """An item that is no more: a target's id, a member's host, or the key of a request."""
 
     key: str
 
--- a/src/lacewinggw/fleet/ownrows.py
+++ b/src/lacewinggw/fleet/ownrows.py
@@ -1,4 +1,4 @@
-"""What the product itself keeps in the operators' store: its processes, requests in quarantine.
+"""What the product itself keeps in the operators' store: its processes, requests that end targets.
 
 Both stand in one list, told apart by their keys, so that who follows the one has the other with the
 same call.
@@ -9,10 +9,10 @@
 from typing import Any, Protocol
 
 from lacewinggw.clients.membership import Member, member_from_json, member_to_json
-from lacewinggw.fleet.feed import MemberEntry, QuarantinedRequest
-from lacewinggw.ids import RequestDigest, ServiceName
+from lacewinggw.fleet.feed import CrashingRequest, MemberEntry
+from lacewinggw.ids import RequestDigest, ServiceName, TargetId
 
-QUARANTINE_PREFIX = "quarantine/"  # a host's name has no slash, so no process has such a key
+CRASHING_PREFIX = "crashing/"  # a host's name has no slash, so no process has such a key
 
 
 @dataclass(frozen=True)
@@ -38,27 +38,39 @@
     return OwnRow(member.host, member_to_json(member))
 
 
-def quarantine_row(entry: QuarantinedRequest) -> OwnRow:
-    """Return the row of a request that ends targets."""
-    value = {"service": entry.service, "crashes": entry.crashes}
-    return OwnRow(quarantine_key(entry.request), value)
+def crashing_row(entry: CrashingRequest) -> OwnRow:
+    """Return the row of a request that ends targets, or is suspected of it."""
+    value = {
+        "service": entry.service,
+        "targets": list(entry.targets),
+        "quarantined": entry.is_quarantined,
+    }
+    return OwnRow(crashing_key(entry.request), value)
 
 
-def quarantine_key(request: RequestDigest) -> str:
-    """Return the key under which a request in quarantine is listed."""
-    return f"{QUARANTINE_PREFIX}{request}"
+def crashing_key(request: RequestDigest) -> str:
+    """Return the key under which a request that ends targets is listed."""
+    return f"{CRASHING_PREFIX}{request}"
 
 
-def quarantined_by(key: str) -> RequestDigest | None:
-    """Return the request that a key lists as in quarantine, None for another kind of key."""
-    if not key.startswith(QUARANTINE_PREFIX):
+def crashing_by(key: str) -> RequestDigest | None:
+    """Return the request that a key stands for, None for another kind of key."""
+    if not key.startswith(CRASHING_PREFIX):
         return None
-    return RequestDigest(key.removeprefix(QUARANTINE_PREFIX))
+    return RequestDigest(key.removeprefix(CRASHING_PREFIX))
 
 
-def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | QuarantinedRequest:
+def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | CrashingRequest:
     """Return what a row says; raise `KeyError` or `ValueError` for one that says nothing."""
-    request = quarantined_by(key)
+    request = crashing_by(key)
     if request is None:
         return MemberEntry(member_from_json(value))
-    return QuarantinedRequest(request, ServiceName(str(value["service"])), int(value["crashes"]))
+    targets = value["targets"]
+    if not isinstance(targets, list):
+        raise ValueError("the targets are no list")
+    return CrashingRequest(
+        request,
+        ServiceName(str(value["service"])),
+        tuple(TargetId(str(target)) for target in targets),
+        bool(value["quarantined"]),
+    )
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -7,17 +7,17 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Iterable, Set
+from collections.abc import Callable, Iterable, Sequence, Set
 from contextlib import suppress
 from dataclasses import dataclass, field
 
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.crashes import Crash, CrashLedger, Standing
+from lacewinggw.decisions.crashes import SUSPECT_CRASHES, Crash, CrashLedger, Standing
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.errors import PlatformError, RequestQuarantined
-from lacewinggw.fleet.feed import Lifted, QuarantinedRequest
-from lacewinggw.fleet.ownrows import OwnRows, quarantine_key, quarantine_row
+from lacewinggw.fleet.feed import CrashingRequest, Lifted
+from lacewinggw.fleet.ownrows import OwnRows, crashing_key, crashing_row
 from lacewinggw.frontend.admission import Admitted
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import RequestDigest, ServiceName, TargetId
@@ -34,6 +34,7 @@
 # entry has some to tell and passes on those of others.
 GATHER_S = 0.05
 WRITE_RETRY_S = 1.0
+LISTED_STEP_S = 0.1  # between crashes that were written down: in turn, and before any that follows
 ENDED_KEPT = 256  # targets that ended, so that each is asked once however many connections broke
 
 log = get_logger(__name__)
@@ -81,7 +82,8 @@
         self._ledger = CrashLedger()
         self._untold = _Untold()
         self._services: dict[RequestDigest, ServiceName] = {}  # of requests that were seen here
-        self._to_write: dict[RequestDigest, QuarantinedRequest | None] = {}  # None: to be lifted
+        self._written: dict[RequestDigest, CrashingRequest] = {}  # by this entry
+        self._to_write: dict[RequestDigest, CrashingRequest | None] = {}  # None: to be removed
         self._probes: dict[TargetId, asyncio.Task[bool]] = {}
         self._ended: dict[TargetId, None] = {}
         self._changed = asyncio.Event()
@@ -208,24 +210,35 @@
             self._untold.quarantined += heard.quarantined
         self._changed.set()
 
-    def take_listed(self, change: QuarantinedRequest | Lifted) -> None:
-        """Take that the store lists a request as one that ends targets, or lists it no more."""
+    def take_listed(self, change: CrashingRequest | Lifted) -> None:
+        """Take that the store lists a request as one that may end targets, or lists it no more."""
         match change:
-            case QuarantinedRequest(request):
-                if self._take_quarantine(request, "store") and self._passes_on():
-                    self._untold.quarantined.append(request)
-                    self._changed.set()
+            case CrashingRequest(request, _, targets, is_quarantined):
+                self._take_crashes(request, targets)
+                if is_quarantined and self._take_quarantine(request, "store"):
+                    self._tell_on(request)
+                self._changed.set()
             case Lifted(request):
+                self._written.pop(request, None)
                 if self._ledger.lift(request):
                     log.info("quarantine_lifted", digest=request, source="store")
 
+    def _take_crashes(self, request: RequestDigest, targets: Sequence[TargetId]) -> None:
+        """Take crashes that were written down: when is not known, but they came in turn."""
+        now = self._clock()
+        for number, target in enumerate(targets):
+            at = now - (len(targets) - number) * LISTED_STEP_S
+            self._ledger.note_crash(Crash(request, target, at - LISTED_STEP_S / 2, at), now)
+
+    def _tell_on(self, request: RequestDigest) -> None:
+        if self._passes_on():
+            self._untold.quarantined.append(request)
+
     def write_again(self, listed: Set[str]) -> None:
-        """Write requests that end targets, and that were seen here, where the list lacks them."""
-        for request in self._ledger.quarantined:
-            service = self._services.get(request)
-            if service is not None and quarantine_key(request) not in listed:
-                crashes = self._ledger.crash_count(request)
-                self._note_to_write(request, QuarantinedRequest(request, service, crashes))
+        """Write what this entry has written, and the list lacks."""
+        for request, entry in self._written.items():
+            if crashing_key(request) not in listed:
+                self._note_to_write(request, entry)
 
     def _take_quarantine(self, request: RequestDigest, source: str) -> bool:
         if not self._ledger.quarantine(request, self._clock()):
@@ -244,6 +257,7 @@
             await asyncio.sleep(GATHER_S)
             self._judge()
             self._end_expired()
+            self._write_down()
             untold, self._untold = self._untold, _Untold()
             if untold:
                 self._tell(self._compose(untold.crashes, untold.served, untold.quarantined))
@@ -261,10 +275,35 @@
             crashes = self._ledger.crash_count(request)
             log.warning("request_quarantined", digest=request, crashes=crashes, source="own")
             self._untold.quarantined.append(request)
-            service = self._services.get(request)
-            if service is not None:
-                # Only entries that saw it themselves write it down: a few, and not all of them.
-                self._note_to_write(request, QuarantinedRequest(request, service, crashes))
+
+    def _write_down(self) -> None:
+        """Write down what is known of requests that were seen here, so that it outlasts all.
+
+        Two crashes in turn are written at once: all entries may end before the third is judged.
+        Only entries that saw a request themselves write of it: a few, and not all of them.
+        """
+        for request, service in list(self._services.items()):
+            entry = self._entry_of(request, service)
+            if entry is None and self._ledger.crash_count(request) == 0:
+                del self._services[request]
+            if entry == self._written.get(request):
+                continue
+            if entry is None:
+                del self._written[request]
+            else:
+                self._written[request] = entry
+            self._note_to_write(request, entry)
+
+    def _entry_of(self, request: RequestDigest, service: ServiceName) -> CrashingRequest | None:
+        """Return what is to be written of a request, None where it is suspected of nothing."""
+        before = self._written.get(request)
+        if before is not None and before.is_quarantined and request in self._ledger.quarantined:
+            return before
+        targets = tuple(self._ledger.targets_in_turn(request))
+        is_quarantined = request in self._ledger.quarantined
+        if not is_quarantined and len(targets) < SUSPECT_CRASHES:
+            return None
+        return CrashingRequest(request, service, targets, is_quarantined)
 
     def _end_expired(self) -> None:
         for request in self._ledger.expired(self._clock()):
@@ -273,7 +312,7 @@
             if self._passes_on():
                 self._note_to_write(request, None)
 
-    def _note_to_write(self, request: RequestDigest, entry: QuarantinedRequest | None) -> None:
+    def _note_to_write(self, request: RequestDigest, entry: CrashingRequest | None) -> None:
         self._to_write[request] = entry
         self._can_write.set()
 
@@ -291,9 +330,9 @@
     async def _write_all(self) -> None:
         for request, entry in list(self._to_write.items()):
             if entry is None:
-                await self._rows.remove(quarantine_key(request))
+                await self._rows.remove(crashing_key(request))
             else:
-                await self._rows.put(quarantine_row(entry))
+                await self._rows.put(crashing_row(entry))
             if self._to_write.get(request) is entry:
                 del self._to_write[request]
 
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -17,18 +17,18 @@
 from lacewinggw.fleet.access import StoreAccess
 from lacewinggw.fleet.era import StoreEra
 from lacewinggw.fleet.feed import (
+    CrashingRequest,
     Drop,
     FleetFeed,
     Lifted,
     MemberEntry,
     News,
     Put,
-    QuarantinedRequest,
     Topic,
 )
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.fleet.listing import take_listing
-from lacewinggw.fleet.ownrows import quarantine_key, quarantined_by
+from lacewinggw.fleet.ownrows import crashing_by, crashing_key
 from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -59,8 +59,8 @@
 
     `on_change` is called when targets or versions have changed, `on_members` when the list of
     entries has, `on_urgent` when the entries that do not read have to be told something at once:
-    targets leave, routes or versions are new. `on_quarantine` is told of each request that the
-    store lists as one that ends targets, or lists no more; `on_restored` of the keys of our own
+    targets leave, routes or versions are new. `on_crashing` is told of each request that the
+    store lists as one that may end targets, or lists no more; `on_restored` of the keys of our own
     rows that a store has which came back from an older copy.
     """
 
@@ -78,7 +78,7 @@
         on_change: Callable[[], None],
         on_members: Callable[[], None],
         on_urgent: Callable[[], None],
-        on_quarantine: Callable[[QuarantinedRequest | Lifted], None],
+        on_crashing: Callable[[CrashingRequest | Lifted], None],
         on_restored: Callable[[Set[str]], None],
     ) -> None:
         self.members: dict[HostId, Member] = {}
@@ -97,7 +97,7 @@
         self._on_change = on_change
         self._on_members = on_members
         self._on_urgent = on_urgent
-        self._on_quarantine = on_quarantine
+        self._on_crashing = on_crashing
         self._on_restored = on_restored
         self._leaving_told = 0
         self._has_list = False
@@ -244,10 +244,10 @@
             match change:
                 case Put(MemberEntry(member)):
                     self.members[member.host] = member
-                case Put(QuarantinedRequest() as entry):
-                    self._on_quarantine(entry)
-                case Drop(key) if (request := quarantined_by(key)) is not None:
-                    self._on_quarantine(Lifted(request))
+                case Put(CrashingRequest() as entry):
+                    self._on_crashing(entry)
+                case Drop(key) if (request := crashing_by(key)) is not None:
+                    self._on_crashing(Lifted(request))
                 case Drop(key):
                     self.members.pop(HostId(key), None)
         self._on_members()
@@ -267,5 +267,5 @@
         match change:
             case Put(MemberEntry(member)):
                 yield member.host
-            case Put(QuarantinedRequest(request)):
-                yield quarantine_key(request)
+            case Put(CrashingRequest(request)):
+                yield crashing_key(request)
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -14,14 +14,14 @@
 from lacewinggw.decisions.targetlist import TargetPhase, start_of
 from lacewinggw.errors import MalformedHttp, PlatformError, PlatformUnavailable
 from lacewinggw.fleet.feed import (
+    CrashingRequest,
     Drop,
     HistoryGone,
     Put,
-    QuarantinedRequest,
     Topic,
     Unreadable,
 )
-from lacewinggw.fleet.ownrows import quarantine_key, quarantine_row, quarantined_by
+from lacewinggw.fleet.ownrows import crashing_by, crashing_key, crashing_row
 from lacewinggw.frontend.calls import Dispatch
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.wire.http import HttpClient, HttpServer, Response, json_response
@@ -250,24 +250,24 @@
 @pytest.mark.looptime
 async def test_a_request_in_quarantine_stands_beside_the_processes():
     rows = [
-        row("quarantine/ab12", {"service": "writer", "crashes": 3}, 4),
+        row("crashing/ab12", {"service": "writer", "targets": ["i-1"], "quarantined": True}, 4),
         row("h", {"host": "h", "place": "p", "role": "entry", "address": "x"}, 5),
-        row("quarantine/cd34", {"service": "writer", "crashes": "three"}, 6),
-        {**row("quarantine/ef56", {}, 7), "Deleted": True},
+        row("crashing/cd34", {"service": "writer", "targets": "i-1", "quarantined": True}, 6),
+        {**row("crashing/ef56", {}, 7), "Deleted": True},
     ]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 7})) as store:
         news = await store.changes(Topic.MEMBERS, StorePosition(0, 3), 1.0)
-    assert news.changes[0] == Put(QuarantinedRequest("ab12", "writer", 3))
+    assert news.changes[0] == Put(CrashingRequest("ab12", "writer", ("i-1",), True))
     assert [type(change) for change in news.changes] == [Put, Put, Unreadable, Drop]
-    assert quarantined_by(news.changes[3].key) == "ef56"
+    assert crashing_by(news.changes[3].key) == "ef56"
 
 
 @pytest.mark.looptime
 async def test_a_request_is_put_in_quarantine_and_taken_out_by_its_digest():
     done = json_response(200, {"SchemaVersion": 8})
     async with PagedStore(done, done) as store:
-        await store.put(quarantine_row(QuarantinedRequest("ab12", "writer", 3)))
-        await store.remove(quarantine_key("ab12"))
+        await store.put(crashing_row(CrashingRequest("ab12", "writer", ("i-1",), True)))
+        await store.remove(crashing_key("ab12"))
 
 
 @pytest.mark.looptime
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -102,7 +102,7 @@
         for target in fleet.targets.values():
             target.behaviour.crashes_on = frozenset()
         for key in fleet.store.rows("lacewinggw-members"):
-            if key.startswith("quarantine/"):
+            if key.startswith("crashing/"):
                 fleet.store.put("lacewinggw-members", key, None)
         await asyncio.sleep(2.0)
         reply = await fleet.ask("/report/1", body=CRASHING, X_Model="market")
@@ -134,10 +134,10 @@
     async with running_fleet(desks=0, engines=0, entries=2) as fleet:
         await add_engines(fleet, 6)
         await play(fleet, seconds=6.0)
-        assert any("quarantine/" in key for key in fleet.store.rows("lacewinggw-members"))
+        assert any("crashing/" in key for key in fleet.store.rows("lacewinggw-members"))
         await asyncio.sleep(14.0)
         assert [quarantined(entry) for entry in fleet.entries] == [0, 0]
-        assert not any("quarantine/" in key for key in fleet.store.rows("lacewinggw-members"))
+        assert not any("crashing/" in key for key in fleet.store.rows("lacewinggw-members"))
 
 
 @pytest.mark.parametrize("seed", [204, 205])
@@ -151,7 +151,7 @@
     async with running_fleet(desks=0, engines=0, entries=8) as fleet:
         await add_engines(fleet, 9)
         played = asyncio.ensure_future(play(fleet, 12.0, 2.0, 20.0, seed))
-        while len(ends(fleet)) < 3:
+        while len(ends(fleet)) < 3:  # noqa: ASYNC110
             await asyncio.sleep(0.02)
         await asyncio.sleep(after_s)
         await restart_entries(fleet, 8)
--- a/tests/fleet/test_store_drill.py
+++ b/tests/fleet/test_store_drill.py
@@ -129,7 +129,7 @@
         await add_engines(fleet, 6)
         await play(fleet, seconds=5.0)
         before = set(fleet.store.rows(OWN))
-        assert any(key.startswith("quarantine/") for key in before)
+        assert any(key.startswith("crashing/") for key in before)
         await fleet.store.drill(60.0, away_s=0.2)
         assert not fleet.store.rows(OWN)
         await asyncio.sleep(IN_FORCE_S)
