Pause before a store is asked again whose answers are of an era that is over

An entry that another one had told of a later era asked again at once for as long as its own answers showed an older one: 102 calls in two seconds as a test, where 63 are allowed.

--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -164,7 +164,10 @@
                 await self._back_off(error)
                 continue
             self._note_answer()
-            if not self._is_of_now(news):
+            if not self._era.note(news.position.era):
+                await asyncio.sleep(FIRST_RETRY_S)  # of a store that is no more
+                continue
+            if self._is_restored and not news.whole:
                 continue
             if self._is_restored:
                 news = replace(news, restored=True)
@@ -176,10 +179,6 @@
             if news.changes:
                 await asyncio.sleep(self._wait().after_news_s)
 
-    def _is_of_now(self, news: News) -> bool:
-        """Tell whether news is of the present era, and whole where the era is new."""
-        return self._era.note(news.position.era) and (news.whole or not self._is_restored)
-
     async def _read_unless_interrupted(self) -> News:
         self._call = asyncio.get_running_loop().create_task(self._read())
         try:
--- a/tests/fleet/test_store_drill.py
+++ b/tests/fleet/test_store_drill.py
@@ -161,3 +161,13 @@
     assert StorePosition(2, 10) > StorePosition(1, 500)
     with pytest.raises(TypeError):
         assert StorePosition(1, 500) > 400
+
+
+async def test_answers_of_an_era_that_is_over_are_not_asked_for_in_a_loop():
+    """Whoever was told of a later era than the answers show reads on, but not without a pause."""
+    async with running_fleet(entries=1) as fleet:
+        await asyncio.sleep(3.0)
+        fleet.entries[0]._sight.era.note(9)
+        fleet.store.calls.clear()
+        await asyncio.sleep(2.0)
+        assert len(fleet.store.calls) <= 3 * 2.0 / 0.1 + 3
