--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -2,8 +2,7 @@
 
 The load it answers: one request ends every target that begins it, and its caller asks again, under
 a new id and at any entry. All that runs beside it is broken off, goes on elsewhere, and is broken
-off again with the next target: of 15 targets 30 ended in 13 seconds, and a sixth of all requests
-was refused or failed.
+off again with the next target, until hardly any is left.
 
 Entries tell each other which requests were running on targets that ended. Each works out by itself
 which request was on more of them than any other that shares one with it: others are beside it now
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -15,8 +15,7 @@
 from lacewinggw.ids import ModelName, Place, RequestDigest, ServiceName, TargetId
 
 # A target in another place counts as that much fuller. Borders are narrow and priced. And the fewer
-# entries choose among the same targets by the same news, the fewer meet at one: modelled, 0.89 of
-# requests are on time at the usual load with 0.3, 0.62 without any.
+# entries choose among the same targets by the same news, the fewer meet at one.
 REMOTE_COST = 0.6
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
@@ -25,8 +24,7 @@
 LINK_COST_PER_S = 8.0
 # An engine reads prompts between the tokens of the others, so what it has yet to read delays the
 # first event of the next request, while requests that are being answered hardly do: 0.1 s of
-# reading counts as much as 0.8 of the slots. Modelled, 0.96 of requests are on time at the usual
-# load instead of 0.89, and 0.83 instead of 0.76 through a burst of 1.7 times that.
+# reading counts as much as 0.8 of the slots.
 READING_COST_PER_S = 8.0
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
@@ -54,8 +52,6 @@
     """How many targets are drawn at random, of this place and of others; the best of them is taken.
 
     Other entries choose at the same moment by the same news, and would all take the least busy one.
-    Modelled with 45 entries before 36 engines, 0.94 of requests are on time at the usual load
-    instead of 0.59; with 6 before 11 it is the same.
     """
 
     near: int = 2
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -23,8 +23,7 @@
 # connection, and the pause between two reports.
 SHOWN_S = 0.4
 # Of prompts that a target has yet to read. Each delays the first events of all that came with it,
-# so a slot that falls free while there are more waits: two prompts of usual length. Modelled at 1.2
-# times of what six engines can do, 0.82 of requests are on time, 0.69 without.
+# so a slot that falls free while there are more waits: two prompts of usual length.
 READING_MOST_S = 0.15
 
 
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -14,8 +14,7 @@
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
 # Of the slots of a target, for requests that are late already. What is left lets those that can be
-# on time start at once while late ones are caught up on: modelled, 0.82 of requests are on time at
-# 1.2 times of what six engines can do, 0.71 without.
+# on time start at once while late ones are caught up on.
 LATE_ROOM = 0.8
 # Of a target with work of this entry, after which it gets no more: events of one stream or another
 # come every 0.1 s, and in an overload every 0.3 s. Callers give up after two seconds.
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -6,8 +6,7 @@
 time, the newest of them first, then those that are late, the oldest first.
 
 The newest first, because whoever waits in the order of arrival starts when its time has nearly run
-out: an overload that lasts a second makes everybody late, and stays. Modelled, with half of the
-engines out for five seconds, 0.70 of the worth instead of 0.58.
+out: an overload that lasts a second makes everybody late, and stays.
 """
 
 import heapq
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -1,7 +1,6 @@
 """The entry process of a declared fleet: its knowledge, its queue and its sockets."""
 
 import asyncio
-import math
 import random
 from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
@@ -12,16 +11,7 @@
 from lacewinggw.decisions.ejection import EjectionRules
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.nearby import ReadyEntry, choose_entries
-from lacewinggw.decisions.readers import (
-    READERS_PER_PLACE,
-    KnownEntry,
-    Self,
-    fallback_age_s,
-    is_list_vouched,
-    is_reader,
-    rank_in_place,
-    start_wait_s,
-)
+from lacewinggw.decisions.readers import KnownEntry, Self
 from lacewinggw.decisions.routes import CallerLimits
 from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.fleet.announcer import Announcer
@@ -34,12 +24,13 @@
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.crashes import CrashWatch
-from lacewinggw.frontend.entrynews import PackedRoutes, compose_entry_news, digest_targets
+from lacewinggw.frontend.entrynews import PackedRoutes, compose_entry_news
 from lacewinggw.frontend.fetching import DecodeRoutes, RoutesFetcher
 from lacewinggw.frontend.neighbours import EntryNeighbours
 from lacewinggw.frontend.offers import Offers
 from lacewinggw.frontend.placing import Placing, RetryLimits
 from lacewinggw.frontend.queue import RequestQueue
+from lacewinggw.frontend.reading import ReadingDuties
 from lacewinggw.frontend.relay import Relay, RelayParts
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.frontend.vouching import Voucher
@@ -107,7 +98,6 @@
         self._host = HostId(process.host)
         self._place = Place(process.place)
         self._leaving = False
-        self._started_at = math.inf
         self._packed_routes = PackedRoutes(self.knowledge)
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
@@ -145,6 +135,14 @@
             clock,
             self.metrics,
         )
+        self._duties = ReadingDuties(
+            self._me,
+            self.knowledge,
+            self._neighbours.known,
+            self._listed,
+            lambda: self._fetcher.is_fetching,
+            clock,
+        )
         routing = settings.routing
         self.pool = TargetPool(
             self._place,
@@ -173,9 +171,9 @@
             clock,
             self.metrics,
             rng,
-            self._reads_often,
-            self._reads_routes,
-            self._is_list_vouched,
+            self._duties.reads_often,
+            self._duties.reads_routes,
+            self._duties.is_list_vouched,
             self._agents.note_change,
             self._note_members,
             self._neighbours.note_change,
@@ -189,7 +187,7 @@
             self._http,
             adapter.rows,
             self._neighbours.tell,
-            lambda: is_reader(self._me, self._neighbours.known()),
+            lambda: self._duties.is_reader,
             clock,
             self.metrics,
             rng,
@@ -244,7 +242,7 @@
 
     async def start(self) -> None:
         """Begin to follow the store, then to take callers."""
-        self._started_at = self._clock()
+        self._duties.note_start()
         await self._sight.start()
         await self._node.start(self._settings.entry.peer_listen)
         for server in self._servers:
@@ -325,31 +323,10 @@
     def _ready_hosts(self) -> Sequence[HostId]:
         return [self._host, *(entry.host for entry in self._neighbours.ready())]
 
-    def _reads_often(self) -> bool:
-        """Tell whether this entry reads for its place, or nobody vouches for what it knows."""
-        rank = rank_in_place(self._me, self._neighbours.known())
-        if rank < READERS_PER_PLACE:
-            return True
-        return self.knowledge.routes_seen_age(self._clock()) >= fallback_age_s(rank)
-
-    def _reads_routes(self) -> bool:
-        """Tell whether this entry is to read the routes now, as nobody brings them."""
-        if self._fetcher.is_fetching:
-            return False
-        if self.knowledge.routes is not None:
-            return self._reads_often()
-        rank = None
-        if self._sight.has_members:
-            rank = rank_in_place(self._me, self._listed())
-        return self._clock() - self._started_at >= start_wait_s(rank)
-
-    def _is_list_vouched(self) -> bool:
-        """Tell whether the list of targets need not be read now."""
-        if self._reads_often():
-            return False
-        return is_list_vouched(digest_targets(self.knowledge), self._neighbours.known())
-
-    def _listed(self) -> Sequence[KnownEntry]:
+    def _listed(self) -> Sequence[KnownEntry] | None:
+        """Return the entries that the store lists; None while the list is not here."""
+        if not self._sight.has_members:
+            return None
         return [
             KnownEntry(member.host, member.place, member.address)
             for member in self._sight.members.values()
@@ -360,7 +337,7 @@
         """Go on from what another entry knew, and hand it on in this place."""
         self._sight.note_routes_taken(position)
         self._agents.note_change()
-        if is_reader(self._me, self._neighbours.known()):
+        if self._duties.is_reader:
             self._neighbours.note_change()
 
     def _note_restored(self, keys: Set[str]) -> None:
--- /dev/null
+++ b/src/lacewinggw/frontend/reading.py
@@ -0,0 +1,75 @@
+"""What an entry reads from the store itself, by who else is heard in its place."""
+
+import math
+from collections.abc import Callable, Sequence
+
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.decisions.readers import (
+    READERS_PER_PLACE,
+    KnownEntry,
+    Self,
+    fallback_age_s,
+    is_list_vouched,
+    is_reader,
+    rank_in_place,
+    start_wait_s,
+)
+from lacewinggw.frontend.entrynews import digest_targets
+
+
+class ReadingDuties:
+    """Tells whether this entry is to read, or others read for it.
+
+    `heard` are the entries that were heard lately; `listed` those that the store lists, None while
+    the list is not here; `is_fetching` tells whether routes are on their way from another entry.
+    """
+
+    def __init__(
+        self,
+        me: Self,
+        knowledge: Knowledge,
+        heard: Callable[[], Sequence[KnownEntry]],
+        listed: Callable[[], Sequence[KnownEntry] | None],
+        is_fetching: Callable[[], bool],
+        clock: Clock,
+    ) -> None:
+        self._me = me
+        self._knowledge = knowledge
+        self._heard = heard
+        self._listed = listed
+        self._is_fetching = is_fetching
+        self._clock = clock
+        self._started_at = math.inf
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this entry reads for the others of its place."""
+        return is_reader(self._me, self._heard())
+
+    def note_start(self) -> None:
+        """Note that the process starts now."""
+        self._started_at = self._clock()
+
+    def reads_often(self) -> bool:
+        """Tell whether this entry reads for its place, or nobody vouches for what it knows."""
+        rank = rank_in_place(self._me, self._heard())
+        if rank < READERS_PER_PLACE:
+            return True
+        return self._knowledge.routes_seen_age(self._clock()) >= fallback_age_s(rank)
+
+    def reads_routes(self) -> bool:
+        """Tell whether this entry is to read the routes now, as nobody brings them."""
+        if self._is_fetching():
+            return False
+        if self._knowledge.routes is not None:
+            return self.reads_often()
+        listed = self._listed()
+        rank = None if listed is None else rank_in_place(self._me, listed)
+        return self._clock() - self._started_at >= start_wait_s(rank)
+
+    def is_list_vouched(self) -> bool:
+        """Tell whether the list of targets need not be read now."""
+        if self.reads_often():
+            return False
+        return is_list_vouched(digest_targets(self._knowledge), self._heard())
--- a/src/lacewinggw/frontend/slots.py
+++ b/src/lacewinggw/frontend/slots.py
@@ -10,8 +10,7 @@
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.ids import TargetId
 
-# How many agents a request waits for at once. One alone may be frozen, or keep all its slots; with
-# one, three or five as many requests are on time (modelled, within 0.03).
+# How many agents a request waits for at once. One alone may be frozen, or keep all its slots.
 ASKED_AT_ONCE = 3
 ASKED_MOST = 8  # by one request, those that declined included
 # An agent answers in a millisecond, over a link that carries weights in some tens. One that has
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -61,8 +61,7 @@
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
 UNCHANGED_S = 0.6  # between news that say the same again
 # Between news of the target's work: a border between regions is narrow and priced. They tell whom
-# to ask for a slot first: modelled, 0.73 of requests are on time at 1.4 times of what 30 engines
-# can do, 0.67 with news each 0.5 s.
+# to ask for a slot first, so much later they would send more requests to busy targets.
 NEWS_S = 0.2
 STORE_WAIT = Wait(for_news_s=4.0, after_news_s=0.5)  # only while no entry speaks
 
@@ -287,7 +286,7 @@
             part.origin,
             part.origin_bytes_per_s,
         )
-        # Ten times a second nothing has changed; with 150 hosts it takes 1.5 ms to say so again.
+        # Ten times a second nothing has changed, and with many hosts it costs to say so again.
         if aims != self._aims:
             self._aims = aims
             self._apply_aims(aims)
