--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -57,21 +57,13 @@
         assert all("quarantined" not in reply.body.decode() for reply in played.others)
 
 
-async def test_an_entry_that_starts_anew_knows_it_at_once():
+@pytest.mark.parametrize("restarted", [1, 3])
+async def test_entries_that_start_anew_know_it_at_once(restarted):
+    """One of three hears it from the others, all three read it from the store."""
     async with running_fleet(desks=0, engines=0, entries=3) as fleet:
         await add_engines(fleet, 6)
         await play(fleet, seconds=8.0)
-        await restart_entries(fleet, 1)
-        before = len(arrivals(fleet))
-        await play(fleet, seconds=6.0)
-        assert len(arrivals(fleet)) == before
-
-
-async def test_it_is_known_after_all_entries_have_started_anew():
-    async with running_fleet(desks=0, engines=0, entries=3) as fleet:
-        await add_engines(fleet, 6)
-        await play(fleet, seconds=8.0)
-        await restart_entries(fleet, 3)
+        await restart_entries(fleet, restarted)
         before = len(arrivals(fleet))
         await play(fleet, seconds=6.0)
         assert len(arrivals(fleet)) == before
--- a/tests/fleet/test_store_drill.py
+++ b/tests/fleet/test_store_drill.py
@@ -28,6 +28,16 @@
         fleet.store.put("other", f"row-{number}", {})
 
 
+async def bring_back_one_that_vanished(fleet):
+    """Have a target vanish from the list, and stand on it again in the copy of a drill."""
+    await fleet.add_target("desk9", "desk", "10.3.0.9")
+    await asyncio.sleep(4.0)
+    fleet.store.put("servers", "i-desk9", None)
+    await asyncio.sleep(2.0)
+    await fleet.store.drill(4.0)
+    await asyncio.sleep(2.0)
+
+
 @pytest.mark.parametrize("age_s", [1.0, 4.0, 10.0])
 @pytest.mark.parametrize("entries", [1, 6])
 async def test_a_change_is_in_force_though_the_old_versions_are_passed_at_once(age_s, entries):
@@ -84,12 +94,7 @@
 
 async def test_a_target_that_had_vanished_does_not_come_back_with_the_copy():
     async with running_fleet(desks=1, engines=0, entries=2) as fleet:
-        await fleet.add_target("desk9", "desk", "10.3.0.9")
-        await asyncio.sleep(4.0)
-        fleet.store.put("servers", "i-desk9", None)
-        await asyncio.sleep(2.0)
-        await fleet.store.drill(4.0)
-        await asyncio.sleep(2.0)
+        await bring_back_one_that_vanished(fleet)
         before = len(fleet.targets["desk9"].seen)
         for _ in range(20):
             await fleet.ask("/sheet/1")
@@ -98,12 +103,7 @@
 
 async def test_a_target_that_had_vanished_and_lives_is_used_once_it_writes_again():
     async with running_fleet(desks=0, engines=0, entries=1) as fleet:
-        await fleet.add_target("desk9", "desk", "10.3.0.9")
-        await asyncio.sleep(4.0)
-        fleet.store.put("servers", "i-desk9", None)
-        await asyncio.sleep(2.0)
-        await fleet.store.drill(4.0)
-        await asyncio.sleep(2.0)
+        await bring_back_one_that_vanished(fleet)
         fleet.store.put("servers", "i-desk9", target_row("desk", "10.3.0.9:8080", Slots=5))
         await asyncio.sleep(1.0)
         assert (await fleet.ask("/sheet/1")).status == 200
