--- /dev/null
+++ b/tests/fleet/test_store_crowded.py
@@ -0,0 +1,52 @@
+"""A store whose queue of new connections is full, as a whole fleet starts at one moment.
+
+After a loss of power 32 entries and 63 agents came back within 0.3 s, each with several calls to the
+store. Ten entries had the routes after 0.03 to 0.13 s, none between that and a second, and the other
+22 after 1.03 to 1.45 s: an opening packet that finds the queue full is dropped, and the kernel sends
+the next one a second later. Meanwhile they turned callers away, and agents that hear of targets and
+versions from them loaded nothing: 0.06 of the worth of two seconds was served, and 0.33 of the next.
+"""
+
+import asyncio
+
+import pytest
+from declared_fleet import running_fleet
+from platform_standins import STORE
+
+from lacewinggw.lab.memory import MemoryNetwork
+
+pytestmark = pytest.mark.looptime
+
+QUEUED = 6  # connections that the store's queue holds
+TAKEN_EACH_S = 0.002
+RESENT_S = 1.0  # after that a kernel sends a dropped opening packet again
+SERVES_WITHIN_S = 0.5
+ENTRIES = 12
+
+
+class CrowdedStore:
+    """Drops opening packets while the store's queue of new connections is full."""
+
+    def __init__(self, connect):
+        self._connect = connect
+        self._free_at = 0.0
+
+    async def connect(self, network, address):
+        if address == STORE:
+            await self._queue()
+        return await self._connect(network, address)
+
+    async def _queue(self):
+        loop = asyncio.get_running_loop()
+        while self._free_at - loop.time() >= QUEUED * TAKEN_EACH_S:
+            await asyncio.sleep(RESENT_S)
+        self._free_at = max(self._free_at, loop.time()) + TAKEN_EACH_S
+
+
+async def test_entries_serve_soon_though_the_store_drops_their_first_packets(monkeypatch):
+    async with running_fleet(entries=0) as fleet:
+        crowded = CrowdedStore(MemoryNetwork.connect)
+        monkeypatch.setattr(MemoryNetwork, "connect", lambda *args: crowded.connect(*args))
+        await asyncio.gather(*(fleet.add_entry(number + 1) for number in range(ENTRIES)))
+        await asyncio.sleep(SERVES_WITHIN_S)
+        assert sum(entry.is_ready for entry in fleet.entries) == ENTRIES
