Begin a connection to the store anew where it does not open soon

What callers saw: after a loss of power or when all processes are killed, entries turned callers away for a second longer than they had to, and agents, which hear of versions from them, loaded late. Cause: all processes call the store at one moment, its queue of new connections is full and drops opening packets; a kernel sends the next one after a second, which was just what a call may wait. Why it holds: an attempt that does not open within 0.15 s, then 0.25 s, is left for another one, with a jitter, so that those that were dropped together do not meet again; the last attempt has the rest of the time, for a slow link. Nothing was sent on a connection that did not open, so writes are safe too. Ruled out: the store's rates (43 reads a second of 6,000 were used), the entries' processor (refusals were sent at once all the while).

--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -5,7 +5,9 @@
 else after the request was sent is `WriteUnknown`.
 """
 
+import asyncio
 import json
+import random
 from collections.abc import Callable
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
@@ -18,6 +20,7 @@
     WriteUnknown,
 )
 from lacewinggw.wire.http import (
+    CONNECT_SHARE,
     JSON_TYPE,
     Headers,
     HttpClient,
@@ -30,6 +33,12 @@
 THROTTLED = 429
 UNAVAILABLE = 503
 SERVER_ERRORS = 500
+# Until a connection that does not open is begun anew. A service whose queue of new connections is
+# full drops opening packets, as when a whole fleet starts at one moment, and a kernel sends the next
+# one after a second. The last attempt has the rest of the time, for a link that is slow.
+CONNECT_S = (0.15, 0.25)
+LEAST_CONNECT_S = 0.05
+CONNECT_JITTER = 0.5  # either way, so that those that were dropped together do not meet again
 
 Query = dict[str, str]
 T = TypeVar("T")
@@ -106,9 +115,7 @@
         target = join_path(path, query)
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
-            response = await self._http.request(
-                self._address, "GET", target, headers, timeout_s=limit_s, pause_s=pause_s or limit_s
-            )
+            response = await self._request("GET", target, headers, b"", limit_s, pause_s or limit_s)
         except (OSError, TimeoutError, HttpError) as error:
             raise self._unavailable(error) from error
         if response.status >= SERVER_ERRORS and response.status != UNAVAILABLE:
@@ -125,9 +132,7 @@
         data, headers = _encode_body(body)
         target = join_path(path, query)
         try:
-            response = await self._http.request(
-                self._address, method, target, headers, data, timeout_s=self._timeout_s
-            )
+            response = await self._request(method, target, headers, data, self._timeout_s)
         except NotConnectedError as error:
             raise self._unavailable(error) from error
         except (OSError, TimeoutError, HttpError) as error:
@@ -137,6 +142,34 @@
             raise WriteUnknown(f"the {self._service} answered a write with {response.status}")
         return check_status(response, self._service)
 
+    async def _request(
+        self,
+        method: str,
+        target: str,
+        headers: Headers | None,
+        body: bytes,
+        timeout_s: float,
+        pause_s: float | None = None,
+    ) -> Response:
+        """Make a request, on another connection where the first ones do not open soon."""
+        connect_until = asyncio.get_running_loop().time() + timeout_s * CONNECT_SHARE
+        for attempt_s in CONNECT_S:
+            left_s = connect_until - asyncio.get_running_loop().time()
+            connect_s = attempt_s * random.uniform(1.0 - CONNECT_JITTER, 1.0 + CONNECT_JITTER)
+            if connect_s >= left_s:
+                break
+            try:
+                return await self._http.request(
+                    self._address, method, target, headers, body, timeout_s, pause_s, connect_s
+                )
+            except NotConnectedError as error:
+                if not error.is_silent:
+                    raise
+        left_s = max(LEAST_CONNECT_S, connect_until - asyncio.get_running_loop().time())
+        return await self._http.request(
+            self._address, method, target, headers, body, timeout_s, pause_s, left_s
+        )
+
     def unexpected(self, response: Response) -> PlatformError:
         """Return the error for a status that the call has no use for."""
         return BadPlatformAnswer(f"the {self._service} answered {response.status}")
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -367,6 +367,11 @@
 class NotConnectedError(ConnectionRefusedError):
     """No connection came about: the request was certainly not sent."""
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing answered in time, as opposed to a refusal."""
+        return isinstance(self.__cause__, TimeoutError)
+
 
 class HttpClient:
     """Make requests, keeping up to `idle_connections` per address for reuse.
@@ -418,9 +423,12 @@
         body: bytes = b"",
         timeout_s: float = 5.0,
         pause_s: float | None = None,
+        connect_s: float | None = None,
     ) -> Response:
         """Make a request and return its response whole, within `timeout_s` seconds.
 
+        Connecting takes `connect_s` at most, or its share of `timeout_s`.
+
         With `pause_s` the response has to begin within `timeout_s`, and may then take as long as it
         keeps coming: no pause in it is longer than `pause_s`. For large answers over narrow links,
         which a limit for the whole would cut off and have begun anew, time after time.
@@ -435,7 +443,7 @@
                 headers,
                 body,
                 read_s,
-                connect_s=timeout_s * CONNECT_SHARE,
+                connect_s=connect_s or timeout_s * CONNECT_SHARE,
                 head_s=timeout_s,
             )
             try:
