--- a/tests/fleet/spread_links.py
+++ b/tests/fleet/spread_links.py
@@ -48,6 +48,15 @@
     slices: int = 0
 
 
+@dataclass
+class OriginSend:
+    """A chunk on its way from the origin, and how many of its slices have been sent."""
+
+    host: "Host"
+    index: int
+    slices: int = 0
+
+
 @dataclass
 class Host:
     """One host: its decisions, its link and what it has to send."""
@@ -68,7 +77,8 @@
     fleet = LinkedHosts({"hall": 5, "room": 5}, rates={"hall-0": lambda now: 119_000})
     fleet.run()
 
-    `waits` are the times that slices stood in queues before the links of their receivers.
+    `waits` are the times that slices stood in queues before the links of their receivers. The
+    origin refuses connections from the first to the second moment of `origin_away`.
     """
 
     def __init__(
@@ -79,16 +89,19 @@
         plan: TopologyPlan = PLAN,
         rules: SpreadRules = RULES,
         uploads_at_once: int = UPLOADS_AT_ONCE,
+        origin_away: tuple[float, float] = (0.0, 0.0),
     ) -> None:
         self.now = 0.0
         self.waits: list[float] = []
         self.origin_chunks = 0
         self.border_chunks = 0
         self._uploads_at_once = uploads_at_once
+        self._origin_away = origin_away
+        self._origin_bytes_per_s = rules.origin_bytes_per_s or ORIGIN_BYTES_PER_S
         self._rng = random.Random(seed)
         self._numbers = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._origin_free_at = 0.0
+        self._from_origin: deque[OriginSend] = deque()
         dues = [
             DueHost(HostId(f"{place}-{number}"), Place(place))
             for place, count in places.items()
@@ -145,11 +158,30 @@
                     self.hosts[name].queue.cancel(request)
 
     def _send_from_origin(self, host: Host, index: int) -> None:
+        gone_at, back_at = self._origin_away
+        if gone_at <= self.now < back_at:
+            lost = FetchFailure.LOST
+            self._at(LATENCY_S, lambda: host.spread.failed(ORIGIN, index, lost, self.now))
+            return
         self.origin_chunks += 1
-        begin = max(self.now, self._origin_free_at)
-        self._origin_free_at = begin + CHUNK_BYTES / ORIGIN_BYTES_PER_S
-        delay_s = self._origin_free_at - self.now
-        self._at(delay_s, lambda: self._receive(host, ORIGIN, index, CHUNK_BYTES, True))
+        self._from_origin.append(OriginSend(host, index))
+        if len(self._from_origin) == 1:
+            self._send_origin_slice()
+
+    def _send_origin_slice(self) -> None:
+        """Send the next slice: the connections to the origin share its link."""
+        send = self._from_origin[0]
+        self._at(SMALLEST_SLICE_BYTES / self._origin_bytes_per_s, lambda: self._end_origin(send))
+
+    def _end_origin(self, send: "OriginSend") -> None:
+        self._from_origin.popleft()
+        send.slices += 1
+        is_last = send.slices == SLICES
+        self._receive(send.host, ORIGIN, send.index, SMALLEST_SLICE_BYTES, is_last)
+        if not is_last:
+            self._from_origin.append(send)
+        if self._from_origin:
+            self._send_origin_slice()
 
     def _queue(self, name: HostId, receiver: Host, index: int) -> None:
         sender = self.hosts[name]
