Count a column that waits for an origin that is away as in its first host's hands

What callers saw: engines had a version seconds after its bound, and could begin nothing meanwhile. Cause: a host lets the one before it in rank have a column until that stands still, and every column stands still while the origin is away; so in six seconds all three ranks took over, and all went on when it was back, each fetching what the others fetched too over the one narrow link. Why it holds: a host that finds the origin away counts its column anew from then on, so whoever has the column asks first, and the next in rank steps in only where it does not move though the origin gives. A host whose own way to the origin is cut is still stood in for: others' failures say nothing of it. Ruled out: turns (all were over at 29.8 s) and the store (targets were known throughout).

--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -216,6 +216,10 @@
                 self._note_neighbour_failed(host, index, failure, now)
             case Origin() | Store():
                 self._platform.note_failed(source, corrupt, now)
+                if not corrupt:
+                    # It stands still for the origin's sake, not for that of the hosts before this
+                    # one: else all ranks of a column go on at once when the origin is back.
+                    self._at_origin.note_moved(self._holdings.column(index), now)
 
     # ---- decisions ------------------------------------------------------------------------
 
