--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -200,7 +200,7 @@
 
 // From entry to entry, on change and now and then: whether callers may be sent to the sender, and
 // how old its knowledge of the routes is. Ages are spans, so no clocks are compared.
-struct EntryNews {
+struct EntryUpdate {
   1: string caller_address
   2: bool ready
   3: i64 routes_version
@@ -218,7 +218,7 @@
 struct RoutesPart { 1: binary data }
 // From entry to entry: what do you know, and how old is it? The age counts back from the sending of
 // this question, so that a reply that was held up makes nothing look newer than it is.
-struct AskNews {
+struct AskUpdate {
   1: i64 routes_version          // the newest that the asker knows
   2: bool wants_routes = true    // send newer ones along: they are large, so one of those asked does
 }
@@ -228,7 +228,7 @@
 struct ServedRequest { 1: string request_digest, 2: i64 age_ms }
 // From entry to entry, at once: requests that were running on targets as these ended, those of them
 // that were served since, and those that are kept away from targets.
-struct CrashNews {
+struct CrashUpdate {
   1: list<TargetCrash> crashes
   2: list<ServedRequest> served
   3: list<string> quarantined
@@ -241,7 +241,7 @@
 
 // From entry to agent, on change and now and then: what concerns the agent's service, so that agents
 // need not read the store, whose answers are large and come over the link of the target.
-struct FleetNews {
+struct FleetUpdate {
   1: string service_name
   2: i64 routes_version
   3: string model
@@ -259,7 +259,7 @@
 }
 
 // From agent to entry: the work of the target beside it, as the target itself says now.
-struct TargetNews {
+struct TargetUpdate {
   1: string name                 // of the target; a new start of it may bear it again
   2: i32 running
   3: i32 queued
@@ -345,7 +345,7 @@
   6: string suspect = ""         // digest of a request that may end targets: it is put beside no other
 }
 enum SlotState { GRANTED = 1, QUEUED = 2, DECLINED = 3 }
-struct SlotTold { 1: SlotState state }
+struct SlotUpdate { 1: SlotState state }
 
 // ---- limits ---------------------------------------------------------------------------
 
@@ -394,14 +394,14 @@
   32: FetchHeard fetch_heard
   33: HeardTargets heard_targets
   60: Demand demand
-  70: EntryNews entry_news
-  71: TargetNews target_news
-  72: FleetNews fleet_news
-  73: AskNews ask_news
+  70: EntryUpdate entry_update
+  71: TargetUpdate target_update
+  72: FleetUpdate fleet_update
+  73: AskUpdate ask_update
   74: RoutesPart routes_part
   75: AskSlot ask_slot
-  76: SlotTold slot_told
-  77: CrashNews crash_news
+  76: SlotUpdate slot_update
+  77: CrashUpdate crash_update
 }
 
 // NOTIFY has no answer; a REQUEST has replies with its call number, the last one LAST.
--- a/src/lacewinggw/agent/downloads.py
+++ b/src/lacewinggw/agent/downloads.py
@@ -187,11 +187,11 @@
         if not fresh:
             return
         for host, state in self._spread.neighbours.items():
-            news = [index for index in fresh if index not in state.chunks]
+            update = [index for index in fresh if index not in state.chunks]
             link = self._around.mesh.link(host)
-            if news and link is not None:
+            if update and link is not None:
                 have = messages.Have(
-                    self.digest, self._next_sequence(), added=news, waiting=self._waiting()
+                    self.digest, self._next_sequence(), added=update, waiting=self._waiting()
                 )
                 link.notify(have)
 
--- a/src/lacewinggw/agent/views.py
+++ b/src/lacewinggw/agent/views.py
@@ -56,12 +56,12 @@
         self._mesh.set_addresses({member.host: member.address for member in members})
 
     def is_first(self, digest: Digest) -> bool:
-        """Tell whether this host is one of those that ask the origin first."""
+        """Return whether this host is one of those that ask the origin first."""
         topology = self.topologies.get(digest)
         return topology is not None and any(each.at_origin == 0 for each in topology.columns)
 
     def is_outdated(self) -> bool:
-        """Tell whether hosts have become suspect or bad, or are so no more."""
+        """Return whether hosts have become suspect or bad, or are so no more."""
         return self._derived_from != self._facts()
 
     def derive(self, due: Mapping[Digest, DueRelease]) -> None:
--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -34,8 +34,8 @@
 UNAVAILABLE = 503
 SERVER_ERRORS = 500
 # Until a connection that does not open is begun anew. A service whose queue of new connections is
-# full drops opening packets, as when a whole fleet starts at one moment, and a kernel sends the next
-# one after a second. The last attempt has the rest of the time, for a link that is slow.
+# full drops opening packets, as when a whole fleet starts at once, and a kernel sends the next one
+# after a second. The last attempt has the rest of the time, for a link that is slow.
 CONNECT_S = (0.15, 0.25)
 LEAST_CONNECT_S = 0.05
 CONNECT_JITTER = 0.5  # either way, so that those that were dropped together do not meet again
--- a/src/lacewinggw/configuration/replica.py
+++ b/src/lacewinggw/configuration/replica.py
@@ -27,7 +27,7 @@
 
 TAIL_LENGTH = 500
 FETCH_LIMIT = 100
-SMALL_NEWS_BYTES = 4096
+SMALL_UPDATE_BYTES = 4096
 PEER_TIMEOUT_S = 2.0
 NEWS_GRACE_S = 0.02
 
@@ -152,7 +152,7 @@
                 self._subscribers[exchange.link] = None
                 exchange.finish(self._rows_after(after, FETCH_LIMIT))
             case LogNews(entries=entries, head=head):
-                self._take_news(exchange.link, entries or [], head)
+                self._apply_update(exchange.link, entries or [], head)
             case _:
                 return False
         return True
@@ -169,7 +169,7 @@
         count = min(max(limit, 1), FETCH_LIMIT)
         return LogRows(list(islice(self._tail, start, start + count)), self.revision)
 
-    def _take_news(self, link: PeerLink, entries: list[LogEntry], head: int) -> None:
+    def _apply_update(self, link: PeerLink, entries: list[LogEntry], head: int) -> None:
         if not self.ready:
             return
         known = self.revision
@@ -214,11 +214,11 @@
         if not self._subscribers or not self.ready:
             return
         size = sum(len(encode_struct(entry)) for entry in entries)
-        news = LogNews(entries if size <= SMALL_NEWS_BYTES else [], self.revision)
-        news_bytes = len(encode_struct(news))
+        update = LogNews(entries if size <= SMALL_UPDATE_BYTES else [], self.revision)
+        news_bytes = len(encode_struct(update))
         for link in list(self._subscribers):
             if link.closed.is_set():
                 del self._subscribers[link]
                 continue
-            link.notify(news)
+            link.notify(update)
             self._metrics.count("configuration_news_sent_bytes", news_bytes)
--- a/src/lacewinggw/decisions/claims.py
+++ b/src/lacewinggw/decisions/claims.py
@@ -94,10 +94,10 @@
 
 
 def never_starts(error: LacewingError) -> bool:
-    """Tell whether this refusal proves by itself that the reservation can never start."""
+    """Return whether this refusal proves by itself that the reservation can never start."""
     return isinstance(error, Withdrawn | TicketExpired)
 
 
 def needs_withdrawal(error: LacewingError) -> bool:
-    """Tell whether the reservation did not start, but still might."""
+    """Return whether the reservation did not start, but still might."""
     return error.outcome is Outcome.NOT_RUN and not never_starts(error)
--- a/src/lacewinggw/decisions/commands.py
+++ b/src/lacewinggw/decisions/commands.py
@@ -148,7 +148,7 @@
 
 
 def _moves_placement(content: ChangeContent, service: str) -> bool:
-    """Tell whether a change could make a placement of a service wrong."""
+    """Return whether a change could make a placement of a service wrong."""
     match content:
         case CreateRelease():
             return False
--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -215,7 +215,7 @@
         return [first, *rivals] if len(targets) >= TIED_CRASHES else []
 
     def _has_settled(self, request: RequestDigest, now: float) -> bool:
-        """Tell whether enough targets ended under a request, and all entries had time to tell."""
+        """Return whether enough targets ended under a request, and all entries had time to tell."""
         known = self._crashes[request]
         learned = [known[target] for target in self._unexplained(request)]
         settled = [each.crash for each in learned if each.learned_at + SETTLE_S <= now]
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -203,7 +203,7 @@
         if load is None or at < load.reported_at:
             return
         if sent_s is not None:
-            load.news.note(sent_s, at)
+            load.update.note(sent_s, at)
         load.loading_until = at + LOADING_S if loading else 0.0
         load.reported = running
         load.reported_own = load.in_flight
--- a/src/lacewinggw/decisions/holdings.py
+++ b/src/lacewinggw/decisions/holdings.py
@@ -69,7 +69,7 @@
         return index % len(self.absent)
 
     def is_shown(self, index: int) -> bool:
-        """Tell whether any neighbour shows a chunk."""
+        """Return whether any neighbour shows a chunk."""
         return self.local[index] + self.remote[index] > 0
 
     def show(self, index: int, local: bool) -> None:
--- a/src/lacewinggw/decisions/hosts.py
+++ b/src/lacewinggw/decisions/hosts.py
@@ -70,6 +70,6 @@
         return host in heard.at and silence >= self._dead_after_s * UNRESPONSIVE_FACTOR
 
     def _is_cut_off(self, heard: Heard, placed: Container[str], now: float) -> bool:
-        """Tell whether everyone heard before is silent: then this process may be the cause."""
+        """Return whether everyone heard before is silent: then this process may be the cause."""
         known = [last for host, last in heard.at.items() if host in placed]
         return len(known) > 1 and all(now - last >= self._dead_after_s for last in known)
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -107,11 +107,11 @@
         return now - self._routes_seen_at
 
     def covers_keys(self, now: float) -> bool:
-        """Tell whether a key that is on the table may be honoured still."""
+        """Return whether a key that is on the table may be honoured still."""
         return self.routes is not None and self.routes_age(now) < self.rules.revocation_s
 
     def covers_denial(self, now: float) -> bool:
-        """Tell whether what the table lacks may be denied: something new would be known.
+        """Return whether what the table lacks may be denied: something new would be known.
 
         A change is in force everywhere within the bound on changes, so what was the newest at a
         moment within that bound is what counts. Beyond it, and while something newer is known to be
@@ -306,7 +306,7 @@
         self._forget_left(now)
 
     def _has_vanished(self, entry: TargetEntry) -> bool:
-        """Tell whether a start was on the list before, and is not now."""
+        """Return whether a start was on the list before, and is not now."""
         newest = self._starts.get(entry.name)
         if newest is None or entry.target in self._targets:
             return False
--- a/src/lacewinggw/decisions/linkpace.py
+++ b/src/lacewinggw/decisions/linkpace.py
@@ -58,11 +58,11 @@
         self._times[fetch.source] = max(known_s, now - fetch.asked_at)
 
     def is_late(self, fetch: OnItsWay, now: float) -> bool:
-        """Tell whether a chunk takes longer than a busy sender explains."""
+        """Return whether a chunk takes longer than a busy sender explains."""
         return now - fetch.asked_at > LATE_FACTOR * self.usual_s
 
     def is_slow(self, source: Hashable) -> bool:
-        """Tell whether chunks of a source are usually late."""
+        """Return whether chunks of a source are usually late."""
         return self._times.get(source, 0.0) > LATE_FACTOR * self.usual_s
 
     def limit_now(self, fetches: Collection[OnItsWay], now: float) -> int:
@@ -74,7 +74,7 @@
         return max(1, round(self.limit * self.usual_s / self.fastest_s))
 
     def is_narrow(self, fetches: Collection[OnItsWay], now: float) -> bool:
-        """Tell whether the link is to blame for what is late, not one source."""
+        """Return whether the link is to blame for what is late, not one source."""
         if self._is_quiet(fetches, now) and len(_sources(fetches)) > 1:
             return True
         return self.fastest_s > SLOW_FACTOR * self.usual_s
@@ -86,7 +86,7 @@
         return sum(not self.is_late(fetch, now) for fetch in fetches)
 
     def _is_quiet(self, fetches: Collection[OnItsWay], now: float) -> bool:
-        """Tell whether nothing came since the last chunk that is late by now was asked for."""
+        """Return whether nothing came since the last chunk that is late by now was asked for."""
         newest_at = max((fetch.asked_at for fetch in fetches), default=now)
         return now - max(newest_at, self._arrived_at) > LATE_FACTOR * self.usual_s
 
--- a/src/lacewinggw/decisions/once.py
+++ b/src/lacewinggw/decisions/once.py
@@ -185,7 +185,7 @@
         return Standing.NEVER_STARTED
 
     def _is_out_of_sight(self, nonce: RunId) -> bool:
-        """Tell whether the nonce is another agent's, or so old that its run may be forgotten."""
+        """Return whether the nonce is another agent's, or so old that its run may be forgotten."""
         number = _nonce_number(nonce)
         if nonce_incarnation(nonce) != self._incarnation or number is None:
             return True
--- a/src/lacewinggw/decisions/outcomes.py
+++ b/src/lacewinggw/decisions/outcomes.py
@@ -81,7 +81,7 @@
 
 
 def is_proof(error: LacewingError) -> bool:
-    """Tell whether a try that ended so certainly did not run."""
+    """Return whether a try that ended so certainly did not run."""
     return error.outcome is Outcome.NOT_RUN or isinstance(error, Unreachable)
 
 
--- a/src/lacewinggw/decisions/placement.py
+++ b/src/lacewinggw/decisions/placement.py
@@ -73,7 +73,7 @@
 def is_whole(
     state: FleetState, service: str, hosts: Mapping[str, HostFact], lost: Collection[str]
 ) -> bool:
-    """Tell whether a service needs no change of placement, looking at its own hosts alone."""
+    """Return whether a service needs no change of placement, looking at its own hosts alone."""
     declared = state.services.get(service)
     if declared is None:
         return not state.hosts_of(service)
--- a/src/lacewinggw/decisions/pollers.py
+++ b/src/lacewinggw/decisions/pollers.py
@@ -39,7 +39,7 @@
 
 
 def reads_store(host: str, place: str, entries: Sequence[Candidate]) -> bool:
-    """Tell whether an entry is one of the few in its place that read the log's tail."""
+    """Return whether an entry is one of the few in its place that read the log's tail."""
     beside = [entry.host for entry in entries if entry.place == place and entry.host != host]
     return rank_of("log-reader", host, beside) < READERS_PER_PLACE
 
--- a/src/lacewinggw/decisions/readers.py
+++ b/src/lacewinggw/decisions/readers.py
@@ -70,12 +70,12 @@
 
 
 def is_reader(me: Self, others: Iterable[KnownEntry]) -> bool:
-    """Tell whether this entry reads the routes, for the others of its place."""
+    """Return whether this entry reads the routes, for the others of its place."""
     return rank_in_place(me, others) < READERS_PER_PLACE
 
 
 def is_list_vouched(digest: int, others: Iterable[KnownEntry]) -> bool:
-    """Tell whether another entry has the same targets by a list that it read lately."""
+    """Return whether another entry has the same targets by a list that it read lately."""
     return any(
         entry.targets_digest == digest and entry.targets_age_s < LIST_VOUCHED_S for entry in others
     )
--- a/src/lacewinggw/decisions/revisions.py
+++ b/src/lacewinggw/decisions/revisions.py
@@ -91,12 +91,12 @@
 
 
 def is_placement(entry: LogEntry) -> bool:
-    """Tell whether an entry only places, as entries do by themselves."""
+    """Return whether an entry only places, as entries do by themselves."""
     return all(change.place is not None for change in entry.changes)
 
 
 def moves_placements(entries: Sequence[LogEntry]) -> bool:
-    """Tell whether entries may change which hosts serve what; none stand for a whole state."""
+    """Return whether entries may change which hosts serve what; none stand for a whole state."""
     contents = (content_of(change) for entry in entries for change in entry.changes)
     return not entries or any(
         isinstance(content, Place | RemoveService | SetDrain) for content in contents
@@ -104,7 +104,7 @@
 
 
 def declares_any(entries: Sequence[LogEntry], services: Container[str]) -> bool:
-    """Tell whether entries declare one of these services anew."""
+    """Return whether entries declare one of these services anew."""
     contents = (content_of(change) for entry in entries for change in entry.changes)
     return any(
         isinstance(content, PutService) and content.declared.name in services
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -151,7 +151,7 @@
         return self.taken < self.slots * (LATE_ROOM if wish.is_late else 1.0)
 
     def _has_other_suspect(self, wish: SlotWish) -> bool:
-        """Tell whether a request and one that runs are suspects: an end would tell of neither."""
+        """Return whether a request and one that runs are suspects: an end would tell of neither."""
         if wish.suspect is None:
             return False
         return any(
--- a/src/lacewinggw/decisions/spread.py
+++ b/src/lacewinggw/decisions/spread.py
@@ -271,7 +271,7 @@
         yield from self._import_stuck(now)
 
     def _ready_to_import(self, now: float) -> bool:
-        """Tell whether the neighbours have said what they hold, or had the time to."""
+        """Return whether the neighbours have said what they hold, or had the time to."""
         assert self._topology is not None
         if now - self._started_at >= self.rules.patience_s:
             return True
@@ -362,7 +362,7 @@
         return [fetches[0].as_paced() for fetches in self._fetches.values()]
 
     def _has_room(self, now: float) -> bool:
-        """Tell whether one more chunk may be on its way over the link."""
+        """Return whether one more chunk may be on its way over the link."""
         fetches = self._on_their_way
         load = self._pace.count(fetches, now) + self._source_fetches
         return load < self._pace.limit_now(fetches, now)
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -51,7 +51,7 @@
     heard_at: float = -math.inf
     busy_since: float = -math.inf
     connects: LinkDelay = field(default_factory=LinkDelay)
-    news: LinkDelay = field(default_factory=LinkDelay)
+    update: LinkDelay = field(default_factory=LinkDelay)
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
 
@@ -62,7 +62,7 @@
         return self.in_flight + others * math.exp(-age_s / REPORT_DECAY_S)
 
     def is_heard(self, now: float) -> bool:
-        """Tell whether the target's agent told of its work lately."""
+        """Return whether the target's agent told of its work lately."""
         return now - self.reported_at < HEARD_S
 
     def note_connect(self, took_s: float, now: float) -> None:
@@ -80,11 +80,11 @@
         self.unanswered_until = now + UNANSWERED_PAUSE_S
 
     def gives_slots(self, now: float) -> bool:
-        """Tell whether the target's agent may be asked for a slot."""
+        """Return whether the target's agent may be asked for a slot."""
         return self.is_heard(now) and self.unanswered_until <= now
 
     def takes_requests(self, now: float) -> bool:
-        """Tell whether the target begins requests: it does not load, nor did it just say "full"."""
+        """Return whether the target begins requests: it neither loads nor just said "full"."""
         return max(self.full_until, self.loading_until) <= now
 
     def note_heard(self, now: float) -> None:
@@ -92,19 +92,19 @@
         self.heard_at = now
 
     def is_stalled(self, now: float) -> bool:
-        """Tell whether nothing of what this entry waits for has come for long."""
+        """Return whether nothing of what this entry waits for has come for long."""
         return self.in_flight > 0 and now - max(self.heard_at, self.busy_since) > STALLED_S
 
     def link_delay(self, now: float) -> float:
         """Return how long the queue before the target's link is, as far as is known, in seconds."""
-        return max(self.connects.now(now), self.news.now(now))
+        return max(self.connects.now(now), self.update.now(now))
 
     def is_reachable(self, now: float) -> bool:
-        """Tell whether a request would get through to the target in time."""
+        """Return whether a request would get through to the target in time."""
         return not self.is_stalled(now) and self.link_delay(now) < QUEUE_S
 
     def has_room(self, now: float, is_late: bool = False) -> bool:
-        """Tell whether one more request would start soon; one that `is_late` leaves others room."""
+        """Return whether one more request would start soon; an `is_late` one leaves room."""
         if not self.takes_requests(now):
             return False
         return self.ahead(now) < self.entry.slots * (LATE_ROOM if is_late else 1.0)
--- a/src/lacewinggw/decisions/turns.py
+++ b/src/lacewinggw/decisions/turns.py
@@ -24,7 +24,7 @@
             self._moved_at[column] = now
 
     def has_turn(self, column: int, rank: int | None, patience_s: float, now: float) -> bool:
-        """Tell whether the host of a rank is to act: each waits once more for the one before."""
+        """Return whether the host of a rank is to act: each waits once more for the one before."""
         if rank is None:
             return False
         return rank == 0 or now - self._moved_at[column] >= rank * patience_s
--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -58,7 +58,7 @@
         return self.shares.get(version, 0.0)
 
     def is_complete(self, version: int) -> bool:
-        """Tell whether a version is at hand whole."""
+        """Return whether a version is at hand whole."""
         return self.share(version) >= 1.0
 
 
@@ -143,7 +143,7 @@
         return [*worth_it, newest]
 
     def _serves_long(self, due: Due, next_: Due, progress: Progress, now: float) -> bool:
-        """Tell whether a version would serve for a while before the next one must be in use.
+        """Return whether a version would serve for a while before the next one must be in use.
 
         After an outage of the source the missing pieces of a version that is all but over would
         come before those of the next one, and keep a service out for as long as they take.
--- a/src/lacewinggw/decisions/waves.py
+++ b/src/lacewinggw/decisions/waves.py
@@ -39,7 +39,7 @@
 
 
 def coordinates(host: str, entries: Iterable[str]) -> bool:
-    """Tell whether an entry is one of the few that hear every host of a service which changes over.
+    """Return whether an entry is one of the few that hear every host of a changing service.
 
     They are the ones whose turn to place comes first; the others hear a subset of the hosts, and
     would judge the rest to serve nothing.
--- a/src/lacewinggw/entry/asking.py
+++ b/src/lacewinggw/entry/asking.py
@@ -59,7 +59,7 @@
 
 
 def is_repeatable(service: Service, path: str, wishes: Wishes) -> bool:
-    """Tell whether a request may run twice: only where somebody said so.
+    """Return whether a request may run twice: only where somebody said so.
 
     A path that the service declares as not to be repeated is not, and neither is a request with a
     key; else the caller's word counts, then the service's, then no.
--- a/src/lacewinggw/fleet/newsletter.py
+++ b/src/lacewinggw/fleet/agentupdates.py
@@ -19,16 +19,16 @@
 MS_PER_S = 1000.0
 
 
-def compose_news(
+def compose_update(
     knowledge: Knowledge, service: Service, position: StorePosition, now: float
-) -> messages.FleetNews | None:
+) -> messages.FleetUpdate | None:
     """Return the news for the agents of a service, None while too little is known."""
     table = knowledge.routes
     if table is None or service.weights is None or not service.models:
         return None
     model = service.models[0]
     origin = next((each for each in table.services.values() if each.origin is not None), None)
-    return messages.FleetNews(
+    return messages.FleetUpdate(
         service_name=service.name,
         routes_version=table.version,
         model=model,
@@ -59,14 +59,14 @@
     targets: tuple[messages.ServiceTarget, ...]
 
 
-def content_of(news: messages.FleetNews) -> FleetContent:
+def content_of(update: messages.FleetUpdate) -> FleetContent:
     """Return what news say; what the routes say of a service goes by their version."""
-    versions = tuple(named.version for named in news.named)
-    return FleetContent(news.store_era, news.routes_version, versions, tuple(news.targets))
+    versions = tuple(named.version for named in update.named)
+    return FleetContent(update.store_era, update.routes_version, versions, tuple(update.targets))
 
 
 def all_resume(table: RouteTable, name: ServiceName) -> bool:
-    """Tell whether every request of a service can go on at another target."""
+    """Return whether every request of a service can go on at another target."""
     return all(
         route.repeat is Repeat.RESUMABLE
         for route in table.routes
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -86,7 +86,7 @@
 
 
 @dataclass(frozen=True)
-class News:
+class FeedUpdate:
     """Changes in order, up to a position; with `whole`, everything that there is.
 
     With `restored` it is everything that a store has which came back from an older copy: what it
@@ -102,9 +102,9 @@
     restored: bool = False
 
 
-def listed_targets(news: News) -> list[TargetEntry]:
+def listed_targets(update: FeedUpdate) -> list[TargetEntry]:
     """Return the targets that news puts on the list."""
-    items = [change.item for change in news.changes if isinstance(change, Put)]
+    items = [change.item for change in update.changes if isinstance(change, Put)]
     return [item for item in items if isinstance(item, TargetEntry)]
 
 
@@ -115,10 +115,10 @@
 class FleetFeed(Protocol):
     """A store's news. Both calls raise the kinds of `PlatformError`."""
 
-    async def snapshot(self, topic: Topic) -> News:
+    async def snapshot(self, topic: Topic) -> FeedUpdate:
         """Return everything of a topic, as of one moment after the call was sent."""
 
-    async def changes(self, topic: Topic, after: StorePosition, wait_s: float) -> News:
+    async def changes(self, topic: Topic, after: StorePosition, wait_s: float) -> FeedUpdate:
         """Return what changed after a position, waiting up to `wait_s` seconds for something.
 
         Raise `HistoryGone` when it is not known any more.
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -16,13 +16,13 @@
 from lacewinggw.errors import PlatformError
 from lacewinggw.fleet.access import StoreAccess
 from lacewinggw.fleet.era import StoreEra
-from lacewinggw.fleet.feed import FleetFeed, HistoryGone, News, Topic, Unreadable
+from lacewinggw.fleet.feed import FeedUpdate, FleetFeed, HistoryGone, Topic, Unreadable
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics, RetryReason
 
 log = get_logger(__name__)
 
-Apply = Callable[[News, Proof], None]
+Apply = Callable[[FeedUpdate, Proof], None]
 
 FIRST_RETRY_S = 0.1
 # Between looks whether the topic has to be read: soon at first, as an entry that starts waits for
@@ -43,8 +43,8 @@
 class Wait:
     """How long one call waits for news, and how long to let more gather after some came."""
 
-    for_news_s: float
-    after_news_s: float = 0.0
+    for_update_s: float
+    after_update_s: float = 0.0
 
 
 class _Interrupted(Exception):
@@ -92,7 +92,7 @@
         era.subscribe(self._note_new_era)
         self._was_read = False
         self._is_restored = False  # the store is another than the one that was read
-        self._call: asyncio.Task[News] | None = None
+        self._call: asyncio.Task[FeedUpdate] | None = None
         self._position: StorePosition | None = None
         self._lost_since: float | None = None
         self._retry_s = FIRST_RETRY_S
@@ -152,7 +152,7 @@
                 continue
             sent_at = self._clock()
             try:
-                news = await self._read_unless_interrupted()
+                update = await self._read_unless_interrupted()
             except _Interrupted:
                 self._is_idle = True
                 continue
@@ -164,22 +164,22 @@
                 await self._back_off(error)
                 continue
             self._note_answer()
-            if not self._era.note(news.position.era):
+            if not self._era.note(update.position.era):
                 await asyncio.sleep(FIRST_RETRY_S)  # of a store that is no more
                 continue
-            if self._is_restored and not news.whole:
+            if self._is_restored and not update.whole:
                 continue
             if self._is_restored:
-                news = replace(news, restored=True)
+                update = replace(update, restored=True)
                 self._is_restored = False
-            self._position = max(self.position, news.position)
+            self._position = max(self.position, update.position)
             self._was_read = True
-            self._tell_unreadable(news)
-            self._apply(news, self._store_clock.prove(sent_at, self._clock(), news.told_s))
-            if news.changes:
-                await asyncio.sleep(self._wait().after_news_s)
+            self._tell_unreadable(update)
+            self._apply(update, self._store_clock.prove(sent_at, self._clock(), update.told_s))
+            if update.changes:
+                await asyncio.sleep(self._wait().after_update_s)
 
-    async def _read_unless_interrupted(self) -> News:
+    async def _read_unless_interrupted(self) -> FeedUpdate:
         self._call = asyncio.get_running_loop().create_task(self._read())
         try:
             return await self._call
@@ -191,7 +191,7 @@
         finally:
             self._call = None
 
-    async def _read(self) -> News:
+    async def _read(self) -> FeedUpdate:
         self._reads.add()
         if self._is_restored:
             spread_s = VOUCHED_SPREAD_S if self._is_vouched() else URGENT_SPREAD_S
@@ -203,13 +203,13 @@
         # After a pause it proves at once that what is known is the newest.
         is_urgent = self._lost_since is not None or self._is_idle
         self._is_idle = False
-        wait_s = 0.0 if is_urgent else self._wait().for_news_s
+        wait_s = 0.0 if is_urgent else self._wait().for_update_s
         return await self._feed.changes(self._topic, self._position, wait_s)
 
-    def _tell_unreadable(self, news: News) -> None:
+    def _tell_unreadable(self, update: FeedUpdate) -> None:
         """Log and count each entry that cannot be read, once a revision of it."""
-        found = [each for each in news.changes if isinstance(each, Unreadable)]
-        if news.whole:
+        found = [each for each in update.changes if isinstance(each, Unreadable)]
+        if update.whole:
             listed = {each.key for each in found}
             for key in self._told_unreadable.keys() - listed:
                 del self._told_unreadable[key]
--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -14,14 +14,14 @@
 from lacewinggw.decisions.pollers import rank_of
 from lacewinggw.decisions.targetlist import TargetEntry, start_of
 from lacewinggw.entry.watches import Watched, Watches
-from lacewinggw.fleet.newsletter import FleetContent, compose_news, content_of
+from lacewinggw.fleet.agentupdates import FleetContent, compose_update, content_of
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetName
 from lacewinggw.wire.peers import PeerNode
 from lacewinggw.wire.soundness import require_sound
 
-FLEET_NEWS_S = 1.5  # between news for agents without a change
+FLEET_UPDATE_S = 1.5  # between news for agents without a change
 GATHER_S = 0.02  # changes that come together are told together
 MS_PER_S = 1000.0
 SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
@@ -98,19 +98,19 @@
             {a for a in agents if a.host in wanted or self._speaks_to(a.host, speakers)}
         )
 
-    def take_news(self, news: messages.TargetNews) -> None:
+    def apply_update(self, update: messages.TargetUpdate) -> None:
         """Take what an agent says of its target."""
-        require_sound(news)
-        name = TargetName(news.name)
-        self._knowledge.note_born(name, news.born_ms)
-        target = start_of(name, news.born_ms)
+        require_sound(update)
+        name = TargetName(update.name)
+        self._knowledge.note_born(name, update.born_ms)
+        target = start_of(name, update.born_ms)
         now = asyncio.get_running_loop().time()
-        sent_s = news.sent_ms / MS_PER_S
-        self._pool.note_report(target, news.running + news.queued, now, news.loading, sent_s)
-        if news.leaving:
+        sent_s = update.sent_ms / MS_PER_S
+        self._pool.note_report(target, update.running + update.queued, now, update.loading, sent_s)
+        if update.leaving:
             self._knowledge.note_leaving(target)
         if self._sight is not None:
-            held = {ModelName(each.model): each.version for each in news.held}
+            held = {ModelName(each.model): each.version for each in update.held}
             self._sight.note_weights(target, held)
 
     def _agent_of(self, entry: TargetEntry) -> Watched:
@@ -122,7 +122,7 @@
             self._watch()  # those that this entry is to tell change as entries come and go
             self._tell()
             with suppress(TimeoutError):
-                async with asyncio.timeout(FLEET_NEWS_S):
+                async with asyncio.timeout(FLEET_UPDATE_S):
                     await self._changed.wait()
             self._changed.clear()
             await asyncio.sleep(GATHER_S)
@@ -134,22 +134,22 @@
         speakers = self._speakers()
         for service in routes.services.values():
             position = sight.targets_position
-            news = compose_news(self._knowledge, service, position, self._clock())
-            if news is None or not self._is_due(service.name, news):
+            update = compose_update(self._knowledge, service, position, self._clock())
+            if update is None or not self._is_due(service.name, update):
                 continue
             for entry in self._knowledge.targets.values():
                 agent = self._agent_of(entry)
                 if entry.service == service.name and self._speaks_to(agent.host, speakers):
-                    self._node.notify_open(agent.address, news)
+                    self._node.notify_open(agent.address, update)
 
-    def _is_due(self, service: ServiceName, news: messages.FleetNews) -> bool:
-        """Tell whether agents of a service are to be told now: something is new, or it is time.
+    def _is_due(self, service: ServiceName, update: messages.FleetUpdate) -> bool:
+        """Return whether agents of a service are to be told now: something is new, or it is time.
 
         Rows of targets change each second, and most of it concerns entries only.
         """
-        now, content = self._clock(), content_of(news)
+        now, content = self._clock(), content_of(update)
         told = self._told.get(service)
-        if told is not None and told.content == content and now - told.at < FLEET_NEWS_S:
+        if told is not None and told.content == content and now - told.at < FLEET_UPDATE_S:
             return False
         self._told[service] = _Told(content, now)
         return True
--- a/src/lacewinggw/frontend/agentslots.py
+++ b/src/lacewinggw/frontend/agentslots.py
@@ -59,7 +59,7 @@
             told = await anext(self._answers)
         except (LacewingError, StopAsyncIteration):
             return SlotAnswer.LOST
-        if not isinstance(told, messages.SlotTold):
+        if not isinstance(told, messages.SlotUpdate):
             return SlotAnswer.LOST
         return ANSWERS.get(told.state, SlotAnswer.LOST)
 
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -18,8 +18,8 @@
 from lacewinggw.fleet.feed import CrashingRequest, Lifted
 from lacewinggw.fleet.ownrows import OwnRows
 from lacewinggw.frontend.admission import Admitted
-from lacewinggw.frontend.crashnews import CrashReport, Served, crashes_in_turn, take_report
 from lacewinggw.frontend.crashrows import CrashRows
+from lacewinggw.frontend.crashupdates import CrashReport, Served, crashes_in_turn, take_report
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import RequestDigest, ServiceName, TargetId
 from lacewinggw.log import get_logger
@@ -42,7 +42,7 @@
 class CrashWatch:
     """Keeps requests that end targets away from them.
 
-    `tell` sends news to the entries that listen here. What others tell is passed on where
+    `tell` sends updates to the entries that listen here. What others send is passed on where
     `passes_on` says so: by those entries of a place to which all other places listen.
 
         watch.require_allowed(admitted)  # raises `RequestQuarantined`
@@ -54,7 +54,7 @@
         self,
         http: HttpClient,
         rows: OwnRows,
-        tell: Callable[[messages.CrashNews], None],
+        tell: Callable[[messages.CrashUpdate], None],
         passes_on: Callable[[], bool],
         clock: Clock,
         metrics: Metrics,
@@ -72,7 +72,7 @@
         self._changed = asyncio.Event()
         self._crashes = metrics.counter("target_crashes")
         metrics.read_gauge("requests_quarantined", lambda: len(self._ledger.quarantined))
-        self._loop = Background("crash news", self._run)
+        self._loop = Background("crash updates", self._run)
 
     async def start(self) -> None:
         """Begin to tell and to judge."""
@@ -101,11 +101,11 @@
         )
 
     def is_quarantined(self, admitted: Admitted) -> bool:
-        """Tell whether a request is kept away from targets."""
+        """Return whether a request is kept away from targets."""
         return self._standing(admitted) is Standing.QUARANTINED
 
     def is_suspect(self, admitted: Admitted) -> bool:
-        """Tell whether a request is to run beside no other suspect."""
+        """Return whether a request is to run beside no other suspect."""
         return self._standing(admitted) is Standing.SUSPECT
 
     async def note_lost(self, admitted: Admitted, entry: TargetEntry, began_at: float) -> None:
@@ -137,7 +137,7 @@
         return self._ledger.standing(admitted.digest, self._clock())
 
     async def _probe(self, entry: TargetEntry) -> bool:
-        """Tell whether a start of a target has ended."""
+        """Return whether a start of a target has ended."""
         try:
             if entry.target in self._ended:
                 return True
@@ -162,16 +162,16 @@
 
     # ---- other entries, and the store -----------------------------------------------------
 
-    def news(self) -> messages.CrashNews | None:
+    def latest(self) -> messages.CrashUpdate | None:
         """Return all that is known, for an entry that begins to listen; None if that is nothing."""
         if self._ledger.is_empty:
             return None
         return CrashReport.from_ledger(self._ledger).to_message(self._clock())
 
-    def take_news(self, news: messages.CrashNews) -> None:
+    def apply_update(self, update: messages.CrashUpdate) -> None:
         """Take what another entry knows; raise `ProtocolViolation` when it is not sound."""
         now = self._clock()
-        heard = take_report(self._ledger, CrashReport.from_message(news, now), now)
+        heard = take_report(self._ledger, CrashReport.from_message(update, now), now)
         self._note_heard(heard, "entry")
 
     def take_listed(self, change: CrashingRequest | Lifted) -> None:
@@ -205,7 +205,7 @@
 
     async def _run(self) -> None:
         while True:
-            await self._wait_for_news()
+            await self._wait_for_update()
             await asyncio.sleep(GATHER_S)
             self._judge()
             self._end_expired()
@@ -214,7 +214,7 @@
             if untold:
                 self._tell(untold.to_message(self._clock()))
 
-    async def _wait_for_news(self) -> None:
+    async def _wait_for_update(self) -> None:
         """Wait until there is something to tell, or to judge."""
         wait_s = max(0.0, self._ledger.next_look - self._clock())
         with suppress(TimeoutError):
--- a/src/lacewinggw/frontend/crashnews.py
+++ b/src/lacewinggw/frontend/crashupdates.py
@@ -37,21 +37,21 @@
         return cls(list(ledger.crashes()), served, list(ledger.quarantined))
 
     @classmethod
-    def from_message(cls, news: messages.CrashNews, now: float) -> "CrashReport":
+    def from_message(cls, update: messages.CrashUpdate, now: float) -> "CrashReport":
         """Return what another entry told; raise `ProtocolViolation` when it is not sound."""
-        require_sound(news)
+        require_sound(update)
         return cls(
-            [_decode_crash(told, now) for told in news.crashes],
+            [_decode_crash(told, now) for told in update.crashes],
             [
                 Served(RequestDigest(told.request_digest), now - told.age_ms / MS_PER_S)
-                for told in news.served
+                for told in update.served
             ],
-            [RequestDigest(digest) for digest in news.quarantined],
+            [RequestDigest(digest) for digest in update.quarantined],
         )
 
-    def to_message(self, now: float) -> messages.CrashNews:
+    def to_message(self, now: float) -> messages.CrashUpdate:
         """Return the report as it is told."""
-        return messages.CrashNews(
+        return messages.CrashUpdate(
             crashes=[_encode_crash(crash, now) for crash in self.crashes],
             served=[
                 messages.ServedRequest(served.request, _to_ms(now - served.at))
--- a/src/lacewinggw/frontend/entrynews.py
+++ b/src/lacewinggw/frontend/entryupdates.py
@@ -15,20 +15,20 @@
 LONGEST_AGE_S = 3600.0  # of knowledge that was never proved
 
 
-def compose_entry_news(
+def compose_entry_update(
     knowledge: Knowledge,
     routes_position: StorePosition,
     targets_age_s: float,
     caller_address: Address,
     ready: bool,
     now: float,
-) -> messages.EntryNews:
+) -> messages.EntryUpdate:
     """Return the news of an entry; `routes_position` is how far it knows the store's changes.
 
     `targets_age_s` ago its list of targets was the store's.
     """
     routes = knowledge.routes
-    return messages.EntryNews(
+    return messages.EntryUpdate(
         caller_address=caller_address,
         ready=ready,
         routes_version=routes.version if routes else 0,
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -69,7 +69,7 @@
         self._clock = clock
         self._fetched = metrics.counter("routes_fetches", outcome="fetched")
         self._failed = metrics.counter("routes_fetches", outcome="failed")
-        self._holders: dict[HostId, tuple[KnownEntry, messages.EntryNews]] = {}
+        self._holders: dict[HostId, tuple[KnownEntry, messages.EntryUpdate]] = {}
         self._heard_version = 0
         self._wake = asyncio.Event()
         self._near_holder = asyncio.Event()
@@ -89,31 +89,31 @@
         """Stop."""
         await self._loop.close()
 
-    def note_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
+    def note_update(self, entry: KnownEntry, update: messages.EntryUpdate) -> None:
         """Note what an entry says that it knows; the age of it counts only when it was asked."""
-        if not self._is_newer(news):
+        if not self._is_newer(update):
             return
-        if news.routes_version > self._heard_version:
-            self._heard_version = news.routes_version
-            log.info("routes_heard_of", version=news.routes_version, entry=entry.host)
-        self._knowledge.take_proof(news.routes_version)
-        self._holders[entry.host] = (entry, news)
+        if update.routes_version > self._heard_version:
+            self._heard_version = update.routes_version
+            log.info("routes_heard_of", version=update.routes_version, entry=entry.host)
+        self._knowledge.take_proof(update.routes_version)
+        self._holders[entry.host] = (entry, update)
         if entry.place == self._me.place:
             self._near_holder.set()
         self._wake.set()
 
-    def _is_newer(self, news: messages.EntryNews) -> bool:
-        if self._has_newer_routes(news):
+    def _is_newer(self, update: messages.EntryUpdate) -> bool:
+        if self._has_newer_routes(update):
             return True
-        return not self._knows_named(each for each in news.named if not each.is_guess)
+        return not self._knows_named(each for each in update.named if not each.is_guess)
 
     def _knows_named(self, named: Iterable[messages.NamedModelVersion]) -> bool:
         known = {(model, due.version) for model, due in self._knowledge.named}
         return all((each.model, each.version) in known for each in named)
 
-    def _has_newer_routes(self, news: messages.EntryNews) -> bool:
+    def _has_newer_routes(self, update: messages.EntryUpdate) -> bool:
         routes = self._knowledge.routes
-        return news.routes_version > (routes.version if routes is not None else 0)
+        return update.routes_version > (routes.version if routes is not None else 0)
 
     async def _run(self) -> None:
         while True:
@@ -128,11 +128,11 @@
         """Ask one after the other; once the first has failed, the store may be read meanwhile."""
         has_failed = False
         while holder := self._choose_holder():
-            entry, news = holder
-            if self._has_newer_routes(news) and not (self._is_fetching or has_failed):
+            entry, update = holder
+            if self._has_newer_routes(update) and not (self._is_fetching or has_failed):
                 self._is_fetching = True
                 self._on_fetching()
-            if self._has_newer_routes(news) and entry.place != self._me.place:
+            if self._has_newer_routes(update) and entry.place != self._me.place:
                 await self._wait_for_near_holder()
                 entry, _ = self._choose_holder() or holder
             self._holders.pop(entry.host, None)
@@ -140,9 +140,11 @@
                 has_failed = True
                 self._is_fetching = False
 
-    def _choose_holder(self) -> tuple[KnownEntry, messages.EntryNews] | None:
+    def _choose_holder(self) -> tuple[KnownEntry, messages.EntryUpdate] | None:
         """Return who has something newer still: one of this place if there is one."""
-        for host in [host for host, (_, news) in self._holders.items() if not self._is_newer(news)]:
+        for host in [
+            host for host, (_, update) in self._holders.items() if not self._is_newer(update)
+        ]:
             del self._holders[host]
         return min(
             self._holders.values(),
@@ -166,16 +168,16 @@
     async def _fetch(self, entry: KnownEntry) -> bool:
         """Ask an entry for all that it knows; return whether it answered."""
         routes = self._knowledge.routes
-        question = messages.AskNews(routes.version if routes else 0, wants_routes=True)
+        question = messages.AskUpdate(routes.version if routes else 0, wants_routes=True)
         sent_at = self._clock()
         link: PeerLink | None = None
         try:
             async with asyncio.timeout(PART_S):
                 link = await self._node.link(entry.address, LANE)
-            packed, news = await _receive(link.open(question))
-            take_answer(self._knowledge, news, sent_at)
+            packed, update = await _receive(link.open(question))
+            take_answer(self._knowledge, update, sent_at)
             if packed:
-                self._take_routes(packed, news, entry, sent_at)
+                self._take_routes(packed, update, entry, sent_at)
         except (LacewingError, TimeoutError, OSError) as error:
             self._failed.add()
             log.info("routes_not_fetched", entry=entry.host, error=error)
@@ -186,7 +188,7 @@
         return True
 
     def _take_routes(
-        self, packed: bytes, news: messages.EntryNews, entry: KnownEntry, sent_at: float
+        self, packed: bytes, update: messages.EntryUpdate, entry: KnownEntry, sent_at: float
     ) -> None:
         table = self._decode(unpack_routes(packed))
         if not self._knowledge.take_routes(table):
@@ -198,14 +200,14 @@
             entry=entry.host,
             routes=len(table.routes),
             bytes=len(packed),
-            age_ms=round((self._clock() - sent_at) * MS_PER_S) + news.routes_age_ms,
+            age_ms=round((self._clock() - sent_at) * MS_PER_S) + update.routes_age_ms,
         )
-        knows_all = self._knows_named(news.named)
-        position = StorePosition(news.store_era, news.routes_position)
+        knows_all = self._knows_named(update.named)
+        position = StorePosition(update.store_era, update.routes_position)
         self._on_taken(position if knows_all else NOWHERE)
 
 
-async def _receive(call: OutgoingCall) -> tuple[bytes, messages.EntryNews]:
+async def _receive(call: OutgoingCall) -> tuple[bytes, messages.EntryUpdate]:
     """Return routes that come in parts, joined, and the news after them."""
     parts: list[bytes] = []
     size = 0
@@ -220,8 +222,8 @@
                     size += len(data)
                     if size > ROUTES_LIMIT_BYTES:
                         raise ProtocolViolation(f"packed routes of more than {size} bytes")
-                case messages.EntryNews() as news:
-                    return b"".join(parts), news
+                case messages.EntryUpdate() as update:
+                    return b"".join(parts), update
                 case _:
                     raise ProtocolViolation(f"a {type(message).__name__} among routes")
     except TimeoutError as error:
--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -18,7 +18,7 @@
 from lacewinggw.ids import Address, HostId, Place
 from lacewinggw.wire.peers import PeerLink, PeerNode
 
-NEWS_S = 0.5  # between news without a change
+UPDATE_S = 0.5  # between news without a change
 READY_S = 1.6  # news older than three of these intervals says nothing: the entry may be gone
 MS_PER_S = 1000
 
@@ -29,19 +29,19 @@
 
     place: Place
     address: Address
-    news: messages.EntryNews
+    update: messages.EntryUpdate
     at: float
 
 
 def _known(host: HostId, heard: _Heard, now: float) -> KnownEntry:
-    news, since_s = heard.news, now - heard.at
+    update, since_s = heard.update, now - heard.at
     return KnownEntry(
         host,
         heard.place,
         heard.address,
-        routes_age_s=news.routes_seen_age_ms / MS_PER_S + since_s,
-        targets_age_s=news.targets_age_ms / MS_PER_S + since_s,
-        targets_digest=news.targets_digest,
+        routes_age_s=update.routes_seen_age_ms / MS_PER_S + since_s,
+        targets_age_s=update.targets_age_ms / MS_PER_S + since_s,
+        targets_digest=update.targets_digest,
     )
 
 
@@ -57,9 +57,9 @@
         node: PeerNode,
         me: HostId,
         place: Place,
-        compose: Callable[[], messages.EntryNews],
-        on_news: Callable[[KnownEntry, messages.EntryNews], None],
-        greet: Callable[[], messages.CrashNews | None],
+        compose: Callable[[], messages.EntryUpdate],
+        on_update: Callable[[KnownEntry, messages.EntryUpdate], None],
+        greet: Callable[[], messages.CrashUpdate | None],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -67,7 +67,7 @@
         self._me = me
         self._place = place
         self._compose = compose
-        self._on_news = on_news
+        self._on_update = on_update
         self._greet = greet
         self._clock = clock
         self._heard: dict[HostId, _Heard] = {}
@@ -130,25 +130,25 @@
         self._listening_back.add(Watched(HostId(link.remote.host), Address(link.remote.address)))
         self._watches.set_targets(self._listening_back)
 
-    def take_news(self, link: PeerLink, news: messages.EntryNews) -> None:
+    def apply_update(self, link: PeerLink, update: messages.EntryUpdate) -> None:
         """Take the news of another entry."""
         remote = link.remote
-        heard = _Heard(Place(remote.place), Address(remote.address), news, self._clock())
+        heard = _Heard(Place(remote.place), Address(remote.address), update, self._clock())
         self._heard[HostId(remote.host)] = heard
-        self._on_news(_known(HostId(remote.host), heard, heard.at), news)
+        self._on_update(_known(HostId(remote.host), heard, heard.at), update)
 
-    def tell(self, news: messages.CrashNews | messages.EntryNews) -> None:
+    def tell(self, update: messages.CrashUpdate | messages.EntryUpdate) -> None:
         """Send something to all entries that listen."""
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
-        self._node.notify_all(self._listeners, news)
+        self._node.notify_all(self._listeners, update)
 
     def ready(self) -> Sequence[ReadyEntry]:
         """Return the other entries that are ready, by news that is fresh."""
         now = self._clock()
         return [
-            ReadyEntry(host, heard.place, Address(heard.news.caller_address))
+            ReadyEntry(host, heard.place, Address(heard.update.caller_address))
             for host, heard in self._heard.items()
-            if heard.news.ready and now - heard.at < READY_S
+            if heard.update.ready and now - heard.at < READY_S
         ]
 
     def known(self) -> Sequence[KnownEntry]:
@@ -163,7 +163,7 @@
     async def _run(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(NEWS_S):
+                async with asyncio.timeout(UPDATE_S):
                     await self._changed.wait()
             except TimeoutError:
                 pass
--- a/src/lacewinggw/frontend/placing.py
+++ b/src/lacewinggw/frontend/placing.py
@@ -93,7 +93,7 @@
         return claim
 
     def may_repeat(self, job: Job) -> bool:
-        """Tell whether a request may be offered once more, and count it if so.
+        """Return whether a request may be offered once more, and count it if so.
 
         An offer that reached no target put no load on one: another in its place is not a retry.
         """
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -24,7 +24,7 @@
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.crashes import CrashWatch
-from lacewinggw.frontend.entrynews import PackedRoutes, compose_entry_news
+from lacewinggw.frontend.entryupdates import PackedRoutes, compose_entry_update
 from lacewinggw.frontend.fetching import DecodeRoutes, RoutesFetcher
 from lacewinggw.frontend.neighbours import EntryNeighbours
 from lacewinggw.frontend.offers import Offers
@@ -108,9 +108,9 @@
             self._node,
             self._host,
             self._place,
-            self._compose_news,
-            self._take_news,
-            lambda: self._crashes.news(),
+            self._compose_update,
+            self._apply_update,
+            lambda: self._crashes.latest(),
             clock,
             rng,
         )
@@ -131,7 +131,7 @@
             self._me,
             self.knowledge,
             self._neighbours.known,
-            self._fetcher.note_news,
+            self._fetcher.note_update,
             clock,
             self.metrics,
         )
@@ -377,27 +377,27 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         match exchange.message:
-            case messages.AskNews() as question:
+            case messages.AskUpdate() as question:
                 if question.wants_routes:
                     for part in self._packed_routes.parts_for(question.routes_version):
                         exchange.reply(messages.RoutesPart(part))
-                exchange.finish(self._compose_news())
+                exchange.finish(self._compose_update())
 
     def _take_notice(self, link: PeerLink, message: Message) -> bool:
         match message:
             case messages.Watch() as watch:
                 self._neighbours.take_watch(link, watch)
-            case messages.EntryNews() as news:
-                require_sound(news)
-                self._neighbours.take_news(link, news)
-            case messages.TargetNews() as news:
-                self._agents.take_news(news)
-            case messages.CrashNews() as news:
-                self._crashes.take_news(news)
+            case messages.EntryUpdate() as update:
+                require_sound(update)
+                self._neighbours.apply_update(link, update)
+            case messages.TargetUpdate() as update:
+                self._agents.apply_update(update)
+            case messages.CrashUpdate() as update:
+                self._crashes.apply_update(update)
         return True
 
-    def _compose_news(self) -> messages.EntryNews:
-        return compose_entry_news(
+    def _compose_update(self) -> messages.EntryUpdate:
+        return compose_entry_update(
             self.knowledge,
             self._sight.routes_position,
             self._sight.targets_age(self._clock()),
@@ -406,12 +406,12 @@
             self._clock(),
         )
 
-    def _take_news(self, entry: KnownEntry, news: messages.EntryNews) -> None:
+    def _apply_update(self, entry: KnownEntry, update: messages.EntryUpdate) -> None:
         """Take what other entries push; the age of the routes counts only when it was asked for."""
-        self._sight.era.note(news.store_era)
-        for target in news.leaving:
+        self._sight.era.note(update.store_era)
+        for target in update.leaving:
             self.knowledge.note_leaving(TargetId(target))
-        self._fetcher.note_news(entry, news)
+        self._fetcher.note_update(entry, update)
 
 
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
--- a/src/lacewinggw/frontend/reading.py
+++ b/src/lacewinggw/frontend/reading.py
@@ -15,7 +15,7 @@
     rank_in_place,
     start_wait_s,
 )
-from lacewinggw.frontend.entrynews import digest_targets
+from lacewinggw.frontend.entryupdates import digest_targets
 
 
 class ReadingDuties:
@@ -52,14 +52,14 @@
         self._started_at = self._clock()
 
     def reads_often(self) -> bool:
-        """Tell whether this entry reads for its place, or nobody vouches for what it knows."""
+        """Return whether this entry reads for its place, or nobody vouches for what it knows."""
         rank = rank_in_place(self._me, self._heard())
         if rank < READERS_PER_PLACE:
             return True
         return self._knowledge.routes_seen_age(self._clock()) >= fallback_age_s(rank)
 
     def reads_routes(self) -> bool:
-        """Tell whether this entry is to read the routes now, as nobody brings them."""
+        """Return whether this entry is to read the routes now, as nobody brings them."""
         if self._is_fetching():
             return False
         if self._knowledge.routes is not None:
@@ -69,7 +69,7 @@
         return self._clock() - self._started_at >= start_wait_s(rank)
 
     def is_list_vouched(self) -> bool:
-        """Tell whether the list of targets need not be read now."""
+        """Return whether the list of targets need not be read now."""
         if self.reads_often():
             return False
         return is_list_vouched(digest_targets(self._knowledge), self._heard())
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -347,7 +347,7 @@
 
 
 def _is_next(job: Job, number: int | None) -> bool:
-    """Tell whether an event is to be passed on, and note it as passed on."""
+    """Return whether an event is to be passed on, and note it as passed on."""
     if number is None:
         return True
     if job.last_event is not None and number <= job.last_event:
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -19,10 +19,10 @@
 from lacewinggw.fleet.feed import (
     CrashingRequest,
     Drop,
+    FeedUpdate,
     FleetFeed,
     Lifted,
     MemberEntry,
-    News,
     Put,
     Topic,
 )
@@ -36,14 +36,14 @@
 # The age of the routes stays well within the shortest bound on keys: two entries a place read, and
 # the others ask them and are told when something is new; who gets no answer reads itself. Calls
 # for the routes then grow with the places, not with the entries.
-ROUTES_WAIT = Wait(for_news_s=1.2, after_news_s=0.4)
+ROUTES_WAIT = Wait(for_update_s=1.2, after_update_s=0.4)
 # A silent connection is noticed within the bound on leaving targets and a window of stability. Each
 # change of the list wakes whoever follows it. Entries that read often tell of targets that leave,
 # and agents of weights, so that the others can let changes gather; with the time of a call that is
 # still within the two seconds after which a leaving target may get nothing.
-READER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=0.4)
-ASKER_LIST_WAIT = Wait(for_news_s=4.0, after_news_s=1.2)
-MEMBERS_WAIT = Wait(for_news_s=15.0, after_news_s=1.0)
+READER_LIST_WAIT = Wait(for_update_s=4.0, after_update_s=0.4)
+ASKER_LIST_WAIT = Wait(for_update_s=4.0, after_update_s=1.2)
+MEMBERS_WAIT = Wait(for_update_s=15.0, after_update_s=1.0)
 MS_PER_S = 1000
 EXPIRE_S = 0.1  # between looks for targets that did not come back after an outage
 
@@ -199,9 +199,9 @@
     def _list_wait(self) -> Wait:
         return READER_LIST_WAIT if self._reads_often() else ASKER_LIST_WAIT
 
-    def _apply_configuration(self, news: News, proof: Proof) -> None:
+    def _apply_configuration(self, update: FeedUpdate, proof: Proof) -> None:
         now = self._clock()
-        for change in news.changes:
+        for change in update.changes:
             match change:
                 case Put(RouteTable() as table) if self._knowledge.take_routes(table):
                     log.info(
@@ -212,18 +212,18 @@
                         bytes=len(table.source),
                         age_ms=round((now - proof.sent_at) * MS_PER_S),
                     )
-                case Put(DueVersion() as due) if self._knowledge.take_due(due, now, news.whole):
+                case Put(DueVersion() as due) if self._knowledge.take_due(due, now, update.whole):
                     log.info("version_due", model=due.model, version=due.version)
         self._knowledge.prove_routes(proof.sent_at, proof.composed_at)
-        if news.changes:
+        if update.changes:
             self._on_change()
-        if news.changes and self._reads_often():
+        if update.changes and self._reads_often():
             self._on_urgent()
 
-    def _apply_targets(self, news: News, proof: Proof) -> None:
-        take_listing(self._knowledge, news, self._clock())
+    def _apply_targets(self, update: FeedUpdate, proof: Proof) -> None:
+        take_listing(self._knowledge, update, self._clock())
         self._list_read_at = proof.sent_at
-        self._has_list = self._has_list or news.whole
+        self._has_list = self._has_list or update.whole
         self._sync()
 
     def _sync(self) -> None:
@@ -233,14 +233,14 @@
             self._leaving_told = len(self._knowledge.leaving)
             self._on_urgent()
 
-    def _apply_members(self, news: News, _: Proof) -> None:
+    def _apply_members(self, update: FeedUpdate, _: Proof) -> None:
         self._has_members = True
-        if news.restored:
+        if update.restored:
             # Those that the copy lacks write themselves again; they count on, as shares go by them.
-            self._on_restored(frozenset(_own_keys(news)))
-        elif news.whole:
+            self._on_restored(frozenset(_own_keys(update)))
+        elif update.whole:
             self.members.clear()
-        for change in news.changes:
+        for change in update.changes:
             match change:
                 case Put(MemberEntry(member)):
                     self.members[member.host] = member
@@ -261,9 +261,9 @@
                 self._sync()
 
 
-def _own_keys(news: News) -> Iterator[str]:
+def _own_keys(update: FeedUpdate) -> Iterator[str]:
     """Yield the keys of our own rows in the news."""
-    for change in news.changes:
+    for change in update.changes:
         match change:
             case Put(MemberEntry(member)):
                 yield member.host
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -27,10 +27,10 @@
 
 log = get_logger(__name__)
 
-Heard = Callable[[KnownEntry, messages.EntryNews], None]
+Heard = Callable[[KnownEntry, messages.EntryUpdate], None]
 
 
-def take_answer(knowledge: Knowledge, news: messages.EntryNews, sent_at: float) -> None:
+def take_answer(knowledge: Knowledge, update: messages.EntryUpdate, sent_at: float) -> None:
     """Take what another entry answered to a question that was sent at a moment.
 
     Who has just started counts versions that it finds named as older than they may be. Such a guess
@@ -38,20 +38,20 @@
 
     Raise `ProtocolViolation` for an answer that is not sound.
     """
-    require_sound(news)
-    for target in news.leaving:
+    require_sound(update)
+    for target in update.leaving:
         knowledge.note_leaving(TargetId(target))
     starts = knowledge.routes is None
-    for named in news.named:
+    for named in update.named:
         due = DueVersion(ModelName(named.model), named.version)
         if not named.is_guess:
             knowledge.take_due(due, sent_at - named.age_ms / MS_PER_S)
         elif starts:
             knowledge.take_due(due, sent_at, old=True)
     knowledge.take_proof(
-        news.routes_version,
-        sent_at - news.routes_age_ms / MS_PER_S,
-        sent_at - news.routes_seen_age_ms / MS_PER_S,
+        update.routes_version,
+        sent_at - update.routes_age_ms / MS_PER_S,
+        sent_at - update.routes_seen_age_ms / MS_PER_S,
     )
 
 
@@ -102,15 +102,15 @@
 
     async def _ask(self, entry: KnownEntry) -> None:
         routes = self._knowledge.routes
-        question = messages.AskNews(routes.version if routes else 0, wants_routes=False)
+        question = messages.AskUpdate(routes.version if routes else 0, wants_routes=False)
         sent_at = self._clock()
         try:
             link = await asyncio.wait_for(self._node.link(entry.address), ANSWER_S)
-            news = await link.call(question, ANSWER_S)
-            take_answer(self._knowledge, news, sent_at)
+            update = await link.call(question, ANSWER_S)
+            take_answer(self._knowledge, update, sent_at)
         except (LacewingError, TimeoutError, OSError) as error:
             self._failures.add()
             log.debug("entry_did_not_vouch", entry=entry.host, error=error)
             return
         self._answers.add()
-        self._on_heard(entry, news)
+        self._on_heard(entry, update)
--- a/src/lacewinggw/lab/fleetmodel/callers.py
+++ b/src/lacewinggw/lab/fleetmodel/callers.py
@@ -46,7 +46,7 @@
     refusals: int = 0
 
     def is_on_time(self, gap_s: float) -> bool:
-        """Tell whether it was served within its objective, without too long a pause."""
+        """Return whether it was served within its objective, without too long a pause."""
         quick = self.first_s is not None and self.first_s <= self.kind.objective_s
         return self.whole and quick and self.longest_gap_s <= gap_s
 
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -29,7 +29,7 @@
 )
 from lacewinggw.metrics import Metrics
 
-NEWS_S = 0.2  # between news of an engine's work
+UPDATE_S = 0.2  # between news of an engine's work
 BOOT_S = 0.5  # from the return of power until an entry serves and an engine has loaded
 
 
@@ -198,7 +198,7 @@
 
     async def _tell(self, target: TargetId) -> None:
         """Tell the entries that watch it now and then how busy an engine is."""
-        await asyncio.sleep(self._rng.uniform(0.0, NEWS_S))
+        await asyncio.sleep(self._rng.uniform(0.0, UPDATE_S))
         while True:
             engine, now = self._engines[target], asyncio.get_running_loop().time()
             running, is_loading = self._agents[target].load, engine.is_loading
@@ -207,7 +207,7 @@
                 for entry in self._entries:
                     if HostId(target) in entry.watched:
                         entry.pool.note_report(target, running, now, is_loading, now)
-            await asyncio.sleep(NEWS_S)
+            await asyncio.sleep(UPDATE_S)
 
     # ---- what happens ---------------------------------------------------------------------
 
--- a/src/lacewinggw/lab/requests.py
+++ b/src/lacewinggw/lab/requests.py
@@ -242,7 +242,7 @@
 
 
 def stranger(index: ContentIndex, attempt: AttemptFacts) -> str:
-    """Tell whether an answer is "foreign", "incomplete" or "" for its request's own."""
+    """Return whether an answer is "foreign", "incomplete" or "" for its request's own."""
     answer = attempt.final
     if not isinstance(answer, Answered):
         return ""
--- a/src/lacewinggw/lab/slopemessages.py
+++ b/src/lacewinggw/lab/slopemessages.py
@@ -60,7 +60,7 @@
     )
 
 
-def _news(entries: int) -> messages.LogNews:
+def _update(entries: int) -> messages.LogNews:
     return messages.LogNews([change_entry(REVISION + n) for n in range(entries)], REVISION)
 
 
@@ -123,7 +123,7 @@
 
 FAMILIES: Mapping[str, MessageFamily] = {
     "heartbeat": MessageFamily("spread report carried", (0, 1, 2), heartbeat),
-    "log_news": MessageFamily("log entry", (1, 8, 32, 100), _news),
+    "log_news": MessageFamily("log entry", (1, 8, 32, 100), _update),
     "placement_news": MessageFamily("host placed", (1, 125, 1000), _wave),
     "manifest": MessageFamily("chunk of the manifest", (64, 512, 4096), _manifest_data),
     "have_all": MessageFamily("chunk of the manifest", (64, 512, 4096), _have_all),
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -12,9 +12,9 @@
 from lacewinggw.decisions.storeclock import Proof
 from lacewinggw.decisions.storeposition import NOWHERE, StorePosition
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.fleet.feed import News, Put
+from lacewinggw.fleet.agentupdates import all_resume
+from lacewinggw.fleet.feed import FeedUpdate, Put
 from lacewinggw.fleet.listing import take_listing
-from lacewinggw.fleet.newsletter import all_resume
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetId, TargetName
 from lacewinggw.log import get_logger
@@ -78,7 +78,7 @@
         return max(mine, key=lambda entry: entry.born_ms, default=None)
 
     def is_leaving(self, target: TargetId) -> bool:
-        """Tell whether a target takes no new work."""
+        """Return whether a target takes no new work."""
         return target in self._knowledge.leaving
 
     def apply(self, rules: KnowledgeRules) -> None:
@@ -91,22 +91,22 @@
 
     # ---- from the store -------------------------------------------------------------------
 
-    def take_configuration(self, news: News, _: Proof) -> None:
+    def take_configuration(self, update: FeedUpdate, _: Proof) -> None:
         """Take what the store says of routes and versions."""
-        for change in news.changes:
+        for change in update.changes:
             match change:
                 case Put(RouteTable() as table):
                     self._take_table(table)
                 case Put(DueVersion() as due):
-                    self._take_due(due, self._clock(), news.whole)
+                    self._take_due(due, self._clock(), update.whole)
 
-    def take_targets(self, news: News, _: Proof) -> None:
+    def take_targets(self, update: FeedUpdate, _: Proof) -> None:
         """Take what the store says of targets."""
         self._hosts = None
         now = self._clock()
         self._knowledge.expire(now)
-        self._position = max(self._position, news.position)
-        take_listing(self._knowledge, news, now)
+        self._position = max(self._position, update.position)
+        take_listing(self._knowledge, update, now)
 
     def _take_table(self, table: RouteTable) -> None:
         if not self._knowledge.take_routes(table):
@@ -126,36 +126,36 @@
 
     # ---- from entries ---------------------------------------------------------------------
 
-    def take_news(self, news: messages.FleetNews) -> None:
+    def apply_update(self, update: messages.FleetUpdate) -> None:
         """Take what an entry says."""
-        require_sound(news)
-        if news.service_name != self._name:
+        require_sound(update)
+        if update.service_name != self._name:
             return
         now = self._clock()
         self._hosts = None
         self._knowledge.expire(now)
         self._heard_at = now
-        if news.routes_version >= self._told_version:
-            self._told_version = news.routes_version
-            self._take_figures(news)
-        model = ModelName(news.model)
-        for named in news.named:
+        if update.routes_version >= self._told_version:
+            self._told_version = update.routes_version
+            self._take_figures(update)
+        model = ModelName(update.model)
+        for named in update.named:
             learned_at = now - named.age_ms / MS_PER_S
             self._take_due(DueVersion(model, named.version), learned_at, old=False)
-        position = StorePosition(news.store_era, news.targets_position)
+        position = StorePosition(update.store_era, update.targets_position)
         if position >= self._position:
             self._position = position
-            listed = [self._listed(each) for each in news.targets]
+            listed = [self._listed(each) for each in update.targets]
             self._knowledge.take_whole_list(listed, now)
 
-    def _take_figures(self, news: messages.FleetNews) -> None:
-        self.model = ModelName(news.model)
+    def _take_figures(self, update: messages.FleetUpdate) -> None:
+        self.model = ModelName(update.model)
         self.figures = WeightsFigures(
-            news.layers, news.chunks, news.chunk_bytes, news.warmup_ms / MS_PER_S
+            update.layers, update.chunks, update.chunk_bytes, update.warmup_ms / MS_PER_S
         )
-        self.resumable = news.resumable
-        self.origin = Address(news.origin) if news.origin else None
-        self.origin_bytes_per_s = float(news.origin_bytes_per_s)
+        self.resumable = update.resumable
+        self.origin = Address(update.origin) if update.origin else None
+        self.origin_bytes_per_s = float(update.origin_bytes_per_s)
 
     def _listed(self, told: messages.ServiceTarget) -> TargetEntry:
         return TargetEntry(
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -62,8 +62,8 @@
 UNCHANGED_S = 0.6  # between news that say the same again
 # Between news of the target's work: a border between regions is narrow and priced. They tell whom
 # to ask for a slot first, so much later they would send more requests to busy targets.
-NEWS_S = 0.2
-STORE_WAIT = Wait(for_news_s=4.0, after_news_s=0.5)  # only while no entry speaks
+UPDATE_S = 0.2
+STORE_WAIT = Wait(for_update_s=4.0, after_update_s=0.5)  # only while no entry speaks
 
 log = get_logger(__name__)
 
@@ -170,7 +170,7 @@
         self._told_at = 0.0
         self._emptying_since: float | None = None
         self._was_heard = False
-        self._told: messages.TargetNews | None = None
+        self._told: messages.TargetUpdate | None = None
         self._aims: _Aims | None = None
         self._plan: tuple[UpgradeRules, frozenset[HostId], UpgradePlan] | None = None
         pages = HealthPages(Health(self.metrics, self._readiness))
@@ -334,7 +334,7 @@
                     log.warning("target_lost", error=error)
                 self._report = None
             self._look_after_slots()
-            self._tell_entries()
+            self._notify_entries()
             await asyncio.sleep(REPORT_S)
 
     def _leave_room(self, report: LoadableReport) -> None:
@@ -368,14 +368,14 @@
             return
         await self._loader.load(model, upgrade.load, switch, report)
         self._emptying_since = None
-        self._tell_entries()
+        self._notify_entries()
 
     def _is_emptied(self, report: LoadableReport, order_by: float) -> bool:
-        """Tell whether what runs on the target has had its time; entries send nothing meanwhile."""
+        """Return whether what runs on the target has had its time; nothing is sent meanwhile."""
         now = self._clock()
         if self._emptying_since is None:
             self._emptying_since = now
-            self._tell_entries()
+            self._notify_entries()
         waited_s = now - self._emptying_since
         return not report.running or waited_s >= EMPTYING_S or now >= order_by
 
@@ -409,10 +409,10 @@
                 else:
                     self._listeners.add(link)
                     self._told = None
-            case messages.FleetNews() as news:
+            case messages.FleetUpdate() as update:
                 was_told = self.assignment.is_told
-                self._era.note(news.store_era)
-                self.assignment.take_news(news)
+                self._era.note(update.store_era)
+                self.assignment.apply_update(update)
                 if self.assignment.is_told and not was_told:
                     self._leave_store()
             case _:
@@ -424,29 +424,29 @@
         for follower in self._followers:
             follower.interrupt()
 
-    def _tell_entries(self) -> None:
+    def _notify_entries(self) -> None:
         """Send news of the target's work to the entries that listen, when it has changed."""
         if self._begins_nothing:
             self._look_after_slots()
         now = self._clock()
-        news = self._compose()
-        if news is None:
+        update = self._compose()
+        if update is None:
             return
-        urgent = self._told is None or news.loading != self._told.loading
-        pause_s = UNCHANGED_S if news == self._told else NEWS_S
+        urgent = self._told is None or update.loading != self._told.loading
+        pause_s = UNCHANGED_S if update == self._told else UPDATE_S
         if not urgent and now - self._told_at < pause_s:
             return
-        self._told, self._told_at = news, now
+        self._told, self._told_at = update, now
         self._listeners = {link for link in self._listeners if not link.closed.is_set()}
-        stamped = copy(news)
+        stamped = copy(update)
         stamped.sent_ms = round(now * MS_PER_S)
         self._node.notify_all(self._listeners, stamped)
 
-    def _compose(self) -> messages.TargetNews | None:
+    def _compose(self) -> messages.TargetUpdate | None:
         report, target = self._report, self.assignment.own_target
         if report is None or target is None:
             return None
-        return messages.TargetNews(
+        return messages.TargetUpdate(
             name=target.name,
             running=max(report.running + report.queued, self._slots.taken),
             queued=self._slots.waiting,
--- a/src/lacewinggw/loader/slots.py
+++ b/src/lacewinggw/loader/slots.py
@@ -74,7 +74,7 @@
         require_sound(ask)
         if not self._ledger.is_open:
             self._counts[SlotState.DECLINED].add()
-            exchange.finish(messages.SlotTold(SlotState.DECLINED))
+            exchange.finish(messages.SlotUpdate(SlotState.DECLINED))
             return
         lease = LeaseId(next(self._numbers))
         self._exchanges[lease] = exchange
@@ -105,7 +105,7 @@
     def _tell(self, leases: Iterable[LeaseId], state: SlotState) -> None:
         for lease in leases:
             self._counts[state].add()
-            self._exchanges[lease].reply(messages.SlotTold(state))
+            self._exchanges[lease].reply(messages.SlotUpdate(state))
 
     def _cancel_look(self) -> None:
         if self._look is not None:
--- a/src/lacewinggw/operators/language.py
+++ b/src/lacewinggw/operators/language.py
@@ -92,7 +92,7 @@
 
 
 def is_query(words: str) -> bool:
-    """Tell whether `words` only ask; raise `LanguageError` when they are neither."""
+    """Return whether `words` only ask; raise `LanguageError` when they are neither."""
     return isinstance(parse(words)[0], QUERIES)
 
 
--- a/src/lacewinggw/operators/progress.py
+++ b/src/lacewinggw/operators/progress.py
@@ -80,7 +80,7 @@
 
 
 def serves(state: FleetState, service: Service, host: str, heard: HeardHeartbeat | None) -> bool:
-    """Tell whether a placed host was last heard to serve what it is placed for."""
+    """Return whether a placed host was last heard to serve what it is placed for."""
     if heard is None:
         return False
     heartbeat = heard.heartbeat
--- a/src/lacewinggw/settings.py
+++ b/src/lacewinggw/settings.py
@@ -166,7 +166,7 @@
 
 
 def _overlap(one: str, other: str) -> bool:
-    """Tell whether two listeners cannot both be opened; port 0 lets the system choose."""
+    """Return whether two listeners cannot both be opened; port 0 lets the system choose."""
     one_host, one_port = split_address(one)
     other_host, other_port = split_address(other)
     if one_port != other_port or one_port == 0:
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -403,7 +403,7 @@
         self._idle.clear()
 
     async def refuses(self, address: str, timeout_s: float) -> bool:
-        """Tell whether an address refuses connections at once: no process listens there.
+        """Return whether an address refuses connections at once: no process listens there.
 
         A host that is cut off does not answer, which proves nothing.
         """
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -172,9 +172,9 @@
         ),
     )
     async with pages as store:
-        news = await store.snapshot(Topic.TARGETS)
-    assert [change.item.name for change in news.changes] == ["a", "b"]
-    assert (news.position, news.whole) == (StorePosition(0, 9), True)
+        update = await store.snapshot(Topic.TARGETS)
+    assert [change.item.name for change in update.changes] == ["a", "b"]
+    assert (update.position, update.whole) == (StorePosition(0, 9), True)
     assert pages.queries[1]["From"] == "a\0"
 
 
@@ -183,9 +183,9 @@
     gone = {"Table": "servers", "part": "", "Key": "b", "SchemaVersion": 5, "Deleted": True}
     rows = [row("a", target_row(LLM, "x:1"), 4), gone]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 5})) as store:
-        news = await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
-    assert [type(change) for change in news.changes] == [Put, Drop]
-    assert (news.position, news.whole) == (StorePosition(0, 5), False)
+        update = await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
+    assert [type(change) for change in update.changes] == [Put, Drop]
+    assert (update.position, update.whole) == (StorePosition(0, 5), False)
 
 
 @pytest.mark.looptime
@@ -241,9 +241,9 @@
     key = {Topic.TARGETS: "a", Topic.CONFIGURATION: "config", Topic.MEMBERS: "a"}[topic]
     bad = {"Table": "t", "part": "", "Key": key, "Value": BAD_VALUES[kind], "SchemaVersion": 4}
     async with PagedStore(json_response(200, {"Rows": [bad, good], "SchemaVersion": 5})) as store:
-        news = await store.changes(topic, StorePosition(0, 3), 1.0)
-    assert [type(change) for change in news.changes] == [Unreadable, Put]
-    told = news.changes[0]
+        update = await store.changes(topic, StorePosition(0, 3), 1.0)
+    assert [type(change) for change in update.changes] == [Unreadable, Put]
+    told = update.changes[0]
     assert (told.key, told.revision) == (key, 4) and told.reason
 
 
@@ -256,10 +256,10 @@
         {**row("crashing/ef56", {}, 7), "Deleted": True},
     ]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 7})) as store:
-        news = await store.changes(Topic.MEMBERS, StorePosition(0, 3), 1.0)
-    assert news.changes[0] == Put(CrashingRequest("ab12", "writer", ("i-1",), True))
-    assert [type(change) for change in news.changes] == [Put, Put, Unreadable, Drop]
-    assert crashing_by(news.changes[3].key) == "ef56"
+        update = await store.changes(Topic.MEMBERS, StorePosition(0, 3), 1.0)
+    assert update.changes[0] == Put(CrashingRequest("ab12", "writer", ("i-1",), True))
+    assert [type(change) for change in update.changes] == [Put, Put, Unreadable, Drop]
+    assert crashing_by(update.changes[3].key) == "ef56"
 
 
 @pytest.mark.looptime
--- a/tests/fleet/test_agent_cost.py
+++ b/tests/fleet/test_agent_cost.py
@@ -35,8 +35,8 @@
         agent = await fleet.add_agent("engine0")
         await asyncio.sleep(2.0)
         told = []
-        take_news = agent.assignment.take_news
-        agent.assignment.take_news = lambda news: (told.append(news), take_news(news))
+        apply_update = agent.assignment.apply_update
+        agent.assignment.apply_update = lambda update: (told.append(update), apply_update(update))
         for number in range(30):
             target = fleet.targets[f"engine{1 + number % 3}"]
             row = target_row(LLM, target.address, ColdRemainingMs=number)
--- a/tests/fleet/test_store_crowded.py
+++ b/tests/fleet/test_store_crowded.py
@@ -1,10 +1,11 @@
 """A store whose queue of new connections is full, as a whole fleet starts at one moment.
 
-After a loss of power 32 entries and 63 agents came back within 0.3 s, each with several calls to the
-store. Ten entries had the routes after 0.03 to 0.13 s, none between that and a second, and the other
-22 after 1.03 to 1.45 s: an opening packet that finds the queue full is dropped, and the kernel sends
-the next one a second later. Meanwhile they turned callers away, and agents that hear of targets and
-versions from them loaded nothing: 0.06 of the worth of two seconds was served, and 0.33 of the next.
+After a loss of power 32 entries and 63 agents came back within 0.3 s, each with several calls to
+the store. Ten entries had the routes after 0.03 to 0.13 s, none between that and a second, and the
+other 22 after 1.03 to 1.45 s: an opening packet that finds the queue full is dropped, and the
+kernel sends the next one a second later. Meanwhile they turned callers away, and agents that hear
+of targets and versions from them loaded nothing: 0.06 of the worth of two seconds was served, and
+0.33 of the next.
 """
 
 import asyncio
@@ -38,7 +39,7 @@
 
     async def _queue(self):
         loop = asyncio.get_running_loop()
-        while self._free_at - loop.time() >= QUEUED * TAKEN_EACH_S:
+        while self._free_at - loop.time() >= QUEUED * TAKEN_EACH_S:  # noqa: ASYNC110
             await asyncio.sleep(RESENT_S)
         self._free_at = max(self._free_at, loop.time()) + TAKEN_EACH_S
 
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -38,7 +38,7 @@
 
 
 def is_built(result, checkout):
-    """Tell whether a start succeeded, with the built product and none that is installed."""
+    """Return whether a start succeeded, with the built product and none that is installed."""
     return result.returncode == 0 and result.stdout.startswith(str(checkout / "target"))
 
 
