Let go at once of requests that others have overtaken

What callers saw: at 1.3 times of what the engines can do, a quarter of them was held for 270 ms and refused, and those that came back were held for up to 1.5 s more and refused again. Cause: a slot goes to the newest request, but those behind it waited on until they could not be on time. Change: the agent's line keeps whoever is first in it and those that can start in their time by the pace of the last starts; the others are told OVERTAKEN. A request keeps its age at each agent it asks, asks six at once (three before), and is refused once two have told so.

Refused again stays: as many are refused twice as the engines cannot carry, whatever the order.

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -334,8 +334,9 @@
 // ---- slots ----------------------------------------------------------------------------
 
 // From an entry to the agent beside a target: a lease on one of its slots. The answer is QUEUED or
-// DECLINED at once, or GRANTED, at once or later. The entry follows with Cancel when it needs the
-// slot no more, granted or not.
+// DECLINED at once, or GRANTED, at once or later; OVERTAKEN at once or later where those before it in
+// line leave it no prospect. The entry follows with Cancel when it needs the slot no more, granted or
+// not.
 struct AskSlot {
   1: i32 slots                   // that the target has
   2: i32 rank                    // 0 goes first
@@ -343,8 +344,9 @@
   4: i32 wait_ms                 // how long it may wait in line
   5: i32 reading_us              // how long the target takes to read its prompt
   6: string suspect = ""         // digest of a request that may end targets: it is put beside no other
+  7: i32 waited_us = 0           // how long it has waited already, at other agents too
 }
-enum SlotState { GRANTED = 1, QUEUED = 2, DECLINED = 3 }
+enum SlotState { GRANTED = 1, QUEUED = 2, DECLINED = 3, OVERTAKEN = 4 }
 struct SlotUpdate { 1: SlotState state }
 
 // ---- limits ---------------------------------------------------------------------------
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -7,6 +7,11 @@
 those that ask for more in one line for all entries, the most urgent first, the newest of them
 before older ones.
 
+The line is short. A slot goes to the newest, so in an overload a request that others have overtaken
+at every agent it asked starts only by chance, while its caller is held; it is let go at once. Where
+few wait nobody is overtaken, and a request may wait as long as it can be on time. No rate or share
+is learned for that, so nothing lags behind a load that swings.
+
 A lease ends when its entry says so, or when the link to it breaks. What the target itself reports
 corrects the count: requests that nobody has a lease for take room, and leases of entries that fell
 silent do not keep it.
@@ -25,15 +30,20 @@
 # Of prompts that a target has yet to read. Each delays the first events of all that came with it,
 # so a slot that falls free while there are more waits: two prompts of usual length.
 READING_MOST_S = 0.15
+# Late ones that wait at one target.
+WAITING_LATE = 8
+# Until those that can be on time have started, behind which a late one waits: what comes meanwhile
+# goes before it too.
+LATE_BEHIND_S = 0.05
 
 
 @dataclass(frozen=True)
 class SlotWish:
     """What a request needs of a target's slots.
 
-    `rank` 0 goes first; one that `is_late` cannot be on time any more. It may wait `wait_s` in
-    line, and reading its prompt takes the target `reading_s`; both in seconds. A `suspect` may end
-    the target that begins it.
+    `rank` 0 goes first; one that `is_late` cannot be on time any more. It has waited `waited_s`
+    already and may wait `wait_s` in line, and reading its prompt takes the target `reading_s`; all
+    in seconds. A `suspect` may end the target that begins it.
     """
 
     rank: int
@@ -41,6 +51,7 @@
     wait_s: float
     reading_s: float = 0.0
     suspect: RequestDigest | None = None
+    waited_s: float = 0.0
 
 
 @dataclass
@@ -59,7 +70,8 @@
     ledger = SlotLedger(slots=8)
     ledger.open()
     ledger.ask(lease, wish, now)
-    for lease in ledger.give(now): ...  # tell them
+    for lease in ledger.give(now): ...  # notify them
+    for lease in ledger.drop_overtaken(now): ...
     ledger.end(lease)
     ledger.note_report(running=5, now=now)
     """
@@ -97,7 +109,8 @@
 
     def ask(self, lease: LeaseId, wish: SlotWish, now: float) -> None:
         """Take a request for a slot into the line."""
-        waiter = self._line.join(wish.rank, wish.is_late, now + wish.wait_s)
+        until = now + wish.wait_s
+        waiter = self._line.join(wish.rank, wish.is_late, until, now - wish.waited_s)
         self._leases[lease] = _Lease(wish, waiter)
         self._waiting[id(waiter)] = lease
 
@@ -109,6 +122,28 @@
         """Return those that have a slot from now on."""
         return list(self._give(now)) if self.is_open else []
 
+    def drop_overtaken(self, now: float) -> list[LeaseId]:
+        """Return those that have no prospect of a slot behind others, and take them out of line.
+
+        The first one in line always has one. The others do if those before them start in time, by
+        the pace of the last starts.
+        """
+        gap_s = self._line.start_gap_s
+        on_time = late = 0
+        dropped: list[LeaseId] = []
+        for waiter in self._line.in_order():
+            if waiter.is_late:
+                has_prospect = late < WAITING_LATE and on_time * gap_s <= LATE_BEHIND_S
+            else:
+                has_prospect = not on_time or (on_time + 1) * gap_s <= waiter.until - now
+            late += waiter.is_late
+            on_time += not waiter.is_late
+            if not has_prospect:
+                dropped.append(self._waiting[id(waiter)])
+        for lease in dropped:
+            self._forget(lease)
+        return dropped
+
     def next_look(self, now: float) -> float | None:
         """Return when prompts are read by which one more may start, None when nobody waits."""
         if not self.waiting:
@@ -139,6 +174,7 @@
                 if lease.wish.is_late:
                     continue
                 return
+            self._line.note_start(now)
             self._leave_line(lease)
             lease.given_at = now
             self._given += 1
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -24,7 +24,7 @@
 class Waiter:
     """A request that waits; `until` is when it is refused, in seconds of the loop's clock."""
 
-    rank: tuple[int, int, int]
+    rank: tuple[int, int, float, int]
     until: float = field(compare=False)
     gone: bool = field(default=False, compare=False)
 
@@ -61,6 +61,11 @@
         """
         return max(LATE_LEAST, self._late_share)
 
+    @property
+    def start_gap_s(self) -> float:
+        """The usual time between two starts while requests wait, in seconds; 0 until known."""
+        return self._start_gap_s
+
     def note_late_end(self, started: bool) -> None:
         """Note whether a late request that waited has started."""
         self._late_share += LATE_MEMORY * (float(started) - self._late_share)
@@ -73,10 +78,16 @@
             ahead += sum(1 for each in self._heap if not each.gone and each.rank[:2] == rank)
         return ahead * self._start_gap_s
 
-    def join(self, priority: int, is_late: bool, until: float) -> Waiter:
-        """Add a request; one that `is_late` goes behind those that can be on time."""
-        number = next(self._numbers)
-        waiter = Waiter((priority, int(is_late), number if is_late else -number), until)
+    def join(
+        self, priority: int, is_late: bool, until: float, arrived_at: float | None = None
+    ) -> Waiter:
+        """Add a request; one that `is_late` goes behind those that can be on time.
+
+        It takes its place by when it arrived where that is given, then by when it joined.
+        """
+        order = (arrived_at or 0.0, next(self._numbers))
+        age, number = order if is_late else (-order[0], -order[1])
+        waiter = Waiter((priority, int(is_late), age, number), until)
         heapq.heappush(self._heap, waiter)
         self._waiting += 1
         return waiter
--- a/src/lacewinggw/frontend/agentslots.py
+++ b/src/lacewinggw/frontend/agentslots.py
@@ -15,6 +15,7 @@
     SlotState.GRANTED: SlotAnswer.GRANTED,
     SlotState.QUEUED: SlotAnswer.QUEUED,
     SlotState.DECLINED: SlotAnswer.DECLINED,
+    SlotState.OVERTAKEN: SlotAnswer.OVERTAKEN,
 }
 
 
@@ -42,6 +43,7 @@
             wait_ms=max(0, round(wish.wait_s * MS_PER_S)),
             reading_us=round(wish.reading_s * US_PER_S),
             suspect=wish.suspect or "",
+            waited_us=round(wish.waited_s * US_PER_S),
         )
         return AgentSlotCall(link.open(question))
 
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -115,6 +115,7 @@
                 self._pool.fitting(wish, self._knowledge.leaving), _now(), asked
             ),
             slot_wish,
+            arrived_at=began,
         )
         lease = await search.find(until)
         line = self._lines[wish.service]
--- a/src/lacewinggw/frontend/slots.py
+++ b/src/lacewinggw/frontend/slots.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Set
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import Protocol
 
@@ -10,9 +10,13 @@
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.ids import TargetId
 
-# How many agents a request waits for at once. One alone may be frozen, or keep all its slots.
-ASKED_AT_ONCE = 3
+# How many agents a request waits for at once. One alone may be frozen, or keep all its slots, and
+# each keeps few in line: with fewer, slots that fall free would find nobody for a moment.
+ASKED_AT_ONCE = 6
 ASKED_MOST = 8  # by one request, those that declined included
+# A request that others have overtaken at so many agents does not wait at the rest: newer ones come
+# there as well, and its caller would be held for little. One alone may be that of a slow engine.
+OVERTAKEN_MOST = 2
 # An agent answers in a millisecond, over a link that carries weights in some tens. One that has
 # not is waited for no longer before another is asked.
 ANSWER_S = 0.05
@@ -26,6 +30,7 @@
     GRANTED = "granted"
     QUEUED = "queued"
     DECLINED = "declined"
+    OVERTAKEN = "overtaken"  # others are before it there, and leave it no prospect
     LOST = "lost"  # the link broke: nothing was granted, or it counts no more
 
 
@@ -69,14 +74,17 @@
 class SlotSearch:
     """One request's search for a slot.
 
-    `pick` names the next target to ask, other than those asked already.
+    `pick` names the next target to ask, other than those asked already. Its place in their lines
+    is by `arrived_at`, of the loop's clock.
 
-        lease = await SlotSearch(ask, pick, wish).find(until)
+        lease = await SlotSearch(ask, pick, wish, arrived_at).find(until)
     """
 
     ask: AskSlot
     pick: PickTarget
     wish: SlotWish
+    arrived_at: float
+    _overtaken: int = 0
     _asked: set[TargetId] = field(default_factory=set)
     _pending: list[_Asked] = field(default_factory=list)
     _answers: "asyncio.Queue[tuple[_Asked, SlotAnswer]]" = field(default_factory=asyncio.Queue)
@@ -89,7 +97,7 @@
             self._leave_all()
 
     async def _find(self, until: float) -> Lease | None:
-        while True:
+        while self._overtaken < OVERTAKEN_MOST:
             newest = self._ask_one() if len(self._pending) < ASKED_AT_ONCE else None
             if not self._pending:
                 return None
@@ -97,6 +105,7 @@
             lease = await self._hear(newest, limit)
             if lease is not None or _now() >= until - LEAST_WAIT_S:
                 return lease
+        return None
 
     def _ask_one(self) -> _Asked | None:
         while len(self._asked) < ASKED_MOST:
@@ -104,7 +113,7 @@
             if load is None:
                 return None
             self._asked.add(load.entry.target)
-            call = self.ask(load, self.wish)
+            call = self.ask(load, replace(self.wish, waited_s=_now() - self.arrived_at))
             if call is not None:
                 asked = _Asked(load, call)
                 asked.listening = asyncio.get_running_loop().create_task(self._listen(asked))
@@ -124,8 +133,9 @@
                             self._pending.remove(asked)
                             self._stop_listening(asked)
                             return Lease(asked.load, asked.call)
-                        case SlotAnswer.DECLINED | SlotAnswer.LOST:
+                        case SlotAnswer.DECLINED | SlotAnswer.OVERTAKEN | SlotAnswer.LOST:
                             self._pending.remove(asked)
+                            self._overtaken += answer is SlotAnswer.OVERTAKEN
                             return None
                         case SlotAnswer.QUEUED if asked is newest:
                             return None
--- a/src/lacewinggw/lab/fleetmodel/agent.py
+++ b/src/lacewinggw/lab/fleetmodel/agent.py
@@ -38,7 +38,7 @@
             if self._engine.is_up and not self._engine.is_loading:
                 self._ledger.open()
             else:
-                self._decline(self._ledger.close())
+                self._dismiss(self._ledger.close(), SlotAnswer.DECLINED)
             self._ledger.note_report(self._engine.running, now)
             self._give()
             await asyncio.sleep(REPORT_S)
@@ -67,6 +67,7 @@
         for lease in self._ledger.give(now):
             self._calls[lease].is_granted = True
             self._calls[lease].tell(SlotAnswer.GRANTED)
+        self._dismiss(self._ledger.drop_overtaken(now), SlotAnswer.OVERTAKEN)
         look_at = self._ledger.next_look(now)
         if self._look is not None:
             self._look.cancel()
@@ -74,9 +75,9 @@
         if look_at is not None and look_at > now:
             self._look = asyncio.get_running_loop().call_at(look_at + 0.001, self._give)
 
-    def _decline(self, leases: list[LeaseId]) -> None:
+    def _dismiss(self, leases: list[LeaseId], answer: SlotAnswer) -> None:
         for lease in leases:
-            self._calls.pop(lease).tell(SlotAnswer.DECLINED)
+            self._calls.pop(lease).tell(answer)
 
 
 class ModelSlotCall:
--- a/src/lacewinggw/loader/slots.py
+++ b/src/lacewinggw/loader/slots.py
@@ -67,7 +67,7 @@
             self._give()
         elif self._ledger.is_open:
             log.info("slots_closed", taken=self.taken, waiting=self.waiting)
-            self._tell(self._ledger.close(), SlotState.DECLINED)
+            self._notify(self._ledger.close(), SlotState.DECLINED)
 
     async def serve(self, exchange: Exchange, ask: messages.AskSlot) -> None:
         """Look after one lease from its asking to its end."""
@@ -82,7 +82,7 @@
         self._ledger.ask(lease, _wish_of(ask), _now())
         try:
             if not self._give(lease):
-                self._tell([lease], SlotState.QUEUED)
+                self._notify([lease], SlotState.QUEUED)
             await exchange.follow_up()
         finally:
             del self._exchanges[lease]
@@ -91,18 +91,20 @@
         exchange.end_quietly()
 
     def _give(self, asked: LeaseId | None = None) -> bool:
-        """Give what is free to those in line; return whether `asked` has a slot by it."""
+        """Give what is free to those in line; return whether `asked` is settled by it."""
         now = _now()
         given = self._ledger.give(now)
-        self._tell(given, SlotState.GRANTED)
+        self._notify(given, SlotState.GRANTED)
+        overtaken = self._ledger.drop_overtaken(now)
+        self._notify(overtaken, SlotState.OVERTAKEN)
         self._cancel_look()
         look_at = self._ledger.next_look(now)
         if look_at is not None and look_at > now:
             loop = asyncio.get_running_loop()
             self._look = loop.call_at(look_at + LOOK_LATER_S, self._give)
-        return asked in given
+        return asked in given or asked in overtaken
 
-    def _tell(self, leases: Iterable[LeaseId], state: SlotState) -> None:
+    def _notify(self, leases: Iterable[LeaseId], state: SlotState) -> None:
         for lease in leases:
             self._counts[state].add()
             self._exchanges[lease].reply(messages.SlotUpdate(state))
@@ -115,7 +117,14 @@
 
 def _wish_of(ask: messages.AskSlot) -> SlotWish:
     suspect = RequestDigest(ask.suspect) if ask.suspect else None
-    return SlotWish(ask.rank, ask.late, ask.wait_ms / MS_PER_S, ask.reading_us / US_PER_S, suspect)
+    return SlotWish(
+        rank=ask.rank,
+        is_late=ask.late,
+        wait_s=ask.wait_ms / MS_PER_S,
+        reading_s=ask.reading_us / US_PER_S,
+        suspect=suspect,
+        waited_s=ask.waited_us / US_PER_S,
+    )
 
 
 def _now() -> float:
--- /dev/null
+++ b/tests/fleet/test_slot_search.py
@@ -0,0 +1,79 @@
+"""One request's search for a slot among agents: whom it asks, and when it gives up."""
+
+import asyncio
+
+import pytest
+
+from lacewinggw.decisions.slots import SlotWish
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.frontend.slots import ASKED_AT_ONCE, SlotAnswer, SlotSearch
+
+pytestmark = pytest.mark.looptime
+
+ANSWER_S = 0.002
+ENGINES = 12
+
+
+class Agent:
+    """Answers each question with QUEUED, then with `later` after a while."""
+
+    def __init__(self, name, later, after_s):
+        self.load = TargetLoad(TargetEntry(name, "writer", "10.2.0.1:8080", "hall", slots=4))
+        self.wishes = []
+        self._later = later
+        self._after_s = after_s
+
+    def ask(self, wish):
+        self.wishes.append(wish)
+        self._answers = iter([(ANSWER_S, SlotAnswer.QUEUED), (self._after_s, self._later)])
+        return self
+
+    async def answer(self):
+        pause_s, answer = next(self._answers, (99.0, SlotAnswer.LOST))
+        await asyncio.sleep(pause_s)
+        return answer
+
+    def end(self):
+        pass
+
+
+async def search(agents, wait_s=0.25, waited_s=0.0):
+    """Return the slot that is found, and after how long the search ended."""
+    now = asyncio.get_running_loop().time()
+    by_load = {id(agent.load): agent for agent in agents}
+
+    def pick(asked):
+        left = [each.load for each in agents if each.load.entry.target not in asked]
+        return left[0] if left else None
+
+    found = await SlotSearch(
+        lambda load, wish: by_load[id(load)].ask(wish),
+        pick,
+        SlotWish(1, False, wait_s),
+        now - waited_s,
+    ).find(now + wait_s)
+    return found, asyncio.get_running_loop().time() - now
+
+
+# A caller was held for 270 ms and refused, though newer requests had gone before it everywhere.
+async def test_one_that_others_overtake_is_not_held_any_longer():
+    agents = [Agent(f"i-{each}", SlotAnswer.OVERTAKEN, 0.01) for each in range(ENGINES)]
+    found, took_s = await search(agents)
+    assert found is None and took_s <= 0.03
+
+
+async def test_overtaken_at_one_agent_it_still_waits_at_the_others():
+    agents = [Agent("i-0", SlotAnswer.OVERTAKEN, 0.005)]
+    agents += [Agent(f"i-{each}", SlotAnswer.GRANTED, 0.1) for each in range(1, ENGINES)]
+    found, _ = await search(agents)
+    assert found is not None and found.load is agents[1].load
+
+
+async def test_it_waits_at_several_agents_and_tells_each_its_age():
+    agents = [Agent(f"i-{each}", SlotAnswer.GRANTED, 0.1) for each in range(ENGINES)]
+    await search(agents, waited_s=0.04)
+    wishes = [wish for agent in agents for wish in agent.wishes]
+    assert len(wishes) == ASKED_AT_ONCE
+    assert all(wish.waited_s >= 0.04 for wish in wishes)
+    assert wishes[-1].waited_s > wishes[0].waited_s
--- a/tests/fleet/test_slots.py
+++ b/tests/fleet/test_slots.py
@@ -118,3 +118,63 @@
     ledger.note_report(0, now=3 * SHOWN_S)
     assert ledger.taken == 0
     assert len(fill(ledger, 3 * SHOWN_S)) == 2
+
+
+def start_one_after_the_other(ledger, gap_s, count=40):
+    """Have a request start at each step while one more waits all the time."""
+    running, now = fill(ledger), 0.0
+    ledger.ask(1, wish(wait_s=99.0), now)
+    for lease in range(2000, 2000 + count):
+        now += gap_s
+        ledger.ask(lease, wish(wait_s=99.0), now)
+        ledger.end(running.pop(0))
+        running += ledger.give(now)
+    ledger.end(1)
+
+
+def waiting_after(ledger, now, *wishes):
+    """Return which of the wishes still wait once all have come, the first one first."""
+    for lease, each in enumerate(wishes):
+        ledger.ask(lease, each, now)
+    dropped = set(ledger.drop_overtaken(now))
+    return [lease for lease in range(len(wishes)) if lease not in dropped]
+
+
+@pytest.fixture
+def busy():
+    """A ledger whose slots have been full, and fell free each 0.1 s."""
+    ledger = SlotLedger(slots=2)
+    ledger.open()
+    start_one_after_the_other(ledger, 0.1)
+    return ledger
+
+
+def test_who_is_overtaken_by_more_than_start_in_its_time_is_let_go(busy):
+    assert waiting_after(busy, 4.0, wish(wait_s=0.25), wish(wait_s=0.25), wish(wait_s=0.25)) == [
+        1,
+        2,
+    ]
+
+
+def test_the_first_in_line_is_never_let_go(busy):
+    assert waiting_after(busy, 4.0, wish(wait_s=0.01)) == [0]
+
+
+def test_late_ones_go_as_soon_as_one_that_can_be_on_time_waits(busy):
+    late = wish(is_late=True, wait_s=1.5)
+    assert waiting_after(busy, 4.0, late, late) == [0, 1]
+    assert busy.drop_overtaken(4.0) == []
+    busy.ask(9, wish(wait_s=0.25), 4.0)
+    assert sorted(busy.drop_overtaken(4.0)) == [0, 1]
+
+
+def test_a_line_that_moves_fast_may_be_long():
+    ledger = SlotLedger(slots=2)
+    ledger.open()
+    fill(ledger)
+    assert waiting_after(ledger, 0.0, *[wish(wait_s=0.25)] * 30) == list(range(30))
+
+
+def test_one_that_waited_elsewhere_keeps_its_age(busy):
+    older = SlotWish(1, False, 0.25, waited_s=0.1)
+    assert waiting_after(busy, 4.0, wish(wait_s=0.25), wish(wait_s=0.25), older) == [0, 1]
