--- a/tests/fleet/test_origin_return.py
+++ b/tests/fleet/test_origin_return.py
@@ -4,8 +4,8 @@
 before its bound, 13.4 s after it was named: the first was ordered to load 0.25 s after it, half two
 seconds later, and callers were refused meanwhile. While the origin was away each host of the first
 three in rank came to take the one before it for dead. From the third second on 24 hosts asked for
-15 chunks over and over, up to ten for one of them, and all of them went on at its return: it sent
-2.1 copies where one would have been enough, and half of its time went into what others fetched too.
+15 chunks over and over, up to ten for one of them, and all of them went on at its return, each
+fetching what others fetched too: modelled, 80 chunks for 64.
 """
 
 from dataclasses import replace
