Have agents that start wait for an entry before they read the store

What callers saw: after a loss of power, or when all processes were killed, entries beyond the store's region turned them away for a second more than those within it. Cause: each agent read all routes and targets at its start, which an entry sends it in some hundred bytes a moment later; together they filled the borders over which entries waited for 6 KB of routes. Why it holds: an agent reads the store 0.5 to 1 s after its start, and only where no entry has spoken; what it read besides is not on the path of a fleet that starts. An agent that starts alone while no entry speaks knows its part up to a second later than before.

--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -63,6 +63,9 @@
 # Between news of the target's work: a border between regions is narrow and priced. They tell whom
 # to ask for a slot first, so much later they would send more requests to busy targets.
 UPDATE_S = 0.2
+# Until an agent that starts reads the store, drawn between the two: entries send it all that it
+# needs in some hundred bytes, while the routes of agents that start together would fill a border.
+ENTRY_WAIT_S = (0.5, 1.0)
 STORE_WAIT = Wait(for_update_s=4.0, after_update_s=0.5)  # only while no entry speaks
 
 log = get_logger(__name__)
@@ -170,6 +173,7 @@
         self._told_at = 0.0
         self._emptying_since: float | None = None
         self._was_heard = False
+        self._store_read_from = clock() + rng.uniform(*ENTRY_WAIT_S)
         self._told: messages.TargetUpdate | None = None
         self._aims: _Aims | None = None
         self._plan: tuple[UpgradeRules, frozenset[HostId], UpgradePlan] | None = None
@@ -207,7 +211,7 @@
             self._store_clock,
             self._era,
             self._access,
-            is_needed=lambda: not self.assignment.is_told,
+            is_needed=self._needs_store,
             on_regained=self.assignment.note_regained,
         )
 
@@ -246,6 +250,10 @@
         ready = self._report is not None
         return Readiness(ready, "" if ready else "the target has not answered yet")
 
+    def _needs_store(self) -> bool:
+        """Return whether the store is to be read, as no entry speaks."""
+        return not self.assignment.is_told and self._clock() >= self._store_read_from
+
     # ---- what is due ----------------------------------------------------------------------
 
     @property
