Read what lies staged once the engine answers

What callers saw: after a loss of power some engines were out for three to five seconds, though all that they needed lay beside them. Cause: an agent reads what is staged when it learns of a version. Where its engine was not up yet it took that for nothing, for good, and fetched a whole copy over links that are slow. Why it holds: an agent that could not read asks again at each look until the engine answers; pieces that were fetched meanwhile stay, and each is verified as before.

--- a/src/lacewinggw/agent/weights.py
+++ b/src/lacewinggw/agent/weights.py
@@ -180,6 +180,14 @@
             self._searches[digest] = task
         self._drop_surplus()
 
+    async def take_local(self) -> None:
+        """Count in once more what lies on this host, for releases that are not here whole."""
+        if self._local is None:
+            return
+        for download in list(self._downloads.values()):
+            if not download.complete.is_set():
+                await download.take_local(self._local)
+
     def _stop(self, digest: Digest) -> None:
         self._due.pop(digest, None)
         self._views.topologies.pop(digest, None)
--- a/src/lacewinggw/loader/keeper.py
+++ b/src/lacewinggw/loader/keeper.py
@@ -25,17 +25,25 @@
 
     def __init__(self, target: LoadableTarget) -> None:
         self._target = target
+        self._is_unread = False
+
+    @property
+    def is_unread(self) -> bool:
+        """Whether the target did not answer when its pieces were to be read."""
+        return self._is_unread
 
     async def read(self, digest: Digest) -> Mapping[int, bytes]:
         """Return every staged piece of the release's model; they may be of another version."""
         model, _ = split_release(digest)
         found: dict[int, bytes] = {}
+        self._is_unread = False
         try:
             for index in sorted(await self._target.staged(model)):
                 data = await self._target.read_piece(model, index)
                 if data is not None:
                     found[index] = data
         except TargetUnreachable as error:
+            self._is_unread = True
             log.info("staged_pieces_unread", error=error)
         return found
 
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -156,6 +156,7 @@
         self._node = PeerNode(
             network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
         )
+        self._staged = StagedChunks(adapter.target)
         self.spreader = Spreader.from_config(
             settings,
             self._node,
@@ -164,7 +165,7 @@
             self.metrics,
             rng,
             check_named,
-            StagedChunks(adapter.target),
+            self._staged,
         )
         self._loader = TargetLoader(adapter.target, self.spreader, self.metrics)
         self._slots = SlotDesk(self.metrics)
@@ -360,6 +361,9 @@
             if model is None or report is None or report.busy or self._loader.is_loading:
                 continue
             try:
+                if self._staged.is_unread:
+                    # The target was not up yet. A copy that lies there need not come over links.
+                    await self.spreader.take_local()
                 await self._advance(model, report)
             except TargetUnreachable as error:
                 log.info("load_step_failed", error=error)
