--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -15,7 +15,7 @@
 from lacewinggw.ids import ModelName, Place, RequestDigest, ServiceName, TargetId
 
 # A target in another place counts as that much fuller. Borders are narrow and priced. And the fewer
-# entries choose among the same targets by the same news, the fewer meet at one.
+# entries choose among the same targets by the same updates, the fewer meet at one.
 REMOTE_COST = 0.6
 LOADING_S = 2.5  # a target that began to load and is not heard of again is tried after so long
 SILENT_PAUSE_S = 1.0  # a target that fell silent gets nothing more for so long: what is sent waits
@@ -51,7 +51,7 @@
 class Draw:
     """How many targets are drawn at random, of this place and of others; the best of them is taken.
 
-    Other entries choose at the same moment by the same news, and would all take the least busy one.
+    Other entries choose at the same moment by the same updates: all would take the least busy one.
     """
 
     near: int = 2
@@ -125,7 +125,7 @@
     ) -> TargetLoad | None:
         """Return the one of `fitting` targets whose agent is asked for a slot next, or None.
 
-        However busy it is by the news: the agent knows better, and keeps a line.
+        However busy it is by the updates: the agent knows better, and keeps a line.
         """
         open_ = [
             load
--- a/src/lacewinggw/decisions/knowledge.py
+++ b/src/lacewinggw/decisions/knowledge.py
@@ -1,9 +1,9 @@
 """What a process believes of its fleet, how old that is, and what it still covers.
 
-Versions only rise: news that is older than what is known changes nothing, whoever tells it. Ages
-count on a clock that goes on while a host is suspended, so a process that was frozen finds its
+Versions only rise: an update that is older than what is known changes nothing, whoever sends it.
+Ages count on a clock that goes on while a host is suspended, so a process that was frozen finds its
 knowledge old before it admits anything. They count from the sending of the call whose answer proved
-the news, and for a denial from when that answer was composed.
+the updates, and for a denial from when that answer was composed.
 """
 
 import math
@@ -281,10 +281,10 @@
             self.note_leaving(newest.target)
 
     def note_weights(self, target: TargetId, weights: Mapping[ModelName, int]) -> bool:
-        """Take what a target was heard to hold; return whether that is news.
+        """Take what a target was heard to hold; return whether that is new.
 
-        Within one start of a target versions only rise, so news that overtakes the list, or comes
-        behind it, does no harm.
+        Within one start of a target versions only rise, so an update that overtakes the list, or
+        comes behind it, does no harm.
         """
         entry = self._targets.get(target)
         if entry is None:
--- a/src/lacewinggw/decisions/nearby.py
+++ b/src/lacewinggw/decisions/nearby.py
@@ -6,7 +6,7 @@
 every entry that may be used from the caller's place, and no entry that is leaving.
 
 An entry hears the agents of its own place, and a few of each other place, to which requests spill
-over: with every agent at every entry news would grow with both, and most of it would cross borders.
+over: with every agent at every entry updates would grow with both, and most would cross borders.
 """
 
 from collections.abc import Iterable, Mapping, Sequence
--- a/src/lacewinggw/decisions/punctuality.py
+++ b/src/lacewinggw/decisions/punctuality.py
@@ -14,13 +14,11 @@
 
 # What a refused caller is told to stay away, at the least. Callers choose the time that they give a
 # request themselves, and differ: only one that has had the time to be refused and to come back is
-# taken for a later attempt. With every shorter time taken for one, half of the first attempts were
-# put behind the others: at 1.2 times of what six engines can do 0.44 of requests were on time, not
-# 0.83 (played once each).
+# taken for a later attempt, or many first attempts would be put behind the others.
 RETURN_LEAST_S = 1.0
 RETURN_SHARE = 1 / 3  # of the time left, beyond which callers do not wait, whatever they are told
 LIMIT_SPREAD = 0.15  # of the longest time that callers of a route give, by which they differ
-CONTENTION = 1.6  # others' prompts are read in between: measured at 13 to 16 requests at once
+CONTENTION = 1.6  # others' prompts are read in between
 PLAIN_SHARE = 0.4  # of the objective that a plain target takes; operators set it at 3 to 5 times
 LATE_PATIENCE_S = 1.5  # of a request that is late already
 LATE_SHARE = 0.5  # of the time that it has left, so that the answer has the other half
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -1,7 +1,7 @@
 """Leases on the slots of one target, given out by the agent beside it.
 
 The load it answers: more requests than the targets can start, before many entries. An entry that
-judges by news of others' work sees the same free slot as all others do, and all take it: targets
+judges by updates of others' work sees the same free slot as all others do, and all take it: targets
 fill with requests that wait there until they are late, and refuse the rest. The agent is the one
 place that knows how many have been sent: it gives out as many leases as there are slots, and keeps
 those that ask for more in one line for all entries, the most urgent first, the newest of them
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -12,7 +12,7 @@
 from lacewinggw.decisions.targetlist import TargetEntry
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
-REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: news without a change is rare
+REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
 # Of the slots of a target, for requests that are late already. What is left lets those that can be
 # on time start at once while late ones are caught up on.
 LATE_ROOM = 0.8
--- a/src/lacewinggw/fleet/agentupdates.py
+++ b/src/lacewinggw/fleet/agentupdates.py
@@ -22,7 +22,7 @@
 def compose_update(
     knowledge: Knowledge, service: Service, position: StorePosition, now: float
 ) -> messages.FleetUpdate | None:
-    """Return the news for the agents of a service, None while too little is known."""
+    """Return the update for the agents of a service, None while too little is known."""
     table = knowledge.routes
     if table is None or service.weights is None or not service.models:
         return None
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True)
 class FleetContent:
-    """What is the same in news that say nothing new: all but ages and the store's position."""
+    """What is the same in updates that say nothing new: all but ages and the store's position."""
 
     store_era: int
     routes_version: int
@@ -60,7 +60,7 @@
 
 
 def content_of(update: messages.FleetUpdate) -> FleetContent:
-    """Return what news say; what the routes say of a service goes by their version."""
+    """Return what an update says; what the routes say of a service goes by their version."""
     versions = tuple(named.version for named in update.named)
     return FleetContent(update.store_era, update.routes_version, versions, tuple(update.targets))
 
--- a/src/lacewinggw/fleet/era.py
+++ b/src/lacewinggw/fleet/era.py
@@ -17,7 +17,7 @@
     """The newest era that was seen.
 
     era.subscribe(on_change)
-    if not era.note(news.position.era): ...  # the answer is of an older era: it says nothing
+    if not era.note(update.position.era): ...  # the answer is of an older era: it says nothing
     """
 
     def __init__(self, metrics: Metrics) -> None:
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -3,8 +3,8 @@
 A feed is one topic at a time: a snapshot first, then the changes after its position. It is the
 adapter of a store that implements `FleetFeed`; everything else sees typed items only.
 
-    news = await feed.snapshot(Topic.TARGETS)
-    news = await feed.changes(Topic.TARGETS, news.position, wait_s=2.0)
+    update = await feed.snapshot(Topic.TARGETS)
+    update = await feed.changes(Topic.TARGETS, update.position, wait_s=2.0)
 """
 
 from dataclasses import dataclass
@@ -92,7 +92,7 @@
     With `restored` it is everything that a store has which came back from an older copy: what it
     lacks may be written again, what it has may have been gone before.
 
-    `told_s` is the store's own steady clock as it composed the news; None if it did not say.
+    `told_s` is the store's own steady clock as it composed the update; None if it did not say.
     """
 
     changes: tuple[Change, ...]
@@ -103,7 +103,7 @@
 
 
 def listed_targets(update: FeedUpdate) -> list[TargetEntry]:
-    """Return the targets that news puts on the list."""
+    """Return the targets that an update puts on the list."""
     items = [change.item for change in update.changes if isinstance(change, Put)]
     return [item for item in items if isinstance(item, TargetEntry)]
 
@@ -113,7 +113,7 @@
 
 
 class FleetFeed(Protocol):
-    """A store's news. Both calls raise the kinds of `PlatformError`."""
+    """A store's updates. Both calls raise the kinds of `PlatformError`."""
 
     async def snapshot(self, topic: Topic) -> FeedUpdate:
         """Return everything of a topic, as of one moment after the call was sent."""
--- a/src/lacewinggw/fleet/follower.py
+++ b/src/lacewinggw/fleet/follower.py
@@ -1,7 +1,7 @@
 """Follow one topic of a feed, through every failure of the store behind it.
 
-Each piece of news comes with its proof: when the call was sent, and when its answer was composed. A
-wait that ends without news proves that nothing had changed.
+Each update comes with its proof: when the call was sent, and when its answer was composed. A
+wait that ends without an update proves that nothing had changed.
 """
 
 import asyncio
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True)
 class Wait:
-    """How long one call waits for news, and how long to let more gather after some came."""
+    """How long one call waits for an update, and how long to let more gather after some came."""
 
     for_update_s: float
     after_update_s: float = 0.0
@@ -52,12 +52,13 @@
 
 
 class TopicFollower:
-    """Keep a topic up to date; `apply` gets each piece of news with what it proves.
+    """Keep a topic up to date; `apply` gets each update with what it proves.
 
     A connection that has gone silent is noticed after the wait and a little more, so the wait
     bounds how old the knowledge may grow. While `is_needed` says no, as somebody else tells what
     is new, nothing is read; nor while `is_vouched` says yes, as somebody else has read the topic
-    lately and knows the same. `on_regained` is told, before the news, when the store answers again.
+    lately and knows the same. `on_regained` is called, before `apply`, once the store answers
+    again.
     """
 
     def __init__(
@@ -198,9 +199,8 @@
             await asyncio.sleep(self._rng.uniform(0.0, spread_s))
         if self._position is None or self._is_restored:
             return await self._feed.snapshot(self._topic)
-        # A call that waits for news of a store that is away may hang long after its return: entries
-        # knew nothing new for up to 4.8 s after a silent outage. One that does not wait ends soon.
-        # After a pause it proves at once that what is known is the newest.
+        # A call that waits at a store that is away may hang long after its return; one that does
+        # not wait ends soon. After a pause it proves at once that what is known is the newest.
         is_urgent = self._lost_since is not None or self._is_idle
         self._is_idle = False
         wait_s = 0.0 if is_urgent else self._wait().for_update_s
--- a/src/lacewinggw/fleet/listing.py
+++ b/src/lacewinggw/fleet/listing.py
@@ -1,4 +1,4 @@
-"""Take news of the list of targets into the knowledge of a process."""
+"""Take updates of the list of targets into the knowledge of a process."""
 
 from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.targetlist import TargetEntry
--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -21,7 +21,7 @@
 from lacewinggw.wire.peers import PeerNode
 from lacewinggw.wire.soundness import require_sound
 
-FLEET_UPDATE_S = 1.5  # between news for agents without a change
+FLEET_UPDATE_S = 1.5  # between updates for agents without a change
 GATHER_S = 0.02  # changes that come together are told together
 MS_PER_S = 1000.0
 SPEAKERS = 2  # entries that tell one agent; with one, its death would leave the agent to the store
@@ -66,7 +66,7 @@
         self._watches = Watches(node, me, lambda host: None, rng)
         self._told: dict[ServiceName, _Told] = {}
         self._changed = asyncio.Event()
-        self._loop = Background("fleet news", self._run)
+        self._loop = Background("fleet updates", self._run)
 
     async def start(self, sight: Sight) -> None:
         """Begin to listen, and to tell what `sight` brings."""
--- a/src/lacewinggw/frontend/entryupdates.py
+++ b/src/lacewinggw/frontend/entryupdates.py
@@ -1,4 +1,4 @@
-"""What an entry tells other entries: its news, and its routes to those that know older ones."""
+"""What an entry sends to others: its updates, and its routes to those that know older ones."""
 
 import math
 from collections.abc import Sequence
@@ -23,7 +23,7 @@
     ready: bool,
     now: float,
 ) -> messages.EntryUpdate:
-    """Return the news of an entry; `routes_position` is how far it knows the store's changes.
+    """Return the update of an entry; `routes_position` is how far it knows the store's changes.
 
     `targets_age_s` ago its list of targets was the store's.
     """
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -30,8 +30,7 @@
 from lacewinggw.wire.peers import OutgoingCall, PeerLink, PeerNode
 
 # Until the next part comes. A limit for the whole would cut copies off over a full border and have
-# them begun anew: twelve entries of fifteen then had no newer routes after any time (modelled, 60
-# KB/s between regions).
+# them begun anew without end.
 PART_S = 0.8
 LANE = "routes"  # a connection of its own, so that no short answer waits behind routes
 
@@ -208,7 +207,7 @@
 
 
 async def _receive(call: OutgoingCall) -> tuple[bytes, messages.EntryUpdate]:
-    """Return routes that come in parts, joined, and the news after them."""
+    """Return routes that come in parts, joined, and the update after them."""
     parts: list[bytes] = []
     size = 0
     replies = call.replies()
--- a/src/lacewinggw/frontend/neighbours.py
+++ b/src/lacewinggw/frontend/neighbours.py
@@ -18,14 +18,14 @@
 from lacewinggw.ids import Address, HostId, Place
 from lacewinggw.wire.peers import PeerLink, PeerNode
 
-UPDATE_S = 0.5  # between news without a change
-READY_S = 1.6  # news older than three of these intervals says nothing: the entry may be gone
+UPDATE_S = 0.5  # between updates without a change
+READY_S = 1.6  # updates older than three of these intervals say nothing: the entry may be gone
 MS_PER_S = 1000
 
 
 @dataclass
 class _Heard:
-    """The last news of an entry."""
+    """The last update of an entry."""
 
     place: Place
     address: Address
@@ -46,9 +46,9 @@
 
 
 class EntryNeighbours:
-    """Keeps links to other entries and exchanges news on them.
+    """Keeps links to other entries and exchanges updates on them.
 
-    `compose` gives the news of this entry; `on_news` is told of each that comes, and from whom.
+    `compose` gives the update of this entry; `on_update` gets each that comes, and from whom.
     `greet` gives what an entry that begins to listen is told besides, if there is anything.
     """
 
@@ -108,7 +108,7 @@
         self._changed.set()
 
     def take_watch(self, link: PeerLink, watch: messages.Watch) -> None:
-        """Send news over a link from now on, some at once, or stop."""
+        """Send updates over a link from now on, some at once, or stop."""
         if watch.stop:
             self._listeners.discard(link)
             return
@@ -131,7 +131,7 @@
         self._watches.set_targets(self._listening_back)
 
     def apply_update(self, link: PeerLink, update: messages.EntryUpdate) -> None:
-        """Take the news of another entry."""
+        """Take the update of another entry."""
         remote = link.remote
         heard = _Heard(Place(remote.place), Address(remote.address), update, self._clock())
         self._heard[HostId(remote.host)] = heard
@@ -143,7 +143,7 @@
         self._node.notify_all(self._listeners, update)
 
     def ready(self) -> Sequence[ReadyEntry]:
-        """Return the other entries that are ready, by news that is fresh."""
+        """Return the other entries that are ready, by updates that are fresh."""
         now = self._clock()
         return [
             ReadyEntry(host, heard.place, Address(heard.update.caller_address))
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -262,7 +262,7 @@
 
 
 def _own_keys(update: FeedUpdate) -> Iterator[str]:
-    """Yield the keys of our own rows in the news."""
+    """Yield the keys of our own rows in the update."""
     for change in update.changes:
         match change:
             case Put(MemberEntry(member)):
--- a/src/lacewinggw/loader/assignment.py
+++ b/src/lacewinggw/loader/assignment.py
@@ -22,7 +22,7 @@
 
 MS_PER_S = 1000.0
 FRESH_S = (
-    4.0  # news of entries comes every 1.5 s; after more than two that did not, the store is read
+    4.0  # updates of entries come every 1.5 s; after more than two that did not, the store is read
 )
 
 log = get_logger(__name__)
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -1,4 +1,4 @@
-"""The agent process of a declared fleet: weights for the target beside it, and news of its work."""
+"""The agent process of a declared fleet: weights for its target, and updates of its work."""
 
 import asyncio
 import random
@@ -59,9 +59,9 @@
 MS_PER_S = 1000.0
 COPY_FACTOR = 1.3  # a copy takes that much longer than over a link of its own
 REPORT_S = 0.1  # the target is asked for its state so often: free from its own host
-UNCHANGED_S = 0.6  # between news that say the same again
-# Between news of the target's work: a border between regions is narrow and priced. They tell whom
-# to ask for a slot first, so much later they would send more requests to busy targets.
+UNCHANGED_S = 0.6  # between updates that say the same again
+# Between updates of the target's work: a border between regions is narrow and priced. They tell
+# whom to ask for a slot first, so much later they would send more requests to busy targets.
 UPDATE_S = 0.2
 # Until an agent that starts reads the store, drawn between the two: entries send it all that it
 # needs in some hundred bytes, while the routes of agents that start together would fill a border.
@@ -437,7 +437,7 @@
             follower.interrupt()
 
     def _notify_entries(self) -> None:
-        """Send news of the target's work to the entries that listen, when it has changed."""
+        """Send updates of the target's work to the entries that listen, when it has changed."""
         if self._begins_nothing:
             self._look_after_slots()
         now = self._clock()
