Take the pace of starts only while requests wait, and let late ones wait where it pays

Cause: the pace of starts counted pauses in demand, so clumps of a calm hour seemed without a prospect; and late ones left as soon as one that could be on time waited. Change: the pace is taken from when somebody waits. Late ones go by the same rule. They wait in full where at least three in ten of those that waited lately started, else briefly; who started at once is not counted, as it says nothing of waiting.

--- a/src/lacewinggw/decisions/punctuality.py
+++ b/src/lacewinggw/decisions/punctuality.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from lacewinggw.decisions.routes import EngineFigures, Route
+from lacewinggw.decisions.waiting import LATE_LEAST
 from lacewinggw.ids import RouteName
 
 # What a refused caller is told to stay away, at the least. Callers choose the time that they give a
@@ -22,6 +23,9 @@
 PLAIN_SHARE = 0.4  # of the objective that a plain target takes; operators set it at 3 to 5 times
 LATE_PATIENCE_S = 1.5  # of a request that is late already
 LATE_SHARE = 0.5  # of the time that it has left, so that the answer has the other half
+# Of the late requests that waited, as many must have started lately for a wait to be offered: below
+# it most callers would be held only to be refused. A few still wait a little, and show a change.
+WORTH_WAITING = 0.3
 
 
 @dataclass(frozen=True)
@@ -83,4 +87,5 @@
     spare_s = route.objective_s - elapsed_s - first_part_s(route, engine, prompt_tokens)
     if spare_s > 0:
         return Patience(min(spare_s, left_s), is_late=False)
-    return Patience(late_share * min(LATE_PATIENCE_S, LATE_SHARE * left_s), is_late=True)
+    offered = late_share if late_share >= WORTH_WAITING else LATE_LEAST
+    return Patience(offered * min(LATE_PATIENCE_S, LATE_SHARE * left_s), is_late=True)
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -30,11 +30,7 @@
 # Of prompts that a target has yet to read. Each delays the first events of all that came with it,
 # so a slot that falls free while there are more waits: two prompts of usual length.
 READING_MOST_S = 0.15
-# Late ones that wait at one target.
-WAITING_LATE = 8
-# Until those that can be on time have started, behind which a late one waits: what comes meanwhile
-# goes before it too.
-LATE_BEHIND_S = 0.05
+PACE_MEMORY = 0.1  # weight of one start in the usual time between two
 
 
 @dataclass(frozen=True)
@@ -84,6 +80,8 @@
     _given: int = 0
     _correction: int = 0
     _read_by: float = 0.0
+    _waited_since: float = 0.0  # the last start, or when somebody began to wait after it
+    _start_gap_s: float = 0.0  # between two starts while requests wait; 0 until known
 
     @property
     def taken(self) -> int:
@@ -109,6 +107,8 @@
 
     def ask(self, lease: LeaseId, wish: SlotWish, now: float) -> None:
         """Take a request for a slot into the line."""
+        if not self.waiting:
+            self._waited_since = now
         until = now + wish.wait_s
         waiter = self._line.join(wish.rank, wish.is_late, until, now - wish.waited_s)
         self._leases[lease] = _Lease(wish, waiter)
@@ -128,17 +128,9 @@
         The first one in line always has one. The others do if those before them start in time, by
         the pace of the last starts.
         """
-        gap_s = self._line.start_gap_s
-        on_time = late = 0
         dropped: list[LeaseId] = []
-        for waiter in self._line.in_order():
-            if waiter.is_late:
-                has_prospect = late < WAITING_LATE and on_time * gap_s <= LATE_BEHIND_S
-            else:
-                has_prospect = not on_time or (on_time + 1) * gap_s <= waiter.until - now
-            late += waiter.is_late
-            on_time += not waiter.is_late
-            if not has_prospect:
+        for ahead, waiter in enumerate(self._line.in_order()):
+            if ahead and (ahead + 1) * self._start_gap_s > waiter.until - now:
                 dropped.append(self._waiting[id(waiter)])
         for lease in dropped:
             self._forget(lease)
@@ -174,7 +166,8 @@
                 if lease.wish.is_late:
                     continue
                 return
-            self._line.note_start(now)
+            self._start_gap_s += PACE_MEMORY * (now - self._waited_since - self._start_gap_s)
+            self._waited_since = now
             self._leave_line(lease)
             lease.given_at = now
             self._given += 1
--- a/src/lacewinggw/decisions/waiting.py
+++ b/src/lacewinggw/decisions/waiting.py
@@ -61,11 +61,6 @@
         """
         return max(LATE_LEAST, self._late_share)
 
-    @property
-    def start_gap_s(self) -> float:
-        """The usual time between two starts while requests wait, in seconds; 0 until known."""
-        return self._start_gap_s
-
     def note_late_end(self, started: bool) -> None:
         """Note whether a late request that waited has started."""
         self._late_share += LATE_MEMORY * (float(started) - self._late_share)
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -28,6 +28,8 @@
 ABSENT_RETURN_S = (1.2, 2.0)
 # A burst lasts some seconds, and callers wait for a third of their time.
 RETURN_S = (RETURN_LEAST_S, 2.0)
+# A late request that starts within it found a free slot, which says nothing of those that wait.
+AT_ONCE_S = 0.03
 MS_PER_S = 1000
 
 log = get_logger(__name__)
@@ -119,7 +121,7 @@
         )
         lease = await search.find(until)
         line = self._lines[wish.service]
-        if is_late:
+        if is_late and _now() - began > AT_ONCE_S:
             line.note_late_end(started=lease is not None)
         if lease is None:
             raise _overloaded(wish)
