--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -7,10 +7,9 @@
 those that ask for more in one line for all entries, the most urgent first, the newest of them
 before older ones.
 
-The line is short. A slot goes to the newest, so in an overload a request that others have overtaken
-at every agent it asked starts only by chance, while its caller is held; it is let go at once. Where
-few wait nobody is overtaken, and a request may wait as long as it can be on time. No rate or share
-is learned for that, so nothing lags behind a load that swings.
+A request leaves the line once those before it would not all start in its time, by the pace of the
+last starts. In an overload slots go to newer ones, so it would start only by chance while its
+caller is held. Where few wait nobody has to leave, so the rule follows a load that swings at once.
 
 A lease ends when its entry says so, or when the link to it breaks. What the target itself reports
 corrects the count: requests that nobody has a lease for take room, and leases of entries that fell
