Log the limits that targets name in their answers

Answers are decoded with the limit, and an entry logs each change with what it has begun at the target so far. No decision goes by it yet.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -153,6 +153,7 @@
         if load.in_flight == 0:
             load.busy_since = now
         load.in_flight += 1
+        load.begun += 1
         load.reading_s += reading_s
         load.health.note_begin(now)
         return Claim(load, reading_s)
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -10,6 +10,7 @@
 from lacewinggw.decisions.ejection import Health
 from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetrate import TargetRate
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
@@ -41,6 +42,7 @@
 
     entry: TargetEntry
     in_flight: int = 0
+    begun: int = 0  # requests of this entry, in all
     reading_s: float = 0.0  # that it takes to read the prompts of own calls that have no event yet
     reported: int = 0  # running and queued, by the last report
     reported_own: int = 0  # of those, own ones when the report came
@@ -54,6 +56,7 @@
     update: LinkDelay = field(default_factory=LinkDelay)
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
+    rate: TargetRate = field(default_factory=TargetRate)
 
     def ahead(self, now: float) -> float:
         """Return how many requests are ahead of one more."""
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -85,6 +85,7 @@
     With `not_run` the target says that it did not run the request; `call_id` is the request that
     the answer belongs to, `sealed` whether it bears the target's mark, `version` the version of the
     weights that it comes from, `answered_by` the target at the address, where the answer names it.
+    `limit_per_s` is how many requests a second the target asks for, of all entries together.
     """
 
     call_id: str | None
@@ -92,6 +93,7 @@
     sealed: bool
     version: int | None = None
     answered_by: TargetName | None = None
+    limit_per_s: float | None = None
 
 
 class CallCodec(Protocol):
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -25,6 +25,7 @@
     Dispatch,
     pass_on,
 )
+from lacewinggw.frontend.targetrates import TargetRates
 from lacewinggw.wire.events import EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
@@ -106,9 +107,10 @@
     proves that nothing was sent.
     """
 
-    def __init__(self, http: HttpClient, codec: CallCodec) -> None:
+    def __init__(self, http: HttpClient, codec: CallCodec, rates: TargetRates) -> None:
         self._http = http
         self._codec = codec
+        self._rates = rates
 
     async def send(
         self, job: Admitted, load: TargetLoad, sending: Sending, limits: OfferLimits
@@ -124,6 +126,7 @@
             resume_after=sending.resume_after,
         )
         headers = self._codec.write_call(pass_on(job.call.headers), dispatch)
+        asked_at = self._rates.read_clock()
         try:
             response = await self._http.stream(
                 load.entry.address,
@@ -144,22 +147,25 @@
             return Lost("no answer in time", silent=True)
         except (OSError, HttpError) as error:
             return Lost(f"no answer: {error}")
-        return await self._sort(job, load, response)
+        return await self._sort(job, load, response, asked_at)
 
     async def _sort(
-        self, job: Admitted, load: TargetLoad, response: StreamedResponse
+        self, job: Admitted, load: TargetLoad, response: StreamedResponse, asked_at: float
     ) -> Answer | NotRun | Lost:
         load.note_heard(asyncio.get_running_loop().time())
         facts = self._codec.read_answer(response.status, response.headers)
         if facts.call_id not in (None, job.facts.call_id):
             await response.aclose()
             return Lost("the answer belongs to another request")
+        is_gone = facts.answered_by not in (None, load.entry.name)
+        if not is_gone:
+            self._rates.note_answer(load, facts, asked_at)
         if facts.not_run:
             await response.aclose()
             return NotRun(
                 f"the target answered {response.status}",
                 full=response.status == BUSY,
-                is_gone=facts.answered_by not in (None, load.entry.name),
+                is_gone=is_gone,
             )
         return Answer(response.status, response.headers, facts, response)
 
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -33,6 +33,7 @@
 from lacewinggw.frontend.reading import ReadingDuties
 from lacewinggw.frontend.relay import Relay, RelayParts
 from lacewinggw.frontend.sight import Sight
+from lacewinggw.frontend.targetrates import TargetRates
 from lacewinggw.frontend.vouching import Voucher
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
@@ -153,6 +154,7 @@
             ),
             rng,
         )
+        self._rates = TargetRates(self.pool, clock, self.metrics)
         self._agents = AgentLinks(
             self._node,
             self._host,
@@ -207,7 +209,7 @@
                 pool=self.pool,
                 queue=self.queue,
                 placing=placing,
-                offers=Offers(self._http, adapter.codec),
+                offers=Offers(self._http, adapter.codec, self._rates),
                 crashes=self._crashes,
                 clock=clock,
                 metrics=self.metrics,
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -262,6 +262,7 @@
     pause_s: float = 0.01
     events: int = 5
     wrong_id: bool = False
+    limit_per_s: float | None = None  # that it names in its answers
     crashes_on: frozenset[bytes] = frozenset()  # bodies: it ends after the first event of such one
     back_s: float = 2.5  # after an end, under another id
 
@@ -334,6 +335,8 @@
             "x-attempt-id": "other" if behaviour.wrong_id else request.headers["x-attempt-id"],
             "x-response-seal": f"seal-of-{self.target_id}",
         }
+        if behaviour.limit_per_s is not None:
+            headers["server-limit"] = f"{behaviour.limit_per_s:g}"
         if request.headers.get("x-expected-instance") != self.target_id:
             return Response(421, {"x-instance-id": self.target_id})
         if behaviour.shed > 0:
