Share out the requests that a target in need asks for among entries

Callers saw targets that asked for 1 and 1.9 requests a second get 29 and 20 in 4 s, where the rule allows 11 and 16: as many as before they asked.

Cause: the limit in an answer was no part of what an entry decides by. A target's capacity was its slots alone, and the head that names the limit was only passed on to the caller. Evidence: the entries' lines target_limit_changed have begun=1, so each entry knew after its first request, and the two targets then got 88 and 90 of 718 requests, the others 61 to 91; 31 in 4 s at 1 a second.

Why this holds: what an entry may begin at a target is an allowance, asked at every place where a target is chosen, with agents and without, and spent at the one place where a request begins. A few entries hold it, by rendezvous among all that are listed, those of the target's place first: two for each request a second and three more, an equal share each, one request saved up at most. So all that is saved, spent at one moment, and what comes in 4 s are six times the limit and three requests; the rule allows six times and five. Entries tell each other what answers say, so those that may not ask learn when the need is over. A request that no target could take in its time is refused at once.

Weighed: a limit kept by each entry (as many times over as there are entries), the n-th part for each of n entries (98 saved requests at one moment break it, and fractions of one let nothing through).

--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -198,6 +198,16 @@
 // The age is a guess where the sender has just started and found the version named already.
 struct NamedModelVersion { 1: string model, 2: i64 version, 3: i64 age_ms, 4: bool is_guess = false }
 
+// What an answer said of a target `age_ms` ago: that it takes `per_s` requests a second of all entries
+// together, or that it does not limit them any more. Passed on where the sender was told it itself.
+struct TargetLimit {
+  1: string target
+  2: bool limited
+  3: double per_s
+  4: i64 age_ms
+  5: bool passed_on
+}
+
 // From entry to entry, on change and now and then: whether callers may be sent to the sender, and
 // how old its knowledge of the routes is. Ages are spans, so no clocks are compared.
 struct EntryUpdate {
@@ -212,6 +222,7 @@
   10: i64 targets_age_ms         // the sender's list of targets was the store's so long ago
   11: i64 targets_digest         // of the starts of targets on it, and of those that leave
   12: i64 store_era = 0          // in which `routes_position` counts
+  13: list<TargetLimit> limits = []
 }
 // Before the answer to a question that wants newer routes: the routes as the store has them, zlib, in
 // parts, so that one who takes them over a narrow link sees them come.
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -154,6 +154,8 @@
             load.busy_since = now
         load.in_flight += 1
         load.begun += 1
+        if load.allowance is not None:
+            load.allowance.spend(now)
         load.reading_s += reading_s
         load.health.note_begin(now)
         return Claim(load, reading_s)
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -10,7 +10,7 @@
 from lacewinggw.decisions.ejection import Health
 from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
-from lacewinggw.decisions.targetrate import TargetRate
+from lacewinggw.decisions.targetrate import Allowance, TargetRate
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
@@ -57,6 +57,7 @@
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
     rate: TargetRate = field(default_factory=TargetRate)
+    allowance: Allowance | None = None  # of this entry; None while the target names no limit
 
     def ahead(self, now: float) -> float:
         """Return how many requests are ahead of one more."""
@@ -87,8 +88,19 @@
         return self.is_heard(now) and self.unanswered_until <= now
 
     def takes_requests(self, now: float) -> bool:
-        """Return whether the target begins requests: it neither loads nor just said "full"."""
-        return max(self.full_until, self.loading_until) <= now
+        """Return whether the target begins requests of this entry, as far as it has slots.
+
+        It neither loads nor just said "full", and its limit leaves this entry one more.
+        """
+        return max(self.full_until, self.loading_until) <= now and self.is_allowed(now)
+
+    def is_allowed(self, now: float) -> bool:
+        """Return whether the target's limit, if it names one, leaves this entry one more."""
+        return self.allowance is None or self.allowance.is_open(now)
+
+    def allowed_at(self, now: float) -> float:
+        """Return from when on the target's limit leaves this entry one more request."""
+        return now if self.allowance is None else self.allowance.opens_at(now)
 
     def note_heard(self, now: float) -> None:
         """Note that part of an answer came."""
--- a/src/lacewinggw/decisions/targetrate.py
+++ b/src/lacewinggw/decisions/targetrate.py
@@ -1,12 +1,43 @@
-"""How many requests a second a target asks for while it is in need.
+"""How many requests a second a target asks for while it is in need, and who may send them.
 
-A target names a limit in its answers, for all entries together and for as long as its answers have
-one. Answers overtake each other: one without a limit ends it only if its request was sent after the
+The load it answers: many entries before one target that names a limit for all of them together.
+An entry that kept the limit by itself would let through as many times as much as there are entries,
+and a share for each of 98 entries would give none of them a whole request in a minute. So a few
+entries hold the right to send, more of them for a larger limit, and each of these has an equal
+share. Every entry works out from the list of entries whether it is one of them: nobody is asked,
+and no clocks are compared.
+
+Answers overtake each other: one without a limit ends it only if its request was sent after the
 limit was seen.
 """
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
+
+from lacewinggw.decisions.pollers import ranked
+from lacewinggw.decisions.readers import KnownEntry
+from lacewinggw.ids import HostId, Place, TargetId
+
+# Each holder may have one request saved up. With two holders for each request a second and three
+# more, all that is saved, spent at one moment, is half of what the target asks for in four seconds
+# and three requests.
+HOLDERS_PER_RATE = 2
+HOLDERS_LEAST = 3
+# A target that asks for less still gets this much: only an answer tells that its need is over.
+LEAST_PER_S = 0.2
+# An update of the same limit counts once it is so much newer: each is a little older on arrival
+# than it looks, and would go back and forth.
+REFRESH_S = 0.25
+
+
+class Source(Enum):
+    """How this entry knows of a limit."""
+
+    ANSWER = "answer"  # by an answer of the target itself
+    NEAR = "near"  # an entry of this place has had such an answer
+    FAR = "far"  # by an entry that was told so itself
 
 
 @dataclass
@@ -19,11 +50,88 @@
 
     per_s: float | None = None
     seen_at: float = -math.inf
+    source: Source = Source.ANSWER
 
     def note_answer(self, per_s: float | None, asked_at: float, now: float) -> bool:
         """Take what an answer to a request sent at `asked_at` says; return whether it is new."""
         if per_s is None and (self.per_s is None or asked_at < self.seen_at):
             return False
+        return self._take(per_s, now, Source.ANSWER)
+
+    def note_update(self, per_s: float | None, seen_at: float, source: Source) -> bool:
+        """Take what another entry saw at `seen_at`; return whether it is new."""
+        margin_s = REFRESH_S if per_s == self.per_s else 0.0
+        if seen_at <= self.seen_at + margin_s:
+            return False
+        return self._take(per_s, seen_at, source)
+
+    def _take(self, per_s: float | None, seen_at: float, source: Source) -> bool:
         is_new = per_s != self.per_s
-        self.per_s, self.seen_at = per_s, now
+        self.per_s, self.seen_at, self.source = per_s, seen_at, source
         return is_new
+
+
+@dataclass
+class Allowance:
+    """What one entry may send to a target that names a limit: `share_per_s`, one saved at most.
+
+    Times are in seconds of the caller's clock. Nothing is saved up at first.
+
+        allowance = Allowance(share_per_s=0.5, now=now)
+        if allowance.is_open(now):
+            allowance.spend(now)
+    """
+
+    share_per_s: float
+    now: float
+    _saved: float = 0.0
+
+    def is_open(self, now: float) -> bool:
+        """Return whether one more request may be sent."""
+        return now >= self.opens_at(now)
+
+    def opens_at(self, now: float) -> float:
+        """Return when the next request may be sent; never, for an entry without a share."""
+        self._save(now)
+        if self._saved >= 1.0:
+            return now
+        return now + (1.0 - self._saved) / self.share_per_s if self.share_per_s else math.inf
+
+    def spend(self, now: float) -> None:
+        """Note that a request is sent."""
+        self._save(now)
+        self._saved = max(0.0, self._saved - 1.0)
+
+    def set_share(self, share_per_s: float, now: float) -> None:
+        """Go on with another share; an entry that loses its share loses what it had saved."""
+        self._save(now)
+        self.share_per_s = share_per_s
+        if not share_per_s:
+            self._saved = 0.0
+
+    def _save(self, now: float) -> None:
+        earned = self.share_per_s * max(0.0, now - self.now)
+        self._saved = min(1.0, self._saved + earned)
+        self.now = max(self.now, now)
+
+
+def share_of(
+    me: HostId, target: TargetId, place: Place, per_s: float, entries: Iterable[KnownEntry]
+) -> float:
+    """Return how many requests a second an entry may send to a target in `place`; mostly 0."""
+    holders = choose_holders(target, place, per_s, entries)
+    return max(per_s, LEAST_PER_S) / len(holders) if me in holders else 0.0
+
+
+def choose_holders(
+    target: TargetId, place: Place, per_s: float, entries: Iterable[KnownEntry]
+) -> list[HostId]:
+    """Return the entries that may send to a target: those of its place before others.
+
+    They hear the agent beside the target, and what they send crosses no border.
+    """
+    known = list(entries)
+    near = ranked(f"limit of {target}", (each.host for each in known if each.place == place))
+    far = ranked(f"limit of {target}", (each.host for each in known if each.place != place))
+    count = HOLDERS_LEAST + math.floor(HOLDERS_PER_RATE * per_s)
+    return [HostId(host) for host in [*near, *far][:count]]
--- a/src/lacewinggw/frontend/entryupdates.py
+++ b/src/lacewinggw/frontend/entryupdates.py
@@ -21,11 +21,12 @@
     targets_age_s: float,
     caller_address: Address,
     ready: bool,
+    limits: Sequence[messages.TargetLimit],
     now: float,
 ) -> messages.EntryUpdate:
     """Return the update of an entry; `routes_position` is how far it knows the store's changes.
 
-    `targets_age_s` ago its list of targets was the store's.
+    `targets_age_s` ago its list of targets was the store's. `limits` are those that targets name.
     """
     routes = knowledge.routes
     return messages.EntryUpdate(
@@ -45,6 +46,7 @@
         store_era=routes_position.era,
         targets_age_ms=_to_told_ms(targets_age_s),
         targets_digest=digest_targets(knowledge),
+        limits=list(limits),
     )
 
 
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -154,7 +154,15 @@
             ),
             rng,
         )
-        self._rates = TargetRates(self.pool, clock, self.metrics)
+        self._rates = TargetRates(
+            self.pool,
+            self._me,
+            self._listed,
+            lambda: self._duties.is_reader,
+            self._neighbours.note_change,
+            clock,
+            self.metrics,
+        )
         self._agents = AgentLinks(
             self._node,
             self._host,
@@ -350,6 +358,7 @@
 
     def _note_members(self) -> None:
         self._neighbours.set_members(self._sight.members.values())
+        self._rates.note_members()
 
     def _readiness(self) -> Readiness:
         version = self.knowledge.routes.version if self.knowledge.routes else 0
@@ -405,6 +414,7 @@
             self._sight.targets_age(self._clock()),
             self._member().caller_address,
             self.is_ready,
+            self._rates.compose_updates(),
             self._clock(),
         )
 
@@ -413,6 +423,7 @@
         self._sight.era.note(update.store_era)
         for target in update.leaving:
             self.knowledge.note_leaving(TargetId(target))
+        self._rates.apply_updates(entry, update.limits)
         self._fetcher.note_update(entry, update)
 
 
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -93,8 +93,9 @@
             load = self._pool.choose(fitting, now, is_late)
             if load is not None:
                 return self._begin(line, load, wish, now)
+        allowed_at = min(load.allowed_at(now) for load in fitting)
         expected_s = line.expected_wait(priority, is_late)
-        if now + expected_s > until:
+        if max(allowed_at, now + expected_s) > until:
             raise _overloaded(wish)
         return await self._wait_for(line, wish, line.join(priority, is_late, until))
 
@@ -119,7 +120,7 @@
             slot_wish,
             arrived_at=began,
         )
-        lease = await search.find(until)
+        lease = await self._find_allowed(search, until)
         line = self._lines[wish.service]
         if is_late and _now() - began > AT_ONCE_S:
             line.note_late_end(started=lease is not None)
@@ -131,6 +132,17 @@
         self._leases[id(claim)] = lease
         return claim
 
+    async def _find_allowed(self, search: SlotSearch, until: float) -> Lease | None:
+        """Return a slot of a target whose limit still leaves this entry one more request.
+
+        Others of this entry may have taken it while this one waited in line.
+        """
+        while True:
+            lease = await search.find(until)
+            if lease is None or lease.load.is_allowed(_now()):
+                return lease
+            lease.end()
+
     def late_share(self, service: ServiceName) -> float:
         """Return the share of late requests for a service that started lately."""
         return self._lines[service].late_share
--- a/tests/fleet/limiting.py
+++ b/tests/fleet/limiting.py
@@ -9,6 +9,8 @@
 from declared_fleet import DeclaredFleet, Reply
 from platform_standins import TargetStandIn
 
+from lacewinggw.frontend.process import FrontendProcess
+
 NOTICE_S = 3.0  # what entries have from the first answer with a limit on
 TOLD_S = 0.5  # an entry is held to a limit so long after it has passed on an answer with it
 SPAN_S = 4.0
@@ -107,5 +109,12 @@
         name_limit(fleet.targets[f"engine{number}"], per_s)
 
 
+def limited(entry: FrontendProcess) -> int:
+    """Return how many targets name a limit, as an entry knows."""
+    wanted = "lacewinggw_targets_limited "
+    lines = [line for line in entry.metrics.render().splitlines() if line.startswith(wanted)]
+    return round(float(lines[0].removeprefix(wanted)))
+
+
 def now() -> float:
     return asyncio.get_running_loop().time()
--- a/tests/fleet/test_targetrate.py
+++ b/tests/fleet/test_targetrate.py
@@ -1,9 +1,23 @@
-"""What is believed of a target's limit: answers overtake each other."""
+"""What is believed of a target's limit, and what of it each entry may send."""
+
+import math
+import random
 
 import pytest
 from lacewinggw_platform.heads import PlatformHeads
+from limiting import EXCESS, EXTRA, SPAN_S, busiest_span
 
-from lacewinggw.decisions.targetrate import TargetRate
+from lacewinggw.decisions.readers import KnownEntry
+from lacewinggw.decisions.targetrate import (
+    HOLDERS_LEAST,
+    HOLDERS_PER_RATE,
+    LEAST_PER_S,
+    Allowance,
+    Source,
+    TargetRate,
+    choose_holders,
+    share_of,
+)
 
 
 def test_a_limit_is_new_once_and_when_it_changes():
@@ -39,3 +53,81 @@
 )
 def test_what_cannot_be_read_as_a_limit_counts_as_none(said, per_s):
     assert PlatformHeads().read_answer(200, said).limit_per_s == per_s
+
+
+def test_an_update_counts_if_it_is_newer_and_not_just_by_its_way():
+    rate = TargetRate()
+    rate.note_answer(1.5, asked_at=0.0, now=1.0)
+    assert not rate.note_update(None, seen_at=0.9, source=Source.NEAR)
+    assert not rate.note_update(1.5, seen_at=1.01, source=Source.NEAR)
+    assert rate.source is Source.ANSWER
+    assert rate.note_update(None, seen_at=1.01, source=Source.NEAR)
+    assert (rate.per_s, rate.source) == (None, Source.NEAR)
+
+
+def test_an_allowance_saves_one_request_and_starts_with_none():
+    allowance = Allowance(0.5, now=10.0)
+    assert allowance.opens_at(11.0) == pytest.approx(12.0)
+    assert not allowance.is_open(11.9)
+    assert allowance.is_open(60.0)
+    allowance.spend(60.0)
+    assert not allowance.is_open(61.9) and allowance.is_open(62.0)
+    allowance.set_share(0.0, 62.0)
+    assert allowance.opens_at(90.0) == math.inf
+    allowance.set_share(1.0, 90.0)
+    assert allowance.opens_at(90.0) == pytest.approx(91.0)
+
+
+def entries_of(count: int, places: int = 3) -> list[KnownEntry]:
+    return [
+        KnownEntry(f"entry-{number}", f"place-{number % places}", f"10.1.0.{number}:7700")
+        for number in range(count)
+    ]
+
+
+@pytest.mark.parametrize("count", [1, 2, 8, 42, 98, 870])
+@pytest.mark.parametrize("per_s", [0.3, 1.0, 1.9, 7.5, 60.0])
+def test_the_shares_of_all_entries_are_the_limit(count, per_s):
+    entries = entries_of(count)
+    shares = [share_of(each.host, "target", "place-1", per_s, entries) for each in entries]
+    assert sum(shares) == pytest.approx(per_s)
+    assert sum(share > 0 for share in shares) <= HOLDERS_LEAST + HOLDERS_PER_RATE * per_s
+
+
+def test_entries_of_the_targets_place_come_first():
+    entries = entries_of(30)
+    holders = choose_holders("target", "place-1", 2.0, entries)
+    places = {each.host: each.place for each in entries}
+    assert [places[host] for host in holders] == ["place-1"] * len(holders)
+
+
+def test_a_target_that_takes_nothing_is_asked_now_and_then_whether_it_does_again():
+    entries = entries_of(8)
+    shares = [share_of(each.host, "target", "place-1", 0.0, entries) for each in entries]
+    assert 0.0 < sum(shares) <= LEAST_PER_S
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("count", [8, 42, 98])
+@pytest.mark.parametrize("per_s", [0.0, 0.5, 1.0, 1.9, 8.0, 30.0])
+def test_a_burst_after_a_pause_stays_within_the_limit_and_what_was_saved(count, per_s, seed):
+    """Entries join and leave meanwhile, and take part in the shares from then on."""
+    rng = random.Random(f"{seed} {count} {per_s}")
+    entries = entries_of(count)
+    allowances: dict[str, Allowance] = {}
+    sent: list[float] = []
+    now = 0.0
+    while now < 40.0:
+        now += 0.05
+        if rng.random() < 0.01 or not allowances:
+            entries.pop(rng.randrange(len(entries)))
+            entries.append(KnownEntry(f"late-{now}", "place-1", "10.1.0.200:7700"))
+            holders = choose_holders("target", "place-1", per_s, entries)
+            for each in entries:
+                share = max(per_s, LEAST_PER_S) / len(holders) if each.host in holders else 0.0
+                allowances.setdefault(each.host, Allowance(0.0, now)).set_share(share, now)
+        if 10.0 < now < 12.0 or now > 25.0:
+            for host in [host for host in holders if allowances[host].is_open(now)]:
+                allowances[host].spend(now)
+                sent.append(now)
+    assert busiest_span(sent) <= EXCESS * per_s * SPAN_S + EXTRA
