Tell the others at once only that a limit is there or over

A target that names a new number in each answer had each of its answers told to all entries of the place. Two unit tests: one of them failed before (50 updates for 50 answers, now one).

--- a/src/lacewinggw/frontend/targetrates.py
+++ b/src/lacewinggw/frontend/targetrates.py
@@ -26,7 +26,7 @@
 
     `listed` gives the entries on the store's list, None while it is not here. `passes_on` says
     whether this entry tells other places what those of its own have seen, and `on_change` is called
-    when there is something new to tell.
+    when the others are to be told at once: a limit is there, or over.
 
         asked_at = rates.read_clock()
         ...
@@ -124,7 +124,9 @@
             begun=load.begun,
             in_flight=load.in_flight,
         )
-        self._on_change()
+        # Another number is told with the next update: a target may name a new one in each answer.
+        if (before is None) != (load.rate.per_s is None):
+            self._on_change()
 
     def _share(self, load: TargetLoad) -> None:
         """Work out what this entry may send to a target."""
--- a/tests/fleet/test_targetrate.py
+++ b/tests/fleet/test_targetrate.py
@@ -1,5 +1,6 @@
 """What is believed of a target's limit, and what of it each entry may send."""
 
+import asyncio
 import math
 import random
 
@@ -7,7 +8,11 @@
 from lacewinggw_platform.heads import PlatformHeads
 from limiting import EXCESS, EXTRA, SPAN_S, busiest_span
 
-from lacewinggw.decisions.readers import KnownEntry
+from lacewinggw.decisions.dispatch import TargetPool
+from lacewinggw.decisions.ejection import EjectionRules
+from lacewinggw.decisions.readers import KnownEntry, Self
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.decisions.targetrate import (
     HOLDERS_LEAST,
     HOLDERS_PER_RATE,
@@ -18,6 +23,9 @@
     choose_holders,
     share_of,
 )
+from lacewinggw.frontend.calls import AnswerFacts
+from lacewinggw.frontend.targetrates import TargetRates
+from lacewinggw.metrics import Metrics
 
 
 def test_a_limit_is_new_once_and_when_it_changes():
@@ -131,3 +139,43 @@
                 allowances[host].spend(now)
                 sent.append(now)
     assert busiest_span(sent) <= EXCESS * per_s * SPAN_S + EXTRA
+
+
+def target_rates(told: list[float]) -> tuple[TargetRates, TargetLoad]:
+    """Return the limits as an entry keeps them, and one target; `told` gets when it has news."""
+    pool = TargetPool("hall", EjectionRules(), random.Random(1))
+    entry = TargetEntry("desk", "desk", "10.3.0.1:8080", "hall")
+    pool.sync({entry.target: entry})
+    now = asyncio.get_running_loop().time
+    rates = TargetRates(
+        pool,
+        Self("entry-0", "hall"),
+        lambda: [KnownEntry("entry-0", "hall", "10.1.0.1:7700")],
+        lambda: False,
+        lambda: told.append(now()),
+        now,
+        Metrics(),
+    )
+    return rates, pool.loads[entry.target]
+
+
+@pytest.mark.looptime
+async def test_a_limit_that_changes_with_each_answer_is_not_told_with_each():
+    told: list[float] = []
+    rates, load = target_rates(told)
+    for number in range(50):
+        rates.note_answer(load, AnswerFacts("a", False, True, limit_per_s=5.0 + number), 0.0)
+    assert len(told) == 1
+    assert load.allowance is not None and load.allowance.share_per_s == 54.0
+    await asyncio.sleep(0.1)
+    rates.note_answer(load, AnswerFacts("a", False, True), asyncio.get_running_loop().time())
+    assert len(told) == 2 and load.allowance is None
+
+
+@pytest.mark.looptime
+async def test_an_answer_that_the_target_has_not_marked_ends_no_limit():
+    rates, load = target_rates([])
+    rates.note_answer(load, AnswerFacts("a", False, True, limit_per_s=5.0), 0.0)
+    await asyncio.sleep(0.1)
+    rates.note_answer(load, AnswerFacts("a", True, False), asyncio.get_running_loop().time())
+    assert load.rate.per_s == 5.0
