--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -94,10 +94,13 @@
         self.knowledge = Knowledge(knowledge_rules(settings))
         self._settings = settings
         self._adapter = adapter
+        self._network = network
         self._clock = clock
+        self._rng = rng
         self._regions = dict(_split_regions(fleet.regions))
         self._host = HostId(process.host)
         self._place = Place(process.place)
+        self._me = Self(self._host, self._place)
         self._leaving = False
         self._packed_routes = PackedRoutes(self.knowledge)
         self.incarnation = new_incarnation(rng)
@@ -105,82 +108,117 @@
         self._node = PeerNode(
             network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
         )
-        self._neighbours = EntryNeighbours(
+        self._neighbours = self._make_neighbours()
+        self._fetcher = self._make_fetcher()
+        self._voucher = self._make_voucher()
+        self._duties = ReadingDuties(
+            self._me,
+            self.knowledge,
+            self._neighbours.known,
+            self._listed,
+            lambda: self._fetcher.is_fetching,
+            clock,
+        )
+        self.pool = TargetPool(self._place, _ejection_rules(settings), rng)
+        self._rates = self._make_rates()
+        self._agents = self._make_agents()
+        self._sight = self._make_sight()
+        slots = AgentSlots(self._node, self._agent_port)
+        self.queue = RequestQueue(self.knowledge, self.pool, self.metrics, slots.ask)
+        self._http = HttpClient(network, idle_connections=0)
+        self._crashes = self._make_crashes()
+        self.relay = self._make_relay()
+        self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
+        self._servers = self._make_servers()
+        self._announcer = Announcer(adapter.rows, self._member(), rng)
+        self._show_knowledge()
+
+    @classmethod
+    def from_config(cls, settings: Settings, adapter: FrontendAdapter) -> "FrontendProcess":
+        """Build the process that the settings describe."""
+        return cls(settings, adapter, TcpNetwork(), read_boot_clock, random.SystemRandom())
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        knows = self.knowledge.covers_keys(self._clock()) and self._sight.has_targets
+        return knows and not self._leaving
+
+    # ---- parts ----------------------------------------------------------------------------
+
+    @property
+    def _agent_port(self) -> str:
+        """The port on which agents listen: that of entries."""
+        return self._settings.entry.peer_listen.rpartition(":")[2]
+
+    def _make_neighbours(self) -> EntryNeighbours:
+        return EntryNeighbours(
             self._node,
             self._host,
             self._place,
             self._compose_update,
             self._apply_update,
             lambda: self._crashes.latest(),
-            clock,
-            rng,
+            self._clock,
+            self._rng,
         )
-        self._me = Self(self._host, self._place)
-        self._fetcher = RoutesFetcher(
+
+    def _make_fetcher(self) -> RoutesFetcher:
+        return RoutesFetcher(
             self._node,
             self._me,
             self.knowledge,
-            adapter.decode_routes,
+            self._adapter.decode_routes,
             self._neighbours.known,
             lambda: self._sight.leave_routes(),
             self._note_routes_taken,
-            clock,
+            self._clock,
             self.metrics,
         )
-        self._voucher = Voucher(
+
+    def _make_voucher(self) -> Voucher:
+        return Voucher(
             self._node,
             self._me,
             self.knowledge,
             self._neighbours.known,
             self._fetcher.note_update,
-            clock,
+            self._clock,
             self.metrics,
         )
-        self._duties = ReadingDuties(
-            self._me,
-            self.knowledge,
-            self._neighbours.known,
-            self._listed,
-            lambda: self._fetcher.is_fetching,
-            clock,
-        )
-        routing = settings.routing
-        self.pool = TargetPool(
-            self._place,
-            EjectionRules(
-                routing.eject_after,
-                routing.eject_ms / MS_PER_S,
-                routing.eject_limit_percent / PERCENT,
-            ),
-            rng,
-        )
-        self._rates = TargetRates(
+
+    def _make_rates(self) -> TargetRates:
+        return TargetRates(
             self.pool,
             self._me,
             self._listed,
             lambda: self._duties.is_reader,
             self._neighbours.note_change,
-            clock,
+            self._clock,
             self.metrics,
         )
-        self._agents = AgentLinks(
+
+    def _make_agents(self) -> AgentLinks:
+        return AgentLinks(
             self._node,
             self._host,
             self._place,
-            entry.peer_listen.rpartition(":")[2],
+            self._agent_port,
             self.knowledge,
             self.pool,
             self._ready_hosts,
-            clock,
-            rng,
+            self._clock,
+            self._rng,
         )
-        self._sight = Sight(
-            adapter.feed,
+
+    def _make_sight(self) -> Sight:
+        return Sight(
+            self._adapter.feed,
             self.knowledge,
             self.pool,
-            clock,
+            self._clock,
             self.metrics,
-            rng,
+            self._rng,
             self._duties.reads_often,
             self._duties.reads_routes,
             self._duties.is_list_vouched,
@@ -190,63 +228,52 @@
             lambda change: self._crashes.take_listed(change),
             self._note_restored,
         )
-        slots = AgentSlots(self._node, entry.peer_listen.rpartition(":")[2])
-        self.queue = RequestQueue(self.knowledge, self.pool, self.metrics, slots.ask)
-        self._http = HttpClient(network, idle_connections=0)
-        self._crashes = CrashWatch(
+
+    def _make_crashes(self) -> CrashWatch:
+        return CrashWatch(
             self._http,
-            adapter.rows,
+            self._adapter.rows,
             self._neighbours.tell,
             lambda: self._duties.is_reader,
-            clock,
+            self._clock,
             self.metrics,
-            rng,
+            self._rng,
         )
+
+    def _make_relay(self) -> Relay:
         placing = Placing(
             self.knowledge,
             self.queue,
-            clock,
+            self._clock,
             self._retry_limits,
             self._count_entries,
             self._crashes.is_suspect,
         )
-        self.relay = Relay(
+        return Relay(
             RelayParts(
-                codec=adapter.codec,
+                codec=self._adapter.codec,
                 knowledge=self.knowledge,
                 pool=self.pool,
                 queue=self.queue,
                 placing=placing,
-                offers=Offers(self._http, adapter.codec, self._rates),
+                offers=Offers(self._http, self._adapter.codec, self._rates),
                 crashes=self._crashes,
-                clock=clock,
+                clock=self._clock,
                 metrics=self.metrics,
-                rng=rng,
+                rng=self._rng,
                 on_gone=self._neighbours.note_change,
             )
         )
-        self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
-        ready = adapter.ready_page(lambda: self.is_ready)
-        directory = adapter.directory_page(self.resolve, self._address_ttl_s)
+
+    def _make_servers(self) -> list[HttpServer]:
+        ready = self._adapter.ready_page(lambda: self.is_ready)
+        directory = self._adapter.directory_page(self.resolve, self._address_ttl_s)
         pages = HealthPages(Health(self.metrics, self._readiness))
-        self._servers = [
-            HttpServer(network, entry.ready_listen, ready),
-            HttpServer(network, entry.directory_listen, directory),
-            HttpServer(network, entry.operator_listen, pages.handle),
+        return [
+            HttpServer(self._network, self._settings.entry.ready_listen, ready),
+            HttpServer(self._network, self._settings.entry.directory_listen, directory),
+            HttpServer(self._network, self._settings.entry.operator_listen, pages.handle),
         ]
-        self._announcer = Announcer(adapter.rows, self._member(), rng)
-        self._show_knowledge()
-
-    @classmethod
-    def from_config(cls, settings: Settings, adapter: FrontendAdapter) -> "FrontendProcess":
-        """Build the process that the settings describe."""
-        return cls(settings, adapter, TcpNetwork(), read_boot_clock, random.SystemRandom())
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether callers may be sent here."""
-        knows = self.knowledge.covers_keys(self._clock()) and self._sight.has_targets
-        return knows and not self._leaving
 
     # ---- life -----------------------------------------------------------------------------
 
@@ -427,6 +454,12 @@
         self._fetcher.note_update(entry, update)
 
 
+def _ejection_rules(settings: Settings) -> EjectionRules:
+    routing = settings.routing
+    out_s, limit = routing.eject_ms / MS_PER_S, routing.eject_limit_percent / PERCENT
+    return EjectionRules(routing.eject_after, out_s, limit)
+
+
 def _split_regions(items: Sequence[str]) -> Sequence[tuple[Place, str]]:
     pairs = [item.partition(":") for item in items]
     return [(Place(place), region) for place, _, region in pairs]
