--- a/src/lacewinggw/decisions/targetrate.py
+++ b/src/lacewinggw/decisions/targetrate.py
@@ -1,11 +1,10 @@
-"""How many requests a second a target asks for while it is in need, and who may send them.
+"""Rate limits that targets name in their answers, and the share of them that an entry may use.
 
-The load it answers: many entries before one target that names a limit for all of them together.
-An entry that kept the limit by itself would let through as many times as much as there are entries,
-and a share for each of 98 entries would give none of them a whole request in a minute. So a few
-entries hold the right to send, more of them for a larger limit, and each of these has an equal
-share. Every entry works out from the list of entries whether it is one of them: nobody is asked,
-and no clocks are compared.
+The load it answers: many entries before one target that limits all of them together. If each entry
+kept the limit by itself, the target would get as many times as much as there are entries; if each
+of 98 entries had a share, none of them could send a whole request in a minute. So a few entries
+hold the limit, more of them for a larger one, with an equal share each. Every entry works out from
+the list of entries whether it is one of them: nobody is asked, and no clocks are compared.
 
 Answers overtake each other: one without a limit ends it only if its request was sent after the
 limit was seen.
@@ -25,7 +24,7 @@
 # and three requests.
 HOLDERS_PER_RATE = 2
 HOLDERS_LEAST = 3
-# A target that asks for less still gets this much: only an answer tells that its need is over.
+# A target that allows less still gets this much, as only an answer tells that the limit is over.
 LEAST_PER_S = 0.2
 # An update of the same limit counts once it is so much newer: each is a little older on arrival
 # than it looks, and would go back and forth.
@@ -42,7 +41,7 @@
 
 @dataclass
 class TargetRate:
-    """The limit that a target has named last; `per_s` is None where there is none.
+    """The rate limit that a target has named last; `per_s` is None where there is none.
 
     `seen_at` is when the last answer came that named or ended a limit, in seconds of a clock that
     goes on while a host is suspended.
@@ -73,17 +72,17 @@
 
 @dataclass
 class Allowance:
-    """What one entry may send to a target that names a limit: `share_per_s`, one saved at most.
+    """A token bucket for one request: what an entry may send to a target that limits its rate.
 
-    Times are in seconds of the caller's clock. Nothing is saved up at first.
+    It fills by `share_per_s`, and is empty at first. Times are in seconds of the caller's clock.
 
-        allowance = Allowance(share_per_s=0.5, now=now)
+        allowance = Allowance(share_per_s=0.5, filled_at=now)
         if allowance.is_open(now):
             allowance.spend(now)
     """
 
     share_per_s: float
-    now: float
+    filled_at: float
     _saved: float = 0.0
 
     def is_open(self, now: float) -> bool:
@@ -92,27 +91,27 @@
 
     def opens_at(self, now: float) -> float:
         """Return when the next request may be sent; never, for an entry without a share."""
-        self._save(now)
+        self._fill(now)
         if self._saved >= 1.0:
             return now
         return now + (1.0 - self._saved) / self.share_per_s if self.share_per_s else math.inf
 
     def spend(self, now: float) -> None:
         """Note that a request is sent."""
-        self._save(now)
+        self._fill(now)
         self._saved = max(0.0, self._saved - 1.0)
 
     def set_share(self, share_per_s: float, now: float) -> None:
         """Go on with another share; an entry that loses its share loses what it had saved."""
-        self._save(now)
+        self._fill(now)
         self.share_per_s = share_per_s
         if not share_per_s:
             self._saved = 0.0
 
-    def _save(self, now: float) -> None:
-        earned = self.share_per_s * max(0.0, now - self.now)
+    def _fill(self, now: float) -> None:
+        earned = self.share_per_s * max(0.0, now - self.filled_at)
         self._saved = min(1.0, self._saved + earned)
-        self.now = max(self.now, now)
+        self.filled_at = max(self.filled_at, now)
 
 
 def share_of(
--- a/src/lacewinggw/frontend/targetrates.py
+++ b/src/lacewinggw/frontend/targetrates.py
@@ -1,4 +1,4 @@
-"""Limits that targets name in their answers: seen by this entry, told to the others, kept."""
+"""Rate limits of targets: taken from their answers, told to other entries, and kept."""
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
@@ -22,7 +22,7 @@
 
 
 class TargetRates:
-    """Keeps what this entry sends to targets within its share of the limits that they name.
+    """Keeps what this entry sends to targets within its share of their rate limits.
 
     `listed` gives the entries on the store's list, None while it is not here. `passes_on` says
     whether this entry tells other places what those of its own have seen, and `on_change` is called
--- a/tests/fleet/test_targetrate.py
+++ b/tests/fleet/test_targetrate.py
@@ -74,7 +74,7 @@
 
 
 def test_an_allowance_saves_one_request_and_starts_with_none():
-    allowance = Allowance(0.5, now=10.0)
+    allowance = Allowance(0.5, filled_at=10.0)
     assert allowance.opens_at(11.0) == pytest.approx(12.0)
     assert not allowance.is_open(11.9)
     assert allowance.is_open(60.0)
