--- a/tests/fleet/limiting.py
+++ b/tests/fleet/limiting.py
@@ -1,7 +1,6 @@
 """Callers of a fleet, and how the requests that reach a target keep to the limit that it names."""
 
 import asyncio
-import itertools
 import random
 from dataclasses import dataclass, field
 
@@ -105,7 +104,7 @@
 async def add_limited_engines(fleet: DeclaredFleet, engines: int, limits: list[float]) -> None:
     """Add engines with agents, of which the first ones name a limit each."""
     await add_engines(fleet, engines, pause_s=0.05, places=("hall", "room", "shed"))
-    for number, per_s in zip(itertools.count(), limits):
+    for number, per_s in enumerate(limits):
         name_limit(fleet.targets[f"engine{number}"], per_s)
 
 
