Log what targets say of leaving and of rest in their answers, and from whom an entry has it

`target_leaving` says since when an entry takes a target for leaving, and by whom: list, agent, entry or address. Nothing acts on the two headers yet.

--- a/src/lacewinggw/frontend/agents.py
+++ b/src/lacewinggw/frontend/agents.py
@@ -15,6 +15,7 @@
 from lacewinggw.decisions.targetlist import TargetEntry, start_of
 from lacewinggw.entry.watches import Watched, Watches
 from lacewinggw.fleet.agentupdates import FleetContent, compose_update, content_of
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.frontend.sight import Sight
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, HostId, ModelName, Place, ServiceName, TargetName
@@ -50,6 +51,7 @@
         port: str,
         knowledge: Knowledge,
         pool: TargetPool,
+        departures: Departures,
         speakers: Callable[[], Sequence[HostId]],
         clock: Clock,
         rng: random.Random,
@@ -60,6 +62,7 @@
         self._port = port
         self._knowledge = knowledge
         self._pool = pool
+        self._departures = departures
         self._speakers = speakers
         self._clock = clock
         self._sight: Sight | None = None
@@ -103,12 +106,13 @@
         require_sound(update)
         name = TargetName(update.name)
         self._knowledge.note_born(name, update.born_ms)
+        self._departures.note_known(LeavingSource.AGENT)
         target = start_of(name, update.born_ms)
         now = asyncio.get_running_loop().time()
         sent_s = update.sent_ms / MS_PER_S
         self._pool.note_report(target, update.running + update.queued, now, update.loading, sent_s)
         if update.leaving:
-            self._knowledge.note_leaving(target)
+            self._departures.note(target, LeavingSource.AGENT)
         if self._sight is not None:
             held = {ModelName(each.model): each.version for each in update.held}
             self._sight.note_weights(target, held)
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -85,7 +85,9 @@
     With `not_run` the target says that it did not run the request; `call_id` is the request that
     the answer belongs to, `sealed` whether it bears the target's mark, `version` the version of the
     weights that it comes from, `answered_by` the target at the address, where the answer names it.
-    `limit_per_s` is how many requests a second the target asks for, of all entries together.
+    `limit_per_s` is how many requests a second the target asks for, of all entries together;
+    `leaving` whether it says that it leaves, and `rest_s` for how many seconds it asks this entry
+    to send it nothing. docs/design/targets.md has who acts on each, and until when.
     """
 
     call_id: str | None
@@ -94,6 +96,8 @@
     version: int | None = None
     answered_by: TargetName | None = None
     limit_per_s: float | None = None
+    leaving: bool = False
+    rest_s: float | None = None
 
 
 class CallCodec(Protocol):
--- /dev/null
+++ b/src/lacewinggw/frontend/departures.py
@@ -0,0 +1,57 @@
+"""Targets that leave: noted once, whoever says so, with a log line that says who."""
+
+from collections.abc import Callable
+from enum import Enum
+
+from lacewinggw.decisions.knowledge import Knowledge
+from lacewinggw.ids import TargetId
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+
+log = get_logger(__name__)
+
+
+class LeavingSource(Enum):
+    """Who said that a target leaves."""
+
+    LIST = "list"  # the operators' store
+    AGENT = "agent"  # the process beside the target
+    ENTRY = "entry"  # another entry
+    ADDRESS = "address"  # another start of a target answers there
+
+
+class Departures:
+    """Notes which targets leave, in the knowledge of this entry.
+
+    `on_change` is called when the others are to be told at once.
+
+        departures.note(target, LeavingSource.ENTRY)
+    """
+
+    def __init__(
+        self, knowledge: Knowledge, on_change: Callable[[], None], metrics: Metrics
+    ) -> None:
+        self._knowledge = knowledge
+        self._on_change = on_change
+        self._logged: frozenset[TargetId] = frozenset()
+        self._counts = {
+            source: metrics.counter("targets_left", source=source.value) for source in LeavingSource
+        }
+
+    def note(self, target: TargetId, source: LeavingSource) -> None:
+        """Note that a target takes no new work."""
+        if target in self._knowledge.leaving:
+            return
+        self._knowledge.note_leaving(target)
+        self.note_known(source)
+
+    def note_known(self, source: LeavingSource) -> None:
+        """Log and pass on what the knowledge has just taken from a source."""
+        leaving = frozenset(self._knowledge.leaving)
+        new = leaving - self._logged
+        self._logged = leaving
+        for target in sorted(new):
+            self._counts[source].add()
+            log.info("target_leaving", target=target, source=source.value)
+        if new:
+            self._on_change()
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -25,7 +25,7 @@
     Dispatch,
     pass_on,
 )
-from lacewinggw.frontend.targetrates import TargetRates
+from lacewinggw.frontend.targetanswers import TargetAnswers
 from lacewinggw.wire.events import EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
@@ -107,10 +107,10 @@
     proves that nothing was sent.
     """
 
-    def __init__(self, http: HttpClient, codec: CallCodec, rates: TargetRates) -> None:
+    def __init__(self, http: HttpClient, codec: CallCodec, answers: TargetAnswers) -> None:
         self._http = http
         self._codec = codec
-        self._rates = rates
+        self._answers = answers
 
     async def send(
         self, job: Admitted, load: TargetLoad, sending: Sending, limits: OfferLimits
@@ -126,7 +126,7 @@
             resume_after=sending.resume_after,
         )
         headers = self._codec.write_call(pass_on(job.call.headers), dispatch)
-        asked_at = self._rates.read_clock()
+        asked_at = self._answers.read_clock()
         try:
             response = await self._http.stream(
                 load.entry.address,
@@ -159,7 +159,7 @@
             return Lost("the answer belongs to another request")
         is_gone = facts.answered_by not in (None, load.entry.name)
         if not is_gone:
-            self._rates.note_answer(load, facts, asked_at)
+            self._answers.note(load, facts, asked_at)
         if facts.not_run:
             await response.aclose()
             return NotRun(
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -24,6 +24,7 @@
 from lacewinggw.frontend.callers import Caller, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.crashes import CrashWatch
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.frontend.entryupdates import PackedRoutes, compose_entry_update
 from lacewinggw.frontend.fetching import DecodeRoutes, RoutesFetcher
 from lacewinggw.frontend.neighbours import EntryNeighbours
@@ -33,6 +34,7 @@
 from lacewinggw.frontend.reading import ReadingDuties
 from lacewinggw.frontend.relay import Relay, RelayParts
 from lacewinggw.frontend.sight import Sight
+from lacewinggw.frontend.targetanswers import TargetAnswers
 from lacewinggw.frontend.targetrates import TargetRates
 from lacewinggw.frontend.vouching import Voucher
 from lacewinggw.generated.messages import ttypes as messages
@@ -109,6 +111,7 @@
             network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
         )
         self._neighbours = self._make_neighbours()
+        self._departures = Departures(self.knowledge, self._neighbours.note_change, self.metrics)
         self._fetcher = self._make_fetcher()
         self._voucher = self._make_voucher()
         self._duties = ReadingDuties(
@@ -121,6 +124,7 @@
         )
         self.pool = TargetPool(self._place, _ejection_rules(settings), rng)
         self._rates = self._make_rates()
+        self._answers = TargetAnswers(self._rates, self.metrics)
         self._agents = self._make_agents()
         self._sight = self._make_sight()
         slots = AgentSlots(self._node, self._agent_port)
@@ -181,6 +185,7 @@
             self._node,
             self._me,
             self.knowledge,
+            self._departures,
             self._neighbours.known,
             self._fetcher.note_update,
             self._clock,
@@ -206,6 +211,7 @@
             self._agent_port,
             self.knowledge,
             self.pool,
+            self._departures,
             self._ready_hosts,
             self._clock,
             self._rng,
@@ -224,6 +230,7 @@
             self._duties.is_list_vouched,
             self._agents.note_change,
             self._note_members,
+            self._departures,
             self._neighbours.note_change,
             lambda change: self._crashes.take_listed(change),
             self._note_restored,
@@ -256,12 +263,12 @@
                 pool=self.pool,
                 queue=self.queue,
                 placing=placing,
-                offers=Offers(self._http, self._adapter.codec, self._rates),
+                offers=Offers(self._http, self._adapter.codec, self._answers),
                 crashes=self._crashes,
                 clock=self._clock,
                 metrics=self.metrics,
                 rng=self._rng,
-                on_gone=self._neighbours.note_change,
+                departures=self._departures,
             )
         )
 
@@ -449,7 +456,7 @@
         """Take what other entries push; the age of the routes counts only when it was asked for."""
         self._sight.era.note(update.store_era)
         for target in update.leaving:
-            self.knowledge.note_leaving(TargetId(target))
+            self._departures.note(TargetId(target), LeavingSource.ENTRY)
         self._rates.apply_updates(entry, update.limits)
         self._fetcher.note_update(entry, update)
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -7,7 +7,6 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from lacewinggw.clock import Clock
@@ -29,6 +28,7 @@
 from lacewinggw.frontend.callers import Caller, CallerGone
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.crashes import CrashWatch
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.frontend.jobs import FailedAnswer, Job
 from lacewinggw.frontend.offers import (
     OK,
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True)
 class RelayParts:
-    """What a relay works with; `on_gone` is called when a target is found to be gone."""
+    """What a relay works with."""
 
     codec: CallCodec
     knowledge: Knowledge
@@ -67,7 +67,7 @@
     clock: Clock
     metrics: Metrics
     rng: random.Random
-    on_gone: Callable[[], None] = lambda: None
+    departures: Departures
 
 
 class Relay:
@@ -282,8 +282,7 @@
     def _note_gone(self, load: TargetLoad) -> None:
         """Leave a start of a target that is over, though the list still has it for some seconds."""
         log.info("target_gone", target=load.entry.target, address=load.entry.address)
-        self._parts.knowledge.note_leaving(load.entry.target)
-        self._parts.on_gone()
+        self._parts.departures.note(load.entry.target, LeavingSource.ADDRESS)
 
     def _note_failed(self, job: Job, load: TargetLoad, reason: str) -> None:
         now = _now()
--- a/src/lacewinggw/frontend/sight.py
+++ b/src/lacewinggw/frontend/sight.py
@@ -29,6 +29,7 @@
 from lacewinggw.fleet.follower import Apply, TopicFollower, Wait
 from lacewinggw.fleet.listing import take_listing
 from lacewinggw.fleet.ownrows import crashing_by, crashing_key
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -59,9 +60,9 @@
 
     `on_change` is called when targets or versions have changed, `on_members` when the list of
     entries has, `on_urgent` when the entries that do not read have to be told something at once:
-    targets leave, routes or versions are new. `on_crashing` is told of each request that the
-    store lists as one that may end targets, or lists no more; `on_restored` of the keys of our own
-    rows that a store has which came back from an older copy.
+    routes or versions are new. `departures` is told of targets that leave, `on_crashing` of each
+    request that the store lists as one that may end targets, or lists no more; `on_restored` of the
+    keys of our own rows that a store has which came back from an older copy.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         is_list_vouched: Callable[[], bool],
         on_change: Callable[[], None],
         on_members: Callable[[], None],
+        departures: Departures,
         on_urgent: Callable[[], None],
         on_crashing: Callable[[CrashingRequest | Lifted], None],
         on_restored: Callable[[Set[str]], None],
@@ -96,10 +98,10 @@
         self._reads_often = reads_often
         self._on_change = on_change
         self._on_members = on_members
+        self._departures = departures
         self._on_urgent = on_urgent
         self._on_crashing = on_crashing
         self._on_restored = on_restored
-        self._leaving_told = 0
         self._has_list = False
         self._list_read_at = -math.inf
         self._has_members = False
@@ -229,9 +231,7 @@
     def _sync(self) -> None:
         self._pool.sync(self._knowledge.targets)
         self._on_change()
-        if len(self._knowledge.leaving) != self._leaving_told:
-            self._leaving_told = len(self._knowledge.leaving)
-            self._on_urgent()
+        self._departures.note_known(LeavingSource.LIST)
 
     def _apply_members(self, update: FeedUpdate, _: Proof) -> None:
         self._has_members = True
--- /dev/null
+++ b/src/lacewinggw/frontend/targetanswers.py
@@ -0,0 +1,52 @@
+"""What targets say of themselves in the heads of their answers, handed to whoever acts on it."""
+
+from lacewinggw.decisions.targetload import TargetLoad
+from lacewinggw.frontend.calls import AnswerFacts
+from lacewinggw.frontend.targetrates import TargetRates
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics
+
+log = get_logger(__name__)
+
+
+class TargetAnswers:
+    """Takes the head of each answer.
+
+    asked_at = answers.read_clock()
+    ...
+    answers.note(load, facts, asked_at)
+    """
+
+    def __init__(self, rates: TargetRates, metrics: Metrics) -> None:
+        self._rates = rates
+        self._rests = metrics.counter("target_rests")
+
+    def read_clock(self) -> float:
+        """Return the time by the clock that observations count on, in seconds."""
+        return self._rates.read_clock()
+
+    def note(self, load: TargetLoad, facts: AnswerFacts, asked_at: float) -> None:
+        """Act on what a target says of itself in the answer to a request sent at `asked_at`."""
+        self._rates.note_answer(load, facts, asked_at)
+        if facts.leaving:
+            self._note_leaving(load)
+        if facts.rest_s is not None:
+            self._note_rest(load, facts.rest_s)
+
+    def _note_leaving(self, load: TargetLoad) -> None:
+        log.info(
+            "target_leaving_told",
+            target=load.entry.target,
+            begun=load.begun,
+            in_flight=load.in_flight,
+        )
+
+    def _note_rest(self, load: TargetLoad, rest_s: float) -> None:
+        self._rests.add()
+        log.info(
+            "target_rest_asked",
+            target=load.entry.target,
+            rest_s=rest_s,
+            begun=load.begun,
+            in_flight=load.in_flight,
+        )
--- a/src/lacewinggw/frontend/vouching.py
+++ b/src/lacewinggw/frontend/vouching.py
@@ -14,6 +14,7 @@
 from lacewinggw.decisions.readers import VOUCHED_S, KnownEntry, Self, choose_asked, is_reader
 from lacewinggw.decisions.targetlist import DueVersion
 from lacewinggw.errors import LacewingError
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import ModelName, TargetId
 from lacewinggw.log import get_logger
@@ -63,6 +64,7 @@
         node: PeerNode,
         me: Self,
         knowledge: Knowledge,
+        departures: Departures,
         others: Callable[[], Iterable[KnownEntry]],
         on_heard: Heard,
         clock: Clock,
@@ -71,6 +73,7 @@
         self._node = node
         self._me = me
         self._knowledge = knowledge
+        self._departures = departures
         self._others = others
         self._on_heard = on_heard
         self._clock = clock
@@ -112,5 +115,6 @@
             self._failures.add()
             log.debug("entry_did_not_vouch", entry=entry.host, error=error)
             return
+        self._departures.note_known(LeavingSource.ENTRY)
         self._answers.add()
         self._on_heard(entry, update)
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -13,6 +13,7 @@
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.frontend.callers import CallerGone
 from lacewinggw.frontend.calls import Call
+from lacewinggw.frontend.departures import Departures
 from lacewinggw.frontend.placing import Placing, RetryLimits
 from lacewinggw.frontend.queue import RequestQueue
 from lacewinggw.frontend.relay import Relay, RelayParts
@@ -80,6 +81,7 @@
                 clock=loop_time,
                 metrics=self.metrics,
                 rng=rng,
+                departures=Departures(knowledge, lambda: None, self.metrics),
             )
         )
 
--- /dev/null
+++ b/src/lacewinggw/wire/headervalues.py
@@ -0,0 +1,58 @@
+"""Values of headers as numbers and times; what cannot be read counts as not said.
+
+rest_s = read_retry_after({"retry-after": "1.5"})
+"""
+
+import math
+from datetime import UTC, datetime, timedelta
+from email.utils import parsedate_to_datetime
+
+from lacewinggw.wire.http import Headers
+
+
+def read_int(text: str | None) -> int | None:
+    """Return a whole number that is not negative.
+
+    >>> read_int("12"), read_int("-1"), read_int(None)
+    (12, None, None)
+    """
+    if text is None or not text.strip().isdecimal():
+        return None
+    return int(text)
+
+
+def read_amount(text: str | None) -> float | None:
+    """Return a finite number that is not negative.
+
+    >>> read_amount("1.5"), read_amount("inf"), read_amount("-1")
+    (1.5, None, None)
+    """
+    try:
+        amount = float(text) if text is not None else math.nan
+    except ValueError:
+        return None
+    return amount if math.isfinite(amount) and amount >= 0 else None
+
+
+def read_retry_after(headers: Headers) -> float | None:
+    """Return the seconds of `Retry-After`, a number or a date (RFC 9110, section 10.2.3).
+
+    A date counts from the answer's own `Date`, so that clocks of two hosts are not compared, where
+    there is one. A moment that has passed asks for nothing.
+    """
+    text = headers.get("retry-after")
+    if text is None:
+        return None
+    until = _read_date(text)
+    if until is None:
+        return read_amount(text) or None
+    sent = _read_date(headers.get("date", "")) or datetime.now(UTC)
+    return max(0.0, (until - sent) / timedelta(seconds=1)) or None
+
+
+def _read_date(text: str) -> datetime | None:
+    try:
+        date = parsedate_to_datetime(text)
+    except (ValueError, OverflowError):
+        return None
+    return date if date.tzinfo else date.replace(tzinfo=UTC)
