--- /dev/null
+++ b/tests/fleet/leaving.py
@@ -0,0 +1,47 @@
+"""What targets that leave or want rest may still get from each entry, and fleets to try it on."""
+
+from declared_fleet import DeclaredFleet
+from limiting import Played
+from platform_standins import TargetStandIn, manifest
+
+DRAIN_S = 2.0  # after an entry has passed on that a target leaves
+REST_SLACK_S = 0.5  # after a target has asked for rest, for what is under way
+REST_EXTRA = 2
+PLACES = ("hall", "room", "shed")
+
+
+async def add_entries(fleet: DeclaredFleet, count: int) -> None:
+    """Add entries in three places."""
+    for number in range(count):
+        await fleet.add_entry(number + 1, PLACES[number % len(PLACES)])
+
+
+def let_anybody_in(fleet: DeclaredFleet, version: int = 3) -> None:
+    """Have no route want a key: keys are not honoured for long without the store."""
+    routes = [{**route, "AllowAnonymous": True} for route in manifest(version)["Routes"]]
+    fleet.store.put("op", "config", manifest(version, Routes=routes))
+
+
+def require_left_alone(target: TargetStandIn, played: Played, target_id: str = "") -> None:
+    """Assert that no entry sent a target anything once it had long passed on that it leaves."""
+    target_id = target_id or target.target_id
+    late = [
+        (at, via)
+        for at, request in zip(target.seen_at, target.seen, strict=True)
+        if (via := request.headers.get("x-via", "")) is not None
+        and request.headers.get("x-expected-instance") == target_id
+        and at > played.left_at.get((via, target_id), at) + DRAIN_S
+    ]
+    assert not late, f"{len(late)} requests reached {target_id}, the first at {late[0]}"
+
+
+def require_rest(target: TargetStandIn, rest_s: float) -> None:
+    """Assert that after each answer that asked for rest the entry that had it sent hardly any."""
+    arrived = [
+        (at, request.headers.get("x-via", ""))
+        for at, request in zip(target.seen_at, target.seen, strict=True)
+    ]
+    for asked_at, via in target.turned_away:
+        since, until = asked_at + REST_SLACK_S, asked_at + rest_s
+        count = sum(via == sender and since < at < until for at, sender in arrived)
+        assert count <= REST_EXTRA, f"{count} requests by entry {via} in {rest_s} s of rest"
--- a/tests/fleet/limiting.py
+++ b/tests/fleet/limiting.py
@@ -1,4 +1,4 @@
-"""Callers of a fleet, and how the requests that reach a target keep to the limit that it names."""
+"""Callers of a fleet, and how the requests that reach a target keep to what it asks for."""
 
 import asyncio
 import random
@@ -19,19 +19,22 @@
 
 @dataclass
 class Played:
-    """What callers got, and when each entry passed on an answer with a target's limit first."""
+    """What callers got, and when each entry first passed on what a target says of itself."""
 
     replies: list[Reply] = field(default_factory=list)
     told_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    left_at: dict[tuple[str, str], float] = field(default_factory=dict)
     refused_after_s: list[float] = field(default_factory=list)
 
     def note(self, entry: int, reply: Reply, took_s: float) -> None:
         self.replies.append(reply)
         if reply.status == 503:
             self.refused_after_s.append(took_s)
+        target = reply.headers.get("x-response-seal", "").removeprefix("seal-of-")
         if "server-limit" in reply.headers:
-            target = reply.headers["x-response-seal"].removeprefix("seal-of-")
             self.told_at.setdefault((str(entry), target), now())
+        if "server-leaving" in reply.headers:
+            self.left_at.setdefault((str(entry), target), now())
 
     def shares(self) -> dict[int, float]:
         """Return the share of the replies by status."""
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -8,6 +8,7 @@
 import base64
 import hashlib
 import json
+import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
@@ -263,6 +264,9 @@
     events: int = 5
     wrong_id: bool = False
     limit_per_s: float | None = None  # that it names in its answers
+    leaving: bool = False  # it says so in all its answers, and goes on serving
+    rest_s: str | None = None  # asked for where a request is refused, as it is written
+    shed_share: float = 0.0  # of the requests refused by chance
     crashes_on: frozenset[bytes] = frozenset()  # bodies: it ends after the first event of such one
     back_s: float = 2.5  # after an end, under another id
 
@@ -277,6 +281,8 @@
         self.seen: list[Request] = []
         self.seen_at: list[float] = []
         self.ended_at: list[float] = []
+        self.turned_away: list[tuple[float, str]] = []  # when, and by which entry it came
+        self._rng = random.Random(target_id)
         self.on_start: Callable[[], None] = lambda: None
         self._ending: asyncio.Task[None] | None = None
         self.abandoned = 0
@@ -313,6 +319,12 @@
         self.busy = False
 
     async def answer(self, request: Request) -> Response:
+        response = await self._serve(request)
+        if self.behaviour.leaving:
+            response.headers["server-leaving"] = "1"
+        return response
+
+    async def _serve(self, request: Request) -> Response:
         match request.path.split("/")[1:]:
             case ["report"]:
                 return self._report()
@@ -341,7 +353,9 @@
             return Response(421, {"x-instance-id": self.target_id})
         if behaviour.shed > 0:
             behaviour.shed -= 1
-            return Response(503, {"x-not-executed": "1"})
+            return self._turn_away(request)
+        if self._rng.random() < behaviour.shed_share:
+            return self._turn_away(request)
         if behaviour.silent > 0:
             behaviour.silent -= 1
             await asyncio.sleep(3600)
@@ -356,6 +370,13 @@
         await asyncio.sleep(behaviour.pause_s)
         return Response(200, headers, b"answer of " + self.target_id.encode())
 
+    def _turn_away(self, request: Request) -> Response:
+        at = asyncio.get_running_loop().time()
+        self.turned_away.append((at, request.headers.get("x-via", "")))
+        asked = self.behaviour.rest_s
+        rest = {} if asked is None else {"retry-after": asked}
+        return Response(503, {"x-not-executed": "1", **rest})
+
     async def _stream(self, first: int, body: bytes) -> AsyncIterator[bytes]:
         behaviour = self.behaviour
         self.running += 1
