Send nothing to a target once one of its answers says that it leaves

Cause: an entry knew of leaving by the store's list, agents and entries that had read it. What the target itself says in each answer was passed on to callers and read by nobody, so with the store away nobody knew. Why it holds: an answer now makes the start of the target that gave it a leaving one, wherever the news come from (`Departures`), and the others are told at once. Whether a request may be sent is asked at one place (`TargetPool.is_open`): as targets are chosen, as a slot is granted, and on the open connection before the first byte. Requests in line for a slot of such a target leave that line, and are refused at once where no other target is left. A start is told from another by its birth, so a newer one under the same name or address serves.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -61,6 +61,8 @@
 class TargetPool:
     """The targets of all services, with their work as this entry knows it.
 
+    `leaving` is the set of those that take no new work, kept up to date by its owner.
+
     pool.sync(knowledge.targets)
     load = pool.choose(Wish(service), now)
     claim = pool.begin(load, now)
@@ -70,12 +72,18 @@
     """
 
     def __init__(
-        self, place: Place, rules: EjectionRules, rng: random.Random, draw: Draw | None = None
+        self,
+        place: Place,
+        rules: EjectionRules,
+        rng: random.Random,
+        draw: Draw | None = None,
+        leaving: Set[TargetId] = frozenset(),
     ) -> None:
         self._place = place
         self._draw = draw or Draw()
         self._rules = rules
         self._rng = rng
+        self._leaving = leaving
         self._loads: dict[TargetId, TargetLoad] = {}
 
     @property
@@ -94,14 +102,21 @@
             else:
                 known.entry = entry
 
-    def fitting(self, wish: Wish, leaving: Set[TargetId] = frozenset()) -> list[TargetLoad]:
+    def fitting(self, wish: Wish) -> list[TargetLoad]:
         """Return the targets that may run a request, however busy they are."""
         return [
-            load
-            for target, load in self._loads.items()
-            if target not in leaving and self._fits(load, wish)
+            load for load in self._loads.values() if self._fits(load, wish) and self.is_open(load)
         ]
 
+    def is_open(self, load: TargetLoad) -> bool:
+        """Return whether requests may be sent to a target at all.
+
+        What was true as a target was chosen may have changed while a request waited for a slot or a
+        connection, so this is asked again right before each is sent.
+        """
+        target = load.entry.target
+        return target not in self._leaving and self._loads.get(target) is load
+
     def choose(
         self, fitting: Iterable[TargetLoad], now: float, is_late: bool = False
     ) -> TargetLoad | None:
--- a/src/lacewinggw/frontend/departures.py
+++ b/src/lacewinggw/frontend/departures.py
@@ -17,6 +17,7 @@
     LIST = "list"  # the operators' store
     AGENT = "agent"  # the process beside the target
     ENTRY = "entry"  # another entry
+    ANSWER = "answer"  # the target itself
     ADDRESS = "address"  # another start of a target answers there
 
 
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 
 from lacewinggw.decisions.deadlines import time_left_ms
+from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.errors import AnswerIncomplete
 from lacewinggw.frontend.admission import Admitted
@@ -42,18 +43,23 @@
 FIRST_ERROR = 400
 
 
+class _TargetClosed(Exception):
+    """A target takes nothing any more, as was heard while a connection to it was opened."""
+
+
 @dataclass(frozen=True)
 class NotRun:
     """The target did not run the request, and proved it.
 
     `full` where it had no room, `is_gone` where another target answers at its address by now; it
-    had not even `arrived` where no connection opened.
+    had not even `arrived` where no connection opened, or the target `is_closed` by then.
     """
 
     reason: str
     full: bool = False
     is_gone: bool = False
     arrived: bool = True
+    is_closed: bool = False
 
 
 @dataclass(frozen=True)
@@ -107,9 +113,12 @@
     proves that nothing was sent.
     """
 
-    def __init__(self, http: HttpClient, codec: CallCodec, answers: TargetAnswers) -> None:
+    def __init__(
+        self, http: HttpClient, codec: CallCodec, pool: TargetPool, answers: TargetAnswers
+    ) -> None:
         self._http = http
         self._codec = codec
+        self._pool = pool
         self._answers = answers
 
     async def send(
@@ -137,8 +146,10 @@
                 limits.silence_s,
                 CONNECT_S,
                 limits.begin_s,
-                lambda took_s: load.note_connect(took_s, now + took_s),
+                lambda took_s: self._note_connected(load, took_s, now + took_s),
             )
+        except _TargetClosed:
+            return NotRun("the target takes nothing any more", arrived=False, is_closed=True)
         except NotConnectedError as error:
             ended_at = asyncio.get_running_loop().time()
             load.note_unconnected(ended_at - now, ended_at)
@@ -149,6 +160,12 @@
             return Lost(f"no answer: {error}")
         return await self._sort(job, load, response, asked_at)
 
+    def _note_connected(self, load: TargetLoad, took_s: float, now: float) -> None:
+        """Look once more whether the request may be sent, now that it could be."""
+        load.note_connect(took_s, now)
+        if not self._pool.is_open(load):
+            raise _TargetClosed
+
     async def _sort(
         self, job: Admitted, load: TargetLoad, response: StreamedResponse, asked_at: float
     ) -> Answer | NotRun | Lost:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -111,7 +111,7 @@
             network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
         )
         self._neighbours = self._make_neighbours()
-        self._departures = Departures(self.knowledge, self._neighbours.note_change, self.metrics)
+        self._departures = Departures(self.knowledge, self._note_departures, self.metrics)
         self._fetcher = self._make_fetcher()
         self._voucher = self._make_voucher()
         self._duties = ReadingDuties(
@@ -122,13 +122,15 @@
             lambda: self._fetcher.is_fetching,
             clock,
         )
-        self.pool = TargetPool(self._place, _ejection_rules(settings), rng)
+        self.pool = TargetPool(
+            self._place, _ejection_rules(settings), rng, leaving=self.knowledge.leaving
+        )
         self._rates = self._make_rates()
-        self._answers = TargetAnswers(self._rates, self.metrics)
+        self._answers = TargetAnswers(self._rates, self._departures, self.metrics)
         self._agents = self._make_agents()
         self._sight = self._make_sight()
         slots = AgentSlots(self._node, self._agent_port)
-        self.queue = RequestQueue(self.knowledge, self.pool, self.metrics, slots.ask)
+        self.queue = RequestQueue(self.pool, self.metrics, slots.ask)
         self._http = HttpClient(network, idle_connections=0)
         self._crashes = self._make_crashes()
         self.relay = self._make_relay()
@@ -263,7 +265,7 @@
                 pool=self.pool,
                 queue=self.queue,
                 placing=placing,
-                offers=Offers(self._http, self._adapter.codec, self._answers),
+                offers=Offers(self._http, self._adapter.codec, self.pool, self._answers),
                 crashes=self._crashes,
                 clock=self._clock,
                 metrics=self.metrics,
@@ -390,6 +392,12 @@
             self._announcer.announce_again()
         self._crashes.write_again(keys)
 
+    def _note_departures(self) -> None:
+        """Tell other processes at once, and have nothing wait for targets that leave."""
+        self._neighbours.note_change()
+        self._agents.note_change()
+        self.queue.leave_closed()
+
     def _note_members(self) -> None:
         self._neighbours.set_members(self._sight.members.values())
         self._rates.note_members()
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -7,7 +7,6 @@
 
 from lacewinggw.background import Background
 from lacewinggw.decisions.dispatch import TargetPool, Wish
-from lacewinggw.decisions.knowledge import Knowledge
 from lacewinggw.decisions.punctuality import RETURN_LEAST_S
 from lacewinggw.decisions.slots import SlotWish
 from lacewinggw.decisions.targetload import Claim, TargetLoad
@@ -54,15 +53,13 @@
     queue.end(claim)
     """
 
-    def __init__(
-        self, knowledge: Knowledge, pool: TargetPool, metrics: Metrics, ask_slot: AskSlot
-    ) -> None:
-        self._knowledge = knowledge
+    def __init__(self, pool: TargetPool, metrics: Metrics, ask_slot: AskSlot) -> None:
         self._pool = pool
         self._ask_slot = ask_slot
         self._leases: dict[int, Lease] = {}
         self._lines: dict[ServiceName, WaitingLine] = defaultdict(WaitingLine)
         self._waiting: dict[int, _Waiting] = {}
+        self._searches: set[SlotSearch] = set()
         self._wait = metrics.latency("queue_wait")
         metrics.read_gauge("requests_waiting", lambda: len(self._waiting))
         self._loop = Background("request queue", self._run)
@@ -83,7 +80,7 @@
         """
         now = _now()
         line = self._lines[wish.service]
-        fitting = self._pool.fitting(wish, self._knowledge.leaving)
+        fitting = self._pool.fitting(wish)
         if not fitting:
             reason = f"no target of {wish.service} may run the request"
             raise NoTarget(reason, retry_after_ms=_draw_ms(ABSENT_RETURN_S))
@@ -114,9 +111,7 @@
         slot_wish = SlotWish(rank, is_late, until - began, wish.reading_s, wish.suspect)
         search = SlotSearch(
             self._ask_slot,
-            lambda asked: self._pool.choose_asked(
-                self._pool.fitting(wish, self._knowledge.leaving), _now(), asked
-            ),
+            lambda asked: self._pool.choose_asked(self._pool.fitting(wish), _now(), asked),
             slot_wish,
             arrived_at=began,
         )
@@ -133,15 +128,28 @@
         return claim
 
     async def _find_allowed(self, search: SlotSearch, until: float) -> Lease | None:
-        """Return a slot of a target whose limit still leaves this entry one more request.
+        """Return a slot of a target that still takes one more request of this entry.
 
-        Others of this entry may have taken it while this one waited in line.
+        While this one waited in line the target may have begun to leave, or others of this entry
+        may have taken what its limit allows.
         """
-        while True:
-            lease = await search.find(until)
-            if lease is None or lease.load.is_allowed(_now()):
-                return lease
-            lease.end()
+        self._searches.add(search)
+        try:
+            while True:
+                lease = await search.find(until)
+                if lease is None or self._may_begin(lease.load):
+                    return lease
+                lease.end()
+        finally:
+            self._searches.discard(search)
+
+    def _may_begin(self, load: TargetLoad) -> bool:
+        return self._pool.is_open(load) and load.is_allowed(_now())
+
+    def leave_closed(self) -> None:
+        """Have no request wait any longer for targets to which none may be sent."""
+        for search in self._searches:
+            search.leave_where(lambda load: not self._pool.is_open(load))
 
     def late_share(self, service: ServiceName) -> float:
         """Return the share of late requests for a service that started lately."""
@@ -182,7 +190,7 @@
             waiting = self._waiting.get(id(waiter))
             if waiting is None or waiting.found.done():
                 continue
-            fitting = self._pool.fitting(waiting.wish, self._knowledge.leaving)
+            fitting = self._pool.fitting(waiting.wish)
             load = self._pool.choose(fitting, now, waiter.is_late)
             if load is None:
                 return
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -274,6 +274,8 @@
         if proof.full:
             self._parts.pool.note_full(load, now)
             self._parts.metrics.retry(RetryReason.TARGET_OVERLOADED)
+        elif proof.is_closed:
+            self._parts.metrics.retry(RetryReason.WITHDRAWN)
         else:
             self._parts.pool.failed(load, now)
             self._parts.metrics.retry(RetryReason.TARGET_UNREACHABLE)
--- a/src/lacewinggw/frontend/slots.py
+++ b/src/lacewinggw/frontend/slots.py
@@ -70,7 +70,7 @@
     has_answered: bool = False
 
 
-@dataclass
+@dataclass(eq=False)
 class SlotSearch:
     """One request's search for a slot.
 
@@ -129,12 +129,13 @@
                     asked, answer = await self._answers.get()
                     asked.has_answered = True
                     match answer:
-                        case SlotAnswer.GRANTED:
+                        case SlotAnswer.GRANTED if asked in self._pending:
                             self._pending.remove(asked)
                             self._stop_listening(asked)
                             return Lease(asked.load, asked.call)
                         case SlotAnswer.DECLINED | SlotAnswer.OVERTAKEN | SlotAnswer.LOST:
-                            self._pending.remove(asked)
+                            if asked in self._pending:
+                                self._pending.remove(asked)
                             self._overtaken += answer is SlotAnswer.OVERTAKEN
                             return None
                         case SlotAnswer.QUEUED if asked is newest:
@@ -150,11 +151,20 @@
             answer = await asked.call.answer()
             self._answers.put_nowait((asked, answer))
 
+    def leave_where(self, is_closed: Callable[[TargetLoad], bool]) -> None:
+        """Leave the lines for targets that are closed; other agents are asked at once."""
+        for asked in [each for each in self._pending if is_closed(each.load)]:
+            self._leave(asked)
+            self._answers.put_nowait((asked, SlotAnswer.DECLINED))
+
     def _leave_all(self) -> None:
-        for asked in self._pending:
-            self._stop_listening(asked)
-            asked.call.end()
-        self._pending.clear()
+        for asked in list(self._pending):
+            self._leave(asked)
+
+    def _leave(self, asked: _Asked) -> None:
+        self._pending.remove(asked)
+        self._stop_listening(asked)
+        asked.call.end()
 
     def _stop_listening(self, asked: _Asked) -> None:
         if asked.listening is not None:
--- a/src/lacewinggw/frontend/targetanswers.py
+++ b/src/lacewinggw/frontend/targetanswers.py
@@ -2,6 +2,7 @@
 
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.frontend.calls import AnswerFacts
+from lacewinggw.frontend.departures import Departures, LeavingSource
 from lacewinggw.frontend.targetrates import TargetRates
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -17,8 +18,9 @@
     answers.note(load, facts, asked_at)
     """
 
-    def __init__(self, rates: TargetRates, metrics: Metrics) -> None:
+    def __init__(self, rates: TargetRates, departures: Departures, metrics: Metrics) -> None:
         self._rates = rates
+        self._departures = departures
         self._rests = metrics.counter("target_rests")
 
     def read_clock(self) -> float:
@@ -29,18 +31,10 @@
         """Act on what a target says of itself in the answer to a request sent at `asked_at`."""
         self._rates.note_answer(load, facts, asked_at)
         if facts.leaving:
-            self._note_leaving(load)
+            self._departures.note(load.entry.target, LeavingSource.ANSWER)
         if facts.rest_s is not None:
             self._note_rest(load, facts.rest_s)
 
-    def _note_leaving(self, load: TargetLoad) -> None:
-        log.info(
-            "target_leaving_told",
-            target=load.entry.target,
-            begun=load.begun,
-            in_flight=load.in_flight,
-        )
-
     def _note_rest(self, load: TargetLoad, rest_s: float) -> None:
         self._rests.add()
         log.info(
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -64,7 +64,7 @@
             knowledge.take_target(entry)
         self.pool.sync(knowledge.targets)
         slots = ModelSlots(profile, agents, place)
-        self.queue = RequestQueue(knowledge, self.pool, self.metrics, slots.ask)
+        self.queue = RequestQueue(self.pool, self.metrics, slots.ask)
         limits = RetryLimits(0.2, profile.extra_retries, 10.0)
         placing = Placing(knowledge, self.queue, loop_time, lambda: limits, lambda: profile.entries)
         codec = ModelCodec(calls)
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -469,13 +469,14 @@
 
         Connecting takes `connect_s` at most, or its share of `timeout_s`; the head is waited for up
         to `head_s`, if given. A response that comes before the body of the request was taken is
-        read all the same. `on_connected` is told how many seconds connecting took.
+        read all the same. `on_connected` is told how many seconds connecting took; nothing is sent
+        if it raises.
         """
         began = asyncio.get_running_loop().time()
         stream, connection = await self._take(address, connect_s or timeout_s * CONNECT_SHARE)
-        if on_connected is not None:
-            on_connected(asyncio.get_running_loop().time() - began)
         try:
+            if on_connected is not None:
+                on_connected(asyncio.get_running_loop().time() - began)
             self._send_request(stream, connection, address, method, path, headers, body)
             wait_s = timeout_s if head_s is None else head_s
             event = await _next_event(connection, stream, wait_s)
--- a/tests/fleet/limiting.py
+++ b/tests/fleet/limiting.py
@@ -6,7 +6,7 @@
 
 from crashing import add_engines
 from declared_fleet import DeclaredFleet, Reply
-from platform_standins import TargetStandIn
+from platform_standins import KEY, TargetStandIn
 
 from lacewinggw.frontend.process import FrontendProcess
 
@@ -49,6 +49,7 @@
     path: str = "/report/1",
     seed: int = 1,
     played: Played | None = None,
+    key: str = KEY,
 ) -> Played:
     """Ask for some seconds at entries drawn from the seed; return when all is answered."""
     played = played or Played()
@@ -60,7 +61,9 @@
         body = f"request {rng.random()}".encode()
         asked_at = now()
         try:
-            reply = await fleet.ask(path, entry=entry, body=body, X_Via=str(entry), **model)
+            reply = await fleet.ask(
+                path, entry=entry, body=body, X_Via=str(entry), X_Key=key, **model
+            )
         except OSError:
             return  # that entry is away
         played.note(entry, reply, now() - asked_at)
--- a/tests/fleet/test_targets_leaving.py
+++ b/tests/fleet/test_targets_leaving.py
@@ -3,9 +3,11 @@
 import asyncio
 
 import pytest
+from crashing import restart_entries
 from declared_fleet import running_fleet
 from leaving import add_entries, let_anybody_in, require_left_alone
-from limiting import play
+from limiting import now, play, rate_since
+from platform_standins import DESK, LLM, target_row
 
 from lacewinggw.lab.standin import Outage
 
@@ -21,6 +23,89 @@
         await asyncio.sleep(2.0)
         fleet.store.faults.outage = outage
         fleet.targets["desk0"].behaviour.leaving = True
-        played = await play(fleet, seconds=8.0, per_s=40.0, path="/tally/1")
+        played = await play(fleet, seconds=8.0, per_s=40.0, path="/tally/1", key="")
         require_left_alone(fleet.targets["desk0"], played)
         assert played.shares() == {200: 1.0}
+
+
+async def test_the_other_entries_are_told_at_once_and_an_entry_that_starts_as_well():
+    async with running_fleet(desks=2, engines=0, entries=0) as fleet:
+        await add_entries(fleet, 6)
+        let_anybody_in(fleet)
+        await asyncio.sleep(2.0)
+        fleet.store.faults.outage = Outage.HANG
+        desk = fleet.targets["desk0"]
+        desk.behaviour.leaving = True
+        while "server-leaving" not in (await fleet.ask("/tally/1", X_Key="")).headers:
+            pass
+        await asyncio.sleep(1.0)
+        told_at = now()
+        played = await play(fleet, seconds=2.0, per_s=40.0, path="/tally/1", key="")
+        assert rate_since(desk, told_at) == 0.0
+        # The list still has it as ready.
+        fleet.store.faults.outage = Outage.NONE
+        await restart_entries(fleet, 2)
+        await asyncio.sleep(1.0)
+        restarted_at = now()
+        played = await play(fleet, seconds=2.0, per_s=40.0, path="/tally/1", key="")
+        assert rate_since(desk, restarted_at) == 0.0
+        assert 200 in played.shares()
+
+
+@pytest.mark.parametrize("entries", [1, 24])
+@pytest.mark.parametrize(("path", "kind"), [("/tally/1", "desk"), ("/report/1", "engine")])
+async def test_where_all_targets_leave_requests_are_refused_at_once(entries, path, kind):
+    async with running_fleet(desks=1, engines=1, entries=0) as fleet:
+        await add_entries(fleet, entries)
+        await asyncio.sleep(1.0)
+        target = fleet.targets[f"{kind}0"]
+        target.behaviour.leaving = True
+        played = await play(fleet, seconds=5.0, per_s=20.0, path=path)
+        require_left_alone(target, played)
+        refused = [reply for reply in played.replies if reply.status != 200]
+        assert refused and all(float(reply.headers["retry-after"]) > 0 for reply in refused)
+        assert max(played.refused_after_s) <= 0.05
+
+
+@pytest.mark.parametrize("keeps_address", [True, False])
+async def test_a_newer_start_under_the_same_name_is_used(keeps_address):
+    """Leaving ends one start, also when the old one's answer comes after the new one is listed."""
+    async with running_fleet(desks=1, engines=0) as fleet:
+        desk = fleet.targets["desk0"]
+        desk.behaviour.leaving, desk.behaviour.pause_s = True, 0.8
+        late = asyncio.ensure_future(fleet.ask("/tally/1"))
+        await asyncio.sleep(0.2)
+        if not keeps_address:
+            await fleet.add_target("desk9", DESK, "10.3.0.9", State="draining")
+            desk = fleet.targets["desk9"]
+            desk.target_id = "i-desk0"
+        desk.born_ms += 60_000
+        listed = target_row(DESK, desk.address, born=desk.born_ms)
+        fleet.store.put("servers", "i-desk0", listed)
+        await asyncio.sleep(0.4)
+        assert (await late).headers["server-leaving"] == "1"
+        desk.behaviour.leaving = False
+        reply = await fleet.ask("/tally/1")
+        assert reply.status == 200 and "server-leaving" not in reply.headers
+
+
+async def test_a_request_that_waits_for_slots_leaves_the_lines_of_targets_that_leave():
+    async with running_fleet(desks=0, engines=2) as fleet:
+        engines = [fleet.targets["engine0"], fleet.targets["engine1"]]
+        for name in fleet.targets:
+            await fleet.add_agent(name)
+        await asyncio.sleep(2.0)
+        for engine in engines:
+            engine.behaviour.pause_s, engine.behaviour.events = 0.2, 20
+        running = [asyncio.ensure_future(fleet.ask("/report/1", X_Model="market")) for _ in "x" * 8]
+        await asyncio.sleep(0.1)
+        # Each agent has given all its slots; this one waits for any of them.
+        waiting = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.05)
+        asked_at = now()
+        for name in ("i-engine0", "i-engine1"):
+            listed = target_row(LLM, fleet.targets[name[2:]].address, State="draining")
+            fleet.store.put("servers", name, listed)
+        reply = await waiting
+        assert reply.status == 503 and now() - asked_at < 0.1
+        assert all(reply.whole for reply in await asyncio.gather(*running))
