Leave a target that asks for rest alone, for as long as it asks

Cause: the Retry-After of a target was passed over; a refusal led to a fixed pause. Evidence: 8 requests by one entry in such a rest, where 2 are allowed, in the fleet of the tests. Why it holds: the rest is a state of the start of a target, the longest one known, and asked where requests begin (`TargetPool.is_open`), also right before one is sent. It is kept while the target is off the list. Lines for slots of the target are left at once; where all targets rest, callers are refused at once with the soonest return. As it ends, spread by up to a tenth, one request goes there until one is taken, then two, then four.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -26,6 +26,7 @@
 # first event of the next request, while requests that are being answered hardly do: 0.1 s of
 # reading counts as much as 0.8 of the slots.
 READING_COST_PER_S = 8.0
+UNLISTED_KEPT = 1000  # targets that are off the list, of which what is known is kept
 FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
@@ -85,6 +86,7 @@
         self._rng = rng
         self._leaving = leaving
         self._loads: dict[TargetId, TargetLoad] = {}
+        self._unlisted: dict[TargetId, TargetLoad] = {}  # the oldest first
 
     @property
     def loads(self) -> Mapping[TargetId, TargetLoad]:
@@ -92,28 +94,34 @@
         return self._loads
 
     def sync(self, entries: Mapping[TargetId, TargetEntry]) -> None:
-        """Take the list of targets; what is known of those that stay is kept."""
+        """Take the list of targets; what is known of each start is kept, also while it is off it.
+
+        A row can lapse while the store is away; what its target asked for still holds.
+        """
         for target in self._loads.keys() - entries.keys():
-            del self._loads[target]
+            self._unlisted[target] = self._loads.pop(target)
         for target, entry in entries.items():
-            known = self._loads.get(target)
-            if known is None:
-                self._loads[target] = TargetLoad(entry)
-            else:
-                known.entry = entry
+            if target not in self._loads:
+                self._loads[target] = self._unlisted.pop(target, TargetLoad(entry))
+            self._loads[target].entry = entry
+        while len(self._unlisted) > UNLISTED_KEPT:
+            del self._unlisted[next(iter(self._unlisted))]
 
     def fitting(self, wish: Wish) -> list[TargetLoad]:
         """Return the targets that may run a request, however busy they are."""
         return [
-            load for load in self._loads.values() if self._fits(load, wish) and self.is_open(load)
+            load for load in self._loads.values() if self._fits(load, wish) and self._stays(load)
         ]
 
-    def is_open(self, load: TargetLoad) -> bool:
+    def is_open(self, load: TargetLoad, now: float) -> bool:
         """Return whether requests may be sent to a target at all.
 
         What was true as a target was chosen may have changed while a request waited for a slot or a
         connection, so this is asked again right before each is sent.
         """
+        return self._stays(load) and load.rest.is_over(now)
+
+    def _stays(self, load: TargetLoad) -> bool:
         target = load.entry.target
         return target not in self._leaving and self._loads.get(target) is load
 
@@ -173,7 +181,7 @@
             load.allowance.spend(now)
         load.reading_s += reading_s
         load.health.note_begin(now)
-        return Claim(load, reading_s)
+        return Claim(load, reading_s, load.rest.begin_trial())
 
     def note_read(self, claim: Claim) -> None:
         """Note that a request's prompt is read, or will not be."""
@@ -184,6 +192,16 @@
         """Note that a request is over, however it ended."""
         self.note_read(claim)
         claim.load.in_flight -= 1
+        if claim.is_trial:
+            claim.load.rest.end_trial()
+
+    def note_rest(self, load: TargetLoad, rest_s: float, now: float) -> None:
+        """Note that a target asked this entry to send it nothing for some seconds."""
+        load.rest.note_asked(rest_s, now, self._rng.random())
+
+    def note_taken(self, load: TargetLoad, sent_at: float) -> None:
+        """Note that a target took a request that was sent at a moment, however it ended."""
+        load.rest.note_taken(sent_at, load.entry.slots)
 
     def succeeded(self, load: TargetLoad) -> None:
         """Note that a target served a request."""
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -11,6 +11,7 @@
 from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetrate import Allowance, TargetRate
+from lacewinggw.decisions.targetrest import TargetRest
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
@@ -30,10 +31,14 @@
 
 @dataclass
 class Claim:
-    """Room that was taken at a target, and how long reading the prompt there takes, in seconds."""
+    """Room that was taken at a target, and how long reading the prompt there takes, in seconds.
+
+    One that `is_trial` shows whether a target that had rest takes requests again.
+    """
 
     load: "TargetLoad"
     reading_s: float = 0.0
+    is_trial: bool = False
 
 
 @dataclass
@@ -56,6 +61,7 @@
     update: LinkDelay = field(default_factory=LinkDelay)
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
+    rest: TargetRest = field(default_factory=TargetRest)
     rate: TargetRate = field(default_factory=TargetRate)
     allowance: Allowance | None = None  # of this entry; None while the target names no limit
 
@@ -90,17 +96,20 @@
     def takes_requests(self, now: float) -> bool:
         """Return whether the target begins requests of this entry, as far as it has slots.
 
-        It neither loads nor just said "full", and its limit leaves this entry one more.
+        It neither loads nor just said "full", and what it asks for allows one more.
         """
         return max(self.full_until, self.loading_until) <= now and self.is_allowed(now)
 
     def is_allowed(self, now: float) -> bool:
-        """Return whether the target's limit, if it names one, leaves this entry one more."""
+        """Return whether the rest and the limit that the target asks for allow one more request."""
+        if not (self.rest.is_over(now) and self.rest.has_trial()):
+            return False
         return self.allowance is None or self.allowance.is_open(now)
 
     def allowed_at(self, now: float) -> float:
-        """Return from when on the target's limit leaves this entry one more request."""
-        return now if self.allowance is None else self.allowance.opens_at(now)
+        """Return from when on they allow one more request, as far as is known."""
+        opens_at = now if self.allowance is None else self.allowance.opens_at(now)
+        return max(opens_at, self.rest.until)
 
     def note_heard(self, now: float) -> None:
         """Note that part of an answer came."""
--- /dev/null
+++ b/src/lacewinggw/decisions/targetrest.py
@@ -0,0 +1,61 @@
+"""How long a target that asked for rest gets nothing, and how it gets requests again.
+
+The load it answers: overloaded targets that turn requests away and ask to be left alone for some
+seconds. Each offer in that time costs its caller time, and the fleet one of its retries.
+
+A rest ends at one moment for all that wait, and at nearly the same for other entries. So its end is
+spread, and then one request at a time goes there until one is taken, then two, then four.
+"""
+
+import math
+from dataclasses import dataclass
+
+SPREAD_SHARE = 0.1  # of a rest, after which at most it ends for this entry
+SPREAD_MOST_S = 0.5
+
+
+@dataclass
+class TargetRest:
+    """The rest of one target, as one entry keeps it; times in seconds of the caller's clock.
+
+    rest.note_asked(3.0, now, drawn=rng.random())
+    if rest.is_over(now) and rest.has_trial():
+        rest.begin_trial()
+    """
+
+    until: float = -math.inf
+    _trials: int | None = None  # requests it may have at a time; None once it has taken enough
+    _on_trial: int = 0
+
+    def note_asked(self, rest_s: float, now: float, drawn: float) -> None:
+        """Note that a target asks for rest; `drawn` is a share, drawn at random.
+
+        The longest of what is known holds: answers overtake each other.
+        """
+        spread_s = min(SPREAD_SHARE * rest_s, SPREAD_MOST_S)
+        self.until = max(self.until, now + rest_s + drawn * spread_s)
+        self._trials = 1
+
+    def is_over(self, now: float) -> bool:
+        """Return whether the target may be sent requests."""
+        return self.until <= now
+
+    def has_trial(self) -> bool:
+        """Return whether one more request may be on its way, after a rest or with none before."""
+        return self._trials is None or self._on_trial < self._trials
+
+    def begin_trial(self) -> bool:
+        """Note that a request is sent; return whether it is one of those that show what comes."""
+        is_trial = self._trials is not None
+        self._on_trial += is_trial
+        return is_trial
+
+    def end_trial(self) -> None:
+        """Note that such a request is over."""
+        self._on_trial -= 1
+
+    def note_taken(self, sent_at: float, slots: int) -> None:
+        """Note that the target took a request; one that was sent before the rest says nothing."""
+        if self._trials is None or sent_at < self.until:
+            return
+        self._trials = None if self._trials >= slots else 2 * self._trials
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -163,7 +163,7 @@
     def _note_connected(self, load: TargetLoad, took_s: float, now: float) -> None:
         """Look once more whether the request may be sent, now that it could be."""
         load.note_connect(took_s, now)
-        if not self._pool.is_open(load):
+        if not self._pool.is_open(load, now):
             raise _TargetClosed
 
     async def _sort(
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -126,7 +126,13 @@
             self._place, _ejection_rules(settings), rng, leaving=self.knowledge.leaving
         )
         self._rates = self._make_rates()
-        self._answers = TargetAnswers(self._rates, self._departures, self.metrics)
+        self._answers = TargetAnswers(
+            self.pool,
+            self._rates,
+            self._departures,
+            lambda: self.queue.leave_closed(),
+            self.metrics,
+        )
         self._agents = self._make_agents()
         self._sight = self._make_sight()
         slots = AgentSlots(self._node, self._agent_port)
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -1,6 +1,7 @@
 """Where requests wait for a target: the pool's choices and the waiting lines, wired to futures."""
 
 import asyncio
+import math
 import random
 from collections import defaultdict
 from dataclasses import dataclass
@@ -11,7 +12,7 @@
 from lacewinggw.decisions.slots import SlotWish
 from lacewinggw.decisions.targetload import Claim, TargetLoad
 from lacewinggw.decisions.waiting import Waiter, WaitingLine
-from lacewinggw.errors import NoTarget, Overloaded
+from lacewinggw.errors import NoTarget, Overloaded, RequestRefused
 from lacewinggw.frontend.slots import AskSlot, Lease, SlotSearch
 from lacewinggw.ids import ServiceName
 from lacewinggw.log import get_logger
@@ -27,6 +28,7 @@
 ABSENT_RETURN_S = (1.2, 2.0)
 # A burst lasts some seconds, and callers wait for a third of their time.
 RETURN_S = (RETURN_LEAST_S, 2.0)
+OPENING_SPREAD_S = 0.5  # of callers that come back as a target takes requests again
 # A late request that starts within it found a free slot, which says nothing of those that wait.
 AT_ONCE_S = 0.03
 MS_PER_S = 1000
@@ -82,8 +84,7 @@
         line = self._lines[wish.service]
         fitting = self._pool.fitting(wish)
         if not fitting:
-            reason = f"no target of {wish.service} may run the request"
-            raise NoTarget(reason, retry_after_ms=_draw_ms(ABSENT_RETURN_S))
+            raise self._refusal(wish)
         if self._pool.choose_asked(fitting, now, frozenset()) is not None:
             return await self._claim_slot(wish, priority, is_late, until)
         if not len(line):
@@ -93,7 +94,7 @@
         allowed_at = min(load.allowed_at(now) for load in fitting)
         expected_s = line.expected_wait(priority, is_late)
         if max(allowed_at, now + expected_s) > until:
-            raise _overloaded(wish)
+            raise self._refusal(wish)
         return await self._wait_for(line, wish, line.join(priority, is_late, until))
 
     def end(self, claim: Claim) -> None:
@@ -120,7 +121,7 @@
         if is_late and _now() - began > AT_ONCE_S:
             line.note_late_end(started=lease is not None)
         if lease is None:
-            raise _overloaded(wish)
+            raise self._refusal(wish)
         now = _now()
         self._wait.record(now - began)
         claim = self._begin(line, lease.load, wish, now)
@@ -144,12 +145,45 @@
             self._searches.discard(search)
 
     def _may_begin(self, load: TargetLoad) -> bool:
-        return self._pool.is_open(load) and load.is_allowed(_now())
+        now = _now()
+        return self._pool.is_open(load, now) and load.is_allowed(now)
 
     def leave_closed(self) -> None:
         """Have no request wait any longer for targets to which none may be sent."""
+        now = _now()
         for search in self._searches:
-            search.leave_where(lambda load: not self._pool.is_open(load))
+            search.leave_where(lambda load: not self._pool.is_open(load, now))
+        for line in self._lines.values():
+            self._refuse_hopeless(line, now)
+
+    def _refuse_hopeless(self, line: WaitingLine, now: float) -> None:
+        """Refuse at once what waits for targets of which none takes it in its time."""
+        for waiter in list(line.in_order()):
+            waiting = self._waiting.get(id(waiter))
+            if waiting is None or waiting.found.done():
+                continue
+            if self._opens_at(waiting.wish, now) > waiter.until:
+                waiting.found.set_exception(self._refusal(waiting.wish))
+                line.leave(waiter)
+
+    def _opens_at(self, wish: Wish, now: float) -> float:
+        """Return when the first target may be sent a request, as far as is known."""
+        fitting = self._pool.fitting(wish)
+        return min((load.allowed_at(now) for load in fitting), default=math.inf)
+
+    def _refusal(self, wish: Wish) -> RequestRefused:
+        """Return why a request is refused and when to return, spread out: not as a second burst."""
+        if not self._pool.fitting(wish):
+            reason = f"no target of {wish.service} may run the request"
+            return NoTarget(reason, retry_after_ms=_draw_ms(ABSENT_RETURN_S))
+        now = _now()
+        opens_in_s = self._opens_at(wish, now) - now
+        if 0 < opens_in_s < math.inf:
+            reason = f"the targets of {wish.service} take nothing for now"
+            between_s = (opens_in_s, opens_in_s + OPENING_SPREAD_S)
+            return Overloaded(reason, retry_after_ms=_draw_ms(between_s))
+        reason = f"the targets of {wish.service} are full"
+        return Overloaded(reason, retry_after_ms=_draw_ms(RETURN_S))
 
     def late_share(self, service: ServiceName) -> float:
         """Return the share of late requests for a service that started lately."""
@@ -167,7 +201,7 @@
                 self._pool.end(found.result())
             if waiter.is_late:
                 line.note_late_end(started=False)
-            raise _overloaded(wish) from None
+            raise self._refusal(wish) from None
         except asyncio.CancelledError:
             if found.done() and not found.cancelled():
                 self._pool.end(found.result())
@@ -223,12 +257,6 @@
             )
 
 
-def _overloaded(wish: Wish) -> Overloaded:
-    """Return the refusal; its callers come back spread out, not as a second burst."""
-    reason = f"the targets of {wish.service} are full"
-    return Overloaded(reason, retry_after_ms=_draw_ms(RETURN_S))
-
-
 def _draw_ms(between_s: tuple[float, float]) -> int:
     return round(random.uniform(*between_s) * MS_PER_S)
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -248,6 +248,7 @@
                     await self._note_lost(job, load)
                 return False
             case Answer() as answer:
+                self._parts.pool.note_taken(load, job.offered_at)
                 try:
                     is_served = await self._pass_on(job, load, answer, caller)
                 except AnswerIncomplete as error:
--- a/src/lacewinggw/frontend/targetanswers.py
+++ b/src/lacewinggw/frontend/targetanswers.py
@@ -1,5 +1,9 @@
 """What targets say of themselves in the heads of their answers, handed to whoever acts on it."""
 
+import asyncio
+from collections.abc import Callable
+
+from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.targetload import TargetLoad
 from lacewinggw.frontend.calls import AnswerFacts
 from lacewinggw.frontend.departures import Departures, LeavingSource
@@ -11,16 +15,25 @@
 
 
 class TargetAnswers:
-    """Takes the head of each answer.
+    """Takes the head of each answer; `on_rest` is called when a target wants nothing for a time.
 
     asked_at = answers.read_clock()
     ...
     answers.note(load, facts, asked_at)
     """
 
-    def __init__(self, rates: TargetRates, departures: Departures, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        pool: TargetPool,
+        rates: TargetRates,
+        departures: Departures,
+        on_rest: Callable[[], None],
+        metrics: Metrics,
+    ) -> None:
+        self._pool = pool
         self._rates = rates
         self._departures = departures
+        self._on_rest = on_rest
         self._rests = metrics.counter("target_rests")
 
     def read_clock(self) -> float:
@@ -36,6 +49,8 @@
             self._note_rest(load, facts.rest_s)
 
     def _note_rest(self, load: TargetLoad, rest_s: float) -> None:
+        self._pool.note_rest(load, rest_s, asyncio.get_running_loop().time())
+        self._on_rest()
         self._rests.add()
         log.info(
             "target_rest_asked",
--- /dev/null
+++ b/tests/fleet/test_targetrest.py
@@ -0,0 +1,112 @@
+"""The rest that targets ask for: how long it holds, and how requests come back after it."""
+
+import random
+
+import pytest
+
+from lacewinggw.decisions.dispatch import TargetPool, Wish
+from lacewinggw.decisions.ejection import EjectionRules
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetrest import SPREAD_MOST_S, SPREAD_SHARE, TargetRest
+
+YEAR_S = 31_536_000.0
+
+
+def test_the_longest_rest_that_is_known_holds():
+    rest = TargetRest()
+    rest.note_asked(3.0, now=10.0, drawn=0.0)
+    rest.note_asked(0.5, now=10.1, drawn=1.0)
+    assert not rest.is_over(12.9) and rest.is_over(13.0)
+    rest.note_asked(YEAR_S, now=14.0, drawn=0.5)
+    assert not rest.is_over(14.0 + YEAR_S)
+    assert rest.is_over(14.0 + YEAR_S + SPREAD_MOST_S)
+
+
+def test_requests_come_back_one_by_one_and_then_twice_as_many():
+    rest = TargetRest()
+    rest.note_asked(1.0, now=0.0, drawn=0.0)
+    at_a_time = []
+    for _ in range(3):
+        sent = 0
+        while rest.has_trial():
+            assert rest.begin_trial()
+            sent += 1
+        at_a_time.append(sent)
+        for _ in range(sent):
+            rest.end_trial()
+        rest.note_taken(sent_at=1.5, slots=4)
+    assert at_a_time == [1, 2, 4]
+    assert rest.has_trial() and not rest.begin_trial()
+
+
+def test_what_was_sent_before_the_rest_and_ends_after_it_shows_nothing():
+    rest = TargetRest()
+    rest.note_asked(1.0, now=5.0, drawn=0.0)
+    rest.note_taken(sent_at=4.9, slots=4)
+    rest.begin_trial()
+    assert not rest.has_trial()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_history_lets_a_request_into_a_rest_or_leaves_it_for_good(seed):
+    rng, rest = random.Random(seed), TargetRest()
+    now, bound, least, sent = 0.0, 0.0, 0.0, []
+    for _ in range(400):
+        now += rng.expovariate(4.0)
+        match rng.choice(["ask", "send", "end", "end"]):
+            case "ask" if rng.random() < 0.2:
+                rest_s = rng.choice([0.01, 0.5, 3.0, 20.0])
+                rest.note_asked(rest_s, now, rng.random())
+                least = max(least, now + rest_s)
+                bound = max(bound, now + rest_s + min(SPREAD_SHARE * rest_s, SPREAD_MOST_S))
+            case "send" if rest.is_over(now) and rest.has_trial():
+                assert now >= least
+                sent.append((now, rest.begin_trial()))
+            case "end" if sent:
+                sent_at, is_trial = sent.pop(0)
+                if is_trial:
+                    rest.end_trial()
+                rest.note_taken(sent_at, slots=8)
+    for sent_at, is_trial in sent:
+        if is_trial:
+            rest.end_trial()
+        rest.note_taken(sent_at, slots=8)
+    assert rest.is_over(bound) and rest.has_trial()
+
+
+def pool_of(*names: str, born_ms: int = 0) -> TargetPool:
+    pool = TargetPool("hall", EjectionRules(), random.Random(1))
+    entries = [
+        TargetEntry(name, "desk", f"{name}:80", "hall", slots=2, born_ms=born_ms) for name in names
+    ]
+    pool.sync({entry.target: entry for entry in entries})
+    return pool
+
+
+def test_a_rest_holds_while_the_target_is_off_the_list_and_back():
+    pool = pool_of("a")
+    load = pool.loads["a"]
+    pool.note_rest(load, 3.0, now=0.0)
+    entry = load.entry
+    pool.sync({})
+    assert not pool.is_open(load, now=9.0)
+    pool.sync({"a": entry})
+    assert pool.choose(pool.fitting(Wish("desk")), now=2.9) is None
+    assert pool.choose(pool.fitting(Wish("desk")), now=3.4) is not None
+
+
+def test_a_new_start_under_the_same_name_does_not_rest():
+    pool = pool_of("a", born_ms=1)
+    pool.note_rest(pool.loads["a/1"], YEAR_S, now=0.0)
+    newer = TargetEntry("a", "desk", "a:80", "hall", slots=2, born_ms=2)
+    pool.sync({newer.target: newer})
+    assert pool.choose(pool.fitting(Wish("desk")), now=0.1) is not None
+
+
+def test_what_is_kept_of_targets_off_the_list_is_bounded():
+    pool = pool_of("a")
+    pool.note_rest(pool.loads["a"], 3.0, now=0.0)
+    for number in range(3000):
+        entry = TargetEntry(f"t{number}", "desk", f"t{number}:80", "hall")
+        pool.sync({entry.target: entry})
+    assert len(pool._unlisted) <= 1000
