Have an agent tell that its engine leaves as soon as the engine says so

What callers saw: nothing yet. A model engine that left while the store was away was found out by each entry from an answer to a request of its own, and its agent went on giving out its slots and loading weights for it. Cause: the same class as in the answers that entries get: the header is in all answers of an engine, also in its reports, which its agent reads five times a second, and nobody acted on it there. Evidence: with the store silent, an engine that leaves and entries that have not asked it yet, the first request of each went there; with the change none does. The test failed before. Why it holds: the report carries it, the agent tells all entries that listen at once, gives no slots, and orders no load.

--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -360,6 +360,8 @@
             model, report = self.assignment.model, self._report
             if model is None or report is None or report.busy or self._loader.is_loading:
                 continue
+            if report.leaving:
+                continue  # weights would serve nobody
             try:
                 if self._staged.is_unread:
                     # The target was not up yet. A copy that lies there need not come over links.
@@ -396,7 +398,7 @@
         if report is None:
             self._slots.note_target(None, begins=False)
         else:
-            begins = bool(report.weights) and not self._begins_nothing
+            begins = bool(report.weights) and not (self._begins_nothing or report.leaving)
             self._slots.note_target(report.running + report.queued, begins)
 
     @property
@@ -444,7 +446,8 @@
         update = self._compose()
         if update is None:
             return
-        urgent = self._told is None or update.loading != self._told.loading
+        told = self._told
+        urgent = told is None or (update.loading, update.leaving) != (told.loading, told.leaving)
         pause_s = UNCHANGED_S if update == self._told else UPDATE_S
         if not urgent and now - self._told_at < pause_s:
             return
@@ -462,7 +465,7 @@
             name=target.name,
             running=max(report.running + report.queued, self._slots.taken),
             queued=self._slots.waiting,
-            leaving=self.assignment.is_leaving(target.target),
+            leaving=report.leaving or self.assignment.is_leaving(target.target),
             held=[_held(model, version) for model, version in report.weights.items()],
             loading=self._begins_nothing,
             sent_ms=0,
--- a/src/lacewinggw/loader/target.py
+++ b/src/lacewinggw/loader/target.py
@@ -15,6 +15,7 @@
     `weights` are the versions of models that it holds whole; `orders` counts the orders it has
     taken since its start, by which one that went unanswered is told from one that was lost.
     `born_ms` tells that start from others, in Unix milliseconds; 0 where it is not told.
+    One that is `leaving` takes no new work any more.
     """
 
     running: int
@@ -23,6 +24,7 @@
     orders: int
     weights: Mapping[ModelName, int] = field(default_factory=dict)
     born_ms: int = 0
+    leaving: bool = False
 
 
 class Switch(Enum):
--- a/tests/fleet/test_targets_leaving.py
+++ b/tests/fleet/test_targets_leaving.py
@@ -109,3 +109,21 @@
         reply = await waiting
         assert reply.status == 503 and now() - asked_at < 0.1
         assert all(reply.whole for reply in await asyncio.gather(*running))
+
+
+# An agent heard its engine say so five times a second and went on giving out the engine's slots.
+async def test_an_agent_whose_engine_leaves_tells_the_entries_before_any_request_goes_there():
+    async with running_fleet(desks=0, engines=3, entries=0) as fleet:
+        await add_entries(fleet, 6)
+        for name in list(fleet.targets):
+            await fleet.add_agent(name)
+        let_anybody_in(fleet)
+        await asyncio.sleep(2.0)
+        fleet.store.faults.outage = Outage.HANG
+        engine = fleet.targets["engine0"]
+        engine.behaviour.leaving = True
+        await asyncio.sleep(0.7)
+        played = await play(fleet, seconds=4.0, per_s=30.0, key="")
+        assert engine.seen == []
+        assert played.shares() == {200: 1.0}
+        assert engine.orders == []
