Double the pause of a target that goes on turning requests away

Hypothesis: what callers lose while targets shed without asking for rest is the retries. Change: 0.05 s after the first refusal, twice as long after each of a request sent later, 0.8 s at most; each request taken takes one step back. So it ends: a target that is well again is asked within 0.8 s and has half of its share of the requests one second later (asserted). Ruled out: a rest as if it had been asked for; one trial at a time costs targets that are full for a moment.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -27,7 +27,6 @@
 # reading counts as much as 0.8 of the slots.
 READING_COST_PER_S = 8.0
 UNLISTED_KEPT = 1000  # targets that are off the list, of which what is known is kept
-FULL_PAUSE_S = 0.05  # a target that said it is full is left alone so long
 
 
 @dataclass(frozen=True)
@@ -201,6 +200,7 @@
 
     def note_taken(self, load: TargetLoad, sent_at: float) -> None:
         """Note that a target took a request that was sent at a moment, however it ended."""
+        load.pause.note_taken()
         load.rest.note_taken(sent_at, load.entry.slots)
 
     def succeeded(self, load: TargetLoad) -> None:
@@ -213,9 +213,9 @@
         out_now = sum(each.health.out_until is not None for each in same)
         return end_failed_call(load.health, now, out_now, len(same), self._rules)
 
-    def note_full(self, load: TargetLoad, now: float) -> None:
-        """Note that a target refused a request because it is full."""
-        load.full_until = max(load.full_until, now + FULL_PAUSE_S)
+    def note_full(self, load: TargetLoad, sent_at: float, now: float) -> None:
+        """Note that a target refused a request, sent at a moment, because it is full."""
+        load.full_until = max(load.full_until, now + load.pause.note_refused(sent_at, now))
         load.health.note_nothing()
 
     def note_silent(self, load: TargetLoad, now: float) -> None:
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -11,7 +11,7 @@
 from lacewinggw.decisions.linkdelay import LinkDelay
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetrate import Allowance, TargetRate
-from lacewinggw.decisions.targetrest import TargetRest
+from lacewinggw.decisions.targetrest import RefusalPause, TargetRest
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
@@ -61,6 +61,7 @@
     update: LinkDelay = field(default_factory=LinkDelay)
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
+    pause: RefusalPause = field(default_factory=RefusalPause)
     rest: TargetRest = field(default_factory=TargetRest)
     rate: TargetRate = field(default_factory=TargetRate)
     allowance: Allowance | None = None  # of this entry; None while the target names no limit
--- a/src/lacewinggw/decisions/targetrest.py
+++ b/src/lacewinggw/decisions/targetrest.py
@@ -1,7 +1,7 @@
-"""How long a target that asked for rest gets nothing, and how it gets requests again.
+"""How long a target that turned requests away gets nothing, and how it gets requests again.
 
-The load it answers: overloaded targets that turn requests away and ask to be left alone for some
-seconds. Each offer in that time costs its caller time, and the fleet one of its retries.
+The load it answers: overloaded targets that turn requests away, and may ask to be left alone for
+some seconds. Each offer in that time costs its caller time, and the fleet one of its retries.
 
 A rest ends at one moment for all that wait, and at nearly the same for other entries. So its end is
 spread, and then one request at a time goes there until one is taken, then two, then four.
@@ -12,6 +12,34 @@
 
 SPREAD_SHARE = 0.1  # of a rest, after which at most it ends for this entry
 SPREAD_MOST_S = 0.5
+FULL_PAUSE_S = 0.05  # after the first refusal: a request ends about as often at a full target
+REFUSALS_MOST = 5  # that count, so that a target that is well again is found out within 0.8 s
+
+
+@dataclass
+class RefusalPause:
+    """How long a target that turned a request away, and asked for nothing, is left alone.
+
+    It doubles with each refusal of a request that was sent after the last one, and shrinks by half
+    with each request taken: a target without room for the moment is asked again soon, one that
+    turns nearly everything away only now and then.
+
+        pause_s = pause.note_refused(sent_at, now)
+    """
+
+    _refusals: int = 0
+    _refused_at: float = -math.inf
+
+    def note_refused(self, sent_at: float, now: float) -> float:
+        """Note a refusal of a request sent at a moment; return how long to send nothing."""
+        if sent_at >= self._refused_at:
+            self._refusals = min(REFUSALS_MOST, self._refusals + 1)
+            self._refused_at = now
+        return FULL_PAUSE_S * 2.0 ** (self._refusals - 1)
+
+    def note_taken(self) -> None:
+        """Note that the target took a request."""
+        self._refusals = max(0, self._refusals - 1)
 
 
 @dataclass
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -273,7 +273,7 @@
         if proof.is_gone:
             self._note_gone(load)
         if proof.full:
-            self._parts.pool.note_full(load, now)
+            self._parts.pool.note_full(load, job.offered_at, now)
             self._parts.metrics.retry(RetryReason.TARGET_OVERLOADED)
         elif proof.is_closed:
             self._parts.metrics.retry(RetryReason.WITHDRAWN)
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -96,14 +96,14 @@
 
 
 def test_a_full_target_is_left_alone_for_a_moment(pool):
-    pool.note_full(pool.loads["a"], now=0.0)
+    pool.note_full(pool.loads["a"], sent_at=0.0, now=0.0)
     assert "a" not in {choose(pool, now=0.01) for _ in range(20)}
     assert "a" in {choose(pool, now=0.1) for _ in range(50)}
 
 
 def test_a_silent_target_is_left_alone_for_longer(pool):
     pool.note_silent(pool.loads["a"], now=0.0)
-    pool.note_full(pool.loads["b"], now=0.0)
+    pool.note_full(pool.loads["b"], sent_at=0.0, now=0.0)
     assert {choose(pool, now=0.5) for _ in range(50)} == {"b", "c"}
     assert "a" in {choose(pool, now=1.1) for _ in range(50)}
 
--- a/tests/fleet/test_targetrest.py
+++ b/tests/fleet/test_targetrest.py
@@ -7,7 +7,7 @@
 from lacewinggw.decisions.dispatch import TargetPool, Wish
 from lacewinggw.decisions.ejection import EjectionRules
 from lacewinggw.decisions.targetlist import TargetEntry
-from lacewinggw.decisions.targetrest import SPREAD_MOST_S, SPREAD_SHARE, TargetRest
+from lacewinggw.decisions.targetrest import SPREAD_MOST_S, SPREAD_SHARE, RefusalPause, TargetRest
 
 YEAR_S = 31_536_000.0
 
@@ -110,3 +110,18 @@
         entry = TargetEntry(f"t{number}", "desk", f"t{number}:80", "hall")
         pool.sync({entry.target: entry})
     assert len(pool._unlisted) <= 1000
+
+
+def test_a_pause_doubles_with_refusals_and_shrinks_with_what_is_taken():
+    pause = RefusalPause()
+    pauses = [pause.note_refused(sent_at=float(at), now=at + 0.1) for at in range(7)]
+    assert pauses == [0.05, 0.1, 0.2, 0.4, 0.8, 0.8, 0.8]
+    pause.note_taken()
+    pause.note_taken()
+    assert pause.note_refused(sent_at=8.0, now=8.1) == 0.4
+
+
+def test_requests_refused_together_count_once():
+    pause = RefusalPause()
+    pauses = [pause.note_refused(sent_at=0.0, now=0.1 + number / 100) for number in range(5)]
+    assert pauses == [0.05] * 5
--- a/tests/fleet/test_targets_resting.py
+++ b/tests/fleet/test_targets_resting.py
@@ -11,6 +11,8 @@
 
 REST_S = 3.0
 OBJECTIVE_S = 0.4  # of the routes that the stand-ins declare
+RETRY_SHARE = 0.2  # of the requests, that operators allow to be tried again
+ALARMING_SHARE = 0.1  # of the requests not served, above which operators are alarmed
 
 
 # Overloaded engines that asked for three seconds of rest were asked again after a twentieth of one.
@@ -94,3 +96,34 @@
         assert (await fleet.ask("/tally/1")).status == 503
         await asyncio.sleep(0.1)
         assert (await fleet.ask("/tally/1")).status == 200
+
+
+# Two of six targets turned nearly all away, and a fifth of the callers were refused for it.
+@pytest.mark.parametrize(
+    ("path", "kind", "per_s"), [("/report/1", "engine", 90.0), ("/tally/1", "desk", 250.0)]
+)
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_targets_that_turn_requests_away_do_not_use_up_the_retries(path, kind, per_s, seed):
+    async with running_fleet(
+        desks=6 * (kind == "desk"), engines=6 * (kind == "engine"), entries=0
+    ) as fleet:
+        await add_entries(fleet, 6)
+        for name, target in fleet.targets.items():
+            target.behaviour.pause_s = 0.03
+            if kind == "engine":
+                await fleet.add_agent(name)
+        await asyncio.sleep(2.0)
+        shedding = [fleet.targets[f"{kind}{number}"] for number in range(2)]
+        for target in shedding:
+            target.behaviour.shed_share = 0.95
+        played = await play(fleet, seconds=8.0, per_s=per_s, path=path, seed=seed)
+        turned_away = sum(len(target.turned_away) for target in shedding)
+        assert turned_away <= RETRY_SHARE * len(played.replies)
+        assert played.shares()[200] >= 1.0 - ALARMING_SHARE
+        for target in shedding:
+            target.behaviour.shed_share = 0.0
+        await asyncio.sleep(1.0)
+        well_at = now()
+        await play(fleet, seconds=2.0, per_s=per_s, path=path, seed=seed)
+        for target in shedding:
+            assert rate_since(target, well_at) >= 0.5 * per_s / len(fleet.targets)
