--- /dev/null
+++ b/tests/fleet/test_targets_closing_soak.py
@@ -0,0 +1,123 @@
+"""Seeded runs: targets leave, rest and limit their rate while entries, rows and store fail."""
+
+import asyncio
+import os
+import random
+
+import pytest
+from declared_fleet import DeclaredFleet, running_fleet
+from leaving import PLACES, add_entries, let_anybody_in, require_left_alone, require_rest
+from limiting import Played, name_limit, now, play
+from platform_standins import DESK, LLM, TargetStandIn, target_row
+
+from lacewinggw.lab.standin import Outage
+
+pytestmark = pytest.mark.looptime
+
+SEEDS = range(int(os.environ.get("CLOSING_SEEDS", "4")))
+PLAY_S = 12.0
+RESTS_S = (0.8, 2.0, 4.0)
+
+
+class Troubles:
+    """Draws what befalls a fleet; a start of an entry is noted, as what it knew is gone with it."""
+
+    def __init__(self, fleet: DeclaredFleet, kind: str, rng: random.Random, played: Played) -> None:
+        self.fleet, self.kind, self.rng, self.played = fleet, kind, rng, played
+        self.service = DESK if kind == "desk" else LLM
+        self.version = 3
+
+    async def run(self, seconds: float) -> None:
+        end = now() + seconds
+        while now() < end:
+            await asyncio.sleep(self.rng.expovariate(1.4))
+            trouble = self.rng.choice(
+                [self.leave, self.rest, self.rest, self.recover, self.limit, self.lose_store]
+                + [self.restart_entry, self.lose_row, self.start_anew]
+            )
+            await trouble()
+
+    def draw(self) -> TargetStandIn:
+        return self.fleet.targets[f"{self.kind}{self.rng.randrange(len(self.fleet.targets))}"]
+
+    async def leave(self) -> None:
+        self.draw().behaviour.leaving = True
+
+    async def rest(self) -> None:
+        target = self.draw()
+        if target.behaviour.rest_s is None:
+            target.behaviour.rest_s = str(self.rng.choice(RESTS_S))
+        target.behaviour.shed_share = self.rng.choice([0.5, 0.95, 1.0])
+
+    async def recover(self) -> None:
+        self.draw().behaviour.shed_share = 0.0
+
+    async def limit(self) -> None:
+        name_limit(self.draw(), self.rng.choice([None, 1.0, 6.0]))
+
+    async def lose_store(self) -> None:
+        faults = self.fleet.store.faults
+        faults.outage = self.rng.choice([Outage.NONE, Outage.HANG, Outage.REFUSE, Outage.CUT])
+
+    async def restart_entry(self) -> None:
+        number = self.rng.randrange(len(self.fleet.entries))
+        entry = self.fleet.entries[number]
+        await entry.close()
+        self.forget(str(number))
+        place = PLACES[number % len(PLACES)]
+        anew = await self.fleet.add_entry(number + 1, place)
+        self.fleet.entries.remove(anew)
+        self.fleet.entries[number] = anew
+        self.forget(str(number))
+
+    def forget(self, via: str) -> None:
+        self.played.left_at = {key: at for key, at in self.played.left_at.items() if key[0] != via}
+        for target in self.fleet.targets.values():
+            target.turned_away = [told for told in target.turned_away if told[1] != via]
+
+    async def lose_row(self) -> None:
+        target = self.draw()
+        self.fleet.store.put("servers", target.target_id, None)
+        await asyncio.sleep(self.rng.uniform(0.2, 1.5))
+        self.list_row(target)
+
+    def list_row(self, target: TargetStandIn) -> None:
+        row = target_row(self.service, target.address, born=target.born_ms)
+        self.fleet.store.put("servers", target.target_id, row)
+
+    async def start_anew(self) -> None:
+        """Start again under a name of its own, as targets do; what was asked before is over."""
+        target = self.draw()
+        if target.behaviour.leaving or target.behaviour.shed_share:
+            return
+        target.crash()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_no_mix_of_troubles_lets_requests_reach_targets_that_are_closed(seed):
+    rng = random.Random(seed)
+    kind = rng.choice(["desk", "engine"])
+    count = rng.randint(1, 5)
+    async with running_fleet(
+        desks=count * (kind == "desk"), engines=count * (kind == "engine"), entries=0
+    ) as fleet:
+        await add_entries(fleet, rng.randint(1, 12))
+        if kind == "engine" and rng.random() < 0.8:
+            for name in list(fleet.targets):
+                await fleet.add_agent(name, rng.choice(PLACES))
+        let_anybody_in(fleet)
+        await asyncio.sleep(2.0)
+        played = Played()
+        troubles = asyncio.ensure_future(Troubles(fleet, kind, rng, played).run(PLAY_S))
+        path = "/tally/1" if kind == "desk" else "/report/1"
+        await play(fleet, PLAY_S, per_s=50.0, path=path, seed=seed, played=played, key="")
+        await troubles
+        for target in fleet.targets.values():
+            for start in {request.headers["x-expected-instance"] for request in target.seen}:
+                require_left_alone(target, played, start)
+            if target.behaviour.rest_s is not None:
+                require_rest(target, float(target.behaviour.rest_s))
+        # A target that ends under a request which may not be repeated leaves its outcome unknown.
+        ended = any(target.ended_at for target in fleet.targets.values())
+        allowed = {200, 502, 503} if ended else {200, 503}
+        assert {reply.status for reply in played.replies if reply.whole} <= allowed
