Keep each entry to its part of the connections that a service takes of all

A service of one target with eight slots and 48 connections could get eight from each of 42 entries, and resets those beyond, so that what cannot be repeated is lost. Evidence: 24 entries before one target that allows 30, 200 requests a second: 76 at once. Why it holds: an entry has no more requests at a target than its part, one at least, asked where a target is chosen; the part of the lookup services and of engines is above their slots on all sheets, so nothing changes there.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -5,8 +5,9 @@
 slots; what is beyond waits here, where it can still go to whichever target is free first.
 """
 
+import math
 import random
-from collections.abc import Iterable, Mapping, Sequence, Set
+from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass
 
 from lacewinggw.decisions.ejection import EjectionRules, end_failed_call
@@ -62,6 +63,7 @@
     """The targets of all services, with their work as this entry knows it.
 
     `leaving` is the set of those that take no new work, kept up to date by its owner.
+    `connections_of` tells how many connections this entry may have to each target of a service.
 
     pool.sync(knowledge.targets)
     load = pool.choose(Wish(service), now)
@@ -78,12 +80,14 @@
         rng: random.Random,
         draw: Draw | None = None,
         leaving: Set[TargetId] = frozenset(),
+        connections_of: Callable[[ServiceName], float] = lambda service: math.inf,
     ) -> None:
         self._place = place
         self._draw = draw or Draw()
         self._rules = rules
         self._rng = rng
         self._leaving = leaving
+        self._connections_of = connections_of
         self._loads: dict[TargetId, TargetLoad] = {}
         self._unlisted: dict[TargetId, TargetLoad] = {}  # the oldest first
 
@@ -120,6 +124,9 @@
         """
         return self._stays(load) and load.rest.is_over(now)
 
+    def _may_connect(self, load: TargetLoad) -> bool:
+        return load.in_flight < self._connections_of(load.entry.service)
+
     def _stays(self, load: TargetLoad) -> bool:
         target = load.entry.target
         return target not in self._leaving and self._loads.get(target) is load
@@ -134,7 +141,9 @@
         fitting = list(fitting)
         # If none can be reached, the cause is this entry's: then all are as good as before.
         reachable = [load for load in fitting if load.is_reachable(now)] or fitting
-        usable = [load for load in reachable if load.has_room(now, is_late)]
+        usable = [
+            load for load in reachable if load.has_room(now, is_late) and self._may_connect(load)
+        ]
         healthy = [load for load in usable if load.health.may_take(now)]
         if not healthy:
             # All are failing, so the cause may not be theirs: any is better than none.
@@ -156,6 +165,7 @@
             and load.gives_slots(now)
             and load.takes_requests(now)
             and load.is_reachable(now)
+            and self._may_connect(load)
         ]
         healthy = [load for load in open_ if load.health.may_take(now)] or open_
         candidates = self._candidates(healthy, now)
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -1,6 +1,7 @@
 """The entry process of a declared fleet: its knowledge, its queue and its sockets."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Sequence, Set
 from dataclasses import dataclass
@@ -40,7 +41,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.health import Health, Readiness
-from lacewinggw.ids import Address, HostId, Place, TargetId, new_incarnation
+from lacewinggw.ids import Address, HostId, Place, ServiceName, TargetId, new_incarnation
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.frames import Message
@@ -123,7 +124,11 @@
             clock,
         )
         self.pool = TargetPool(
-            self._place, _ejection_rules(settings), rng, leaving=self.knowledge.leaving
+            self._place,
+            _ejection_rules(settings),
+            rng,
+            leaving=self.knowledge.leaving,
+            connections_of=self._connections_of,
         )
         self._rates = self._make_rates()
         self._answers = TargetAnswers(
@@ -372,6 +377,17 @@
         """Return how many entries there are; 0 while that is not known."""
         return len(self._sight.members)
 
+    def _connections_of(self, service: ServiceName) -> float:
+        """Return this entry's part of the connections that each target of a service takes.
+
+        One at least: with more entries than connections few of them are busy there at one time.
+        """
+        routes = self.knowledge.routes
+        declared = routes.services.get(service) if routes else None
+        if declared is None or not declared.connection_limit:
+            return math.inf
+        return max(1, declared.connection_limit // max(1, self._count_entries()))
+
     def _ready_hosts(self) -> Sequence[HostId]:
         return [self._host, *(entry.host for entry in self._neighbours.ready())]
 
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -281,6 +281,8 @@
         self.seen: list[Request] = []
         self.seen_at: list[float] = []
         self.ended_at: list[float] = []
+        self.most_at_once = 0  # requests that it worked on, but for the events of streams
+        self._at_once = 0
         self.turned_away: list[tuple[float, str]] = []  # when, and by which entry it came
         self._rng = random.Random(target_id)
         self.on_start: Callable[[], None] = lambda: None
@@ -337,7 +339,12 @@
                 return self._order(json.loads(request.body))
         self.seen.append(request)
         self.seen_at.append(asyncio.get_running_loop().time())
-        return await self._answer(request)
+        self._at_once += 1
+        self.most_at_once = max(self.most_at_once, self._at_once)
+        try:
+            return await self._answer(request)
+        finally:
+            self._at_once -= 1
 
     async def _answer(self, request: Request) -> Response:
         behaviour = self.behaviour
