--- a/src/lacewinggw/decisions/targetrest.py
+++ b/src/lacewinggw/decisions/targetrest.py
@@ -20,9 +20,9 @@
 class RefusalPause:
     """How long a target that turned a request away, and asked for nothing, is left alone.
 
-    It doubles with each refusal of a request that was sent after the last one, and shrinks by half
-    with each request taken: a target without room for the moment is asked again soon, one that
-    turns nearly everything away only now and then.
+    It doubles with each refusal of a request that was sent after the last one, and begins anew with
+    each request taken: a target without room for the moment is asked again soon, one that turns
+    nearly everything away only now and then.
 
         pause_s = pause.note_refused(sent_at, now)
     """
@@ -39,7 +39,7 @@
 
     def note_taken(self) -> None:
         """Note that the target took a request."""
-        self._refusals = max(0, self._refusals - 1)
+        self._refusals = 0
 
 
 @dataclass
--- a/tests/fleet/test_targets_resting.py
+++ b/tests/fleet/test_targets_resting.py
@@ -127,3 +127,15 @@
         await play(fleet, seconds=2.0, per_s=per_s, path=path, seed=seed)
         for target in shedding:
             assert rate_since(target, well_at) >= 0.5 * per_s / len(fleet.targets)
+
+
+async def test_plain_targets_asked_for_twice_what_they_can_do_are_kept_busy():
+    """Pauses after refusals must not leave room unused: entries meet at full targets."""
+    async with running_fleet(desks=3, engines=0, entries=0) as fleet:
+        await add_entries(fleet, 8)
+        for target in fleet.targets.values():
+            target.behaviour.room, target.behaviour.pause_s = 6, 0.06
+        await asyncio.sleep(1.0)
+        played = await play(fleet, seconds=6.0, per_s=500.0, path="/tally/1")
+        can_do = 3 * 6 / 0.06 * 6.0
+        assert sum(reply.status == 200 for reply in played.replies) >= 0.8 * can_do
