Ask at one place whether a request may begin at a target

The choice of a target, that of an agent and a granted slot each put the same questions together by themselves, and the granted slot left out the connections. `TargetPool.may_begin` has them all; on an open connection `is_open` is asked, as the request is counted by then. Behaviour is the same but for the connections at a granted slot.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -116,17 +116,23 @@
             load for load in self._loads.values() if self._fits(load, wish) and self._stays(load)
         ]
 
+    def may_begin(self, load: TargetLoad, now: float) -> bool:
+        """Return whether one more request of this entry may begin at a target, if it has room.
+
+        The target is there and stays, and its rest, its limits on the rate and on connections allow
+        one more. It may have changed while a request waited in line, and is asked again then.
+        """
+        if not (self.is_open(load, now) and load.is_allowed(now)):
+            return False
+        return load.in_flight < self._connections_of(load.entry.service)
+
     def is_open(self, load: TargetLoad, now: float) -> bool:
-        """Return whether requests may be sent to a target at all.
+        """Return whether a request that has begun may still be sent to a target.
 
-        What was true as a target was chosen may have changed while a request waited for a slot or a
-        connection, so this is asked again right before each is sent.
+        While a connection was opened for it the target may have said that it takes nothing.
         """
         return self._stays(load) and load.rest.is_over(now)
 
-    def _may_connect(self, load: TargetLoad) -> bool:
-        return load.in_flight < self._connections_of(load.entry.service)
-
     def _stays(self, load: TargetLoad) -> bool:
         target = load.entry.target
         return target not in self._leaving and self._loads.get(target) is load
@@ -142,7 +148,7 @@
         # If none can be reached, the cause is this entry's: then all are as good as before.
         reachable = [load for load in fitting if load.is_reachable(now)] or fitting
         usable = [
-            load for load in reachable if load.has_room(now, is_late) and self._may_connect(load)
+            load for load in reachable if self.may_begin(load, now) and load.has_room(now, is_late)
         ]
         healthy = [load for load in usable if load.health.may_take(now)]
         if not healthy:
@@ -165,7 +171,7 @@
             and load.gives_slots(now)
             and load.takes_requests(now)
             and load.is_reachable(now)
-            and self._may_connect(load)
+            and self.may_begin(load, now)
         ]
         healthy = [load for load in open_ if load.health.may_take(now)] or open_
         candidates = self._candidates(healthy, now)
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -95,11 +95,11 @@
         return self.is_heard(now) and self.unanswered_until <= now
 
     def takes_requests(self, now: float) -> bool:
-        """Return whether the target begins requests of this entry, as far as it has slots.
+        """Return whether the target begins requests, as far as it has slots.
 
-        It neither loads nor just said "full", and what it asks for allows one more.
+        It neither loads nor just said "full".
         """
-        return max(self.full_until, self.loading_until) <= now and self.is_allowed(now)
+        return max(self.full_until, self.loading_until) <= now
 
     def is_allowed(self, now: float) -> bool:
         """Return whether the rest and the limit that the target asks for allow one more request."""
--- a/src/lacewinggw/frontend/queue.py
+++ b/src/lacewinggw/frontend/queue.py
@@ -138,16 +138,12 @@
         try:
             while True:
                 lease = await search.find(until)
-                if lease is None or self._may_begin(lease.load):
+                if lease is None or self._pool.may_begin(lease.load, _now()):
                     return lease
                 lease.end()
         finally:
             self._searches.discard(search)
 
-    def _may_begin(self, load: TargetLoad) -> bool:
-        now = _now()
-        return self._pool.is_open(load, now) and load.is_allowed(now)
-
     def leave_closed(self) -> None:
         """Have no request wait any longer for targets to which none may be sent."""
         now = _now()
