--- a/tests/fleet/test_targets_closing_soak.py
+++ b/tests/fleet/test_targets_closing_soak.py
@@ -121,3 +121,28 @@
         ended = any(target.ended_at for target in fleet.targets.values())
         allowed = {200, 502, 503} if ended else {200, 503}
         assert {reply.status for reply in played.replies if reply.whole} <= allowed
+
+
+@pytest.mark.parametrize("entries", [1, 8])
+async def test_targets_of_two_services_close_at_once_while_the_store_is_away(entries):
+    async with running_fleet(desks=3, engines=6, entries=0) as fleet:
+        await add_entries(fleet, entries)
+        for number in range(6):
+            await fleet.add_agent(f"engine{number}", PLACES[number % len(PLACES)])
+        let_anybody_in(fleet)
+        await asyncio.sleep(2.0)
+        fleet.store.faults.outage = Outage.HANG
+        for name in ("desk0", "engine0"):
+            behaviour = fleet.targets[name].behaviour
+            behaviour.rest_s, behaviour.shed_share = "3", 0.95
+        for name in ("desk1", "engine1", "engine2"):
+            fleet.targets[name].behaviour.leaving = True
+        played = Played()
+        await asyncio.gather(
+            play(fleet, 5.0, per_s=40.0, path="/tally/1", seed=1, played=played, key=""),
+            play(fleet, 5.0, per_s=40.0, path="/report/1", seed=2, played=played, key=""),
+        )
+        for target in fleet.targets.values():
+            require_left_alone(target, played)
+            require_rest(target, 3.0)
+        assert played.shares() == {200: 1.0}
