--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -119,8 +119,9 @@
     def may_begin(self, load: TargetLoad, now: float) -> bool:
         """Return whether one more request of this entry may begin at a target, if it has room.
 
-        The target is there and stays, and its rest, its limits on the rate and on connections allow
-        one more. It may have changed while a request waited in line, and is asked again then.
+        The target is there and stays, the back-off that it asked for is over, and its limits on the
+        rate and on connections allow one more. All that may have changed while a request waited in
+        line, so it is asked again then.
         """
         if not (self.is_open(load, now) and load.is_allowed(now)):
             return False
@@ -131,7 +132,7 @@
 
         While a connection was opened for it the target may have said that it takes nothing.
         """
-        return self._stays(load) and load.rest.is_over(now)
+        return self._stays(load) and load.backoff.is_over(now)
 
     def _stays(self, load: TargetLoad) -> bool:
         target = load.entry.target
@@ -196,7 +197,7 @@
             load.allowance.spend(now)
         load.reading_s += reading_s
         load.health.note_begin(now)
-        return Claim(load, reading_s, load.rest.begin_trial())
+        return Claim(load, reading_s, load.backoff.begin_trial())
 
     def note_read(self, claim: Claim) -> None:
         """Note that a request's prompt is read, or will not be."""
@@ -208,16 +209,16 @@
         self.note_read(claim)
         claim.load.in_flight -= 1
         if claim.is_trial:
-            claim.load.rest.end_trial()
+            claim.load.backoff.end_trial()
 
-    def note_rest(self, load: TargetLoad, rest_s: float, now: float) -> None:
-        """Note that a target asked this entry to send it nothing for some seconds."""
-        load.rest.note_asked(rest_s, now, self._rng.random())
+    def note_backoff(self, load: TargetLoad, retry_after_s: float, now: float) -> None:
+        """Note that a target asked this entry to back off for some seconds."""
+        load.backoff.note_asked(retry_after_s, now, self._rng.random())
 
     def note_taken(self, load: TargetLoad, sent_at: float) -> None:
         """Note that a target took a request that was sent at a moment, however it ended."""
-        load.pause.note_taken()
-        load.rest.note_taken(sent_at, load.entry.slots)
+        load.refusals.note_taken()
+        load.backoff.note_taken(sent_at, load.entry.slots)
 
     def succeeded(self, load: TargetLoad) -> None:
         """Note that a target served a request."""
@@ -231,7 +232,7 @@
 
     def note_full(self, load: TargetLoad, sent_at: float, now: float) -> None:
         """Note that a target refused a request, sent at a moment, because it is full."""
-        load.full_until = max(load.full_until, now + load.pause.note_refused(sent_at, now))
+        load.full_until = max(load.full_until, now + load.refusals.note_refused(sent_at, now))
         load.health.note_nothing()
 
     def note_silent(self, load: TargetLoad, now: float) -> None:
--- a/src/lacewinggw/decisions/targetrest.py
+++ b/src/lacewinggw/decisions/targetbackoff.py
@@ -1,30 +1,31 @@
-"""How long a target that turned requests away gets nothing, and how it gets requests again.
+"""How long an entry backs off from a target that turned a request away, and how it comes back.
 
 The load it answers: overloaded targets that turn requests away, and may ask to be left alone for
 some seconds. Each offer in that time costs its caller time, and the fleet one of its retries.
 
-A rest ends at one moment for all that wait, and at nearly the same for other entries. So its end is
-spread, and then one request at a time goes there until one is taken, then two, then four.
+A back-off that was asked for ends at one moment for all that wait, and at nearly the same for other
+entries. So its end is spread, and then one request at a time goes there until one is taken, then
+two, then four.
 """
 
 import math
 from dataclasses import dataclass
 
-SPREAD_SHARE = 0.1  # of a rest, after which at most it ends for this entry
+SPREAD_SHARE = 0.1  # of a back-off, by which it ends later at most
 SPREAD_MOST_S = 0.5
 FULL_PAUSE_S = 0.05  # after the first refusal: a request ends about as often at a full target
 REFUSALS_MOST = 5  # that count, so that a target that is well again is found out within 0.8 s
 
 
 @dataclass
-class RefusalPause:
+class RefusalBackoff:
     """How long a target that turned a request away, and asked for nothing, is left alone.
 
     It doubles with each refusal of a request that was sent after the last one, and begins anew with
     each request taken: a target without room for the moment is asked again soon, one that turns
     nearly everything away only now and then.
 
-        pause_s = pause.note_refused(sent_at, now)
+        pause_s = refusals.note_refused(sent_at, now)
     """
 
     _refusals: int = 0
@@ -43,25 +44,25 @@
 
 
 @dataclass
-class TargetRest:
-    """The rest of one target, as one entry keeps it; times in seconds of the caller's clock.
+class RequestedBackoff:
+    """The back-off that a target asked this entry for; times in seconds of the caller's clock.
 
-    rest.note_asked(3.0, now, drawn=rng.random())
-    if rest.is_over(now) and rest.has_trial():
-        rest.begin_trial()
+    backoff.note_asked(3.0, now, drawn=rng.random())
+    if backoff.is_over(now) and backoff.has_trial():
+        backoff.begin_trial()
     """
 
     until: float = -math.inf
     _trials: int | None = None  # requests it may have at a time; None once it has taken enough
     _on_trial: int = 0
 
-    def note_asked(self, rest_s: float, now: float, drawn: float) -> None:
-        """Note that a target asks for rest; `drawn` is a share, drawn at random.
+    def note_asked(self, retry_after_s: float, now: float, drawn: float) -> None:
+        """Note that a target asks for a back-off; `drawn` is a share, drawn at random.
 
         The longest of what is known holds: answers overtake each other.
         """
-        spread_s = min(SPREAD_SHARE * rest_s, SPREAD_MOST_S)
-        self.until = max(self.until, now + rest_s + drawn * spread_s)
+        spread_s = min(SPREAD_SHARE * retry_after_s, SPREAD_MOST_S)
+        self.until = max(self.until, now + retry_after_s + drawn * spread_s)
         self._trials = 1
 
     def is_over(self, now: float) -> bool:
@@ -69,7 +70,7 @@
         return self.until <= now
 
     def has_trial(self) -> bool:
-        """Return whether one more request may be on its way, after a rest or with none before."""
+        """Return whether one more request may be on its way, if it is over."""
         return self._trials is None or self._on_trial < self._trials
 
     def begin_trial(self) -> bool:
@@ -83,7 +84,7 @@
         self._on_trial -= 1
 
     def note_taken(self, sent_at: float, slots: int) -> None:
-        """Note that the target took a request; one that was sent before the rest says nothing."""
+        """Note that the target took a request; one that was sent before says nothing."""
         if self._trials is None or sent_at < self.until:
             return
         self._trials = None if self._trials >= slots else 2 * self._trials
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -9,9 +9,9 @@
 
 from lacewinggw.decisions.ejection import Health
 from lacewinggw.decisions.linkdelay import LinkDelay
+from lacewinggw.decisions.targetbackoff import RefusalBackoff, RequestedBackoff
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetrate import Allowance, TargetRate
-from lacewinggw.decisions.targetrest import RefusalPause, TargetRest
 
 HEARD_S = 3.0  # agents tell the same again after 0.6 s; some of it is lost or late
 REPORT_DECAY_S = 2.0  # a report this old counts for 1/e: an update without a change is rare
@@ -33,7 +33,7 @@
 class Claim:
     """Room that was taken at a target, and how long reading the prompt there takes, in seconds.
 
-    One that `is_trial` shows whether a target that had rest takes requests again.
+    One that `is_trial` shows whether a target takes requests again after a back-off.
     """
 
     load: "TargetLoad"
@@ -61,8 +61,8 @@
     update: LinkDelay = field(default_factory=LinkDelay)
     was_reachable: bool = True  # when it was last looked at
     health: Health = field(default_factory=Health)
-    pause: RefusalPause = field(default_factory=RefusalPause)
-    rest: TargetRest = field(default_factory=TargetRest)
+    refusals: RefusalBackoff = field(default_factory=RefusalBackoff)
+    backoff: RequestedBackoff = field(default_factory=RequestedBackoff)
     rate: TargetRate = field(default_factory=TargetRate)
     allowance: Allowance | None = None  # of this entry; None while the target names no limit
 
@@ -102,15 +102,15 @@
         return max(self.full_until, self.loading_until) <= now
 
     def is_allowed(self, now: float) -> bool:
-        """Return whether the rest and the limit that the target asks for allow one more request."""
-        if not (self.rest.is_over(now) and self.rest.has_trial()):
+        """Return whether the back-off and the limit that the target asks for allow one more."""
+        if not (self.backoff.is_over(now) and self.backoff.has_trial()):
             return False
         return self.allowance is None or self.allowance.is_open(now)
 
     def allowed_at(self, now: float) -> float:
         """Return from when on they allow one more request, as far as is known."""
         opens_at = now if self.allowance is None else self.allowance.opens_at(now)
-        return max(opens_at, self.rest.until)
+        return max(opens_at, self.backoff.until)
 
     def note_heard(self, now: float) -> None:
         """Note that part of an answer came."""
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -86,8 +86,8 @@
     the answer belongs to, `sealed` whether it bears the target's mark, `version` the version of the
     weights that it comes from, `answered_by` the target at the address, where the answer names it.
     `limit_per_s` is how many requests a second the target asks for, of all entries together;
-    `leaving` whether it says that it leaves, and `rest_s` for how many seconds it asks this entry
-    to send it nothing. docs/design/targets.md has who acts on each, and until when.
+    `leaving` whether it says that it leaves, and `retry_after_s` for how many seconds it asks this
+    entry to send it nothing. docs/design/targets.md has who acts on each, and until when.
     """
 
     call_id: str | None
@@ -97,7 +97,7 @@
     answered_by: TargetName | None = None
     limit_per_s: float | None = None
     leaving: bool = False
-    rest_s: float | None = None
+    retry_after_s: float | None = None
 
 
 class CallCodec(Protocol):
--- a/src/lacewinggw/frontend/targetanswers.py
+++ b/src/lacewinggw/frontend/targetanswers.py
@@ -15,7 +15,7 @@
 
 
 class TargetAnswers:
-    """Takes the head of each answer; `on_rest` is called when a target wants nothing for a time.
+    """Takes the head of each answer; `on_backoff` is called when a target wants nothing for a time.
 
     asked_at = answers.read_clock()
     ...
@@ -27,14 +27,14 @@
         pool: TargetPool,
         rates: TargetRates,
         departures: Departures,
-        on_rest: Callable[[], None],
+        on_backoff: Callable[[], None],
         metrics: Metrics,
     ) -> None:
         self._pool = pool
         self._rates = rates
         self._departures = departures
-        self._on_rest = on_rest
-        self._rests = metrics.counter("target_rests")
+        self._on_backoff = on_backoff
+        self._backoffs = metrics.counter("target_backoffs")
 
     def read_clock(self) -> float:
         """Return the time by the clock that observations count on, in seconds."""
@@ -45,17 +45,17 @@
         self._rates.note_answer(load, facts, asked_at)
         if facts.leaving:
             self._departures.note(load.entry.target, LeavingSource.ANSWER)
-        if facts.rest_s is not None:
-            self._note_rest(load, facts.rest_s)
+        if facts.retry_after_s is not None:
+            self._note_backoff(load, facts.retry_after_s)
 
-    def _note_rest(self, load: TargetLoad, rest_s: float) -> None:
-        self._pool.note_rest(load, rest_s, asyncio.get_running_loop().time())
-        self._on_rest()
-        self._rests.add()
+    def _note_backoff(self, load: TargetLoad, retry_after_s: float) -> None:
+        self._pool.note_backoff(load, retry_after_s, asyncio.get_running_loop().time())
+        self._on_backoff()
+        self._backoffs.add()
         log.info(
-            "target_rest_asked",
+            "target_backoff_asked",
             target=load.entry.target,
-            rest_s=rest_s,
+            retry_after_s=retry_after_s,
             begun=load.begun,
             in_flight=load.in_flight,
         )
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -84,7 +84,7 @@
         "agent", "Orders whose fence the target did not keep, though `target_fences` is set."
     ),
     "target_limit_changes": _counter("entry", "Limits that targets named, changed or ended."),
-    "target_rests": _counter("entry", "Times a target asked an entry for rest in an answer."),
+    "target_backoffs": _counter("entry", "Times a target asked an entry to back off."),
     "targets_ejected": _counter("entry", "Times a failing target was left out of the choice."),
     "targets_known": _gauge("entry", "Targets believed to be there, leaving ones included."),
     "targets_left": _counter("entry", "Targets found to be leaving, by who said so."),
--- a/src/lacewinggw/wire/headervalues.py
+++ b/src/lacewinggw/wire/headervalues.py
@@ -1,6 +1,6 @@
 """Values of headers as numbers and times; what cannot be read counts as not said.
 
-rest_s = read_retry_after({"retry-after": "1.5"})
+retry_after_s = read_retry_after({"retry-after": "1.5"})
 """
 
 import math
--- a/tests/fleet/leaving.py
+++ b/tests/fleet/leaving.py
@@ -1,12 +1,12 @@
-"""What targets that leave or want rest may still get from each entry, and fleets to try it on."""
+"""What targets that leave, or ask for a back-off, may still get from each entry."""
 
 from declared_fleet import DeclaredFleet
 from limiting import Played
 from platform_standins import TargetStandIn, manifest
 
 DRAIN_S = 2.0  # after an entry has passed on that a target leaves
-REST_SLACK_S = 0.5  # after a target has asked for rest, for what is under way
-REST_EXTRA = 2
+BACKOFF_SLACK_S = 0.5  # after a target has asked for a back-off, for what is under way
+BACKOFF_EXTRA = 2
 PLACES = ("hall", "room", "shed")
 
 
@@ -35,13 +35,15 @@
     assert not late, f"{len(late)} requests reached {target_id}, the first at {late[0]}"
 
 
-def require_rest(target: TargetStandIn, rest_s: float) -> None:
-    """Assert that after each answer that asked for rest the entry that had it sent hardly any."""
+def require_backoff(target: TargetStandIn, retry_after_s: float) -> None:
+    """Assert that each entry that was asked for a back-off sent hardly anything meanwhile."""
     arrived = [
         (at, request.headers.get("x-via", ""))
         for at, request in zip(target.seen_at, target.seen, strict=True)
     ]
     for asked_at, via in target.turned_away:
-        since, until = asked_at + REST_SLACK_S, asked_at + rest_s
+        since, until = asked_at + BACKOFF_SLACK_S, asked_at + retry_after_s
         count = sum(via == sender and since < at < until for at, sender in arrived)
-        assert count <= REST_EXTRA, f"{count} requests by entry {via} in {rest_s} s of rest"
+        assert (
+            count <= BACKOFF_EXTRA
+        ), f"{count} requests by entry {via} in {retry_after_s} s of back-off"
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -265,7 +265,7 @@
     wrong_id: bool = False
     limit_per_s: float | None = None  # that it names in its answers
     leaving: bool = False  # it says so in all its answers, and goes on serving
-    rest_s: str | None = None  # asked for where a request is refused, as it is written
+    retry_after: str | None = None  # asked for where a request is refused, as it is written
     shed_share: float = 0.0  # of the requests refused by chance
     room: int = 1000  # for requests at once; more are refused
     crashes_on: frozenset[bytes] = frozenset()  # bodies: it ends after the first event of such one
@@ -381,7 +381,7 @@
     def _turn_away(self, request: Request) -> Response:
         at = asyncio.get_running_loop().time()
         self.turned_away.append((at, request.headers.get("x-via", "")))
-        asked = self.behaviour.rest_s
+        asked = self.behaviour.retry_after
         rest = {} if asked is None else {"retry-after": asked}
         return Response(503, {"x-not-executed": "1", **rest})
 
--- a/tests/fleet/test_targetrest.py
+++ b/tests/fleet/test_targetbackoff.py
@@ -1,4 +1,4 @@
-"""The rest that targets ask for: how long it holds, and how requests come back after it."""
+"""The back-off that targets ask for: how long it holds, and how requests come back after it."""
 
 import random
 
@@ -6,72 +6,79 @@
 
 from lacewinggw.decisions.dispatch import TargetPool, Wish
 from lacewinggw.decisions.ejection import EjectionRules
+from lacewinggw.decisions.targetbackoff import (
+    SPREAD_MOST_S,
+    SPREAD_SHARE,
+    RefusalBackoff,
+    RequestedBackoff,
+)
 from lacewinggw.decisions.targetlist import TargetEntry
-from lacewinggw.decisions.targetrest import SPREAD_MOST_S, SPREAD_SHARE, RefusalPause, TargetRest
 
 YEAR_S = 31_536_000.0
 
 
-def test_the_longest_rest_that_is_known_holds():
-    rest = TargetRest()
-    rest.note_asked(3.0, now=10.0, drawn=0.0)
-    rest.note_asked(0.5, now=10.1, drawn=1.0)
-    assert not rest.is_over(12.9) and rest.is_over(13.0)
-    rest.note_asked(YEAR_S, now=14.0, drawn=0.5)
-    assert not rest.is_over(14.0 + YEAR_S)
-    assert rest.is_over(14.0 + YEAR_S + SPREAD_MOST_S)
+def test_the_longest_back_off_that_is_known_holds():
+    backoff = RequestedBackoff()
+    backoff.note_asked(3.0, now=10.0, drawn=0.0)
+    backoff.note_asked(0.5, now=10.1, drawn=1.0)
+    assert not backoff.is_over(12.9) and backoff.is_over(13.0)
+    backoff.note_asked(YEAR_S, now=14.0, drawn=0.5)
+    assert not backoff.is_over(14.0 + YEAR_S)
+    assert backoff.is_over(14.0 + YEAR_S + SPREAD_MOST_S)
 
 
 def test_requests_come_back_one_by_one_and_then_twice_as_many():
-    rest = TargetRest()
-    rest.note_asked(1.0, now=0.0, drawn=0.0)
+    backoff = RequestedBackoff()
+    backoff.note_asked(1.0, now=0.0, drawn=0.0)
     at_a_time = []
     for _ in range(3):
         sent = 0
-        while rest.has_trial():
-            assert rest.begin_trial()
+        while backoff.has_trial():
+            assert backoff.begin_trial()
             sent += 1
         at_a_time.append(sent)
         for _ in range(sent):
-            rest.end_trial()
-        rest.note_taken(sent_at=1.5, slots=4)
+            backoff.end_trial()
+        backoff.note_taken(sent_at=1.5, slots=4)
     assert at_a_time == [1, 2, 4]
-    assert rest.has_trial() and not rest.begin_trial()
+    assert backoff.has_trial() and not backoff.begin_trial()
 
 
-def test_what_was_sent_before_the_rest_and_ends_after_it_shows_nothing():
-    rest = TargetRest()
-    rest.note_asked(1.0, now=5.0, drawn=0.0)
-    rest.note_taken(sent_at=4.9, slots=4)
-    rest.begin_trial()
-    assert not rest.has_trial()
+def test_what_was_sent_before_the_back_off_and_ends_after_it_shows_nothing():
+    backoff = RequestedBackoff()
+    backoff.note_asked(1.0, now=5.0, drawn=0.0)
+    backoff.note_taken(sent_at=4.9, slots=4)
+    backoff.begin_trial()
+    assert not backoff.has_trial()
 
 
 @pytest.mark.parametrize("seed", range(20))
-def test_no_history_lets_a_request_into_a_rest_or_leaves_it_for_good(seed):
-    rng, rest = random.Random(seed), TargetRest()
+def test_no_history_lets_a_request_into_a_back_off_or_leaves_it_for_good(seed):
+    rng, backoff = random.Random(seed), RequestedBackoff()
     now, bound, least, sent = 0.0, 0.0, 0.0, []
     for _ in range(400):
         now += rng.expovariate(4.0)
         match rng.choice(["ask", "send", "end", "end"]):
             case "ask" if rng.random() < 0.2:
-                rest_s = rng.choice([0.01, 0.5, 3.0, 20.0])
-                rest.note_asked(rest_s, now, rng.random())
-                least = max(least, now + rest_s)
-                bound = max(bound, now + rest_s + min(SPREAD_SHARE * rest_s, SPREAD_MOST_S))
-            case "send" if rest.is_over(now) and rest.has_trial():
+                retry_after_s = rng.choice([0.01, 0.5, 3.0, 20.0])
+                backoff.note_asked(retry_after_s, now, rng.random())
+                least = max(least, now + retry_after_s)
+                bound = max(
+                    bound, now + retry_after_s + min(SPREAD_SHARE * retry_after_s, SPREAD_MOST_S)
+                )
+            case "send" if backoff.is_over(now) and backoff.has_trial():
                 assert now >= least
-                sent.append((now, rest.begin_trial()))
+                sent.append((now, backoff.begin_trial()))
             case "end" if sent:
                 sent_at, is_trial = sent.pop(0)
                 if is_trial:
-                    rest.end_trial()
-                rest.note_taken(sent_at, slots=8)
+                    backoff.end_trial()
+                backoff.note_taken(sent_at, slots=8)
     for sent_at, is_trial in sent:
         if is_trial:
-            rest.end_trial()
-        rest.note_taken(sent_at, slots=8)
-    assert rest.is_over(bound) and rest.has_trial()
+            backoff.end_trial()
+        backoff.note_taken(sent_at, slots=8)
+    assert backoff.is_over(bound) and backoff.has_trial()
 
 
 def pool_of(*names: str, born_ms: int = 0) -> TargetPool:
@@ -83,10 +90,10 @@
     return pool
 
 
-def test_a_rest_holds_while_the_target_is_off_the_list_and_back():
+def test_a_back_off_holds_while_the_target_is_off_the_list_and_back():
     pool = pool_of("a")
     load = pool.loads["a"]
-    pool.note_rest(load, 3.0, now=0.0)
+    pool.note_backoff(load, 3.0, now=0.0)
     entry = load.entry
     pool.sync({})
     assert not pool.is_open(load, now=9.0)
@@ -95,9 +102,9 @@
     assert pool.choose(pool.fitting(Wish("desk")), now=3.4) is not None
 
 
-def test_a_new_start_under_the_same_name_does_not_rest():
+def test_a_new_start_under_the_same_name_is_used_at_once():
     pool = pool_of("a", born_ms=1)
-    pool.note_rest(pool.loads["a/1"], YEAR_S, now=0.0)
+    pool.note_backoff(pool.loads["a/1"], YEAR_S, now=0.0)
     newer = TargetEntry("a", "desk", "a:80", "hall", slots=2, born_ms=2)
     pool.sync({newer.target: newer})
     assert pool.choose(pool.fitting(Wish("desk")), now=0.1) is not None
@@ -105,7 +112,7 @@
 
 def test_what_is_kept_of_targets_off_the_list_is_bounded():
     pool = pool_of("a")
-    pool.note_rest(pool.loads["a"], 3.0, now=0.0)
+    pool.note_backoff(pool.loads["a"], 3.0, now=0.0)
     for number in range(3000):
         entry = TargetEntry(f"t{number}", "desk", f"t{number}:80", "hall")
         pool.sync({entry.target: entry})
@@ -113,7 +120,7 @@
 
 
 def test_a_pause_doubles_with_refusals_and_begins_anew_with_what_is_taken():
-    pause = RefusalPause()
+    pause = RefusalBackoff()
     pauses = [pause.note_refused(sent_at=float(at), now=at + 0.1) for at in range(7)]
     assert pauses == [0.05, 0.1, 0.2, 0.4, 0.8, 0.8, 0.8]
     pause.note_taken()
@@ -121,6 +128,6 @@
 
 
 def test_requests_refused_together_count_once():
-    pause = RefusalPause()
+    pause = RefusalBackoff()
     pauses = [pause.note_refused(sent_at=0.0, now=0.1 + number / 100) for number in range(5)]
     assert pauses == [0.05] * 5
--- a/tests/fleet/test_targets_resting.py
+++ b/tests/fleet/test_targets_asking_for_backoff.py
@@ -1,38 +1,40 @@
-"""Targets that turn requests away and ask for rest are left alone for so long."""
+"""Targets that turn requests away and ask for a back-off are left alone for so long."""
 
 import asyncio
 
 import pytest
 from declared_fleet import running_fleet
-from leaving import add_entries, require_left_alone, require_rest
+from leaving import add_entries, require_backoff, require_left_alone
 from limiting import name_limit, now, play, rate_since
 
 pytestmark = pytest.mark.looptime
 
-REST_S = 3.0
+BACKOFF_S = 3.0
 OBJECTIVE_S = 0.4  # of the routes that the stand-ins declare
 RETRY_SHARE = 0.2  # of the requests, that operators allow to be tried again
 ALARMING_SHARE = 0.1  # of the requests not served, above which operators are alarmed
 
 
-# Overloaded engines that asked for three seconds of rest were asked again after a twentieth of one.
-async def test_a_target_that_asks_for_rest_gets_it_from_the_entry_that_it_told():
+# Overloaded engines that asked for three seconds were asked again after a twentieth of one.
+async def test_a_target_that_asks_for_a_back_off_gets_it_from_the_entry_that_it_told():
     async with running_fleet(desks=0, engines=6, entries=0) as fleet:
         await add_entries(fleet, 3)
         for name in list(fleet.targets):
             await fleet.add_agent(name)
         await asyncio.sleep(2.0)
-        resting = [fleet.targets[f"engine{number}"] for number in range(2)]
-        for target in resting:
-            target.behaviour.rest_s, target.behaviour.shed_share = "3", 0.95
+        backed_off = [fleet.targets[f"engine{number}"] for number in range(2)]
+        for target in backed_off:
+            target.behaviour.retry_after, target.behaviour.shed_share = "3", 0.95
         await play(fleet, seconds=8.0, per_s=60.0)
-        for target in resting:
-            require_rest(target, REST_S)
+        for target in backed_off:
+            require_backoff(target, BACKOFF_S)
 
 
 @pytest.mark.parametrize("entries", [1, 24])
 @pytest.mark.parametrize(("path", "kind"), [("/tally/1", "desk"), ("/report/1", "engine")])
-async def test_where_all_targets_rest_callers_are_told_at_once_when_to_return(entries, path, kind):
+async def test_where_all_targets_want_a_back_off_callers_are_told_at_once_when_to_return(
+    entries, path, kind
+):
     async with running_fleet(desks=2, engines=2, entries=0) as fleet:
         await add_entries(fleet, entries)
         if kind == "engine":
@@ -41,25 +43,25 @@
         await asyncio.sleep(2.0)
         targets = [fleet.targets[f"{kind}{number}"] for number in range(2)]
         for target in targets:
-            target.behaviour.rest_s, target.behaviour.shed_share = "3", 1.0
+            target.behaviour.retry_after, target.behaviour.shed_share = "3", 1.0
         played = await play(fleet, seconds=7.0, per_s=20.0 if entries == 1 else 120.0, path=path)
         for target in targets:
-            require_rest(target, REST_S)
+            require_backoff(target, BACKOFF_S)
         assert played.shares() == {503: 1.0}
-        # Who comes shortly before the end of a rest waits for it, while that can still be on time.
+        # Who comes shortly before its end waits for it, while that can still be on time.
         held = sorted(played.refused_after_s)
         assert held[-1] <= OBJECTIVE_S
-        assert held[int(len(held) * (1.0 - OBJECTIVE_S / REST_S))] <= 0.03
+        assert held[int(len(held) * (1.0 - OBJECTIVE_S / BACKOFF_S))] <= 0.03
         later = [float(reply.headers["retry-after"]) for reply in played.replies]
         assert max(later) > 2.0 and min(later) > 0.0
 
 
-async def test_a_target_that_has_had_its_rest_is_used_again_but_not_by_all_at_once():
+async def test_a_target_that_was_left_alone_is_used_again_but_not_by_all_at_once():
     async with running_fleet(desks=1, engines=0, entries=0) as fleet:
         await add_entries(fleet, 3)
         await asyncio.sleep(1.0)
         desk = fleet.targets["desk0"]
-        desk.behaviour.rest_s, desk.behaviour.shed_share = "1.5", 1.0
+        desk.behaviour.retry_after, desk.behaviour.shed_share = "1.5", 1.0
         desk.behaviour.pause_s = 0.05
         await play(fleet, seconds=0.5, per_s=40.0, path="/tally/1")
         desk.behaviour.shed_share = 0.0
@@ -73,17 +75,17 @@
         assert played.shares()[200] >= 0.7
 
 
-async def test_a_target_may_rest_leave_and_limit_its_rate_at_one_time():
+async def test_a_target_may_ask_for_a_back_off_leave_and_limit_its_rate_at_one_time():
     async with running_fleet(desks=3, engines=0, entries=0) as fleet:
         await add_entries(fleet, 4)
         await asyncio.sleep(1.0)
         desk = fleet.targets["desk0"]
         name_limit(desk, 3.0)
-        desk.behaviour.rest_s, desk.behaviour.shed_share = "1.5", 0.5
+        desk.behaviour.retry_after, desk.behaviour.shed_share = "1.5", 0.5
         first = await play(fleet, seconds=3.0, per_s=40.0, path="/tally/1")
         desk.behaviour.leaving = True
         played = await play(fleet, seconds=5.0, per_s=40.0, path="/tally/1", seed=2)
-        require_rest(desk, 1.5)
+        require_backoff(desk, 1.5)
         require_left_alone(desk, played)
         assert first.shares()[200] >= 0.95 and played.shares()[200] >= 0.95
 
@@ -92,7 +94,7 @@
 async def test_a_time_that_cannot_be_read_asks_for_nothing(asked):
     async with running_fleet(desks=1, engines=0) as fleet:
         desk = fleet.targets["desk0"]
-        desk.behaviour.rest_s, desk.behaviour.shed = asked, 1
+        desk.behaviour.retry_after, desk.behaviour.shed = asked, 1
         assert (await fleet.ask("/tally/1")).status == 503
         await asyncio.sleep(0.1)
         assert (await fleet.ask("/tally/1")).status == 200
--- a/tests/fleet/test_targets_closing_soak.py
+++ b/tests/fleet/test_targets_closing_soak.py
@@ -1,4 +1,4 @@
-"""Seeded runs: targets leave, rest and limit their rate while entries, rows and store fail."""
+"""Seeded runs: targets leave, want a back-off or limit their rate while much else fails."""
 
 import asyncio
 import os
@@ -6,7 +6,7 @@
 
 import pytest
 from declared_fleet import DeclaredFleet, running_fleet
-from leaving import PLACES, add_entries, let_anybody_in, require_left_alone, require_rest
+from leaving import PLACES, add_entries, let_anybody_in, require_backoff, require_left_alone
 from limiting import Played, name_limit, now, play
 from platform_standins import DESK, LLM, TargetStandIn, target_row
 
@@ -16,7 +16,7 @@
 
 SEEDS = range(int(os.environ.get("CLOSING_SEEDS", "4")))
 PLAY_S = 12.0
-RESTS_S = (0.8, 2.0, 4.0)
+BACKOFFS_S = (0.8, 2.0, 4.0)
 
 
 class Troubles:
@@ -32,7 +32,14 @@
         while now() < end:
             await asyncio.sleep(self.rng.expovariate(1.4))
             trouble = self.rng.choice(
-                [self.leave, self.rest, self.rest, self.recover, self.limit, self.lose_store]
+                [
+                    self.leave,
+                    self.back_off,
+                    self.back_off,
+                    self.recover,
+                    self.limit,
+                    self.lose_store,
+                ]
                 + [self.restart_entry, self.lose_row, self.start_anew]
             )
             await trouble()
@@ -43,10 +50,10 @@
     async def leave(self) -> None:
         self.draw().behaviour.leaving = True
 
-    async def rest(self) -> None:
+    async def back_off(self) -> None:
         target = self.draw()
-        if target.behaviour.rest_s is None:
-            target.behaviour.rest_s = str(self.rng.choice(RESTS_S))
+        if target.behaviour.retry_after is None:
+            target.behaviour.retry_after = str(self.rng.choice(BACKOFFS_S))
         target.behaviour.shed_share = self.rng.choice([0.5, 0.95, 1.0])
 
     async def recover(self) -> None:
@@ -115,8 +122,8 @@
         for target in fleet.targets.values():
             for start in {request.headers["x-expected-instance"] for request in target.seen}:
                 require_left_alone(target, played, start)
-            if target.behaviour.rest_s is not None:
-                require_rest(target, float(target.behaviour.rest_s))
+            if target.behaviour.retry_after is not None:
+                require_backoff(target, float(target.behaviour.retry_after))
         # A target that ends under a request which may not be repeated leaves its outcome unknown.
         ended = any(target.ended_at for target in fleet.targets.values())
         allowed = {200, 502, 503} if ended else {200, 503}
@@ -134,7 +141,7 @@
         fleet.store.faults.outage = Outage.HANG
         for name in ("desk0", "engine0"):
             behaviour = fleet.targets[name].behaviour
-            behaviour.rest_s, behaviour.shed_share = "3", 0.95
+            behaviour.retry_after, behaviour.shed_share = "3", 0.95
         for name in ("desk1", "engine1", "engine2"):
             fleet.targets[name].behaviour.leaving = True
         played = Played()
@@ -144,5 +151,5 @@
         )
         for target in fleet.targets.values():
             require_left_alone(target, played)
-            require_rest(target, 3.0)
+            require_backoff(target, 3.0)
         assert played.shares() == {200: 1.0}
