Let only who finds out first tell other entries at once that a target leaves

Cause, read from the code: each entry that was told passed it on at once to all that listen to it, so each target that leaves had all entries tell all others. Agents were told at once as well, who hear it from their own engine.

--- a/src/lacewinggw/frontend/departures.py
+++ b/src/lacewinggw/frontend/departures.py
@@ -21,19 +21,30 @@
     ADDRESS = "address"  # another start of a target answers there
 
 
+# What came from another entry, or from an agent that tells all entries near, goes on with the usual
+# updates: if each entry passed it on at once, all would tell all others of each target that leaves.
+TOLD_AT_ONCE = frozenset({LeavingSource.LIST, LeavingSource.ANSWER, LeavingSource.ADDRESS})
+
+
 class Departures:
     """Notes which targets leave, in the knowledge of this entry.
 
-    `on_change` is called when the others are to be told at once.
+    `on_leaving` is called whenever there are new ones, `on_urgent` when other entries are to be
+    told at once.
 
         departures.note(target, LeavingSource.ENTRY)
     """
 
     def __init__(
-        self, knowledge: Knowledge, on_change: Callable[[], None], metrics: Metrics
+        self,
+        knowledge: Knowledge,
+        on_leaving: Callable[[], None],
+        on_urgent: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         self._knowledge = knowledge
-        self._on_change = on_change
+        self._on_leaving = on_leaving
+        self._on_urgent = on_urgent
         self._logged: frozenset[TargetId] = frozenset()
         self._counts = {
             source: metrics.counter("targets_left", source=source.value) for source in LeavingSource
@@ -54,5 +65,8 @@
         for target in sorted(new):
             self._counts[source].add()
             log.info("target_leaving", target=target, source=source.value)
-        if new:
-            self._on_change()
+        if not new:
+            return
+        self._on_leaving()
+        if source in TOLD_AT_ONCE:
+            self._on_urgent()
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -112,7 +112,12 @@
             network, identity, process.fleet_key, self._handle, on_notice=self._take_notice
         )
         self._neighbours = self._make_neighbours()
-        self._departures = Departures(self.knowledge, self._note_departures, self.metrics)
+        self._departures = Departures(
+            self.knowledge,
+            lambda: self.queue.leave_closed(),
+            self._neighbours.note_change,
+            self.metrics,
+        )
         self._fetcher = self._make_fetcher()
         self._voucher = self._make_voucher()
         self._duties = ReadingDuties(
@@ -414,12 +419,6 @@
             self._announcer.announce_again()
         self._crashes.write_again(keys)
 
-    def _note_departures(self) -> None:
-        """Tell other processes at once, and have nothing wait for targets that leave."""
-        self._neighbours.note_change()
-        self._agents.note_change()
-        self.queue.leave_closed()
-
     def _note_members(self) -> None:
         self._neighbours.set_members(self._sight.members.values())
         self._rates.note_members()
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -81,7 +81,7 @@
                 clock=loop_time,
                 metrics=self.metrics,
                 rng=rng,
-                departures=Departures(knowledge, lambda: None, self.metrics),
+                departures=Departures(knowledge, lambda: None, lambda: None, self.metrics),
             )
         )
 
