Log requests that end without a complete answer

An idle timeout of a target has a reason of its own in offer_ended; it was empty, so that it looked like a broken connection. request_failed says whether part of the answer was out. request_abandoned is logged for a request whose caller left, and call_unanswered for a connection that ends by an error with a request that has no answer. No decision changes.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -52,6 +52,12 @@
         """Whether part of an answer has been sent."""
         return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def has_pending_request(self) -> bool:
+        """Whether a request, or part of one, was received that has no complete answer."""
+        is_answering = self._http.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
+        return is_answering or bool(self._http.trailing_data[0])
+
     def close(self) -> None:
         """Close the connection."""
         self._stream.close()
@@ -275,8 +281,12 @@
         self._idle.add(task)
         try:
             await self._serve_all(caller, task)
-        except (CallerDisconnected, OSError, TimeoutError, h11.LocalProtocolError):
+        except CallerDisconnected:
             return
+        except (OSError, TimeoutError, h11.LocalProtocolError) as error:
+            if caller.has_pending_request:
+                is_read = task in self._busy
+                log.warning("call_unanswered", reason=repr(error), is_read=is_read)
         except asyncio.CancelledError:
             if not self._is_leaving:
                 raise
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -207,7 +207,9 @@
     """Return the complete body of an answer; raise `AnswerIncomplete` if it ends early."""
     try:
         return await answer.response.read(BODY_LIMIT_BYTES)
-    except (OSError, HttpError, TimeoutError) as error:
+    except TimeoutError as error:
+        raise AnswerIncomplete("no further data of the answer in time") from error
+    except (OSError, HttpError) as error:
         raise AnswerIncomplete(f"the answer broke off: {error}") from error
     finally:
         await answer.close()
@@ -222,7 +224,9 @@
                 events = list(splitter.feed(data))
                 if events:
                     yield events
-    except (OSError, HttpError, TimeoutError) as error:
+    except TimeoutError as error:
+        raise AnswerIncomplete("no further event in time") from error
+    except (OSError, HttpError) as error:
         raise AnswerIncomplete(f"the stream broke off: {error}") from error
     finally:
         await answer.close()
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -121,6 +121,9 @@
             await self._end_timed_out(progress, caller)
         except LacewingError as error:
             await self._refuse(call, call_id, error, caller)
+        except asyncio.CancelledError:
+            self._log_abandoned(call, call_id, caller)
+            raise
         except (CallerDisconnected, OSError):
             raise
         except Exception:
@@ -153,6 +156,14 @@
             routes_age_ms=_to_ms(knowledge.routes_age_s(self._deps.clock())),
         )
 
+    def _log_abandoned(self, call: Call, call_id: str, caller: CallerConnection) -> None:
+        log.info(
+            "request_abandoned",
+            request_id=call_id,
+            held_ms=_to_ms(_now() - call.arrived_at),
+            cut=caller.has_started_answer,
+        )
+
     async def _end_timed_out(self, progress: RequestProgress, caller: CallerConnection) -> None:
         """End a request whose deadline has passed."""
         call, call_id = progress.admitted.call, progress.admitted.facts.call_id
@@ -177,6 +188,7 @@
             domain=call.domain,
             error=error,
             held_ms=_to_ms(_now() - call.arrived_at),
+            cut=caller.has_started_answer,
             routes=self._routes_version,
             routes_age_ms=_to_ms(self._deps.knowledge.routes_age_s(self._deps.clock())),
         )
--- /dev/null
+++ b/tests/fleet/test_unanswered_calls.py
@@ -0,0 +1,51 @@
+"""Requests that end without a complete answer leave a log line that tells why."""
+
+import asyncio
+
+import pytest
+from declared_fleet import running_fleet
+from structlog.testing import capture_logs
+
+pytestmark = pytest.mark.looptime
+
+
+def lines(logs, event):
+    return [line for line in logs if line["event"] == event]
+
+
+async def test_an_idle_timeout_has_another_reason_than_a_broken_stream():
+    async with running_fleet(engines=1) as fleet:
+        with capture_logs() as logs:
+            fleet.targets["engine0"].behaviour.cut_after = 2
+            await fleet.ask("/report/1", X_Model="market")
+            fleet.targets["engine0"].behaviour.silent_after = 2
+            await fleet.ask("/report/1", X_Model="market")
+        reasons = [line["reason"] for line in lines(logs, "offer_ended")]
+        assert len(reasons) == len(set(reasons)) == 2
+
+
+@pytest.mark.parametrize("events", [0, 2])
+async def test_a_request_whose_caller_leaves_has_a_line(events):
+    async with running_fleet() as fleet:
+        for name in ("engine0", "engine1"):
+            fleet.targets[name].behaviour.silent_after = events
+        with capture_logs() as logs:
+            await fleet.ask("/report/1", X_Model="market", leave_after_s=0.3)
+            await asyncio.sleep(0.1)
+        (line,) = lines(logs, "request_abandoned")
+        assert line["cut"] is (events > 0) and line["held_ms"] == pytest.approx(300, abs=20)
+
+
+async def test_a_connection_that_ends_with_part_of_a_request_has_a_line():
+    async with running_fleet() as fleet:
+        with capture_logs() as logs:
+            await fleet.send(b"POST /sheet/1 HTTP/1.1\r\nHost: notes", leave_after_s=3.0)
+        (line,) = lines(logs, "call_unanswered")
+        assert not line["is_read"] and "TimeoutError" in line["reason"]
+
+
+async def test_an_idle_connection_that_ends_has_no_line():
+    async with running_fleet() as fleet:
+        with capture_logs() as logs:
+            await fleet.send(b"", leave_after_s=8.0)
+        assert not lines(logs, "call_unanswered")
