Show that answers end without a result while their sound targets pause

All engines of the tests' fleet, or one of four, send nothing for 0.8, 1.5 or 2.5 s and go on; 2, 12 and 60 streams, with and without a change of routes.

--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -297,6 +297,15 @@
         self.loaded: list[bytes] = []
         self.busy = False
         self.born_ms = BORN_MS
+        self.paused_until = 0.0
+
+    def pause(self, seconds: float) -> None:
+        """Send nothing for a time, neither heads nor events nor reports, and then go on."""
+        self.paused_until = asyncio.get_running_loop().time() + seconds
+
+    async def _wait_while_paused(self) -> None:
+        while (left_s := self.paused_until - asyncio.get_running_loop().time()) > 0:
+            await asyncio.sleep(left_s)
 
     def crash(self) -> None:
         """Stop at once, abort all requests, and return later under another id."""
@@ -324,6 +333,7 @@
 
     async def answer(self, request: Request) -> Response:
         response = await self._serve(request)
+        await self._wait_while_paused()
         if self.behaviour.leaving:
             response.headers["server-leaving"] = "1"
         return response
@@ -403,6 +413,7 @@
                     behaviour.silent_after = None
                     await asyncio.sleep(3600)
                 await asyncio.sleep(behaviour.pause_s)
+                await self._wait_while_paused()
                 yield f"id: {number}\ndata: piece {number}\n\n".encode()
         except (asyncio.CancelledError, GeneratorExit):
             self.abandoned += 1
--- /dev/null
+++ b/tests/fleet/test_paused_targets.py
@@ -0,0 +1,129 @@
+"""Targets that are sound fall silent for a second or two and go on: no answer ends for it."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from declared_fleet import DeclaredFleet, Reply, running_fleet
+from platform_standins import LLM, manifest, target_row
+
+pytestmark = pytest.mark.looptime
+
+EVENTS = 40
+EVENT_S = 0.05  # so that streams run for 2 s
+STREAM = b"".join(
+    f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, EVENTS + 1)
+)
+OTHER_ATTEMPTS = [
+    {**route, "Attempts": 1, "TimeoutMs": 3000} for route in manifest(3)["Routes"]
+]  # a change of the routes while requests run
+
+
+def set_up(fleet: DeclaredFleet) -> None:
+    for target in fleet.targets.values():
+        target.behaviour.events, target.behaviour.pause_s = EVENTS, EVENT_S
+
+
+async def stream_during_pause(
+    fleet: DeclaredFleet, count: int, paused: int, pause_s: float, begun_s: float
+) -> list[Reply]:
+    """Send `count` requests; after `begun_s` pause the first `paused` engines."""
+    asks = [
+        asyncio.ensure_future(fleet.ask("/report/1", X_Model="market", entry=number % 2))
+        for number in range(count)
+    ]
+    await asyncio.sleep(begun_s)
+    for number in range(paused):
+        fleet.targets[f"engine{number}"].pause(pause_s)
+    return await asyncio.gather(*asks)
+
+
+def assert_answered(replies: list[Reply]) -> None:
+    """Check that each caller got its complete answer, or was refused before its request began."""
+    ends = Counter((reply.status, reply.whole) for reply in replies)
+    assert set(ends) <= {(200, True), (503, True)}, ends
+    assert all(reply.body == STREAM for reply in replies if reply.status == 200)
+    assert ends[200, True] >= min(len(replies), 12)
+
+
+@pytest.mark.parametrize("begun_s", [0.0, 0.5])
+@pytest.mark.parametrize("pause_s", [0.8, 1.5, 2.5])
+@pytest.mark.parametrize("paused", [1, 4])
+@pytest.mark.parametrize("count", [2, 12, 60])
+async def test_no_answer_is_closed_while_targets_pause(count, paused, pause_s, begun_s):
+    async with running_fleet(engines=4, entries=2) as fleet:
+        set_up(fleet)
+        assert_answered(await stream_during_pause(fleet, count, paused, pause_s, begun_s))
+
+
+@pytest.mark.parametrize("pause_s", [1.5, 2.5])
+async def test_no_answer_is_closed_while_targets_pause_and_routes_change(pause_s):
+    async with running_fleet(engines=4, entries=2) as fleet:
+        set_up(fleet)
+        changing = asyncio.get_running_loop().call_later(
+            0.6, fleet.store.put, "op", "config", manifest(3, Routes=OTHER_ATTEMPTS)
+        )
+        assert_answered(await stream_during_pause(fleet, 12, 4, pause_s, 0.5))
+        changing.cancel()
+
+
+async def test_an_answer_goes_on_at_its_paused_target_if_no_other_has_its_version():
+    async with running_fleet(engines=2) as fleet:
+        set_up(fleet)
+        asked = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.5)
+        (begun,) = [name for name, target in fleet.targets.items() if target.running]
+        for name, target in fleet.targets.items():
+            if target.target_id.startswith("i-engine") and name != begun:
+                rows = [{"Name": "market", "Version": 2, "Adapters": []}]
+                row = target_row(LLM, target.address, Models=rows)
+                fleet.store.put("servers", target.target_id, row)
+                target.weights = {"market": 2}
+        fleet.targets[begun].pause(2.0)
+        assert_answered([await asked])
+
+
+async def test_an_answer_goes_on_at_its_paused_target_if_no_retry_is_left():
+    async with running_fleet(engines=4, entries=2) as fleet:
+        set_up(fleet)
+        fleet.store.put("op", "config", manifest(3))
+        for entry in fleet.entries:
+            entry._settings.fleet.retry_percent = 0
+            entry._settings.fleet.extra_retries = 0
+        assert_answered(await stream_during_pause(fleet, 16, 4, 2.0, 0.5))
+
+
+@pytest.mark.parametrize("pause_s", [1.0, 2.0])
+async def test_a_resumed_answer_is_not_closed_while_its_second_target_pauses(pause_s):
+    async with running_fleet(engines=2) as fleet:
+        set_up(fleet)
+        asked = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.5)
+        (begun,) = [target for target in fleet.targets.values() if target.running]
+        others = [target for target in fleet.targets.values() if target is not begun]
+        begun.pause(1.5)
+        await asyncio.sleep(1.25)
+        for target in others:
+            target.pause(pause_s)
+        begun.pause(pause_s)
+        assert_answered([await asked])
+
+
+async def test_an_idempotent_request_gets_its_answer_from_targets_that_pause():
+    async with running_fleet(desks=2) as fleet:
+        for name in ("desk0", "desk1"):
+            fleet.targets[name].pause(0.9)
+        replies = await asyncio.gather(*(fleet.ask("/tally/1", "GET") for _ in range(4)))
+        assert [reply.status for reply in replies] == [200] * 4
+
+
+async def test_a_target_that_stays_silent_is_replaced_before_its_caller_leaves():
+    async with running_fleet(engines=3) as fleet:
+        set_up(fleet)
+        asked = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.5)
+        (begun,) = [target for target in fleet.targets.values() if target.running]
+        begun.pause(60.0)
+        began = asyncio.get_running_loop().time()
+        assert_answered([await asked])
+        assert asyncio.get_running_loop().time() - began < 2.0 + EVENTS * EVENT_S
