Keep attempts open while their targets are silent

What callers saw: an answer closed in the middle, or a 502, although its target was sound and went on a second later.

Cause: an attempt was ended once its target had sent nothing for three objectives (1.2 s here). A new attempt then needed a slot, the retry budget and a target with the version of the started answer; where one was missing, or where the second target was silent as well, the request ended without a result. So silence was taken for failure, and the only attempt was given up before its replacement existed.

Change: silence ends no attempt before the request's deadline. After the idle timeout a backup attempt is made beside the silent one, only at targets that are not silent, charged to the retry budget once it has a target. Whichever delivers first continues the answer, and the other is closed. Only the bound on old weights still ends an attempt that has not started. Silence counts no longer as a failure of the target, and an attempt that is closed without a verdict ends a trial after an ejection.

--- a/src/lacewinggw/decisions/retries.py
+++ b/src/lacewinggw/decisions/retries.py
@@ -42,13 +42,17 @@
             return
         self._second(now).requests += 1
 
-    def take(self, now: float) -> bool:
-        """Return whether a retry is allowed, and count it."""
+    def allows(self, now: float) -> bool:
+        """Return whether a retry is allowed."""
         self._second(now)
         while self._retries and self._retries[0] <= now - self.window_s:
             self._retries.popleft()
         requests = sum(each.requests for each in self._seconds)
-        if len(self._retries) + 1 > max(MIN_RETRIES, requests * self.share + self.extra):
+        return len(self._retries) + 1 <= max(MIN_RETRIES, requests * self.share + self.extra)
+
+    def take(self, now: float) -> bool:
+        """Return whether a retry is allowed, and count it."""
+        if not self.allows(now):
             return False
         self._retries.append(now)
         self._granted += 1
--- /dev/null
+++ b/src/lacewinggw/frontend/attempts.py
@@ -0,0 +1,540 @@
+"""The attempts at one request: the parts of its answer, from whichever attempt delivers next.
+
+A sound target may pause, so silence ends no attempt. Once the current attempt has been silent for
+the idle timeout, a backup attempt is made at another target, if the route, the retry budget and the
+load allow one. Whichever of the two delivers first continues the answer, and the other is closed.
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
+from contextlib import aclosing
+from dataclasses import dataclass
+
+from lacewinggw.clock import Clock
+from lacewinggw.decisions.dispatch import TargetPool
+from lacewinggw.decisions.routingview import RoutingView
+from lacewinggw.decisions.targetload import InFlightRequest, TargetLoad
+from lacewinggw.decisions.targetspeed import StreamSpeed, event_gap_s
+from lacewinggw.errors import (
+    AnswerIncomplete,
+    RequestQuarantined,
+    RequestRefused,
+    RetryBudgetSpent,
+    TargetFailed,
+    TargetRefused,
+)
+from lacewinggw.frontend.calls import CallCodec
+from lacewinggw.frontend.crashes import CrashMonitor
+from lacewinggw.frontend.dispatchqueue import DispatchQueue
+from lacewinggw.frontend.leavingtargets import LeavingSource, LeavingTargets
+from lacewinggw.frontend.offers import (
+    OK,
+    Answer,
+    NotExecuted,
+    OfferOptions,
+    Offers,
+    OfferTimeouts,
+    OutcomeUnknown,
+    read_events,
+    read_whole,
+)
+from lacewinggw.frontend.requestplacer import RequestPlacer, idle_timeout_s
+from lacewinggw.frontend.requeststate import FailedAnswer, RequestProgress
+from lacewinggw.log import get_logger
+from lacewinggw.metrics import Metrics, RetryReason
+from lacewinggw.wire.events import StreamEvent
+from lacewinggw.wire.http import Headers
+
+log = get_logger(__name__)
+
+MS_PER_S = 1000
+RETRY_AFTER_MS = 400  # used when it is unknown when a target will have a free slot
+BUDGET_RETRY_AFTER_MS = 500
+BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
+REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
+
+# Reports a long gap of a stream to its target's agent, with the declared one; both in seconds.
+ReportGap = Callable[[TargetLoad, float, float], None]
+
+
+@dataclass(frozen=True)
+class RelayDependencies:
+    """Components that serve requests, used by `RequestRelay` and `RequestAttempts`."""
+
+    codec: CallCodec
+    knowledge: RoutingView
+    pool: TargetPool
+    queue: DispatchQueue
+    placer: RequestPlacer
+    offers: Offers
+    crashes: CrashMonitor
+    clock: Clock
+    metrics: Metrics
+    rng: random.Random
+    leaving_targets: LeavingTargets
+    report_gap: ReportGap
+
+
+@dataclass(frozen=True)
+class WholeAnswer:
+    """A complete answer that is not a stream."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True)
+class StreamPart:
+    """New events of a stream, with the head of their answer; the last part has no events."""
+
+    status: int
+    headers: Headers
+    data: bytes
+    is_last: bool = False
+
+
+@dataclass(frozen=True)
+class _Events:
+    """Events that an attempt received."""
+
+    answer: Answer
+    events: Sequence[StreamEvent]
+
+
+@dataclass(frozen=True)
+class _Ended:
+    """The complete end of an attempt; `body` is that of an answer that is not a stream."""
+
+    answer: Answer
+    body: bytes
+
+
+@dataclass(frozen=True)
+class _Failed:
+    """The end of an attempt without a complete answer.
+
+    `refusal` is set if no target could be claimed. `has_reached_target` is false if the request
+    caused no load at a target.
+    """
+
+    refusal: RequestRefused | None = None
+    has_reached_target: bool = True
+    has_run: bool = True
+
+
+_Result = _Events | _Ended | _Failed | Exception
+
+
+@dataclass(eq=False)
+class _Attempt:
+    """One attempt: its task, and its claim on a target once it has one."""
+
+    claim: InFlightRequest | None = None
+    offered_at: float = 0.0
+    task: "asyncio.Task[None] | None" = None
+    has_verdict: bool = False  # on the health of the target
+    is_released: bool = False
+
+    @property
+    def load(self) -> TargetLoad:
+        """The target; available once it is claimed."""
+        assert self.claim is not None, "the target is not claimed yet"
+        return self.claim.load
+
+
+class RequestAttempts:
+    """Makes the attempts at one request.
+
+    async with aclosing(RequestAttempts(deps, progress).parts()) as parts:
+        async for part in parts: ...
+    """
+
+    def __init__(self, deps: RelayDependencies, progress: RequestProgress) -> None:
+        self._deps = deps
+        self._progress = progress
+        self._current: _Attempt | None = None
+        self._backup: _Attempt | None = None
+        # Holds one result, so that a slow caller slows down its target.
+        self._results: asyncio.Queue[tuple[_Attempt, _Result]] = asyncio.Queue(maxsize=1)
+        self._backup_due_at = 0.0  # by the loop's clock
+        self._is_silent = False
+
+    async def parts(self) -> AsyncGenerator[WholeAnswer | StreamPart, None]:
+        """Yield the parts of the answer.
+
+        Raise the error to report to the caller if there is no answer, or no end of it.
+        """
+        try:
+            await self._start()
+            while True:
+                attempt, result = await self._next_result()
+                try:
+                    part = await self._take(attempt, result)
+                except AnswerIncomplete as error:
+                    part = await self._fail(attempt, error)
+                if part is None:
+                    continue
+                yield part
+                if isinstance(part, WholeAnswer) or part.is_last:
+                    return
+        finally:
+            await self._close(self._current, self._backup)
+
+    async def _take(self, attempt: _Attempt, result: _Result) -> WholeAnswer | StreamPart | None:
+        """Return the part of the answer that a result adds; raise if the request fails by it."""
+        match result:
+            case _Events(answer, events):
+                await self._prefer(attempt)
+                return self._take_events(attempt, answer, events)
+            case _Ended(answer, body):
+                await self._prefer(attempt)
+                return self._take_end(attempt, answer, body)
+            case _Failed():
+                return await self._replace(attempt, result)
+            case Exception():
+                raise result
+
+    # ---- results --------------------------------------------------------------------------
+
+    async def _next_result(self) -> tuple[_Attempt, _Result]:
+        """Return the next result of an open attempt; make a backup attempt after a silence."""
+        while True:
+            try:
+                async with asyncio.timeout_at(self._backup_at()):
+                    attempt, result = await self._results.get()
+            except TimeoutError:
+                self._start_backup()
+                continue
+            if attempt is self._current or attempt is self._backup:
+                return attempt, result
+
+    def _take_events(
+        self, attempt: _Attempt, answer: Answer, events: Sequence[StreamEvent]
+    ) -> StreamPart | None:
+        progress = self._progress
+        data = b"".join(event.data for event in events if _is_next(progress, event.number))
+        if not data:
+            return None
+        if not progress.has_started_answer:
+            progress.weights_version = answer.facts.version
+            progress.first_part_s = _now() - attempt.offered_at
+        return StreamPart(answer.status, answer.headers, data)
+
+    def _take_end(self, attempt: _Attempt, answer: Answer, body: bytes) -> WholeAnswer | StreamPart:
+        self._deps.pool.note_success(attempt.load)
+        attempt.has_verdict = True
+        self._deps.crashes.note_served(self._progress.admitted)
+        if self._is_stream(answer):
+            return StreamPart(answer.status, answer.headers, b"", is_last=True)
+        return WholeAnswer(answer.status, answer.headers, body)
+
+    async def _prefer(self, attempt: _Attempt) -> None:
+        """Continue the answer with this attempt and close the other one."""
+        self._note_progress()
+        other = self._backup if attempt is self._current else self._current
+        self._current, self._backup = attempt, None
+        self._progress.target = attempt.load.entry.target
+        if other is None:
+            return
+        if other.claim is not None:
+            self._log_offer(other.load, "superseded", "another attempt delivered first")
+        await self._close(other)
+
+    async def _replace(self, attempt: _Attempt, failure: _Failed) -> WholeAnswer | None:
+        """Continue without a failed attempt; return the target's own error if nothing is left."""
+        progress = self._progress
+        if attempt is self._backup:
+            self._backup = None
+            pause_s = 0.0 if failure.refusal is None else BACKUP_PAUSE_S
+            self._backup_due_at = _now() + pause_s
+            return None
+        self._current, self._backup = self._backup, None
+        if self._current is not None:
+            return None
+        if failure.refusal is not None:
+            return self._give_up()
+        progress.has_reached_target = failure.has_reached_target
+        # The crash check of the last attempt has finished, so the request may be quarantined now.
+        is_quarantined = self._deps.crashes.is_quarantined(progress.admitted)
+        if is_quarantined or not self._deps.placer.take_retry(progress):
+            return self._give_up()
+        try:
+            await self._start()
+        except RequestRefused:
+            if progress.runs == 0:
+                raise
+            return self._give_up()
+        return None
+
+    def _give_up(self) -> WholeAnswer:
+        """Return the target's own error answer if there is one; raise the failure otherwise."""
+        progress = self._progress
+        if progress.failure is not None and not progress.has_started_answer:
+            failure = progress.failure
+            return WholeAnswer(failure.status, failure.headers, failure.body)
+        if progress.runs:
+            raise TargetFailed("the target failed the request", remedy=REPEAT_REMEDY)
+        self._deps.crashes.require_not_quarantined(progress.admitted)
+        if progress.can_retry:
+            raise RetryBudgetSpent(
+                "the retry budget is spent", retry_after_ms=BUDGET_RETRY_AFTER_MS
+            )
+        raise TargetRefused("no target accepted the request", retry_after_ms=RETRY_AFTER_MS)
+
+    # ---- attempts -------------------------------------------------------------------------
+
+    async def _start(self) -> None:
+        """Make an attempt; raise `RequestRefused` if no target accepts the request."""
+        deps, progress = self._deps, self._progress
+        deps.crashes.require_not_quarantined(progress.admitted)
+        attempt = self._current = _Attempt(await deps.placer.claim(progress))
+        self._require_not_quarantined(attempt)
+        self._note_progress()
+        options, timeouts = self._note_offer(attempt)
+        self._begin(attempt, lambda: self._offer(attempt, options, timeouts))
+
+    def _begin(self, attempt: _Attempt, work: Callable[[], Awaitable[None]]) -> None:
+        attempt.task = asyncio.get_running_loop().create_task(self._run(attempt, work))
+
+    def _require_not_quarantined(self, attempt: _Attempt) -> None:
+        """Give the claim back if other entries quarantined the request while it waited."""
+        try:
+            self._deps.crashes.require_not_quarantined(self._progress.admitted)
+        except RequestQuarantined:
+            self._release(attempt)
+            raise
+
+    def _backup_at(self) -> float | None:
+        """Return when to make a backup attempt, by the loop's clock; None if none may be made."""
+        progress = self._progress
+        if self._current is None or self._backup is not None or not progress.may_back_up:
+            return None
+        return self._backup_due_at
+
+    def _note_progress(self) -> None:
+        self._is_silent = False
+        self._backup_due_at = _now() + idle_timeout_s(self._progress.admitted.route)
+
+    def _start_backup(self) -> None:
+        """Make a backup attempt beside the current one, which is silent."""
+        current = self._current
+        if current is None or current.claim is None:
+            self._note_progress()
+            return
+        if not self._is_silent:
+            self._note_silent(current.load)
+        backup = self._backup = _Attempt()
+        self._begin(backup, lambda: self._back_up(backup))
+
+    def _note_silent(self, load: TargetLoad) -> None:
+        self._is_silent = True
+        self._deps.pool.note_timeout(load, _now())
+        log.info(
+            "offer_silent",
+            request_id=self._progress.admitted.facts.call_id,
+            target=load.entry.target,
+            last_event=self._progress.last_event,
+        )
+
+    async def _run(self, attempt: _Attempt, work: Callable[[], Awaitable[None]]) -> None:
+        """Work on an attempt and release its claim at the end."""
+        try:
+            await work()
+        except Exception as error:
+            await self._put(attempt, error)
+        finally:
+            self._release(attempt)
+
+    async def _put(self, attempt: _Attempt, result: _Result) -> None:
+        await self._results.put((attempt, result))
+
+    async def _back_up(self, attempt: _Attempt) -> None:
+        """Claim a target for a backup attempt and offer it the request."""
+        try:
+            self._deps.crashes.require_not_quarantined(self._progress.admitted)
+            attempt.claim = await self._deps.placer.claim_backup(self._progress)
+            self._require_not_quarantined(attempt)
+        except RequestRefused as error:
+            await self._put(attempt, _Failed(error, has_reached_target=False))
+            return
+        self._deps.metrics.retry(RetryReason.TARGET_SILENT)
+        await self._offer(attempt, *self._note_offer(attempt))
+
+    def _note_offer(self, attempt: _Attempt) -> tuple[OfferOptions, OfferTimeouts]:
+        """Count an offer that is about to be made; return its options and timeouts."""
+        progress, placer = self._progress, self._deps.placer
+        attempt.offered_at = _now()
+        options = placer.offer_options(progress)
+        timeouts = placer.offer_timeouts(progress, attempt.load)
+        progress.offers += 1
+        progress.runs += 1
+        progress.tried_targets.add(attempt.load.entry.target)
+        return options, timeouts
+
+    async def _offer(
+        self, attempt: _Attempt, options: OfferOptions, timeouts: OfferTimeouts
+    ) -> None:
+        """Offer the request to the target of an attempt and pass on what comes of it."""
+        deps, progress, load = self._deps, self._progress, attempt.load
+        outcome = await deps.offers.send(progress.admitted, load, options, timeouts)
+        assert attempt.claim is not None
+        deps.pool.note_prompt_read(attempt.claim)
+        match outcome:
+            case NotExecuted() as proof:
+                progress.runs -= 1
+                self._note_not_executed(attempt, proof)
+                failure = _Failed(has_reached_target=proof.has_reached_target, has_run=False)
+                await self._put(attempt, failure)
+            case OutcomeUnknown(reason, has_timed_out):
+                if has_timed_out:
+                    deps.pool.note_timeout(load, _now())
+                self._note_failed(attempt, reason)
+                if not has_timed_out:
+                    await self._check_for_crash(attempt)
+                await self._put(attempt, _Failed())
+            case Answer() as answer:
+                deps.pool.note_accepted(load, attempt.offered_at)
+                try:
+                    await self._receive(attempt, answer)
+                except AnswerIncomplete as error:
+                    self._note_failed(attempt, error.reason)
+                    await self._check_for_crash(attempt)
+                    await self._put(attempt, _Failed())
+                finally:
+                    await answer.close()
+
+    async def _receive(self, attempt: _Attempt, answer: Answer) -> None:
+        """Pass on an answer as it arrives; raise `AnswerIncomplete` if it ends early."""
+        if self._is_stream(answer):
+            stream_speed = StreamSpeed(attempt.load.speed, self._declared_gap_s())
+            async with aclosing(read_events(answer)) as batches:
+                async for events in batches:
+                    self._note_events(attempt.load, stream_speed, len(events))
+                    await self._put(attempt, _Events(answer, events))
+            await self._put(attempt, _Ended(answer, b""))
+            return
+        body = await read_whole(answer)
+        if not answer.is_success:
+            self._progress.failure = FailedAnswer(answer.status, answer.headers, body)
+            self._note_failed(attempt, f"the target answered {answer.status}")
+            await self._put(attempt, _Failed())
+            return
+        if not answer.facts.sealed:
+            raise AnswerIncomplete("the answer has no response seal")
+        await self._put(attempt, _Ended(answer, body))
+
+    def _note_events(self, load: TargetLoad, stream_speed: StreamSpeed, count: int) -> None:
+        now = _now()
+        load.note_data(now)
+        gap_s = stream_speed.note_events(count, now, load.link_delay(now))
+        if gap_s is not None:
+            self._deps.report_gap(load, gap_s, stream_speed.declared_s)
+
+    def _is_stream(self, answer: Answer) -> bool:
+        return self._progress.admitted.route.streams and answer.status == OK
+
+    def _declared_gap_s(self) -> float:
+        """Return the declared gap between two events of a stream; 0 if none is declared."""
+        table = self._deps.knowledge.routes
+        service = table.services.get(self._progress.admitted.service) if table else None
+        return event_gap_s(service.engine) if service and service.engine else 0.0
+
+    # ---- ends of attempts -----------------------------------------------------------------
+
+    async def _fail(self, attempt: _Attempt, error: AnswerIncomplete) -> WholeAnswer | None:
+        """End an attempt whose events do not continue the answer."""
+        self._note_failed(attempt, error.reason)
+        await self._close(attempt)
+        await self._check_for_crash(attempt)
+        return await self._replace(attempt, _Failed())
+
+    async def _close(self, *attempts: _Attempt | None) -> None:
+        opened = [each for each in attempts if each is not None]
+        tasks = [each.task for each in opened if each.task is not None]
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+        for attempt in opened:
+            self._release(attempt)  # a task that was cancelled before it began has not done so
+
+    def _release(self, attempt: _Attempt) -> None:
+        if attempt.claim is None or attempt.is_released:
+            return
+        attempt.is_released = True
+        if not attempt.has_verdict:
+            attempt.load.health.note_inconclusive()
+        self._deps.queue.release(attempt.claim)
+
+    async def _check_for_crash(self, attempt: _Attempt) -> None:
+        """Check whether the connection broke because the target crashed."""
+        began_at = self._deps.clock() - (_now() - attempt.offered_at)
+        admitted, entry = self._progress.admitted, attempt.load.entry
+        await self._deps.crashes.note_connection_lost(admitted, entry, began_at)
+
+    def _note_not_executed(self, attempt: _Attempt, proof: NotExecuted) -> None:
+        load, now = attempt.load, _now()
+        if proof.is_replaced:
+            self._note_replaced(load)
+        if proof.is_full:
+            self._deps.pool.note_full(load, attempt.offered_at, now)
+            self._deps.metrics.retry(RetryReason.TARGET_OVERLOADED)
+        elif proof.is_closed:
+            self._deps.metrics.retry(RetryReason.WITHDRAWN)
+        else:
+            self._deps.pool.note_failure(load, now)
+            self._deps.metrics.retry(RetryReason.TARGET_UNREACHABLE)
+            attempt.has_verdict = True
+        self._log_offer(load, "not-run", proof.reason)
+
+    def _note_replaced(self, load: TargetLoad) -> None:
+        """Mark a target incarnation as leaving because another one answers at its address.
+
+        The list of targets may contain the old incarnation for some more seconds.
+        """
+        log.info("target_gone", target=load.entry.target, address=load.entry.address)
+        self._deps.leaving_targets.mark_leaving(load.entry.target, LeavingSource.ADDRESS)
+
+    def _note_failed(self, attempt: _Attempt, reason: str) -> None:
+        load, now = attempt.load, _now()
+        if load.loading_until <= now:
+            self._deps.pool.note_failure(load, now)
+            attempt.has_verdict = True
+        self._deps.metrics.retry(RetryReason.TARGET_FAILED)
+        self._log_offer(load, "failed", reason)
+
+    def _log_offer(self, load: TargetLoad, outcome: str, reason: str) -> None:
+        progress = self._progress
+        self._deps.metrics.count("offers", outcome=outcome)
+        log.info(
+            "offer_ended",
+            request_id=progress.admitted.facts.call_id,
+            # Each attempt of the caller has its own id; the digest identifies the request.
+            digest=progress.admitted.digest,
+            target=load.entry.target,
+            outcome=outcome,
+            reason=reason,
+            offers=progress.offers,
+            runs=progress.runs,
+        )
+
+
+def _is_next(progress: RequestProgress, number: int | None) -> bool:
+    """Return whether the caller still needs an event, and record it as the last one sent.
+
+    Raise `AnswerIncomplete` if an event is missing before it.
+    """
+    if number is None:
+        return True
+    if progress.last_event is not None and number <= progress.last_event:
+        return False
+    if progress.last_event is not None and number != progress.last_event + 1:
+        raise AnswerIncomplete(f"event {number} came after {progress.last_event}")
+    progress.last_event = number
+    return True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/lacewinggw/frontend/dispatchqueue.py
+++ b/src/lacewinggw/frontend/dispatchqueue.py
@@ -16,7 +16,7 @@
 from lacewinggw.decisions.waitqueue import RETRY_PRIORITY, Waiter, WaitQueue
 from lacewinggw.errors import NoHomeTarget, NoTarget, Overloaded, RequestRefused
 from lacewinggw.frontend.slots import AskSlot, Lease, SlotSearch
-from lacewinggw.ids import Place, ServiceName
+from lacewinggw.ids import Place, ServiceName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 
@@ -128,6 +128,15 @@
                 break
         return eligible
 
+    def unreachable_targets(self, service: ServiceName) -> frozenset[TargetId]:
+        """Return the targets of a service that are silent or behind a congested link."""
+        now = _now()
+        return frozenset(
+            target
+            for target, load in self._pool.loads.items()
+            if load.entry.service == service and not load.is_reachable(now)
+        )
+
     def release(self, claim: InFlightRequest) -> None:
         """Release the claim of a finished request and advance the queue of its service."""
         self._pool.end(claim)
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -10,7 +10,7 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
 
@@ -215,7 +215,7 @@
         await answer.close()
 
 
-async def read_events(answer: Answer) -> AsyncIterator[list[StreamEvent]]:
+async def read_events(answer: Answer) -> AsyncGenerator[list[StreamEvent], None]:
     """Yield the events of an answer as they arrive; raise `AnswerIncomplete` if it ends early."""
     splitter = EventSplitter()
     try:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -22,6 +22,7 @@
 from lacewinggw.fleet.running import run_process
 from lacewinggw.frontend.agents import AgentLinks
 from lacewinggw.frontend.agentslots import AgentSlots
+from lacewinggw.frontend.attempts import RelayDependencies
 from lacewinggw.frontend.callers import CallerConnection, CallerListener
 from lacewinggw.frontend.calls import Call, CallCodec
 from lacewinggw.frontend.coldtargets import ColdTargets
@@ -36,7 +37,7 @@
 from lacewinggw.frontend.offers import Offers
 from lacewinggw.frontend.operatorpages import OperatorPages
 from lacewinggw.frontend.readpolicy import StoreReadPolicy
-from lacewinggw.frontend.relay import RelayDependencies, RequestRelay
+from lacewinggw.frontend.relay import RequestRelay
 from lacewinggw.frontend.requesthomes import RequestHomes
 from lacewinggw.frontend.requestplacer import RequestPlacer, RetryLimits
 from lacewinggw.frontend.storefollower import StoreFollower
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import TargetRequirements
 from lacewinggw.decisions.homeregions import Homes, anywhere
 from lacewinggw.decisions.retries import RetryBudget
-from lacewinggw.decisions.routes import RetryPolicy, Service
+from lacewinggw.decisions.routes import RetryPolicy, Route, Service
 from lacewinggw.decisions.routingview import RoutingView
 from lacewinggw.decisions.targetload import InFlightRequest, TargetLoad
 from lacewinggw.decisions.waitbudget import (
@@ -21,14 +21,14 @@
     wait_budget,
 )
 from lacewinggw.decisions.waitqueue import NO_ACCOUNT, RETRY_PRIORITY
-from lacewinggw.errors import DeadlineTooNear
+from lacewinggw.errors import DeadlineTooNear, RetryBudgetSpent
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
 from lacewinggw.frontend.offers import OfferOptions, OfferTimeouts
 from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.ids import ServiceName
 
-IDLE_OBJECTIVES = 3.0  # multiples of the route's objective; then another target is tried
+IDLE_OBJECTIVES = 3.0  # multiples of the route's objective; then a backup attempt is made
 MIN_IDLE_TIMEOUT_S = 0.6
 # The wait, from its arrival, of a request that may run once only at a service without engines, and
 # whose route gives it less time than the shortest Retry-After. It is refused within 30 ms while all
@@ -88,8 +88,38 @@
 
         Raise `DeadlineTooNear` if the caller is about to give up.
         """
-        admitted = progress.admitted
+        claim = await self._claim(progress, self._requirements(progress))
+        if progress.has_reached_target:
+            self._budget(progress.admitted.service).note_call(_now())
+        return claim
+
+    async def claim_backup(self, progress: RequestProgress) -> InFlightRequest:
+        """Return a claim on a target for an attempt beside a silent one, charged as a retry.
+
+        Targets that are silent themselves are left out. Raise `RetryBudgetSpent` if the retry
+        budget allows no further attempt.
+        """
+        service = progress.admitted.service
+        self._require_retry(service)
         requirements = self._requirements(progress)
+        silent = self._queue.unreachable_targets(service)
+        requirements = replace(requirements, excluded=requirements.excluded | silent)
+        claim = await self._claim(progress, requirements)
+        budget = self._budget(service)
+        if not budget.take(_now()):
+            self._queue.release(claim)
+            self._require_retry(service)
+        budget.note_call(_now())
+        return claim
+
+    def _require_retry(self, service: ServiceName) -> None:
+        if not self._budget(service).allows(_now()):
+            raise RetryBudgetSpent("the retry budget is spent")
+
+    async def _claim(
+        self, progress: RequestProgress, requirements: TargetRequirements
+    ) -> InFlightRequest:
+        admitted = progress.admitted
         now = _now()
         left_s = admitted.deadline - now
         if progress.runs:
@@ -111,8 +141,6 @@
         load = claim.load
         progress.target, progress.waited_s = load.entry.target, progress.waited_s + _now() - now
         progress.requests_ahead = round(load.ahead(now) - 1.0, 1)
-        if progress.has_reached_target:
-            self._budget(admitted.service).note_call(_now())
         return claim
 
     def _must_be_refused_soon(self, admitted: AdmittedRequest) -> bool:
@@ -208,20 +236,21 @@
     def offer_timeouts(self, progress: RequestProgress, load: TargetLoad) -> OfferTimeouts:
         """Return the timeouts of an offer to a target.
 
-        If no other target may be tried, the target may be idle until the deadline. The answer must
-        start before the weights of the target become too old to start on.
+        Silence does not end an offer before the deadline. Only the answer must start before the
+        weights of the target become too old to start on.
         """
         remaining_s = max(MIN_TIMEOUT_S, progress.admitted.deadline - _now())
-        idle_s = remaining_s
-        route = progress.admitted.route
-        if route.retry_policy is not RetryPolicy.NEVER and progress.runs < route.attempts:
-            idle_s = min(remaining_s, max(MIN_IDLE_TIMEOUT_S, IDLE_OBJECTIVES * route.objective_s))
-        head_s = idle_s
+        head_s = remaining_s
         model = progress.admitted.facts.model
         if model is not None:
             left_s = self._view.start_deadline(load.entry.target, model) - self._clock()
-            head_s = max(MIN_TIMEOUT_S, min(idle_s, left_s))
-        return OfferTimeouts(head_s, idle_s)
+            head_s = max(MIN_TIMEOUT_S, min(remaining_s, left_s))
+        return OfferTimeouts(head_s, remaining_s)
+
+
+def idle_timeout_s(route: Route) -> float:
+    """Return how long a target may be silent before another one is tried beside it."""
+    return max(MIN_IDLE_TIMEOUT_S, IDLE_OBJECTIVES * route.objective_s)
 
 
 def first_event_deadline(admitted: AdmittedRequest) -> float:
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -34,10 +34,19 @@
     is_late: bool = False  # when it began to wait, it could no longer meet its objective
     waited_s: float = 0.0
     requests_ahead: float = 0.0  # at the last target, as reported
-    offered_at: float = 0.0
     first_part_s: float | None = None  # from the offer to the first part of the answer
     failure: FailedAnswer | None = None
 
+    @property
+    def has_started_answer(self) -> bool:
+        """Whether part of a stream has been passed on to the caller."""
+        return self.first_part_s is not None
+
+    @property
+    def may_back_up(self) -> bool:
+        """Whether the route allows another attempt beside one that may have run the request."""
+        return self.runs > 0 and self.can_retry
+
     @property
     def can_retry(self) -> bool:
         """Whether the route allows another offer of the request."""
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -13,11 +13,12 @@
 from lacewinggw.decisions.locality import choose_agents
 from lacewinggw.decisions.routingview import RoutingView, RoutingViewRules
 from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.frontend.attempts import RelayDependencies
 from lacewinggw.frontend.callers import CallerDisconnected
 from lacewinggw.frontend.calls import Call
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
 from lacewinggw.frontend.leavingtargets import LeavingTargets
-from lacewinggw.frontend.relay import RelayDependencies, RequestRelay
+from lacewinggw.frontend.relay import RequestRelay
 from lacewinggw.frontend.requestplacer import RequestPlacer, RetryLimits
 from lacewinggw.ids import Address, HostId, Place, TargetId, TargetName
 from lacewinggw.lab.fleetmodel.agent import ModelAgent, ModelSlots
--- a/src/lacewinggw/metrics.py
+++ b/src/lacewinggw/metrics.py
@@ -40,6 +40,7 @@
     TARGET_OVERLOADED = "target-overloaded"  # the agent's queue was full
     TARGET_DRAINING = "target-draining"  # the target is shutting down
     TARGET_UNREACHABLE = "target-unreachable"  # no connection to the agent could be established
+    TARGET_SILENT = "target-silent"  # a second attempt beside one whose target sends nothing
     TARGET_FAILED = "target-failed"  # the target failed; only for requests that may be repeated
     WITHDRAWN = "withdrawn"  # withdrawn before it started, and sent to another target
     RESERVATION_LAPSED = "reservation-lapsed"  # the reservation was not used in time
