Do not eject targets for being silent until their weights are too old

A request that a paused target has not started by the time at which its weights become too old is ended by the entry. That counted as a failure of the target, and five of them in a row eject it, although it is sound. It counts as silence now: the target is passed over for a moment. The test failed before (consecutive_failures 1).

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -387,12 +387,14 @@
                 self._note_not_executed(attempt, proof)
                 failure = _Failed(has_reached_target=proof.has_reached_target, has_run=False)
                 await self._put(attempt, failure)
-            case OutcomeUnknown(reason, has_timed_out):
-                if has_timed_out:
-                    deps.pool.note_timeout(load, _now())
+            case OutcomeUnknown(reason, has_timed_out=True):
+                deps.pool.note_timeout(load, _now())
+                deps.metrics.retry(RetryReason.TARGET_SILENT)
+                self._log_offer(load, "failed", reason)
+                await self._put(attempt, _Failed())
+            case OutcomeUnknown(reason):
                 self._note_failed(attempt, reason)
-                if not has_timed_out:
-                    await self._check_for_crash(attempt)
+                await self._check_for_crash(attempt)
                 await self._put(attempt, _Failed())
             case Answer() as answer:
                 deps.pool.note_accepted(load, attempt.offered_at)
--- a/tests/fleet/test_paused_targets.py
+++ b/tests/fleet/test_paused_targets.py
@@ -127,3 +127,15 @@
         began = asyncio.get_running_loop().time()
         assert_answered([await asked])
         assert asyncio.get_running_loop().time() - began < 2.0 + EVENTS * EVENT_S
+
+
+async def test_a_target_that_pauses_until_its_weights_are_too_old_is_not_counted_as_failing():
+    async with running_fleet(engines=1) as fleet:
+        set_up(fleet)
+        fleet.store.put("op", "version/market", {"Model": "market", "Version": 2})
+        await asyncio.sleep(6.0)  # 8 s after the version is named nothing may start on version 1
+        fleet.targets["engine0"].pause(3.0)
+        reply = await fleet.ask("/report/1", X_Model="market")
+        assert reply.status in (502, 504) and reply.whole
+        (load,) = [each for each in fleet.entries[0].pool.loads.values() if each.begun]
+        assert load.health.consecutive_failures == 0
