Resume a broken stream after its backup attempt has found no target

Callers saw an answer closed although another target had room a moment later: the stream broke while a backup attempt waited for a target, and when that wait ended in a refusal, the request was given up without the retry that a broken stream has otherwise. The test failed before (cut after 3.2 s); now the request is retried as usual.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -253,9 +253,7 @@
         self._current, self._backup = self._backup, None
         if self._current is not None:
             return None
-        if failure.refusal is not None:
-            return self._give_up()
-        progress.has_reached_target = failure.has_reached_target
+        progress.has_reached_target = failure.refusal is not None or failure.has_reached_target
         # The crash check of the last attempt has finished, so the request may be quarantined now.
         is_quarantined = self._deps.crashes.is_quarantined(progress.admitted)
         if is_quarantined or not self._deps.placer.take_retry(progress):
--- a/tests/fleet/test_paused_targets.py
+++ b/tests/fleet/test_paused_targets.py
@@ -139,3 +139,23 @@
         assert reply.status in (502, 504) and reply.whole
         (load,) = [each for each in fleet.entries[0].pool.loads.values() if each.begun]
         assert load.health.consecutive_failures == 0
+
+
+async def test_a_stream_that_breaks_while_its_backup_finds_no_target_is_resumed():
+    async with running_fleet(engines=2) as fleet:
+        set_up(fleet)
+        asked = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.5)
+        (begun,) = [target for target in fleet.targets.values() if target.running]
+        (other,) = [
+            target
+            for name, target in fleet.targets.items()
+            if name.startswith("engine") and target is not begun
+        ]
+        begun.pause(60.0)
+        loads = fleet.entries[0].pool.loads.values()
+        (load,) = [each for each in loads if each.entry.address == other.address]
+        load.full_until = asyncio.get_running_loop().time() + 3.0
+        await asyncio.sleep(1.3)  # the backup attempt waits for the other target by now
+        await begun.close()
+        assert_answered([await asked])
