Import nothing ahead of a version that no outage delays

Callers saw: in the seconds in which two versions announced 4 s apart are fetched, with the origin available, fewer were served since: targets took the first version later, when the others already drained for it. Cause: once the hosts held version 2 together, 2 s after its announcement, every host also imported version 3. Both shared the links of the hosts. The origin sends a copy in 1.7 s and a host's link takes one in 4.4 s, so version 3 did not arrive earlier. Change: the next version is imported ahead only if the one before was delayed, which every host sees from when the hosts hold it together (SourceDelays).

--- a/src/lacewinggw/decisions/upgrades.py
+++ b/src/lacewinggw/decisions/upgrades.py
@@ -45,6 +45,9 @@
 # A version of which hosts hold this share more than of the next one is not replaced by it: most
 # hosts do not ask the source, and cannot know whether it is available for the next one.
 SPREAD_SHARE = 0.25
+# Added to the time that the source takes to send one copy. A version that no outage delays is held
+# by the hosts together by then, as its manifest and its last chunks come one after the other.
+SOURCE_MARGIN_S = 1.5
 MIN_REMAINING_S = 2.0  # an older complete version is loaded if it may serve for this long
 
 
@@ -66,12 +69,14 @@
 
     `reachable` are the shares that this host and its neighbours hold together; a version that is
     not in it counts as completely held. `has_source` is whether the source of versions is
-    available as far as this host knows.
+    available as far as this host knows. `sent_in_time` are the versions that the source sends
+    without a delay; for the others that is unknown.
     """
 
     shares: Mapping[int, float]
     reachable: Mapping[int, float] = field(default_factory=dict)
     has_source: bool = True
+    sent_in_time: Collection[int] = ()
 
     def unheld(self, version: int) -> float:
         """Return the share of a version that only its source can send."""
@@ -108,6 +113,47 @@
     imports: tuple[int, ...] = ()
 
 
+class SourceDelays:
+    """Which versions the source of weights sends without a delay, as an outage causes.
+
+    Every host can tell from what it and its neighbours hold together. Most hosts do not ask the
+    source, and would not notice that it fails.
+
+        delays = SourceDelays()
+        delays.note(due, reachable, source_copy_s, now)
+        progress = VersionProgress(shares, reachable, sent_in_time=delays.sent_in_time)
+    """
+
+    def __init__(self) -> None:
+        self._due: frozenset[int] = frozenset()
+        self._sent: set[int] = set()
+        self._delayed: set[int] = set()
+
+    @property
+    def sent_in_time(self) -> frozenset[int]:
+        """The named versions that have not been delayed, those that are being sent included."""
+        return self._due - self._delayed
+
+    def note(
+        self,
+        due: Sequence[RequiredVersion],
+        reachable: Mapping[int, float],
+        source_copy_s: float,
+        now: float,
+    ) -> None:
+        """Note what share of the named versions the hosts hold together."""
+        self._due = frozenset(each.version for each in due)
+        self._sent &= self._due
+        self._delayed &= self._due
+        for each in due:
+            if each.version in self._sent or each.version in self._delayed:
+                continue
+            if now > each.received_at + source_copy_s + SOURCE_MARGIN_S:
+                self._delayed.add(each.version)
+            elif reachable.get(each.version, 0.0) >= 1.0:
+                self._sent.add(each.version)
+
+
 class UpgradePlanner:
     """The upgrade schedule of one target among those of its service.
 
@@ -238,9 +284,11 @@
     ) -> tuple[int, ...]:
         """Return the versions to import for others, beyond those that this host fetches.
 
-        The source is used for the next version as soon as hosts hold nearly all of the one before,
-        long before each host has it. The exception is one that would be late: its last chunks
-        would share the links with the imports.
+        After an outage the source is used for the next version as soon as hosts hold nearly all of
+        the one before, long before each host has it. The exception is one that would be late: its
+        last chunks would share the links with the imports. Without an outage nothing is imported
+        ahead: the source sends a copy sooner than a host's link takes it, so the next version
+        arrives no sooner, and the one before arrives later.
         """
         imports: list[int] = []
         for each in pending:
@@ -248,6 +296,8 @@
                 continue  # skipped: it would share the source with a version that replaces it
             if each.version not in fetch:
                 imports.append(each.version)
+            if each.version in progress.sent_in_time:
+                break
             if progress.unheld(each.version) > 1.0 - NEARLY_COMPLETE_SHARE:
                 break
             if self._ready_at(each, progress, now) + DOWNLOAD_MARGIN_S > self._deadline(each):
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -20,6 +20,7 @@
 from lacewinggw.decisions.upgrades import (
     DRAIN_S,
     FIRST_VERSION,
+    SourceDelays,
     UpgradePlanner,
     UpgradeRules,
     UpgradeStep,
@@ -186,6 +187,7 @@
         self._cold = OwnColdTarget(settings.fleet.first_start, clock)
         self._slots = AgentSlotService(self.metrics, self._cold.limiter)
         self._progress = ProgressLog(self.spreader)
+        self._source_delays = SourceDelays()
         self._watchers: set[PeerLink] = set()
         self._report: LoadableReport | None = None
         self._updated_at = 0.0
@@ -292,12 +294,18 @@
         due = self.assignment.due_versions
         versions = {FIRST_VERSION, *(each.version for each in due)}
         releases = {each: release_of(model, each) for each in versions}
+        reachable = {
+            each: self.spreader.reachable_fraction(release) for each, release in releases.items()
+        }
+        now = self._clock()
+        self._source_delays.note(due, reachable, self._rules.source_copy_s, now)
         progress = VersionProgress(
             {each: self.spreader.held_fraction(release) for each, release in releases.items()},
-            {each: self.spreader.reachable_fraction(release) for each, release in releases.items()},
+            reachable,
             has_source=not self.spreader.is_source_failing,
+            sent_in_time=self._source_delays.sent_in_time,
         )
-        return self._upgrade_plan().decide(current, due, progress, self._clock())
+        return self._upgrade_plan().decide(current, due, progress, now)
 
     def _upgrade_plan(self) -> UpgradePlanner:
         """Return the plan for the current hosts, cached as ranking 150 of them takes 0.2 ms."""
--- a/tests/fleet/test_upgrades.py
+++ b/tests/fleet/test_upgrades.py
@@ -3,7 +3,13 @@
 import pytest
 
 from lacewinggw.decisions.routingview import RequiredVersion
-from lacewinggw.decisions.upgrades import UpgradePlanner, UpgradeRules, UpgradeStep, VersionProgress
+from lacewinggw.decisions.upgrades import (
+    SourceDelays,
+    UpgradePlanner,
+    UpgradeRules,
+    UpgradeStep,
+    VersionProgress,
+)
 
 RULES = UpgradeRules(allowed_s=8.0, copy_s=5.0)
 HOSTS = [f"10.0.0.{number}" for number in range(8)]
@@ -211,3 +217,37 @@
     progress = VersionProgress({2: 0.0, 3: 0.0}, {2: 0.0, 3: 0.0})
     step = UpgradePlanner(SOURCE_RULES, HOSTS[0], HOSTS).decide(1, due, progress, 100.3)
     assert (step.fetch, step.imports) == ((3,), ())
+
+
+# Guards against imports of the next version that take the hosts' links while the one before still
+# goes from host to host: without an outage the next one arrives no sooner.
+def test_nothing_is_imported_ahead_while_no_outage_delays_the_source():
+    delays = SourceDelays()
+    due = [RequiredVersion(2, 100.0), RequiredVersion(3, 104.0)]
+    for now, share in ((100.5, 0.2), (102.2, 1.0), (104.1, 1.0)):
+        delays.note(due, {2: share, 3: 0.0}, 1.7, now)
+    progress = VersionProgress({2: 0.6, 3: 0.0}, {2: 1.0, 3: 0.0}, True, delays.sent_in_time)
+    step = UpgradePlanner(SOURCE_RULES, HOSTS[0], HOSTS).decide(1, due, progress, 104.1)
+    assert (step.fetch, step.imports) == ((2,), ())
+
+
+def test_nothing_is_imported_ahead_while_the_source_still_sends_without_an_outage():
+    delays = SourceDelays()
+    due = [RequiredVersion(2, 100.0), RequiredVersion(3, 102.0)]
+    delays.note(due, {2: 0.95, 3: 0.0}, 1.7, 102.1)
+    progress = VersionProgress({2: 0.3, 3: 0.0}, {2: 0.95, 3: 0.0}, True, delays.sent_in_time)
+    step = UpgradePlanner(SOURCE_RULES, HOSTS[0], HOSTS).decide(1, due, progress, 102.1)
+    assert (step.fetch, step.imports) == ((2,), ())
+
+
+# Guards against an origin that is idle after an outage, on hosts that did not ask it meanwhile.
+def test_a_version_that_the_source_takes_long_to_send_counts_as_delayed():
+    delays = SourceDelays()
+    for now in (100.1, 103.1):
+        delays.note(DUE, {2: 0.5}, 1.7, now)
+    assert delays.sent_in_time == {2}
+    for now in (103.3, 105.0):
+        delays.note(DUE, {2: 0.5 if now < 105.0 else 1.0}, 1.7, now)
+    assert delays.sent_in_time == frozenset()
+    delays.note([RequiredVersion(3, 105.0)], {3: 0.0}, 1.7, 105.1)
+    assert delays.sent_in_time == {3}
--- a/tests/fleet/test_weights_replay.py
+++ b/tests/fleet/test_weights_replay.py
@@ -1,7 +1,9 @@
 """Two versions and an origin that is unavailable for 6 s, on both deployments of the hard load."""
 
+import math
+
 import pytest
-from weights_replay import LOAD_S, NEXT_AT_S, A, B, replay
+from weights_replay import LOAD_S, NEXT_AT_S, A, B, C, replay
 
 pytestmark = pytest.mark.looptime
 DEPLOYMENTS = pytest.mark.parametrize(
@@ -28,3 +30,15 @@
     result = await replay(B, NEXT_AT_S + B.version_s, returns=False)
     assert result.in_use_at(2, 0.9) <= B.version_s
     assert result.outage_s() == 0.0
+
+
+# Guards against a next version that is imported while the one before still goes from host to host,
+# without an outage. It took the links, and half of the hosts had the first version up to a second
+# later, when the others already drained for it.
+async def test_the_naming_of_the_next_version_does_not_delay_the_one_before():
+    options = {"until_s": 8.0, "faults": False, "outage": False}
+    alone = await replay(C, next_at_s=math.inf, **options)
+    followed = await replay(C, next_at_s=4.0, **options)
+    # The versions share the links once a host has nine tenths of the first.
+    assert followed.held_by(2, 0.5) <= alone.held_by(2, 0.5) + 0.4
+    assert followed.origin_copies[2] <= 1.1
--- a/tests/fleet/weights_replay.py
+++ b/tests/fleet/weights_replay.py
@@ -2,7 +2,8 @@
 
 Entries, agents, targets, store and origin run under virtual time. Each host has a link of its own,
 each direction a queue of limited rate. Version 2 is announced, the origin becomes unavailable 2.5 s
-later for 6 s, and version 3 is announced 3 s after version 2.
+later for 6 s, and version 3 is announced 3 s after version 2. Without `outage`, the origin stays
+available.
 """
 
 import asyncio
@@ -60,6 +61,7 @@
 
 A = Deployment(20, 96, 24_576, 3.65, 4.38, 13.4)
 B = Deployment(26, 48, 49_152, 4.7, 9.0, 9.7)
+C = Deployment(16, 64, 32_768, 3.8, 9.9, 8.0)  # two versions 4 s apart, without an outage
 
 
 class _Path:
@@ -181,6 +183,13 @@
     loads: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
     incomplete_loads: int = 0
     origin_copies: dict[int, float] = field(default_factory=dict)
+    held_at: dict[int, dict[str, float]] = field(default_factory=dict)  # by version and host
+
+    def held_by(self, version: int, share: float) -> float:
+        """Return when a share of the hosts held a version completely."""
+        times = sorted(self.held_at.get(version, {}).values())
+        needed = round(share * len(self.loads))
+        return times[needed - 1] if len(times) >= needed else math.inf
 
     def in_use_at(self, version: int, share: float = 1.0) -> float:
         """Return when a share of the targets had loaded at least this version."""
@@ -214,8 +223,12 @@
         silent: bool = False,
         returns: bool = True,
         added: int = 0,
+        outage: bool = True,
+        next_at_s: float = NEXT_AT_S,
     ) -> None:
         super().__init__()
+        self._outage = outage
+        self._next_at_s = next_at_s  # infinite if version 2 is the last one
         self._returns = returns
         self._added = added  # engines without weights, while version 2 is distributed
         self.deployment = deployment
@@ -239,9 +252,10 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         self._name_version(2)
-        plan = [(AWAY_S[0], self._origin_goes), (NEXT_AT_S, lambda: self._name_version(3))]
-        plan.append((ADD_AT_S, self._add_engines))
-        if self._returns:
+        plan = [(self._next_at_s, lambda: self._name_version(3)), (ADD_AT_S, self._add_engines)]
+        if self._outage:
+            plan.append((AWAY_S[0], self._origin_goes))
+        if self._outage and self._returns:
             plan.append((AWAY_S[1], self._origin_returns))
         if self._faults:
             plan += [(KILL_AT_S, self._kill_agents), (CORRUPT_AT_S, self._corrupt_chunks)]
@@ -366,6 +380,11 @@
         self._origin_sent = sent
         versions = Counter(each.weights.get(MODEL, 0) for each in targets)
         held = {version: self._held(version) for version in self._named}
+        for version in self._named:
+            held_at = self.result.held_at.setdefault(version, {})
+            for name, agent in self.agents.items():
+                if agent.spreader.held_fraction(release_of(MODEL, version)) >= 1.0:
+                    held_at.setdefault(name, at_s)
         status = [
             agent.spreader.status(release_of(MODEL, version))
             for agent in self.agents.values()
