Answer HEAD requests that are refused, and answers without a body

Callers saw the connection close without any answer when a HEAD request was refused (404, 503, any status of ours). The answer to HEAD ends with its head, and h11 raised LocalProtocolError on the body of the problem document; the error left the handler of the refusal, and `_accept` closed the connection. Because h11 was in its error state by then, no line was logged for it either. The same happened for a target's answer with status 204 or 304 that came with a body.

Evidence: the new tests failed before, each with an empty read instead of the status line (`b''.startswith(b'HTTP/1.1 503')`).

`CallerConnection.answer` now leaves the body out for HEAD, 204 and 304, and the length for the last two, so h11 has nothing to reject.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -21,6 +21,7 @@
 
 BAD_REQUEST = 400
 CONTENT_TOO_LARGE = 413
+BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 REFUSAL_READ_S = 0.5  # time for the caller to read a refusal before the connection is closed
 
@@ -39,6 +40,7 @@
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self._read_ahead = 0
+        self._is_head_only = False  # the method of the request is HEAD
         self._close_after = False
 
     @property
@@ -81,6 +83,7 @@
             event = await self._await_head()
             if not isinstance(event, h11.Request):
                 return None
+            self._is_head_only = event.method == b"HEAD"
             arrived_at = asyncio.get_running_loop().time()
             headers = _decode_headers(event)
             _check_framing(headers)
@@ -151,10 +154,13 @@
     # ---- answers --------------------------------------------------------------------------
 
     async def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete answer."""
-        fields = [*headers, ("content-length", str(len(body)))]
+        """Send a complete answer, without its body where HTTP allows none."""
+        fields = list(headers)
+        has_body = status not in BODYLESS_STATUSES
+        if has_body:
+            fields.append(("content-length", str(len(body))))
         data = self._head(status, fields)
-        if body:
+        if body and has_body and not self._is_head_only:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._write(data)
--- /dev/null
+++ b/tests/fleet/test_callers_without_answer.py
@@ -0,0 +1,77 @@
+"""Requests that an entry has read: each gets a complete answer, a refusal or an error."""
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+from declared_fleet import running_fleet
+from platform_standins import KEY
+
+from lacewinggw.decisions.routes import CallerLimits
+from lacewinggw.frontend.callers import CallerConnection, CallerListener
+from lacewinggw.lab.memory import MemoryNetwork
+
+pytestmark = pytest.mark.looptime
+
+ADDRESS = "10.1.0.1:8005"
+
+
+class ListeningEntry:
+    """A listener that answers each request with `answer` and keeps the requests it has read."""
+
+    def __init__(self, answer: Callable[[CallerConnection], Awaitable[None]]) -> None:
+        self.network = MemoryNetwork()
+        self.limits = CallerLimits()
+        self.calls = []
+        self._answer = answer
+        self.listener = CallerListener(self.network, ADDRESS, self._serve, lambda: self.limits)
+
+    async def _serve(self, call, caller):
+        self.calls.append(call)
+        await self._answer(caller)
+
+    async def connect(self):
+        return await self.network.view("10.200.0.1").connect(ADDRESS)
+
+
+async def open_connection(fleet):
+    return await fleet.network.view("10.200.0.1").connect("10.1.0.1:8005")
+
+
+def request(path: str, method: str = "GET", **headers: str) -> bytes:
+    """Return a request without a body; each has an attempt id and a key."""
+    fields = {
+        "Host": "notes.example",
+        "X-Attempt-Id": f"attempt-{method}-{path}",
+        "X-Deadline-Remaining": "6000",
+        "X-Key": KEY,
+        **headers,
+    }
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode("latin-1")
+
+
+# Guards against closing the connection without an answer: an answer to HEAD has no body, and
+# sending the problem document of a refusal failed.
+@pytest.mark.parametrize("path", ["/tally/1", "/nowhere/1", "/report/1"])
+async def test_a_head_request_that_is_refused_gets_its_status(path):
+    async with running_fleet(desks=0, engines=0) as fleet:
+        stream = await open_connection(fleet)
+        stream.write(request(path, "HEAD"))
+        head, _, body = (await stream.read(1 << 16)).partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 404" if path == "/nowhere/1" else b"HTTP/1.1 503")
+        assert body == b""
+        stream.write(request("/nowhere/2"))
+        assert (await stream.read(1 << 16)).startswith(b"HTTP/1.1 404")  # it stays open
+
+
+# Guards against answers that HTTP gives no body and that were sent with a body or a length.
+@pytest.mark.parametrize("status", [204, 304])
+async def test_an_answer_that_has_no_body_is_sent_without_one(status):
+    entry = ListeningEntry(lambda caller: caller.answer(status, [("etag", "7")], b"none"))
+    await entry.listener.start()
+    stream = await entry.connect()
+    stream.write(request("/tally/1"))
+    head, _, body = (await stream.read(1 << 16)).partition(b"\r\n\r\n")
+    assert head.startswith(f"HTTP/1.1 {status}".encode()) and body == b""
+    assert b"content-length" not in head.lower()
+    await entry.listener.close()
