Forward answers whose headers have bytes beyond ASCII

Callers got a 500 in place of a target's answer if one of its header values held a byte beyond ASCII. Values are decoded as latin-1 when they are read, and h11 encodes text as ASCII, so sending the head raised UnicodeEncodeError.

Evidence: the new test failed before; the connection ended with no byte sent.

`CallerConnection` now encodes values as latin-1, which is the inverse of how they were read.

The tests' caller decoded received header values as UTF-8. With such values forwarded, a fuzz test stopped there on the seal `\x80`; it decodes latin-1 now, as the entry does.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -196,9 +196,10 @@
         await self.answer(status or error.http_status, list(headers.items()), body)
 
     def _head(self, status: int, headers: HeaderList) -> bytes:
-        fields = list(headers)
+        # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
+        fields = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
         if self._close_after:
-            fields.append(("connection", "close"))
+            fields.append((b"connection", b"close"))
         return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
 
     async def _write(self, data: bytes) -> None:
--- a/tests/fleet/declared_fleet.py
+++ b/tests/fleet/declared_fleet.py
@@ -200,7 +200,9 @@
                 connection.receive_data(await stream.read(1 << 16))
             case h11.Response():
                 reply.status = event.status_code
-                reply.headers = {name.decode(): value.decode() for name, value in event.headers}
+                reply.headers = {
+                    name.decode(): value.decode("latin-1") for name, value in event.headers
+                }
             case h11.Data():
                 reply.body += bytes(event.data)
             case h11.EndOfMessage():
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -75,3 +75,14 @@
     assert head.startswith(f"HTTP/1.1 {status}".encode()) and body == b""
     assert b"content-length" not in head.lower()
     await entry.listener.close()
+
+
+# Guards against a 500 in place of a target's answer: a header value may contain bytes beyond ASCII.
+async def test_an_answer_with_a_header_beyond_ascii_is_forwarded_unchanged():
+    entry = ListeningEntry(lambda caller: caller.answer(200, [("x-note", "caf\xe9")], b"ok"))
+    await entry.listener.start()
+    stream = await entry.connect()
+    stream.write(request("/tally/1"))
+    answer = await stream.read(1 << 16)
+    assert b"x-note: caf\xe9\r\n" in answer and answer.endswith(b"ok")
+    await entry.listener.close()
