Answer requests that an internal error ends, and log each connection that breaks

Callers saw their connection close without any answer when something other than their connection failed with an operating system error, or when a future that the request waited for was cancelled. The relay took every OSError for one of the caller's connection and every CancelledError for its own cancellation, passed them on, and `CallerListener` closed the connection. A connection that broke while its answer was written ended without a line in the log.

`CallerConnection` turns all errors of its own connection into CallerDisconnected, so any other OSError is internal, and a task that was cancelled itself counts its cancellations. Such errors are now logged as `request_broke` and answered with 500, as other internal errors are; a broken connection is logged as `request_abandoned`.

Evidence: the new tests failed before: status 0 in place of 500 (OSError and CancelledError), and no line for the broken connection.

--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -78,12 +78,13 @@
             await self._end_timed_out(progress, caller)
         except LacewingError as error:
             await self._refuse(call, call_id, error, caller)
-        except asyncio.CancelledError:
+        except CallerDisconnected:
             self._log_abandoned(call, call_id, caller)
             raise
-        except (CallerDisconnected, OSError):
-            raise
-        except Exception:
+        except (Exception, asyncio.CancelledError):
+            if _is_cancelled():
+                self._log_abandoned(call, call_id, caller)
+                raise
             log.exception("request_broke", request_id=call_id)
             await self._refuse(call, call_id, LacewingError("internal error"), caller)
         else:
@@ -182,6 +183,12 @@
     return [(name, value) for name, value in headers.items() if name not in CONNECTION_HEADERS]
 
 
+def _is_cancelled() -> bool:
+    """Return whether this task was cancelled, as opposed to a future that it waited for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 async def _end(*tasks: "asyncio.Future[None]") -> None:
     for task in tasks:
         task.cancel()
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -1,13 +1,16 @@
 """Requests that an entry has read: each gets a complete answer, a refusal or an error."""
 
+import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 
 import pytest
+import structlog
 from declared_fleet import running_fleet
 from platform_standins import KEY
 
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.frontend.callers import CallerConnection, CallerListener
+from lacewinggw.frontend.callers import CallerConnection, CallerDisconnected, CallerListener
 from lacewinggw.lab.memory import MemoryNetwork
 
 pytestmark = pytest.mark.looptime
@@ -86,3 +89,40 @@
     answer = await stream.read(1 << 16)
     assert b"x-note: caf\xe9\r\n" in answer and answer.endswith(b"ok")
     await entry.listener.close()
+
+
+class BrokenPlacer:
+    """Raises an error in place of choosing a target."""
+
+    def __init__(self, error: BaseException) -> None:
+        self._error = error
+
+    async def claim(self, progress):
+        raise self._error
+
+
+# Guards against closing the connection without an answer when something other than the caller's
+# connection fails: an operating system error, or a cancelled future, while the request is placed.
+@pytest.mark.parametrize("error", [OSError("no such device"), asyncio.CancelledError()])
+async def test_an_internal_error_is_answered(error, monkeypatch):
+    async with running_fleet() as fleet:
+        relay = fleet.entries[0].relay
+        broken = dataclasses.replace(relay._deps, placer=BrokenPlacer(error))
+        monkeypatch.setattr(relay, "_deps", broken)
+        reply = await fleet.ask("/tally/1", "GET")
+        assert reply.status == 500 and reply.whole
+
+
+# Guards against a request that ends without a line in the log: the caller's connection breaks while
+# the answer is written to it.
+async def test_a_connection_that_breaks_while_the_answer_is_written_is_logged(monkeypatch):
+    async with running_fleet() as fleet:
+
+        async def break_off(caller, *args):
+            raise CallerDisconnected
+
+        monkeypatch.setattr(CallerConnection, "answer", break_off)
+        with structlog.testing.capture_logs() as lines:
+            await fleet.ask("/tally/1", "GET", X_Attempt_Id="r1")
+        ended = [line for line in lines if line.get("request_id") == "r1"]
+        assert [line["event"] for line in ended] == ["request_abandoned"]
