Let callers receive the last answer of a connection before it is closed

Callers received a truncated answer, without an error from the entry, when the connection was closed after the answer while they were sending already: their next request, sent ahead, or a body that was refused. Bytes that arrive at a closed socket reset the connection; the entry's host then discards what of the answer it has not sent, and a caller's host may discard what is not read. Around SIGTERM every answer is the last one of its connection.

After the last answer the entry ends its own direction of the connection, and reads and discards what arrives until the caller closes too, for 1 s at most.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -25,7 +25,7 @@
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
-REFUSAL_READ_S = 0.5  # time for the caller to read a refusal before the connection is closed
+CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
 
 log = get_logger(__name__)
 
@@ -68,6 +68,18 @@
         """Close the connection."""
         self._stream.close()
 
+    async def finish(self) -> None:
+        """End the answers, and read and discard what the caller still sends until it closes too.
+
+        Closing while bytes arrive resets the connection, and both hosts discard what they have not
+        sent or read yet, so the last answer would be cut.
+        """
+        self._stream.end_sending()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(CLOSE_READ_S):
+                while await self._stream.read(READ_BYTES):
+                    pass
+
     def close_after_answer(self) -> None:
         """Send `connection: close` with the next answer and close the connection after it."""
         self._close_after = True
@@ -343,7 +355,7 @@
             except HttpError as error:
                 log.info("call_malformed", status=error.status, reason=str(error))
                 await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
-                await self._wait_until_read(caller)
+                await caller.finish()
                 return
             if call is None:
                 return
@@ -356,17 +368,9 @@
             self._idle.add(task)
             # Once closing has begun, another request on this connection would be cut off midway.
             if self._is_closing or not caller.can_be_reused:
+                await caller.finish()
                 return
 
-    async def _wait_until_read(self, caller: CallerConnection) -> None:
-        """Keep reading briefly: closing with unread bytes resets the connection.
-
-        The reset would discard the refusal before the caller reads it.
-        """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(REFUSAL_READ_S):
-                await caller.wait_for_disconnect()
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -160,6 +160,10 @@
         """Wait until the queue of bytes to be sent is short again."""
         await self._outgoing.wait_for_room()
 
+    def end_sending(self) -> None:
+        """End the direction to the other side."""
+        self._outgoing.end()
+
     def close(self) -> None:
         """End both directions."""
         if self.closed:
--- a/src/lacewinggw/lab/slopeplatform.py
+++ b/src/lacewinggw/lab/slopeplatform.py
@@ -49,6 +49,10 @@
         """Wait until the queue is short again."""
         await self._stream.drain()
 
+    def end_sending(self) -> None:
+        """End the direction to the other side."""
+        self._stream.end_sending()
+
     def close(self) -> None:
         """Close the stream."""
         self._stream.close()
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -39,6 +39,9 @@
     async def drain(self) -> None:
         """Wait until the send buffer is below its limit."""
 
+    def end_sending(self) -> None:
+        """Send the queued bytes, then the end of the stream; it can still be read."""
+
     def close(self) -> None:
         """Close the stream without waiting; queued bytes may still be sent."""
 
@@ -110,6 +113,11 @@
         """Wait until the send buffer is below its limit."""
         await self._writer.drain()
 
+    def end_sending(self) -> None:
+        """Send the queued bytes, then the end of the stream; it can still be read."""
+        with suppress(OSError):
+            self._writer.write_eof()
+
     def close(self) -> None:
         """Close the stream without waiting; queued bytes may still be sent."""
         self._writer.close()
