Answer requests that have arrived when an entry stops accepting them

Callers saw requests end without an answer around SIGTERM. 2.5 s after the signal the entry closed its listener and cancelled every connection on which no request was in progress. To it, these were also the connections whose next request lay unread in the buffer, those in the middle of a head or a body, and those that were accepted but not yet started; connections that waited to be accepted were reset by closing the listening socket.

Evidence: the new tests send a request and begin to close in the same turn of the event loop. Before, the connection ended without a byte where the request came on an idle connection, and where a part of the head or of the body had been read before; on a new connection it was reset. Now each gets its answer.

Closing no longer cancels these connections. The listening socket accepts what waits before it is closed.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -25,6 +25,7 @@
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
+CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
 CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
 
 log = get_logger(__name__)
@@ -36,6 +37,58 @@
     """The caller closed its connection, or the connection broke."""
 
 
+class ReadTimer:
+    """Limits the time of a read; the limit may change meanwhile.
+
+    `until` returns when the read ends, by the loop's clock. If the event loop is busy, a timer and
+    the bytes that have arrived meanwhile are handled in the same turn, and the timer cancels the
+    read before it returns them. So after the limit, the read gets a moment in which the loop is not
+    late.
+
+        timer = ReadTimer(lambda: began + limit_s)
+        data = await timer.run(read)  # raises `TimeoutError`
+    """
+
+    def __init__(self, until: Callable[[], float]) -> None:
+        self._until = until
+        self._timeout: asyncio.Timeout | None = None
+
+    def update(self) -> None:
+        """Apply a changed limit to the read in progress."""
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self._until())
+
+    async def run(self, read: Callable[[], Awaitable[T]]) -> T:
+        """Return the result of `read`, which continues where a cancelled call stopped."""
+        while True:
+            until = self._until()
+            try:
+                async with asyncio.timeout_at(until) as self._timeout:
+                    return await read()
+            except TimeoutError:
+                # A timer may be early by the resolution of the clock.
+                if self._until() <= max(until, _now()):
+                    return await _finish_late(read)
+            finally:
+                self._timeout = None
+
+
+async def _finish_late(read: Callable[[], Awaitable[T]]) -> T:
+    while True:
+        until = _now() + LAST_READ_S
+        try:
+            async with asyncio.timeout_at(until):
+                return await read()
+        except TimeoutError:
+            if _now() - until < LAST_READ_S:
+                raise
+
+
+async def _finish_within(limit_s: float, read: Callable[[], Awaitable[T]]) -> T:
+    until = _now() + limit_s
+    return await ReadTimer(lambda: until).run(read)
+
+
 class CallerConnection:
     """One connection of a caller, with its successive requests and answers."""
 
@@ -46,6 +99,9 @@
         self._read_ahead = 0
         self._is_head_only = False  # the method of the request is HEAD
         self._close_after = False
+        self._is_stopping = False
+        self._idle_since = _now()
+        self._idle_timer = ReadTimer(self._idle_until)
 
     @property
     def can_be_reused(self) -> bool:
@@ -68,6 +124,11 @@
         """Close the connection."""
         self._stream.close()
 
+    def stop_waiting(self) -> None:
+        """Wait only briefly for the next request; continue with one that is arriving."""
+        self._is_stopping = True
+        self._idle_timer.update()
+
     async def finish(self) -> None:
         """End the answers, and read and discard what the caller still sends until it closes too.
 
@@ -116,7 +177,8 @@
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
         event = self._http.next_event()
         if event is h11.NEED_DATA and not self._http.trailing_data[0]:
-            await _finish_within(self._limits.idle_s, self._receive)
+            self._idle_since = _now()
+            await self._idle_timer.run(self._receive)
             event = self._http.next_event()
         if event is not h11.NEED_DATA:
             return event
@@ -125,6 +187,10 @@
         except TimeoutError as error:
             raise HttpError(REQUEST_TIMEOUT, "the head arrives too slowly") from error
 
+    def _idle_until(self) -> float:
+        idle_s = CLOSING_IDLE_S if self._is_stopping else self._limits.idle_s
+        return self._idle_since + idle_s
+
     async def _read_head(self) -> Any:
         while (event := self._http.next_event()) is h11.NEED_DATA:
             await self._receive()
@@ -238,24 +304,6 @@
             raise CallerDisconnected from error
 
 
-async def _finish_within(limit_s: float, read: Callable[[], Awaitable[T]]) -> T:
-    """Return the result of `read`, which continues where a cancelled call stopped.
-
-    Raise `TimeoutError` after the limit. If the event loop is busy, a timer and the bytes that have
-    arrived meanwhile are handled in the same turn, and the timer cancels the read before it returns
-    them. So after the limit, `read` gets a moment in which the loop is not late.
-    """
-    until, is_last = _now() + limit_s, False
-    while True:
-        try:
-            async with asyncio.timeout_at(until):
-                return await read()
-        except TimeoutError:
-            if is_last and _now() - until < LAST_READ_S:
-                raise
-            until, is_last = _now() + LAST_READ_S, True
-
-
 def _decode_headers(event: h11.Request) -> HeaderList:
     return [
         (name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers.raw_items()
@@ -287,7 +335,7 @@
         self._serve = serve
         self._limits = limits
         self._listener: Listener | None = None
-        self._idle: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[None], CallerConnection] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._is_leaving = False
         self._is_closing = False
@@ -315,13 +363,17 @@
         """Stop accepting, let requests in progress finish within the grace, cancel the others."""
         self.disable_keep_alive()
         self._is_closing = True
+        until = _now() + grace_s
         if self._listener is not None:
             await self._listener.close()
-        for task in list(self._idle):
-            task.cancel()
-        if self._busy and grace_s > 0:
-            await asyncio.wait(set(self._busy), timeout=grace_s)
-        remaining = {*self._idle, *self._busy}
+        for caller in self._open.values():
+            caller.stop_waiting()
+        if grace_s > 0:
+            # Connections that were accepted in this turn of the event loop are not open yet.
+            await asyncio.sleep(min(grace_s, LAST_READ_S))
+        while self._open and _now() < until:
+            await asyncio.wait(set(self._open), timeout=until - _now())
+        remaining = set(self._open)
         for task in remaining:
             task.cancel()
         if remaining:
@@ -331,7 +383,9 @@
         task = asyncio.current_task()
         assert task is not None
         caller = CallerConnection(stream, self._limits())
-        self._idle.add(task)
+        self._open[task] = caller
+        if self._is_closing:
+            caller.stop_waiting()
         try:
             await self._serve_all(caller, task)
         except CallerDisconnected:
@@ -344,7 +398,7 @@
             if not self._is_leaving:
                 raise
         finally:
-            self._idle.discard(task)
+            self._open.pop(task, None)
             self._busy.discard(task)
             caller.close()
 
@@ -360,12 +414,10 @@
             if call is None:
                 return
             self._busy.add(task)
-            self._idle.discard(task)
             if self._is_leaving:
                 caller.close_after_answer()
             await self._serve(call, caller)
             self._busy.discard(task)
-            self._idle.add(task)
             # Once closing has begun, another request on this connection would be cut off midway.
             if self._is_closing or not caller.can_be_reused:
                 await caller.finish()
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -15,6 +15,7 @@
 
 READ_BUFFER_BYTES = 1 << 18
 CONNECT_TIMEOUT_S = 3.0
+ACCEPT_TURNS = 2  # of the event loop: to notice that connections wait, and to accept them
 ZERO_LINGER = struct.pack(
     "ii", 1, 0
 )  # linger on, 0 s: close resets the connection, drops unsent data
@@ -153,7 +154,12 @@
         return f"{ip}:{port}"
 
     async def close(self) -> None:
-        """Stop accepting; streams already accepted stay open."""
+        """Stop accepting; streams already accepted stay open.
+
+        Accept the connections that peers have opened already: closing would reset them.
+        """
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
         self._server.close()
 
 
--- a/tests/fleet/test_callers_busy_loop.py
+++ b/tests/fleet/test_callers_busy_loop.py
@@ -14,6 +14,7 @@
 REQUEST = b"POST /tally/1 HTTP/1.1\r\nHost: notes.example\r\nContent-Length: 4\r\n\r\nbody"
 LIMIT_S = 0.2
 ACCEPT_S = 0.04  # until a connection is accepted, or what was sent is read
+GRACE_S = 2.0
 BUSY_S = 0.4  # longer than any limit, so that its timer is due when the loop goes on
 
 
@@ -61,3 +62,29 @@
         caller.send(REQUEST[sent_before:])
         keep_loop_busy()
         assert b"200" in await receive(caller)
+
+
+# Guards against requests that are cut when an entry stops accepting them: the bytes have arrived,
+# but a busy event loop has not read them yet.
+@pytest.mark.parametrize("sent_before", [0, 10, len(REQUEST) - 2], ids=["idle", "head", "body"])
+async def test_a_request_that_has_arrived_when_closing_begins_is_answered(sent_before):
+    async with listening(CallerLimits()) as (listener, caller):
+        if sent_before:
+            caller.send(REQUEST[:sent_before])
+            await asyncio.sleep(ACCEPT_S)
+        caller.send(REQUEST[sent_before:])
+        closing = asyncio.ensure_future(listener.close(GRACE_S))
+        answer = await receive(caller)
+        assert b"200" in answer and b"connection: close" in answer.lower()
+        caller.close()
+        await closing
+
+
+async def test_a_request_on_a_new_connection_is_answered_when_closing_begins():
+    async with listening(CallerLimits()) as (listener, _):
+        with socket.create_connection(split_address(listener.address)) as caller:
+            caller.setblocking(False)
+            caller.send(REQUEST)
+            closing = asyncio.ensure_future(listener.close(GRACE_S))
+            assert b"200" in await receive(caller)
+        await closing
