Announce each close of a connection, and refuse what comes after it

Callers that keep a connection in use saw their next request end without an answer around SIGTERM, because the connection was closed without an announcement. `connection: close` was chosen when a request was read, so an answer whose request was read before the signal did not announce it; a stream that had begun by then cannot. Once closing had begun, the connection was closed after such an answer. Requests that were sent ahead of the answer before them were dropped with it, although they had been read.

An entry that leaves now marks all open connections: the next head that is sent announces the close, unless further requests have been received already, which are answered first. A connection whose answer could not announce it stays open for 0.2 s. What arrives on it is answered for the first 0.5 s of closing, and then refused with 503, not run, and `connection: close`: a request accepted later could be cut by the end of the grace period.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any, TypeVar
@@ -12,7 +13,7 @@
 import h11
 
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.errors import LacewingError, MalformedHttp
+from lacewinggw.errors import Draining, LacewingError, MalformedHttp
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import READ_BYTES, HeaderList, HttpError
@@ -25,6 +26,10 @@
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
+SERVE_WHILE_CLOSING_S = (
+    0.5  # requests that arrive later could be cut by the end of the grace period
+)
+CLOSING_RETRY_AFTER_MS = 200  # the remaining entries are available at once
 CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
 CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
 
@@ -98,7 +103,8 @@
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
         self._read_ahead = 0
         self._is_head_only = False  # the method of the request is HEAD
-        self._close_after = False
+        self._close_after = False  # unless further requests have been received
+        self._must_close = False
         self._is_stopping = False
         self._idle_since = _now()
         self._idle_timer = ReadTimer(self._idle_until)
@@ -106,8 +112,7 @@
     @property
     def can_be_reused(self) -> bool:
         """Whether another request may follow on this connection."""
-        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        return done and not self._close_after
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     @property
     def has_started_answer(self) -> bool:
@@ -142,7 +147,11 @@
                     pass
 
     def close_after_answer(self) -> None:
-        """Send `connection: close` with the next answer and close the connection after it."""
+        """Send `connection: close` with the next answer and close the connection after it.
+
+        Requests that have been received already are answered first. An answer that has begun cannot
+        announce the close any more; the one after it does.
+        """
         self._close_after = True
 
     # ---- requests -------------------------------------------------------------------------
@@ -281,8 +290,7 @@
         """
         if self.has_started_answer:
             return
-        if not keep:
-            self._close_after = True
+        self._must_close |= not keep
         headers = problem_headers(error)
         if error.retry_after_ms:
             headers["retry-after"] = f"{error.retry_after_ms / 1000:.3f}"
@@ -292,7 +300,8 @@
     def _head(self, status: int, headers: HeaderList) -> bytes:
         # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
         fields = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
-        if self._close_after:
+        has_received_more = bool(self._http.trailing_data[0])
+        if self._must_close or (self._close_after and not has_received_more):
             fields.append((b"connection", b"close"))
         return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
 
@@ -338,7 +347,7 @@
         self._open: dict[asyncio.Task[None], CallerConnection] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._is_leaving = False
-        self._is_closing = False
+        self._closing_at = math.inf
 
     @property
     def address(self) -> str:
@@ -356,13 +365,18 @@
         self._listener = await self._network.listen(self._address, self._accept)
 
     def disable_keep_alive(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection after its next answer, also after one that has not begun yet."""
         self._is_leaving = True
+        for caller in self._open.values():
+            caller.close_after_answer()
 
     async def close(self, grace_s: float = 0.0) -> None:
-        """Stop accepting, let requests in progress finish within the grace, cancel the others."""
+        """Stop accepting, let requests in progress finish within the grace, cancel the others.
+
+        Requests that arrive later on connections whose close was not announced are refused.
+        """
         self.disable_keep_alive()
-        self._is_closing = True
+        self._closing_at = min(self._closing_at, _now())
         until = _now() + grace_s
         if self._listener is not None:
             await self._listener.close()
@@ -384,7 +398,9 @@
         assert task is not None
         caller = CallerConnection(stream, self._limits())
         self._open[task] = caller
-        if self._is_closing:
+        if self._is_leaving:
+            caller.close_after_answer()
+        if self._closing_at < math.inf:
             caller.stop_waiting()
         try:
             await self._serve_all(caller, task)
@@ -414,12 +430,14 @@
             if call is None:
                 return
             self._busy.add(task)
-            if self._is_leaving:
-                caller.close_after_answer()
-            await self._serve(call, caller)
+            if call.arrived_at > self._closing_at + SERVE_WHILE_CLOSING_S:
+                log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
+                refusal = Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
+                await caller.refuse(refusal)
+            else:
+                await self._serve(call, caller)
             self._busy.discard(task)
-            # Once closing has begun, another request on this connection would be cut off midway.
-            if self._is_closing or not caller.can_be_reused:
+            if not caller.can_be_reused:
                 await caller.finish()
                 return
 
