Answer requests that are unfinished when the grace period of an entry ends

Callers saw their connection close without an answer when the grace period ended, or when a second signal cut the drain short: the entry cancelled every request, whether it still waited for a target, ran at one, or had arrived only in part. The line of such a request was `request_abandoned`, as if its caller had left.

Before it cancels them, the entry marks the connections as stopped, and the relay answers in the handler of the cancellation, when the request has left its queue or its target: 503, not run, if it was offered to no target, else 502. `request_abandoned` now only says that a caller left.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -25,6 +25,7 @@
 CONTENT_TOO_LARGE = 413
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
+STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
 SERVE_WHILE_CLOSING_S = (
     0.5  # requests that arrive later could be cut by the end of the grace period
@@ -106,6 +107,7 @@
         self._close_after = False  # unless further requests have been received
         self._must_close = False
         self._is_stopping = False
+        self._is_stopped = False
         self._idle_since = _now()
         self._idle_timer = ReadTimer(self._idle_until)
 
@@ -119,6 +121,11 @@
         """Whether part of an answer has been sent."""
         return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the entry stops, so that the request in progress needs an answer at once."""
+        return self._is_stopped
+
     @property
     def has_pending_request(self) -> bool:
         """Whether a request, or part of one, was received that has no complete answer."""
@@ -134,6 +141,10 @@
         self._is_stopping = True
         self._idle_timer.update()
 
+    def stop(self) -> None:
+        """Have the request in progress answered at once, and close the connection after it."""
+        self._is_stopped = self._must_close = True
+
     async def finish(self) -> None:
         """End the answers, and read and discard what the caller still sends until it closes too.
 
@@ -313,6 +324,10 @@
             raise CallerDisconnected from error
 
 
+def _stopping() -> Draining:
+    return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
+
+
 def _decode_headers(event: h11.Request) -> HeaderList:
     return [
         (name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers.raw_items()
@@ -371,9 +386,11 @@
             caller.close_after_answer()
 
     async def close(self, grace_s: float = 0.0) -> None:
-        """Stop accepting, let requests in progress finish within the grace, cancel the others.
+        """Stop accepting, let requests in progress finish within the grace, then end the others.
 
-        Requests that arrive later on connections whose close was not announced are refused.
+        Requests that arrive later on connections whose close was not announced are refused. Those
+        without an answer at the end of the grace are refused too, or get an error if they may have
+        run; this takes `STOP_S` at most.
         """
         self.disable_keep_alive()
         self._closing_at = min(self._closing_at, _now())
@@ -387,11 +404,15 @@
             await asyncio.sleep(min(grace_s, LAST_READ_S))
         while self._open and _now() < until:
             await asyncio.wait(set(self._open), timeout=until - _now())
-        remaining = set(self._open)
-        for task in remaining:
+        for task, caller in self._open.items():
+            caller.stop()
+            task.cancel()
+        if self._open:
+            await asyncio.wait(set(self._open), timeout=STOP_S)
+        for task in self._open:
             task.cancel()
-        if remaining:
-            await asyncio.wait(remaining)
+        if self._open:
+            await asyncio.wait(set(self._open))
 
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
@@ -411,13 +432,23 @@
                 is_read = task in self._busy
                 log.warning("call_unanswered", reason=repr(error), is_read=is_read)
         except asyncio.CancelledError:
-            if not self._is_leaving:
+            if not caller.is_stopped:
                 raise
+            await self._end_stopped(caller, is_read=task in self._busy)
         finally:
             self._open.pop(task, None)
             self._busy.discard(task)
             caller.close()
 
+    async def _end_stopped(self, caller: CallerConnection, is_read: bool) -> None:
+        """End a connection after the grace period."""
+        with suppress(CallerDisconnected):
+            if caller.has_pending_request and not is_read:
+                log.info("call_refused", reason="stopped", domain="", path="")
+                await caller.refuse(_stopping())
+            if caller.has_started_answer:
+                await caller.finish()
+
     async def _serve_all(self, caller: CallerConnection, task: "asyncio.Task[None]") -> None:
         while True:
             try:
@@ -432,8 +463,7 @@
             self._busy.add(task)
             if call.arrived_at > self._closing_at + SERVE_WHILE_CLOSING_S:
                 log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
-                refusal = Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
-                await caller.refuse(refusal)
+                await caller.refuse(_stopping())
             else:
                 await self._serve(call, caller)
             self._busy.discard(task)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -6,13 +6,15 @@
 
 import asyncio
 import math
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 from lacewinggw.errors import (
     DeadlinePassed,
     DeadlineTooNear,
+    Draining,
     LacewingError,
     RequestRefused,
+    TargetFailed,
 )
 from lacewinggw.frontend.admission import admit
 from lacewinggw.frontend.attempts import (
@@ -22,7 +24,11 @@
     StreamPart,
     WholeAnswer,
 )
-from lacewinggw.frontend.callers import CallerConnection, CallerDisconnected
+from lacewinggw.frontend.callers import (
+    CLOSING_RETRY_AFTER_MS,
+    CallerConnection,
+    CallerDisconnected,
+)
 from lacewinggw.frontend.calls import Call
 from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.log import get_logger
@@ -82,6 +88,10 @@
             self._log_abandoned(call, call_id, caller)
             raise
         except (Exception, asyncio.CancelledError):
+            if caller.is_stopped:
+                with suppress(CallerDisconnected):
+                    await self._refuse(call, call_id, _stopped_error(progress), caller)
+                raise
             if _is_cancelled():
                 self._log_abandoned(call, call_id, caller)
                 raise
@@ -183,6 +193,13 @@
     return [(name, value) for name, value in headers.items() if name not in CONNECTION_HEADERS]
 
 
+def _stopped_error(progress: RequestProgress | None) -> LacewingError:
+    """Return the error for a request that is unfinished when the entry stops."""
+    if progress is None or progress.runs == 0:
+        return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
+    return TargetFailed("the entry stops before the target has answered", remedy=REPEAT_REMEDY)
+
+
 def _is_cancelled() -> bool:
     """Return whether this task was cancelled, as opposed to a future that it waited for."""
     task = asyncio.current_task()
--- a/src/lacewinggw/lab/fleetmodel/callers.py
+++ b/src/lacewinggw/lab/fleetmodel/callers.py
@@ -79,6 +79,7 @@
     hop_s: float
     last_event: int = 0
     has_started_answer: bool = False
+    is_stopped: bool = False
     refusal: LacewingError | None = None
     closed: asyncio.Event = field(default_factory=asyncio.Event)
     heard_at: float = 0.0
