Apply changed limits to the open connections of callers

Callers that kept a connection open beside a change of the configuration were refused with 413 or 431 although the newest limits allow their requests, and found their connection closed within the idle limit that they know. A connection took the limits once, when it was accepted. With an idle limit that grew from 4 s to 10 s, callers may reuse a connection for 8 s; the entry closed it after 4 s, as their next request was on its way.

Each request is now read within the limits at its first byte. An idle connection stays open for the limit at its last answer or the current one, whichever is longer: a caller may know either. A shorter limit holds from the next request on.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -27,9 +27,8 @@
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
-SERVE_WHILE_CLOSING_S = (
-    0.5  # requests that arrive later could be cut by the end of the grace period
-)
+# While the entry closes; requests that arrive later could be cut by the end of the grace period.
+SERVE_WHILE_CLOSING_S = 0.5
 CLOSING_RETRY_AFTER_MS = 200  # the remaining entries are available at once
 CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
 CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
@@ -96,12 +95,18 @@
 
 
 class CallerConnection:
-    """One connection of a caller, with its successive requests and answers."""
+    """One connection of a caller, with its successive requests and answers.
 
-    def __init__(self, stream: Stream, limits: CallerLimits) -> None:
+    `limits` returns the current limits. Each request is read within the limits at its first byte.
+    The connection may stay idle for the limit at the last answer, or the current one if that is
+    longer: callers go by the newest limit that they know.
+    """
+
+    def __init__(self, stream: Stream, limits: Callable[[], CallerLimits]) -> None:
         self._stream = stream
-        self._limits = limits
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        self._read_limits = limits
+        self._limits = limits()
+        self._http = _http_server(self._limits)
         self._read_ahead = 0
         self._is_head_only = False  # the method of the request is HEAD
         self._close_after = False  # unless further requests have been received
@@ -109,6 +114,7 @@
         self._is_stopping = False
         self._is_stopped = False
         self._idle_since = _now()
+        self._idle_s = self._limits.idle_s  # allowed by the limits at that time
         self._idle_timer = ReadTimer(self._idle_until)
 
     @property
@@ -195,11 +201,13 @@
 
     async def _await_head(self) -> Any:
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
+        received, _ = self._http.trailing_data
+        if not received:
+            self._idle_since, self._idle_s = _now(), self._read_limits().idle_s
+            received = await self._idle_timer.run(self._read)
+            self._http.receive_data(received)
+        self._apply_limits()
         event = self._http.next_event()
-        if event is h11.NEED_DATA and not self._http.trailing_data[0]:
-            self._idle_since = _now()
-            await self._idle_timer.run(self._receive)
-            event = self._http.next_event()
         if event is not h11.NEED_DATA:
             return event
         try:
@@ -208,8 +216,21 @@
             raise HttpError(REQUEST_TIMEOUT, "the head arrives too slowly") from error
 
     def _idle_until(self) -> float:
-        idle_s = CLOSING_IDLE_S if self._is_stopping else self._limits.idle_s
-        return self._idle_since + idle_s
+        if self._is_stopping:
+            return self._idle_since + CLOSING_IDLE_S
+        return self._idle_since + max(self._idle_s, self._read_limits().idle_s)
+
+    def _apply_limits(self) -> None:
+        """Apply the current limits to the request that begins to arrive."""
+        before, self._limits = self._limits, self._read_limits()
+        if self._limits.head_bytes == before.head_bytes:
+            return
+        received, has_ended = self._http.trailing_data
+        self._http = _http_server(self._limits)
+        if received:
+            self._http.receive_data(received)
+        if has_ended:
+            self._http.receive_data(b"")
 
     async def _read_head(self) -> Any:
         while (event := self._http.next_event()) is h11.NEED_DATA:
@@ -246,11 +267,13 @@
                     raise CallerDisconnected
 
     async def _receive(self) -> None:
+        self._http.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
         try:
-            data = await self._stream.read(READ_BYTES)
+            return await self._stream.read(READ_BYTES)
         except OSError as error:
             raise CallerDisconnected from error
-        self._http.receive_data(data)
 
     async def wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected; buffer what else it sends."""
@@ -324,6 +347,10 @@
             raise CallerDisconnected from error
 
 
+def _http_server(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+
+
 def _stopping() -> Draining:
     return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
 
@@ -347,7 +374,7 @@
 class CallerListener:
     """Accepts connections of callers and passes each request to `serve`.
 
-    `limits` returns the limits for a new connection. `close(grace_s)` lets requests in progress
+    `limits` returns the current limits. `close(grace_s)` lets requests in progress
     finish.
     """
 
@@ -417,7 +444,7 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        caller = CallerConnection(stream, self._limits())
+        caller = CallerConnection(stream, self._limits)
         self._open[task] = caller
         if self._is_leaving:
             caller.close_after_answer()
