Answer and log requests whose serving raises an unexpected error

Callers saw the connection close without an answer, and operators no line, when serving a request raised an error that the relay does not handle, such as one in its own handling of an error. `CallerListener` dropped an OSError, a timeout and an h11 error, and left others to the event loop. The line `call_unanswered` was not logged for an h11 error, as the state of the connection no longer shows a request then.

Evidence: the new test failed before for an OSError, a RuntimeError and an h11 error: no byte came.

The listener now answers such a request with 500 and `connection: close` if no answer has begun, and logs `call_broke` with the traceback.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -467,6 +467,19 @@
             self._busy.discard(task)
             caller.close()
 
+    async def _serve_one(self, call: Call, caller: CallerConnection) -> None:
+        """Serve a request; answer and log an error that `serve` did not handle."""
+        try:
+            await self._serve(call, caller)
+        except CallerDisconnected:
+            raise
+        except Exception as error:
+            cut = caller.has_started_answer
+            log.exception("call_broke", domain=call.domain, path=call.path, cut=cut)
+            if cut:
+                raise CallerDisconnected from error
+            await caller.refuse(LacewingError("internal error"), keep=False)
+
     async def _end_stopped(self, caller: CallerConnection, is_read: bool) -> None:
         """End a connection after the grace period."""
         with suppress(CallerDisconnected):
@@ -492,7 +505,7 @@
                 log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
                 await caller.refuse(_stopping())
             else:
-                await self._serve(call, caller)
+                await self._serve_one(call, caller)
             self._busy.discard(task)
             if not caller.can_be_reused:
                 await caller.finish()
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -4,13 +4,18 @@
 import dataclasses
 from collections.abc import Awaitable, Callable
 
+import h11
 import pytest
 import structlog
 from declared_fleet import running_fleet
 from platform_standins import KEY
 
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.frontend.callers import CallerConnection, CallerDisconnected, CallerListener
+from lacewinggw.frontend.callers import (
+    CallerConnection,
+    CallerDisconnected,
+    CallerListener,
+)
 from lacewinggw.lab.memory import MemoryNetwork
 
 pytestmark = pytest.mark.looptime
@@ -126,3 +131,21 @@
             await fleet.ask("/tally/1", "GET", X_Attempt_Id="r1")
         ended = [line for line in lines if line.get("request_id") == "r1"]
         assert [line["event"] for line in ended] == ["request_abandoned"]
+
+
+# Guards against a request that ends without an answer or a line because serving it raised an error
+# that the relay does not handle.
+@pytest.mark.parametrize("error", [OSError(), RuntimeError(), h11.LocalProtocolError("invalid")])
+async def test_an_error_outside_the_relay_is_answered_and_logged(error):
+    async def fail(caller):
+        raise error
+
+    entry = ListeningEntry(fail)
+    await entry.listener.start()
+    stream = await entry.connect()
+    with structlog.testing.capture_logs() as lines:
+        stream.write(request("/tally/1"))
+        answer = await stream.read(1 << 16)
+    assert answer.startswith(b"HTTP/1.1 500") and b"connection: close" in answer.lower()
+    assert [line["event"] for line in lines] == ["call_broke"]
+    await entry.listener.close()
