Log requests that cross the close of a connection

A request that a caller sends while the entry closes its idle connection, or after an answer that announced the close, gets no answer; HTTP/1.1 has no way to send one. It left no line either, so it could not be told from a request that was lost, and after an idle timeout the caller saw a reset.

Evidence: the new tests failed before: a reset in place of the end of the stream after the idle limit, and no line after an announced close.

An idle connection is now closed as one with a last answer is: the entry ends its own direction, reads until the caller closes, and logs `call_discarded` with the number of bytes.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -151,17 +151,21 @@
         """Have the request in progress answered at once, and close the connection after it."""
         self._is_stopped = self._must_close = True
 
-    async def finish(self) -> None:
+    async def finish(self) -> int:
         """End the answers, and read and discard what the caller still sends until it closes too.
 
+        Return the number of bytes that were discarded.
+
         Closing while bytes arrive resets the connection, and both hosts discard what they have not
         sent or read yet, so the last answer would be cut.
         """
+        discarded = len(self._http.trailing_data[0])
         self._stream.end_sending()
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(CLOSE_READ_S):
-                while await self._stream.read(READ_BYTES):
-                    pass
+                while data := await self._stream.read(READ_BYTES):
+                    discarded += len(data)
+        return discarded
 
     def close_after_answer(self) -> None:
         """Send `connection: close` with the next answer and close the connection after it.
@@ -480,6 +484,12 @@
                 raise CallerDisconnected from error
             await caller.refuse(LacewingError("internal error"), keep=False)
 
+    async def _finish(self, caller: CallerConnection) -> None:
+        """Close a connection, and log requests that were sent before the caller noticed it."""
+        discarded = await caller.finish()
+        if discarded:
+            log.info("call_discarded", bytes=discarded)
+
     async def _end_stopped(self, caller: CallerConnection, is_read: bool) -> None:
         """End a connection after the grace period."""
         with suppress(CallerDisconnected):
@@ -498,6 +508,9 @@
                 await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
                 await caller.finish()
                 return
+            except TimeoutError:
+                await self._finish(caller)
+                return
             if call is None:
                 return
             self._busy.add(task)
@@ -508,7 +521,7 @@
                 await self._serve_one(call, caller)
             self._busy.discard(task)
             if not caller.can_be_reused:
-                await caller.finish()
+                await self._finish(caller)
                 return
 
 
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -149,3 +149,25 @@
     assert answer.startswith(b"HTTP/1.1 500") and b"connection: close" in answer.lower()
     assert [line["event"] for line in lines] == ["call_broke"]
     await entry.listener.close()
+
+
+# Guards against requests that are lost without a line: one crosses the close of an idle connection,
+# the other was sent after an answer that announced the close.
+@pytest.mark.parametrize("is_leaving", [False, True])
+async def test_a_request_that_crosses_the_close_has_a_line(is_leaving):
+    entry = ListeningEntry(lambda caller: caller.answer(200, [], b"ok"))
+    await entry.listener.start()
+    stream = await entry.connect()
+    if is_leaving:
+        entry.listener.disable_keep_alive()
+        stream.write(request("/tally/1"))
+    while await stream.read(1 << 16):
+        pass
+    with structlog.testing.capture_logs() as lines:
+        stream.write(request("/tally/2"))
+        await asyncio.sleep(0.1)
+        stream.close()
+        await asyncio.sleep(0.1)
+    assert [line["event"] for line in lines] == ["call_discarded"]
+    assert lines[0]["bytes"] == len(request("/tally/2"))
+    await entry.listener.close()
