Bound the requests that are buffered ahead for one connection

A caller that sent requests ahead without waiting for answers filled the memory of the entry. What is read while a request is in progress was limited to 64 KiB for each request, whatever was buffered already, and small requests take less of the buffer than was added.

The limit applies to the bytes that are buffered.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -107,7 +107,6 @@
         self._read_limits = limits
         self._limits = limits()
         self._http = _http_server(self._limits)
-        self._read_ahead = 0
         self._is_head_only = False  # the method of the request is HEAD
         self._close_after = False  # unless further requests have been received
         self._must_close = False
@@ -185,7 +184,6 @@
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-            self._read_ahead = 0
         self._is_head_only = False
         try:
             event = await self._await_head()
@@ -281,14 +279,13 @@
 
     async def wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected; buffer what else it sends."""
-        while self._read_ahead < PIPELINED_BYTES:
+        while len(self._http.trailing_data[0]) < PIPELINED_BYTES:
             try:
                 data = await self._stream.read(READ_BYTES)
             except OSError:
                 return
             if not data:
                 return
-            self._read_ahead += len(data)
             self._http.receive_data(data)
         await asyncio.Event().wait()
 
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 import h11
 import pytest
@@ -12,6 +13,7 @@
 
 from lacewinggw.decisions.routes import CallerLimits
 from lacewinggw.frontend.callers import (
+    PIPELINED_BYTES,
     CallerConnection,
     CallerDisconnected,
     CallerListener,
@@ -171,3 +173,23 @@
     assert [line["event"] for line in lines] == ["call_discarded"]
     assert lines[0]["bytes"] == len(request("/tally/2"))
     await entry.listener.close()
+
+
+# Guards against a caller that sends ever more requests ahead and fills the memory of the entry.
+async def test_few_requests_sent_ahead_are_buffered():
+    buffered = []
+
+    async def answer(caller):
+        with suppress(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await caller.wait_for_disconnect()
+        buffered.append(len(caller._http.trailing_data[0]))
+        await caller.answer(200, [], b"ok")
+
+    entry = ListeningEntry(answer)
+    await entry.listener.start()
+    stream = await entry.connect()
+    stream.write(request("/tally/1") * 9000)
+    await asyncio.sleep(2.0)
+    assert len(buffered) > 10 and max(buffered) <= 2 * PIPELINED_BYTES
+    await entry.listener.close()
