Fit the drain of an entry into a short grace period

With a grace period under 3.2 s callers' requests were cut: the entry accepted callers for 2.5 s whatever the period, then cancelled all requests at once, or was killed before that. With 4 s it ended them 0.7 s before the end, which is before the last sixth of the period, until which requests in progress are to be served.

Evidence: the new test has a request that takes five sixths of the grace period.

Accepting takes a third of the period at most, and closing an eighth. With 8 s both are as before.

The test of a request that has arrived in part sends it 1 s after the drain began, as the entry now accepts for 1.3 s of its grace period of 4 s.

--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -58,8 +58,14 @@
 MS_PER_S = 1000.0
 PERCENT = 100.0
 EXTRA_RETRIES_SHARE = 0.8  # of the fleet's limit, since entries may miscount each other for a while
-ACCEPT_WHILE_LEAVING_S = 2.5  # callers with a cached directory answer still connect
-CLOSE_MARGIN_S = 0.7  # before the process is killed, to close what is left in order
+# While the entry leaves, for at most this share of the grace period, callers with a cached
+# directory answer still connect.
+ACCEPT_WHILE_LEAVING_S = 2.5
+ACCEPT_SHARE = 1 / 3
+# Before the process is killed, to close what is left in order, and at most this share of the grace
+# period: until its last sixth, operators expect requests to be served.
+CLOSE_MARGIN_S = 0.7
+CLOSE_SHARE = 1 / 8
 
 log = get_logger(__name__)
 
@@ -361,9 +367,11 @@
         self._is_leaving = True
         self._neighbours.schedule_update()
         self._callers.disable_keep_alive()
-        await asyncio.sleep(ACCEPT_WHILE_LEAVING_S)
         grace_s = self._settings.fleet.grace_ms / MS_PER_S
-        await self._callers.close(grace_s - ACCEPT_WHILE_LEAVING_S - CLOSE_MARGIN_S)
+        accept_s = min(ACCEPT_WHILE_LEAVING_S, ACCEPT_SHARE * grace_s)
+        margin_s = min(CLOSE_MARGIN_S, CLOSE_SHARE * grace_s)
+        await asyncio.sleep(accept_s)
+        await self._callers.close(grace_s - accept_s - margin_s)
 
     async def close(self) -> None:
         """Stop immediately."""
--- a/tests/fleet/test_callers_grace_end.py
+++ b/tests/fleet/test_callers_grace_end.py
@@ -76,7 +76,7 @@
 async def test_a_request_that_has_arrived_in_part_is_refused():
     async with running_fleet(desks=1) as fleet:
         draining = asyncio.ensure_future(drain(fleet))
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(1.0)
         sent = b"POST /sheet/1 HTTP/1.1\r\nHost: notes.example\r\nContent-Length: 9\r\n\r\nbody"
         reply = await fleet.send(sent)
         assert reply.status == 503 and reply.whole and b"not-run" in reply.body
@@ -90,3 +90,22 @@
         await asyncio.sleep(0.2)
         await fleet.entries.pop().close()
         assert (await reply).status == 502 and (await reply).whole
+
+
+# Guards against a drain that takes longer than a short grace period, so that the process is killed
+# with its requests, and against one that cuts requests long before the period ends.
+@pytest.mark.parametrize("grace_s", [1.0, 2.0, 4.0, 8.0])
+async def test_requests_have_most_of_the_grace_period(grace_s):
+    async with running_fleet(desks=1) as fleet:
+        routes = [{**route, "TimeoutMs": 20000} for route in manifest(3)["Routes"]]
+        fleet.store.put("op", "config", manifest(3, Routes=routes))
+        await asyncio.sleep(0.5)
+        fleet.targets["desk0"].behaviour.pause_s = 5 / 6 * grace_s
+        settings = default_settings()
+        settings.fleet.grace_ms = round(1000 * grace_s)
+        fleet.entries[0].apply(settings)
+        reply = asyncio.ensure_future(fleet.ask("/sheet/1", left_ms=20000))
+        await asyncio.sleep(0.01)
+        async with asyncio.timeout(grace_s):
+            await fleet.entries[0].drain()
+        assert (await reply).status == 200
