Reset a connection whose incomplete answer would look complete

A caller that speaks HTTP/1.0 took an answer that was cut for a complete one. Without chunks, a streamed answer ends with its connection, and the entry closed the connection of a cut answer.

Evidence: the new test failed before: the read after the first part returned the end of the stream.

The connection of an incomplete answer to HTTP/1.0 is now reset. In HTTP/1.1 the missing last chunk shows the cut, and what was sent still arrives.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -24,6 +24,7 @@
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
+FIRST_CHUNKED_VERSION = b"1.1"  # before it, answers without a length end with the connection
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
@@ -138,7 +139,10 @@
         return is_answering or bool(self._http.trailing_data[0])
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if its end would mark an incomplete answer as complete."""
+        is_incomplete = self._http.our_state in (h11.SEND_BODY, h11.ERROR)
+        if is_incomplete and (self._http.their_http_version or b"") < FIRST_CHUNKED_VERSION:
+            self._stream.abort()
         self._stream.close()
 
     def stop_waiting(self) -> None:
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -193,3 +193,25 @@
     await asyncio.sleep(2.0)
     assert len(buffered) > 10 and max(buffered) <= 2 * PIPELINED_BYTES
     await entry.listener.close()
+
+
+# Guards against an answer that ends early and looks complete: in HTTP/1.0 the end of the connection
+# is the end of the answer.
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+async def test_an_answer_that_ends_early_does_not_look_complete(version):
+    async def begin_and_fail(caller):
+        await caller.begin(200, [], b"first")
+        await asyncio.sleep(0.1)
+        raise RuntimeError
+
+    entry = ListeningEntry(begin_and_fail)
+    await entry.listener.start()
+    stream = await entry.connect()
+    stream.write(request("/report/1").replace(b"HTTP/1.1", f"HTTP/{version}".encode()))
+    answer = b""
+    with suppress(ConnectionResetError):
+        while data := await stream.read(1 << 16):
+            answer += data
+        assert version == "1.1" and not answer.endswith(b"0\r\n\r\n")
+    assert b"first" in answer
+    await entry.listener.close()
