Show that a caller that ends its direction of a connection has left

A caller that closes its connection and one that only ends its own direction after a request look the same to the entry. It takes both for callers that have left, as targets must not work on for these, and logs `request_abandoned`. The test passed on the code as it was.

--- a/tests/fleet/test_unanswered_calls.py
+++ b/tests/fleet/test_unanswered_calls.py
@@ -4,6 +4,7 @@
 
 import pytest
 from declared_fleet import running_fleet
+from platform_standins import KEY
 from structlog.testing import capture_logs
 
 pytestmark = pytest.mark.looptime
@@ -60,3 +61,19 @@
         with capture_logs() as logs:
             await fleet.send(b"", leave_after_s=8.0)
         assert not lines(logs, "call_unanswered")
+
+
+# A caller that closes its connection and one that only ends its own direction look the same until
+# something is sent to it, and targets must not work on for callers that have left.
+async def test_a_caller_that_ends_its_direction_has_left():
+    async with running_fleet(desks=1) as fleet:
+        desk = fleet.targets["desk0"]
+        desk.behaviour.pause_s = 1.0
+        stream = await fleet.network.view("10.200.0.1").connect("10.1.0.1:8005")
+        head = f"Host: notes.example\r\nX-Attempt-Id: r1\r\nX-Key: {KEY}\r\n"
+        with capture_logs() as logs:
+            stream.write(f"GET /tally/1 HTTP/1.1\r\n{head}\r\n".encode())
+            await asyncio.sleep(0.1)
+            stream.end_sending()
+            assert await stream.read(1 << 16) == b""
+        assert len(desk.seen) == 1 and len(lines(logs, "request_abandoned")) == 1
