--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -80,6 +80,7 @@
 
 
 async def _finish_late(read: Callable[[], Awaitable[T]]) -> T:
+    """Return the result of `read`; raise `TimeoutError` once the loop is on time without one."""
     while True:
         until = _now() + LAST_READ_S
         try:
@@ -109,10 +110,10 @@
         self._limits = limits()
         self._http = _http_server(self._limits)
         self._is_head_only = False  # the method of the request is HEAD
-        self._close_after = False  # unless further requests have been received
-        self._must_close = False
-        self._is_stopping = False
-        self._is_stopped = False
+        self._close_after = False  # once all requests that have been received are answered
+        self._must_close = False  # after the next answer in any case
+        self._is_stopping = False  # the entry closes: wait briefly for another request
+        self._is_stopped = False  # the grace period is over
         self._idle_since = _now()
         self._idle_s = self._limits.idle_s  # allowed by the limits at that time
         self._idle_timer = ReadTimer(self._idle_until)
@@ -157,10 +158,8 @@
     async def finish(self) -> int:
         """End the answers, and read and discard what the caller still sends until it closes too.
 
-        Return the number of bytes that were discarded.
-
         Closing while bytes arrive resets the connection, and both hosts discard what they have not
-        sent or read yet, so the last answer would be cut.
+        sent or read yet, so the last answer would be cut. Return the number of bytes discarded.
         """
         discarded = len(self._http.trailing_data[0])
         self._stream.end_sending()
@@ -379,8 +378,7 @@
 class CallerListener:
     """Accepts connections of callers and passes each request to `serve`.
 
-    `limits` returns the current limits. `close(grace_s)` lets requests in progress
-    finish.
+    `limits` returns the current limits. `close(grace_s)` lets requests in progress finish.
     """
 
     def __init__(
