--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -5,14 +5,15 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from typing import Any
+from typing import Any, TypeVar
 
 import h11
 
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.errors import LacewingError, MalformedHttp
+from lacewinggw.errors import Draining, LacewingError, MalformedHttp
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import READ_BYTES, HeaderList, HttpError
@@ -20,38 +21,118 @@
 from lacewinggw.wire.problems import problem_body, problem_headers
 
 BAD_REQUEST = 400
+REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
+BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
+FIRST_CHUNKED_VERSION = b"1.1"  # before it, answers without a length end with the connection
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
-REFUSAL_READ_S = 0.5  # time for the caller to read a refusal before the connection is closed
+STOP_S = 0.3  # after the grace period, to send refusals
+LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
+# While the entry closes; requests that arrive later could be cut by the end of the grace period.
+SERVE_WHILE_CLOSING_S = 0.5
+CLOSING_RETRY_AFTER_MS = 200  # the remaining entries are available at once
+CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
+CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
 
 log = get_logger(__name__)
 
+T = TypeVar("T")
+
 
 class CallerDisconnected(Exception):
     """The caller closed its connection, or the connection broke."""
 
 
+class ReadTimer:
+    """Limits the time of a read; the limit may change meanwhile.
+
+    `until` returns when the read ends, by the loop's clock. If the event loop is busy, a timer and
+    the bytes that have arrived meanwhile are handled in the same turn, and the timer cancels the
+    read before it returns them. So after the limit, the read gets a moment in which the loop is not
+    late.
+
+        timer = ReadTimer(lambda: began + limit_s)
+        data = await timer.run(read)  # raises `TimeoutError`
+    """
+
+    def __init__(self, until: Callable[[], float]) -> None:
+        self._until = until
+        self._timeout: asyncio.Timeout | None = None
+
+    def update(self) -> None:
+        """Apply a changed limit to the read in progress."""
+        if self._timeout is not None and not self._timeout.expired():
+            self._timeout.reschedule(self._until())
+
+    async def run(self, read: Callable[[], Awaitable[T]]) -> T:
+        """Return the result of `read`, which continues where a cancelled call stopped."""
+        while True:
+            until = self._until()
+            try:
+                async with asyncio.timeout_at(until) as self._timeout:
+                    return await read()
+            except TimeoutError:
+                # A timer may be early by the resolution of the clock.
+                if self._until() <= max(until, _now()):
+                    return await _finish_late(read)
+            finally:
+                self._timeout = None
+
+
+async def _finish_late(read: Callable[[], Awaitable[T]]) -> T:
+    """Return the result of `read`; raise `TimeoutError` once the loop is on time without one."""
+    while True:
+        until = _now() + LAST_READ_S
+        try:
+            async with asyncio.timeout_at(until):
+                return await read()
+        except TimeoutError:
+            if _now() - until < LAST_READ_S:
+                raise
+
+
+async def _finish_within(limit_s: float, read: Callable[[], Awaitable[T]]) -> T:
+    until = _now() + limit_s
+    return await ReadTimer(lambda: until).run(read)
+
+
 class CallerConnection:
-    """One connection of a caller, with its successive requests and answers."""
+    """One connection of a caller, with its successive requests and answers.
 
-    def __init__(self, stream: Stream, limits: CallerLimits) -> None:
+    `limits` returns the current limits. Each request is read within the limits at its first byte.
+    The connection may stay idle for the limit at the last answer, or the current one if that is
+    longer: callers go by the newest limit that they know.
+    """
+
+    def __init__(self, stream: Stream, limits: Callable[[], CallerLimits]) -> None:
         self._stream = stream
-        self._limits = limits
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
-        self._read_ahead = 0
-        self._close_after = False
+        self._read_limits = limits
+        self._limits = limits()
+        self._http = _http_server(self._limits)
+        self._is_head_only = False  # the method of the request is HEAD
+        self._close_after = False  # once all requests that have been received are answered
+        self._must_close = False  # after the next answer in any case
+        self._is_stopping = False  # the entry closes: wait briefly for another request
+        self._is_stopped = False  # the grace period is over
+        self._idle_since = _now()
+        self._idle_s = self._limits.idle_s  # allowed by the limits at that time
+        self._idle_timer = ReadTimer(self._idle_until)
 
     @property
     def can_be_reused(self) -> bool:
         """Whether another request may follow on this connection."""
-        done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        return done and not self._close_after
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
 
     @property
     def has_started_answer(self) -> bool:
         """Whether part of an answer has been sent."""
         return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def is_stopped(self) -> bool:
+        """Whether the entry stops, so that the request in progress needs an answer at once."""
+        return self._is_stopped
+
     @property
     def has_pending_request(self) -> bool:
         """Whether a request, or part of one, was received that has no complete answer."""
@@ -59,11 +140,41 @@
         return is_answering or bool(self._http.trailing_data[0])
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection; reset it if its end would mark an incomplete answer as complete."""
+        is_incomplete = self._http.our_state in (h11.SEND_BODY, h11.ERROR)
+        if is_incomplete and (self._http.their_http_version or b"") < FIRST_CHUNKED_VERSION:
+            self._stream.abort()
         self._stream.close()
 
+    def stop_waiting(self) -> None:
+        """Wait only briefly for the next request; continue with one that is arriving."""
+        self._is_stopping = True
+        self._idle_timer.update()
+
+    def stop(self) -> None:
+        """Have the request in progress answered at once, and close the connection after it."""
+        self._is_stopped = self._must_close = True
+
+    async def finish(self) -> int:
+        """End the answers, and read and discard what the caller still sends until it closes too.
+
+        Closing while bytes arrive resets the connection, and both hosts discard what they have not
+        sent or read yet, so the last answer would be cut. Return the number of bytes discarded.
+        """
+        discarded = len(self._http.trailing_data[0])
+        self._stream.end_sending()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(CLOSE_READ_S):
+                while data := await self._stream.read(READ_BYTES):
+                    discarded += len(data)
+        return discarded
+
     def close_after_answer(self) -> None:
-        """Send `connection: close` with the next answer and close the connection after it."""
+        """Send `connection: close` with the next answer and close the connection after it.
+
+        Requests that have been received already are answered first. An answer that has begun cannot
+        announce the close any more; the one after it does.
+        """
         self._close_after = True
 
     # ---- requests -------------------------------------------------------------------------
@@ -71,21 +182,21 @@
     async def next_call(self) -> Call | None:
         """Return the next request, or None when the caller has closed its side.
 
-        Raise `HttpError` with the status for a request that is refused, and `TimeoutError` for one
-        that arrives too slowly.
+        Raise `HttpError` with the status for a request that is refused or arrives too slowly, and
+        `TimeoutError` if no request arrives within the idle limit.
         """
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
-            self._read_ahead = 0
+        self._is_head_only = False
         try:
             event = await self._await_head()
             if not isinstance(event, h11.Request):
                 return None
-            arrived_at = asyncio.get_running_loop().time()
+            self._is_head_only = event.method == b"HEAD"
+            arrived_at = _now()
             headers = _decode_headers(event)
             _check_framing(headers)
-            async with asyncio.timeout(self._limits.head_s + self._limits.idle_s):
-                body = await self._read_body()
+            body = await self._read_body()
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, f"invalid HTTP: {error}") from error
         method = event.method.decode("ascii")
@@ -95,66 +206,102 @@
 
     async def _await_head(self) -> Any:
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
+        received, _ = self._http.trailing_data
+        if not received:
+            self._idle_since, self._idle_s = _now(), self._read_limits().idle_s
+            received = await self._idle_timer.run(self._read)
+            self._http.receive_data(received)
+        self._apply_limits()
         event = self._http.next_event()
-        if event is h11.NEED_DATA and not self._http.trailing_data[0]:
-            async with asyncio.timeout(self._limits.idle_s):
-                await self._receive()
-            event = self._http.next_event()
-        async with asyncio.timeout(self._limits.head_s):
-            while event is h11.NEED_DATA:
-                await self._receive()
-                event = self._http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            return await _finish_within(self._limits.head_s, self._read_head)
+        except TimeoutError as error:
+            raise HttpError(REQUEST_TIMEOUT, "the head arrives too slowly") from error
+
+    def _idle_until(self) -> float:
+        if self._is_stopping:
+            return self._idle_since + CLOSING_IDLE_S
+        return self._idle_since + max(self._idle_s, self._read_limits().idle_s)
+
+    def _apply_limits(self) -> None:
+        """Apply the current limits to the request that begins to arrive."""
+        before, self._limits = self._limits, self._read_limits()
+        if self._limits.head_bytes == before.head_bytes:
+            return
+        received, has_ended = self._http.trailing_data
+        self._http = _http_server(self._limits)
+        if received:
+            self._http.receive_data(received)
+        if has_ended:
+            self._http.receive_data(b"")
+
+    async def _read_head(self) -> Any:
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            await self._receive()
         return event
 
     async def _read_body(self) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.write(self._http.send(interim) or b"")
-        parts: list[bytes] = []
-        size = 0
+        body = bytearray()
+        limit_s = self._limits.head_s + self._limits.idle_s
+        try:
+            await _finish_within(limit_s, lambda: self._append_body(body))
+        except TimeoutError as error:
+            raise HttpError(REQUEST_TIMEOUT, "the body arrives too slowly") from error
+        return bytes(body)
+
+    async def _append_body(self, body: bytearray) -> None:
+        """Append the rest of the body; continue where a cancelled call stopped."""
         while True:
             event = self._http.next_event()
             match event:
                 case h11.EndOfMessage():
-                    return b"".join(parts)
+                    return
                 case h11.Data():
-                    size += len(event.data)
-                    if size > self._limits.body_bytes:
+                    body.extend(event.data)
+                    if len(body) > self._limits.body_bytes:
                         limit = self._limits.body_bytes
                         raise HttpError(CONTENT_TOO_LARGE, f"the body is over {limit} bytes")
-                    parts.append(bytes(event.data))
                 case h11.NEED_DATA:
                     await self._receive()
                 case _:
                     raise CallerDisconnected
 
     async def _receive(self) -> None:
+        self._http.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
         try:
-            data = await self._stream.read(READ_BYTES)
+            return await self._stream.read(READ_BYTES)
         except OSError as error:
             raise CallerDisconnected from error
-        self._http.receive_data(data)
 
     async def wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected; buffer what else it sends."""
-        while self._read_ahead < PIPELINED_BYTES:
+        while len(self._http.trailing_data[0]) < PIPELINED_BYTES:
             try:
                 data = await self._stream.read(READ_BYTES)
             except OSError:
                 return
             if not data:
                 return
-            self._read_ahead += len(data)
             self._http.receive_data(data)
         await asyncio.Event().wait()
 
     # ---- answers --------------------------------------------------------------------------
 
     async def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
-        """Send a complete answer."""
-        fields = [*headers, ("content-length", str(len(body)))]
+        """Send a complete answer, without its body where HTTP allows none."""
+        fields = list(headers)
+        has_body = status not in BODYLESS_STATUSES
+        if has_body:
+            fields.append(("content-length", str(len(body))))
         data = self._head(status, fields)
-        if body:
+        if body and has_body and not self._is_head_only:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._write(data)
@@ -181,8 +328,7 @@
         """
         if self.has_started_answer:
             return
-        if not keep:
-            self._close_after = True
+        self._must_close |= not keep
         headers = problem_headers(error)
         if error.retry_after_ms:
             headers["retry-after"] = f"{error.retry_after_ms / 1000:.3f}"
@@ -190,9 +336,11 @@
         await self.answer(status or error.http_status, list(headers.items()), body)
 
     def _head(self, status: int, headers: HeaderList) -> bytes:
-        fields = list(headers)
-        if self._close_after:
-            fields.append(("connection", "close"))
+        # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
+        fields = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
+        has_received_more = bool(self._http.trailing_data[0])
+        if self._must_close or (self._close_after and not has_received_more):
+            fields.append((b"connection", b"close"))
         return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
 
     async def _write(self, data: bytes) -> None:
@@ -203,6 +351,14 @@
             raise CallerDisconnected from error
 
 
+def _http_server(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+
+
+def _stopping() -> Draining:
+    return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
+
+
 def _decode_headers(event: h11.Request) -> HeaderList:
     return [
         (name.decode("ascii"), value.decode("latin-1")) for name, value in event.headers.raw_items()
@@ -222,8 +378,7 @@
 class CallerListener:
     """Accepts connections of callers and passes each request to `serve`.
 
-    `limits` returns the limits for a new connection. `close(grace_s)` lets requests in progress
-    finish.
+    `limits` returns the current limits. `close(grace_s)` lets requests in progress finish.
     """
 
     def __init__(
@@ -234,10 +389,10 @@
         self._serve = serve
         self._limits = limits
         self._listener: Listener | None = None
-        self._idle: set[asyncio.Task[None]] = set()
+        self._open: dict[asyncio.Task[None], CallerConnection] = {}
         self._busy: set[asyncio.Task[None]] = set()
         self._is_leaving = False
-        self._is_closing = False
+        self._closing_at = math.inf
 
     @property
     def address(self) -> str:
@@ -255,30 +410,49 @@
         self._listener = await self._network.listen(self._address, self._accept)
 
     def disable_keep_alive(self) -> None:
-        """Close each connection after its next answer."""
+        """Close each connection after its next answer, also after one that has not begun yet."""
         self._is_leaving = True
+        for caller in self._open.values():
+            caller.close_after_answer()
 
     async def close(self, grace_s: float = 0.0) -> None:
-        """Stop accepting, let requests in progress finish within the grace, cancel the others."""
+        """Stop accepting, let requests in progress finish within the grace, then end the others.
+
+        Requests that arrive later on connections whose close was not announced are refused. Those
+        without an answer at the end of the grace are refused too, or get an error if they may have
+        run; this takes `STOP_S` at most.
+        """
         self.disable_keep_alive()
-        self._is_closing = True
+        self._closing_at = min(self._closing_at, _now())
+        until = _now() + grace_s
         if self._listener is not None:
             await self._listener.close()
-        for task in list(self._idle):
+        for caller in self._open.values():
+            caller.stop_waiting()
+        if grace_s > 0:
+            # Connections that were accepted in this turn of the event loop are not open yet.
+            await asyncio.sleep(min(grace_s, LAST_READ_S))
+        while self._open and _now() < until:
+            await asyncio.wait(set(self._open), timeout=until - _now())
+        for task, caller in self._open.items():
+            caller.stop()
             task.cancel()
-        if self._busy and grace_s > 0:
-            await asyncio.wait(set(self._busy), timeout=grace_s)
-        remaining = {*self._idle, *self._busy}
-        for task in remaining:
+        if self._open:
+            await asyncio.wait(set(self._open), timeout=STOP_S)
+        for task in self._open:
             task.cancel()
-        if remaining:
-            await asyncio.wait(remaining)
+        if self._open:
+            await asyncio.wait(set(self._open))
 
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        caller = CallerConnection(stream, self._limits())
-        self._idle.add(task)
+        caller = CallerConnection(stream, self._limits)
+        self._open[task] = caller
+        if self._is_leaving:
+            caller.close_after_answer()
+        if self._closing_at < math.inf:
+            caller.stop_waiting()
         try:
             await self._serve_all(caller, task)
         except CallerDisconnected:
@@ -288,13 +462,42 @@
                 is_read = task in self._busy
                 log.warning("call_unanswered", reason=repr(error), is_read=is_read)
         except asyncio.CancelledError:
-            if not self._is_leaving:
+            if not caller.is_stopped:
                 raise
+            await self._end_stopped(caller, is_read=task in self._busy)
         finally:
-            self._idle.discard(task)
+            self._open.pop(task, None)
             self._busy.discard(task)
             caller.close()
 
+    async def _serve_one(self, call: Call, caller: CallerConnection) -> None:
+        """Serve a request; answer and log an error that `serve` did not handle."""
+        try:
+            await self._serve(call, caller)
+        except CallerDisconnected:
+            raise
+        except Exception as error:
+            cut = caller.has_started_answer
+            log.exception("call_broke", domain=call.domain, path=call.path, cut=cut)
+            if cut:
+                raise CallerDisconnected from error
+            await caller.refuse(LacewingError("internal error"), keep=False)
+
+    async def _finish(self, caller: CallerConnection) -> None:
+        """Close a connection, and log requests that were sent before the caller noticed it."""
+        discarded = await caller.finish()
+        if discarded:
+            log.info("call_discarded", bytes=discarded)
+
+    async def _end_stopped(self, caller: CallerConnection, is_read: bool) -> None:
+        """End a connection after the grace period."""
+        with suppress(CallerDisconnected):
+            if caller.has_pending_request and not is_read:
+                log.info("call_refused", reason="stopped", domain="", path="")
+                await caller.refuse(_stopping())
+            if caller.has_started_answer:
+                await caller.finish()
+
     async def _serve_all(self, caller: CallerConnection, task: "asyncio.Task[None]") -> None:
         while True:
             try:
@@ -302,26 +505,24 @@
             except HttpError as error:
                 log.info("call_malformed", status=error.status, reason=str(error))
                 await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
-                await self._wait_until_read(caller)
+                await caller.finish()
+                return
+            except TimeoutError:
+                await self._finish(caller)
                 return
             if call is None:
                 return
             self._busy.add(task)
-            self._idle.discard(task)
-            if self._is_leaving:
-                caller.close_after_answer()
-            await self._serve(call, caller)
+            if call.arrived_at > self._closing_at + SERVE_WHILE_CLOSING_S:
+                log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
+                await caller.refuse(_stopping())
+            else:
+                await self._serve_one(call, caller)
             self._busy.discard(task)
-            self._idle.add(task)
-            # Once closing has begun, another request on this connection would be cut off midway.
-            if self._is_closing or not caller.can_be_reused:
+            if not caller.can_be_reused:
+                await self._finish(caller)
                 return
 
-    async def _wait_until_read(self, caller: CallerConnection) -> None:
-        """Keep reading briefly: closing with unread bytes resets the connection.
 
-        The reset would discard the refusal before the caller reads it.
-        """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(REFUSAL_READ_S):
-                await caller.wait_for_disconnect()
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -15,6 +15,7 @@
 
 READ_BUFFER_BYTES = 1 << 18
 CONNECT_TIMEOUT_S = 3.0
+ACCEPT_TURNS = 2  # of the event loop: to notice that connections wait, and to accept them
 ZERO_LINGER = struct.pack(
     "ii", 1, 0
 )  # linger on, 0 s: close resets the connection, drops unsent data
@@ -39,6 +40,9 @@
     async def drain(self) -> None:
         """Wait until the send buffer is below its limit."""
 
+    def end_sending(self) -> None:
+        """Send the queued bytes, then the end of the stream; it can still be read."""
+
     def close(self) -> None:
         """Close the stream without waiting; queued bytes may still be sent."""
 
@@ -110,6 +114,11 @@
         """Wait until the send buffer is below its limit."""
         await self._writer.drain()
 
+    def end_sending(self) -> None:
+        """Send the queued bytes, then the end of the stream; it can still be read."""
+        with suppress(OSError):
+            self._writer.write_eof()
+
     def close(self) -> None:
         """Close the stream without waiting; queued bytes may still be sent."""
         self._writer.close()
@@ -145,7 +154,12 @@
         return f"{ip}:{port}"
 
     async def close(self) -> None:
-        """Stop accepting; streams already accepted stay open."""
+        """Stop accepting; streams already accepted stay open.
+
+        Accept the connections that peers have opened already: closing would reset them.
+        """
+        for _ in range(ACCEPT_TURNS):
+            await asyncio.sleep(0)
         self._server.close()
 
 
