Keep the slots of requests that a silent target has not read yet

Callers saw: after a pause of its engine, an agent grants more leases than the engine has slots, and the engine refuses or delays what is beyond them.

Cause: a lease that the target's report lacks for longer than REPORT_DELAY_S counts as unused, and its slot is granted again. A target that was silent has not read the requests that it was sent meanwhile, so its first report lacks them although they arrive a moment later.

Why it holds: if the report comes later after the one before than a target that answers ever needs, only leases that the earlier report had to show count as missing. The next report, 0.1 s later, corrects the count as usual, so leases that are really unused lose their slots then.

--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -18,6 +18,7 @@
 sending do not keep theirs.
 """
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -31,6 +32,9 @@
 # Time until a request with a lease shows in a report of the target: the lease travels to the entry,
 # the entry connects to the target, and the next report is due.
 REPORT_DELAY_S = 0.4
+# Longest time between two reports of a target that answers. One that took longer was silent, and
+# its next report lacks what it was sent meanwhile and has not read yet.
+MAX_REPORT_GAP_S = 0.5
 # Prefill time that may be pending at a target, about two prompts of typical length. Each prompt
 # delays the first events of all requests that started with it, so a free slot waits beyond this.
 MAX_PREFILL_BACKLOG_S = 0.15
@@ -95,6 +99,7 @@
     _waiting: dict[int, LeaseId] = field(default_factory=dict)
     _granted: int = 0
     _correction: int = 0
+    _reported_at: float = math.inf  # until the first report
     _prefill_done_at: float = 0.0
     _waited_since: float = 0.0  # the last start, or when the first request queued after it
     _start_gap_s: float = 0.0  # smoothed, between two starts while requests wait; 0 until known
@@ -203,8 +208,11 @@
 
     def note_report(self, running: int, now: float) -> None:
         """Correct the count by the target's own report of its running and queued requests."""
+        was_silent = now - self._reported_at > MAX_REPORT_GAP_S
+        reads_until = self._reported_at if was_silent else now
+        self._reported_at = now
         shown = sum(
-            lease.granted_at is not None and lease.granted_at <= now - REPORT_DELAY_S
+            lease.granted_at is not None and lease.granted_at <= reads_until - REPORT_DELAY_S
             for lease in self._leases.values()
         )
         if running > self._granted:
--- a/tests/fleet/test_slots.py
+++ b/tests/fleet/test_slots.py
@@ -114,6 +114,22 @@
     assert allocator.grant(now) == [1]
 
 
+# Guards against slots that are granted twice: a target that was silent has not read the requests
+# that it was sent meanwhile, so its first report lacks them.
+def test_the_first_report_after_a_pause_frees_no_slots_of_requests_sent_during_it(allocator):
+    allocator.note_report(running=0, now=0.0)
+    allocator.enqueue(1, slot_request(), 0.05)
+    assert allocator.grant(0.05) == [1]
+    allocator.note_report(running=0, now=0.1)
+    allocator.enqueue(2, slot_request(), 0.3)
+    assert allocator.grant(0.3) == [2]
+    allocator.enqueue(3, slot_request(), 1.0)
+    allocator.note_report(running=0, now=1.5)
+    assert allocator.taken == 2 and allocator.grant(1.5) == []
+    allocator.note_report(running=1, now=1.6)  # one of them never came
+    assert allocator.taken == 1 and allocator.grant(1.6) == [3]
+
+
 @pytest.mark.parametrize("running", [0, 1, 2, 5])
 def test_the_count_is_correct_after_all_leases_have_ended(allocator, running):
     full = fill_slots(allocator)
