Queue requests at the agents while all targets are silent

Callers saw: while all engines of a service pause, requests are sent to engines that are already full, and are refused or delayed there.

Cause: a target that sends nothing for 0.5 s gets no request of an entry. With all targets silent, the choice of an agent found none, and the entry fell back to its own choice, which then ignores reachability and counts free slots by its own requests and reports that no longer come. Several entries together sent more than there are slots.

Why it holds: if no target is reachable, agents of targets whose link is fast are asked all the same, and requests wait in their queues for a slot. Over a slow link, answers of agents would come too late, so there the entry chooses by itself as before.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -246,13 +246,18 @@
 
         The reported load does not exclude a target: its agent has the exact count and a queue.
         """
+        eligible = list(eligible)
+        # If all targets are silent, requests queue at the agents all the same. Without the agents,
+        # entries would each fill the slots by themselves, with more requests than there are slots.
+        reachable = [load for load in eligible if load.is_reachable(now)] or [
+            load for load in eligible if load.has_fast_link(now)
+        ]
         open_targets = [
             load
-            for load in eligible
+            for load in reachable
             if load.entry.target not in asked
             and load.may_ask_agent(now)
             and load.takes_requests(now)
-            and load.is_reachable(now)
             and self.may_begin(load, now)
         ]
         healthy = [load for load in open_targets if load.health.may_call(now)] or open_targets
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -158,9 +158,13 @@
         """Return the estimated queueing delay of the target's link, in seconds."""
         return max(self.connect_delay.estimate(now), self.update_delay.estimate(now))
 
+    def has_fast_link(self, now: float) -> bool:
+        """Return whether the queueing delay of the target's link is acceptable."""
+        return self.link_delay(now) < MAX_LINK_DELAY_S
+
     def is_reachable(self, now: float) -> bool:
         """Return whether a request would reach the target in time."""
-        return not self.is_stalled(now) and self.link_delay(now) < MAX_LINK_DELAY_S
+        return not self.is_stalled(now) and self.has_fast_link(now)
 
     def has_free_slot(self, now: float, is_late: bool = False) -> bool:
         """Return whether one more request would start soon.
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -334,6 +334,7 @@
         self.busy = False
 
     async def answer(self, request: Request) -> Response:
+        await self._wait_while_paused()
         response = await self._serve(request)
         await self._wait_while_paused()
         if self.behaviour.leaving:
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -194,6 +194,23 @@
     assert choose(pool, now=12.0) is not None
 
 
+# Guards against entries that go around the agents, each with its own count of free slots, as soon
+# as all targets are silent; and against questions over a link that is too slow for their answers.
+def test_an_agent_is_asked_for_a_slot_when_all_targets_are_stalled(pool):
+    for name in ("a", "b"):
+        pool.begin(pool.loads[name], 10.0)
+        pool.note_report(name, 1, at=10.6)
+    eligible = [pool.loads[name] for name in ("a", "b")]
+    assert all(load.is_stalled(10.6) for load in eligible)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is not None
+    pool.loads["b"].note_data(10.6)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is pool.loads["b"]
+    assert pool.choose_for_slot(eligible, 10.6, {"b"}) is None
+    for load in eligible:
+        load.note_connect(0.5, 10.6)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is None
+
+
 def test_an_idle_target_is_not_stalled(pool):
     for name in ("b", "c"):
         add_calls(pool, name, 1)
--- /dev/null
+++ b/tests/fleet/test_silent_targets.py
@@ -0,0 +1,73 @@
+"""Sound targets that send nothing for a second and go on: passed over, and used again."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+import pytest
+from declared_fleet import DeclaredFleet, Reply, running_fleet
+
+pytestmark = pytest.mark.looptime
+
+ENTRIES = 2
+ENGINES = 3
+SLOTS = 4  # of each stand-in of an engine
+PER_S = 60.0  # half of what the engines carry
+EVENT_S = 0.02
+PAUSE_AT_S = 1.5
+
+
+@dataclass
+class Played:
+    """The replies with the times of their requests, and the most streams that an engine had."""
+
+    replies: list[tuple[float, Reply]] = field(default_factory=list)
+    most_running: Counter[str] = field(default_factory=Counter)
+
+
+async def start_agents(fleet: DeclaredFleet) -> None:
+    for name, target in fleet.targets.items():
+        await fleet.add_agent(name)
+        target.behaviour.pause_s = EVENT_S
+    await asyncio.sleep(1.5)
+
+
+async def play(fleet: DeclaredFleet, seconds: float, pause_s: float, paused: int) -> Played:
+    """Send requests at an even pace; after `PAUSE_AT_S` the first targets pause."""
+    played = Played()
+    began = asyncio.get_running_loop().time()
+
+    async def ask(number: int) -> None:
+        headers = {"X_Model": "market", "X_Attempt_Id": f"attempt-{number}"}
+        reply = await fleet.ask("/report/1", entry=number % ENTRIES, **headers)
+        played.replies.append((number / PER_S, reply))
+
+    async def watch() -> None:
+        while True:
+            for name, target in fleet.targets.items():
+                played.most_running[name] = max(played.most_running[name], target.running)
+            await asyncio.sleep(0.002)
+
+    async def pause() -> None:
+        await asyncio.sleep(PAUSE_AT_S)
+        for target in list(fleet.targets.values())[:paused]:
+            target.pause(pause_s)
+
+    watching, pausing = asyncio.ensure_future(watch()), asyncio.ensure_future(pause())
+    asks = []
+    for number in range(int(seconds * PER_S)):
+        await asyncio.sleep(max(0.0, began + number / PER_S - asyncio.get_running_loop().time()))
+        asks.append(asyncio.ensure_future(ask(number)))
+    await asyncio.gather(pausing, *asks)
+    watching.cancel()
+    return played
+
+
+# Guards against entries that send requests around the agents while all targets are silent, and
+# overfill them: engines with four slots had 10 requests once they went on.
+async def test_a_pause_of_all_targets_does_not_overfill_them():
+    async with running_fleet(desks=0, engines=ENGINES, entries=ENTRIES) as fleet:
+        await start_agents(fleet)
+        played = await play(fleet, seconds=4.0, pause_s=0.9, paused=ENGINES)
+        assert max(played.most_running.values()) <= SLOTS
+        assert all(reply.whole and reply.status in (200, 503) for _, reply in played.replies)
