Do not count a single pause of a target as slowness

Callers saw: a target that paused for a second and goes on at full speed is passed over for two more seconds, while the others take its part. Its agent also lets prompts in as if they took ten times as long.

Cause: the gap between the events before and after the pause is reported to the agent as any long gap is. One gap of 1.2 s makes the target ten times slower than declared, which fades to nothing in 2.7 s, and all entries are told at once.

Why it holds: a gap of 0.4 s or more counts only if it begins about where the one before it ended, as the gaps of a target do that is really that slow. Reports of one pause by several streams overlap instead. Shorter gaps count at once, as before.

--- a/src/lacewinggw/decisions/targetspeed.py
+++ b/src/lacewinggw/decisions/targetspeed.py
@@ -38,6 +38,9 @@
 # after it that a granted request needs to reach the target.
 PROMPT_GAPS = 4.0
 PROMPT_DELAY_S = 0.01
+# A gap this long is a pause of the target, which says nothing of its speed afterwards. It counts
+# only if the gap before it was as long.
+PAUSE_S = 0.4
 PROMPTS_KEPT_S = 3.0  # longer than any gap that is measured: callers give up a stream after 2 s
 REPORT_PAUSE_S = 0.1  # between two reports of an entry about a target, about a gap at double time
 
@@ -108,6 +111,7 @@
     _prompts: deque[tuple[float, float]] = field(default_factory=deque)  # when, prefill time
     _factor: float = 1.0
     _measured_at: float = -math.inf
+    _pause_ended_at: float = -math.inf
 
     def note_prompt(self, prefill_s: float, now: float) -> None:
         """Note that a request may start, whose prefill takes `prefill_s` as declared."""
@@ -124,8 +128,19 @@
             if began - PROMPT_GAPS * declared_s <= at <= began + PROMPT_DELAY_S
         )
         factor = min(MAX_FACTOR, gap_s / (declared_s + read_s))
-        if factor >= SLOW_FACTOR:
-            self._factor, self._measured_at = factor, now
+        if factor < SLOW_FACTOR or self._is_single_pause(gap_s, now):
+            return
+        self._factor, self._measured_at = factor, now
+
+    def _is_single_pause(self, gap_s: float, now: float) -> bool:
+        """Return whether a gap is a pause that did not begin where the one before it ended.
+
+        The streams of a target report the same pause about when it ends.
+        """
+        if gap_s < PAUSE_S:
+            return False
+        ended_at, self._pause_ended_at = self._pause_ended_at, now
+        return abs(now - gap_s - ended_at) >= gap_s / 2
 
     def factor(self, now: float) -> float:
         """Return how many times its declared time the target takes; 1 at about that time."""
--- a/tests/fleet/test_silent_targets.py
+++ b/tests/fleet/test_silent_targets.py
@@ -21,6 +21,7 @@
 class Played:
     """The replies with the times of their requests, and the most streams that an engine had."""
 
+    began: float
     replies: list[tuple[float, Reply]] = field(default_factory=list)
     most_running: Counter[str] = field(default_factory=Counter)
 
@@ -34,8 +35,8 @@
 
 async def play(fleet: DeclaredFleet, seconds: float, pause_s: float, paused: int) -> Played:
     """Send requests at an even pace; after `PAUSE_AT_S` the first targets pause."""
-    played = Played()
     began = asyncio.get_running_loop().time()
+    played = Played(began)
 
     async def ask(number: int) -> None:
         headers = {"X_Model": "market", "X_Attempt_Id": f"attempt-{number}"}
@@ -71,3 +72,18 @@
         played = await play(fleet, seconds=4.0, pause_s=0.9, paused=ENGINES)
         assert max(played.most_running.values()) <= SLOTS
         assert all(reply.whole and reply.status in (200, 503) for _, reply in played.replies)
+
+
+# Guards against a target that counts as slow after a pause: it got a third less than its share for
+# two seconds.
+async def test_a_target_gets_its_share_again_right_after_a_pause():
+    async with running_fleet(desks=0, engines=ENGINES, entries=ENTRIES) as fleet:
+        await start_agents(fleet)
+        played = await play(fleet, seconds=4.5, pause_s=0.9, paused=1)
+        since = played.began + PAUSE_AT_S + 0.9 + 0.1
+        seen = [
+            sum(since <= at < since + 2.0 for at in target.seen_at)
+            for target in fleet.targets.values()
+        ]
+        assert seen[0] >= 0.8 * sum(seen) / ENGINES
+        assert all(reply.whole and reply.status == 200 for _, reply in played.replies)
--- a/tests/fleet/test_targetspeed.py
+++ b/tests/fleet/test_targetspeed.py
@@ -119,6 +119,23 @@
     assert speed.factor(2.0) == pytest.approx(2.5)
 
 
+# Guards against a target that gets few requests for two seconds after a pause of one.
+def test_a_single_pause_does_not_count_as_slowness():
+    speed = BatchSpeed()
+    for ended_at in (2.0, 2.01, 2.1):  # streams of several entries
+        speed.note_gap(1.2, GAP_S, now=ended_at)
+    assert speed.factor(2.1) == 1.0
+    speed.note_gap(2.5 * GAP_S, GAP_S, now=2.3)
+    assert speed.factor(2.3) == pytest.approx(2.5)
+
+
+def test_a_target_that_pauses_before_each_event_counts_as_slow():
+    speed = BatchSpeed()
+    speed.note_gap(0.6, GAP_S, now=2.0)
+    speed.note_gap(0.6, GAP_S, now=2.62)
+    assert speed.factor(2.62) == MAX_FACTOR
+
+
 def test_only_long_gaps_are_reported_and_only_to_agents_that_take_them():
     speed = TargetSpeed()
     stream = StreamSpeed(speed, GAP_S)
