Keep the state of an engine that is silent for a moment at its agent

Callers saw: an engine pauses for more than a second, and its agent declines all requests that wait for it; each is refused although the engine goes on a moment later. After the pause an engine whose report has no birth counts as started anew, and where its service limits cold targets it gets only a few requests for seconds.

Cause: a report that was not answered within a second made the agent drop the last one, as if the engine had ended: slots closed, the start detector counted the next report as a new start, and the agent was not ready.

Why it holds: a call that times out leaves the engine silent, for 2.5 s at most: its last report holds, nothing is granted or ordered, and requests keep their places. A call that is refused or broken off, or a longer silence, makes it lost as before.

--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -92,6 +92,7 @@
 
     slots: int = 0
     is_open: bool = False
+    is_paused: bool = False  # the target is silent: nothing starts, and requests keep waiting
     limiter: ColdLimiter = field(default_factory=ColdLimiter)  # limits grants to a cold target
     speed: BatchSpeed = field(default_factory=BatchSpeed)
     _leases: dict[LeaseId, _Lease] = field(default_factory=dict)
@@ -116,7 +117,11 @@
 
     def open(self) -> None:
         """Start to grant slots."""
-        self.is_open = True
+        self.is_open, self.is_paused = True, False
+
+    def pause(self) -> None:
+        """Grant nothing until `open`; requests may queue meanwhile."""
+        self.is_paused = True
 
     def close(self) -> list[LeaseId]:
         """Stop granting slots, as the target begins nothing; return the dropped waiting leases."""
@@ -149,7 +154,7 @@
 
     def grant(self, now: float) -> list[LeaseId]:
         """Grant free slots to waiting requests; return the granted leases."""
-        return list(self._grant(now)) if self.is_open else []
+        return list(self._grant(now)) if self.is_open and not self.is_paused else []
 
     def drop_overtaken(self, now: float) -> list[LeaseId]:
         """Drop the requests that would not get a slot in time; return their leases.
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -17,6 +17,7 @@
 from lacewinggw.decisions.chunkscheduler import FetchMode
 from lacewinggw.decisions.storeclock import StoreClock
 from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetsilence import SilenceMonitor, TargetPresence
 from lacewinggw.decisions.upgrades import (
     DRAIN_S,
     FIRST_VERSION,
@@ -190,6 +191,7 @@
         self._source_delays = SourceDelays()
         self._watchers: set[PeerLink] = set()
         self._report: LoadableReport | None = None
+        self._silence = SilenceMonitor()
         self._updated_at = 0.0
         self._draining_since: float | None = None
         self._has_answered = False
@@ -394,26 +396,44 @@
 
     async def _poll_target(self) -> None:
         while True:
+            asked_at = self._clock()
             try:
                 self._report = await self._target.report()
+                self._silence.note_answer(self._clock())
                 self._loader.note_report(self._report)
                 self._has_answered = True
                 self._reserve_answer_bandwidth(self._report)
             except TargetUnreachable as error:
-                if self._report is not None:
-                    log.warning("target_lost", error=error)
-                self._report = None
+                self._note_no_answer(asked_at, error)
             self._cold.note_report(self._report.born_ms if self._report else None)
             self._update_cold()
             self._update_slots()
             self._notify_entries()
             await asyncio.sleep(IDLE_REPORT_INTERVAL_S if self._is_idle else REPORT_INTERVAL_S)
 
+    def _note_no_answer(self, asked_at: float, error: TargetUnreachable) -> None:
+        """Keep the last report of a target that is silent for a moment, and drop it otherwise."""
+        was_present = self._is_present
+        presence = self._silence.note_no_answer(self._clock() - asked_at, self._clock())
+        if presence is TargetPresence.LOST:
+            if self._report is not None:
+                log.warning("target_lost", error=error)
+            self._report = None
+        elif was_present:
+            log.info("target_silent", error=error)
+
+    @property
+    def _is_present(self) -> bool:
+        """Whether the target answered the last call for its report."""
+        return self._silence.presence is TargetPresence.PRESENT
+
     @property
     def _is_idle(self) -> bool:
         """Whether the target answers, has no requests, and serves the newest named version."""
         report = self._report
-        if report is None or report.running or report.queued or report.busy:
+        if report is None or not self._is_present:
+            return False
+        if report.running or report.queued or report.busy:
             return False
         if self._slots.taken or self._slots.waiting or self._is_changing_weights:
             return False
@@ -437,6 +457,8 @@
             model, report = self.assignment.model, self._report
             if model is None or report is None or report.busy or self._loader.is_loading:
                 continue
+            if not self._is_present:
+                continue  # an order would go unanswered
             if report.leaving:
                 continue  # it gets no new requests that would use the weights
             try:
@@ -485,9 +507,12 @@
         self._note_evacuation()
         if report is None:
             self._slots.update_target(None, accepts_work=False)
+            return
+        begins = bool(report.weights) and not (self._is_changing_weights or report.leaving)
+        begins = begins and not self._was_evacuated
+        if begins and not self._is_present:
+            self._slots.pause()
         else:
-            begins = bool(report.weights) and not (self._is_changing_weights or report.leaving)
-            begins = begins and not self._was_evacuated
             self._slots.update_target(report.running + report.queued, begins)
 
     @property
--- a/src/lacewinggw/loader/slots.py
+++ b/src/lacewinggw/loader/slots.py
@@ -101,6 +101,12 @@
             log.info("slots_closed", taken=self.taken, waiting=self.waiting)
             self._notify(self._allocator.close(), SlotState.DECLINED)
 
+    def pause(self) -> None:
+        """Grant nothing while the target is silent; waiting requests stay in the queue."""
+        if self._allocator.is_open and not self._allocator.is_paused:
+            log.info("slots_paused", taken=self.taken, waiting=self.waiting)
+        self._allocator.pause()
+
     async def serve(self, exchange: Exchange, request: messages.AskSlot) -> None:
         """Handle one lease from its request to its end."""
         require_valid(request)
--- a/tests/fleet/test_silent_targets.py
+++ b/tests/fleet/test_silent_targets.py
@@ -6,6 +6,7 @@
 
 import pytest
 from declared_fleet import DeclaredFleet, Reply, running_fleet
+from platform_standins import LLM, manifest
 
 pytestmark = pytest.mark.looptime
 
@@ -87,3 +88,55 @@
         ]
         assert seen[0] >= 0.8 * sum(seen) / ENGINES
         assert all(reply.whole and reply.status == 200 for _, reply in played.replies)
+
+
+# Guards against an agent that takes its silent engine for lost, and declines all requests.
+async def test_an_agent_does_not_take_an_engine_that_pauses_for_lost():
+    async with running_fleet(desks=0, engines=1, entries=ENTRIES) as fleet:
+        agent = await fleet.add_agent("engine0")
+        await asyncio.sleep(1.5)
+        fleet.targets["engine0"].pause(1.6)
+        await asyncio.sleep(1.3)
+        assert agent._readiness().ready
+        replies = await asyncio.gather(
+            *(fleet.ask("/report/1", entry=each, X_Model="market") for each in range(ENTRIES))
+        )
+        assert [reply.status for reply in replies] == [200] * ENTRIES
+
+
+# Guards against a pause that is taken for a new start, after which an engine is cold for seconds.
+async def test_an_engine_that_reports_no_birth_is_not_cold_after_a_pause():
+    async with running_fleet(desks=0, engines=0, entries=ENTRIES) as fleet:
+        target = await fleet.add_target("engine0", LLM, "10.2.0.1", born=0)
+        target.born_ms = 0
+        agent = await fleet.add_agent("engine0")
+        routes = manifest(3)
+        routes["Services"][0].update(ColdStartS=3.0, ColdPerS=4.0)
+        fleet.store.put("op", "config", routes)
+        await asyncio.sleep(4.5)  # its first report shows a new start
+        assert agent.assignment.cold_service is not None and agent._cold.remaining_s == 0.0
+        target.pause(1.6)
+        await asyncio.sleep(1.8)
+        assert agent._cold.remaining_s == 0.0
+
+
+# Guards against requests that wait for an engine of which the agent could know that it has ended.
+async def test_an_agent_takes_an_engine_that_refuses_connections_for_lost_at_once():
+    async with running_fleet(desks=0, engines=1) as fleet:
+        agent = await fleet.add_agent("engine0")
+        await asyncio.sleep(1.5)
+        assert agent._report is not None
+        await fleet.targets["engine0"].close()
+        await asyncio.sleep(0.4)
+        assert agent._report is None
+
+
+async def test_an_agent_takes_an_engine_that_stays_silent_for_lost():
+    async with running_fleet(desks=0, engines=1) as fleet:
+        agent = await fleet.add_agent("engine0")
+        await asyncio.sleep(1.5)
+        fleet.targets["engine0"].pause(60.0)
+        await asyncio.sleep(2.2)
+        assert agent._report is not None
+        await asyncio.sleep(1.4)
+        assert agent._report is None
--- a/tests/fleet/test_slots.py
+++ b/tests/fleet/test_slots.py
@@ -89,6 +89,16 @@
     assert allocator.grant(0.1) == []
 
 
+def test_requests_keep_their_places_while_the_target_is_silent(allocator):
+    allocator.pause()
+    allocator.enqueue(1, slot_request(wait_s=0.5), 0.0)
+    assert allocator.grant(0.1) == [] and allocator.waiting == 1
+    allocator.open()
+    assert allocator.grant(0.2) == [1]
+    allocator.pause()
+    assert allocator.close() == [] and not allocator.is_open
+
+
 def test_requests_without_a_lease_occupy_slots(allocator):
     allocator.note_report(running=2, now=0.0)
     allocator.enqueue(1, slot_request(), 0.0)
