Do not count the silence of a target as a gap between starts

Callers saw: after a pause of an engine, its agent drops requests from its queue that would start in time, and they are refused while slots become free at full speed.

Cause: the smoothed time between two starts takes the whole pause as one gap. With a weight of a tenth, 1.5 s add 0.15 s to a gap of 0.1 s, and requests behind the first few no longer seem to start within their wait.

Evidence: the new test failed before: of three requests with enough time, one stayed in the queue.

Why it holds: when the first report after a silence arrives, the time since the last start begins anew, as it does after a pause in demand.

--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -214,6 +214,8 @@
     def note_report(self, running: int, now: float) -> None:
         """Correct the count by the target's own report of its running and queued requests."""
         was_silent = now - self._reported_at > MAX_REPORT_GAP_S
+        if was_silent:
+            self._waited_since = now  # the silence says nothing of how often requests start
         reads_until = self._reported_at if was_silent else now
         self._reported_at = now
         shown = sum(
--- a/tests/fleet/test_slots.py
+++ b/tests/fleet/test_slots.py
@@ -203,6 +203,16 @@
     assert busy.drop_overtaken(4.0) == [1]
 
 
+# Guards against refusals at full speed after a target was silent for a second.
+def test_the_silence_of_a_target_does_not_count_as_a_gap_between_starts(busy):
+    busy.note_report(running=2, now=4.0)
+    busy.enqueue(2000, slot_request(wait_s=99.0), 4.0)
+    busy.note_report(running=2, now=5.5)
+    busy.release(next(iter(busy._leases)))
+    assert busy.grant(5.6) == [2000]
+    assert waiting_after(busy, 5.6, *[slot_request(wait_s=0.35)] * 3) == [0, 1, 2]
+
+
 def test_a_pause_in_demand_does_not_count_as_a_gap_between_starts(busy):
     """Guards against refusals of small bursts at low load.
 
