End the trial of an ejected target that ends without an outcome

Callers saw: a target that was ejected and is sound again may stay unused for good, as long as the others have free slots.

Cause: one request at a time tries such a target, and only its success, its failure or a refusal ended the trial. Where the caller left, or the deadline passed while the target was silent, no further trial was allowed.

Why it holds: the end of the request that is the trial ends the trial, whatever its outcome; the outcome itself is noted before, as it was.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -290,8 +290,8 @@
         if load.direct is not None and not has_slot:
             load.direct.spend(now)
         load.prefill_s += prefill_s
-        load.health.note_begin(now)
-        return InFlightRequest(load, prefill_s, load.backoff.begin_trial())
+        is_health_trial = load.health.note_begin(now)
+        return InFlightRequest(load, prefill_s, load.backoff.begin_trial(), is_health_trial)
 
     def note_prompt_read(self, request: InFlightRequest) -> None:
         """Note that the prefill of a request is over, or will not take place."""
@@ -304,6 +304,8 @@
         request.load.in_flight -= 1
         if request.is_trial:
             request.load.backoff.end_trial()
+        if request.is_health_trial:
+            request.load.health.note_inconclusive()
 
     def note_backoff(self, load: TargetLoad, retry_after_s: float, now: float) -> None:
         """Note that a target asked this entry to back off for `retry_after_s` seconds."""
--- a/src/lacewinggw/decisions/ejection.py
+++ b/src/lacewinggw/decisions/ejection.py
@@ -59,10 +59,12 @@
             case EjectionState.ON_TRIAL:
                 return not self.trial_running
 
-    def note_begin(self, now: float) -> None:
-        """Note that a call is sent to the target."""
-        if self.state(now) is EjectionState.ON_TRIAL:
-            self.trial_running = True
+    def note_begin(self, now: float) -> bool:
+        """Note that a call is sent to the target; return whether it is the trial call."""
+        if self.trial_running or self.state(now) is not EjectionState.ON_TRIAL:
+            return False
+        self.trial_running = True
+        return True
 
     def note_success(self) -> bool:
         """Note a successful call; return whether it ends an ejection."""
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -36,12 +36,14 @@
 class InFlightRequest:
     """A request counted at a target, and how long its prefill there takes, in seconds.
 
-    A request that `is_trial` shows whether the target accepts requests again after a back-off.
+    A request that `is_trial` shows whether the target accepts requests again after a back-off, and
+    one that `is_health_trial` whether it serves them again after it was ejected.
     """
 
     load: "TargetLoad"
     prefill_s: float = 0.0
     is_trial: bool = False
+    is_health_trial: bool = False
 
 
 @dataclass
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -136,6 +136,17 @@
     assert "a" in {choose(pool, now=1.1) for _ in range(50)}
 
 
+# Guards against a target that is never used again: its trial ended without an outcome, because the
+# caller left or another target answered first.
+def test_an_ejected_target_is_tried_again_after_a_trial_without_an_outcome(pool):
+    for _ in range(3):
+        pool.note_failure(pool.loads["a"], now=0.0)
+    trial = pool.begin(pool.loads["a"], 1.1)
+    assert "a" not in {choose(pool, now=1.2) for _ in range(30)}
+    pool.end(trial)
+    assert "a" in {choose(pool, now=1.3) for _ in range(50)}
+
+
 def test_a_failing_target_is_used_when_all_fail(pool):
     pool.sync({"a": entry("a")})
     for _ in range(5):
