End the pause of a target that timed out once it sends data

Callers saw: a target goes on after a pause, and for up to a second more this entry sends it nothing. If all targets of a service paused, requests wait in the entry's own queue until then, and start around the agents.

Cause: a target that did not answer in time counted as full for a second, whatever it sent meanwhile, and as full for agents as well.

Why it holds: the pause after a timeout is kept apart from the one after a refusal. It makes a target unreachable, which agents may still be asked about where no target is reachable, and data of the target ends it. An entry without agents waits as long as before for targets that send nothing.

--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -229,6 +229,7 @@
             load
             for load in reachable
             if self.may_begin(load, now)
+            and load.silent_until <= now
             and load.has_free_slot(now, is_late)
             and load.direct_at(now) <= now
         ]
@@ -334,8 +335,11 @@
         load.health.note_inconclusive()
 
     def note_timeout(self, load: TargetLoad, now: float) -> None:
-        """Note that a target did not answer in time: it, or the link to it, is stalled."""
-        load.full_until = max(load.full_until, now + TIMEOUT_PAUSE_S)
+        """Note that a target did not answer in time: it, or the link to it, is stalled.
+
+        It gets no requests for a while, or until part of an answer arrives.
+        """
+        load.silent_until = max(load.silent_until, now + TIMEOUT_PAUSE_S)
 
     def note_report(
         self,
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -58,6 +58,7 @@
     reported_own: int = 0  # own calls when the report arrived
     reported_at: float = -math.inf
     full_until: float = 0.0
+    silent_until: float = 0.0  # an answer did not come in time
     is_agent_new: bool = False  # the link to the agent broke, and it has not reported since
     agent_paused_until: float = 0.0  # the agent did not answer, and is not asked until then
     loading_until: float = 0.0
@@ -117,7 +118,7 @@
     def takes_requests(self, now: float) -> bool:
         """Return whether the target begins requests, subject to free slots.
 
-        It does not while it loads, or in a pause after it was full, timed out or was congested.
+        It does not while it loads, or in a pause after it was full or congested.
         """
         return max(self.full_until, self.loading_until) <= now
 
@@ -149,6 +150,7 @@
     def note_data(self, now: float) -> None:
         """Note that part of an answer arrived."""
         self.last_data_at = now
+        self.silent_until = 0.0
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the target has calls of this entry and sent no data for too long."""
@@ -166,7 +168,8 @@
 
     def is_reachable(self, now: float) -> bool:
         """Return whether a request would reach the target in time."""
-        return not self.is_stalled(now) and self.has_fast_link(now)
+        is_silent = self.is_stalled(now) or self.silent_until > now
+        return not is_silent and self.has_fast_link(now)
 
     def has_free_slot(self, now: float, is_late: bool = False) -> bool:
         """Return whether one more request would start soon.
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -222,6 +222,27 @@
     assert pool.choose_for_slot(eligible, 10.6, frozenset()) is None
 
 
+# Guards against targets that are left unused for up to a second after they go on.
+def test_a_target_that_timed_out_is_used_again_once_it_sends_data(pool):
+    for name in ("b", "c"):
+        pool.begin(pool.loads[name], 10.0)
+        pool.loads[name].note_data(11.0)
+    pool.note_timeout(pool.loads["a"], now=11.0)
+    assert choose(pool, now=11.1) in ("b", "c")
+    pool.loads["a"].note_data(11.2)
+    assert choose(pool, now=11.2) == "a"
+
+
+# Guards against requests that wait at the entry while all targets are silent, and go around the
+# agents once the targets go on.
+def test_an_agent_is_asked_for_a_slot_when_all_targets_have_timed_out(pool):
+    pool.sync({"a": entry("a")})
+    pool.note_report("a", 4, at=11.0)
+    pool.note_timeout(pool.loads["a"], now=11.0)
+    assert choose(pool, now=11.1) is None
+    assert pool.choose_for_slot(pool.loads.values(), 11.1, frozenset()) is pool.loads["a"]
+
+
 def test_an_idle_target_is_not_stalled(pool):
     for name in ("b", "c"):
         add_calls(pool, name, 1)
