Start requests without the agents while no agent answers

Callers saw: while the agents of all engines are silent for a second, some requests are held for most of their objective and refused as if all engines were full, though slots of sound engines are free.

Cause: an agent that does not answer within 50 ms is not asked by others for 0.5 s, and these start by the entry's own choice. The request that asked it kept waiting at silent agents for the rest of its time.

Evidence: the new test of the search failed before (1.0 s instead of 0.15 s); the fleet test failed with 19 of 240 requests refused, and now all are served.

Why it holds: once no further agent can be asked and none has answered in its time, the search ends, and the request goes the same way as the requests after it. One answer of an agent is enough to go on waiting.

--- a/src/lacewinggw/frontend/dispatchqueue.py
+++ b/src/lacewinggw/frontend/dispatchqueue.py
@@ -15,7 +15,7 @@
 from lacewinggw.decisions.waitbudget import MIN_RETRY_AFTER_S
 from lacewinggw.decisions.waitqueue import RETRY_PRIORITY, Waiter, WaitQueue
 from lacewinggw.errors import NoHomeTarget, NoTarget, Overloaded, RequestRefused
-from lacewinggw.frontend.slots import AskSlot, Lease, SlotSearch
+from lacewinggw.frontend.slots import MIN_WAIT_S, AskSlot, Lease, SlotSearch
 from lacewinggw.ids import Place, ServiceName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -97,7 +97,12 @@
         if not eligible:
             raise self._build_refusal(requirements)
         if self._pool.choose_for_slot(eligible, now, frozenset()) is not None:
-            return await self._claim_slot(requirements, priority, is_late, until)
+            claim = await self._claim_slot(requirements, priority, is_late, until)
+            if claim is not None:
+                return claim
+            now, eligible = _now(), self._pool.eligible(requirements)
+            if not eligible:
+                raise self._build_refusal(requirements)
         queue.note_request(priority, account, now)
         open_targets = self._not_waited_for(requirements.service, eligible)
         if open_targets:
@@ -147,8 +152,8 @@
 
     async def _claim_slot(
         self, requirements: TargetRequirements, priority: int, is_late: bool, until: float
-    ) -> InFlightRequest:
-        """Return a claim on a slot that an agent grants."""
+    ) -> InFlightRequest | None:
+        """Return a claim on a slot that an agent grants, or None if no agent answers."""
         began = _now()
         rank = max(0, priority - RETRY_PRIORITY)
         slot_request = SlotRequest(
@@ -169,6 +174,8 @@
             arrived_at=began,
         )
         lease = await self._find_permitted(search, requirements, until)
+        if lease is None and search.is_unanswered and _now() < until - MIN_WAIT_S:
+            return None
         queue = self._queues[requirements.service]
         if is_late and _now() - began > IMMEDIATE_START_S:
             queue.note_late_outcome(started=lease is not None)
--- a/src/lacewinggw/frontend/slots.py
+++ b/src/lacewinggw/frontend/slots.py
@@ -85,6 +85,7 @@
     pick: PickTarget
     request: SlotRequest
     arrived_at: float
+    is_unanswered: bool = True  # no agent has answered
     is_excess: bool = False  # an agent answered that the account is ahead of its share
     _overtaken: int = 0
     _asked: set[TargetId] = field(default_factory=set)
@@ -92,7 +93,10 @@
     _answers: "asyncio.Queue[tuple[_Asked, SlotAnswer]]" = field(default_factory=asyncio.Queue)
 
     async def find(self, until: float) -> Lease | None:
-        """Return a granted slot, or None if none is granted until then by the loop's clock."""
+        """Return a granted slot, or None if none is granted until then by the loop's clock.
+
+        Return None at once if no agent can be asked any more and none has answered in its time.
+        """
         try:
             return await self._find(until)
         finally:
@@ -101,7 +105,7 @@
     async def _find(self, until: float) -> Lease | None:
         while self._overtaken < MAX_OVERTAKEN:
             newest = self._ask_one() if len(self._pending) < MAX_CONCURRENT_ASKS else None
-            if not self._pending:
+            if not self._pending or (newest is None and self.is_unanswered):
                 return None
             limit = min(until, _now() + ANSWER_TIMEOUT_S) if newest else until
             lease = await self._next_answer(newest, limit)
@@ -130,6 +134,7 @@
                 while True:
                     asked, answer = await self._answers.get()
                     asked.has_answered = True
+                    self.is_unanswered &= answer is SlotAnswer.LOST
                     match answer:
                         case SlotAnswer.GRANTED if asked in self._pending:
                             self._pending.remove(asked)
--- a/tests/fleet/test_silent_targets.py
+++ b/tests/fleet/test_silent_targets.py
@@ -1,13 +1,18 @@
-"""Sound targets that send nothing for a second and go on: passed over, and used again."""
+"""Sound targets and agents that are silent for a second and go on: passed over, used again."""
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import pytest
 from declared_fleet import DeclaredFleet, Reply, running_fleet
 from platform_standins import LLM, manifest
 
+from lacewinggw.generated.messages import ttypes as messages
+from lacewinggw.loader.process import LoaderProcess
+from lacewinggw.wire.peers import Exchange
+
 pytestmark = pytest.mark.looptime
 
 ENTRIES = 2
@@ -140,3 +145,34 @@
         assert agent._report is not None
         await asyncio.sleep(1.4)
         assert agent._report is None
+
+
+def silence_agent(agent: LoaderProcess, is_silent: Callable[[], bool]) -> None:
+    """Let an agent answer no request for a slot, and send no updates, while `is_silent`."""
+    serve, notify = agent._slots.serve, agent._notify_entries
+
+    async def serve_later(exchange: Exchange, request: messages.AskSlot) -> None:
+        while is_silent():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        await serve(exchange, request)
+
+    def notify_unless_silent() -> None:
+        if not is_silent():
+            notify()
+
+    agent._slots.serve = serve_later
+    agent._notify_entries = notify_unless_silent
+
+
+# Guards against requests that wait at silent agents and are refused while slots of sound engines
+# are free: 19 of 240 were.
+async def test_requests_start_without_the_agents_while_all_agents_are_silent():
+    async with running_fleet(desks=0, engines=ENGINES, entries=ENTRIES) as fleet:
+        await start_agents(fleet)
+        silent_from = asyncio.get_running_loop().time() + 0.5
+        for agent in fleet.agents.values():
+            silence_agent(
+                agent, lambda: 0.0 <= asyncio.get_running_loop().time() - silent_from < 1.2
+            )
+        played = await play(fleet, seconds=4.0, pause_s=0.0, paused=0)
+        assert Counter(reply.status for _, reply in played.replies) == {200: 240}
--- a/tests/fleet/test_slot_search.py
+++ b/tests/fleet/test_slot_search.py
@@ -7,7 +7,12 @@
 from lacewinggw.decisions.slots import SlotRequest
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetload import TargetLoad
-from lacewinggw.frontend.slots import MAX_CONCURRENT_ASKS, SlotAnswer, SlotSearch
+from lacewinggw.frontend.slots import (
+    ANSWER_TIMEOUT_S,
+    MAX_CONCURRENT_ASKS,
+    SlotAnswer,
+    SlotSearch,
+)
 
 pytestmark = pytest.mark.looptime
 
@@ -78,3 +83,24 @@
     assert len(wishes) == MAX_CONCURRENT_ASKS
     assert all(wish.waited_s >= 0.04 for wish in wishes)
     assert wishes[-1].waited_s > wishes[0].waited_s
+
+
+class SilentAgent(Agent):
+    """Answers nothing."""
+
+    async def answer(self):
+        await asyncio.sleep(99.0)
+        return SlotAnswer.LOST
+
+
+# Guards against holding a caller for its whole wait at agents that do not answer.
+async def test_a_search_ends_once_all_agents_had_their_time_and_none_has_answered():
+    agents = [SilentAgent(f"i-{each}", SlotAnswer.LOST, 99.0) for each in range(3)]
+    found, took_s = await search(agents, wait_s=1.0)
+    assert found is None and took_s == pytest.approx(3 * ANSWER_TIMEOUT_S, abs=0.01)
+
+
+async def test_a_search_goes_on_while_one_agent_has_answered():
+    agents = [SilentAgent("i-0", SlotAnswer.LOST, 99.0), Agent("i-1", SlotAnswer.GRANTED, 0.5)]
+    found, _ = await search(agents, wait_s=1.0)
+    assert found is not None and found.load is agents[1].load
