Move requests that wait at an entry to the agents' queues

Callers saw: after engines refused requests for a moment, as stalled engines do, entries overfill them, and requests are refused again or wait in the engines' short queues.

Cause: while all targets are in the pause after a refusal, requests wait in the entry's own queue, and from there they were sent by the entry's own count of free slots, around the agents.

Why it holds: a waiting request asks the agents as soon as a target leaves its pause, with the time that it has waited. Requests stay at the entry where it may send a target only some of them (a rate limit, a back-off that has just ended, a cold target), and while an agent has not reported since it last left a question unanswered.

--- a/src/lacewinggw/decisions/targetbackoff.py
+++ b/src/lacewinggw/decisions/targetbackoff.py
@@ -56,6 +56,11 @@
     _max_trials: int | None = None  # concurrent requests allowed; None for no limit
     _on_trial: int = 0
 
+    @property
+    def limits_trials(self) -> bool:
+        """Whether only some requests at a time may be sent, as the back-off has just ended."""
+        return self._max_trials is not None
+
     def note_requested(self, retry_after_s: float, now: float, jitter: float) -> None:
         """Note that a target asks for a back-off; `jitter` is a random share from 0 to 1.
 
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -115,6 +115,16 @@
             return False
         return self.has_fresh_report(now) and self.agent_paused_until <= now
 
+    def may_move_to_agent(self, now: float) -> bool:
+        """Return whether requests that wait at this entry may all move to the agent's queue.
+
+        They may not if this entry may send the target only some of them, or if the agent has not
+        reported since it last left a question unanswered.
+        """
+        if self.allowance is not None or self.backoff.limits_trials or self.is_cold(now):
+            return False
+        return self.reported_at >= self.agent_paused_until - AGENT_PAUSE_S
+
     def takes_requests(self, now: float) -> bool:
         """Return whether the target begins requests, subject to free slots.
 
--- a/src/lacewinggw/frontend/dispatchqueue.py
+++ b/src/lacewinggw/frontend/dispatchqueue.py
@@ -39,10 +39,10 @@
 
 @dataclass
 class _WaitingRequest:
-    """A request in a queue, and the future of its claim."""
+    """A request in a queue, and the future of its claim; None if it is to wait at agents."""
 
     requirements: TargetRequirements
-    found: "asyncio.Future[InFlightRequest]"
+    found: "asyncio.Future[InFlightRequest | None]"
 
 
 class DispatchQueue:
@@ -90,6 +90,17 @@
         Raise `NoTarget` or `NoHomeTarget` if no target is eligible. Raise `Overloaded` at once if
         the expected wait is too long, or at `until` if no target became available.
         """
+        return await self._claim(requirements, priority, is_late, _now(), until)
+
+    async def _claim(
+        self,
+        requirements: TargetRequirements,
+        priority: int,
+        is_late: bool,
+        began: float,
+        until: float,
+    ) -> InFlightRequest:
+        """Return a claim on a target for a request that has waited since `began`."""
         now = _now()
         queue = self._queues[requirements.service]
         account, service_s = requirements.account, requirements.service_s
@@ -97,7 +108,7 @@
         if not eligible:
             raise self._build_refusal(requirements)
         if self._pool.choose_for_slot(eligible, now, frozenset()) is not None:
-            claim = await self._claim_slot(requirements, priority, is_late, until)
+            claim = await self._claim_slot(requirements, priority, is_late, began, until)
             if claim is not None:
                 return claim
             now, eligible = _now(), self._pool.eligible(requirements)
@@ -117,8 +128,11 @@
             raise self._build_refusal(requirements)
         if queue.is_excess(priority, account):
             raise self._build_refusal(requirements, is_excess=True)
-        waiter = queue.add(priority, is_late, until, now, account, service_s)
-        return await self._wait_for(queue, requirements, waiter)
+        waiter = queue.add(priority, is_late, until, began, account, service_s)
+        claim = await self._wait_for(queue, requirements, waiter)
+        if claim is None:
+            return await self._claim(requirements, priority, is_late, began, until)
+        return claim
 
     def _not_waited_for(self, service: ServiceName, eligible: list[TargetLoad]) -> list[TargetLoad]:
         """Return the targets for which no request waits, as these lie outside its home regions."""
@@ -151,15 +165,19 @@
         self.advance(claim.load.entry.service)
 
     async def _claim_slot(
-        self, requirements: TargetRequirements, priority: int, is_late: bool, until: float
+        self,
+        requirements: TargetRequirements,
+        priority: int,
+        is_late: bool,
+        began: float,
+        until: float,
     ) -> InFlightRequest | None:
         """Return a claim on a slot that an agent grants, or None if no agent answers."""
-        began = _now()
         rank = max(0, priority - RETRY_PRIORITY)
         slot_request = SlotRequest(
             rank,
             is_late,
-            until - began,
+            until - _now(),
             requirements.prefill_s,
             requirements.suspect,
             account=requirements.account,
@@ -298,34 +316,46 @@
 
     async def _wait_for(
         self, queue: WaitQueue, requirements: TargetRequirements, waiter: Waiter
-    ) -> InFlightRequest:
+    ) -> InFlightRequest | None:
+        """Return a claim, or None if the request is to wait at the agents of its targets."""
         joined_at = _now()
         found = asyncio.get_running_loop().create_future()
         self._waiting_requests[id(waiter)] = _WaitingRequest(requirements, found)
         self._has_waiting.set()
         try:
             async with asyncio.timeout_at(waiter.until):
-                claim: InFlightRequest = await found
+                claim: InFlightRequest | None = await found
         except TimeoutError:
-            if not found.cancelled() and found.done():
-                self._pool.end(found.result())
+            self._end_unused(found)
             if waiter.is_late:
                 queue.note_late_outcome(started=False)
             raise self._build_refusal(requirements) from None
         except asyncio.CancelledError:
-            if found.done() and not found.cancelled():
-                self._pool.end(found.result())
+            self._end_unused(found)
             raise
         finally:
             queue.remove(waiter)
             self._waiting_requests.pop(id(waiter), None)
+        if claim is None:
+            return None
         self._wait.record(_now() - joined_at)
         if waiter.is_late:
             queue.note_late_outcome(started=True)
         return claim
 
+    def _end_unused(self, found: "asyncio.Future[InFlightRequest | None]") -> None:
+        """End a claim that came as the wait for it ended."""
+        if found.done() and not found.cancelled():
+            claim = found.result()
+            if claim is not None:
+                self._pool.end(claim)
+
     def advance(self, service: ServiceName) -> None:
-        """Assign free targets to the queued requests of a service, in queue order."""
+        """Assign free targets to the queued requests of a service, in queue order.
+
+        Once an agent may be asked again, they wait for its slots: entries that send by their own
+        counts would fill the targets beyond their slots.
+        """
         queue = self._queues[service]
         if not len(queue):
             return
@@ -335,6 +365,11 @@
             if waiting is None or waiting.found.done():
                 continue
             eligible = self._pool.eligible(waiting.requirements)
+            asked = self._pool.choose_for_slot(eligible, now, frozenset())
+            if asked is not None and asked.may_move_to_agent(now):
+                waiting.found.set_result(None)
+                queue.remove(waiter)
+                continue
             load = self._pool.choose(eligible, now, waiter.is_late)
             if load is None and waiting.requirements.homes() is None:
                 return
--- a/tests/fleet/test_silent_targets.py
+++ b/tests/fleet/test_silent_targets.py
@@ -176,3 +176,20 @@
             )
         played = await play(fleet, seconds=4.0, pause_s=0.0, paused=0)
         assert Counter(reply.status for _, reply in played.replies) == {200: 240}
+
+
+# Guards against requests that wait at the entries while all engines refuse requests, as stalled
+# ones do, and are sent around the agents afterwards: engines with four slots had 7.
+async def test_engines_that_refused_requests_for_a_moment_are_not_overfilled_afterwards():
+    async with running_fleet(desks=0, engines=ENGINES, entries=ENTRIES) as fleet:
+        await start_agents(fleet)
+        playing = asyncio.ensure_future(play(fleet, seconds=4.0, pause_s=0.0, paused=0))
+        for refused in (0, 1_000_000, 0):
+            for target in fleet.targets.values():
+                target.behaviour.shed = refused
+            await asyncio.sleep(1.0)
+        played = await playing
+        assert max(played.most_running.values()) <= SLOTS
+        # A target that refused requests is tried again within 0.8 s.
+        beside = [reply.status for at, reply in played.replies if not 0.9 <= at < 2.9]
+        assert set(beside) == {200}
