--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -229,6 +229,7 @@
             load
             for load in reachable
             if self.may_begin(load, now)
+            and load.silent_until <= now
             and load.has_free_slot(now, is_late)
             and load.direct_at(now) <= now
         ]
@@ -246,13 +247,18 @@
 
         The reported load does not exclude a target: its agent has the exact count and a queue.
         """
+        eligible = list(eligible)
+        # If all targets are silent, requests queue at the agents all the same. Without the agents,
+        # entries would each fill the slots by themselves, with more requests than there are slots.
+        reachable = [load for load in eligible if load.is_reachable(now)] or [
+            load for load in eligible if load.has_fast_link(now)
+        ]
         open_targets = [
             load
-            for load in eligible
+            for load in reachable
             if load.entry.target not in asked
             and load.may_ask_agent(now)
             and load.takes_requests(now)
-            and load.is_reachable(now)
             and self.may_begin(load, now)
         ]
         healthy = [load for load in open_targets if load.health.may_call(now)] or open_targets
@@ -285,8 +291,8 @@
         if load.direct is not None and not has_slot:
             load.direct.spend(now)
         load.prefill_s += prefill_s
-        load.health.note_begin(now)
-        return InFlightRequest(load, prefill_s, load.backoff.begin_trial())
+        is_health_trial = load.health.note_begin(now)
+        return InFlightRequest(load, prefill_s, load.backoff.begin_trial(), is_health_trial)
 
     def note_prompt_read(self, request: InFlightRequest) -> None:
         """Note that the prefill of a request is over, or will not take place."""
@@ -299,6 +305,8 @@
         request.load.in_flight -= 1
         if request.is_trial:
             request.load.backoff.end_trial()
+        if request.is_health_trial:
+            request.load.health.note_inconclusive()
 
     def note_backoff(self, load: TargetLoad, retry_after_s: float, now: float) -> None:
         """Note that a target asked this entry to back off for `retry_after_s` seconds."""
@@ -327,8 +335,11 @@
         load.health.note_inconclusive()
 
     def note_timeout(self, load: TargetLoad, now: float) -> None:
-        """Note that a target did not answer in time: it, or the link to it, is stalled."""
-        load.full_until = max(load.full_until, now + TIMEOUT_PAUSE_S)
+        """Note that a target did not answer in time: it, or the link to it, is stalled.
+
+        It gets no requests for a while, or until part of an answer arrives.
+        """
+        load.silent_until = max(load.silent_until, now + TIMEOUT_PAUSE_S)
 
     def note_report(
         self,
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -36,12 +36,14 @@
 class InFlightRequest:
     """A request counted at a target, and how long its prefill there takes, in seconds.
 
-    A request that `is_trial` shows whether the target accepts requests again after a back-off.
+    A request that `is_trial` shows whether the target accepts requests again after a back-off, and
+    one that `is_health_trial` whether it serves them again after it was ejected.
     """
 
     load: "TargetLoad"
     prefill_s: float = 0.0
     is_trial: bool = False
+    is_health_trial: bool = False
 
 
 @dataclass
@@ -56,6 +58,7 @@
     reported_own: int = 0  # own calls when the report arrived
     reported_at: float = -math.inf
     full_until: float = 0.0
+    silent_until: float = 0.0  # an answer did not come in time
     is_agent_new: bool = False  # the link to the agent broke, and it has not reported since
     agent_paused_until: float = 0.0  # the agent did not answer, and is not asked until then
     loading_until: float = 0.0
@@ -112,10 +115,20 @@
             return False
         return self.has_fresh_report(now) and self.agent_paused_until <= now
 
+    def may_move_to_agent(self, now: float) -> bool:
+        """Return whether requests that wait at this entry may all move to the agent's queue.
+
+        They may not if this entry may send the target only some of them, or if the agent has not
+        reported since it last left a question unanswered.
+        """
+        if self.allowance is not None or self.backoff.limits_trials or self.is_cold(now):
+            return False
+        return self.reported_at >= self.agent_paused_until - AGENT_PAUSE_S
+
     def takes_requests(self, now: float) -> bool:
         """Return whether the target begins requests, subject to free slots.
 
-        It does not while it loads, or in a pause after it was full, timed out or was congested.
+        It does not while it loads, or in a pause after it was full or congested.
         """
         return max(self.full_until, self.loading_until) <= now
 
@@ -147,6 +160,7 @@
     def note_data(self, now: float) -> None:
         """Note that part of an answer arrived."""
         self.last_data_at = now
+        self.silent_until = 0.0
 
     def is_stalled(self, now: float) -> bool:
         """Return whether the target has calls of this entry and sent no data for too long."""
@@ -158,9 +172,14 @@
         """Return the estimated queueing delay of the target's link, in seconds."""
         return max(self.connect_delay.estimate(now), self.update_delay.estimate(now))
 
+    def has_fast_link(self, now: float) -> bool:
+        """Return whether the queueing delay of the target's link is acceptable."""
+        return self.link_delay(now) < MAX_LINK_DELAY_S
+
     def is_reachable(self, now: float) -> bool:
         """Return whether a request would reach the target in time."""
-        return not self.is_stalled(now) and self.link_delay(now) < MAX_LINK_DELAY_S
+        is_silent = self.is_stalled(now) or self.silent_until > now
+        return not is_silent and self.has_fast_link(now)
 
     def has_free_slot(self, now: float, is_late: bool = False) -> bool:
         """Return whether one more request would start soon.
--- a/tests/fleet/test_dispatch.py
+++ b/tests/fleet/test_dispatch.py
@@ -136,6 +136,17 @@
     assert "a" in {choose(pool, now=1.1) for _ in range(50)}
 
 
+# Guards against a target that is never used again: its trial ended without an outcome, because the
+# caller left or another target answered first.
+def test_an_ejected_target_is_tried_again_after_a_trial_without_an_outcome(pool):
+    for _ in range(3):
+        pool.note_failure(pool.loads["a"], now=0.0)
+    trial = pool.begin(pool.loads["a"], 1.1)
+    assert "a" not in {choose(pool, now=1.2) for _ in range(30)}
+    pool.end(trial)
+    assert "a" in {choose(pool, now=1.3) for _ in range(50)}
+
+
 def test_a_failing_target_is_used_when_all_fail(pool):
     pool.sync({"a": entry("a")})
     for _ in range(5):
@@ -194,6 +205,44 @@
     assert choose(pool, now=12.0) is not None
 
 
+# Guards against entries that go around the agents, each with its own count of free slots, as soon
+# as all targets are silent; and against questions over a link that is too slow for their answers.
+def test_an_agent_is_asked_for_a_slot_when_all_targets_are_stalled(pool):
+    for name in ("a", "b"):
+        pool.begin(pool.loads[name], 10.0)
+        pool.note_report(name, 1, at=10.6)
+    eligible = [pool.loads[name] for name in ("a", "b")]
+    assert all(load.is_stalled(10.6) for load in eligible)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is not None
+    pool.loads["b"].note_data(10.6)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is pool.loads["b"]
+    assert pool.choose_for_slot(eligible, 10.6, {"b"}) is None
+    for load in eligible:
+        load.note_connect(0.5, 10.6)
+    assert pool.choose_for_slot(eligible, 10.6, frozenset()) is None
+
+
+# Guards against targets that are left unused for up to a second after they go on.
+def test_a_target_that_timed_out_is_used_again_once_it_sends_data(pool):
+    for name in ("b", "c"):
+        pool.begin(pool.loads[name], 10.0)
+        pool.loads[name].note_data(11.0)
+    pool.note_timeout(pool.loads["a"], now=11.0)
+    assert choose(pool, now=11.1) in ("b", "c")
+    pool.loads["a"].note_data(11.2)
+    assert choose(pool, now=11.2) == "a"
+
+
+# Guards against requests that wait at the entry while all targets are silent, and go around the
+# agents once the targets go on.
+def test_an_agent_is_asked_for_a_slot_when_all_targets_have_timed_out(pool):
+    pool.sync({"a": entry("a")})
+    pool.note_report("a", 4, at=11.0)
+    pool.note_timeout(pool.loads["a"], now=11.0)
+    assert choose(pool, now=11.1) is None
+    assert pool.choose_for_slot(pool.loads.values(), 11.1, frozenset()) is pool.loads["a"]
+
+
 def test_an_idle_target_is_not_stalled(pool):
     for name in ("b", "c"):
         add_calls(pool, name, 1)
--- a/tests/fleet/test_slots.py
+++ b/tests/fleet/test_slots.py
@@ -89,6 +89,16 @@
     assert allocator.grant(0.1) == []
 
 
+def test_requests_keep_their_places_while_the_target_is_silent(allocator):
+    allocator.pause()
+    allocator.enqueue(1, slot_request(wait_s=0.5), 0.0)
+    assert allocator.grant(0.1) == [] and allocator.waiting == 1
+    allocator.open()
+    assert allocator.grant(0.2) == [1]
+    allocator.pause()
+    assert allocator.close() == [] and not allocator.is_open
+
+
 def test_requests_without_a_lease_occupy_slots(allocator):
     allocator.note_report(running=2, now=0.0)
     allocator.enqueue(1, slot_request(), 0.0)
@@ -114,6 +124,22 @@
     assert allocator.grant(now) == [1]
 
 
+# Guards against slots that are granted twice: a target that was silent has not read the requests
+# that it was sent meanwhile, so its first report lacks them.
+def test_the_first_report_after_a_pause_frees_no_slots_of_requests_sent_during_it(allocator):
+    allocator.note_report(running=0, now=0.0)
+    allocator.enqueue(1, slot_request(), 0.05)
+    assert allocator.grant(0.05) == [1]
+    allocator.note_report(running=0, now=0.1)
+    allocator.enqueue(2, slot_request(), 0.3)
+    assert allocator.grant(0.3) == [2]
+    allocator.enqueue(3, slot_request(), 1.0)
+    allocator.note_report(running=0, now=1.5)
+    assert allocator.taken == 2 and allocator.grant(1.5) == []
+    allocator.note_report(running=1, now=1.6)  # one of them never came
+    assert allocator.taken == 1 and allocator.grant(1.6) == [3]
+
+
 @pytest.mark.parametrize("running", [0, 1, 2, 5])
 def test_the_count_is_correct_after_all_leases_have_ended(allocator, running):
     full = fill_slots(allocator)
@@ -177,6 +203,16 @@
     assert busy.drop_overtaken(4.0) == [1]
 
 
+# Guards against refusals at full speed after a target was silent for a second.
+def test_the_silence_of_a_target_does_not_count_as_a_gap_between_starts(busy):
+    busy.note_report(running=2, now=4.0)
+    busy.enqueue(2000, slot_request(wait_s=99.0), 4.0)
+    busy.note_report(running=2, now=5.5)
+    busy.release(next(iter(busy._leases)))
+    assert busy.grant(5.6) == [2000]
+    assert waiting_after(busy, 5.6, *[slot_request(wait_s=0.35)] * 3) == [0, 1, 2]
+
+
 def test_a_pause_in_demand_does_not_count_as_a_gap_between_starts(busy):
     """Guards against refusals of small bursts at low load.
 
