Close no sound attempt for events that do not continue the answer

What callers saw, with targets that leave out an event: a resumable stream with events missing in the middle, or from its first event, that ended as complete; and an answer that was closed although its sound target went on after a pause.

Cause: events of one batch were recorded as sent one by one. If a later one of the batch did not follow, the earlier ones were dropped and the next attempt resumed after them. And an attempt became the preferred one before its events were checked, so the other attempt was already closed when they turned out not to continue the answer.

Events are now checked as a batch before anything is recorded, and only an attempt that adds to the answer replaces the other one.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -186,8 +186,11 @@
         """Return the part of the answer that a result adds; raise if the request fails by it."""
         match result:
             case _Events(answer, events):
+                data = _take_new(self._progress, events)
+                if not data:
+                    return None
                 await self._prefer(attempt)
-                return self._take_events(attempt, answer, events)
+                return self._to_part(attempt, answer, data)
             case _Ended(answer, body):
                 await self._prefer(attempt)
                 return self._take_end(attempt, answer, body)
@@ -210,13 +213,8 @@
             if attempt is self._current or attempt is self._backup:
                 return attempt, result
 
-    def _take_events(
-        self, attempt: _Attempt, answer: Answer, events: Sequence[StreamEvent]
-    ) -> StreamPart | None:
+    def _to_part(self, attempt: _Attempt, answer: Answer, data: bytes) -> StreamPart:
         progress = self._progress
-        data = b"".join(event.data for event in events if _is_next(progress, event.number))
-        if not data:
-            return None
         if not progress.has_started_answer:
             progress.weights_version = answer.facts.version
             progress.first_part_s = _now() - attempt.offered_at
@@ -521,19 +519,22 @@
         )
 
 
-def _is_next(progress: RequestProgress, number: int | None) -> bool:
-    """Return whether the caller still needs an event, and record it as the last one sent.
+def _take_new(progress: RequestProgress, events: Sequence[StreamEvent]) -> bytes:
+    """Return the events that the caller still needs, and record the last of them as sent.
 
-    Raise `AnswerIncomplete` if an event is missing before it.
+    Raise `AnswerIncomplete` and record nothing if an event is missing before one of them.
     """
-    if number is None:
-        return True
-    if progress.last_event is not None and number <= progress.last_event:
-        return False
-    if progress.last_event is not None and number != progress.last_event + 1:
-        raise AnswerIncomplete(f"event {number} came after {progress.last_event}")
-    progress.last_event = number
-    return True
+    last, new = progress.last_event, []
+    for event in events:
+        if event.number is not None:
+            if last is not None and event.number <= last:
+                continue
+            if last is not None and event.number != last + 1:
+                raise AnswerIncomplete(f"event {event.number} came after {last}")
+            last = event.number
+        new.append(event.data)
+    progress.last_event = last
+    return b"".join(new)
 
 
 def _now() -> float:
