Count requests in the retry budget after retries that found no target

What callers saw: fewer retries than the budget allows after retries that were refused a target or whose caller left while they waited.

Cause: a retry that is allowed is not counted as a request when it is sent. If it was never sent, the next request was left out of the count in its place. Besides, a backup attempt looked at the budget twice once it had a claim: if the last retry left the window in between, it went on with a claim that it had already given back.

A retry counts as called also when its claim fails, and the budget is looked at once.

Requests that are charged for a retry that is not sent still use up the budget.

--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -45,6 +45,7 @@
 MOST_URGENT = 0
 URGENCY_BASE = 2  # of a request with priority 0 that has not run anywhere yet
 LEAST_URGENT = 9
+BUDGET_SPENT = "the retry budget is spent"
 
 
 @dataclass(frozen=True)
@@ -88,9 +89,14 @@
 
         Raise `DeadlineTooNear` if the caller is about to give up.
         """
-        claim = await self._claim(progress, self._requirements(progress))
-        if progress.has_reached_target:
-            self._budget(progress.admitted.service).note_call(_now())
+        has_claim = False
+        try:
+            claim = await self._claim(progress, self._requirements(progress))
+            has_claim = True
+        finally:
+            # A retry that was charged counts as called, or the next request would in its place.
+            if progress.has_reached_target and (has_claim or progress.offers):
+                self._budget(progress.admitted.service).note_call(_now())
         return claim
 
     async def claim_backup(self, progress: RequestProgress) -> InFlightRequest:
@@ -100,7 +106,8 @@
         budget allows no further attempt.
         """
         service = progress.admitted.service
-        self._require_retry(service)
+        if not self._budget(service).allows(_now()):
+            raise RetryBudgetSpent(BUDGET_SPENT)
         requirements = self._requirements(progress)
         silent = self._queue.unreachable_targets(service)
         requirements = replace(requirements, excluded=requirements.excluded | silent)
@@ -108,14 +115,10 @@
         budget = self._budget(service)
         if not budget.take(_now()):
             self._queue.release(claim)
-            self._require_retry(service)
+            raise RetryBudgetSpent(BUDGET_SPENT)
         budget.note_call(_now())
         return claim
 
-    def _require_retry(self, service: ServiceName) -> None:
-        if not self._budget(service).allows(_now()):
-            raise RetryBudgetSpent("the retry budget is spent")
-
     async def _claim(
         self, progress: RequestProgress, requirements: TargetRequirements
     ) -> InFlightRequest:
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -349,6 +349,7 @@
     arrivals = world.schedule.arrivals
     retries = sum(arrivals.values()) - len(arrivals)
     assert retries <= max(MIN_RETRIES, LIMITS.share * requests + LIMITS.extra)
+    assert not any(budget._granted for budget in world.placer._budgets.values())
 
 
 async def play(seed: int, policy: RetryPolicy, streams: bool, is_sound: bool) -> Counter:
--- a/tests/fleet/test_retry_budget.py
+++ b/tests/fleet/test_retry_budget.py
@@ -1,6 +1,19 @@
 """The retry budget: a share of the requests, and an entry's part of the fleet's extra retries."""
 
+import asyncio
+
+import pytest
+from platform_standins import DESK
+
 from lacewinggw.decisions.retries import MIN_RETRIES, RetryBudget
+from lacewinggw.decisions.routes import RetryPolicy, Route, ServiceShare
+from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetload import InFlightRequest, TargetLoad
+from lacewinggw.errors import Overloaded, RetryBudgetSpent
+from lacewinggw.frontend.admission import AdmittedRequest
+from lacewinggw.frontend.calls import Call, CallFacts
+from lacewinggw.frontend.requestplacer import RequestPlacer, RetryLimits
+from lacewinggw.frontend.requeststate import RequestProgress
 
 
 def count_taken(budget, requests, attempts, now=0.0):
@@ -45,3 +58,72 @@
         count_taken += [now for _ in range(30) if budget.take(now)]
     for begin in count_taken:
         assert sum(begin <= at < begin + 10.0 for at in count_taken) <= 20
+
+
+class Queue:
+    """Grants or refuses each claim, and records the claims that are released."""
+
+    def __init__(self, refusals: int = 0) -> None:
+        self.refusals = refusals
+        self.released: list[InFlightRequest] = []
+        self.load = TargetLoad(TargetEntry("i-1", DESK, "10.0.0.1:1", "hall"))
+
+    async def claim(self, requirements, priority, is_late, until):
+        if self.refusals:
+            self.refusals -= 1
+            raise Overloaded("full", retry_after_ms=1000)
+        return InFlightRequest(self.load)
+
+    def release(self, claim):
+        self.released.append(claim)
+
+    def unreachable_targets(self, service):
+        return frozenset()
+
+    def late_share(self, service):
+        return 1.0
+
+
+class View:
+    routes = None
+
+
+def make_placer(queue):
+    limits = RetryLimits(share=0.5, extra=0.0, window_s=10.0)
+    return RequestPlacer(View(), queue, lambda: 0.0, lambda: limits, lambda: 1)
+
+
+def make_progress(**changes):
+    now = asyncio.get_running_loop().time()
+    share = (ServiceShare(DESK, 1.0),)
+    route = Route("r", "d", "/", RetryPolicy.IDEMPOTENT, False, 6.0, 0.4, share, attempts=2)
+    call = Call("GET", "/", "d", [], b"", now)
+    admitted = AdmittedRequest(call, CallFacts("call"), route, DESK, None, 3, now + 6.0)
+    return RequestProgress(admitted, **changes)
+
+
+# Guards against requests that are left out of the budget after retries that found no target.
+@pytest.mark.looptime
+async def test_a_retry_that_finds_no_target_hides_no_later_request():
+    placer = make_placer(Queue(refusals=1))
+    failed = make_progress(offers=1, runs=1)
+    assert placer.take_retry(failed)
+    with pytest.raises(Overloaded):
+        await placer.claim(failed)
+    for _ in range(8):
+        await placer.claim(make_progress())
+    taken = sum(placer.take_retry(make_progress(offers=1, runs=1)) for _ in range(8))
+    assert taken == 3  # of the 4 that 8 requests allow, one is used
+
+
+# Guards against a backup attempt at a target whose claim has been given back: the last retry may
+# leave the window between two looks at the budget.
+@pytest.mark.looptime
+async def test_a_backup_claim_that_the_budget_refuses_is_not_used():
+    queue = Queue()
+    placer = make_placer(queue)
+    budget = placer._budget(DESK)
+    budget.take = lambda now: False
+    with pytest.raises(RetryBudgetSpent):
+        await placer.claim_backup(make_progress(offers=1, runs=1))
+    assert len(queue.released) == 1
