Take no target for silent because the entry itself stood still

What was seen: after an entry had stood still (frozen, or busy with one long piece of work) for longer than the idle timeout, it logged offer_silent for sound targets whose events lay in its sockets, paused them, and made backup attempts.

Cause: the timer of the idle timeout fires in the same iteration of the event loop in which the waiting events are read, before an attempt has passed them on.

A timer that fires more than 0.1 s late is now set again, so that what arrived meanwhile is read first.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -51,6 +51,7 @@
 MS_PER_S = 1000
 RETRY_AFTER_MS = 400  # used when it is unknown when a target will have a free slot
 BUDGET_RETRY_AFTER_MS = 500
+MAX_LOOP_LAG_S = 0.1  # a timer that fires later than this says nothing about a target
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 
@@ -208,7 +209,11 @@
                 async with asyncio.timeout_at(self._backup_at()):
                     attempt, result = await self._results.get()
             except TimeoutError:
-                self._start_backup()
+                if _now() - self._backup_due_at > MAX_LOOP_LAG_S:
+                    # This process stood still, and has yet to read what arrived meanwhile.
+                    self._backup_due_at = _now() + MAX_LOOP_LAG_S
+                else:
+                    self._start_backup()
                 continue
             if attempt is self._current or attempt is self._backup:
                 return attempt, result
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -7,11 +7,13 @@
 import asyncio
 import math
 import random
+import time
 from collections import Counter
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 
 import pytest
+from structlog.testing import capture_logs
 
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.ejection import EjectionRules
@@ -205,6 +207,9 @@
     return f"id: {number}\nversion: {version}\n\n".encode()
 
 
+WHOLE_STREAM = b"".join(event(number, 1) for number in range(1, EVENTS + 1))
+
+
 @dataclass
 class Outcome:
     """What a caller received, and how its request ended."""
@@ -392,6 +397,24 @@
         return Answer(200, {"version": "1"}, facts, ScriptedBody(self.offers == 1))
 
 
+class SteadyTarget:
+    """A target that sends an event every 0.05 s."""
+
+    async def send(self, admitted, load, options, timeouts):
+        facts = AnswerFacts(admitted.facts.call_id, not_run=False, sealed=True, version=1)
+        return Answer(200, {"version": "1"}, facts, SteadyBody())
+
+
+class SteadyBody:
+    async def pieces(self):
+        for number in range(1, EVENTS + 1):
+            await asyncio.sleep(0.05)
+            yield event(number, 1)
+
+    async def aclose(self):
+        pass
+
+
 class ScriptedBody:
     def __init__(self, is_sound: bool) -> None:
         self._is_sound = is_sound
@@ -410,17 +433,30 @@
 
 # Guards against a sound attempt that is closed for a backup whose events do not continue it.
 async def test_a_faulty_backup_does_not_end_a_sound_attempt():
-    world = World(0, RetryPolicy.RESUMABLE, streams=True, is_sound=True)
     offers = FaultyBackup()
-    route = replace(world.route, attempts=2)
+    assert await read_stream(offers) == WHOLE_STREAM
+    assert offers.offers == 2
+
+
+# Guards against a sound target that counts as silent because the entry itself stood still.
+@pytest.mark.looptime(False)  # the event loop has to be blocked
+async def test_a_target_is_not_silent_while_the_entry_stands_still():
+    asyncio.get_running_loop().call_later(0.1, time.sleep, 0.9)
+    with capture_logs() as logs:
+        assert await read_stream(SteadyTarget()) == WHOLE_STREAM
+    assert not logs
+
+
+async def read_stream(offers) -> bytes:
+    """Return the answer to a stream that may be resumed once."""
+    world = World(0, RetryPolicy.RESUMABLE, streams=True, is_sound=True)
+    route = replace(world.route, attempts=2, objective_s=0.1)
     facts = CallFacts("call", 6.0, model="market")
     call = Call("POST", "/1", "notes", [], b"", now())
     admitted = AdmittedRequest(call, facts, route, SERVICE, None, 3, now() + 6.0)
     deps = replace(world.deps, offers=offers)
     async with aclosing(RequestAttempts(deps, RequestProgress(admitted)).parts()) as parts:
-        body = [part.data async for part in parts]
-    assert offers.offers == 2
-    assert b"".join(body) == b"".join(event(number, 1) for number in range(1, EVENTS + 1))
+        return b"".join([part.data async for part in parts])
 
 
 def now() -> float:
