Show that targets are passed over for a second after they go on

What callers saw: after all targets had paused for 1.3 to 1.8 s and gone on, requests were refused as overloaded, or waited 0.2 to 0.3 s, at targets with free slots.

Cause: a silent attempt pauses its target for one second, and data of the target does not end the pause.

--- a/tests/fleet/test_paused_targets.py
+++ b/tests/fleet/test_paused_targets.py
@@ -159,3 +159,29 @@
         await asyncio.sleep(1.3)  # the backup attempt waits for the other target by now
         await begun.close()
         assert_answered([await asked])
+
+
+# Guards against free targets that go on after a pause and are passed over for another second.
+@pytest.mark.parametrize("begun_s", [0.0, 0.5])
+@pytest.mark.parametrize("pause_s", [1.3, 1.5, 1.8])
+async def test_targets_take_requests_again_once_they_go_on(pause_s, begun_s):
+    async with running_fleet(engines=8, entries=2) as fleet:
+        set_up(fleet)
+        loop, waits = asyncio.get_running_loop(), []
+
+        async def ask(number: int) -> Reply:
+            began = loop.time()
+            reply = await fleet.ask("/report/2", X_Model="market", entry=number % 2)
+            waits.append(loop.time() - began - EVENTS * EVENT_S)
+            return reply
+
+        begun = asyncio.ensure_future(stream_during_pause(fleet, 16, 8, pause_s, begun_s))
+        await asyncio.sleep(begun_s + pause_s + 0.1)
+        asks = []
+        for number in range(30):
+            asks.append(asyncio.ensure_future(ask(number)))
+            await asyncio.sleep(0.04)
+        replies = await asyncio.gather(*asks)
+        assert Counter(reply.status for reply in replies) == {200: 30}
+        assert max(waits) < 0.1
+        assert_answered(await begun)
