Let one request a target wait for the end of a back-off, and refuse the others at once

Callers whose targets had all asked for a back-off were held for up to 0.34 s, and refused only then.

Cause: each request compared its own time with the end of the back-off, but only one trial is sent then, and the others can begin only if it is accepted. Now the queue counts the starts that back-offs leave open while a request waits, and keeps as many requests, the most urgent and then the oldest; the others are refused at once with the end of the back-off. A request that a target has rejected is not held for the back-off of another: it became late by its first wait, and one was held for 0.48 s in all.

Evidence: test_callers_are_refused_at_once_... failed for [/report/1-engine-1] (21 of 147 refusals after 0.03 s) and [/report/1-engine-24] (111 of 825); five of the six tests of test_waiting_for_targets.py fail on the code before.

--- a/src/lacewinggw/decisions/targetbackoff.py
+++ b/src/lacewinggw/decisions/targetbackoff.py
@@ -73,6 +73,23 @@
         """Return whether one more request may be in flight after the back-off."""
         return self._max_trials is None or self._on_trial < self._max_trials
 
+    @property
+    def is_limiting(self) -> bool:
+        """Whether the number of concurrent requests is limited since a back-off."""
+        return self._max_trials is not None
+
+    def starts_by(self, until: float, now: float, trials_only: bool) -> float:
+        """Return how many waiting requests can begin by `until`, infinity if that is open.
+
+        At the end of a back-off only the trials begin; what follows depends on their answers, for
+        which a request does not wait that takes `trials_only`.
+        """
+        if self.until > until:
+            return 0.0
+        if self._max_trials is None or self.is_over(now) or not trials_only:
+            return math.inf
+        return float(self._max_trials)
+
     def begin_trial(self) -> bool:
         """Note that a request is sent; return whether it is a trial."""
         is_trial = self._max_trials is not None
--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -140,6 +140,18 @@
             return allowed_at
         return max(allowed_at, self.direct.opens_at(now, ahead))
 
+    @property
+    def limits_starts(self) -> bool:
+        """Whether the target limits its concurrent requests since a back-off."""
+        return self.backoff.is_limiting
+
+    def starts_by(self, until: float, now: float, trials_only: bool = False) -> float:
+        """Return how many waiting requests its back-off lets begin by `until`.
+
+        With `trials_only` not those that begin if the trials after a back-off are accepted.
+        """
+        return self.backoff.starts_by(until, now, trials_only)
+
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or was until recently, and limited for it."""
         return self.direct is not None and self.direct.is_limited(now)
--- a/src/lacewinggw/frontend/dispatchqueue.py
+++ b/src/lacewinggw/frontend/dispatchqueue.py
@@ -41,6 +41,7 @@
 class _WaitingRequest:
     """A request in a queue, and the future of its claim."""
 
+    waiter: Waiter
     requirements: TargetRequirements
     found: "asyncio.Future[InFlightRequest]"
 
@@ -96,6 +97,9 @@
         eligible = self._pool.eligible(requirements)
         if not eligible:
             raise self._build_refusal(requirements)
+        if all(load.limits_starts for load in eligible):
+            # What a target allows is for the requests that already wait for it.
+            self.advance(requirements.service)
         if self._pool.choose_for_slot(eligible, now, frozenset()) is not None:
             return await self._claim_slot(requirements, priority, is_late, until)
         queue.note_request(priority, account, now)
@@ -110,6 +114,10 @@
         expected_s = queue.expected_wait(priority, is_late)
         if max(allowed_at, now + expected_s) > until:
             raise self._build_refusal(requirements)
+        is_rejected = bool(requirements.excluded) and priority != RETRY_PRIORITY
+        if is_rejected and not any(load.backoff.is_over(now) for load in eligible):
+            # It may have been a trial at the end of its wait: a second wait would make it late.
+            raise self._build_refusal(requirements)
         if queue.is_excess(priority, account):
             raise self._build_refusal(requirements, is_excess=True)
         waiter = queue.add(priority, is_late, until, now, account, service_s)
@@ -211,8 +219,8 @@
         now = _now()
         for search, requirements in self._searches.items():
             self._withdraw_closed(search, requirements.homes(), now)
-        for queue in self._queues.values():
-            self._refuse_unservable(queue, now)
+        for service in self._queues:
+            self._refuse_unservable(service, now)
 
     def _withdraw_closed(self, search: SlotSearch, homes: Homes, now: float) -> None:
         search.withdraw_where(
@@ -232,15 +240,62 @@
                 queue.scale_start_gap(slots_before / slots_after)
         self.drop_closed_targets()
 
-    def _refuse_unservable(self, queue: WaitQueue, now: float) -> None:
-        """Refuse queued requests that no target will accept before their wait ends."""
-        for waiter in list(queue.in_order()):
-            waiting = self._waiting_requests.get(id(waiter))
-            if waiting is None or waiting.found.done():
+    def _refuse_surplus(self, waiting: _WaitingRequest, now: float) -> None:
+        """Refuse waiting requests if more wait than back-offs let begin."""
+        if self._count_starts(waiting, now) < math.inf:
+            self._refuse_unservable(waiting.requirements.service, now)
+
+    def _refuse_unservable(self, service: ServiceName, now: float) -> None:
+        """Refuse queued requests that no target will accept before their wait ends.
+
+        While all targets limit how many requests begin, the most urgent and then the oldest stay.
+        """
+        kept: list[list[TargetLoad]] = []  # the eligible targets of each request that stays
+        for waiting in self._oldest_first(service):
+            until, requirements = waiting.waiter.until, waiting.requirements
+            eligible = self._pool.eligible(requirements)
+            starts = self._count_starts(waiting, now)
+            ahead = 0
+            if starts < math.inf:
+                ahead = sum(any(load in eligible for load in others) for others in kept)
+            if ahead < starts and self._next_direct_at(requirements, now) <= until:
+                kept.append(eligible)
                 continue
-            if self._next_direct_at(waiting.requirements, now) > waiter.until:
-                waiting.found.set_exception(self._build_refusal(waiting.requirements))
-                queue.remove(waiter)
+            waiting.found.set_exception(self._build_refusal(requirements))
+            self._queues[service].remove(waiting.waiter)
+
+    def _count_starts(self, waiting: _WaitingRequest, now: float) -> float:
+        """Return how many requests back-offs let begin while a request waits.
+
+        A request that can be on time counts on a trial of its own after a back-off. Those that are
+        late or have run in part wait longer, so they also count on what follows an accepted trial.
+        """
+        waiter = waiting.waiter
+        trials_only = not waiter.is_late and waiter.priority != RETRY_PRIORITY
+        eligible = self._pool.eligible(waiting.requirements)
+        return sum(load.starts_by(waiter.until, now, trials_only) for load in eligible)
+
+    def _in_order(self, service: ServiceName) -> list[_WaitingRequest]:
+        """Return the waiting requests of a service, the next one first.
+
+        While all targets limit how many requests begin, each that waits counts on its turn.
+        """
+        loads = [load for load in self._pool.loads.values() if load.entry.service == service]
+        if all(load.limits_starts for load in loads):
+            return self._oldest_first(service)
+        waiting = (
+            self._waiting_requests.get(id(each)) for each in self._queues[service].in_order()
+        )
+        return [each for each in waiting if each is not None and not each.found.done()]
+
+    def _oldest_first(self, service: ServiceName) -> list[_WaitingRequest]:
+        """Return the waiting requests of a service, the most urgent and then the oldest first."""
+        waiting = [
+            each
+            for each in self._waiting_requests.values()
+            if each.requirements.service == service and not each.found.done()
+        ]
+        return sorted(waiting, key=lambda each: (each.waiter.priority, each.waiter.is_late))
 
     def _next_open_at(self, requirements: TargetRequirements, now: float) -> float:
         """Return when the first target is expected to accept a request; infinity if none is."""
@@ -294,8 +349,10 @@
     ) -> InFlightRequest:
         joined_at = _now()
         found = asyncio.get_running_loop().create_future()
-        self._waiting_requests[id(waiter)] = _WaitingRequest(requirements, found)
+        waiting = _WaitingRequest(waiter, requirements, found)
+        self._waiting_requests[id(waiter)] = waiting
         self._has_waiting.set()
+        self._refuse_surplus(waiting, joined_at)
         try:
             async with asyncio.timeout_at(waiter.until):
                 claim: InFlightRequest = await found
@@ -318,15 +375,13 @@
         return claim
 
     def advance(self, service: ServiceName) -> None:
-        """Assign free targets to the queued requests of a service, in queue order."""
+        """Assign free targets to the queued requests of a service, in their order."""
         queue = self._queues[service]
         if not len(queue):
             return
         now = _now()
-        for waiter in list(queue.in_order()):
-            waiting = self._waiting_requests.get(id(waiter))
-            if waiting is None or waiting.found.done():
-                continue
+        for waiting in self._in_order(service):
+            waiter = waiting.waiter
             eligible = self._pool.eligible(waiting.requirements)
             load = self._pool.choose(eligible, now, waiter.is_late)
             if load is None and waiting.requirements.homes() is None:
