Seed the global random generator before each test

Connect timeouts of calls to the platform are drawn from the global generator, so a fleet under virtual time depended on the process and on the tests that ran before in it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 printed too, so that its line gets removed.
 """
 
+import random
 from collections.abc import Iterator
 
 import pytest
@@ -29,6 +30,19 @@
 settings.load_profile("repeatable")
 
 
+RANDOM_SEED = 0
+
+
+@pytest.fixture(autouse=True)
+def seeded_random() -> int:
+    """Seed the global random generator, which would carry over from the tests run before.
+
+    Return the seed.
+    """
+    random.seed(RANDOM_SEED)
+    return RANDOM_SEED
+
+
 @pytest.fixture(autouse=True)
 def fresh_log() -> Iterator[None]:
     """Reset the logging configuration after a test, since its stream may be closed by then."""
