Let as many requests wait for a rate limit as it lets begin in their time

Cause: each request compared its own time with the next start that the limit allows. All those that came meanwhile waited for the same one, and the newest took it.

Now the queue counts the starts that an entry's share leaves while a request waits, as it does for back-offs, refuses the others at once, and begins the oldest first. The new test fails on the code before: all four requests wait.

--- a/src/lacewinggw/decisions/targetload.py
+++ b/src/lacewinggw/decisions/targetload.py
@@ -142,15 +142,18 @@
 
     @property
     def limits_starts(self) -> bool:
-        """Whether the target limits its concurrent requests since a back-off."""
-        return self.backoff.is_limiting
+        """Whether the target limits its rate, or its concurrent requests since a back-off."""
+        return self.allowance is not None or self.backoff.is_limiting
 
     def starts_by(self, until: float, now: float, trials_only: bool = False) -> float:
-        """Return how many waiting requests its back-off lets begin by `until`.
+        """Return how many waiting requests its back-off and rate limit let begin by `until`.
 
         With `trials_only` not those that begin if the trials after a back-off are accepted.
         """
-        return self.backoff.starts_by(until, now, trials_only)
+        starts = self.backoff.starts_by(until, now, trials_only)
+        return (
+            starts if self.allowance is None else min(starts, self.allowance.starts_by(until, now))
+        )
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is cold, or was until recently, and limited for it."""
--- a/src/lacewinggw/decisions/targetrate.py
+++ b/src/lacewinggw/decisions/targetrate.py
@@ -102,6 +102,11 @@
         lacking = requests - self._tokens
         return now + lacking / self.share_per_s if self.share_per_s else math.inf
 
+    def starts_by(self, until: float, now: float) -> int:
+        """Return how many requests may be sent by `until` if each is sent as soon as it may be."""
+        self._fill(now)
+        return math.floor(self._tokens + self.share_per_s * max(0.0, until - now))
+
     def spend(self, now: float) -> None:
         """Note that a request is sent."""
         self._fill(now)
--- a/src/lacewinggw/frontend/dispatchqueue.py
+++ b/src/lacewinggw/frontend/dispatchqueue.py
@@ -241,7 +241,7 @@
         self.drop_closed_targets()
 
     def _refuse_surplus(self, waiting: _WaitingRequest, now: float) -> None:
-        """Refuse waiting requests if more wait than back-offs let begin."""
+        """Refuse waiting requests if more wait than back-offs and rate limits let begin."""
         if self._count_starts(waiting, now) < math.inf:
             self._refuse_unservable(waiting.requirements.service, now)
 
@@ -265,7 +265,7 @@
             self._queues[service].remove(waiting.waiter)
 
     def _count_starts(self, waiting: _WaitingRequest, now: float) -> float:
-        """Return how many requests back-offs let begin while a request waits.
+        """Return how many requests back-offs and rate limits let begin while a request waits.
 
         A request that can be on time counts on a trial of its own after a back-off. Those that are
         late or have run in part wait longer, so they also count on what follows an accepted trial.
--- a/tests/fleet/test_waiting_for_targets.py
+++ b/tests/fleet/test_waiting_for_targets.py
@@ -10,6 +10,7 @@
 from lacewinggw.decisions.dispatch import TargetPool, TargetRequirements
 from lacewinggw.decisions.ejection import EjectionRules
 from lacewinggw.decisions.targetlist import TargetEntry
+from lacewinggw.decisions.targetrate import Allowance
 from lacewinggw.decisions.waitqueue import RETRY_PRIORITY
 from lacewinggw.errors import Overloaded
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
@@ -116,5 +117,20 @@
         assert len(refused(claims)) == 1
 
 
+# Guards against callers that are held in vain before targets that limit their rate: newer requests
+# took the starts that the older ones waited for.
+async def test_as_many_requests_wait_as_a_rate_limit_lets_begin():
+    async with running_desks(1) as desks:
+        desks.loads[0].allowance = Allowance(share_per_s=5.0, filled_at=now())
+        claims = await desks.claim_together(4)
+        assert [each.done() for each in claims] == [False] + [True] * 3
+        await asyncio.sleep(0.15)
+        newer = await desks.claim_together(2)
+        assert [each.done() for each in newer] == [False, True]
+        await asyncio.wait_for(claims[0], 0.1)
+        assert not newer[0].done()
+        await newer[0]
+
+
 def now() -> float:
     return asyncio.get_running_loop().time()
