--- a/tests/fleet/declared_fleet.py
+++ b/tests/fleet/declared_fleet.py
@@ -30,6 +30,7 @@
 from lacewinggw.loader.process import LoaderAdapter, LoaderProcess
 from lacewinggw.settings import default_settings
 from lacewinggw.wire.http import HttpClient
+from lacewinggw.wire.network import Network
 
 SETTLE_S = 1.0
 LINK_BYTES_PER_S = 475_000
@@ -49,6 +50,7 @@
     """Entries, agents and stand-ins; times are by the virtual event loop."""
 
     link_bytes_per_s = LINK_BYTES_PER_S  # of agents
+    target_type: type[TargetStandIn] = TargetStandIn
 
     def __init__(self) -> None:
         self.network = MemoryNetwork()
@@ -75,7 +77,7 @@
             await close()
 
     async def add_target(self, name: str, service: str, ip: str, **row: object) -> TargetStandIn:
-        target = TargetStandIn(self.network.view(ip), f"i-{name}", f"{ip}:8080")
+        target = self.target_type(self.network.view(ip), f"i-{name}", f"{ip}:8080")
         await target.start()
         self.targets[name] = target
         self._list(target, service, row)
@@ -99,15 +101,24 @@
         entry.caller_listen, entry.operator_listen = f"{ip}:8005", f"{ip}:7715"
         entry.ready_listen, entry.directory_listen = f"{ip}:8002", f"{ip}:8009"
         entry.peer_listen, entry.address_ttl_ms = f"{ip}:7700", 2000
-        network = self.network.view(ip)
+        network = self.entry_network(ip)
         store = PlatformStore(self._client(network), STORE)
         heads = PlatformCallCodec()
         adapter = FrontendAdapter(store, store, heads, ready_page, directory_page, decode_routes)
-        process = FrontendProcess(settings, adapter, network, _loop_time, random.Random(number))
+        rng = random.Random(self.entry_seed(number))
+        process = FrontendProcess(settings, adapter, network, _loop_time, rng)
         await process.start()
         self.entries.append(process)
         return process
 
+    def entry_network(self, ip: str) -> Network:
+        """Return the network as an entry sees it."""
+        return self.network.view(ip)
+
+    def entry_seed(self, number: int) -> int | str:
+        """Return the seed of an entry's random generator."""
+        return number
+
     async def add_agent(self, name: str, place: str = "hall") -> LoaderProcess:
         target = self.targets[name]
         ip = target.address.rpartition(":")[0]
@@ -128,7 +139,7 @@
         self.agents[name] = process
         return process
 
-    def _client(self, network: MemoryNetwork, idle: int = 32) -> HttpClient:
+    def _client(self, network: Network, idle: int = 32) -> HttpClient:
         client = HttpClient(network, idle_connections=idle)
         self._closers.append(client.close)
         return client
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -301,7 +301,8 @@
 
     def pause(self, seconds: float) -> None:
         """Send nothing for a time, neither heads nor events nor reports, and then go on."""
-        self.paused_until = asyncio.get_running_loop().time() + seconds
+        until = asyncio.get_running_loop().time() + seconds
+        self.paused_until = max(self.paused_until, until)
 
     async def _wait_while_paused(self) -> None:
         left_s = self.paused_until - asyncio.get_running_loop().time()
@@ -322,6 +323,7 @@
         self.born_ms += 60_000
         self.orders = []
         self.busy = False
+        self.paused_until = 0.0
         await self.start()
         self._ending = None
         self.on_start()
