--- a/tests/fleet/kept_callers.py
+++ b/tests/fleet/kept_callers.py
@@ -1,6 +1,7 @@
 """Callers that use their connections again and again, and a record of each of their requests."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from contextlib import suppress
@@ -15,6 +16,7 @@
 HOST = "notes.example"
 CALLERS_IP = "10.200.0.1"
 PIECE_BYTES = 1 << 16
+SLOW_PIECES = 4  # of a request that is sent slowly
 RECONNECT_S = 0.1  # after a connection was refused
 ANSWER_SLACK_S = 0.6  # that a caller waits for an answer beyond its own time limit
 IDLE_SHARE = 0.8  # of the idle limit that callers use at most
@@ -40,18 +42,23 @@
     gap_s: float
     headers: dict[str, str] = field(default_factory=dict)
     length: int = 0  # padding of the body, in bytes
+    send_s: float = 0.0  # time over which the request is sent, in pieces
 
 
 @dataclass
 class Attempt:
-    """One request of a caller as the caller saw it; times by the loop's clock."""
+    """One request of a caller as the caller saw it; times by the loop's clock.
+
+    It was sent from `begun_at` to `sent_at`.
+    """
 
     call_id: str
     wanted: Wanted
     entry: int
     connected_at: float
     place_on_connection: int
-    sent_at: float
+    begun_at: float
+    sent_at: float = math.inf
     outcome: Outcome | None = None
     status: int = 0
     headers: dict[str, str] = field(default_factory=dict)
@@ -143,11 +150,11 @@
 
     async def _exchange(self, stream: Stream, connection: h11.Connection, attempt: Attempt) -> None:
         try:
-            stream.write(_encode(connection, attempt))
+            await _send(stream, connection, attempt)
             await self._read_answer(stream, connection, attempt)
         except TimeoutError:
             left_s = attempt.wanted.left_s + ANSWER_SLACK_S
-            is_held = _now() >= attempt.sent_at + left_s
+            is_held = _now() >= attempt.begun_at + left_s
             attempt.outcome = Outcome.HELD if is_held else Outcome.GIVEN_UP
         except (OSError, h11.RemoteProtocolError):
             attempt.outcome = Outcome.CUT if attempt.status else Outcome.CLOSED
@@ -155,7 +162,7 @@
     async def _read_answer(
         self, stream: Stream, connection: h11.Connection, attempt: Attempt
     ) -> None:
-        latest = attempt.sent_at + attempt.wanted.left_s + ANSWER_SLACK_S
+        latest = attempt.begun_at + attempt.wanted.left_s + ANSWER_SLACK_S
         data_at = attempt.sent_at
         while True:
             event = connection.next_event()
@@ -186,6 +193,15 @@
     return min(wait_s, attempt.wanted.left_s / 3)
 
 
+async def _send(stream: Stream, connection: h11.Connection, attempt: Attempt) -> None:
+    data, pause_s = _encode(connection, attempt), attempt.wanted.send_s / SLOW_PIECES
+    pieces = SLOW_PIECES if pause_s else 1
+    for number in range(pieces):
+        stream.write(data[number * len(data) // pieces : (number + 1) * len(data) // pieces])
+        await asyncio.sleep(pause_s)
+    attempt.sent_at = _now()
+
+
 def _encode(connection: h11.Connection, attempt: Attempt) -> bytes:
     wanted = attempt.wanted
     body = b"." * wanted.length + end_marker(attempt.call_id)
--- a/tests/fleet/soak_checks.py
+++ b/tests/fleet/soak_checks.py
@@ -1,5 +1,6 @@
 """Check what callers of a soak have seen against what entries have read and targets have run."""
 
+import math
 import re
 from collections import Counter
 from collections.abc import Iterable
@@ -48,7 +49,7 @@
         attempt = self.attempt
         text = (
             f"{self.fault.value}: {attempt.call_id} {attempt.wanted.path} at entry {attempt.entry},"
-            f" sent {attempt.sent_at:.3f}, ended {attempt.ended_at:.3f} ({attempt.outcome}),"
+            f" sent {attempt.begun_at:.3f} to {attempt.sent_at:.3f}, ended {attempt.ended_at:.3f} ({attempt.outcome}),"
             f" status {attempt.status}, {len(attempt.body)} bytes,"
             f" request {attempt.place_on_connection} of its connection,"
             f" allowed {attempt.wanted.left_s:.2f} s"
@@ -180,23 +181,29 @@
         )
         return attempt.body == wanted
 
-    def _limit_at(self, attempt: Attempt) -> float | None:
-        """Return when the request's time is up; None if no entry has begun to serve it."""
+    def _time_allowed_s(self, attempt: Attempt) -> float | None:
+        """Return the shorter one of the request's time limit and the timeout of its route.
+
+        Return None if no entry has begun to serve it.
+        """
         admission = self._fleet.admissions.get(attempt.call_id)
-        read_at = self._fleet.read_at.get(attempt.call_id)
-        if admission is None or read_at is None:
+        if admission is None:
             return None
-        timeout_s = admission.timeout_s
-        left_s = attempt.wanted.left_s
-        return read_at + (left_s if timeout_s is None else min(left_s, timeout_s))
+        timeout_s = math.inf if admission.timeout_s is None else admission.timeout_s
+        return min(attempt.wanted.left_s, timeout_s)
 
     def _is_out_of_time(self, attempt: Attempt) -> bool:
-        limit_at = self._limit_at(attempt)
-        return limit_at is not None and attempt.ended_at >= limit_at - TIME_SLACK_S
+        """Return whether the time was up; it starts when the entry has read the head."""
+        allowed_s = self._time_allowed_s(attempt)
+        if allowed_s is None:
+            return False
+        return attempt.ended_at >= attempt.begun_at + allowed_s - TIME_SLACK_S
 
     def _is_held(self, attempt: Attempt) -> bool:
-        limit_at = self._limit_at(attempt)
-        return limit_at is not None and attempt.ended_at > limit_at + HELD_SLACK_S
+        allowed_s = self._time_allowed_s(attempt)
+        if allowed_s is None:
+            return False
+        return attempt.ended_at > attempt.sent_at + allowed_s + HELD_SLACK_S
 
     def _broke_off(self, attempt: Attempt) -> bool:
         """Return whether the target that the request ran at last broke it off or ended."""
@@ -208,7 +215,10 @@
         return bool(ends) or (last.end is RunEnd.BROKEN and last.ended_at <= attempt.ended_at)
 
     def _is_at_end_of_grace(self, attempt: Attempt) -> bool:
-        return any(
+        """Return whether a target was still at work on the request when its entry had to stop."""
+        runs = self._runs.get(attempt.call_id, [])
+        is_running = bool(runs) and not 0.0 < runs[-1].ended_at < attempt.ended_at
+        return is_running and any(
             entry == attempt.entry
             and attempt.connected_at <= at + SENT_AFTER_SIGNAL_S
             and attempt.sent_at <= at + SENT_AFTER_SIGNAL_S
--- a/tests/fleet/soak_fleet.py
+++ b/tests/fleet/soak_fleet.py
@@ -206,6 +206,12 @@
             row = {**row, "Models": models}
         super()._list(target, service, row)
 
+    def list_leaving(self, target: TargetStandIn) -> None:
+        """List a target as leaving, which it does some seconds before it ends."""
+        row = self.store.rows("servers").get(target.target_id)
+        if row is not None:
+            self.store.put("servers", target.target_id, {**row, "State": "draining"})
+
     @property
     def runs(self) -> list[Run]:
         """All runs of all targets in order."""
--- a/tests/fleet/test_unanswered_soak.py
+++ b/tests/fleet/test_unanswered_soak.py
@@ -1,6 +1,7 @@
 """Seeded runs: sound targets pause during changes, restarts and outages; no answer may be lost."""
 
 import asyncio
+import math
 import os
 import random
 from collections.abc import Callable, Coroutine
@@ -30,6 +31,8 @@
 MIN_GAP_S = 2.0  # callers give a stream up after the longest of these gaps
 GAP_OBJECTIVES = 4.0
 GAP_PAUSES = 8.0
+NO_GAP_S = 60.0  # callers wait for a plain answer as long as they have time
+IN_FORCE_S = 6.0  # time after which entries have the newest routes, also beside an outage
 MAX_DESCRIBED = 4  # findings in the message of a failure
 
 
@@ -50,6 +53,8 @@
         services = self.body["Services"]
         services.append({**services[0], "Name": SCRIBE})
         services.append({**services[1], "Name": BENCH})
+        self._services = list(services)
+        self._published: list[tuple[float, dict]] = []
 
     @property
     def idle_limit_s(self) -> float:
@@ -58,7 +63,26 @@
     def route(self, name: str) -> dict:
         return next(route for route in self.body["Routes"] if route["Name"] == name)
 
+    @property
+    def body_limit(self) -> int:
+        """The largest body that all routes allow which an entry may still have."""
+        return min(limits["MaxBodyBytes"] for limits in self._limits_in_force())
+
+    @property
+    def head_s(self) -> float:
+        """The shortest time to send a head, by the routes which an entry may still have."""
+        return min(limits["HeaderTimeoutMs"] for limits in self._limits_in_force()) / 1000
+
+    def _limits_in_force(self) -> list[dict]:
+        """Return the limits of the newest routes and of those replaced a short time ago."""
+        since = _now() - IN_FORCE_S
+        ends = [at for at, _ in self._published[1:]] + [math.inf]
+        return [
+            limits for (_, limits), end in zip(self._published, ends, strict=True) if end >= since
+        ]
+
     def publish(self) -> None:
+        self._published.append((_now(), deepcopy(self.body["Limits"])))
         self.body["Version"] += self._rng.randint(1, 3)
         self._fleet.store.put("op", "config", deepcopy(self.body))
 
@@ -70,6 +94,7 @@
             self._change_accounts,
             self._change_limits,
             self._change_other_routes,
+            self._change_services,
         ]
         self._rng.choice(changes)()
         self.publish()
@@ -78,6 +103,18 @@
         route = self._rng.choice(self.body["Routes"][:4])
         is_stream = route["Kind"] == "streaming"
         route["Service"] = self._rng.choice(STREAM_SERVICES if is_stream else (DESK, BENCH))
+        self.body["Services"] = list(self._services)
+
+    def _change_services(self) -> None:
+        """Limit the connections of services; remove those that no route uses, or add them."""
+        used = {route["Service"] for route in self.body["Routes"]} | {LLM, DESK, "ledger"}
+        drop = self._rng.random() < 0.5
+        for service in self._services:
+            if "Origin" not in service:
+                service["ConnectionLimit"] = self._rng.choice([8, 50])
+        self.body["Services"] = [
+            service for service in self._services if not drop or service["Name"] in used
+        ]
 
     def _change_route(self) -> None:
         route = self._rng.choice(self.body["Routes"][:4])
@@ -161,6 +198,10 @@
 
     async def _restart_target(self) -> None:
         target = self._rng.choice(list(self._fleet.targets.values()))
+        if self._rng.random() < 0.5:
+            self._note(f"{target.target_id} leaves")
+            self._fleet.list_leaving(target)
+            await asyncio.sleep(self._rng.uniform(2.0, 4.0))
         self._note(f"restart of {target.target_id}")
         target.crash()
 
@@ -249,8 +290,10 @@
         if self._key:
             headers["X-Key"] = self._key
         path += str(self._rng.randrange(300))
-        length = self._rng.choice([0, 0, 2000])
-        return Wanted("POST", path, left_s, gap_s if is_stream else 60.0, headers, length)
+        length = self._rng.choice([0, 0, round(0.9 * self._declared.body_limit)])
+        send_s = self._rng.choice([0.0, 0.0, 0.0, 0.5 * self._declared.head_s])
+        gap_s = gap_s if is_stream else NO_GAP_S
+        return Wanted("POST", path, left_s, gap_s, headers, length, send_s)
 
     def pause(self) -> float:
         if self._rng.random() < 0.9:
@@ -319,7 +362,7 @@
             parts += [
                 f"    event: {text}"
                 for text in self.events
-                if attempt.sent_at - 1.0 <= float(text.partition(" ")[0]) <= attempt.ended_at
+                if attempt.begun_at - 1.0 <= float(text.partition(" ")[0]) <= attempt.ended_at
             ]
         return "\n".join(parts)
 
