--- a/tests/fleet/soak_checks.py
+++ b/tests/fleet/soak_checks.py
@@ -228,7 +228,7 @@
     def _is_at_end_of_grace(self, attempt: Attempt) -> bool:
         """Return whether a target was still at work on the request when its entry had to stop."""
         runs = self._runs.get(attempt.call_id, [])
-        is_running = bool(runs) and not 0.0 < runs[-1].ended_at < attempt.ended_at
+        is_running = any(run.end is None or run.ended_at >= attempt.ended_at for run in runs)
         return is_running and any(
             entry == attempt.entry
             and attempt.connected_at <= at + SENT_AFTER_SIGNAL_S
--- a/tests/fleet/soak_fleet.py
+++ b/tests/fleet/soak_fleet.py
@@ -45,7 +45,7 @@
     end: RunEnd | None = None
     ended_at: float = 0.0
     events: int = 0
-    event_at: float = 0.0  # of the last event
+    event_at: float = 0.0  # of the last event that the connection took
 
 
 class SoakTarget(TargetStandIn):
@@ -91,8 +91,9 @@
                     if switches != self._switches:
                         self._end_run(run, RunEnd.BROKEN)
                         raise ConnectionResetError("switched to other weights")
-                    run.events, run.event_at = run.events + 1, _now()
+                    sent_at = _now()
                     yield part
+                    run.events, run.event_at = run.events + 1, sent_at
             self._end_run(run, RunEnd.WHOLE)
         finally:
             is_ended = self._ending is not None
