--- a/tests/fleet/kept_callers.py
+++ b/tests/fleet/kept_callers.py
@@ -3,23 +3,23 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import Enum
 
 import h11
 
-from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.wire.network import Stream
 
 HOST = "notes.example"
-CALLERS_IP = "10.200.0.1"
 PIECE_BYTES = 1 << 16
 SLOW_PIECES = 4  # of a request that is sent slowly
 RECONNECT_S = 0.1  # after a connection was refused
 ANSWER_SLACK_S = 0.6  # that a caller waits for an answer beyond its own time limit
-IDLE_SHARE = 0.8  # of the idle limit that callers use at most
+
+
+Connect = Callable[[int], Awaitable[Stream]]
 
 
 class Outcome(Enum):
@@ -80,12 +80,13 @@
 class KeptCaller:
     """A caller that keeps a connection until the entry ends it, then opens one to any entry.
 
-    `draw` returns the next request, and `pause` the time in seconds before it.
+    `connect` opens a connection to an entry by number. `draw` returns the next request, and `pause`
+    the time in seconds before it.
     """
 
     def __init__(
         self,
-        network: MemoryNetwork,
+        connect: Connect,
         name: str,
         entries: int,
         rng: random.Random,
@@ -94,7 +95,7 @@
     ) -> None:
         self.attempts: list[Attempt] = []
         self.stray: list[bytes] = []  # bytes received while no request was waiting
-        self._network = network.view(CALLERS_IP)
+        self._connect = connect
         self._name = name
         self._entries = entries
         self._rng = rng
@@ -106,7 +107,7 @@
         while _now() < until:
             entry = self._rng.randrange(self._entries)
             try:
-                stream = await self._network.connect(f"10.1.0.{entry + 1}:8005")
+                stream = await self._connect(entry)
             except OSError:
                 await asyncio.sleep(RECONNECT_S)
                 continue
--- a/tests/fleet/soak_fleet.py
+++ b/tests/fleet/soak_fleet.py
@@ -19,6 +19,7 @@
 from lacewinggw.wire.network import Accept, Listener, Stream
 
 MS_PER_S = 1000
+CALLERS_IP = "10.200.0.1"
 CALLER_PORT = ":8005"
 SCRIBE = "scribe"  # a second service of model engines
 BENCH = "bench"  # a second plain service
@@ -175,6 +176,10 @@
         """The time between SIGTERM of an entry and its kill."""
         return self._settings("", "").fleet.grace_ms / MS_PER_S
 
+    async def connect(self, entry: int) -> Stream:
+        """Open a connection of a caller to an entry."""
+        return await self.network.view(CALLERS_IP).connect(f"10.1.0.{entry + 1}{CALLER_PORT}")
+
     def entry_settings(self, number: int) -> Settings:
         """Return the settings that entries start with, to be changed and applied to one."""
         return self._settings(f"entry-{number}", "")
