--- a/tests/fleet/soak_checks.py
+++ b/tests/fleet/soak_checks.py
@@ -30,6 +30,7 @@
     FALSE_WHOLE = "an answer that looks complete and is not"
     WRONG_EVENTS = "events of a stream missing, twice, or out of order"
     RAN_TWICE = "not idempotent, and run twice"
+    TOO_MANY_RUNS = "run at more targets than its route allows"
     REFUSED_AND_RUN = "refused as not run, and run"
     DENIED = "denied although it is allowed"
     STATUS = "a status that no part of the fleet gives"
@@ -134,6 +135,8 @@
         runs = self._runs.get(attempt.call_id, [])
         if not self._may_repeat(attempt) and len(runs) > 1:
             faults.append(Fault.RAN_TWICE)
+        if self._runs_too_often(attempt, runs):
+            faults.append(Fault.TOO_MANY_RUNS)
         if not self._events_in_order(attempt):
             faults.append(Fault.WRONG_EVENTS)
         if self._is_held(attempt):
@@ -160,6 +163,13 @@
     def _may_repeat(self, attempt: Attempt) -> bool:
         return attempt.wanted.path.startswith(("/report/", "/tally/"))
 
+    def _runs_too_often(self, attempt: Attempt, runs: list[Run]) -> bool:
+        """Return whether more targets ran it than allowed, without those that broke it off."""
+        admission = self._fleet.admissions.get(attempt.call_id)
+        if admission is None or admission.timeout_s is None:
+            return False
+        return sum(_break_of(run) > attempt.ended_at for run in runs) > admission.attempts
+
     def _is_stream(self, attempt: Attempt) -> bool:
         return attempt.wanted.path.startswith("/report")
 
--- a/tests/fleet/soak_fleet.py
+++ b/tests/fleet/soak_fleet.py
@@ -157,6 +157,7 @@
 
     routes_version: int
     timeout_s: float | None  # of the route; None if the entry knew none
+    attempts: int = 1  # of the route: the most targets that may run the request
 
 
 class SoakFleet(DeclaredFleet):
@@ -200,7 +201,9 @@
             routes = entry.knowledge.routes
             route = routes.find(call.domain, call.path) if routes else None
             self.admissions[call_id] = Admission(
-                routes.version if routes else 0, route.timeout_s if route else None
+                routes.version if routes else 0,
+                route.timeout_s if route else None,
+                route.attempts if route else 0,
             )
             await serve(call, caller)
 
--- a/tests/fleet/test_unanswered_processes.py
+++ b/tests/fleet/test_unanswered_processes.py
@@ -35,6 +35,7 @@
 READY_STEP_S = 0.1
 GRACE_S = 8.0
 LOSS_SLACK_S = 0.15  # after the last byte of a request, within which a close has crossed it
+MAX_ATTEMPTS = 3  # of any route; the routes that an entry had are not known here
 MAX_DESCRIBED = 4
 SETTINGS = """
 [process]
@@ -199,7 +200,7 @@
             if attempt.call_id in known or is_late:
                 self.read_at[attempt.call_id] = attempt.sent_at
                 name = attempt.wanted.path.split("/")[1]
-                self.admissions[attempt.call_id] = Admission(0, timeout_s[name])
+                self.admissions[attempt.call_id] = Admission(0, timeout_s[name], MAX_ATTEMPTS)
         return lines
 
 
