Draw the events of a soak apart from its callers' requests

A seed now gives the same events whatever the callers meet. Before, one request more changed all later events, so that a finding of a full run did not come again alone.

--- a/tests/fleet/test_unanswered_processes.py
+++ b/tests/fleet/test_unanswered_processes.py
@@ -298,18 +298,20 @@
             route["Prefix"].strip("/"): route["TimeoutMs"] / 1000
             for route in declared.body["Routes"]
         }
-        requests = Requests(declared, rng, "")
-        callers = [
-            KeptCaller(
-                fleet.connect,
-                f"caller{number}",
-                ENTRIES,
-                random.Random(f"{SEED}/{number}"),
-                requests.draw,
-                requests.pause,
+        callers = []
+        for number in range(CALLERS):
+            draws = random.Random(f"{SEED}/{number}")
+            requests = Requests(declared, draws, "")
+            callers.append(
+                KeptCaller(
+                    fleet.connect,
+                    f"caller{number}",
+                    ENTRIES,
+                    draws,
+                    requests.draw,
+                    requests.pause,
+                )
             )
-            for number in range(CALLERS)
-        ]
         signals = Signals(fleet, declared, rng)
         until = _now() + PLAY_S
         await asyncio.gather(signals.run(until), *(caller.run(until) for caller in callers))
--- a/tests/fleet/test_unanswered_soak.py
+++ b/tests/fleet/test_unanswered_soak.py
@@ -144,11 +144,11 @@
 
 
 @asynccontextmanager
-async def soak_fleet(rng: random.Random, is_anonymous: bool):
+async def soak_fleet(rng: random.Random, seed: int, is_anonymous: bool):
     """Run a fleet of 1 to 8 entries and 1 to 3 targets for each of four services."""
     fleet = SoakFleet()
     await fleet.start()
-    declared = Declared(fleet.store, rng, is_anonymous)
+    declared = Declared(fleet.store, random.Random(f"{seed}/routes"), is_anonymous)
     declared.publish()
     try:
         engines, desks = rng.randint(1, 6), rng.randint(1, 6)
@@ -209,24 +209,25 @@
         return "\n".join(parts)
 
 
+def add_caller(fleet: SoakFleet, declared: Declared, name: str, seed: int, key: str) -> KeptCaller:
+    """Return a caller with draws of its own, so that events are the same whatever it meets."""
+    rng = random.Random(f"{seed}/{name}")
+    requests = Requests(declared, rng, key)
+    entries = len(fleet.entries)
+    return KeptCaller(fleet.connect, name, entries, rng, requests.draw, requests.pause)
+
+
 async def play(seed: int) -> Played:
     """Run callers beside events drawn from the seed; return what is wrong."""
     rng = random.Random(seed)
     is_anonymous = rng.random() < 0.7
-    async with soak_fleet(rng, is_anonymous) as (fleet, declared):
-        requests = Requests(declared, rng, "" if is_anonymous else KEY)
+    async with soak_fleet(rng, seed, is_anonymous) as (fleet, declared):
+        key = "" if is_anonymous else KEY
         callers = [
-            KeptCaller(
-                fleet.connect,
-                f"caller{number}",
-                len(fleet.entries),
-                random.Random(f"{seed}/{number}"),
-                requests.draw,
-                requests.pause,
-            )
+            add_caller(fleet, declared, f"caller{number}", seed, key)
             for number in range(rng.randint(6, 30))
         ]
-        events = Events(fleet, declared, rng)
+        events = Events(fleet, declared, random.Random(f"{seed}/events"))
         with structlog.testing.capture_logs(processors=[stamp]) as lines:
             until = _now() + PLAY_S
             await asyncio.gather(events.run(until), *(caller.run(until) for caller in callers))
