Make no backup attempt beside an answer that keeps arriving

An idempotent request whose answer arrived in parts for longer than the idle timeout got a second attempt, as only a whole answer counted as progress (found in review). Each part that arrives counts now, and so does the head. The new test failed before: two requests at the targets instead of one.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -134,6 +134,7 @@
 
     claim: InFlightRequest | None = None
     offered_at: float = 0.0
+    data_at: float = 0.0  # when part of the answer arrived last
     task: "asyncio.Task[None] | None" = None
     has_verdict: bool = False  # on the health of the target
     is_released: bool = False
@@ -324,6 +325,10 @@
         if current is None or current.claim is None:
             self._note_progress()
             return
+        due_at = current.data_at + idle_timeout_s(self._progress.admitted.route)
+        if due_at > self._backup_due_at:  # a part arrived that is not passed on yet
+            self._backup_due_at = due_at
+            return
         if not self._is_silent:
             self._note_silent(current.load)
         backup = self._backup = _Attempt()
@@ -399,6 +404,7 @@
                 await self._put(attempt, _Failed())
             case Answer() as answer:
                 deps.pool.note_accepted(load, attempt.offered_at)
+                attempt.data_at = _now()
                 try:
                     await self._receive(attempt, answer)
                 except AnswerIncomplete as error:
@@ -418,7 +424,7 @@
                     await self._put(attempt, _Events(answer, events))
             await self._put(attempt, _Ended(answer, b""))
             return
-        body = await read_whole(answer)
+        body = await read_whole(answer, lambda: self._note_data(attempt))
         if not answer.is_success:
             self._progress.failure = FailedAnswer(answer.status, answer.headers, body)
             self._note_failed(attempt, f"the target answered {answer.status}")
@@ -428,6 +434,10 @@
             raise AnswerIncomplete("the answer has no response seal")
         await self._put(attempt, _Ended(answer, body))
 
+    def _note_data(self, attempt: _Attempt) -> None:
+        attempt.data_at = _now()
+        attempt.load.note_data(attempt.data_at)
+
     def _note_events(self, load: TargetLoad, stream_speed: StreamSpeed, count: int) -> None:
         now = _now()
         load.note_data(now)
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -203,10 +203,13 @@
         return Answer(response.status, response.headers, facts, response)
 
 
-async def read_whole(answer: Answer) -> bytes:
-    """Return the complete body of an answer; raise `AnswerIncomplete` if it ends early."""
+async def read_whole(answer: Answer, on_data: Callable[[], None]) -> bytes:
+    """Return the complete body of an answer; raise `AnswerIncomplete` if it ends early.
+
+    `on_data` is called each time a part of it arrives.
+    """
     try:
-        return await answer.response.read(BODY_LIMIT_BYTES)
+        return await answer.response.read(BODY_LIMIT_BYTES, on_data)
     except TimeoutError as error:
         raise AnswerIncomplete("no further data of the answer in time") from error
     except (OSError, HttpError) as error:
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -346,11 +346,16 @@
         except h11.RemoteProtocolError as error:
             raise ConnectionResetError(f"the body ended early: {error}") from error
 
-    async def read(self, limit_bytes: int) -> bytes:
-        """Return the complete body; raise `HttpError` 413 when it exceeds `limit_bytes`."""
+    async def read(self, limit_bytes: int, on_data: Callable[[], None] | None = None) -> bytes:
+        """Return the complete body; raise `HttpError` 413 when it exceeds `limit_bytes`.
+
+        `on_data` is called each time a part of it arrives.
+        """
         parts: list[bytes] = []
         size = 0
         async for piece in self.pieces():
+            if on_data is not None:
+                on_data()
             size += len(piece)
             if size > limit_bytes:
                 await self.aclose()
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -263,6 +263,7 @@
     silent: int = 0  # number of requests to leave unanswered
     pause_s: float = 0.01
     events: int = 5
+    body_pieces: int = 1  # parts of an answer that is not a stream, each sent after `pause_s`
     wrong_id: bool = False
     limit_per_s: float | None = None  # the rate limit sent in its answers
     cold_ms: int | None = None  # the time that it stays cold, sent in its answers
@@ -392,8 +393,17 @@
             headers["x-weight-versions"] = str(self.weights.get(MODEL, 0))
             first = int(request.headers.get("last-event-id", 0)) + 1
             return Response(200, headers, self._stream(first, request.body))
+        body = b"answer of " + self.target_id.encode()
+        if behaviour.body_pieces > 1:
+            return Response(200, headers, self._in_pieces(body))
         await asyncio.sleep(behaviour.pause_s)
-        return Response(200, headers, b"answer of " + self.target_id.encode())
+        return Response(200, headers, body)
+
+    async def _in_pieces(self, body: bytes) -> AsyncIterator[bytes]:
+        yield body
+        for _ in range(self.behaviour.body_pieces - 1):
+            await asyncio.sleep(self.behaviour.pause_s)
+            yield b"."
 
     def _turn_away(self, request: Request) -> Response:
         at = asyncio.get_running_loop().time()
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -187,7 +187,7 @@
         await self._wait()
         self._run.is_open = False
 
-    async def read(self, limit):
+    async def read(self, limit, on_data):
         await self._wait()
         if self._schedule.breaks():
             raise ConnectionResetError("reset")
--- a/tests/fleet/test_paused_targets.py
+++ b/tests/fleet/test_paused_targets.py
@@ -185,3 +185,16 @@
         assert Counter(reply.status for reply in replies) == {200: 30}
         assert max(waits) < 0.1
         assert_answered(await begun)
+
+
+async def test_an_answer_that_keeps_arriving_gets_no_backup_attempt():
+    async with running_fleet(desks=2) as fleet:
+        routes = [{**route, "TimeoutMs": 6000} for route in manifest(3)["Routes"]]
+        fleet.store.put("op", "config", manifest(3, Routes=routes))
+        await asyncio.sleep(0.5)
+        for name in ("desk0", "desk1"):
+            behaviour = fleet.targets[name].behaviour
+            behaviour.body_pieces, behaviour.pause_s = 20, 0.15
+        reply = await fleet.ask("/tally/1", "GET")
+        assert reply.status == 200 and reply.body.endswith(b"." * 19)
+        assert sum(len(target.seen) for target in fleet.targets.values()) == 1
