End a request whose attempt is cancelled from within

A call inside an attempt that was cancelled by something else left the attempt without a result, and its caller waited until the deadline. It ends the request as an internal error now. The new test failed before (no answer within 1 s).

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -346,8 +346,14 @@
 
     async def _run(self, attempt: _Attempt, work: Callable[[], Awaitable[None]]) -> None:
         """Work on an attempt and release its claim at the end."""
+        task = asyncio.current_task()
+        assert task is not None
         try:
             await work()
+        except asyncio.CancelledError:
+            if task.cancelling():
+                raise
+            await self._put(attempt, RuntimeError("a call of the attempt was cancelled"))
         except Exception as error:
             await self._put(attempt, error)
         finally:
--- a/tests/fleet/test_paused_targets.py
+++ b/tests/fleet/test_paused_targets.py
@@ -198,3 +198,14 @@
         reply = await fleet.ask("/tally/1", "GET")
         assert reply.status == 200 and reply.body.endswith(b"." * 19)
         assert sum(len(target.seen) for target in fleet.targets.values()) == 1
+
+
+async def test_an_attempt_whose_call_is_cancelled_ends_its_request_at_once():
+    async with running_fleet(engines=1) as fleet:
+
+        async def send(*_: object) -> None:
+            raise asyncio.CancelledError
+
+        fleet.entries[0].relay._deps.offers.send = send
+        reply = await fleet.ask("/report/1", X_Model="market", leave_after_s=1.0)
+        assert reply.status == 500 and reply.whole
