Send headers beyond ASCII to targets unchanged

Callers with a byte beyond ASCII in a header got a 500: values are decoded as latin-1, and h11 encodes text as ASCII. They are encoded as latin-1 now, as answers to callers are. The new test failed before.

--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -98,8 +98,10 @@
     return {name.decode("ascii"): value.decode("latin-1") for name, value in raw}
 
 
-def _encode_headers(headers: Headers | HeaderList) -> list[tuple[str, str]]:
-    return list(headers.items()) if isinstance(headers, dict) else list(headers)
+def _encode_headers(headers: Headers | HeaderList) -> list[tuple[bytes, bytes]]:
+    pairs = headers.items() if isinstance(headers, dict) else headers
+    # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
+    return [(name.encode("ascii"), value.encode("latin-1")) for name, value in pairs]
 
 
 async def _next_event(connection: h11.Connection, stream: Stream, timeout_s: float) -> Any:
@@ -541,10 +543,10 @@
         body: bytes,
     ) -> None:
         fields = _encode_headers(headers or {})
-        if all(name.lower() != "host" for name, _ in fields):
-            fields.insert(0, ("host", address))
+        if all(name.lower() != b"host" for name, _ in fields):
+            fields.insert(0, (b"host", address.encode("ascii")))
         if body or method in ("POST", "PUT"):
-            fields.append(("content-length", str(len(body))))
+            fields.append((b"content-length", b"%d" % len(body)))
         head = h11.Request(method=method, target=path, headers=fields)
         data = connection.send(head) or b""
         if body:
--- a/tests/fleet/test_requests_straight.py
+++ b/tests/fleet/test_requests_straight.py
@@ -339,3 +339,11 @@
             reply = await fleet.ask("/sheet/1")
             assert reply.status == 503 and json.loads(reply.body)["code"] != "LW-6011"
         assert len(budget._retries) == 0
+
+
+async def test_a_header_beyond_ascii_reaches_the_target_unchanged():
+    async with running_fleet(desks=1) as fleet:
+        reply = await fleet.ask("/sheet/1", X_Note="Montañés")
+        assert reply.status == 200
+        note = fleet.targets["desk0"].seen[0].headers["x-note"]
+        assert note.encode("latin-1").decode() == "Montañés"
