--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -136,7 +136,6 @@
     offered_at: float = 0.0
     data_at: float = 0.0  # when part of the answer arrived last
     task: "asyncio.Task[None] | None" = None
-    has_verdict: bool = False  # on the health of the target
     is_released: bool = False
 
     @property
@@ -228,7 +227,6 @@
 
     def _take_end(self, attempt: _Attempt, answer: Answer, body: bytes) -> WholeAnswer | StreamPart:
         self._deps.pool.note_success(attempt.load)
-        attempt.has_verdict = True
         self._deps.crashes.note_served(self._progress.admitted)
         if self._is_stream(answer):
             return StreamPart(answer.status, answer.headers, b"", is_last=True)
@@ -483,8 +481,6 @@
         if attempt.claim is None or attempt.is_released:
             return
         attempt.is_released = True
-        if not attempt.has_verdict:
-            attempt.load.health.note_inconclusive()
         self._deps.queue.release(attempt.claim)
 
     async def _check_for_crash(self, attempt: _Attempt) -> None:
@@ -505,8 +501,7 @@
         else:
             self._deps.pool.note_failure(load, now)
             self._deps.metrics.retry(RetryReason.TARGET_UNREACHABLE)
-            attempt.has_verdict = True
-        self._log_offer(load, "not-run", proof.reason)
+            self._log_offer(load, "not-run", proof.reason)
 
     def _note_replaced(self, load: TargetLoad) -> None:
         """Mark a target incarnation as leaving because another one answers at its address.
@@ -520,8 +515,7 @@
         load, now = attempt.load, _now()
         if load.loading_until <= now:
             self._deps.pool.note_failure(load, now)
-            attempt.has_verdict = True
-        self._deps.metrics.retry(RetryReason.TARGET_FAILED)
+            self._deps.metrics.retry(RetryReason.TARGET_FAILED)
         self._log_offer(load, "failed", reason)
 
     def _log_offer(self, load: TargetLoad, outcome: str, reason: str) -> None:
