Take only HTTP/1.0 and HTTP/1.1 for an answer of a target

A fuzz test failed once: a target's bytes "HTTP/0.0 200" were forwarded as a whole answer, as h11 accepts any version. They count as a violation of the protocol now. The new case failed before.

--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -29,6 +29,7 @@
 # A timer that fires this late shows that the event loop was busy, and nothing about the peer.
 LATE_TIMER_S = 0.02
 LAST_READ_S = 0.05  # then, for bytes that arrived meanwhile and are not read yet
+HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 JSON_TYPE = "application/json"
 
 log = get_logger(__name__)
@@ -518,6 +519,8 @@
                 event = await _next_event(connection, stream, wait_s)
             if not isinstance(event, h11.Response):
                 raise ConnectionResetError(f"{address} closed the connection without a response")
+            if event.http_version not in HTTP_VERSIONS:
+                raise h11.RemoteProtocolError("unknown version of the protocol")
         except h11.RemoteProtocolError as error:
             stream.close()
             raise HttpError(502, f"{address} violated HTTP: {error}") from error
--- a/tests/fuzz/test_fuzz_frontend.py
+++ b/tests/fuzz/test_fuzz_frontend.py
@@ -88,10 +88,21 @@
             ANSWER.replace(b"200 OK", b"503 Busy").replace(b"X-Res", b"X-Not-Executed: 1\r\nX-Res"),
             503,
         ),
+        (ANSWER.replace(b"HTTP/1.1", b"HTTP/0.0"), 502),
         (b"NONSENSE\r\n\r\n", 502),
         (b"", 502),
     ],
-    ids=["whole", "doubled", "cut", "of another", "unmarked", "not run", "nonsense", "nothing"],
+    ids=[
+        "whole",
+        "doubled",
+        "cut",
+        "of another",
+        "unmarked",
+        "not run",
+        "other protocol",
+        "nonsense",
+        "nothing",
+    ],
 )
 def test_each_kind_of_broken_answer_gets_its_status(answer, status):
     reply = run_virtual(answered_with(answer))
