Do not end a run for missing heartbeats while its pieces arrive

What callers saw: a repeatable request, of the product's own way of running, ended as unknown although its target was sending, if the host's heartbeats were missing for 5 s and no retry was left.

Cause: only heartbeats and finished answers counted as signs of life. Pieces that arrived in the last 2 s count now for the attempt that received them. The new test failed before.

--- a/src/lacewinggw/entry/attempts.py
+++ b/src/lacewinggw/entry/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at a request: offered to one agent, with reconnection after lost connections."""
 
 import asyncio
+import math
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
@@ -91,8 +92,14 @@
         self._nonce = nonce
         self._credit_step = max(1, window // CREDITS_PER_WINDOW)
         self._offered_at = 0.0
+        self._received_at = -math.inf
         self._call: OutgoingCall | None = None
 
+    @property
+    def received_at(self) -> float:
+        """When pieces of the answer arrived last, by the loop's clock; minus infinity before."""
+        return self._received_at
+
     async def batches(self, progress: AnswerProgress) -> AsyncGenerator[list[bytes], None]:
         """Yield verified pieces as they are received; return once the answer is complete."""
         progress.begin_attempt()
@@ -192,6 +199,7 @@
         async for message in call.replies():
             match message:
                 case Pieces():
+                    self._received_at = asyncio.get_running_loop().time()
                     pieces = progress.add_pieces(message)
                     yield pieces
                     unacknowledged += len(pieces)
--- a/src/lacewinggw/entry/hostmonitor.py
+++ b/src/lacewinggw/entry/hostmonitor.py
@@ -8,6 +8,7 @@
 from lacewinggw.entry.attempts import Attempt
 
 CHECK_INTERVAL_S = 0.5
+RECEIVING_S = 2.0  # an attempt that received pieces in this time runs, whatever its host reports
 
 UnresponsiveHosts = Callable[[], set[str]]
 
@@ -47,6 +48,8 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if not self._attempts:
                 continue
+            now = asyncio.get_running_loop().time()
             for host in self._unresponsive_hosts() & self._attempts.keys():
                 for attempt in list(self._attempts[host]):
-                    attempt.fail_connection(f"{host} has fallen silent")
+                    if now - attempt.received_at > RECEIVING_S:
+                        attempt.fail_connection(f"{host} has fallen silent")
