Add a failing test for a prompt part that crashes every target

The test replays it in the fleet of the tests: 6 entries, 9 targets, 3 requests a second that share one prompt part, each with a body and a last part of its own, beside 12 sound ones a second.

--- a/tests/fleet/crashing.py
+++ b/tests/fleet/crashing.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from declared_fleet import DeclaredFleet, Reply
@@ -13,6 +13,16 @@
 NOTICE_S = 3.0  # the time that entries have to detect the third crash
 ALLOWED_LATER = 3  # arrivals at targets allowed after that time
 ATTEMPTS = 2  # of a caller for one request
+CRASHING_PART = "deadfa11"  # a part of prompts that no target survives
+SHARED_PARTS = ("5c1e07a2:40", "91bd3f06:410", "e4402b7d:250")  # of all prompts
+
+
+@dataclass(frozen=True)
+class FirstAttempt:
+    """The first attempt at a request: when it was sent, and whether it was served."""
+
+    at: float
+    is_served: bool
 
 
 @dataclass
@@ -21,6 +31,7 @@
 
     crashing: list[Reply] = field(default_factory=list)
     others: list[Reply] = field(default_factory=list)
+    first_attempts: list[FirstAttempt] = field(default_factory=list)  # at the others
 
 
 async def play(
@@ -29,35 +40,69 @@
     crashing_per_s: float = 3.0,
     others_per_s: float = 12.0,
     seed: int = 1,
+    part_at: int | None = None,
 ) -> Played:
     """Send requests for some seconds to entries drawn from the seed; return when all have ended.
 
-    A refused request is retried once with the same body, as callers do.
+    A refused request is retried once with the same body, as callers do. With `part_at`, each
+    crashing request has a body of its own, and the crashing part at that place of its prompt.
     """
     played = Played()
     rng = random.Random(seed)
-    crashing = _send_at_rate(fleet, seconds, crashing_per_s, rng, None, played.crashing)
-    others = _send_at_rate(fleet, seconds, others_per_s, rng, "other", played.others)
-    await asyncio.gather(crashing, others)
+
+    def crashing_request() -> tuple[bytes, str]:
+        if part_at is None:
+            return CRASHING, ""
+        shared = list(SHARED_PARTS)
+        shared[part_at] = f"{CRASHING_PART}:410"
+        return f"crashing {rng.random()}".encode(), _prompt(shared, rng)
+
+    def other_request() -> tuple[bytes, str]:
+        prompt = "" if part_at is None else _prompt(SHARED_PARTS, rng)
+        return f"other {rng.random()}".encode(), prompt
+
+    await asyncio.gather(
+        _send_at_rate(fleet, seconds, crashing_per_s, rng, crashing_request, played.crashing, []),
+        _send_at_rate(
+            fleet, seconds, others_per_s, rng, other_request, played.others, played.first_attempts
+        ),
+    )
     return played
 
 
+def _prompt(shared: Sequence[str], rng: random.Random) -> str:
+    """Return the parts of a prompt; the last one belongs to its request alone."""
+    return ",".join([*shared, f"{rng.getrandbits(32):08x}:30"])
+
+
 async def _send_at_rate(
     fleet: DeclaredFleet,
     seconds: float,
     per_s: float,
     rng: random.Random,
-    name: str | None,
+    make_request: Callable[[], tuple[bytes, str]],
     replies: list[Reply],
+    first_attempts: list[FirstAttempt],
 ) -> None:
-    async def ask(body: bytes) -> None:
-        for _ in range(ATTEMPTS):
+    async def ask(body: bytes, prompt: str) -> None:
+        for number in range(ATTEMPTS):
             entry = rng.randrange(len(fleet.entries))
+            at = asyncio.get_running_loop().time()
             try:
-                reply = await fleet.ask("/report/1", entry=entry, body=body, X_Model="market")
+                reply = await fleet.ask(
+                    "/report/1",
+                    entry=entry,
+                    body=body,
+                    X_Model="market",
+                    X_Prompt_Prefix=prompt,
+                    X_Token_Counts="730,100" if prompt else "",
+                )
             except OSError:
                 continue  # that entry is down
             replies.append(reply)
+            is_served = reply.whole and reply.status == 200
+            if number == 0:
+                first_attempts.append(FirstAttempt(at, is_served))
             if reply.whole and reply.status < 500:
                 return
             await asyncio.sleep(rng.uniform(0.1, 1.0))
@@ -65,8 +110,7 @@
     sends = []
     end = asyncio.get_running_loop().time() + seconds
     while asyncio.get_running_loop().time() < end:
-        body = CRASHING if name is None else f"{name} {rng.random()}".encode()
-        sends.append(asyncio.ensure_future(ask(body)))
+        sends.append(asyncio.ensure_future(ask(*make_request())))
         await asyncio.sleep(rng.expovariate(per_s))
     await asyncio.gather(*sends)
 
@@ -92,6 +136,25 @@
     return [at for at in arrival_times(fleet, body) if at > noticed_at]
 
 
+def late_part_arrivals(fleet: DeclaredFleet) -> list[float]:
+    """Return the arrivals of the crashing part later than `NOTICE_S` after the fifth crash."""
+    noticed_at = crash_times(fleet)[4] + NOTICE_S
+    return sorted(
+        at
+        for target in fleet.targets.values()
+        for at, request in zip(target.seen_at, target.seen, strict=True)
+        if at > noticed_at and CRASHING_PART in request.headers.get("x-prompt-prefix", "")
+    )
+
+
+def served_share(fleet: DeclaredFleet, played: Played) -> float:
+    """Return the share of first attempts at others served from 2 `NOTICE_S` after that crash on."""
+    noticed_at = crash_times(fleet)[4] + 2 * NOTICE_S
+    attempts = [each for each in played.first_attempts if each.at > noticed_at]
+    assert len(attempts) >= 20, "too few to compare"
+    return sum(each.is_served for each in attempts) / len(attempts)
+
+
 async def add_engines(
     fleet: DeclaredFleet, engines: int, pause_s: float = 0.1, places: Sequence[str] = ("hall",)
 ) -> None:
@@ -102,6 +165,7 @@
         target = await fleet.add_target(name, "writer", f"10.2.0.{number + 1}", zone=place)
         target.behaviour.pause_s = pause_s
         target.behaviour.crashes_on = frozenset({CRASHING})
+        target.behaviour.crashes_on_parts = frozenset({CRASHING_PART})
         await fleet.add_agent(name, place)
     await asyncio.sleep(2.0)
 
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -272,6 +272,7 @@
     shed_share: float = 0.0  # share of requests refused at random
     room: int = 1000  # concurrent requests; more are refused
     crashes_on: frozenset[bytes] = frozenset()  # bodies whose first event crashes it
+    crashes_on_parts: frozenset[str] = frozenset()  # ids of prompt parts, likewise
     back_s: float = 2.5  # time until it returns under another id
 
 
@@ -392,7 +393,7 @@
             headers["content-type"] = "text/event-stream"
             headers["x-weight-versions"] = str(self.weights.get(MODEL, 0))
             first = int(request.headers.get("last-event-id", 0)) + 1
-            return Response(200, headers, self._stream(first, request.body))
+            return Response(200, headers, self._stream(first, self._crashes_on(request)))
         body = b"answer of " + self.target_id.encode()
         if behaviour.body_pieces > 1:
             return Response(200, headers, self._in_pieces(body))
@@ -412,12 +413,18 @@
         rest = {} if retry_after is None else {"retry-after": retry_after}
         return Response(503, {"x-not-executed": "1", **rest})
 
-    async def _stream(self, first: int, body: bytes) -> AsyncIterator[bytes]:
+    def _crashes_on(self, request: Request) -> bool:
+        prefix = request.headers.get("x-prompt-prefix", "")
+        parts = {part.partition(":")[0] for part in prefix.split(",")}
+        behaviour = self.behaviour
+        return request.body in behaviour.crashes_on or bool(parts & behaviour.crashes_on_parts)
+
+    async def _stream(self, first: int, crashes: bool) -> AsyncIterator[bytes]:
         behaviour = self.behaviour
         self.running += 1
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
-                if sent and body in behaviour.crashes_on:
+                if sent and crashes:
                     self.crash()
                 if behaviour.cut_after == sent:
                     behaviour.cut_after = None
