Log the shared parts of a prompt with each offer that fails

What crashed targets could not be told from the logs: offer_ended had a digest of the whole request, and requests of different digests cannot be compared.

The platform's header for the parts of a prompt is decoded, without its last part, which belongs to one request or session. offer_ended names them and the last event that the caller has.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -526,11 +526,13 @@
             request_id=progress.admitted.facts.call_id,
             # Each attempt of the caller has its own id; the digest identifies the request.
             digest=progress.admitted.digest,
+            parts=progress.admitted.facts.shared_parts,
             target=load.entry.target,
             outcome=outcome,
             reason=reason,
             offers=progress.offers,
             runs=progress.runs,
+            last_event=progress.last_event,
         )
 
 
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from lacewinggw.ids import Account, ModelName, TargetName
+from lacewinggw.ids import Account, ModelName, PromptPartId, TargetName
 from lacewinggw.wire.http import HeaderList, Headers
 
 DEFAULT_URGENCY = 5  # of requests without one; 0 is the most urgent, 9 the least
@@ -50,7 +50,10 @@
 
 @dataclass(frozen=True)
 class CallFacts:
-    """Data from the head of a request, in seconds and tokens; None where it is absent."""
+    """Data from the head of a request, in seconds and tokens; None where it is absent.
+
+    `shared_parts` are the parts of its prompt, in order, that other requests may have as well.
+    """
 
     call_id: str
     time_left_s: float | None = None
@@ -60,6 +63,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     expected_tokens: int | None = None
+    shared_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True)
--- a/src/lacewinggw/ids.py
+++ b/src/lacewinggw/ids.py
@@ -13,6 +13,7 @@
 Incarnation = NewType("Incarnation", str)
 RequestId = NewType("RequestId", str)
 RequestDigest = NewType("RequestDigest", str)  # the same for each attempt of a request
+PromptPartId = NewType("PromptPartId", str)  # as callers send it; the same in all prompts
 Account = NewType("Account", str)
 CommandId = NewType("CommandId", str)
 RouteName = NewType("RouteName", str)
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -34,6 +34,7 @@
     ("X-Model", "market"),
     ("X-Token-Counts", "1460,80"),
     ("X-Length-Hint", "70"),
+    ("X-Prompt-Prefix", "5c1e07A2:800,91bd3f06:410,e4402b7d:250"),
     ("Last-Event-Id", "12"),
     ("X-Tenant", "forged"),
 ]
@@ -96,6 +97,7 @@
     assert (facts.call_id, facts.time_left_s, facts.key) == ("a1", 6.093, KEY)
     assert (facts.model, facts.prompt_tokens, facts.output_tokens) == ("market", 1460, 80)
     assert (facts.last_event, facts.expected_tokens) == (12, 70)
+    assert facts.shared_parts == ("5c1e07a2", "91bd3f06")
 
 
 def test_unreadable_header_values_count_as_absent():
