--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -245,11 +245,19 @@
   2: bool wants_routes = true    // send newer ones along: they are large, so one of those asked does
 }
 
-// A request was sent to a target `ran_ms` before that ended, `age_ms` ago.
-struct TargetCrash { 1: string request_digest, 2: string target, 3: i64 ran_ms, 4: i64 age_ms }
+// A request was sent to a target `ran_ms` before that ended, `age_ms` ago. `parts` are the shared
+// parts of its prompt, as ids of contents.
+struct TargetCrash {
+  1: string request_digest
+  2: string target
+  3: i64 ran_ms
+  4: i64 age_ms
+  5: list<string> parts = []
+}
+// A request, or a prompt part by the id of its content, that a target served.
 struct ServedRequest { 1: string request_digest, 2: i64 age_ms }
 // From entry to entry, at once: requests that were running on targets as these ended, those of them
-// that were served since, and those that are kept away from targets.
+// and their parts that were served, and requests and parts that are kept away from targets.
 struct CrashUpdate {
   1: list<TargetCrash> crashes
   2: list<ServedRequest> served
--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -1,44 +1,53 @@
-"""Detection of requests that crash targets, from the requests that ran on each crashed target.
-
-The failure it guards against: one request crashes every target that begins it, and its caller
-retries it under a new id at any entry. The requests that run on the same target are broken off,
-move to another target and are broken off again when that one crashes, until hardly any target is
-left.
-
-Entries send each other the requests that were running on crashed targets. From the same reports
-each entry computes which request was on more crashed targets than any request that shares a target
-with it. Other requests share a target with it only now and then, and are cleared as soon as they
-are served. Crashes that a quarantined request explains do not count against other requests.
+"""Detection of the requests and prompt parts that crash targets, from what ran on each of them.
+
+The failure it guards against: each target that begins a certain request, or any request with a
+certain part in its prompt, crashes. Callers send such requests at any entry, under new ids. What
+runs beside them is broken off, moves to another target and is broken off again when that one
+crashes, until hardly any target is left.
+
+Entries send each other the requests that were running on crashed targets, with the parts of their
+prompts. From the same reports each entry computes which content was on more crashed targets than
+any other that shares a target with it. Other contents share a target with it only now and then, and
+are cleared as soon as a target serves them. Of contents on the same targets, the most specific one
+is the culprit: a part that all prompts have is on every crash as well. Crashes that a quarantined
+content explains do not count against others.
 """
 
 import math
-from collections.abc import Iterable, Iterator, Sequence
+from collections import deque
+from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
-from lacewinggw.ids import RequestDigest, TargetId
+from lacewinggw.decisions.contents import is_part, scope_of
+from lacewinggw.decisions.crashrecords import ContentCrash, Crash, CrashRecords
+from lacewinggw.ids import ContentId, TargetId
 
-# Crashes after which a request is quarantined. Two may be chance: a request that ran next to the
+# Crashes after which a content is quarantined. Two may be chance: a request that ran next to the
 # culprit is retried at the same time as the culprit, and few targets are free.
 QUARANTINE_CRASHES = 3
-# From this count on a request never shares a target with another suspect, so that the next crash
+# From this count on a content never shares a target with another suspect, so that the next crash
 # identifies the culprit.
 SUSPECT_CRASHES = 2
-# Requests that have been on exactly the same crashed targets this often are all quarantined:
-# by then further crashes cost more than quarantining an innocent request.
+# Contents that have been on exactly the same crashed targets this often are all quarantined:
+# by then further crashes cost more than quarantining an innocent one.
 TIED_CRASHES = 5
+# Share of the crashes under a content that a more specific one must have been on to be the culprit.
+SPECIFIC_SHARE = 0.6
+# A part with more requests than this on each crashed target is in widespread use, like one that
+# targets have served: its quarantine would refuse many requests.
+WIDESPREAD_REQUESTS = 2.0
 # Time until the reports of all entries on a crash have arrived: two hops of 0.1 s, and the time in
 # which each entry collects crashes into one report. A decision on part of the reports may
 # quarantine a request that merely shared the targets.
 SETTLE_S = 0.5
-# A request crashes targets until their operators have changed them, which takes some hours at most.
+# A content crashes targets until their operators have changed them, which takes some hours at most.
 QUARANTINE_S = 3600.0
-RETENTION_S = 3600.0  # how long a crash is kept
-MAX_REQUESTS = 4096  # kept at once: 250 targets may crash together, with 16 requests each
+MAX_SERVICES = 64  # recently served requests that are remembered
 
 
 class CrashStatus(Enum):
-    """Whether a request is suspected of crashing targets."""
+    """Whether a content is suspected of crashing targets."""
 
     CLEAR = "clear"
     SUSPECT = "suspect"  # never shares a target with another suspect
@@ -46,43 +55,32 @@
 
 
 @dataclass(frozen=True)
-class Crash:
-    """A request, sent to a target at `began_at`, that was running there when it crashed at `at`."""
+class _Service:
+    """A request that a target served, by its contents."""
 
-    request: RequestDigest
-    target: TargetId
-    began_at: float
+    contents: frozenset[ContentId]
     at: float
 
 
-@dataclass(frozen=True)
-class _ReceivedCrash:
-    """A crash, and when this entry received it."""
-
-    crash: Crash
-    received_at: float
-
-
 @dataclass
 class CrashTracker:
-    """Records crashes and decides which requests to quarantine; times in seconds by one clock.
+    """Records crashes and decides which contents to quarantine; times in seconds by one clock.
 
     if tracker.note_crash(Crash(request, target, sent_at, now), now): ...  # new: send it to peers
-    for request in tracker.quarantine_culprits(now): ...  # newly quarantined
-    if tracker.status(request, now) is CrashStatus.QUARANTINED: ...
-    if tracker.note_served(request, now): ...  # cleared of crashes: send it to peers
+    for content in tracker.quarantine_culprits(now): ...  # newly quarantined
+    if tracker.status(content, now) is CrashStatus.QUARANTINED: ...
+    if tracker.note_served(content, now): ...  # cleared of crashes: send it to peers
     """
 
+    records: CrashRecords = field(default_factory=CrashRecords)
     _check_at: float = math.inf  # when `quarantine_culprits` may find something new
-    _crashes: dict[RequestDigest, dict[TargetId, _ReceivedCrash]] = field(default_factory=dict)
-    _served: dict[RequestDigest, float] = field(default_factory=dict)
-    _quarantined: dict[RequestDigest, float] = field(default_factory=dict)
-    _explained: set[TargetId] = field(default_factory=set)
+    _quarantined: dict[ContentId, float] = field(default_factory=dict)
+    _services: "deque[_Service]" = field(default_factory=lambda: deque(maxlen=MAX_SERVICES))
 
     @property
     def is_empty(self) -> bool:
-        """Whether no crash is recorded and no request is quarantined."""
-        return not (self._crashes or self._quarantined)
+        """Whether no crash is recorded and no content is quarantined."""
+        return self.records.is_empty and not self._quarantined
 
     @property
     def next_check_at(self) -> float:
@@ -90,170 +88,249 @@
         return min(self._check_at, min(self._quarantined.values(), default=math.inf))
 
     @property
-    def quarantined(self) -> Sequence[RequestDigest]:
-        """The quarantined requests, those whose quarantine has expired included."""
+    def quarantined(self) -> Sequence[ContentId]:
+        """The quarantined contents, those whose quarantine has expired included."""
         return list(self._quarantined)
 
-    def crashes(self) -> Iterator[Crash]:
-        """Yield every recorded crash."""
-        for targets in self._crashes.values():
-            for received in targets.values():
-                yield received.crash
-
-    def served(self) -> Iterator[tuple[RequestDigest, float]]:
-        """Yield each request that was cleared by being served, and when it was served."""
-        yield from self._served.items()
+    def crash_count(self, content: ContentId) -> int:
+        """Return on how many targets a content was when they crashed, whichever content did it."""
+        return len(self.records.crashes_of(content))
 
-    def crash_count(self, request: RequestDigest) -> int:
-        """Return on how many targets a request ran when they crashed, whichever request did it."""
-        return len(self._crashes.get(request, ()))
+    def sequential_targets(self, content: ContentId) -> list[TargetId]:
+        """Return the targets that crashed under a content one after the other.
 
-    def sequential_targets(self, request: RequestDigest) -> list[TargetId]:
-        """Return the targets that crashed under a request one after the other.
-
-        A target that crashed under a quarantined request counts only for that request.
+        A target that crashed under a quarantined content counts only for that content.
         """
-        known = self._crashes.get(request, {})
-        counted = known if request in self._quarantined else self._unexplained(request)
-        return [crash.target for crash in _sequential(known[each].crash for each in counted)]
+        known = self.records.crashes_of(content)
+        counted = known if content in self._quarantined else self._unexplained(content)
+        return [crash.target for crash in _sequential(known[each] for each in counted)]
 
     def note_crash(self, crash: Crash, now: float) -> bool:
         """Record a crash; return whether it is new and counts."""
-        if self._served.get(crash.request, -math.inf) >= crash.at or now - crash.at > RETENTION_S:
-            return False
-        known = self._crashes.setdefault(crash.request, {})
-        if crash.target in known:
+        if not self.records.note_crash(crash, now):
             return False
-        known[crash.target] = _ReceivedCrash(crash, now)
-        if crash.request in self._quarantined:
-            self._explained.add(crash.target)
         self._check_at = min(self._check_at, now + SETTLE_S)
-        self._prune(now)
         return True
 
-    def note_served(self, request: RequestDigest, at: float) -> bool:
-        """Record that a target served a request; return whether this clears it of any crash.
+    def note_served(self, content: ContentId, at: float) -> bool:
+        """Record that a target served a content; return whether this adds to what is known."""
+        return content not in self._quarantined and self.records.note_served(content, at)
 
-        A request that crashes every target is never served, so its earlier crashes are dropped.
-        """
-        known = self._crashes.get(request)
-        if known is None or request in self._quarantined:
-            return False
-        left = {target: received for target, received in known.items() if received.crash.at > at}
-        if len(left) == len(known):
+    def note_service(self, contents: Iterable[ContentId], at: float) -> None:
+        """Record that a target served a request with these contents, and so without others."""
+        self._services.append(_Service(frozenset(contents), at))
+
+    def quarantine(self, content: ContentId, now: float) -> bool:
+        """Quarantine a content; return False if it already is."""
+        if content in self._quarantined:
             return False
-        self._served[request] = max(at, self._served.get(request, at))
-        if left:
-            self._crashes[request] = left
-        else:
-            del self._crashes[request]
+        self._quarantined[content] = now + QUARANTINE_S
         return True
 
-    def quarantine(self, request: RequestDigest, now: float) -> bool:
-        """Quarantine a request; return False if it already is."""
-        if request in self._quarantined:
+    def lift_quarantine(self, content: ContentId) -> bool:
+        """End the quarantine of a content and drop its crashes; return whether it had one.
+
+        The quarantine explained the crashes, so they do not count against others later either.
+        """
+        if self._quarantined.pop(content, None) is None:
+            self.records.forget(content)
             return False
-        self._quarantined[request] = now + QUARANTINE_S
-        self._explained.update(self._crashes.get(request, ()))
+        for target in list(self.records.crashes_of(content)):
+            self.records.forget_target(target)
         return True
 
-    def lift_quarantine(self, request: RequestDigest) -> bool:
-        """End the quarantine of a request and drop its crashes; return whether it had one."""
-        self._crashes.pop(request, None)
-        return self._quarantined.pop(request, None) is not None
-
-    def expired_quarantines(self, now: float) -> list[RequestDigest]:
-        """Return the requests whose quarantine has expired."""
-        return [request for request, until in self._quarantined.items() if until <= now]
+    def expired_quarantines(self, now: float) -> list[ContentId]:
+        """Return the contents whose quarantine has expired."""
+        return [content for content, until in self._quarantined.items() if until <= now]
 
-    def quarantine_left(self, request: RequestDigest, now: float) -> float:
-        """Return the remaining time of a request's quarantine, in seconds; 0 without one."""
-        return max(0.0, self._quarantined.get(request, now) - now)
+    def quarantine_left(self, content: ContentId, now: float) -> float:
+        """Return the remaining time of a content's quarantine, in seconds; 0 without one."""
+        return max(0.0, self._quarantined.get(content, now) - now)
 
-    def status(self, request: RequestDigest, now: float) -> CrashStatus:
-        """Return whether a request is clear, suspected or quarantined."""
-        if self.quarantine_left(request, now) > 0:
+    def status(self, content: ContentId, now: float) -> CrashStatus:
+        """Return whether a content is clear, suspected or quarantined."""
+        if self.quarantine_left(content, now) > 0:
             return CrashStatus.QUARANTINED
-        if len(self._unexplained(request)) >= SUSPECT_CRASHES:
+        if self.is_suspect(content, len(self._unexplained(content))):
             return CrashStatus.SUSPECT
         return CrashStatus.CLEAR
 
-    def quarantine_culprits(self, now: float) -> list[RequestDigest]:
-        """Detect requests that crash targets, quarantine them, and return them."""
-        found: list[RequestDigest] = []
+    def is_suspect(self, content: ContentId, crashes: int) -> bool:
+        """Return whether a content with so many crashes is suspected, unless targets served it."""
+        if is_part(content) and self.records.was_served(content):
+            return False
+        return crashes >= SUSPECT_CRASHES
+
+    def quarantine_culprits(self, now: float) -> list[ContentId]:
+        """Detect contents that crash targets, quarantine them, and return them."""
+        found: list[ContentId] = []
         if now < self._check_at:
             return found
         while culprits := self._find_culprits(now):
-            for request in culprits:
-                self.quarantine(request, now)
+            for content in culprits:
+                self.quarantine(content, now)
             found += culprits
-        unsettled = [
-            received.received_at + SETTLE_S
-            for targets in self._crashes.values()
-            for received in targets.values()
-            if received.received_at + SETTLE_S > now
-        ]
-        self._check_at = min(unsettled, default=math.inf)
+        self._check_at = min(self._settling_times(now), default=math.inf)
         return found
 
-    def _find_culprits(self, now: float) -> list[RequestDigest]:
-        """Return the request that explains the most crashes, if no other explains them as well.
+    def _settling_times(self, now: float) -> Iterator[float]:
+        """Yield when the reports on each recent crash will be complete."""
+        for content in self.records.contents:
+            for crash in self.records.crashes_of(content).values():
+                if crash.received_at + SETTLE_S > now:
+                    yield crash.received_at + SETTLE_S
+
+    def _find_culprits(self, now: float) -> list[ContentId]:
+        """Return the content that explains the most crashes, if no other explains them as well.
 
-        Return all tied requests from `TIED_CRASHES` on, and an empty list for an undecided tie.
+        Return all tied contents from `TIED_CRASHES` on, and an empty list for an undecided tie.
         """
         candidates = {
-            request: targets
-            for request in self._crashes
-            if request not in self._quarantined and (targets := self._unexplained(request))
+            content: targets
+            for content in self.records.contents
+            if content not in self._quarantined and (targets := self._unexplained(content))
         }
-        due = [request for request in candidates if self._has_settled(request, now)]
-        if not due:
-            return []
-        first = max(due, key=lambda request: len(candidates[request]))
-        targets = candidates[first]
-        rivals = [
-            request
-            for request, others in candidates.items()
-            if request != first and len(others) >= len(targets) and others & targets
+        due = [content for content in candidates if self._is_due(content, candidates[content], now)]
+        due.sort(key=lambda content: len(candidates[content]), reverse=True)
+        for content in due:
+            targets = candidates[content]
+            rivals = [
+                other
+                for other, others in candidates.items()
+                if other != content
+                and others & targets
+                and self._is_rival(other, content, candidates)
+            ]
+            if not rivals:
+                return [content]
+            if len(targets) >= TIED_CRASHES and self._are_inseparable(content, rivals, candidates):
+                return [content, *(rival for rival in rivals if rival in due)]
+        return []
+
+    def _are_inseparable(
+        self,
+        content: ContentId,
+        rivals: Iterable[ContentId],
+        candidates: dict[ContentId, set[TargetId]],
+    ) -> bool:
+        """Return whether to quarantine rivals together, as further crashes may not part them.
+
+        The quarantine of a part may refuse many requests, so only parts that always come together
+        are. The others are parted once a target serves one of them.
+        """
+        if not is_part(content):
+            return not any(is_part(rival) for rival in rivals)
+        targets = candidates[content]
+        return not self._is_in_use(content) and all(
+            self._covers(content, rival, targets & candidates[rival])
+            and self._covers(rival, content, targets & candidates[rival])
+            for rival in rivals
+        )
+
+    def _is_due(self, content: ContentId, targets: Collection[TargetId], now: float) -> bool:
+        """Return whether enough targets crashed under a content, with all reports on them in.
+
+        A part in use has to be on more crashes, while requests without it are served.
+        """
+        known = self.records.crashes_of(content)
+        settled = [known[each] for each in targets if known[each].received_at + SETTLE_S <= now]
+        crashes = len(_sequential(settled))
+        if not self._is_in_use(content):
+            return crashes >= QUARANTINE_CRASHES
+        return crashes >= TIED_CRASHES and self._are_others_served(content)
+
+    def _is_rival(
+        self,
+        other: ContentId,
+        content: ContentId,
+        candidates: dict[ContentId, set[TargetId]],
+    ) -> bool:
+        """Return whether `other` may have caused the crashes under `content` instead.
+
+        A more specific content is a rival from `QUARANTINE_CRASHES` on if it was on most of the
+        crashes, and a more general one never is.
+        """
+        targets, others = candidates[content], candidates[other]
+        shared = targets & others
+        if self._is_more_general(other, content, shared):
+            return False
+        if self._is_more_general(content, other, shared):
+            return len(others) >= max(QUARANTINE_CRASHES, SPECIFIC_SHARE * len(targets))
+        if self._is_in_use(other) and not self._is_in_use(content):
+            return False
+        return len(others) >= len(targets)
+
+    def _is_more_general(
+        self, other: ContentId, content: ContentId, targets: Iterable[TargetId]
+    ) -> bool:
+        """Return whether `other` was in all requests with `content` on these targets and in more.
+
+        A part is more general than the only request that it was in.
+        """
+        if not self._covers(other, content, targets):
+            return False
+        if is_part(other) is not is_part(content):
+            return is_part(other)
+        return not self._covers(content, other, targets)
+
+    def _covers(self, general: ContentId, content: ContentId, targets: Iterable[TargetId]) -> bool:
+        """Return whether all requests with `content` on these targets had `general` as well."""
+        wide, narrow = self.records.crashes_of(general), self.records.crashes_of(content)
+        return all(narrow[each].requests <= wide[each].requests for each in targets)
+
+    def _is_in_use(self, content: ContentId) -> bool:
+        """Return whether a content is a part that was served, or that many requests have."""
+        if not is_part(content):
+            return False
+        known = self.records.crashes_of(content).values()
+        requests = sum(len(crash.requests) for crash in known)
+        return self.records.was_served(content) or requests > WIDESPREAD_REQUESTS * len(known)
+
+    def _are_others_served(self, part: ContentId) -> bool:
+        """Return whether requests for the same model without a part were served since its crash."""
+        since = min(crash.at for crash in self.records.crashes_of(part).values())
+        scope = scope_of(part)
+        return any(
+            service.at > since
+            and part not in service.contents
+            and any(each.startswith(scope) for each in service.contents)
+            for service in self._services
+        )
+
+    def _unexplained(self, content: ContentId) -> set[TargetId]:
+        """Return the targets that crashed under a content and not under a quarantined one.
+
+        If there is one, crashes under quarantined requests with the content count as well: one
+        request with a crashing part may be quarantined before the part is.
+        """
+        known = self.records.crashes_of(content)
+        culprits = {target: self._culprits_on(target, content) for target in known}
+        if all(culprits.values()):
+            return set()
+        return {
+            target
+            for target, others in culprits.items()
+            if all(
+                not is_part(other) and self._covers(content, other, (target,)) for other in others
+            )
+        }
+
+    def _culprits_on(self, target: TargetId, content: ContentId) -> list[ContentId]:
+        """Return the quarantined contents other than `content` that were on a crashed target."""
+        return [
+            other
+            for other in self._quarantined
+            if other != content and target in self.records.crashes_of(other)
         ]
-        if not rivals:
-            return [first]
-        return [first, *rivals] if len(targets) >= TIED_CRASHES else []
-
-    def _has_settled(self, request: RequestDigest, now: float) -> bool:
-        """Return whether enough targets crashed under a request, with all reports on them in."""
-        known = self._crashes[request]
-        received = [known[target] for target in self._unexplained(request)]
-        settled = [each.crash for each in received if each.received_at + SETTLE_S <= now]
-        return len(_sequential(settled)) >= QUARANTINE_CRASHES
-
-    def _unexplained(self, request: RequestDigest) -> set[TargetId]:
-        """Return the targets that crashed under a request and not under a quarantined one."""
-        return self._crashes.get(request, {}).keys() - self._explained
-
-    def _prune(self, now: float) -> None:
-        """Drop requests past their retention time, and the oldest ones beyond `MAX_REQUESTS`."""
-        while len(self._crashes) > MAX_REQUESTS:
-            del self._crashes[next(iter(self._crashes))]
-        while self._crashes:
-            oldest = next(iter(self._crashes))
-            last = max(each.received_at for each in self._crashes[oldest].values())
-            if now - last <= RETENTION_S:
-                break
-            del self._crashes[oldest]
-        remembered = {target for known in self._crashes.values() for target in known}
-        self._explained &= remembered
-        while len(self._served) > MAX_REQUESTS:
-            del self._served[next(iter(self._served))]
-
-
-def _sequential(crashes: Iterable[Crash]) -> list[Crash]:
-    """Return the crashes of targets to which a request was sent after the previous one crashed.
+
+
+def _sequential(crashes: Iterable[ContentCrash]) -> list[ContentCrash]:
+    """Return the crashes of targets to which a content was sent after the previous one crashed.
 
     Targets that crash together because their host or place fails count once: a frequently repeated
     lookup may be running on all of them.
     """
-    found: list[Crash] = []
+    found: list[ContentCrash] = []
     for crash in sorted(crashes, key=lambda each: each.at):
         if not found or crash.began_at >= found[-1].at:
             found.append(crash)
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -16,7 +16,7 @@
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.decisions.targetload import InFlightRequest, TargetLoad
 from lacewinggw.decisions.waitqueue import NO_ACCOUNT
-from lacewinggw.ids import Account, ModelName, Place, Region, RequestDigest, ServiceName, TargetId
+from lacewinggw.ids import Account, ModelName, Place, Region, ServiceName, SuspectGroup, TargetId
 
 # Share of the slots by which a target in another place counts as fuller. Links between places are
 # narrow and billed. Also, the fewer entries choose among the same targets by the same reports, the
@@ -60,7 +60,7 @@
     exact_version: int | None = None
     excluded: frozenset[TargetId] = frozenset()
     prefill_s: float = 0.0
-    suspect: RequestDigest | None = None
+    suspect: SuspectGroup | None = None
     account: Account = NO_ACCOUNT
     service_s: float = 0.0
     homes: Callable[[], Homes] = field(default=anywhere, compare=False)
--- a/src/lacewinggw/decisions/slots.py
+++ b/src/lacewinggw/decisions/slots.py
@@ -27,7 +27,7 @@
 from lacewinggw.decisions.targetload import LATE_SLOT_SHARE
 from lacewinggw.decisions.targetspeed import BatchSpeed
 from lacewinggw.decisions.waitqueue import NO_ACCOUNT, Waiter, WaitQueue
-from lacewinggw.ids import Account, LeaseId, RequestDigest
+from lacewinggw.ids import Account, LeaseId, SuspectGroup
 
 # Time until a request with a lease shows in a report of the target: the lease travels to the entry,
 # the entry connects to the target, and the next report is due.
@@ -62,7 +62,7 @@
     is_late: bool
     wait_s: float
     prefill_s: float = 0.0
-    suspect: RequestDigest | None = None
+    suspect: SuspectGroup | None = None
     waited_s: float = 0.0
     account: Account = NO_ACCOUNT
     service_s: float = 0.0
--- a/src/lacewinggw/fleet/feed.py
+++ b/src/lacewinggw/fleet/feed.py
@@ -15,7 +15,7 @@
 from lacewinggw.decisions.routes import RouteTable
 from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.decisions.targetlist import DueVersion, TargetEntry
-from lacewinggw.ids import Place, RequestDigest, ServiceName, TargetId
+from lacewinggw.ids import ContentId, Place, ServiceName, TargetId
 
 
 class Topic(Enum):
@@ -23,7 +23,7 @@
 
     CONFIGURATION = "configuration"  # routes, required versions of weights, and evacuations
     TARGETS = "targets"
-    MEMBERS = "members"  # this product's own rows: its processes, and requests that crash targets
+    MEMBERS = "members"  # this product's own rows: its processes, and what crashes targets
 
 
 @dataclass(frozen=True)
@@ -34,14 +34,14 @@
 
 
 @dataclass(frozen=True)
-class CrashingRequest:
-    """A request that may crash targets, as persisted in the store.
+class CrashingContent:
+    """A request or prompt part that may crash targets, as persisted in the store.
 
     `targets` are those that crashed while running it, in order. If `is_quarantined`, it is sent to
     no target.
     """
 
-    request: RequestDigest
+    content: ContentId
     service: ServiceName
     targets: tuple[TargetId, ...]
     is_quarantined: bool
@@ -49,9 +49,9 @@
 
 @dataclass(frozen=True)
 class QuarantineLifted:
-    """A request that is no longer suspected or quarantined."""
+    """A request or prompt part that is no longer suspected or quarantined."""
 
-    request: RequestDigest
+    content: ContentId
 
 
 @dataclass(frozen=True)
@@ -62,7 +62,7 @@
 
 
 Item: TypeAlias = (
-    RouteTable | DueVersion | PlaceEvacuation | TargetEntry | MemberEntry | CrashingRequest
+    RouteTable | DueVersion | PlaceEvacuation | TargetEntry | MemberEntry | CrashingContent
 )
 
 
@@ -75,7 +75,7 @@
 
 @dataclass(frozen=True)
 class ItemRemoved:
-    """The key of a removed item: a target's id, a member's host, or the key of a request."""
+    """The key of a removed item: a target's id, a member's host, or the key of a content."""
 
     key: str
 
--- a/src/lacewinggw/fleet/ownrows.py
+++ b/src/lacewinggw/fleet/ownrows.py
@@ -1,4 +1,4 @@
-"""Rows that this product keeps in the operators' store: processes and requests that crash targets.
+"""Rows that this product keeps in the operators' store: processes, and what crashes targets.
 
 Both kinds are in one list and distinguished by their keys, so that one call returns both.
 """
@@ -8,8 +8,8 @@
 from typing import Any, Protocol
 
 from lacewinggw.clients.membership import Member, member_from_json, member_to_json
-from lacewinggw.fleet.feed import CrashingRequest, MemberEntry
-from lacewinggw.ids import RequestDigest, ServiceName, TargetId
+from lacewinggw.fleet.feed import CrashingContent, MemberEntry
+from lacewinggw.ids import ContentId, ServiceName, TargetId
 
 CRASHING_PREFIX = "crashing/"  # names of hosts have no slash, so keys of processes differ
 
@@ -37,38 +37,38 @@
     return OwnRow(member.host, member_to_json(member))
 
 
-def crashing_row(entry: CrashingRequest) -> OwnRow:
-    """Return the row of a request that crashes targets or is suspected of it."""
+def crashing_row(entry: CrashingContent) -> OwnRow:
+    """Return the row of a content that crashes targets or is suspected of it."""
     value = {
         "service": entry.service,
         "targets": list(entry.targets),
         "quarantined": entry.is_quarantined,
     }
-    return OwnRow(crashing_key(entry.request), value)
+    return OwnRow(crashing_key(entry.content), value)
 
 
-def crashing_key(request: RequestDigest) -> str:
-    """Return the key under which a request that crashes targets is listed."""
-    return f"{CRASHING_PREFIX}{request}"
+def crashing_key(content: ContentId) -> str:
+    """Return the key under which a content that crashes targets is listed."""
+    return f"{CRASHING_PREFIX}{content}"
 
 
-def parse_crashing_key(key: str) -> RequestDigest | None:
-    """Return the request of a key; None for another kind of key."""
+def parse_crashing_key(key: str) -> ContentId | None:
+    """Return the content of a key; None for another kind of key."""
     if not key.startswith(CRASHING_PREFIX):
         return None
-    return RequestDigest(key.removeprefix(CRASHING_PREFIX))
+    return ContentId(key.removeprefix(CRASHING_PREFIX))
 
 
-def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | CrashingRequest:
+def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | CrashingContent:
     """Return the item of a row; raise `KeyError` or `ValueError` if it is invalid."""
-    request = parse_crashing_key(key)
-    if request is None:
+    content = parse_crashing_key(key)
+    if content is None:
         return MemberEntry(member_from_json(value))
     targets = value["targets"]
     if not isinstance(targets, list):
         raise ValueError("`targets` is not a list")
-    return CrashingRequest(
-        request,
+    return CrashingContent(
+        content,
         ServiceName(str(value["service"])),
         tuple(TargetId(str(target)) for target in targets),
         bool(value["quarantined"]),
--- a/src/lacewinggw/frontend/admission.py
+++ b/src/lacewinggw/frontend/admission.py
@@ -9,12 +9,13 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from lacewinggw.decisions.contents import make_part_content
 from lacewinggw.decisions.deadlines import MAX_TIME_LEFT_S
 from lacewinggw.decisions.routes import ClientAccount, Route, RouteTable, pick_service
 from lacewinggw.decisions.routingview import RoutingView
 from lacewinggw.errors import BadToken, NotReady, UnknownPath
 from lacewinggw.frontend.calls import Call, CallFacts
-from lacewinggw.ids import RequestDigest, ServiceName
+from lacewinggw.ids import ContentId, RequestDigest, ServiceName
 
 DIGEST_BYTES = 12
 CATCH_UP_MS = 300  # for a process that has just started or reconnected to get the routes
@@ -44,7 +45,18 @@
         for part in (*request, account_name):
             digest.update(part.encode() + b"\0")
         digest.update(self.call.body)
-        return RequestDigest(digest.hexdigest())
+        return RequestDigest(ContentId(digest.hexdigest()))
+
+    @cached_property
+    def parts(self) -> tuple[ContentId, ...]:
+        """The parts of the prompt that other requests may have as well."""
+        model = self.facts.model
+        return tuple(make_part_content(model, part) for part in self.facts.shared_parts)
+
+    @property
+    def contents(self) -> tuple[ContentId, ...]:
+        """All that may crash a target: the whole request, and the shared parts of its prompt."""
+        return (self.digest, *self.parts)
 
 
 def admit(
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -52,6 +52,9 @@
 RETRY_AFTER_MS = 400  # used when it is unknown when a target will have a free slot
 BUDGET_RETRY_AFTER_MS = 500
 MAX_LOOP_LAG_S = 0.1  # a timer that fires later than this says nothing about a target
+# A target that still sends events this long after the first one does not crash on the request:
+# it would as it begins to write the answer.
+SURVIVAL_S = 0.3
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 
@@ -135,6 +138,7 @@
     claim: InFlightRequest | None = None
     offered_at: float = 0.0
     data_at: float = 0.0  # when part of the answer arrived last
+    first_event_at: float | None = None
     task: "asyncio.Task[None] | None" = None
     is_released: bool = False
 
@@ -227,7 +231,7 @@
 
     def _take_end(self, attempt: _Attempt, answer: Answer, body: bytes) -> WholeAnswer | StreamPart:
         self._deps.pool.note_success(attempt.load)
-        self._deps.crashes.note_served(self._progress.admitted)
+        self._deps.crashes.note_answered(self._progress.admitted, attempt.load.entry)
         if self._is_stream(answer):
             return StreamPart(answer.status, answer.headers, b"", is_last=True)
         return WholeAnswer(answer.status, answer.headers, body)
@@ -424,7 +428,7 @@
             stream_speed = StreamSpeed(attempt.load.speed, self._declared_gap_s())
             async with aclosing(read_events(answer)) as batches:
                 async for events in batches:
-                    self._note_events(attempt.load, stream_speed, len(events))
+                    self._note_events(attempt, stream_speed, len(events))
                     await self._put(attempt, _Events(answer, events))
             await self._put(attempt, _Ended(answer, b""))
             return
@@ -442,9 +446,13 @@
         attempt.data_at = _now()
         attempt.load.note_data(attempt.data_at)
 
-    def _note_events(self, load: TargetLoad, stream_speed: StreamSpeed, count: int) -> None:
-        now = _now()
+    def _note_events(self, attempt: _Attempt, stream_speed: StreamSpeed, count: int) -> None:
+        load, now = attempt.load, _now()
         load.note_data(now)
+        if attempt.first_event_at is None:
+            attempt.first_event_at = now
+        elif now - attempt.first_event_at >= SURVIVAL_S:
+            self._deps.crashes.note_served(self._progress.admitted)
         gap_s = stream_speed.note_events(count, now, load.link_delay(now))
         if gap_s is not None:
             self._deps.report_gap(load, gap_s, stream_speed.declared_s)
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -1,27 +1,31 @@
-"""Detect requests that crash targets, report them to other entries, and quarantine them.
+"""Detect requests and prompt parts that crash targets, report them, and quarantine them.
 
 A connection that breaks does not prove that its target crashed. If the address refuses connections
 right afterwards, it did: no process listens there any more.
 """
 
 import asyncio
+import hashlib
 import math
 import random
-from collections.abc import Callable, Set
+from collections.abc import Callable, Iterable, Set
 from contextlib import suppress
 
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.crashes import Crash, CrashStatus, CrashTracker
+from lacewinggw.decisions.contents import is_part
+from lacewinggw.decisions.crashes import CrashStatus, CrashTracker
+from lacewinggw.decisions.crashrecords import Crash
+from lacewinggw.decisions.servedparts import ServedParts
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.errors import RequestQuarantined
-from lacewinggw.fleet.feed import CrashingRequest, QuarantineLifted
+from lacewinggw.fleet.feed import CrashingContent, QuarantineLifted
 from lacewinggw.fleet.ownrows import OwnRows
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.crashrows import CrashRows
 from lacewinggw.frontend.crashupdates import CrashReport, Served, merge_report, sequential_crashes
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import RequestDigest, ServiceName, TargetId
+from lacewinggw.ids import ContentId, ServiceName, SuspectGroup, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.http import HttpClient
@@ -36,12 +40,16 @@
 COALESCE_S = 0.05
 ASSUMED_INTERVAL_S = 0.1  # between listed crashes, whose times are not stored
 MAX_ENDED_TARGETS = 256  # remembered, so that each is probed once for all its broken connections
+# How long a target must run on after the end of an answer before that counts as served: one that
+# crashes on a request may send all of a short answer first.
+SERVED_CONFIRMATION_S = 0.2
+GROUP_BYTES = 12
 
 log = get_logger(__name__)
 
 
 class CrashMonitor:
-    """Quarantines requests that crash targets.
+    """Quarantines requests and prompt parts that crash targets.
 
     `broadcast` sends updates to the subscribed entries. Received updates are forwarded if
     `is_forwarder` returns true, which it does for those entries of a place to which all other
@@ -50,6 +58,7 @@
         monitor.require_not_quarantined(admitted)  # raises `RequestQuarantined`
         await monitor.note_connection_lost(admitted, entry, began_at)
         monitor.note_served(admitted)
+        monitor.note_answered(admitted, entry)
     """
 
     def __init__(
@@ -67,13 +76,15 @@
         self._is_forwarder = is_forwarder
         self._clock = clock
         self._tracker = CrashTracker()
+        self._served_parts = ServedParts()
         self._rows = CrashRows(rows, self._tracker, rng)
         self._pending = CrashReport()
         self._probes: dict[TargetId, asyncio.Task[bool]] = {}
         self._ended_targets: dict[TargetId, None] = {}
         self._changed = asyncio.Event()
         self._crashes = metrics.counter("target_crashes")
-        metrics.read_gauge("requests_quarantined", lambda: len(self._tracker.quarantined))
+        metrics.read_gauge("requests_quarantined", lambda: self._count_quarantined(False))
+        metrics.read_gauge("prompt_parts_quarantined", lambda: self._count_quarantined(True))
         self._loop = Background("crash updates", self._run)
 
     async def start(self) -> None:
@@ -91,25 +102,29 @@
     # ---- requests of this entry -----------------------------------------------------------
 
     def require_not_quarantined(self, admitted: AdmittedRequest) -> None:
-        """Raise `RequestQuarantined` if the request is quarantined."""
-        if self._tracker.is_empty:
-            return
-        now = self._clock()
-        if self._tracker.status(admitted.digest, now) is not CrashStatus.QUARANTINED:
-            return
-        left_ms = round(self._tracker.quarantine_left(admitted.digest, now) * MS_PER_S)
-        raise RequestQuarantined(
-            f"targets of {admitted.service} crashed while running this request",
-            retry_after_ms=left_ms,
-        )
+        """Raise `RequestQuarantined` if the request or a part of its prompt is quarantined."""
+        for content in self._with_status(admitted, CrashStatus.QUARANTINED):
+            left_s = self._tracker.quarantine_left(content, self._clock())
+            what = f"requests with {content}" if is_part(content) else "this request"
+            raise RequestQuarantined(
+                f"targets of {admitted.service} crashed while running {what}",
+                retry_after_ms=round(left_s * MS_PER_S),
+            )
 
     def is_quarantined(self, admitted: AdmittedRequest) -> bool:
-        """Return whether a request is quarantined."""
-        return self._status(admitted) is CrashStatus.QUARANTINED
+        """Return whether a request or a part of its prompt is quarantined."""
+        return bool(self._with_status(admitted, CrashStatus.QUARANTINED))
+
+    def suspect_group(self, admitted: AdmittedRequest) -> SuspectGroup | None:
+        """Return what a request shares with those that it may run beside, if it is suspected.
 
-    def is_suspect(self, admitted: AdmittedRequest) -> bool:
-        """Return whether a request is suspected and must not run together with other suspects."""
-        return self._status(admitted) is CrashStatus.SUSPECT
+        None if nothing in it is suspected: it may run beside any other request.
+        """
+        suspects = sorted(self._with_status(admitted, CrashStatus.SUSPECT))
+        if not suspects:
+            return None
+        group = hashlib.blake2b(",".join(suspects).encode(), digest_size=GROUP_BYTES)
+        return SuspectGroup(group.hexdigest())
 
     async def note_connection_lost(
         self, admitted: AdmittedRequest, entry: TargetEntry, began_at: float
@@ -119,28 +134,59 @@
         Return once the probe has finished, or after `PROBE_WAIT_S`. A crash is recorded only if the
         target has ended.
         """
-        probe = self._probes.get(entry.target)
-        if probe is None:
-            probe = asyncio.get_running_loop().create_task(self._probe(entry))
-            self._probes[entry.target] = probe
+        probe = self._start_probe(entry)
         at = self._clock()
-        crash = Crash(admitted.digest, entry.target, min(began_at, at), at)
+        crash = Crash(admitted.digest, entry.target, min(began_at, at), at, admitted.parts)
         probe.add_done_callback(lambda done: self._on_probe_done(done, crash, admitted.service))
         await asyncio.wait((probe,), timeout=PROBE_WAIT_S)
 
     def note_served(self, admitted: AdmittedRequest) -> None:
-        """Record that a target served a request."""
+        """Record that a target has served a request long enough not to crash on it."""
+        self._note_served(admitted, self._clock())
+
+    def note_answered(self, admitted: AdmittedRequest, entry: TargetEntry) -> None:
+        """Record that a target answered a request, once it has run on for a while."""
+        if self._tracker.is_empty and not admitted.parts:
+            return
+        asyncio.get_running_loop().call_later(
+            SERVED_CONFIRMATION_S, self._confirm_served, admitted, entry.target, self._clock()
+        )
+
+    def _confirm_served(self, admitted: AdmittedRequest, target: TargetId, at: float) -> None:
+        if target not in self._ended_targets:
+            self._note_served(admitted, at)
+
+    def _note_served(self, admitted: AdmittedRequest, at: float) -> None:
+        self._served_parts.note(admitted.parts, at)
         if self._tracker.is_empty:
             return
-        now = self._clock()
-        if self._tracker.note_served(admitted.digest, now):
-            self._pending.served.append(Served(admitted.digest, now))
+        self._tracker.note_service(admitted.contents, at)
+        for content in admitted.contents:
+            self._note_evidence(content, at)
+
+    def _note_evidence(self, content: ContentId, served_at: float) -> None:
+        """Record that a content was served; tell other entries if it is suspected there."""
+        if self._tracker.note_served(content, served_at):
+            self._pending.served.append(Served(content, served_at))
             self._changed.set()
 
-    def _status(self, admitted: AdmittedRequest) -> CrashStatus:
+    def _with_status(self, admitted: AdmittedRequest, status: CrashStatus) -> list[ContentId]:
+        """Return the contents of a request that have a status."""
         if self._tracker.is_empty:
-            return CrashStatus.CLEAR
-        return self._tracker.status(admitted.digest, self._clock())
+            return []
+        now = self._clock()
+        return [each for each in admitted.contents if self._tracker.status(each, now) is status]
+
+    def _count_quarantined(self, parts: bool) -> int:
+        return sum(is_part(content) is parts for content in self._tracker.quarantined)
+
+    def _start_probe(self, entry: TargetEntry) -> "asyncio.Task[bool]":
+        """Return the probe of a target, which all its broken connections share."""
+        probe = self._probes.get(entry.target)
+        if probe is None:
+            probe = asyncio.get_running_loop().create_task(self._probe(entry))
+            self._probes[entry.target] = probe
+        return probe
 
     async def _probe(self, entry: TargetEntry) -> bool:
         """Return whether this incarnation of a target has ended."""
@@ -152,22 +198,34 @@
             self._probes.pop(entry.target, None)
         if has_ended:
             self._crashes.add()
-            self._ended_targets[entry.target] = None
-            while len(self._ended_targets) > MAX_ENDED_TARGETS:
-                del self._ended_targets[next(iter(self._ended_targets))]
+            self._note_ended(entry.target)
             log.info("target_crashed", target=entry.target, address=entry.address)
         return has_ended
 
+    def _note_ended(self, target: TargetId) -> None:
+        self._ended_targets[target] = None
+        while len(self._ended_targets) > MAX_ENDED_TARGETS:
+            del self._ended_targets[next(iter(self._ended_targets))]
+
     def _on_probe_done(
         self, probe: "asyncio.Task[bool]", crash: Crash, service: ServiceName
     ) -> None:
         if probe.cancelled() or probe.exception() is not None or not probe.result():
             return
-        self._rows.note_observed(crash.request, service)
+        for content in crash.contents:
+            self._rows.note_observed(content, service)
         if self._tracker.note_crash(crash, self._clock()):
             self._pending.crashes.append(crash)
+            self._add_served_before([crash])
         self._changed.set()
 
+    def _add_served_before(self, crashes: Iterable[Crash]) -> None:
+        """Add when this entry last saw the parts of crashed requests served."""
+        for part in dict.fromkeys(part for crash in crashes for part in crash.parts):
+            served_at = self._served_parts.last_at(part)
+            if served_at is not None:
+                self._note_evidence(part, served_at)
+
     # ---- other entries, and the store -----------------------------------------------------
 
     def compose_full_update(self) -> messages.CrashUpdate | None:
@@ -180,36 +238,44 @@
         """Merge the update of another entry; raise `ProtocolViolation` if it is invalid."""
         now = self._clock()
         new = merge_report(self._tracker, CrashReport.from_message(update, now), now)
+        for crash in new.crashes:
+            self._note_ended(crash.target)
         self._apply_received(new, "entry")
+        self._add_served_before(new.crashes)
 
-    def apply_store_change(self, change: CrashingRequest | QuarantineLifted) -> None:
-        """Apply that the store lists a request as crashing targets, or no longer lists it."""
+    def apply_store_change(self, change: CrashingContent | QuarantineLifted) -> None:
+        """Apply that the store lists a content as crashing targets, or no longer lists it."""
         match change:
-            case CrashingRequest(request, _, targets, is_quarantined):
+            case CrashingContent(content, _, targets, is_quarantined):
                 now = self._clock()
-                crashes = sequential_crashes(request, targets, ASSUMED_INTERVAL_S, now)
-                quarantined = [request] if is_quarantined else []
+                crashes = sequential_crashes(content, targets, ASSUMED_INTERVAL_S, now)
+                quarantined = [content] if is_quarantined else []
                 listed = CrashReport(crashes, [], quarantined)
                 self._apply_received(merge_report(self._tracker, listed, now), "store")
-            case QuarantineLifted(request):
-                self._rows.note_removed(request)
-                if self._tracker.lift_quarantine(request):
-                    log.info("quarantine_lifted", digest=request, source="store")
+            case QuarantineLifted(content):
+                self._rows.note_removed(content)
+                if self._tracker.lift_quarantine(content):
+                    log.info("quarantine_lifted", content=content, source="store")
 
     def rewrite_missing(self, listed: Set[str]) -> None:
         """Rewrite the rows of this entry that the list lacks."""
         self._rows.rewrite_missing(listed)
 
     def _apply_received(self, new: CrashReport, source: str) -> None:
-        for request in new.quarantined:
-            self._log_quarantined(request, source)
+        for content in new.quarantined:
+            self._log_quarantined(content, source)
         if self._is_forwarder():
             self._pending.add(new)
         self._changed.set()
 
-    def _log_quarantined(self, request: RequestDigest, source: str) -> None:
-        crashes = self._tracker.crash_count(request)
-        log.warning("request_quarantined", digest=request, crashes=crashes, source=source)
+    def _log_quarantined(self, content: ContentId, source: str) -> None:
+        log.warning(
+            "part_quarantined" if is_part(content) else "request_quarantined",
+            content=content,
+            crashes=self._tracker.crash_count(content),
+            targets=self._tracker.sequential_targets(content),
+            source=source,
+        )
 
     async def _run(self) -> None:
         while True:
@@ -231,13 +297,13 @@
         self._changed.clear()
 
     def _quarantine_new(self) -> None:
-        for request in self._tracker.quarantine_culprits(self._clock()):
-            self._log_quarantined(request, "own")
-            self._pending.quarantined.append(request)
+        for content in self._tracker.quarantine_culprits(self._clock()):
+            self._log_quarantined(content, "own")
+            self._pending.quarantined.append(content)
 
     def _end_expired(self) -> None:
-        for request in self._tracker.expired_quarantines(self._clock()):
-            self._tracker.lift_quarantine(request)
-            log.info("quarantine_lifted", digest=request, source="time")
+        for content in self._tracker.expired_quarantines(self._clock()):
+            self._tracker.lift_quarantine(content)
+            log.info("quarantine_lifted", content=content, source="time")
             if self._is_forwarder():
-                self._rows.remove(request)
+                self._rows.remove(content)
--- a/src/lacewinggw/frontend/crashrows.py
+++ b/src/lacewinggw/frontend/crashrows.py
@@ -1,15 +1,16 @@
-"""Store rows of requests that crash targets, which survive a restart of all entries."""
+"""Store rows of what crashes targets, which survive a restart of all entries."""
 
 import asyncio
 import random
 from collections.abc import Set
 
 from lacewinggw.background import Background
-from lacewinggw.decisions.crashes import SUSPECT_CRASHES, CrashTracker
+from lacewinggw.decisions.contents import is_part
+from lacewinggw.decisions.crashes import CrashTracker
 from lacewinggw.errors import PlatformError
-from lacewinggw.fleet.feed import CrashingRequest
+from lacewinggw.fleet.feed import CrashingContent
 from lacewinggw.fleet.ownrows import OwnRows, crashing_key, crashing_row
-from lacewinggw.ids import RequestDigest, ServiceName
+from lacewinggw.ids import ContentId, ServiceName
 from lacewinggw.log import get_logger
 
 WRITE_RETRY_S = 1.0
@@ -18,13 +19,13 @@
 
 
 class CrashRows:
-    """Writes the tracker's records of the requests whose crashes this entry observed itself.
+    """Writes the tracker's records of the contents whose crashes this entry observed itself.
 
     Two successive crashes are written at once, because all entries may end before a third crash is
-    evaluated. Only entries that observed a request write its row, so that a few entries write it
+    evaluated. Only entries that observed a content write its row, so that a few entries write it
     instead of all.
 
-        rows.note_observed(request, service)
+        rows.note_observed(content, service)
         rows.update()  # after the tracker has changed
     """
 
@@ -32,9 +33,9 @@
         self._rows = rows
         self._tracker = tracker
         self._rng = rng
-        self._services: dict[RequestDigest, ServiceName] = {}  # of the observed requests
-        self._written: dict[RequestDigest, CrashingRequest] = {}
-        self._to_write: dict[RequestDigest, CrashingRequest | None] = {}  # None: remove the row
+        self._services: dict[ContentId, ServiceName] = {}  # of the observed requests
+        self._written: dict[ContentId, CrashingContent] = {}
+        self._to_write: dict[ContentId, CrashingContent | None] = {}  # None: remove the row
         self._can_write = asyncio.Event()
         self._loop = Background("crash rows", self._run)
 
@@ -46,52 +47,54 @@
         """Stop writing."""
         await self._loop.close()
 
-    def note_observed(self, request: RequestDigest, service: ServiceName) -> None:
-        """Record that a request of this entry was running on a target that crashed."""
-        self._services.setdefault(request, service)
+    def note_observed(self, content: ContentId, service: ServiceName) -> None:
+        """Record that a content of this entry was on a target that crashed."""
+        self._services.setdefault(content, service)
 
     def update(self) -> None:
         """Schedule writes for the rows that differ from the tracker's records."""
-        for request, service in list(self._services.items()):
-            entry = self._entry_of(request, service)
-            if entry is None and self._tracker.crash_count(request) == 0:
-                del self._services[request]
-            if entry == self._written.get(request):
+        for content, service in list(self._services.items()):
+            entry = self._entry_of(content, service)
+            if entry is None and self._tracker.crash_count(content) == 0:
+                del self._services[content]
+            elif entry is None and is_part(content):
+                continue  # a request explains its crashes, but another one may crash on it too
+            if entry == self._written.get(content):
                 continue
             if entry is None:
-                del self._written[request]
+                del self._written[content]
             else:
-                self._written[request] = entry
-            self._note_to_write(request, entry)
+                self._written[content] = entry
+            self._note_to_write(content, entry)
 
     def rewrite_missing(self, listed: Set[str]) -> None:
         """Rewrite the rows of this entry that the list lacks."""
-        for request, entry in self._written.items():
-            if crashing_key(request) not in listed:
-                self._note_to_write(request, entry)
+        for content, entry in self._written.items():
+            if crashing_key(content) not in listed:
+                self._note_to_write(content, entry)
 
-    def remove(self, request: RequestDigest) -> None:
+    def remove(self, content: ContentId) -> None:
         """Schedule the removal of a row, regardless of which entry wrote it."""
-        self._written.pop(request, None)
-        self._note_to_write(request, None)
+        self._written.pop(content, None)
+        self._note_to_write(content, None)
 
-    def note_removed(self, request: RequestDigest) -> None:
+    def note_removed(self, content: ContentId) -> None:
         """Record that a row has been removed from the store."""
-        self._written.pop(request, None)
+        self._written.pop(content, None)
 
-    def _entry_of(self, request: RequestDigest, service: ServiceName) -> CrashingRequest | None:
-        """Return the row to write for a request; None if it is not suspected."""
-        before = self._written.get(request)
-        is_quarantined = request in self._tracker.quarantined
+    def _entry_of(self, content: ContentId, service: ServiceName) -> CrashingContent | None:
+        """Return the row to write for a content; None if it is not suspected."""
+        before = self._written.get(content)
+        is_quarantined = content in self._tracker.quarantined
         if is_quarantined and before is not None and before.is_quarantined:
             return before  # later crashes of attempts already in progress add nothing
-        targets = tuple(self._tracker.sequential_targets(request))
-        if not is_quarantined and len(targets) < SUSPECT_CRASHES:
+        targets = tuple(self._tracker.sequential_targets(content))
+        if not is_quarantined and not self._tracker.is_suspect(content, len(targets)):
             return None
-        return CrashingRequest(request, service, targets, is_quarantined)
+        return CrashingContent(content, service, targets, is_quarantined)
 
-    def _note_to_write(self, request: RequestDigest, entry: CrashingRequest | None) -> None:
-        self._to_write[request] = entry
+    def _note_to_write(self, content: ContentId, entry: CrashingContent | None) -> None:
+        self._to_write[content] = entry
         self._can_write.set()
 
     async def _run(self) -> None:
@@ -107,10 +110,10 @@
                 await asyncio.sleep(WRITE_RETRY_S * self._rng.uniform(0.5, 1.5))
 
     async def _write_all(self) -> None:
-        for request, entry in list(self._to_write.items()):
+        for content, entry in list(self._to_write.items()):
             if entry is None:
-                await self._rows.remove(crashing_key(request))
+                await self._rows.remove(crashing_key(content))
             else:
                 await self._rows.put(crashing_row(entry))
-            if self._to_write.get(request) is entry:
-                del self._to_write[request]
+            if self._to_write.get(content) is entry:
+                del self._to_write[content]
--- a/src/lacewinggw/frontend/crashupdates.py
+++ b/src/lacewinggw/frontend/crashupdates.py
@@ -3,9 +3,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from lacewinggw.decisions.crashes import Crash, CrashTracker
+from lacewinggw.decisions.crashes import CrashTracker
+from lacewinggw.decisions.crashrecords import Crash
 from lacewinggw.generated.messages import ttypes as messages
-from lacewinggw.ids import RequestDigest, TargetId
+from lacewinggw.ids import ContentId, TargetId
 from lacewinggw.wire.validation import require_valid
 
 MS_PER_S = 1000.0
@@ -13,19 +14,19 @@
 
 @dataclass(frozen=True)
 class Served:
-    """A suspected request that was served; `at` is by the clock of the tracker."""
+    """A suspected content that was served; `at` is by the clock of the tracker."""
 
-    request: RequestDigest
+    content: ContentId
     at: float
 
 
 @dataclass
 class CrashReport:
-    """Crashes, suspected requests that were served since, and quarantined requests."""
+    """Crashes, suspected contents that were served, and quarantined contents."""
 
     crashes: list[Crash] = field(default_factory=list)
     served: list[Served] = field(default_factory=list)
-    quarantined: list[RequestDigest] = field(default_factory=list)
+    quarantined: list[ContentId] = field(default_factory=list)
 
     def __bool__(self) -> bool:
         return bool(self.crashes or self.served or self.quarantined)
@@ -33,8 +34,8 @@
     @classmethod
     def from_ledger(cls, tracker: CrashTracker) -> "CrashReport":
         """Return the complete contents of a tracker."""
-        served = [Served(request, at) for request, at in tracker.served()]
-        return cls(list(tracker.crashes()), served, list(tracker.quarantined))
+        served = [Served(content, at) for content, at in tracker.records.served()]
+        return cls(list(tracker.records.reports()), served, list(tracker.quarantined))
 
     @classmethod
     def from_message(cls, update: messages.CrashUpdate, now: float) -> "CrashReport":
@@ -43,10 +44,10 @@
         return cls(
             [_decode_crash(message, now) for message in update.crashes],
             [
-                Served(RequestDigest(message.request_digest), now - message.age_ms / MS_PER_S)
+                Served(ContentId(message.request_digest), now - message.age_ms / MS_PER_S)
                 for message in update.served
             ],
-            [RequestDigest(digest) for digest in update.quarantined],
+            [ContentId(content) for content in update.quarantined],
         )
 
     def to_message(self, now: float) -> messages.CrashUpdate:
@@ -54,7 +55,7 @@
         return messages.CrashUpdate(
             crashes=[_encode_crash(crash, now) for crash in self.crashes],
             served=[
-                messages.ServedRequest(served.request, _to_ms(now - served.at))
+                messages.ServedRequest(served.content, _to_ms(now - served.at))
                 for served in self.served
             ],
             quarantined=list(self.quarantined),
@@ -69,32 +70,38 @@
 
 def merge_report(tracker: CrashTracker, report: CrashReport, now: float) -> CrashReport:
     """Merge a report into a tracker; return the part that was new."""
-    served = [each for each in report.served if tracker.note_served(each.request, each.at)]
+    served = [each for each in report.served if tracker.note_served(each.content, each.at)]
     crashes = [crash for crash in report.crashes if tracker.note_crash(crash, now)]
     quarantined = [each for each in report.quarantined if tracker.quarantine(each, now)]
     return CrashReport(crashes, served, quarantined)
 
 
 def sequential_crashes(
-    request: RequestDigest, targets: Iterable[TargetId], step_s: float, now: float
+    content: ContentId, targets: Iterable[TargetId], step_s: float, now: float
 ) -> list[Crash]:
     """Return crashes with known order but unknown times, placed `step_s` apart just before now."""
     known = list(targets)
     ends = [now - (len(known) - number) * step_s for number in range(len(known))]
     return [
-        Crash(request, target, at - step_s / 2, at) for target, at in zip(known, ends, strict=True)
+        Crash(content, target, at - step_s / 2, at) for target, at in zip(known, ends, strict=True)
     ]
 
 
 def _encode_crash(crash: Crash, now: float) -> messages.TargetCrash:
     ran_ms, age_ms = _to_ms(crash.at - crash.began_at), _to_ms(now - crash.at)
-    return messages.TargetCrash(crash.request, crash.target, ran_ms, age_ms)
+    return messages.TargetCrash(crash.request, crash.target, ran_ms, age_ms, list(crash.parts))
 
 
 def _decode_crash(message: messages.TargetCrash, now: float) -> Crash:
     at = now - message.age_ms / MS_PER_S
     began_at = at - message.ran_ms / MS_PER_S
-    return Crash(RequestDigest(message.request_digest), TargetId(message.target), began_at, at)
+    return Crash(
+        ContentId(message.request_digest),
+        TargetId(message.target),
+        began_at,
+        at,
+        tuple(ContentId(part) for part in message.parts),
+    )
 
 
 def _to_ms(seconds: float) -> int:
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -26,7 +26,7 @@
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
 from lacewinggw.frontend.offers import OfferOptions, OfferTimeouts
 from lacewinggw.frontend.requeststate import RequestProgress
-from lacewinggw.ids import ServiceName
+from lacewinggw.ids import ServiceName, SuspectGroup
 
 IDLE_OBJECTIVES = 3.0  # multiples of the route's objective; then a backup attempt is made
 MIN_IDLE_TIMEOUT_S = 0.6
@@ -71,7 +71,7 @@
         clock: Clock,
         retries: Callable[[], RetryLimits],
         count_entries: Callable[[], int],
-        is_suspect: Callable[[AdmittedRequest], bool] = lambda admitted: False,
+        suspect_group: Callable[[AdmittedRequest], SuspectGroup | None] = lambda admitted: None,
         homes_of: Callable[[AdmittedRequest], Callable[[], Homes]] = lambda admitted: anywhere,
     ) -> None:
         self._view = view
@@ -79,7 +79,7 @@
         self._clock = clock
         self._retries = retries
         self._count_entries = count_entries
-        self._is_suspect = is_suspect
+        self._suspect_group = suspect_group
         self._homes_of = homes_of
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._times = CallerTimeouts()
@@ -186,7 +186,6 @@
             )
         min_version = self._min_version(progress)
         prefill_s = prefill_time(service.engine, facts.prompt_tokens)
-        suspect = admitted.digest if self._is_suspect(admitted) else None
         return TargetRequirements(
             admitted.service,
             model,
@@ -194,7 +193,7 @@
             progress.weights_version,
             frozenset(progress.tried_targets),
             prefill_s,
-            suspect,
+            self._suspect_group(admitted),
             account,
             service_time(
                 service.engine, facts.prompt_tokens, facts.output_tokens, facts.expected_tokens
--- a/src/lacewinggw/frontend/storefollower.py
+++ b/src/lacewinggw/frontend/storefollower.py
@@ -17,7 +17,7 @@
 from lacewinggw.fleet.access import StoreAccess
 from lacewinggw.fleet.era import StoreEra
 from lacewinggw.fleet.feed import (
-    CrashingRequest,
+    CrashingContent,
     FeedUpdate,
     FleetFeed,
     ItemChanged,
@@ -85,7 +85,7 @@
         leaving_targets: LeavingTargets,
         evacuations: EvacuationMonitor,
         on_urgent: Callable[[], None],
-        on_crashing: Callable[[CrashingRequest | QuarantineLifted], None],
+        on_crashing: Callable[[CrashingContent | QuarantineLifted], None],
         on_restored: Callable[[Set[str]], None],
         on_target_rows: Callable[[FeedUpdate, AnswerTimes], None],
     ) -> None:
@@ -258,10 +258,10 @@
             match change:
                 case ItemChanged(MemberEntry(member)):
                     self.members[member.host] = member
-                case ItemChanged(CrashingRequest() as entry):
+                case ItemChanged(CrashingContent() as entry):
                     self._on_crashing(entry)
-                case ItemRemoved(key) if (request := parse_crashing_key(key)) is not None:
-                    self._on_crashing(QuarantineLifted(request))
+                case ItemRemoved(key) if (content := parse_crashing_key(key)) is not None:
+                    self._on_crashing(QuarantineLifted(content))
                 case ItemRemoved(key):
                     self.members.pop(HostId(key), None)
         self._on_members()
@@ -282,5 +282,5 @@
         match change:
             case ItemChanged(MemberEntry(member)):
                 yield member.host
-            case ItemChanged(CrashingRequest(request)):
-                yield crashing_key(request)
+            case ItemChanged(CrashingContent(content)):
+                yield crashing_key(content)
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -165,3 +165,6 @@
 
     def note_served(self, admitted: AdmittedRequest) -> None:
         """Take no note."""
+
+    def note_answered(self, admitted: AdmittedRequest, entry: TargetEntry) -> None:
+        """Take no note."""
--- a/src/lacewinggw/loader/slots.py
+++ b/src/lacewinggw/loader/slots.py
@@ -9,7 +9,7 @@
 from lacewinggw.decisions.slots import SlotAllocator, SlotRequest
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import SlotState
-from lacewinggw.ids import Account, LeaseId, RequestDigest
+from lacewinggw.ids import Account, LeaseId, SuspectGroup
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.peers import Exchange
@@ -178,7 +178,7 @@
 
 
 def _slot_request(request: messages.AskSlot) -> SlotRequest:
-    suspect = RequestDigest(request.suspect) if request.suspect else None
+    suspect = SuspectGroup(request.suspect) if request.suspect else None
     return SlotRequest(
         rank=request.rank,
         is_late=request.late,
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -69,6 +69,9 @@
     ),
     "requests_waiting": _gauge("entry", "Requests that wait for a target with room."),
     "requests_quarantined": _gauge("entry", "Requests kept away from targets, as these ended."),
+    "prompt_parts_quarantined": _gauge(
+        "entry", "Prompt parts whose requests are kept away from targets, as these ended."
+    ),
     "reservations": _gauge("agent", "Reservations given and not used yet."),
     "retries": _counter("both", "What was tried again, by reason."),
     "routes_age": _gauge("entry", "Seconds since the routes were known to be the newest."),
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -81,6 +81,9 @@
     def note_served(self, admitted):
         pass
 
+    def note_answered(self, admitted, entry):
+        pass
+
 
 @dataclass(eq=False)
 class Run:
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -3,15 +3,13 @@
 import pytest
 
 from lacewinggw.decisions.crashes import (
-    MAX_REQUESTS,
     QUARANTINE_S,
-    RETENTION_S,
     SETTLE_S,
     TIED_CRASHES,
-    Crash,
     CrashStatus,
     CrashTracker,
 )
+from lacewinggw.decisions.crashrecords import MAX_REQUESTS, RETENTION_S, Crash
 from lacewinggw.decisions.slots import SlotAllocator, SlotRequest
 
 
@@ -118,9 +116,9 @@
     tracker = CrashTracker()
     for number in range(MAX_REQUESTS + 10):
         tracker.note_crash(Crash(f"r{number}", "a", 0.5, 1.0), 1.0)
-    assert len(list(tracker.crashes())) == MAX_REQUESTS
+    assert len(list(tracker.records.reports())) == MAX_REQUESTS
     tracker.note_crash(Crash("late", "b", RETENTION_S, RETENTION_S + 2.0), RETENTION_S + 2.0)
-    assert len(list(tracker.crashes())) == 1
+    assert len(list(tracker.records.reports())) == 1
 
 
 def test_two_suspects_never_share_a_target():
@@ -134,3 +132,111 @@
     assert allocator.grant(0.1) == []
     allocator.release(3)
     assert allocator.grant(0.2) == [1]
+
+
+# ---- parts of prompts -----------------------------------------------------------------------
+
+COMMON, OTHER, CRASHING = "part:m:f0", "part:m:0e", "part:m:dead"
+
+
+def part_tracker(*crashes, gap_s=1.0):
+    """Return a tracker; each crash lists the requests on a target, each with its parts."""
+    tracker = CrashTracker()
+    for number, requests in enumerate(crashes):
+        at = (number + 1) * gap_s
+        for request, parts in requests.items():
+            tracker.note_crash(Crash(request, f"t{number}", at - 0.5 * gap_s, at, parts), at)
+    return tracker
+
+
+def sound_and_crashing(number):
+    """Return requests on one target: two sound ones, and one with the crashing part."""
+    return {
+        f"s{number}a": (COMMON, OTHER),
+        f"s{number}b": (COMMON, OTHER),
+        f"c{number}": (COMMON, CRASHING),
+    }
+
+
+def test_a_part_of_different_requests_is_quarantined():
+    tracker = part_tracker(*(sound_and_crashing(number) for number in range(3)))
+    tracker.note_served(OTHER, 0.1)
+    assert tracker.quarantine_culprits(4.0) == [CRASHING]
+    assert tracker.status(COMMON, 4.0) is CrashStatus.CLEAR
+
+
+def test_parts_of_different_requests_on_the_same_targets_are_undecided_until_one_is_served():
+    tracker = part_tracker(*(sound_and_crashing(number) for number in range(2 * TIED_CRASHES)))
+    assert tracker.quarantine_culprits(19.0) == []
+    tracker.note_served(OTHER, 19.5)
+    tracker.note_crash(Crash("c", "t", 19.6, 20.0, (CRASHING,)), 20.0)
+    assert tracker.quarantine_culprits(21.0) == [CRASHING]
+
+
+def test_a_part_that_all_prompts_have_is_never_preferred_to_a_more_specific_one():
+    """Nothing has been served since, and the common part was on a crash of its own as well."""
+    both = [{f"s{number}": (COMMON,), f"c{number}": (COMMON, CRASHING)} for number in range(5)]
+    assert part_tracker(*both, {"s": (COMMON,)}).quarantine_culprits(9.0) == [CRASHING]
+
+
+def test_a_part_that_was_served_before_needs_more_crashes_and_others_served():
+    requests = [{f"r{number}": (CRASHING,)} for number in range(TIED_CRASHES)]
+    tracker = part_tracker(*requests[:3])
+    assert tracker.note_served(CRASHING, 0.1)  # an entry had seen it served
+    assert tracker.quarantine_culprits(4.0) == []
+    tracker = part_tracker(*requests)
+    assert tracker.note_served(CRASHING, 0.1)
+    assert tracker.quarantine_culprits(9.0) == []
+    tracker.note_service(["s", OTHER], 3.0)
+    assert tracker.note_crash(Crash("r9", "t9", 9.5, 10.0, (CRASHING,)), 10.0)
+    assert tracker.quarantine_culprits(11.0) == [CRASHING]
+
+
+def test_a_part_that_is_served_again_is_cleared_and_its_requests_are_not():
+    tracker = part_tracker(*(sound_and_crashing(number) for number in range(2)))
+    assert tracker.note_served(CRASHING, 5.0)
+    assert tracker.status(CRASHING, 5.0) is CrashStatus.CLEAR
+    assert tracker.crash_count("c0") == 1 and tracker.crash_count(CRASHING) == 0
+
+
+def test_parts_that_always_come_together_are_all_quarantined_in_the_end():
+    both = [{f"r{number}": (CRASHING, OTHER)} for number in range(TIED_CRASHES)]
+    assert part_tracker(*both[:-1]).quarantine_culprits(9.0) == []
+    assert sorted(part_tracker(*both).quarantine_culprits(9.0)) == sorted([CRASHING, OTHER])
+
+
+def test_a_repeated_request_is_quarantined_before_its_parts():
+    tracker = part_tracker(*({"r": (COMMON, CRASHING)} for _ in range(3)))
+    assert tracker.quarantine_culprits(4.0) == ["r"]
+    assert tracker.status(CRASHING, 4.0) is CrashStatus.CLEAR
+
+
+def test_a_part_is_quarantined_after_one_of_its_requests_at_the_next_crash():
+    """Its crashes are explained by that request, but the next one is not."""
+    tracker = part_tracker(*({"r": (COMMON, CRASHING)} for _ in range(3)))
+    assert tracker.quarantine_culprits(4.0) == ["r"]
+    assert tracker.note_crash(Crash("q", "t9", 4.5, 5.0, (COMMON, CRASHING)), 5.0)
+    tracker.note_served(COMMON, 5.1)
+    assert tracker.quarantine_culprits(6.0) == [CRASHING]
+
+
+def test_a_part_of_most_requests_is_not_quarantined_when_all_targets_crash():
+    tracker = part_tracker(
+        *({f"r{target}{number}": (COMMON,) for number in range(4)} for target in range(9))
+    )
+    assert tracker.quarantine_culprits(19.0) == []
+
+
+def test_crashes_that_an_expired_quarantine_explained_do_not_count_against_others():
+    both = [{f"s{number}": (COMMON,), f"c{number}": (COMMON, CRASHING)} for number in range(3)]
+    tracker = part_tracker(*both)
+    assert tracker.quarantine_culprits(4.0) == [CRASHING]
+    tracker.lift_quarantine(CRASHING)
+    assert tracker.is_empty
+
+
+def test_the_crashes_that_a_store_lists_do_not_count_twice():
+    tracker = part_tracker(*({f"r{number}": (CRASHING,)} for number in range(2)))
+    for number in range(2):
+        assert not tracker.note_crash(Crash(CRASHING, f"t{number}", 8.0, 8.1), 9.0)
+    assert tracker.records.crashes_of(CRASHING)["t0"].requests == {"r0"}
--- a/tests/fleet/test_crashing_prompt_parts.py
+++ b/tests/fleet/test_crashing_prompt_parts.py
@@ -20,8 +20,9 @@
 MIN_SERVED_SHARE = 0.5  # of other requests with the same account and first part
 
 
-@pytest.mark.parametrize("part_at", [0, 1, 2])
-@pytest.mark.parametrize(("entries", "crashing_per_s"), [(6, 3.0)])
+@pytest.mark.parametrize(
+    ("entries", "crashing_per_s", "part_at"), [(6, 0.8, 0), (6, 3.0, 1), (6, 8.0, 2), (24, 3.0, 1)]
+)
 async def test_requests_with_a_crashing_part_are_quarantined(entries, crashing_per_s, part_at):
     async with running_fleet(desks=0, engines=0, entries=entries) as fleet:
         await add_engines(fleet, 9)
