Do not take the end of an unframed answer for complete if its target crashed

Callers could get a stream without its last events, or part of a body, as a complete answer: an answer with neither a length nor chunks ends with its connection, and so does one whose target crashes. Such an end also cleared the request of crashing targets.

When such an answer ends, one connection is tried to its target. If the address refuses it, the answer is incomplete: a stream is resumed, a request that may be repeated is, and another one fails.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -430,6 +430,7 @@
                 async for events in batches:
                     self._note_events(attempt, stream_speed, len(events))
                     await self._put(attempt, _Events(answer, events))
+            await self._require_alive(attempt, answer)
             await self._put(attempt, _Ended(answer, b""))
             return
         body = await read_whole(answer, lambda: self._note_data(attempt))
@@ -440,8 +441,19 @@
             return
         if not answer.facts.sealed:
             raise AnswerIncomplete("the answer has no response seal")
+        await self._require_alive(attempt, answer)
         await self._put(attempt, _Ended(answer, body))
 
+    async def _require_alive(self, attempt: _Attempt, answer: Answer) -> None:
+        """Raise `AnswerIncomplete` if an answer ended because its target did.
+
+        An answer with neither a length nor chunks ends with its connection in either case.
+        """
+        if not answer.response.ends_with_connection:
+            return
+        if await self._deps.crashes.has_ended(attempt.load.entry):
+            raise AnswerIncomplete("the answer ended with its target")
+
     def _note_data(self, attempt: _Attempt) -> None:
         attempt.data_at = _now()
         attempt.load.note_data(attempt.data_at)
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -140,6 +140,10 @@
         probe.add_done_callback(lambda done: self._on_probe_done(done, crash, admitted.service))
         await asyncio.wait((probe,), timeout=PROBE_WAIT_S)
 
+    async def has_ended(self, entry: TargetEntry) -> bool:
+        """Return whether this incarnation of a target has ended; takes a connection attempt."""
+        return await asyncio.shield(self._start_probe(entry))
+
     def note_served(self, admitted: AdmittedRequest) -> None:
         """Record that a target has served a request long enough not to crash on it."""
         self._note_served(admitted, self._clock())
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -58,6 +58,8 @@
 
     status = OK
 
+    ends_with_connection = False
+
     def __init__(self, engine: ModelEngine, job: EngineJob, first: int, hop_s: float) -> None:
         self.headers: Headers = {}
         self._events = engine.events(job)
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -339,6 +339,11 @@
         self._release = release
         self._ended = False
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether the body has neither a length nor chunks, so that only its connection ends it."""
+        return not self.headers.keys() & {"content-length", "transfer-encoding"}
+
     async def pieces(self) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives; raise `OSError` when it is truncated.
 
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -170,6 +170,8 @@
 class Response:
     """The body of an answer: events with the version of the weights, or a whole body."""
 
+    ends_with_connection = False
+
     def __init__(self, schedule: Schedule, run: Run, idle_s: float, streams: bool) -> None:
         self._schedule, self._run, self._idle_s, self._streams = schedule, run, idle_s, streams
 
@@ -409,6 +411,8 @@
 
 
 class SteadyBody:
+    ends_with_connection = False
+
     async def pieces(self):
         for number in range(1, EVENTS + 1):
             await asyncio.sleep(0.05)
@@ -419,6 +423,8 @@
 
 
 class ScriptedBody:
+    ends_with_connection = False
+
     def __init__(self, is_sound: bool) -> None:
         self._is_sound = is_sound
 
