Send suspected requests to one target at a time, once the reports on crashes are in

Then all requests of a group of suspects go to one target, the same at every entry by rendezvous hashing, so that the next crash costs one target. Targets that are known to have crashed are left out.

--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -161,6 +161,11 @@
             return False
         return crashes >= SUSPECT_CRASHES
 
+    def settled_at(self, content: ContentId) -> float:
+        """Return when all reports on the last crash under a content have arrived."""
+        crashes = self.records.crashes_of(content).values()
+        return max((crash.received_at for crash in crashes), default=-math.inf) + SETTLE_S
+
     def quarantine_culprits(self, now: float) -> list[ContentId]:
         """Detect contents that crash targets, quarantine them, and return them."""
         found: list[ContentId] = []
--- a/src/lacewinggw/decisions/dispatch.py
+++ b/src/lacewinggw/decisions/dispatch.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 
+from lacewinggw.decisions.addresses import rendezvous_weight
 from lacewinggw.decisions.ejection import EjectionRules, note_failed_call
 from lacewinggw.decisions.homeregions import Homes, anywhere
 from lacewinggw.decisions.targetlist import TargetEntry
@@ -42,6 +43,18 @@
 MAX_UNLISTED = 1000  # targets that left the list and whose state is kept
 
 
+@dataclass(frozen=True)
+class Suspicion:
+    """What is known of a request that may crash targets.
+
+    All requests of its `group` go to one target at a time. `ended_targets` have crashed, and may
+    still be listed.
+    """
+
+    group: SuspectGroup
+    ended_targets: frozenset[TargetId] = frozenset()
+
+
 @dataclass(frozen=True)
 class TargetRequirements:
     """What a request requires of a target.
@@ -49,7 +62,8 @@
     `min_version` is the oldest version of `model` on which a request may still start;
     `exact_version` is the version with which its answer has already begun. `excluded` holds the
     targets that were sent the request before. Its prefill takes a target `prefill_s` seconds.
-    `suspect` is set for a request that may crash targets. It belongs to `account` and takes an
+    `suspect` is set for a request that may crash targets: all requests of one such group are sent
+    to one target at a time. It belongs to `account` and takes an
     estimated `service_s` of a target's time in all. `homes` returns the regions in which it may
     run; they change with the routes while the request waits.
     """
@@ -152,13 +166,18 @@
     def eligible(self, requirements: TargetRequirements) -> list[TargetLoad]:
         """Return the targets that meet the requirements, however busy they are."""
         homes = requirements.homes()
-        return [
+        eligible = [
             load
             for load in self._loads.values()
             if self._meets(load, requirements)
             and self._is_usable(load)
             and self.is_home(load, homes)
         ]
+        group = requirements.suspect
+        if group is None or not eligible:
+            return eligible
+        # Every entry chooses the same target, so that the next crash costs one target only.
+        return [max(eligible, key=lambda load: rendezvous_weight(group, load.entry.target))]
 
     def is_home(self, load: TargetLoad, homes: Homes) -> bool:
         """Return whether a request with these home regions may run at a target."""
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -292,6 +292,7 @@
     async def _start(self) -> None:
         """Make an attempt; raise `RequestRefused` if no target accepts the request."""
         deps, progress = self._deps, self._progress
+        await deps.crashes.wait_until_settled(progress.admitted)
         deps.crashes.require_not_quarantined(progress.admitted)
         attempt = self._current = _Attempt(await deps.placer.claim(progress))
         self._require_not_quarantined(attempt)
@@ -367,6 +368,7 @@
     async def _back_up(self, attempt: _Attempt) -> None:
         """Claim a target for a backup attempt and offer it the request."""
         try:
+            await self._deps.crashes.wait_until_settled(self._progress.admitted)
             self._deps.crashes.require_not_quarantined(self._progress.admitted)
             attempt.claim = await self._deps.placer.claim_backup(self._progress)
             self._require_not_quarantined(attempt)
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -16,6 +16,7 @@
 from lacewinggw.decisions.contents import is_part
 from lacewinggw.decisions.crashes import CrashStatus, CrashTracker
 from lacewinggw.decisions.crashrecords import Crash
+from lacewinggw.decisions.dispatch import Suspicion
 from lacewinggw.decisions.servedparts import ServedParts
 from lacewinggw.decisions.targetlist import TargetEntry
 from lacewinggw.errors import RequestQuarantined
@@ -44,6 +45,8 @@
 # crashes on a request may send all of a short answer first.
 SERVED_CONFIRMATION_S = 0.2
 GROUP_BYTES = 12
+MIN_WAIT_S = 0.001  # resolution of the event loop's timers
+MAX_SETTLING_WAIT_S = 1.0  # of a suspected request, while further crashes under it are reported
 
 log = get_logger(__name__)
 
@@ -82,6 +85,7 @@
         self._probes: dict[TargetId, asyncio.Task[bool]] = {}
         self._ended_targets: dict[TargetId, None] = {}
         self._changed = asyncio.Event()
+        self._evaluated = asyncio.Event()  # replaced each time
         self._crashes = metrics.counter("target_crashes")
         metrics.read_gauge("requests_quarantined", lambda: self._count_quarantined(False))
         metrics.read_gauge("prompt_parts_quarantined", lambda: self._count_quarantined(True))
@@ -115,16 +119,31 @@
         """Return whether a request or a part of its prompt is quarantined."""
         return bool(self._with_status(admitted, CrashStatus.QUARANTINED))
 
-    def suspect_group(self, admitted: AdmittedRequest) -> SuspectGroup | None:
-        """Return what a request shares with those that it may run beside, if it is suspected.
-
-        None if nothing in it is suspected: it may run beside any other request.
-        """
-        suspects = sorted(self._with_status(admitted, CrashStatus.SUSPECT))
+    def suspicion_of(self, admitted: AdmittedRequest) -> Suspicion | None:
+        """Return which group of suspects a request belongs to; None if it is not suspected."""
+        suspects = self._with_status(admitted, CrashStatus.SUSPECT)
         if not suspects:
             return None
-        group = hashlib.blake2b(",".join(suspects).encode(), digest_size=GROUP_BYTES)
-        return SuspectGroup(group.hexdigest())
+        parts = sorted(each for each in suspects if is_part(each))
+        group = hashlib.blake2b(",".join(parts or suspects).encode(), digest_size=GROUP_BYTES)
+        return Suspicion(SuspectGroup(group.hexdigest()), frozenset(self._ended_targets))
+
+    async def wait_until_settled(self, admitted: AdmittedRequest) -> None:
+        """Wait until all entries have reported the recent crashes under a suspected request.
+
+        It may be quarantined then, or known to have been served, and would crash another target
+        in the meantime.
+        """
+        until = self._clock() + MAX_SETTLING_WAIT_S
+        while suspects := self._with_status(admitted, CrashStatus.SUSPECT):
+            now = self._clock()
+            settled_at = max(self._tracker.settled_at(each) for each in suspects) + COALESCE_S
+            wait_s = min(settled_at, until) - now
+            if wait_s < MIN_WAIT_S:
+                return
+            with suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await self._evaluated.wait()
 
     async def note_connection_lost(
         self, admitted: AdmittedRequest, entry: TargetEntry, began_at: float
@@ -288,6 +307,8 @@
             self._quarantine_new()
             self._end_expired()
             self._rows.update()
+            evaluated, self._evaluated = self._evaluated, asyncio.Event()
+            evaluated.set()
             report, self._pending = self._pending, CrashReport()
             if report:
                 self._broadcast(report.to_message(self._clock()))
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -314,7 +314,7 @@
             self._clock,
             self._retry_limits,
             self._count_entries,
-            self._crashes.suspect_group,
+            self._crashes.suspicion_of,
             self._homes.rule_for,
         )
         return RequestRelay(
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 
 from lacewinggw.clock import Clock
-from lacewinggw.decisions.dispatch import TargetRequirements
+from lacewinggw.decisions.dispatch import Suspicion, TargetRequirements
 from lacewinggw.decisions.homeregions import Homes, anywhere
 from lacewinggw.decisions.retries import RetryBudget
 from lacewinggw.decisions.routes import RetryPolicy, Route, Service
@@ -26,7 +26,7 @@
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
 from lacewinggw.frontend.offers import OfferOptions, OfferTimeouts
 from lacewinggw.frontend.requeststate import RequestProgress
-from lacewinggw.ids import ServiceName, SuspectGroup
+from lacewinggw.ids import ServiceName
 
 IDLE_OBJECTIVES = 3.0  # multiples of the route's objective; then a backup attempt is made
 MIN_IDLE_TIMEOUT_S = 0.6
@@ -71,7 +71,7 @@
         clock: Clock,
         retries: Callable[[], RetryLimits],
         count_entries: Callable[[], int],
-        suspect_group: Callable[[AdmittedRequest], SuspectGroup | None] = lambda admitted: None,
+        suspicion_of: Callable[[AdmittedRequest], Suspicion | None] = lambda admitted: None,
         homes_of: Callable[[AdmittedRequest], Callable[[], Homes]] = lambda admitted: anywhere,
     ) -> None:
         self._view = view
@@ -79,7 +79,7 @@
         self._clock = clock
         self._retries = retries
         self._count_entries = count_entries
-        self._suspect_group = suspect_group
+        self._suspicion_of = suspicion_of
         self._homes_of = homes_of
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._times = CallerTimeouts()
@@ -186,14 +186,16 @@
             )
         min_version = self._min_version(progress)
         prefill_s = prefill_time(service.engine, facts.prompt_tokens)
+        suspicion = self._suspicion_of(admitted)
+        ended = suspicion.ended_targets if suspicion else frozenset()
         return TargetRequirements(
             admitted.service,
             model,
             min_version,
             progress.weights_version,
-            frozenset(progress.tried_targets),
+            ended.union(progress.tried_targets),
             prefill_s,
-            self._suspect_group(admitted),
+            suspicion.group if suspicion else None,
             account,
             service_time(
                 service.engine, facts.prompt_tokens, facts.output_tokens, facts.expected_tokens
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -160,6 +160,9 @@
         """Tell that a request may reach targets."""
         return False
 
+    async def wait_until_settled(self, admitted: AdmittedRequest) -> None:
+        """Do not wait."""
+
     async def note_connection_lost(
         self, admitted: AdmittedRequest, entry: TargetEntry, began_at: float
     ) -> None:
--- a/tests/fleet/crashing.py
+++ b/tests/fleet/crashing.py
@@ -14,6 +14,7 @@
 ALLOWED_LATER = 3  # arrivals at targets allowed after that time
 ATTEMPTS = 2  # of a caller for one request
 CRASHING_PART = "deadfa11"  # a part of prompts that no target survives
+OTHER_CRASHING_PART = "deadfa12"
 SHARED_PARTS = ("5c1e07a2:40", "91bd3f06:410", "e4402b7d:250")  # of all prompts
 
 
@@ -41,11 +42,12 @@
     others_per_s: float = 12.0,
     seed: int = 1,
     part_at: int | None = None,
+    part: str = CRASHING_PART,
 ) -> Played:
     """Send requests for some seconds to entries drawn from the seed; return when all have ended.
 
     A refused request is retried once with the same body, as callers do. With `part_at`, each
-    crashing request has a body of its own, and the crashing part at that place of its prompt.
+    crashing request has a body of its own, and the crashing `part` at that place of its prompt.
     """
     played = Played()
     rng = random.Random(seed)
@@ -54,7 +56,7 @@
         if part_at is None:
             return CRASHING, ""
         shared = list(SHARED_PARTS)
-        shared[part_at] = f"{CRASHING_PART}:410"
+        shared[part_at] = f"{part}:410"
         return f"crashing {rng.random()}".encode(), _prompt(shared, rng)
 
     def other_request() -> tuple[bytes, str]:
@@ -109,7 +111,7 @@
 
     sends = []
     end = asyncio.get_running_loop().time() + seconds
-    while asyncio.get_running_loop().time() < end:
+    while per_s and asyncio.get_running_loop().time() < end:
         sends.append(asyncio.ensure_future(ask(*make_request())))
         await asyncio.sleep(rng.expovariate(per_s))
     await asyncio.gather(*sends)
@@ -136,9 +138,14 @@
     return [at for at in arrival_times(fleet, body) if at > noticed_at]
 
 
+def fifth_crash(fleet: DeclaredFleet) -> float:
+    """Return the time of the fifth crash; of the last, if there are fewer."""
+    return crash_times(fleet)[:5][-1]
+
+
 def late_part_arrivals(fleet: DeclaredFleet) -> list[float]:
     """Return the arrivals of the crashing part later than `NOTICE_S` after the fifth crash."""
-    noticed_at = crash_times(fleet)[4] + NOTICE_S
+    noticed_at = fifth_crash(fleet) + NOTICE_S
     return sorted(
         at
         for target in fleet.targets.values()
@@ -149,7 +156,7 @@
 
 def served_share(fleet: DeclaredFleet, played: Played) -> float:
     """Return the share of first attempts at others served from 2 `NOTICE_S` after that crash on."""
-    noticed_at = crash_times(fleet)[4] + 2 * NOTICE_S
+    noticed_at = fifth_crash(fleet) + 2 * NOTICE_S
     attempts = [each for each in played.first_attempts if each.at > noticed_at]
     assert len(attempts) >= 20, "too few to compare"
     return sum(each.is_served for each in attempts) / len(attempts)
@@ -165,7 +172,7 @@
         target = await fleet.add_target(name, "writer", f"10.2.0.{number + 1}", zone=place)
         target.behaviour.pause_s = pause_s
         target.behaviour.crashes_on = frozenset({CRASHING})
-        target.behaviour.crashes_on_parts = frozenset({CRASHING_PART})
+        target.behaviour.crashes_on_parts = frozenset({CRASHING_PART, OTHER_CRASHING_PART})
         await fleet.add_agent(name, place)
     await asyncio.sleep(2.0)
 
@@ -181,7 +188,16 @@
 
 def count_quarantined(entry: FrontendProcess) -> int:
     """Return how many requests an entry has quarantined."""
-    metric = "lacewinggw_requests_quarantined "
+    return _read_gauge(entry, "requests_quarantined")
+
+
+def count_quarantined_parts(entry: FrontendProcess) -> int:
+    """Return how many prompt parts an entry has quarantined."""
+    return _read_gauge(entry, "prompt_parts_quarantined")
+
+
+def _read_gauge(entry: FrontendProcess, name: str) -> int:
+    metric = f"lacewinggw_{name} "
     lines = [line for line in entry.metrics.render().splitlines() if line.startswith(metric)]
     return round(float(lines[0].removeprefix(metric)))
 
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -75,6 +75,9 @@
         if self.is_quarantined(admitted):
             raise RequestQuarantined("quarantined", retry_after_ms=1000)
 
+    async def wait_until_settled(self, admitted):
+        pass
+
     async def note_connection_lost(self, admitted, entry, began_at):
         await asyncio.sleep(0.03)
 
