--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -278,7 +278,7 @@
             case QuarantineLifted(content):
                 self._rows.note_removed(content)
                 if self._tracker.lift_quarantine(content):
-                    log.info("quarantine_lifted", content=content, source="store")
+                    log.info("quarantine_lifted", source="store", **_log_fields(content))
 
     def rewrite_missing(self, listed: Set[str]) -> None:
         """Rewrite the rows of this entry that the list lacks."""
@@ -294,10 +294,10 @@
     def _log_quarantined(self, content: ContentId, source: str) -> None:
         log.warning(
             "part_quarantined" if is_part(content) else "request_quarantined",
-            content=content,
             crashes=self._tracker.crash_count(content),
             targets=self._tracker.sequential_targets(content),
             source=source,
+            **_log_fields(content),
         )
 
     async def _run(self) -> None:
@@ -329,6 +329,11 @@
     def _end_expired(self) -> None:
         for content in self._tracker.expired_quarantines(self._clock()):
             self._tracker.lift_quarantine(content)
-            log.info("quarantine_lifted", content=content, source="time")
+            log.info("quarantine_lifted", source="time", **_log_fields(content))
             if self._is_forwarder():
                 self._rows.remove(content)
+
+
+def _log_fields(content: ContentId) -> dict[str, ContentId]:
+    """Return the field that names a content in log lines."""
+    return {"part" if is_part(content) else "digest": content}
