--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -14,7 +14,7 @@
 from lacewinggw.decisions.targetlist import TargetPhase, make_target_id
 from lacewinggw.errors import MalformedHttp, PlatformError, PlatformUnavailable
 from lacewinggw.fleet.feed import (
-    CrashingRequest,
+    CrashingContent,
     HistoryGone,
     ItemChanged,
     ItemRemoved,
@@ -263,7 +263,7 @@
     ]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 7})) as store:
         update = await store.changes(Topic.MEMBERS, StorePosition(0, 3), 1.0)
-    assert update.changes[0] == ItemChanged(CrashingRequest("ab12", "writer", ("i-1",), True))
+    assert update.changes[0] == ItemChanged(CrashingContent("ab12", "writer", ("i-1",), True))
     assert [type(change) for change in update.changes] == [
         ItemChanged,
         ItemChanged,
@@ -277,7 +277,7 @@
 async def test_a_quarantine_row_is_written_and_removed_by_digest():
     done = json_response(200, {"SchemaVersion": 8})
     async with PagedStore(done, done) as store:
-        await store.put(crashing_row(CrashingRequest("ab12", "writer", ("i-1",), True)))
+        await store.put(crashing_row(CrashingContent("ab12", "writer", ("i-1",), True)))
         await store.remove(crashing_key("ab12"))
 
 
