Bound what a prompt of many parts or a long model name adds to the records of crashes

A key that the store rejects would be tried again each second, and rows behind it would never be written.

The first 32 parts of a prompt are recorded, and 16,384 contents in all; a name of more than 64 characters is replaced by its digest.

--- a/src/lacewinggw/decisions/contents.py
+++ b/src/lacewinggw/decisions/contents.py
@@ -3,8 +3,12 @@
 Both have one kind of id, so that crashes and quarantines are recorded for either in the same way.
 """
 
+import hashlib
+
 from lacewinggw.ids import ContentId, ModelName, PromptPartId
 
+MAX_MODEL_CHARS = 64  # ids are keys in the store, whose length is limited
+MODEL_DIGEST_BYTES = 12
 PART_PREFIX = "part:"  # the digest of a request is hexadecimal, so no request has such an id
 
 
@@ -14,7 +18,10 @@
     >>> make_part_content(ModelName("market"), PromptPartId("91bd3f06"))
     'part:market:91bd3f06'
     """
-    return ContentId(f"{PART_PREFIX}{model or ''}:{part}")
+    name = model or ""
+    if len(name) > MAX_MODEL_CHARS:
+        name = hashlib.blake2b(name.encode(), digest_size=MODEL_DIGEST_BYTES).hexdigest()
+    return ContentId(f"{PART_PREFIX}{name}:{part}")
 
 
 def is_part(content: ContentId) -> bool:
--- a/src/lacewinggw/decisions/crashrecords.py
+++ b/src/lacewinggw/decisions/crashrecords.py
@@ -12,6 +12,7 @@
 
 RETENTION_S = 3600.0  # how long a crash is kept
 MAX_REQUESTS = 4096  # kept at once: 250 targets may crash together, with 16 requests each
+MAX_CONTENTS = 4 * MAX_REQUESTS  # of the requests that are kept
 
 
 @dataclass(frozen=True)
@@ -56,6 +57,7 @@
     _crashes: dict[ContentId, dict[TargetId, ContentCrash]] = field(default_factory=dict)
     _reports: dict[tuple[ContentId, TargetId], Crash] = field(default_factory=dict)
     _served: dict[ContentId, float] = field(default_factory=dict)
+    _content_count: int = 0  # of all reports
 
     @property
     def is_empty(self) -> bool:
@@ -94,6 +96,7 @@
         if not contents:
             return False
         self._reports[key] = crash
+        self._content_count += len(crash.contents)
         for content in contents:
             known = self._crashes.setdefault(content, {})
             recorded = known.get(crash.target)
@@ -146,15 +149,20 @@
         for request in dropped.requests:
             report = self._reports.get((request, target))
             if report and not any(target in self.crashes_of(each) for each in report.contents):
-                del self._reports[request, target]
+                self._drop_report(report)
+
+    def _drop_report(self, report: Crash) -> None:
+        del self._reports[report.request, report.target]
+        self._content_count -= len(report.contents)
 
     def _prune(self, now: float) -> None:
-        """Drop reports past their retention time, and the oldest ones beyond `MAX_REQUESTS`."""
+        """Drop reports past their retention time, and the oldest ones beyond the limits."""
         while self._reports:
-            key, report = next(iter(self._reports.items()))
-            if len(self._reports) <= MAX_REQUESTS and now - report.at <= RETENTION_S:
+            report = next(iter(self._reports.values()))
+            fits = len(self._reports) <= MAX_REQUESTS and self._content_count <= MAX_CONTENTS
+            if fits and now - report.at <= RETENTION_S:
                 return
-            del self._reports[key]
+            self._drop_report(report)
             for content in report.contents:
                 self._remove_request(content, report)
 
--- a/src/lacewinggw/frontend/admission.py
+++ b/src/lacewinggw/frontend/admission.py
@@ -18,6 +18,7 @@
 from lacewinggw.ids import ContentId, RequestDigest, ServiceName
 
 DIGEST_BYTES = 12
+MAX_PARTS = 32  # of a prompt that are recorded, the first ones
 CATCH_UP_MS = 300  # for a process that has just started or reconnected to get the routes
 
 
@@ -50,8 +51,8 @@
     @cached_property
     def parts(self) -> tuple[ContentId, ...]:
         """The parts of the prompt that other requests may have as well."""
-        model = self.facts.model
-        return tuple(make_part_content(model, part) for part in self.facts.shared_parts)
+        model, parts = self.facts.model, self.facts.shared_parts[:MAX_PARTS]
+        return tuple(make_part_content(model, part) for part in dict.fromkeys(parts))
 
     @property
     def contents(self) -> tuple[ContentId, ...]:
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -24,6 +24,7 @@
     TargetFailed,
     TargetRefused,
 )
+from lacewinggw.frontend.admission import MAX_PARTS
 from lacewinggw.frontend.calls import CallCodec
 from lacewinggw.frontend.crashes import CrashMonitor
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
@@ -548,7 +549,7 @@
             request_id=progress.admitted.facts.call_id,
             # Each attempt of the caller has its own id; the digest identifies the request.
             digest=progress.admitted.digest,
-            parts=progress.admitted.facts.shared_parts,
+            parts=progress.admitted.facts.shared_parts[:MAX_PARTS],
             target=load.entry.target,
             outcome=outcome,
             reason=reason,
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lacewinggw.decisions.contents import make_part_content
 from lacewinggw.decisions.crashes import (
     QUARANTINE_S,
     SETTLE_S,
@@ -9,7 +10,7 @@
     CrashStatus,
     CrashTracker,
 )
-from lacewinggw.decisions.crashrecords import MAX_REQUESTS, RETENTION_S, Crash
+from lacewinggw.decisions.crashrecords import MAX_CONTENTS, MAX_REQUESTS, RETENTION_S, Crash
 from lacewinggw.decisions.slots import SlotAllocator, SlotRequest
 
 
@@ -121,6 +122,15 @@
     assert len(list(tracker.records.reports())) == 1
 
 
+def test_recorded_contents_are_bounded_for_prompts_of_many_parts():
+    tracker = CrashTracker()
+    parts = 31
+    for number in range(MAX_CONTENTS // (parts + 1) + 10):
+        own = tuple(f"part:m:{number}-{part}" for part in range(parts))
+        tracker.note_crash(Crash(f"r{number}", "a", 0.5, 1.0, own), 1.0)
+    assert len(list(tracker.records.contents)) == MAX_CONTENTS
+
+
 def test_two_suspects_never_share_a_target():
     """After the next crash it must be clear which of two suspects caused it."""
     allocator = SlotAllocator(slots=4)
@@ -199,6 +209,11 @@
     assert tracker.crash_count("c0") == 1 and tracker.crash_count(CRASHING) == 0
 
 
+def test_the_id_of_a_part_is_short_for_any_name_of_a_model():
+    """It is a key in the store, which rejects long ones, and with it all rows behind it."""
+    assert len(make_part_content("m" * 3000, "f" * 64)) < 150
+
+
 def test_parts_that_always_come_together_are_all_quarantined_in_the_end():
     both = [{f"r{number}": (CRASHING, OTHER)} for number in range(TIED_CRASHES)]
     assert part_tracker(*both[:-1]).quarantine_culprits(9.0) == []
