Merge crashes before what was served since, so that an entry that starts learns both

An entry that had just started took common prompt parts for suspects: it was told that they had been served before it knew of their crashes, and kept such news only for contents with crashes. Until a target served one, all requests with the part would wait half a second and go to one target.

Found in review; the new test failed before (the part had two crashes there) and passes.

--- a/src/lacewinggw/frontend/crashupdates.py
+++ b/src/lacewinggw/frontend/crashupdates.py
@@ -69,9 +69,12 @@
 
 
 def merge_report(tracker: CrashTracker, report: CrashReport, now: float) -> CrashReport:
-    """Merge a report into a tracker; return the part that was new."""
-    served = [each for each in report.served if tracker.note_served(each.content, each.at)]
+    """Merge a report into a tracker; return the part that was new.
+
+    That a content was served is only kept for those with crashes, so crashes are merged first.
+    """
     crashes = [crash for crash in report.crashes if tracker.note_crash(crash, now)]
+    served = [each for each in report.served if tracker.note_served(each.content, each.at)]
     quarantined = [each for each in report.quarantined if tracker.quarantine(each, now)]
     return CrashReport(crashes, served, quarantined)
 
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -12,6 +12,7 @@
 )
 from lacewinggw.decisions.crashrecords import MAX_CONTENTS, MAX_REQUESTS, RETENTION_S, Crash
 from lacewinggw.decisions.slots import SlotAllocator, SlotRequest
+from lacewinggw.frontend.crashupdates import CrashReport, merge_report
 
 
 def tracker_of(*crashes, start=0.0):
@@ -214,6 +215,16 @@
     assert len(make_part_content("m" * 3000, "f" * 64)) < 150
 
 
+def test_an_entry_that_starts_learns_which_parts_were_served():
+    """Otherwise it suspects every request with a common part until a target serves one."""
+    known = part_tracker(*(sound_and_crashing(number) for number in range(2)))
+    assert known.note_served(COMMON, 5.0)
+    started = CrashTracker()
+    merge_report(started, CrashReport.from_ledger(known), 6.0)
+    assert (started.crash_count(COMMON), started.crash_count(CRASHING)) == (0, 2)
+    assert started.records.was_served(COMMON)
+
+
 def test_parts_that_always_come_together_are_all_quarantined_in_the_end():
     both = [{f"r{number}": (CRASHING, OTHER)} for number in range(TIED_CRASHES)]
     assert part_tracker(*both[:-1]).quarantine_culprits(9.0) == []
