Log which routes admitted a request, the steps of a change, and each charged retry

The logs did not tell the hypotheses of the two incidents apart: request_answered had the version in force at the end of a request and not the one that admitted it, no line showed how long a newer version had been known before it was in force or how long it took to decode, and retries had no line with the limit against which they were charged.

--- a/src/lacewinggw/decisions/retries.py
+++ b/src/lacewinggw/decisions/retries.py
@@ -44,11 +44,19 @@
 
     def allows(self, now: float) -> bool:
         """Return whether a retry is allowed."""
-        self._second(now)
+        return self.spent(now) + 1 <= self.limit(now)
+
+    def spent(self, now: float) -> int:
+        """Return the retries of the window that ends now."""
         while self._retries and self._retries[0] <= now - self.window_s:
             self._retries.popleft()
+        return len(self._retries)
+
+    def limit(self, now: float) -> float:
+        """Return how many retries the window that ends now may have."""
+        self._second(now)
         requests = sum(each.requests for each in self._seconds)
-        return len(self._retries) + 1 <= max(MIN_RETRIES, requests * self.share + self.extra)
+        return max(MIN_RETRIES, requests * self.share + self.extra)
 
     def take(self, now: float) -> bool:
         """Return whether a retry is allowed, and count it."""
--- a/src/lacewinggw/decisions/routingview.py
+++ b/src/lacewinggw/decisions/routingview.py
@@ -134,6 +134,12 @@
             return False
         return self.routes_observed_age_s(now) < self.rules.apply_s
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the routes that is known to exist, cached or not; 0 if none."""
+        cached_version = self.routes.version if self.routes is not None else 0
+        return max(cached_version, self._newer_routes.version)
+
     @property
     def _is_behind(self) -> bool:
         return self.routes is not None and self._newer_routes.version > self.routes.version
--- a/src/lacewinggw/frontend/admission.py
+++ b/src/lacewinggw/frontend/admission.py
@@ -33,6 +33,8 @@
     account: ClientAccount | None
     priority: int
     deadline: float
+    routes_version: int = 0  # of the routes by which it was admitted
+    newest_version: int = 0  # of the routes known to exist at that time
 
     @cached_property
     def digest(self) -> RequestDigest:
@@ -85,6 +87,8 @@
         account=account,
         priority=priority,
         deadline=call.arrived_at + min(time_left_s, route.timeout_s),
+        routes_version=table.version,
+        newest_version=view.newest_version,
     )
 
 
--- a/src/lacewinggw/frontend/fetching.py
+++ b/src/lacewinggw/frontend/fetching.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 from lacewinggw.background import Background
@@ -24,6 +25,7 @@
 from lacewinggw.errors import LacewingError, ProtocolViolation, TimedOut
 from lacewinggw.frontend.evacuations import EvacuationMonitor, EvacuationSource
 from lacewinggw.frontend.freshness import MS_PER_S, apply_answer
+from lacewinggw.frontend.routeslog import RoutesLog
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import HostId
 from lacewinggw.log import get_logger
@@ -58,6 +60,7 @@
         others: Callable[[], Iterable[PeerEntry]],
         on_fetching: Callable[[], None],
         on_fetched: Callable[[StorePosition], None],
+        routes_log: RoutesLog,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -69,11 +72,11 @@
         self._others = others
         self._on_fetching = on_fetching
         self._on_fetched = on_fetched
+        self._routes_log = routes_log
         self._clock = clock
         self._fetched = metrics.counter("routes_fetches", outcome="fetched")
         self._failed = metrics.counter("routes_fetches", outcome="failed")
         self._holders: dict[HostId, tuple[PeerEntry, messages.EntryUpdate]] = {}
-        self._announced_version = 0
         self._wake = asyncio.Event()
         self._near_holder = asyncio.Event()
         self._is_fetching = False
@@ -99,9 +102,8 @@
         """
         if not self._is_newer(update):
             return
-        if update.routes_version > self._announced_version:
-            self._announced_version = update.routes_version
-            log.info("routes_heard_of", version=update.routes_version, entry=entry.host)
+        if self._has_newer_routes(update):
+            self._routes_log.note_known(update.routes_version, entry.host)
         self._view.confirm_version(update.routes_version)
         self._holders[entry.host] = (entry, update)
         if entry.place == self._local_entry.place:
@@ -197,18 +199,13 @@
     def _apply_routes(
         self, packed: bytes, update: messages.EntryUpdate, entry: PeerEntry, sent_at: float
     ) -> None:
+        began = time.perf_counter()
         table = self._decode(unpack_routes(packed))
+        decode_s = time.perf_counter() - began
         if not self._view.update_routes(table):
             return
-        log.info(
-            "routes_taken",
-            version=table.version,
-            source="entry",
-            entry=entry.host,
-            routes=len(table.routes),
-            bytes=len(packed),
-            age_ms=round((self._clock() - sent_at) * MS_PER_S) + update.routes_age_ms,
-        )
+        age_s = self._clock() - sent_at + update.routes_age_ms / MS_PER_S
+        self._routes_log.note_taken(table, len(packed), age_s, entry.host, decode_s)
         # The store is read on from this position, so everything before it must have been received.
         knows_all = self._has_versions(update.named) and update.evacuated_position > 0
         position = StorePosition(update.store_era, update.routes_position)
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -40,6 +40,7 @@
 from lacewinggw.frontend.relay import RequestRelay
 from lacewinggw.frontend.requesthomes import RequestHomes
 from lacewinggw.frontend.requestplacer import RequestPlacer, RetryLimits
+from lacewinggw.frontend.routeslog import RoutesLog
 from lacewinggw.frontend.storefollower import StoreFollower
 from lacewinggw.frontend.targetanswers import TargetAnswers
 from lacewinggw.frontend.targetrates import TargetRates
@@ -146,6 +147,7 @@
             clock,
             self.metrics,
         )
+        self._routes_log = RoutesLog(clock, self.metrics)
         self._fetcher = self._make_fetcher()
         self._freshness = self._make_freshness_checker()
         self._read_policy = StoreReadPolicy(
@@ -219,6 +221,7 @@
             self._neighbours.active_entries,
             lambda: self._store.cancel_routes_read(),
             self._on_routes_fetched,
+            self._routes_log,
             self._clock,
             self.metrics,
         )
@@ -294,6 +297,7 @@
             lambda change: self._crashes.apply_store_change(change),
             self._on_store_restored,
             self._cold.apply_rows,
+            self._routes_log,
         )
 
     def _make_crashes(self) -> CrashMonitor:
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -120,7 +120,8 @@
             offers=progress.offers,
             runs=progress.runs,
             last_event=progress.last_event,
-            routes=self._routes_version,
+            routes=progress.admitted.routes_version,
+            routes_known=progress.admitted.newest_version,
             routes_age_ms=_to_ms(knowledge.routes_age_s(self._deps.clock())),
         )
 
@@ -158,6 +159,7 @@
             held_ms=_to_ms(_now() - call.arrived_at),
             cut=caller.has_started_answer,
             routes=self._routes_version,
+            routes_known=self._deps.knowledge.newest_version,
             routes_age_ms=_to_ms(self._deps.knowledge.routes_age_s(self._deps.clock())),
         )
         if caller.has_started_answer:
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -27,6 +27,7 @@
 from lacewinggw.frontend.offers import OfferOptions, OfferTimeouts
 from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.ids import ServiceName
+from lacewinggw.log import get_logger
 
 IDLE_OBJECTIVES = 3.0  # multiples of the route's objective; then a backup attempt is made
 MIN_IDLE_TIMEOUT_S = 0.6
@@ -47,6 +48,8 @@
 LEAST_URGENT = 9
 BUDGET_SPENT = "the retry budget is spent"
 
+log = get_logger(__name__)
+
 
 @dataclass(frozen=True)
 class RetryLimits:
@@ -77,6 +80,7 @@
         self._view = view
         self._queue = queue
         self._clock = clock
+        self._started_at = clock()
         self._retries = retries
         self._count_entries = count_entries
         self._suspicion_of = suspicion_of
@@ -117,6 +121,7 @@
             self._queue.release(claim)
             raise RetryBudgetSpent(BUDGET_SPENT)
         budget.note_call(_now())
+        self._log_retry(progress)
         return claim
 
     async def _claim(
@@ -160,7 +165,23 @@
         """
         if not progress.has_reached_target:
             return progress.can_retry
-        return progress.can_retry and self._budget(progress.admitted.service).take(_now())
+        if not progress.can_retry or not self._budget(progress.admitted.service).take(_now()):
+            return False
+        self._log_retry(progress)
+        return True
+
+    def _log_retry(self, progress: RequestProgress) -> None:
+        service, now = progress.admitted.service, _now()
+        budget = self._budget(service)
+        log.info(
+            "retry_charged",
+            request_id=progress.admitted.facts.call_id,
+            service=service,
+            spent=budget.spent(now),
+            limit=round(budget.limit(now), 1),
+            entries=self._count_entries(),
+            running_s=round(self._clock() - self._started_at, 1),
+        )
 
     def _patience_for(self, admitted: AdmittedRequest, left_s: float) -> WaitBudget:
         facts, route = admitted.facts, admitted.route
--- a/src/lacewinggw/frontend/storefollower.py
+++ b/src/lacewinggw/frontend/storefollower.py
@@ -31,6 +31,7 @@
 from lacewinggw.fleet.ownrows import crashing_key, parse_crashing_key
 from lacewinggw.frontend.evacuations import EvacuationMonitor, EvacuationSource
 from lacewinggw.frontend.leavingtargets import LeavingSource, LeavingTargets
+from lacewinggw.frontend.routeslog import RoutesLog
 from lacewinggw.ids import HostId, ModelName, TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
@@ -46,7 +47,6 @@
 READER_TARGETS_POLL = PollTimes(for_update_s=4.0, after_update_s=0.4)
 ASKER_TARGETS_POLL = PollTimes(for_update_s=4.0, after_update_s=1.2)
 MEMBERS_POLL = PollTimes(for_update_s=15.0, after_update_s=1.0)
-MS_PER_S = 1000
 EXPIRY_CHECK_S = 0.1  # interval of the check for targets that did not return after an outage
 
 log = get_logger(__name__)
@@ -88,6 +88,7 @@
         on_crashing: Callable[[CrashingContent | QuarantineLifted], None],
         on_restored: Callable[[Set[str]], None],
         on_target_rows: Callable[[FeedUpdate, AnswerTimes], None],
+        routes_log: RoutesLog,
     ) -> None:
         self.members: dict[HostId, Member] = {}
         self._feed = feed
@@ -110,6 +111,7 @@
         self._on_crashing = on_crashing
         self._on_restored = on_restored
         self._on_target_rows = on_target_rows
+        self._routes_log = routes_log
         self._has_targets = False
         self._targets_read_at = -math.inf
         self._has_members = False
@@ -215,14 +217,7 @@
         for change in update.changes:
             match change:
                 case ItemChanged(RouteTable() as table) if self._view.update_routes(table):
-                    log.info(
-                        "routes_taken",
-                        version=table.version,
-                        source="store",
-                        routes=len(table.routes),
-                        bytes=len(table.source),
-                        age_ms=round((now - times.sent_at) * MS_PER_S),
-                    )
+                    self._routes_log.note_taken(table, len(table.source), now - times.sent_at)
                 case ItemChanged(DueVersion() as due) if self._view.require_version(
                     due, now, update.whole
                 ):
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -75,6 +75,8 @@
     "reservations": _gauge("agent", "Reservations given and not used yet."),
     "retries": _counter("both", "What was tried again, by reason."),
     "routes_age": _gauge("entry", "Seconds since the routes were known to be the newest."),
+    "routes_behind": _latency("entry", "From news of newer routes until they are in force."),
+    "routes_decoding": _latency("entry", "Decoding of routes from another entry."),
     "routes_fetches": _counter("entry", "Fetches of newer routes from other entries, by outcome."),
     "routes_version": _gauge("entry", "Version of the routes in force."),
     "service_replicas": _gauge("entry", "Replicas of a service: declared, placed, and serving."),
