--- a/tests/fleet/test_retry_budget.py
+++ b/tests/fleet/test_retry_budget.py
@@ -84,6 +84,21 @@
         return 1.0
 
 
+class ClosedQueue(Queue):
+    """Keeps claims waiting until it opens."""
+
+    def __init__(self):
+        super().__init__()
+        self._is_open = asyncio.Event()
+
+    def open(self):
+        self._is_open.set()
+
+    async def claim(self, requirements, priority, is_late, until):
+        await self._is_open.wait()
+        return await super().claim(requirements, priority, is_late, until)
+
+
 class View:
     routes = None
 
@@ -127,3 +142,26 @@
     with pytest.raises(RetryBudgetSpent):
         await placer.claim_backup(make_progress(offers=1, runs=1))
     assert len(queue.released) == 1
+
+
+# Guards against retries that are granted over more than a window, wait for a target, and arrive
+# within one.
+@pytest.mark.looptime
+async def test_retries_that_waited_are_within_the_limit_when_they_arrive():
+    queue = ClosedQueue()
+    placer = make_placer(queue)
+    sent_at = []
+    now = asyncio.get_running_loop().time
+
+    async def retry():
+        await placer.claim(make_progress(offers=1, runs=1))
+        sent_at.append(now())
+
+    retries = []
+    for _ in range(150):
+        if placer.take_retry(make_progress(offers=1, runs=1)):
+            retries.append(asyncio.ensure_future(retry()))
+        await asyncio.sleep(0.1)
+    queue.open()
+    await asyncio.gather(*retries)
+    assert len(sent_at) <= MIN_RETRIES
--- /dev/null
+++ b/tests/fleet/test_superseded_routes.py
@@ -0,0 +1,85 @@
+"""Guards against requests that are handled by routes known to be superseded.
+
+An entry served each route that it had cached, whatever the age of its cache: up to 7.7 s after the
+store had confirmed a change, requests ran on a service from which their route had been moved.
+"""
+
+import asyncio
+
+import pytest
+from declared_fleet import DeclaredFleet
+from platform_standins import KEY, manifest
+from test_narrow_border import STORE_IP, large_routes, regional_fleet
+
+pytestmark = pytest.mark.looptime
+
+APPLY_S = 2.0  # the bound for a change in the settings of this fleet
+CHECKED_S = 6.0  # from the bound on
+INTERVAL_S = 0.25
+LEAST_SERVED_SHARE = 0.9  # of requests on routes that did not change
+FAR = (2, 3, 4, 5)  # numbers of the entries beyond the border
+NEW_SERVICE = "bureau"
+MOVED, REMOVED, SAME = "/tally/", "/sheet/", "/kept/"
+
+
+def make_routes(version: int, anonymous: bool, is_changed: bool) -> dict:
+    """Return routes of which one has moved, one is removed and one stays, with 700 added."""
+    routes = large_routes(version, extra=700) if is_changed else manifest(version)
+    for route in routes["Routes"]:
+        route["AllowAnonymous"] = anonymous
+    tally = next(each for each in routes["Routes"] if each["Prefix"] == MOVED)
+    routes["Routes"].append({**tally, "Name": "kept", "Prefix": SAME})
+    routes["Services"].append({"Name": NEW_SERVICE, "HealthPath": "/h", "ConnectionLimit": 50})
+    if is_changed:
+        tally["Service"] = NEW_SERVICE
+        routes["Routes"] = [each for each in routes["Routes"] if each["Prefix"] != REMOVED]
+    return routes
+
+
+def answered_by(reply) -> str:
+    return reply.body.decode().removeprefix("answer of i-") if reply.status == 200 else ""
+
+
+async def ask_far(fleet: DeclaredFleet, path: str, key: str, until: float) -> list[list]:
+    """Ask each far entry at an interval until a time; return the replies by entry."""
+
+    async def ask_one(entry: int) -> list:
+        replies = []
+        while asyncio.get_running_loop().time() < until:
+            replies.append(await fleet.ask(f"{path}1", entry=entry, X_Key=key))
+            await asyncio.sleep(INTERVAL_S)
+        return replies
+
+    return await asyncio.gather(*(ask_one(entry) for entry in FAR))
+
+
+@pytest.mark.parametrize(("border_bytes_per_s", "anonymous", "is_cut_off"), [(12_000, True, True)])
+async def test_requests_are_not_handled_by_routes_known_to_be_superseded(
+    border_bytes_per_s, anonymous, is_cut_off
+):
+    async with regional_fleet({"hall": 2, "room": 4}, border_bytes_per_s) as fleet:
+        for number in range(2):
+            await fleet.add_target(f"bureau{number}", NEW_SERVICE, f"10.3.1.{number + 1}")
+        fleet.store.put("op", "config", make_routes(4, anonymous, is_changed=False))
+        await asyncio.sleep(8.0)
+        if is_cut_off:
+            for number in FAR:
+                fleet.network.cut(f"10.1.0.{number + 1}", STORE_IP)
+            await asyncio.sleep(1.0)
+        key = "" if anonymous else KEY
+        fleet.store.put("op", "config", make_routes(5, anonymous, is_changed=True))
+        began = asyncio.get_running_loop().time()
+        same = asyncio.ensure_future(ask_far(fleet, SAME, key, began + APPLY_S + CHECKED_S))
+        await asyncio.sleep(APPLY_S)
+        moved, removed = await asyncio.gather(
+            ask_far(fleet, MOVED, key, began + APPLY_S + CHECKED_S),
+            ask_far(fleet, REMOVED, key, began + APPLY_S + CHECKED_S),
+        )
+        late = [
+            reply for replies in moved for reply in replies if answered_by(reply).startswith("desk")
+        ]
+        late += [reply for replies in removed for reply in replies if reply.status == 200]
+        assert len(late) == 0
+        for replies in await same:
+            served = sum(reply.status == 200 for reply in replies)
+            assert served >= LEAST_SERVED_SHARE * len(replies), [each.status for each in replies]
