Charge a retry when it is sent, not only when it is granted

Callers saw nothing of it; targets got more retries in ten seconds than the fleet may make. A retry was charged when it was granted and reached its target after a wait for a free slot, for reports on crashes, or in an agent's queue.

A retry is now reserved when it is granted, and counts until it is sent and for a window from then on. One that finds no target counts as sent when it is given up, as before. Each request settles its own retry; the next call of any request did so before.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -271,6 +271,8 @@
             if progress.runs == 0:
                 raise
             return self._give_up()
+        finally:
+            self._deps.placer.settle_retry(progress)
         return None
 
     def _give_up(self) -> WholeAnswer:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -318,6 +318,7 @@
             self._clock,
             self._retry_limits,
             self._count_entries,
+            self._clock(),
             self._crashes.suspicion_of,
             self._homes.rule_for,
         )
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -63,6 +63,9 @@
 class RequestPlacer:
     """Chooses targets for requests and counts retries against the budget.
 
+    `retries` returns the limits of the fleet, and `count_entries` the number of entries that share
+    them, 0 while it is unknown. This process started at `started_at`, by `clock`.
+
     claim = await placer.claim(state)
     options, timeouts = placer.offer_options(state), placer.offer_timeouts(state, claim.load)
     """
@@ -74,13 +77,14 @@
         clock: Clock,
         retries: Callable[[], RetryLimits],
         count_entries: Callable[[], int],
+        started_at: float,
         suspicion_of: Callable[[AdmittedRequest], Suspicion | None] = lambda admitted: None,
         homes_of: Callable[[AdmittedRequest], Callable[[], Homes]] = lambda admitted: anywhere,
     ) -> None:
         self._view = view
         self._queue = queue
         self._clock = clock
-        self._started_at = clock()
+        self._started_at = started_at
         self._retries = retries
         self._count_entries = count_entries
         self._suspicion_of = suspicion_of
@@ -93,14 +97,12 @@
 
         Raise `DeadlineTooNear` if the caller is about to give up.
         """
-        has_claim = False
         try:
             claim = await self._claim(progress, self._requirements(progress))
-            has_claim = True
         finally:
-            # A retry that was charged counts as called, or the next request would in its place.
-            if progress.has_reached_target and (has_claim or progress.offers):
-                self._budget(progress.admitted.service).note_call(_now())
+            self.settle_retry(progress)
+        if progress.offers == 0:
+            self._budget(progress.admitted.service).note_request(_now())
         return claim
 
     async def claim_backup(self, progress: RequestProgress) -> InFlightRequest:
@@ -117,10 +119,10 @@
         requirements = replace(requirements, excluded=requirements.excluded | silent)
         claim = await self._claim(progress, requirements)
         budget = self._budget(service)
-        if not budget.take(_now()):
+        if not budget.reserve(_now()):
             self._queue.release(claim)
             raise RetryBudgetSpent(BUDGET_SPENT)
-        budget.note_call(_now())
+        budget.note_retry(_now())
         self._log_retry(progress)
         return claim
 
@@ -162,14 +164,22 @@
         """Return whether the request may be offered again, and charge the retry budget if so.
 
         An offer that reached no target caused no load, so replacing it is not counted as a retry.
+        `claim` or `settle_retry` follows.
         """
         if not progress.has_reached_target:
             return progress.can_retry
-        if not progress.can_retry or not self._budget(progress.admitted.service).take(_now()):
+        if not progress.can_retry or not self._budget(progress.admitted.service).reserve(_now()):
             return False
+        progress.has_reserved_retry = True
         self._log_retry(progress)
         return True
 
+    def settle_retry(self, progress: RequestProgress) -> None:
+        """Count a reserved retry as sent now, if there is one; it has a target or found none."""
+        if progress.has_reserved_retry:
+            progress.has_reserved_retry = False
+            self._budget(progress.admitted.service).note_retry(_now())
+
     def _log_retry(self, progress: RequestProgress) -> None:
         service, now = progress.admitted.service, _now()
         budget = self._budget(service)
@@ -239,11 +249,15 @@
         limits = self._retries()
         budget = self._budgets.setdefault(service, RetryBudget(limits.share))
         budget.window_s = limits.window_s
-        entries = self._count_entries()
         budget.share = limits.share
-        budget.extra = limits.extra / entries if entries else 0.0
+        budget.extra = self._extra_retries(limits)
         return budget
 
+    def _extra_retries(self, limits: RetryLimits) -> float:
+        """Return this entry's part of the fleet's extra retries."""
+        entries = self._count_entries()
+        return limits.extra / entries if entries else 0.0
+
     def offer_options(self, progress: RequestProgress) -> OfferOptions:
         """Return what the next offer of a request adds to the caller's own headers."""
         facts = progress.admitted.facts
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -27,6 +27,7 @@
     offers: int = 0
     runs: int = 0  # offers that may have run the request
     has_reached_target: bool = True  # of the last offer, whether it ran or not
+    has_reserved_retry: bool = False  # in the retry budget, for the next offer
     tried_targets: set[TargetId] = field(default_factory=set)
     last_event: int | None = None
     weights_version: int | None = None  # on which the answer started
--- a/src/lacewinggw/lab/fleetmodel/fleet.py
+++ b/src/lacewinggw/lab/fleetmodel/fleet.py
@@ -72,7 +72,7 @@
         self.queue = DispatchQueue(self.pool, self.metrics, slots.ask, rng)
         limits = RetryLimits(0.2, profile.extra_retries, 10.0)
         placing = RequestPlacer(
-            knowledge, self.queue, loop_time, lambda: limits, lambda: profile.entries
+            knowledge, self.queue, loop_time, lambda: limits, lambda: profile.entries, -math.inf
         )
         codec = ModelCodec(calls)
         self.offers = offers = ModelOffers(profile, engines, calls, place)
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -37,8 +37,8 @@
 SEALED = {"x-response-seal": "seal"}
 GAPS_S = [0.0, *[0.01] * 9, *[0.05] * 8, 0.3, 0.3, 0.7, 1.3, 2.5]  # some beyond the idle timeout
 SCHEDULES = 80  # per kind of request and kind of schedule
-LIMITS = RetryLimits(share=0.2, extra=2.0, window_s=1000.0)  # longer than any schedule
 MIN_RETRIES = 3
+LIMITS = RetryLimits(share=0.2, extra=2.0, window_s=1000.0)  # longer than any schedule
 POLICIES = [
     pytest.param(RetryPolicy.RESUMABLE, True, id="resumable-stream"),
     pytest.param(RetryPolicy.NEVER, True, id="stream"),
@@ -260,7 +260,7 @@
         self.queue = DispatchQueue(self.pool, metrics, self._ask_slot, rng)
         old_at = now() + rng.choice([1e9, 1e9, 0.5, 2.0]) if not is_sound else 1e9
         view = View(old_at)
-        self.placer = RequestPlacer(view, self.queue, now, lambda: LIMITS, lambda: 1)
+        self.placer = RequestPlacer(view, self.queue, now, lambda: LIMITS, lambda: 1, -math.inf)
         is_clear = is_sound or rng.random() < 0.7
         crashes = Crashes(now() + (1e9 if is_clear else rng.choice([0.01, 0.1, 0.6, 1.5])))
         self.deps = RelayDependencies(
@@ -362,7 +362,7 @@
     arrivals = world.schedule.arrivals
     retries = sum(arrivals.values()) - len(arrivals)
     assert retries <= max(MIN_RETRIES, LIMITS.share * requests + LIMITS.extra)
-    assert not any(budget._granted for budget in world.placer._budgets.values())
+    assert not any(budget._reserved for budget in world.placer._budgets.values())
 
 
 async def play(seed: int, policy: RetryPolicy, streams: bool, is_sound: bool) -> Counter:
--- a/tests/fleet/test_retry_budget.py
+++ b/tests/fleet/test_retry_budget.py
@@ -1,6 +1,7 @@
 """The retry budget: a share of the requests, and an entry's part of the fleet's extra retries."""
 
 import asyncio
+import math
 
 import pytest
 from platform_standins import DESK
@@ -103,9 +104,15 @@
     routes = None
 
 
-def make_placer(queue):
-    limits = RetryLimits(share=0.5, extra=0.0, window_s=10.0)
-    return RequestPlacer(View(), queue, lambda: 0.0, lambda: limits, lambda: 1)
+def make_placer(queue, extra=0.0, started_at=-math.inf):
+    limits = RetryLimits(share=0.5, extra=extra, window_s=10.0)
+    now = asyncio.get_running_loop().time
+    return RequestPlacer(View(), queue, now, lambda: limits, lambda: 1, started_at)
+
+
+async def claim_new(placer, count):
+    for _ in range(count):
+        await placer.claim(make_progress())
 
 
 def make_progress(**changes):
@@ -120,13 +127,15 @@
 # Guards against requests that are left out of the budget after retries that found no target.
 @pytest.mark.looptime
 async def test_a_retry_that_finds_no_target_hides_no_later_request():
-    placer = make_placer(Queue(refusals=1))
+    queue = Queue()
+    placer = make_placer(queue)
+    await claim_new(placer, 2)
+    queue.refusals = 1
     failed = make_progress(offers=1, runs=1)
     assert placer.take_retry(failed)
     with pytest.raises(Overloaded):
         await placer.claim(failed)
-    for _ in range(8):
-        await placer.claim(make_progress())
+    await claim_new(placer, 6)
     taken = sum(placer.take_retry(make_progress(offers=1, runs=1)) for _ in range(8))
     assert taken == 3  # of the 4 that 8 requests allow, one is used
 
@@ -137,8 +146,9 @@
 async def test_a_backup_claim_that_the_budget_refuses_is_not_used():
     queue = Queue()
     placer = make_placer(queue)
+    await claim_new(placer, 2)
     budget = placer._budget(DESK)
-    budget.take = lambda now: False
+    budget.reserve = lambda now: False
     with pytest.raises(RetryBudgetSpent):
         await placer.claim_backup(make_progress(offers=1, runs=1))
     assert len(queue.released) == 1
@@ -149,7 +159,7 @@
 @pytest.mark.looptime
 async def test_retries_that_waited_are_within_the_limit_when_they_arrive():
     queue = ClosedQueue()
-    placer = make_placer(queue)
+    placer = make_placer(queue, extra=3.0)
     sent_at = []
     now = asyncio.get_running_loop().time
 
@@ -164,4 +174,4 @@
         await asyncio.sleep(0.1)
     queue.open()
     await asyncio.gather(*retries)
-    assert len(sent_at) <= MIN_RETRIES
+    assert len(sent_at) == 3
