Grant no extra retries to an entry until it has run for a window

In some ten seconds, a service got more arrivals beyond the first of each request than the operators allow. What an entry had spent was forgotten when it started again: a new process had its whole part of the fleet's extra retries at once, and a minimum of three in any case.

A new process cannot know what its predecessor spent, so for one window it makes retries for its own requests only. The share of the requests needs no memory, as the requests of the predecessor count for the fleet too. The minimum is gone here: the operators' limit has none.

A fleet that starts for the first time has no predecessors; the setting first_start, which agents have already, tells entries so.

--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -110,7 +110,7 @@
   9: i64 retry_window_ms = 10000               // over which retries are counted
   10: i64 version_ms = 8000                    // a named version is on every target by then
   11: i64 lapse_ms = 1900                      // a target unlisted by an outage is believed for so long
-  12: bool first_start = false                 // the whole fleet starts for the first time: targets come filled
+  12: bool first_start = false                 // the whole fleet starts for the first time: targets come filled, no retries were made
   13: i64 evacuation_ms = 5000                 // an evacuated availability zone gets no requests after so long
   14: i32 cold_overshoot_percent = 100         // a cold target's rate that is tolerated, of the declared one
   15: i32 cold_slack = 0                       // requests in one second beyond that rate
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -318,7 +318,7 @@
             self._clock,
             self._retry_limits,
             self._count_entries,
-            self._clock(),
+            self._extra_retries_from(),
             self._crashes.suspicion_of,
             self._homes.rule_for,
         )
@@ -412,6 +412,16 @@
             window_s=fleet.retry_window_ms / MS_PER_S,
         )
 
+    def _extra_retries_from(self) -> float:
+        """Return from when this process may make extra retries.
+
+        Its predecessor may have used its part until it ended, which counts for a window from then
+        on. The predecessor's other retries were covered by its own requests.
+        """
+        if self._settings.fleet.first_start:
+            return -math.inf
+        return self._clock() + self._retry_limits().window_s
+
     def apply(self, settings: Settings) -> None:
         """Apply changed settings: the bounds of the fleet and the lifetime of directory answers.
 
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -64,7 +64,8 @@
     """Chooses targets for requests and counts retries against the budget.
 
     `retries` returns the limits of the fleet, and `count_entries` the number of entries that share
-    them, 0 while it is unknown. This process started at `started_at`, by `clock`.
+    them, 0 while it is unknown. From `extra_from` on, by `clock`, this process has its part of the
+    fleet's extra retries.
 
     claim = await placer.claim(state)
     options, timeouts = placer.offer_options(state), placer.offer_timeouts(state, claim.load)
@@ -77,14 +78,14 @@
         clock: Clock,
         retries: Callable[[], RetryLimits],
         count_entries: Callable[[], int],
-        started_at: float,
+        extra_from: float,
         suspicion_of: Callable[[AdmittedRequest], Suspicion | None] = lambda admitted: None,
         homes_of: Callable[[AdmittedRequest], Callable[[], Homes]] = lambda admitted: anywhere,
     ) -> None:
         self._view = view
         self._queue = queue
         self._clock = clock
-        self._started_at = started_at
+        self._extra_from = extra_from
         self._retries = retries
         self._count_entries = count_entries
         self._suspicion_of = suspicion_of
@@ -190,7 +191,7 @@
             spent=budget.spent(now),
             limit=round(budget.limit(now), 1),
             entries=self._count_entries(),
-            running_s=round(self._clock() - self._started_at, 1),
+            extra=round(budget.extra, 1),
         )
 
     def _patience_for(self, admitted: AdmittedRequest, left_s: float) -> WaitBudget:
@@ -247,7 +248,7 @@
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         limits = self._retries()
-        budget = self._budgets.setdefault(service, RetryBudget(limits.share))
+        budget = self._budgets.setdefault(service, RetryBudget(limits.share, minimum=0))
         budget.window_s = limits.window_s
         budget.share = limits.share
         budget.extra = self._extra_retries(limits)
@@ -256,7 +257,9 @@
     def _extra_retries(self, limits: RetryLimits) -> float:
         """Return this entry's part of the fleet's extra retries."""
         entries = self._count_entries()
-        return limits.extra / entries if entries else 0.0
+        if not entries or self._clock() < self._extra_from:
+            return 0.0
+        return limits.extra / entries
 
     def offer_options(self, progress: RequestProgress) -> OfferOptions:
         """Return what the next offer of a request adds to the caller's own headers."""
--- a/tests/fleet/declared_fleet.py
+++ b/tests/fleet/declared_fleet.py
@@ -50,6 +50,7 @@
     """Entries, agents and stand-ins; times are by the virtual event loop."""
 
     link_bytes_per_s = LINK_BYTES_PER_S  # of agents
+    is_first_start = True  # of the entries that are added
     target_type: type[TargetStandIn] = TargetStandIn
 
     def __init__(self) -> None:
@@ -101,6 +102,7 @@
         entry.caller_listen, entry.operator_listen = f"{ip}:8005", f"{ip}:7715"
         entry.ready_listen, entry.directory_listen = f"{ip}:8002", f"{ip}:8009"
         entry.peer_listen, entry.address_ttl_ms = f"{ip}:7700", 2000
+        settings.fleet.first_start = self.is_first_start
         network = self.entry_network(ip)
         store = PlatformStore(self._client(network), STORE)
         heads = PlatformCallCodec()
--- a/tests/fleet/retrying.py
+++ b/tests/fleet/retrying.py
@@ -53,7 +53,7 @@
 
 async def restart_entry(fleet: DeclaredFleet, number: int, down_s: float = 0.3) -> None:
     """Stop an entry at once and start it again without its earlier state."""
-    place = fleet.entries[number]._place
+    place, fleet.is_first_start = fleet.entries[number]._place, False
     await fleet.entries[number].close()
     await asyncio.sleep(down_s)
     await fleet.add_entry(number + 1, place)
@@ -62,7 +62,7 @@
 
 async def restart_all(fleet: DeclaredFleet) -> None:
     """Stop all entries at once and start them again without their earlier state."""
-    before = list(fleet.entries)
+    before, fleet.is_first_start = list(fleet.entries), False
     await asyncio.gather(*(entry.close() for entry in before))
     await asyncio.sleep(0.3)
     fleet.entries.clear()
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -37,7 +37,6 @@
 SEALED = {"x-response-seal": "seal"}
 GAPS_S = [0.0, *[0.01] * 9, *[0.05] * 8, 0.3, 0.3, 0.7, 1.3, 2.5]  # some beyond the idle timeout
 SCHEDULES = 80  # per kind of request and kind of schedule
-MIN_RETRIES = 3
 LIMITS = RetryLimits(share=0.2, extra=2.0, window_s=1000.0)  # longer than any schedule
 POLICIES = [
     pytest.param(RetryPolicy.RESUMABLE, True, id="resumable-stream"),
@@ -361,7 +360,7 @@
 def check_budget(world: World, requests: int) -> None:
     arrivals = world.schedule.arrivals
     retries = sum(arrivals.values()) - len(arrivals)
-    assert retries <= max(MIN_RETRIES, LIMITS.share * requests + LIMITS.extra)
+    assert retries <= LIMITS.share * requests + LIMITS.extra
     assert not any(budget._reserved for budget in world.placer._budgets.values())
 
 
--- a/tests/fleet/test_retry_budget.py
+++ b/tests/fleet/test_retry_budget.py
@@ -104,10 +104,10 @@
     routes = None
 
 
-def make_placer(queue, extra=0.0, started_at=-math.inf):
+def make_placer(queue, extra=0.0, extra_from=-math.inf):
     limits = RetryLimits(share=0.5, extra=extra, window_s=10.0)
     now = asyncio.get_running_loop().time
-    return RequestPlacer(View(), queue, now, lambda: limits, lambda: 1, started_at)
+    return RequestPlacer(View(), queue, now, lambda: limits, lambda: 1, extra_from)
 
 
 async def claim_new(placer, count):
@@ -175,3 +175,20 @@
     queue.open()
     await asyncio.gather(*retries)
     assert len(sent_at) == 3
+
+
+# Guards against a restarted entry that makes the extra retries of its predecessor once more.
+@pytest.mark.looptime
+async def test_a_started_entry_has_no_extra_retries_for_a_window():
+    placer = make_placer(Queue(), extra=4.0, extra_from=10.0)
+    await asyncio.sleep(9.9)
+    assert not placer.take_retry(make_progress(offers=1, runs=1))
+    await asyncio.sleep(0.1)
+    assert sum(placer.take_retry(make_progress(offers=1, runs=1)) for _ in range(8)) == 4
+
+
+@pytest.mark.looptime
+async def test_a_started_entry_makes_retries_for_its_own_requests():
+    placer = make_placer(Queue(), extra=4.0, extra_from=10.0)
+    await claim_new(placer, 8)
+    assert sum(placer.take_retry(make_progress(offers=1, runs=1)) for _ in range(8)) == 4
