Log what a newer version of the routes changes, and wait for it from the arrival on

Operators could not tell from the logs whether an entry that waits for newer routes knew what they change.

--- a/src/lacewinggw/decisions/routingview.py
+++ b/src/lacewinggw/decisions/routingview.py
@@ -238,20 +238,24 @@
         if version >= self._newer_routes.version:
             self._announced_at = now
 
-    def note_difference(self, change: RoutesChange) -> None:
-        """Record what a newer version changes; ignore a change of other routes than the cached.
+    def note_difference(self, change: RoutesChange) -> bool:
+        """Record what a newer version changes; return whether that was not known.
 
-        What the change is from and to may be confirmed by it.
+        A change of other routes than the cached ones is ignored. The times of a change confirm its
+        two versions.
         """
         known, version = self._newer_change, change.difference.version
         if self.routes is None or change.difference.base_version != self.routes.version:
-            return
+            return False
         self.confirm_routes(-math.inf, change.base_observed_at)
         self.confirm_version(version, change.confirmed_at, change.observed_at)
         if known is not None and known.difference.version == version:
             self._newer_change = known.merge_times(change)
-        elif known is None or known.difference.version < version:
-            self._newer_change = change
+            return False
+        if known is not None and known.difference.version > version:
+            return False
+        self._newer_change = change
+        return True
 
     @property
     def replaced_versions(self) -> Sequence[int]:
--- a/src/lacewinggw/frontend/entryupdates.py
+++ b/src/lacewinggw/frontend/entryupdates.py
@@ -10,12 +10,15 @@
 from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.ids import Address, Place
+from lacewinggw.log import get_logger
 from lacewinggw.wire.packing import pack_routes, split_parts
 from lacewinggw.wire.validation import require_valid
 
 MS_PER_S = 1000.0
 MAX_AGE_S = 3600.0  # sent for data that was never confirmed
 
+log = get_logger(__name__)
+
 
 def compose_entry_update(
     view: RoutingView,
@@ -102,14 +105,21 @@
         frozenset(message.keys),
         message.is_total,
     )
-    view.note_difference(
-        RoutesChange(
-            difference,
-            base_observed_at=sent_at - message.base_seen_age_ms / MS_PER_S,
-            confirmed_at=sent_at - message.version_age_ms / MS_PER_S,
-            observed_at=sent_at - message.version_seen_age_ms / MS_PER_S,
-        )
+    change = RoutesChange(
+        difference,
+        base_observed_at=sent_at - message.base_seen_age_ms / MS_PER_S,
+        confirmed_at=sent_at - message.version_age_ms / MS_PER_S,
+        observed_at=sent_at - message.version_seen_age_ms / MS_PER_S,
     )
+    if view.note_difference(change):
+        log.info(
+            "routes_difference",
+            base=difference.base_version,
+            version=difference.version,
+            paths=len(difference.paths),
+            keys=len(difference.keys),
+            all=difference.is_total,
+        )
 
 
 def apply_evacuated(view: RoutingView, update: messages.EntryUpdate, now: float) -> bool:
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -106,7 +106,7 @@
 
     async def _admit(self, call: Call, facts: CallFacts) -> AdmittedRequest:
         """Admit a request; wait a short time for newer routes that may change it."""
-        deps, until = self._deps, _now() + CATCH_UP_WAIT_S
+        deps, until = self._deps, call.arrived_at + CATCH_UP_WAIT_S
         while True:
             try:
                 return admit(call, facts, deps.knowledge, deps.clock(), deps.rng)
