Start the longest tests first

A worker that ran the replays of weights last made all others wait: the longest takes 62 s beside other work.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,8 @@
 from known_red import read_known_red
 
 LONG = (
+    "tests/fleet/test_weights_replay.py",
+    "tests/fleet/test_retries_after_restarts.py",
     "tests/fleet/test_load_patterns.py",
     "tests/fleet/test_crashing_requests.py",
     "tests/fleet/test_narrow_border.py",
