--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -66,10 +66,9 @@
 MS_PER_S = 1000.0
 PERCENT = 100.0
 EXTRA_RETRIES_SHARE = 0.8  # of the fleet's limit, since entries may miscount each other for a while
-# The first update after a change of the routes tells what the last ones have changed. Entries that
-# miss it ask.
-ANNOUNCE_CHANGES_S = 0.3
-ANNOUNCED_CHANGES = 3
+# The first update after a change of the routes tells what it has changed. Entries that miss it, or
+# have older routes, ask.
+ANNOUNCE_CHANGE_S = 0.2
 # While the entry leaves, for at most this share of the grace period, callers with a cached
 # directory answer still connect.
 ACCEPT_WHILE_LEAVING_S = 2.5
@@ -607,8 +606,8 @@
         """
         update, now = self._compose_update(), self._clock()
         versions = [update.routes_version]
-        if self._read_policy.is_reader and now - self._routes_taken_at < ANNOUNCE_CHANGES_S:
-            versions += self.knowledge.replaced_versions[-ANNOUNCED_CHANGES:]
+        if self._read_policy.is_reader and now - self._routes_taken_at < ANNOUNCE_CHANGE_S:
+            versions += self.knowledge.replaced_versions[-1:]
         update.differences = [
             difference
             for version in versions
