--- a/tests/fleet/test_retries_after_restarts.py
+++ b/tests/fleet/test_retries_after_restarts.py
@@ -1,7 +1,7 @@
 """Guards against retries beyond the fleet's limit after entries restart.
 
 A process that started had its whole part of the extra retries at once, whatever its predecessor had
-spent, so 304 retries reached the targets of a service in ten seconds that allowed 265.
+spent.
 """
 
 import asyncio
--- a/tests/fleet/test_superseded_routes.py
+++ b/tests/fleet/test_superseded_routes.py
@@ -1,7 +1,7 @@
 """Guards against requests that are handled by routes known to be superseded.
 
-An entry served each route that it had cached, whatever the age of its cache: up to 7.7 s after the
-store had confirmed a change, requests ran on a service from which their route had been moved.
+An entry handled requests by each route that it had cached. While a newer version was on its way,
+they ran on a service from which their route had been moved, or on a route that was removed.
 """
 
 import asyncio
@@ -10,15 +10,21 @@
 import pytest
 from declared_fleet import DeclaredFleet
 from platform_standins import KEY, manifest
-from test_narrow_border import IN_FORCE_S, STORE_IP, large_routes, regional_fleet
+from test_narrow_border import (
+    IN_FORCE_S,
+    SHORTEST_IN_FORCE_S,
+    STORE_IP,
+    large_routes,
+    regional_fleet,
+)
 
 from lacewinggw.decisions.routingview import ANNOUNCED_RETENTION_S
 
 pytestmark = pytest.mark.looptime
 
-CHECKED_S = 5.0  # from the bound on
+CHECKED_S = 6.0  # from the bound on
 INTERVAL_S = 0.25
-MAX_REFUSED_S = 2.0  # of requests on routes that did not change; refusals for seconds are worse
+LEAST_SERVED_SHARE = 0.9  # of requests on routes that did not change
 FAR = (2, 3, 4, 5)  # numbers of the entries beyond the border
 NEW_SERVICE = "bureau"
 MOVED, REMOVED, SAME = "/tally/", "/sheet/", "/kept/"
@@ -57,15 +63,23 @@
 
 @pytest.mark.parametrize("is_cut_off", [True, False])
 @pytest.mark.parametrize("anonymous", [True, False])
-@pytest.mark.parametrize("border_bytes_per_s", [12_000, 20_000])
+@pytest.mark.parametrize("apply_s", [SHORTEST_IN_FORCE_S, IN_FORCE_S])
 async def test_requests_are_not_handled_by_routes_known_to_be_superseded(
-    border_bytes_per_s, anonymous, is_cut_off
+    apply_s, anonymous, is_cut_off
 ):
+    for border_bytes_per_s in (12_000, 20_000):
+        await change_routes(border_bytes_per_s, apply_s, anonymous, is_cut_off)
+
+
+async def change_routes(
+    border_bytes_per_s: float, apply_s: float, anonymous: bool, is_cut_off: bool
+) -> None:
+    """Change routes across a border, and check what the entries beyond it handle from then on."""
     async with regional_fleet({"hall": 2, "room": 4}, border_bytes_per_s) as fleet:
         for number in range(2):
             await fleet.add_target(f"bureau{number}", NEW_SERVICE, f"10.3.1.{number + 1}")
         for entry in fleet.entries:
-            entry.knowledge.rules = replace(entry.knowledge.rules, apply_s=IN_FORCE_S)
+            entry.knowledge.rules = replace(entry.knowledge.rules, apply_s=apply_s)
         fleet.store.put("op", "config", make_routes(4, anonymous, is_changed=False))
         await asyncio.sleep(8.0)
         if is_cut_off:
@@ -75,11 +89,11 @@
         key = "" if anonymous else KEY
         fleet.store.put("op", "config", make_routes(5, anonymous, is_changed=True))
         began = asyncio.get_running_loop().time()
-        same = asyncio.ensure_future(ask_far(fleet, SAME, key, began + IN_FORCE_S + CHECKED_S))
-        await asyncio.sleep(IN_FORCE_S)
+        until = began + apply_s + CHECKED_S
+        same = asyncio.ensure_future(ask_far(fleet, SAME, key, until))
+        await asyncio.sleep(apply_s)
         moved, removed = await asyncio.gather(
-            ask_far(fleet, MOVED, key, began + IN_FORCE_S + CHECKED_S),
-            ask_far(fleet, REMOVED, key, began + IN_FORCE_S + CHECKED_S),
+            ask_far(fleet, MOVED, key, until), ask_far(fleet, REMOVED, key, until)
         )
         late = [
             reply for replies in moved for reply in replies if answered_by(reply).startswith("desk")
@@ -87,8 +101,8 @@
         late += [reply for replies in removed for reply in replies if reply.status == 200]
         assert len(late) == 0
         for replies in await same:
-            refused = sum(reply.status != 200 for reply in replies)
-            assert refused * INTERVAL_S < MAX_REFUSED_S, [each.status for each in replies]
+            served = sum(reply.status == 200 for reply in replies)
+            assert served >= LEAST_SERVED_SHARE * len(replies), [each.status for each in replies]
 
 
 async def test_routes_are_used_while_nobody_knows_of_newer_ones():
