--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
+import random
 import re
 import sys
 from pathlib import Path
 
-from world import World, call
+from world import Channel, Handler, Request, Server, World, call
 
 LIB = Path(__file__).resolve().parent
 CALLS_PER_S = 24
@@ -131,3 +132,63 @@
             self._tasks.add(asyncio.create_task(self._call(f"{number:016x}", entry)))
             await asyncio.sleep(1 / CALLS_PER_S)
         await asyncio.wait(self._tasks)
+
+
+class PlainService:
+    """Servers of a plain service, which may fail a part of the requests that they run.
+
+    A server that fails answers with `status`, and without X-Not-Executed: it has run the request.
+    """
+
+    def __init__(self, world: World, name: str, work_s: float) -> None:
+        self._world, self.name, self._work_s = world, name, work_s
+        self._random = random.Random(name)
+        self.fail_share = [0.0] * 3
+        self.status = 503
+        self.ran: dict[str, list[str]] = {}  # the attempts that ran, by the client's order
+        self.attempts: set[str] = set()
+        self._servers = []
+        for at, ip in enumerate(world.spare_hosts(3)):
+            server_id = f"i-d{at:03x}"
+            server = Server(f"{ip}:{world.app_port}", self._handler(at, server_id))
+            self._servers.append((server_id, server, world.zone(at)))
+
+    async def start(self) -> None:
+        """Start the servers."""
+        for _, server, _ in self._servers:
+            await server.start()
+
+    async def stop(self) -> None:
+        """Stop them."""
+        for _, server, _ in self._servers:
+            await server.stop()
+
+    def check_in(self) -> None:
+        """Write their entries."""
+        for server_id, server, zone in self._servers:
+            row = {"Service": self.name, "Address": server.address, "Zone": zone, "Version": "v1"}
+            row |= {"Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Sequence": 0}
+            self._world.store.put("servers", server_id, row)
+
+    def _handler(self, at: int, server_id: str) -> Handler:
+        record = self._world.record
+
+        async def handle(request: Request, channel: Channel) -> None:
+            headers = request.headers
+            attempt = headers.get("x-attempt-id", "")
+            if headers.get("x-expected-instance", server_id) != server_id:
+                channel.answer(421, {"X-Instance-Id": server_id, "X-Attempt-Id": attempt})
+                return
+            order = request.body.decode()
+            self.attempts.add(attempt)
+            self.ran.setdefault(order, []).append(attempt)
+            record(f"{server_id}: runs {attempt}, which carries out {order}")
+            await asyncio.sleep(self._work_s)
+            told = {"X-Attempt-Id": attempt, "X-Response-Seal": f"seal.{server_id}.{attempt}"}
+            if self._random.random() < self.fail_share[at]:
+                record(f"{server_id}: fails {attempt} with {self.status}, after it has run")
+                channel.answer(self.status, told, b"failed")
+            else:
+                channel.answer(200, told, b"done " + request.body)
+
+        return handle
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -656,8 +656,9 @@
         network = f"127.{64 + os.getpid() % 64}.{os.getpid() // 64 % 250}"
         self.edges = [f"{network}.{number + 1}" for number in range(edges)]
         self.sides = [f"{network}.{number + 101}" for number in range(engines)]
+        self._spare_hosts = [f"{network}.{number + 201}" for number in range(9)]
         shared = f"{network}.250"
-        self.ports = free_ports(8, [*self.edges, *self.sides, shared])
+        self.ports = free_ports(8, [*self.edges, *self.sides, *self._spare_hosts, shared])
         self.caller_port, self.ready_port, self.directory_port = self.ports[:3]
         self.internal_ports, self.app_port = self.ports[3:5], self.ports[5]
         self.store = Store(f"{shared}:{self.ports[6]}", record)
@@ -676,6 +677,10 @@
         ]
         self._beats: asyncio.Task[None] | None = None
 
+    def spare_hosts(self, count: int) -> list[str]:
+        """Return addresses for servers on machines of their own."""
+        return self._spare_hosts[:count]
+
     def zone(self, at: int) -> str:
         """Return the zone of the machine with a number."""
         return self.ZONES[at % len(self.ZONES)]
