--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -817,8 +818,9 @@
 
     try:
         held = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"the case could not run: {error!r}")
+        traceback.print_exc()
         sys.exit(2)
     record("the rule held" if held else "the rule was BROKEN")
     print("held" if held else "broken")
