Reject successes without a seal where answers are classified

Cause: what makes an answer usable was decided where its body is read, once for each kind of body; the reader of streams had no check of the seal. For the same reason limits, departures and cold times in such a head were applied, its statement that it was not run was believed, and the second head of a resumed stream was not checked.

Change: `Offers` classifies each head once, before anything in it is applied. A success without a seal, or with an empty one, is an unknown outcome, as the answer to another request is: the connection is reset, the attempt counts against the target, routes that may be repeated are offered elsewhere, others get 502. An `Answer` is not made for it, so no reader can pass it on. Metric `invalid_answers_total` by fault; `offer_ended` has the reason.

Ruled out by tests that passed before: backup attempts, other 2xx and 3xx, and errors that are kept are not passed on unsealed.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -413,7 +413,9 @@
                 deps.metrics.retry(RetryReason.TARGET_SILENT)
                 self._log_offer(load, "failed", reason)
                 await self._put(attempt, _Failed())
-            case OutcomeUnknown(reason):
+            case OutcomeUnknown(reason, fault=fault):
+                if fault is not None:
+                    deps.metrics.count("invalid_answers", fault=fault.value)
                 self._note_failed(attempt, reason)
                 await self._check_for_crash(attempt)
                 await self._put(attempt, _Failed())
@@ -446,8 +448,6 @@
             self._note_failed(attempt, f"the target answered {answer.status}")
             await self._put(attempt, _Failed())
             return
-        if not answer.facts.sealed:
-            raise AnswerIncomplete("the answer has no response seal")
         await self._require_alive(attempt, answer)
         await self._put(attempt, _Ended(answer, body))
 
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -13,6 +13,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lacewinggw.decisions.deadlines import time_left_ms
 from lacewinggw.decisions.dispatch import TargetPool
@@ -64,17 +65,34 @@
     is_closed: bool = False
 
 
+class AnswerFault(Enum):
+    """Why something that a target sent is not an answer to the request."""
+
+    UNSEALED = "unsealed"  # a success without the response seal
+    MISDIRECTED = "misdirected"  # the answer to another request
+
+
+_FAULT_REASONS = {
+    AnswerFault.UNSEALED: "a success without the response seal",
+    AnswerFault.MISDIRECTED: "the answer belongs to another request",
+}
+
+
 @dataclass(frozen=True)
 class OutcomeUnknown:
-    """The request may have run, but there is no answer; `has_timed_out` if none came in time."""
+    """The request may have run, but there is no answer.
+
+    `has_timed_out`: nothing came in time. `fault`: what came is not an answer.
+    """
 
     reason: str
     has_timed_out: bool = False
+    fault: AnswerFault | None = None
 
 
 @dataclass(frozen=True)
 class Answer:
-    """The head of an answer that belongs to the request."""
+    """The head of an answer that belongs to the request; a success has the response seal."""
 
     status: int
     headers: Headers
@@ -187,9 +205,10 @@
     ) -> Answer | NotExecuted | OutcomeUnknown:
         load.note_data(asyncio.get_running_loop().time())
         facts = self._codec.read_answer(response.status, response.headers)
-        if facts.call_id not in (None, admitted.facts.call_id):
+        fault = _find_fault(admitted, response.status, facts)
+        if fault is not None:
             await response.aclose()
-            return OutcomeUnknown("the answer belongs to another request")
+            return OutcomeUnknown(_FAULT_REASONS[fault], fault=fault)
         is_gone = facts.answered_by not in (None, load.entry.name)
         if not is_gone:
             self._answers.apply_facts(load, facts, asked_at)
@@ -203,6 +222,20 @@
         return Answer(response.status, response.headers, facts, response)
 
 
+def _find_fault(
+    admitted: AdmittedRequest, status: int, facts: AnswerFacts
+) -> AnswerFault | None:
+    """Return why a head is not that of an answer to the request; None if it is.
+
+    Nothing else in such a head can be relied on, not even that the request was not run.
+    """
+    if facts.call_id not in (None, admitted.facts.call_id):
+        return AnswerFault.MISDIRECTED
+    if status < FIRST_ERROR and not facts.sealed:
+        return AnswerFault.UNSEALED
+    return None
+
+
 async def read_whole(answer: Answer, on_data: Callable[[], None]) -> bytes:
     """Return the complete body of an answer; raise `AnswerIncomplete` if it ends early.
 
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -47,6 +47,7 @@
     "configuration_upstreams_left": _counter("both", "Peers left for another as source of news."),
     "evacuations": _counter("entry", "Evacuations of zones that began, by who said so."),
     "first_part": _latency("entry", "Time from an offer to the first part of its answer."),
+    "invalid_answers": _counter("entry", "Answers of targets that are none, by their fault."),
     "load_orders": _counter("agent", "Orders to a target to load what is staged."),
     "log_lines_dropped": _gauge("both", "Log lines dropped, over the rate or for a slow reader."),
     "offers": _counter("entry", "Offers of requests straight to targets, by what became of them."),
