Ignore numbers of thousands of digits in heads

What callers saw: a request whose target sent X-Weight-Versions with 5,000 digits was answered with 500. Cause: Python refuses to convert over 4,300 digits, with a ValueError that `read_int` did not expect. Numbers of over 18 digits now count as absent, as other malformed values do; a request whose Last-Event-Id or X-Token-Counts are like that is read the same way.

The test failed for X-Weight-Versions before, and passes; Retry-After and X-Cold-Remaining, read as floats, passed before as well.

--- a/src/lacewinggw/wire/headervalues.py
+++ b/src/lacewinggw/wire/headervalues.py
@@ -9,16 +9,17 @@
 
 from lacewinggw.wire.http import Headers
 
+MAX_INT_DIGITS = 18
+
 
 def read_int(text: str | None) -> int | None:
-    """Return a non-negative integer, or None for any other text.
+    """Return a non-negative integer of up to `MAX_INT_DIGITS` digits, or None for any other text.
 
     >>> read_int("12"), read_int("-1"), read_int(None)
     (12, None, None)
     """
-    if text is None or not text.strip().isdecimal():
-        return None
-    return int(text)
+    digits = text.strip() if text is not None else ""
+    return int(digits) if digits.isdecimal() and len(digits) <= MAX_INT_DIGITS else None
 
 
 def read_float(text: str | None) -> float | None:
--- a/tests/fleet/test_unsealed_answers.py
+++ b/tests/fleet/test_unsealed_answers.py
@@ -189,3 +189,13 @@
         rendered = fleet.entries[0].metrics.render()
         counted = f'lacewinggw_invalid_answers_total{{fault="unsealed"}} {len(target.requests)}'
         assert counted in rendered
+
+
+# Guards against a number in a head that raised an error nothing handled: its caller got a 500.
+@pytest.mark.parametrize("header", ["X-Weight-Versions", "Retry-After", "X-Cold-Remaining"])
+async def test_a_number_of_thousands_of_digits_in_a_head_is_ignored(header):
+    async with running_fleet(desks=0, engines=0) as fleet:
+        extra = f"{header}: {'9' * 5000}\r\n"
+        target = spoiler(ONCE.body, "X-Response-Seal: seal\r\n", extra=extra)
+        reply = await ask_spoiler(fleet, ONCE, target)
+        assert (reply.status, reply.body) == (200, ONCE.body)
