Limit what a message of a peer may cost, in all and at a time

Cause: heads, events and bodies were limited each by itself, not what a message costs in all; and what one read returned was parsed without a pause, for each connection.

Change: `HttpReader` parses all HTTP in small slices and limits lines, interim responses, parts and framing. `ReadTurns` lets readers with more to parse wait for each other, one in each turn of the loop; links between our processes do the same. Events of an answer are limited and split in linear time, the head of an answer has a time limit, buffered answers share a limit, and bodies have limits by use. An attempt that ends by these counts as broken off, with the reason and the bytes taken, and in `invalid_answers_total`. On the way: a connection on which more than the answer was received is not used again, and JSON that is nested too deeply counts as malformed.

Tests changed: fakes of a response take the limit of `pieces`; a test that read h11's buffer reads the same bytes from the reader.

--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -77,7 +77,7 @@
     """Return `build` of the parsed JSON body; raise `BadPlatformAnswer` if it is malformed."""
     try:
         return build(json.loads(response.content))
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise BadPlatformAnswer(f"the {service} sent a malformed response: {error!r}") from None
 
 
@@ -106,6 +106,7 @@
         headers: Headers | None = None,
         timeout_s: float | None = None,
         pause_s: float | None = None,
+        body_limit_bytes: int | None = None,
     ) -> Response:
         """Send a GET request and return its response, which may have another status than 200.
 
@@ -114,12 +115,14 @@
         continue while data keeps arriving, up to the HTTP client's limit for long responses, with
         no pause longer than `pause_s`, or the time limit by default: a large response that is cut
         off and restarted would never complete over a slow link. `timeout_s` replaces the default
-        limit, for requests that the service holds open.
+        limit, for requests that the service holds open, and `body_limit_bytes` that of the client.
         """
         target = join_path(path, query)
         limit_s = self._timeout_s if timeout_s is None else timeout_s
         try:
-            response = await self._request("GET", target, headers, b"", limit_s, pause_s or limit_s)
+            response = await self._request(
+                "GET", target, headers, b"", limit_s, pause_s or limit_s, body_limit_bytes
+            )
         except (OSError, TimeoutError, HttpError) as error:
             raise self._unavailable(error) from error
         if response.status >= MIN_SERVER_ERROR and response.status != SERVICE_UNAVAILABLE:
@@ -157,6 +160,7 @@
         body: bytes,
         timeout_s: float,
         pause_s: float | None = None,
+        body_limit_bytes: int | None = None,
     ) -> Response:
         """Send a request, retrying with a new connection while connecting times out."""
         connect_deadline = asyncio.get_running_loop().time() + timeout_s * CONNECT_SHARE
@@ -167,14 +171,30 @@
                 break
             try:
                 return await self._http.request(
-                    self._address, method, target, headers, body, timeout_s, pause_s, connect_s
+                    self._address,
+                    method,
+                    target,
+                    headers,
+                    body,
+                    timeout_s,
+                    pause_s,
+                    connect_s,
+                    body_limit_bytes,
                 )
             except NotConnectedError as error:
                 if not error.is_timeout:
                     raise
         remaining_s = max(MIN_CONNECT_S, connect_deadline - asyncio.get_running_loop().time())
         return await self._http.request(
-            self._address, method, target, headers, body, timeout_s, pause_s, remaining_s
+            self._address,
+            method,
+            target,
+            headers,
+            body,
+            timeout_s,
+            pause_s,
+            remaining_s,
+            body_limit_bytes,
         )
 
     def unexpected_status(self, response: Response) -> PlatformError:
--- a/src/lacewinggw/clients/engine.py
+++ b/src/lacewinggw/clients/engine.py
@@ -16,7 +16,7 @@
     UnloadOrder,
     encode_order,
 )
-from lacewinggw.clients.pieces import EVENT_LIMIT_BYTES, AnswerEnd, PieceBatch, read_pieces
+from lacewinggw.clients.pieces import AnswerEnd, PieceBatch, read_pieces
 from lacewinggw.clients.targets import (
     PRIORITY_HEADER,
     REQUEST_ID_HEADER,
@@ -68,6 +68,7 @@
 EVENT_STREAM = "text/event-stream"
 ORDER_TIMEOUT_S = 60.0
 CALL_TIMEOUT_S = 5.0
+ERROR_LIMIT_BYTES = 1 << 20  # of the body of an error
 STALE_FENCE_REASON = "stale-fence"
 
 
@@ -276,7 +277,7 @@
 async def _check_started(response: StreamedResponse) -> None:
     if response.status == 200:
         return
-    content = await response.read(EVENT_LIMIT_BYTES)
+    content = await response.read(ERROR_LIMIT_BYTES)
     _check_answer_status(response.status, response.headers, content)
 
 
--- a/src/lacewinggw/clients/pieces.py
+++ b/src/lacewinggw/clients/pieces.py
@@ -6,12 +6,12 @@
 
 from lacewinggw.errors import AnswerIncomplete
 from lacewinggw.ids import Digest
+from lacewinggw.wire.events import EventSplitter
 from lacewinggw.wire.http import StreamedResponse
 
-EVENT_END = b"\n\n"
 DATA_FIELD = b"data: "
 END_EVENT = b"event: end\n"
-EVENT_LIMIT_BYTES = 1 << 20
+ANSWER_LIMIT_BYTES = 64 << 20
 
 
 @dataclass(frozen=True)
@@ -38,12 +38,9 @@
     Raises `AnswerIncomplete` if the pieces aren't consecutive, an event is malformed or too large,
     the end is missing, or the end's piece count doesn't match the pieces received.
     """
-    buffer = b""
-    async for data in response.pieces():
-        *events, buffer = (buffer + data).split(EVENT_END)
-        if len(buffer) > EVENT_LIMIT_BYTES:
-            raise AnswerIncomplete(f"an event of the engine exceeds {EVENT_LIMIT_BYTES} bytes")
-        batch, end = _decode_batch(events)
+    splitter = EventSplitter()
+    async for data in response.pieces(ANSWER_LIMIT_BYTES):
+        batch, end = _decode_batch([event.data for event in splitter.feed(data)])
         if batch is not None:
             if batch.first != next_index:
                 raise AnswerIncomplete(f"received piece {batch.first}, expected {next_index}")
@@ -74,6 +71,6 @@
             if value["i"] != first + len(pieces):
                 raise AnswerIncomplete(f"piece {value['i']} arrived out of order")
             pieces.append(str(value["text"]).encode())
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, RecursionError) as error:
         raise AnswerIncomplete(f"an event of the engine is malformed: {error!r}") from error
     return (PieceBatch(first, pieces) if first is not None else None), end
--- a/src/lacewinggw/clients/weights.py
+++ b/src/lacewinggw/clients/weights.py
@@ -139,10 +139,8 @@
         loop = asyncio.get_running_loop()
         monitor = TransferRateMonitor(loop.time(), self._stall_s, self._min_bytes_per_s)
         received = bytearray()
-        async for data in response.pieces():
+        async for data in response.pieces(CHUNK_LIMIT_BYTES):
             received += data
-            if len(received) > CHUNK_LIMIT_BYTES:
-                raise HttpError(413, f"the chunk exceeds {CHUNK_LIMIT_BYTES} bytes")
             if monitor.is_too_slow(loop.time(), len(data)):
                 raise TimeoutError
         return bytes(received)
--- a/src/lacewinggw/errors.py
+++ b/src/lacewinggw/errors.py
@@ -737,6 +737,10 @@
     kind = "answer-incomplete"
 
 
+class AnswerMalformed(AnswerIncomplete):
+    """What a target sent as an answer violates the protocol or a limit."""
+
+
 class HolderGone(RequestUnknown):
     """The agent that held the request's claim is gone, and its state is lost."""
 
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -18,6 +18,7 @@
 from lacewinggw.decisions.targetspeed import StreamSpeed, event_gap_s
 from lacewinggw.errors import (
     AnswerIncomplete,
+    AnswerMalformed,
     RequestQuarantined,
     RequestRefused,
     RetryBudgetSpent,
@@ -32,6 +33,7 @@
 from lacewinggw.frontend.offers import (
     OK,
     Answer,
+    AnswerFault,
     NotExecuted,
     OfferOptions,
     Offers,
@@ -415,7 +417,7 @@
                 await self._put(attempt, _Failed())
             case OutcomeUnknown(reason, fault=fault):
                 if fault is not None:
-                    deps.metrics.count("invalid_answers", fault=fault.value)
+                    self._note_fault(fault)
                 self._note_failed(attempt, reason)
                 await self._check_for_crash(attempt)
                 await self._put(attempt, _Failed())
@@ -425,6 +427,8 @@
                 try:
                     await self._receive(attempt, answer)
                 except AnswerIncomplete as error:
+                    if isinstance(error, AnswerMalformed):
+                        self._note_fault(AnswerFault.MALFORMED)
                     self._note_failed(attempt, error.reason)
                     await self._check_for_crash(attempt)
                     await self._put(attempt, _Failed())
@@ -538,6 +542,9 @@
         log.info("target_gone", target=load.entry.target, address=load.entry.address)
         self._deps.leaving_targets.mark_leaving(load.entry.target, LeavingSource.ADDRESS)
 
+    def _note_fault(self, fault: AnswerFault) -> None:
+        self._deps.metrics.count("invalid_answers", fault=fault.value)
+
     def _note_failed(self, attempt: _Attempt, reason: str) -> None:
         load, now = attempt.load, _now()
         if load.loading_until <= now:
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -17,8 +17,10 @@
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import READ_BYTES, HeaderList, HttpError
+from lacewinggw.wire.httpreader import HttpReader
 from lacewinggw.wire.network import Listener, Network, Stream
 from lacewinggw.wire.problems import problem_body, problem_headers
+from lacewinggw.wire.readturns import ReadTurns
 
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
@@ -104,11 +106,15 @@
     longer: callers go by the newest limit that they know.
     """
 
-    def __init__(self, stream: Stream, limits: Callable[[], CallerLimits]) -> None:
+    def __init__(
+        self, stream: Stream, limits: Callable[[], CallerLimits], turns: ReadTurns
+    ) -> None:
         self._stream = stream
         self._read_limits = limits
         self._limits = limits()
+        self._turns = turns
         self._http = _http_server(self._limits)
+        self._reader = HttpReader(self._http, turns)
         self._is_head_only = False  # the method of the request is HEAD
         self._close_after = False  # once all requests that have been received are answered
         self._must_close = False  # after the next answer in any case
@@ -137,7 +143,7 @@
     def has_pending_request(self) -> bool:
         """Whether a request, or part of one, was received that has no complete answer."""
         is_answering = self._http.our_state in (h11.SEND_RESPONSE, h11.SEND_BODY)
-        return is_answering or bool(self._http.trailing_data[0])
+        return is_answering or self._reader.has_unread
 
     def close(self) -> None:
         """Close the connection; reset it if its end would mark an incomplete answer as complete."""
@@ -161,7 +167,7 @@
         Closing while bytes arrive resets the connection, and both hosts discard what they have not
         sent or read yet, so the last answer would be cut. Return the number of bytes discarded.
         """
-        discarded = len(self._http.trailing_data[0])
+        discarded = len(self._reader.unread)
         self._stream.end_sending()
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(CLOSE_READ_S):
@@ -186,7 +192,7 @@
         `TimeoutError` if no request arrives within the idle limit.
         """
         if self._http.our_state is h11.DONE:
-            self._http.start_next_cycle()
+            self._reader.start_next_cycle()
         self._is_head_only = False
         try:
             event = await self._await_head()
@@ -199,6 +205,8 @@
             body = await self._read_body()
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, f"invalid HTTP: {error}") from error
+        except ConnectionResetError as error:
+            raise HttpError(BAD_REQUEST, f"invalid HTTP: {error}") from error
         method = event.method.decode("ascii")
         domain = next(iter(header_values(headers, "host")), "")
         target = event.target.decode("latin-1")
@@ -206,13 +214,11 @@
 
     async def _await_head(self) -> Any:
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
-        received, _ = self._http.trailing_data
-        if not received:
+        if not self._reader.has_unread:
             self._idle_since, self._idle_s = _now(), self._read_limits().idle_s
-            received = await self._idle_timer.run(self._read)
-            self._http.receive_data(received)
+            self._reader.receive(await self._idle_timer.run(self._read))
         self._apply_limits()
-        event = self._http.next_event()
+        event = self._reader.next_buffered()
         if event is not h11.NEED_DATA:
             return event
         try:
@@ -230,17 +236,16 @@
         before, self._limits = self._limits, self._read_limits()
         if self._limits.head_bytes == before.head_bytes:
             return
-        received, has_ended = self._http.trailing_data
+        before_reader = self._reader
         self._http = _http_server(self._limits)
-        if received:
-            self._http.receive_data(received)
-        if has_ended:
-            self._http.receive_data(b"")
+        self._reader = HttpReader(self._http, self._turns)
+        if before_reader.has_unread:
+            self._reader.receive(before_reader.unread)
+        if before_reader.has_ended:
+            self._reader.receive(b"")
 
     async def _read_head(self) -> Any:
-        while (event := self._http.next_event()) is h11.NEED_DATA:
-            await self._receive()
-        return event
+        return await self._reader.next_event(self._read)
 
     async def _read_body(self) -> bytes:
         if self._http.they_are_waiting_for_100_continue:
@@ -257,7 +262,7 @@
     async def _append_body(self, body: bytearray) -> None:
         """Append the rest of the body; continue where a cancelled call stopped."""
         while True:
-            event = self._http.next_event()
+            event = await self._reader.next_event(self._read)
             match event:
                 case h11.EndOfMessage():
                     return
@@ -266,14 +271,9 @@
                     if len(body) > self._limits.body_bytes:
                         limit = self._limits.body_bytes
                         raise HttpError(CONTENT_TOO_LARGE, f"the body is over {limit} bytes")
-                case h11.NEED_DATA:
-                    await self._receive()
                 case _:
                     raise CallerDisconnected
 
-    async def _receive(self) -> None:
-        self._http.receive_data(await self._read())
-
     async def _read(self) -> bytes:
         try:
             return await self._stream.read(READ_BYTES)
@@ -282,14 +282,14 @@
 
     async def wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected; buffer what else it sends."""
-        while len(self._http.trailing_data[0]) < PIPELINED_BYTES:
+        while len(self._reader.unread) < PIPELINED_BYTES:
             try:
                 data = await self._stream.read(READ_BYTES)
             except OSError:
                 return
             if not data:
                 return
-            self._http.receive_data(data)
+            self._reader.receive(data)
         await asyncio.Event().wait()
 
     # ---- answers --------------------------------------------------------------------------
@@ -338,8 +338,7 @@
     def _head(self, status: int, headers: HeaderList) -> bytes:
         # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
         fields = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
-        has_received_more = bool(self._http.trailing_data[0])
-        if self._must_close or (self._close_after and not has_received_more):
+        if self._must_close or (self._close_after and not self._reader.has_unread):
             fields.append((b"connection", b"close"))
         return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
 
@@ -388,6 +387,7 @@
         self._address = address
         self._serve = serve
         self._limits = limits
+        self._turns = ReadTurns()
         self._listener: Listener | None = None
         self._open: dict[asyncio.Task[None], CallerConnection] = {}
         self._busy: set[asyncio.Task[None]] = set()
@@ -447,7 +447,7 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        caller = CallerConnection(stream, self._limits)
+        caller = CallerConnection(stream, self._limits, self._turns)
         self._open[task] = caller
         if self._is_leaving:
             caller.close_after_answer()
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -10,8 +10,8 @@
 """
 
 import asyncio
-from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
+from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterator
+from contextlib import aclosing, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -19,7 +19,7 @@
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.homeregions import Homes, anywhere
 from lacewinggw.decisions.targetload import TargetLoad
-from lacewinggw.errors import AnswerIncomplete
+from lacewinggw.errors import AnswerIncomplete, AnswerMalformed
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.calls import (
     DEFAULT_URGENCY,
@@ -29,7 +29,7 @@
     end_to_end_headers,
 )
 from lacewinggw.frontend.targetanswers import TargetAnswers
-from lacewinggw.wire.events import EventSplitter, StreamEvent
+from lacewinggw.wire.events import EVENT_END, EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
     HttpClient,
@@ -39,7 +39,13 @@
 )
 
 CONNECT_TIMEOUT_S = 0.25  # takes a few ms; a link with a queue of a second is unusable
-BODY_LIMIT_BYTES = 16 << 20  # of an answer that is buffered until it is complete
+BODY_LIMIT_BYTES = 16 << 20
+BUFFERED_LIMIT_BYTES = 48 << 20  # of all answers that are buffered until they are complete
+SMALL_ANSWER_BYTES = 1 << 20  # accepted beyond that limit as well
+# Events that an answer may have, and more for each second that it takes.
+MAX_EVENTS = 16_000
+EVENTS_PER_S = 1000.0
+EVENTS_PER_TURN = 64  # parsed before other connections are read
 OK = 200
 BUSY = 503  # status of a target without a free slot
 FIRST_ERROR = 400
@@ -70,6 +76,7 @@
 
     UNSEALED = "unsealed"  # a success without the response seal
     MISDIRECTED = "misdirected"  # the answer to another request
+    MALFORMED = "malformed"  # bytes that violate HTTP, or that cost more than an answer may
 
 
 _FAULT_REASONS = {
@@ -90,6 +97,43 @@
     fault: AnswerFault | None = None
 
 
+class AnswerBuffers:
+    """The answers that are buffered until they are complete, within a limit for all of them."""
+
+    def __init__(self, limit_bytes: int = BUFFERED_LIMIT_BYTES) -> None:
+        self._limit_bytes = limit_bytes
+        self._size = 0
+
+    @contextmanager
+    def open(self) -> Iterator["AnswerBuffer"]:
+        """Provide the account of one answer's memory, and release it at the end."""
+        buffer = AnswerBuffer(self)
+        try:
+            yield buffer
+        finally:
+            self._size -= buffer.size
+
+    def reserve(self, size: int) -> bool:
+        """Add to the size of all buffers; return whether it is within the limit."""
+        self._size += size
+        return self._size <= self._limit_bytes
+
+
+class AnswerBuffer:
+    """The memory that the received part of one answer takes, in bytes."""
+
+    def __init__(self, buffers: AnswerBuffers) -> None:
+        self._buffers = buffers
+        self.size = 0
+
+    def add(self, size: int) -> None:
+        """Add received bytes; raise `AnswerMalformed` if a large answer exceeds the limit."""
+        self.size += size
+        is_within_limit = self._buffers.reserve(size)
+        if not is_within_limit and self.size > SMALL_ANSWER_BYTES:
+            raise AnswerMalformed(f"no memory for an answer of over {self.size} bytes")
+
+
 @dataclass(frozen=True)
 class Answer:
     """The head of an answer that belongs to the request; a success has the response seal."""
@@ -98,6 +142,7 @@
     headers: Headers
     facts: AnswerFacts
     response: StreamedResponse
+    buffers: AnswerBuffers = field(default_factory=AnswerBuffers, compare=False)
 
     @property
     def is_success(self) -> bool:
@@ -141,6 +186,7 @@
         self._codec = codec
         self._pool = pool
         self._answers = answers
+        self._buffers = AnswerBuffers()
 
     async def send(
         self,
@@ -183,7 +229,9 @@
             return NotExecuted(f"cannot connect: {error}", has_reached_target=False)
         except TimeoutError:
             return OutcomeUnknown("no answer in time", has_timed_out=True)
-        except (OSError, HttpError) as error:
+        except HttpError as error:
+            return OutcomeUnknown(f"no answer: {error}", fault=AnswerFault.MALFORMED)
+        except OSError as error:
             return OutcomeUnknown(f"no answer: {error}")
         return await self._classify(admitted, load, response, asked_at)
 
@@ -219,12 +267,10 @@
                 is_full=response.status == BUSY,
                 is_replaced=is_gone,
             )
-        return Answer(response.status, response.headers, facts, response)
+        return Answer(response.status, response.headers, facts, response, self._buffers)
 
 
-def _find_fault(
-    admitted: AdmittedRequest, status: int, facts: AnswerFacts
-) -> AnswerFault | None:
+def _find_fault(admitted: AdmittedRequest, status: int, facts: AnswerFacts) -> AnswerFault | None:
     """Return why a head is not that of an answer to the request; None if it is.
 
     Nothing else in such a head can be relied on, not even that the request was not run.
@@ -241,30 +287,74 @@
 
     `on_data` is called each time a part of it arrives.
     """
-    try:
-        return await answer.response.read(BODY_LIMIT_BYTES, on_data)
-    except TimeoutError as error:
-        raise AnswerIncomplete("no further data of the answer in time") from error
-    except (OSError, HttpError) as error:
-        raise AnswerIncomplete(f"the answer broke off: {error}") from error
-    finally:
-        await answer.close()
+    with answer.buffers.open() as buffer:
+
+        def note_data(size: int) -> None:
+            on_data()
+            buffer.add(size)
+
+        async with _receiving(answer):
+            return await answer.response.read(BODY_LIMIT_BYTES, note_data)
 
 
 async def read_events(answer: Answer) -> AsyncGenerator[list[StreamEvent], None]:
     """Yield the events of an answer as they arrive; raise `AnswerIncomplete` if it ends early."""
     splitter = EventSplitter()
-    try:
-        async with aclosing(answer.response.pieces()) as pieces:
-            async for data in pieces:
-                events = list(splitter.feed(data))
+    limit = _EventLimit()
+    async with (
+        _receiving(answer),
+        aclosing(answer.response.pieces(BODY_LIMIT_BYTES)) as pieces,
+    ):
+        async for data in pieces:
+            for part in _slice_by_events(data):
+                events = splitter.feed(part)
+                limit.add(len(events), len(part))
                 if events:
                     yield events
+                if len(part) < len(data):
+                    await answer.response.wait_for_turn()
+    if splitter.has_partial_event:
+        raise AnswerIncomplete("the stream ended inside an event")
+
+
+@asynccontextmanager
+async def _receiving(answer: Answer) -> AsyncIterator[None]:
+    """Close an answer in the end; raise `AnswerIncomplete` for errors of receiving its body."""
+    try:
+        yield
     except TimeoutError as error:
-        raise AnswerIncomplete("no further event in time") from error
-    except (OSError, HttpError) as error:
-        raise AnswerIncomplete(f"the stream broke off: {error}") from error
+        raise AnswerIncomplete("no further data of the answer in time") from error
+    except HttpError as error:
+        raise AnswerMalformed(f"the answer was cut off: {error}") from error
+    except OSError as error:
+        raise AnswerIncomplete(f"the answer broke off: {error}") from error
     finally:
         await answer.close()
-    if splitter.has_partial_event:
-        raise AnswerIncomplete("the stream ended inside an event")
+
+
+class _EventLimit:
+    """Limits the events of one answer."""
+
+    def __init__(self) -> None:
+        self._began_at = asyncio.get_running_loop().time()
+        self._count = 0
+        self._bytes = 0
+
+    def add(self, count: int, size: int) -> None:
+        """Count received events and bytes; raise `AnswerMalformed` if there are too many events."""
+        self._count += count
+        self._bytes += size
+        if self._count <= MAX_EVENTS:
+            return
+        took_s = asyncio.get_running_loop().time() - self._began_at
+        if self._count > MAX_EVENTS + EVENTS_PER_S * took_s:
+            what = f"{self._count} events of {self._bytes} bytes"
+            raise AnswerMalformed(f"{what} within {took_s:.1f} s")
+
+
+def _slice_by_events(data: bytes) -> Iterator[bytes]:
+    """Yield data in parts; `EVENTS_PER_TURN` events, or fewer, end in a part on average."""
+    parts = -(-data.count(EVENT_END) // EVENTS_PER_TURN)
+    size = -(-len(data) // max(1, parts))
+    for begin in range(0, len(data), size):
+        yield data[begin : begin + size]
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -58,7 +58,7 @@
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.frames import Message
-from lacewinggw.wire.http import Handler, HttpClient, HttpServer
+from lacewinggw.wire.http import PAGE_LIMITS, Handler, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
 from lacewinggw.wire.validation import require_valid
@@ -359,9 +359,13 @@
         directory = self._adapter.directory_page(self.resolve, self._address_ttl_s)
         pages = OperatorPages(Health(self.metrics, self._readiness), self._evacuations)
         return [
-            HttpServer(self._network, self._settings.entry.ready_listen, ready),
-            HttpServer(self._network, self._settings.entry.directory_listen, directory),
-            HttpServer(self._network, self._settings.entry.operator_listen, pages.handle),
+            HttpServer(self._network, self._settings.entry.ready_listen, ready, PAGE_LIMITS),
+            HttpServer(
+                self._network, self._settings.entry.directory_listen, directory, PAGE_LIMITS
+            ),
+            HttpServer(
+                self._network, self._settings.entry.operator_listen, pages.handle, PAGE_LIMITS
+            ),
         ]
 
     # ---- life cycle -----------------------------------------------------------------------------
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -66,7 +66,7 @@
         self._first = first
         self._hop_s = hop_s
 
-    async def pieces(self) -> AsyncGenerator[bytes, None]:
+    async def pieces(self, limit_bytes: int) -> AsyncGenerator[bytes, None]:
         """Yield the events as they travel."""
         yield _event(self._first)
         async for number in self._events:
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -57,7 +57,7 @@
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.frames import Message
-from lacewinggw.wire.http import HttpServer
+from lacewinggw.wire.http import PAGE_LIMITS, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
@@ -201,7 +201,7 @@
         self._spread_inputs: _SpreadInputs | None = None
         self._plan: tuple[UpgradeRules, frozenset[HostId], UpgradePlanner] | None = None
         pages = HealthPages(Health(self.metrics, self._readiness))
-        self._server = HttpServer(network, agent.operator_listen, pages.handle)
+        self._server = HttpServer(network, agent.operator_listen, pages.handle, PAGE_LIMITS)
         assignment = self.assignment
         self._store_clock = StoreClock()
         self._access = StoreAccess()
--- a/src/lacewinggw/wire/events.py
+++ b/src/lacewinggw/wire/events.py
@@ -1,12 +1,13 @@
 """Parsing of server-sent events: splits a byte stream into complete events with their ids."""
 
-from collections.abc import Iterator
+import re
 from dataclasses import dataclass
 
-from lacewinggw.errors import AnswerIncomplete
+from lacewinggw.errors import AnswerMalformed
 
 EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+ID_FIELD = re.compile(rb"^id:(.*)$", re.MULTILINE)
+MAX_ID_DIGITS = 18
 EVENT_LIMIT_BYTES = 1 << 20
 
 
@@ -26,28 +27,36 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched = 0  # bytes of the buffer in which no event ends
 
     @property
     def has_partial_event(self) -> bool:
         """Whether part of an event is buffered."""
         return bool(self._buffer)
 
-    def feed(self, data: bytes) -> Iterator[StreamEvent]:
-        """Yield each event that `data` completes.
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Return the events that `data` completes.
 
-        Raises `AnswerIncomplete` when an unfinished event exceeds `EVENT_LIMIT_BYTES`.
+        Raises `AnswerMalformed` when an unfinished event exceeds `EVENT_LIMIT_BYTES`.
         """
-        *events, self._buffer = (self._buffer + data).split(EVENT_END)
-        if len(self._buffer) > EVENT_LIMIT_BYTES:
-            raise AnswerIncomplete(f"an event of the target exceeds {EVENT_LIMIT_BYTES} bytes")
-        for event in events:
-            yield StreamEvent(event + EVENT_END, _parse_id(event))
+        buffer = self._buffer
+        buffer += data
+        events, begin = [], 0
+        while (end := buffer.find(EVENT_END, max(begin, self._searched))) >= 0:
+            event = bytes(buffer[begin : end + len(EVENT_END)])
+            events.append(StreamEvent(event, _parse_id(event)))
+            begin = end + len(EVENT_END)
+        del buffer[:begin]
+        self._searched = max(0, len(buffer) - len(EVENT_END) + 1)
+        if len(buffer) > EVENT_LIMIT_BYTES:
+            raise AnswerMalformed(f"an event of the target exceeds {EVENT_LIMIT_BYTES} bytes")
+        return events
 
 
 def _parse_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
-        if line.startswith(ID_FIELD):
-            number = line.removeprefix(ID_FIELD).strip()
-            return int(number) if number.isdigit() else None
-    return None
+    field = ID_FIELD.search(event)
+    if field is None:
+        return None
+    number = field[1].strip()
+    return int(number) if number.isdigit() and len(number) <= MAX_ID_DIGITS else None
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -17,10 +17,13 @@
 
 from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp
 from lacewinggw.log import get_logger
+from lacewinggw.wire.httpreader import HttpReader
 from lacewinggw.wire.network import Listener, Network, Stream
 from lacewinggw.wire.problems import problem_body, problem_headers
+from lacewinggw.wire.readturns import ReadTurns
 
 READ_BYTES = 1 << 16
+MAX_BODY_BYTES = 64 << 20
 MAX_IDLE_CONNECTIONS = 32
 CONNECT_SHARE = 0.5
 # Time added to the timeout for a response that keeps arriving: 20 s transfer 0.5 MB at 200 kbit/s.
@@ -29,6 +32,10 @@
 # A timer that fires this late shows that the event loop was busy, and nothing about the peer.
 LATE_TIMER_S = 0.02
 LAST_READ_S = 0.05  # then, for bytes that arrived meanwhile and are not read yet
+MAX_HEAD_S = (
+    5.0  # from the first byte of a response's head to its end; a sound peer may pause in it
+)
+BAD_GATEWAY = 502
 HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 JSON_TYPE = "application/json"
 
@@ -40,14 +47,21 @@
 
 @dataclass(frozen=True)
 class HttpLimits:
-    """Limits for one side of a connection: sizes of body and head, and idle and read timeouts."""
+    """Limits for one side of a connection: sizes of body and head, and timeouts.
 
-    body_bytes: int = 64 << 20
+    A server waits `idle_s` for a request to begin, `read_s` for its head to end, and `read_s` for
+    each read of its body.
+    """
+
+    body_bytes: int = MAX_BODY_BYTES
     head_bytes: int = 32 << 10
     idle_s: float = 120.0
     read_s: float = 30.0
 
 
+PAGE_LIMITS = HttpLimits(body_bytes=64 << 10)  # of servers whose requests have small bodies
+
+
 @dataclass(frozen=True)
 class Request:
     """A received request; header names are in lower case and the path is percent-decoded."""
@@ -105,25 +119,24 @@
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in pairs]
 
 
-async def _next_event(connection: h11.Connection, stream: Stream, timeout_s: float) -> Any:
-    """Return the next h11 event, reading from the stream as needed.
+class _HeadTimer:
+    """Limits the time of a head: until its first byte, and from there to its end."""
 
-    Raises `ConnectionResetError` when the stream ends inside a message, and
-    `h11.RemoteProtocolError` for bytes that are not valid HTTP.
-    """
-    ended = False
-    while True:
-        try:
-            event = connection.next_event()
-        except h11.RemoteProtocolError as error:
-            if ended:
-                raise ConnectionResetError("the connection closed inside a message") from error
-            raise
-        if event is not h11.NEED_DATA:
-            return event
-        data = await _read(stream, timeout_s)
-        ended = not data
-        connection.receive_data(data)
+    def __init__(self, stream: Stream, first_byte_s: float, head_s: float) -> None:
+        self._stream = stream
+        self._until = _now() + first_byte_s
+        self._head_s = head_s
+        self._has_begun = False
+
+    async def read(self) -> bytes:
+        """Read more of the head; raise `TimeoutError` once it takes too long."""
+        if self._has_begun and _now() > self._until:
+            raise TimeoutError
+        data = await _read(self._stream, self._until - _now())
+        if not self._has_begun:
+            self._has_begun = True
+            self._until = _now() + self._head_s
+        return data
 
 
 async def _read(stream: Stream, timeout_s: float) -> bytes:
@@ -147,14 +160,12 @@
     return asyncio.get_running_loop().time()
 
 
-async def _read_body(
-    connection: h11.Connection, stream: Stream, limits: HttpLimits, timeout_s: float
-) -> bytes:
+async def _read_body(reader: HttpReader, stream: Stream, limits: HttpLimits) -> bytes:
     """Read a complete body; raise `BodyTooLarge` once it exceeds the limit."""
     parts: list[bytes] = []
     size = 0
     while True:
-        event = await _next_event(connection, stream, timeout_s)
+        event = await reader.next_event(lambda: _read(stream, limits.read_s))
         if isinstance(event, h11.EndOfMessage):
             return b"".join(parts)
         if not isinstance(event, h11.Data):
@@ -186,6 +197,7 @@
         self._requested_address = address
         self._handler = handler
         self._limits = limits or HttpLimits()
+        self._turns = ReadTurns()
         self._listener: Listener | None = None
         self._connections: dict[asyncio.Task[Any], Stream] = {}
         self._busy: set[asyncio.Task[Any]] = set()
@@ -233,14 +245,17 @@
             stream.close()
 
     async def _serve(self, stream: Stream, task: "asyncio.Task[Any]") -> None:
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.head_bytes)
+        limits = self._limits
+        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
+        reader = HttpReader(connection, self._turns)
         while not self._closing:
             try:
-                event = await _next_event(connection, stream, self._limits.idle_s)
+                timer = _HeadTimer(stream, limits.idle_s, limits.read_s)
+                event = await reader.next_event(timer.read)
                 if not isinstance(event, h11.Request):
                     return
                 self._busy.add(task)
-                request = await self._read_request(connection, stream, event)
+                request = await self._read_request(connection, reader, stream, event)
             except h11.RemoteProtocolError as error:
                 refusal = MalformedHttp(f"malformed HTTP: {error}")
                 await self._refuse(connection, stream, refusal, error.error_status_hint)
@@ -253,7 +268,7 @@
             self._busy.discard(task)
             if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
                 return
-            connection.start_next_cycle()
+            reader.start_next_cycle()
 
     async def _answer(self, request: Request) -> Response:
         """Return the handler's response, or status 500 when it raises an unexpected exception.
@@ -270,13 +285,13 @@
             return Response(error.http_status, problem_headers(error), problem_body(error))
 
     async def _read_request(
-        self, connection: h11.Connection, stream: Stream, event: h11.Request
+        self, connection: h11.Connection, reader: HttpReader, stream: Stream, event: h11.Request
     ) -> Request:
         headers = _decode_headers(event.headers)
         if connection.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             stream.write(connection.send(continue_response) or b"")
-        body = await _read_body(connection, stream, self._limits, self._limits.read_s)
+        body = await _read_body(reader, stream, self._limits)
         parts = urlsplit(event.target.decode("latin-1"))
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
         return Request(event.method.decode("ascii"), unquote(parts.path), query, headers, body)
@@ -326,15 +341,13 @@
         self,
         status: int,
         headers: Headers,
-        connection: h11.Connection,
-        stream: Stream,
+        connection: "_Connection",
         read_timeout_s: float,
-        release: Callable[[Stream, h11.Connection], None],
+        release: Callable[["_Connection"], None],
     ) -> None:
         self.status = status
         self.headers = headers
         self._connection = connection
-        self._stream = stream
         self._read_timeout_s = read_timeout_s
         self._release = release
         self._ended = False
@@ -344,53 +357,60 @@
         """Whether the body has neither a length nor chunks, so that only its connection ends it."""
         return not self.headers.keys() & {"content-length", "transfer-encoding"}
 
-    async def pieces(self) -> AsyncGenerator[bytes, None]:
-        """Yield the body as it arrives; raise `OSError` when it is truncated.
+    async def pieces(self, limit_bytes: int = MAX_BODY_BYTES) -> AsyncGenerator[bytes, None]:
+        """Yield the body as it arrives.
 
-        Data received in one read is yielded as one piece.
+        Data received in one read is yielded as one piece, unless it takes long to parse. Raises
+        `OSError` when the body is truncated, and `HttpError` when it exceeds `limit_bytes` (413) or
+        violates the protocol (502); the connection is closed then.
         """
+        size = 0
         event = await self._next_event()
         while isinstance(event, h11.Data):
             parts = [event.data]
-            event = self._buffered_event()
+            event = self._next_buffered()
             while isinstance(event, h11.Data):
                 parts.append(event.data)
-                event = self._buffered_event()
-            yield b"".join(parts)
+                event = self._next_buffered()
+            piece = b"".join(parts)
+            size += len(piece)
+            if size > limit_bytes:
+                await self.aclose()
+                raise HttpError(413, f"the body exceeds {limit_bytes} bytes")
+            yield piece
             if event is h11.NEED_DATA:
                 event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise ConnectionResetError("the connection closed before the end of the body")
         self._ended = True
-        self._release(self._stream, self._connection)
+        self._release(self._connection)
 
-    def _buffered_event(self) -> Any:
-        """Return the next event from buffered data, or `NEED_DATA` if another read is needed."""
+    async def wait_for_turn(self) -> None:
+        """Let other connections of the client be read first; for content that is slow to parse."""
+        await self._connection.turns.wait()
+
+    def _next_buffered(self) -> Any:
         try:
-            return self._connection.next_event()
+            return self._connection.reader.next_buffered()
         except h11.RemoteProtocolError as error:
-            raise ConnectionResetError(f"the body ended early: {error}") from error
+            raise _violation_in_body(error) from error
 
     async def _next_event(self) -> Any:
+        stream, timeout_s = self._connection.stream, self._read_timeout_s
         try:
-            return await _next_event(self._connection, self._stream, self._read_timeout_s)
+            return await self._connection.reader.next_event(lambda: _read(stream, timeout_s))
         except h11.RemoteProtocolError as error:
-            raise ConnectionResetError(f"the body ended early: {error}") from error
+            raise _violation_in_body(error) from error
 
-    async def read(self, limit_bytes: int, on_data: Callable[[], None] | None = None) -> bytes:
+    async def read(self, limit_bytes: int, on_data: Callable[[int], None] | None = None) -> bytes:
         """Return the complete body; raise `HttpError` 413 when it exceeds `limit_bytes`.
 
-        `on_data` is called each time a part of it arrives.
+        `on_data` is called with the size of each part that arrives.
         """
         parts: list[bytes] = []
-        size = 0
-        async for piece in self.pieces():
+        async for piece in self.pieces(limit_bytes):
             if on_data is not None:
-                on_data()
-            size += len(piece)
-            if size > limit_bytes:
-                await self.aclose()
-                raise HttpError(413, f"the body exceeds {limit_bytes} bytes")
+                on_data(len(piece))
             parts.append(piece)
         return b"".join(parts)
 
@@ -398,7 +418,27 @@
         """Reset the connection unless the body was read completely."""
         if not self._ended:
             self._ended = True
-            self._stream.abort()
+            self._connection.stream.abort()
+
+
+def _violation_in_body(error: h11.RemoteProtocolError) -> HttpError:
+    return HttpError(BAD_GATEWAY, f"the body violated HTTP: {error}")
+
+
+@dataclass(frozen=True)
+class _Connection:
+    """A connection of a client: its stream, its state, and the reader of its responses."""
+
+    stream: Stream
+    http: h11.Connection
+    reader: HttpReader
+    turns: ReadTurns
+
+    @property
+    def can_be_reused(self) -> bool:
+        """Whether both sides have completed their messages, and nothing else was received."""
+        is_done = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        return is_done and not self.reader.has_unread
 
 
 class NotConnectedError(ConnectionRefusedError):
@@ -428,15 +468,16 @@
         self._network = network
         self._limits = limits or HttpLimits()
         self._idle_connections = idle_connections
-        self._idle: dict[str, list[tuple[Stream, h11.Connection]]] = {}
+        self._idle: dict[str, list[_Connection]] = {}
+        self._turns = ReadTurns()
         self._closed = False
 
     async def close(self) -> None:
         """Close the idle connections."""
         self._closed = True
         for idle in self._idle.values():
-            for stream, _ in idle:
-                stream.close()
+            for connection in idle:
+                connection.stream.close()
         self._idle.clear()
 
     async def refuses_connections(self, address: str, timeout_s: float) -> bool:
@@ -461,10 +502,12 @@
         timeout_s: float = 5.0,
         max_pause_s: float | None = None,
         connect_s: float | None = None,
+        body_limit_bytes: int | None = None,
     ) -> Response:
         """Make a request and return its complete response within `timeout_s` seconds.
 
-        Connecting takes at most `connect_s`, by default `CONNECT_SHARE` of `timeout_s`.
+        Connecting takes at most `connect_s`, by default `CONNECT_SHARE` of `timeout_s`. The body of
+        the response may have `body_limit_bytes`, by default those of the client's limits.
 
         With `max_pause_s` the response must begin within `timeout_s`, may continue while no pause
         between its pieces exceeds `max_pause_s`, and must end within `timeout_s + MAX_RESPONSE_S`.
@@ -485,7 +528,7 @@
                 head_s=timeout_s,
             )
             try:
-                content = await reply.read(self._limits.body_bytes)
+                content = await reply.read(body_limit_bytes or self._limits.body_bytes)
             except BaseException:
                 await reply.aclose()
                 raise
@@ -508,42 +551,42 @@
         Connecting takes at most `connect_s`, by default `CONNECT_SHARE` of `timeout_s`; the wait
         for the head is limited by `head_s`, by default `timeout_s`. A response that arrives before
         the request's body is sent completely is read as well. `on_connected` is called with the
-        connect time in seconds; nothing is sent if it raises.
+        connect time in seconds; nothing is sent if it raises. From its first byte the head may take
+        `MAX_HEAD_S`.
         """
         began = asyncio.get_running_loop().time()
-        stream, connection = await self._acquire_connection(
-            address, connect_s or timeout_s * CONNECT_SHARE
-        )
+        connection = await self._acquire_connection(address, connect_s or timeout_s * CONNECT_SHARE)
+        stream = connection.stream
         try:
             if on_connected is not None:
                 on_connected(asyncio.get_running_loop().time() - began)
-            self._send_request(stream, connection, address, method, path, headers, body)
+            self._send_request(connection, address, method, path, headers, body)
             wait_s = timeout_s if head_s is None else head_s
-            event = await _next_event(connection, stream, wait_s)
+            timer = _HeadTimer(stream, wait_s, min(wait_s, MAX_HEAD_S))
+            event = await connection.reader.next_event(timer.read)
             while isinstance(event, h11.InformationalResponse):
-                event = await _next_event(connection, stream, wait_s)
+                event = await connection.reader.next_event(timer.read)
             if not isinstance(event, h11.Response):
                 raise ConnectionResetError(f"{address} closed the connection without a response")
             if event.http_version not in HTTP_VERSIONS:
                 raise h11.RemoteProtocolError("unknown version of the protocol")
         except h11.RemoteProtocolError as error:
             stream.close()
-            raise HttpError(502, f"{address} violated HTTP: {error}") from error
+            raise HttpError(BAD_GATEWAY, f"{address} violated HTTP: {error}") from error
         except BaseException:
             # Reset, so that queued bytes of the abandoned request are not delivered later.
             stream.abort()
             raise
         received = _decode_headers(event.headers)
 
-        def release(stream: Stream, connection: h11.Connection) -> None:
-            self._return_connection(address, stream, connection)
+        def release(connection: _Connection) -> None:
+            self._return_connection(address, connection)
 
-        return StreamedResponse(event.status_code, received, connection, stream, timeout_s, release)
+        return StreamedResponse(event.status_code, received, connection, timeout_s, release)
 
     def _send_request(
         self,
-        stream: Stream,
-        connection: h11.Connection,
+        connection: _Connection,
         address: str,
         method: str,
         path: str,
@@ -556,11 +599,12 @@
         if body or method in ("POST", "PUT"):
             fields.append((b"content-length", b"%d" % len(body)))
         head = h11.Request(method=method, target=path, headers=fields)
-        data = connection.send(head) or b""
+        http = connection.http
+        data = http.send(head) or b""
         if body:
-            data += connection.send(h11.Data(data=body)) or b""
-        data += connection.send(h11.EndOfMessage()) or b""
-        stream.write(data)
+            data += http.send(h11.Data(data=body)) or b""
+        data += http.send(h11.EndOfMessage()) or b""
+        connection.stream.write(data)
 
     async def _connect(self, address: str, timeout_s: float) -> Stream:
         try:
@@ -581,24 +625,22 @@
         async with asyncio.timeout(timeout_s):
             return await self._network.connect(address)
 
-    async def _acquire_connection(
-        self, address: str, connect_s: float
-    ) -> tuple[Stream, h11.Connection]:
+    async def _acquire_connection(self, address: str, connect_s: float) -> _Connection:
         idle = self._idle.get(address, [])
         while idle:
-            stream, connection = idle.pop()
-            if not stream.ended:
-                return stream, connection
-            stream.close()
+            connection = idle.pop()
+            if not connection.stream.ended:
+                return connection
+            connection.stream.close()
         stream = await self._connect(address, connect_s)
-        limit = self._limits.head_bytes
-        return stream, h11.Connection(h11.CLIENT, max_incomplete_event_size=limit)
+        http = h11.Connection(h11.CLIENT, max_incomplete_event_size=self._limits.head_bytes)
+        return _Connection(stream, http, HttpReader(http, self._turns), self._turns)
 
-    def _return_connection(self, address: str, stream: Stream, connection: h11.Connection) -> None:
+    def _return_connection(self, address: str, connection: _Connection) -> None:
         idle = self._idle.setdefault(address, [])
-        done = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-        if not done or self._closed or len(idle) >= self._idle_connections:
-            stream.close()
+        is_full = len(idle) >= self._idle_connections
+        if not connection.can_be_reused or self._closed or is_full:
+            connection.stream.close()
             return
-        connection.start_next_cycle()
-        idle.append((stream, connection))
+        connection.reader.start_next_cycle()
+        idle.append(connection)
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -36,6 +36,7 @@
     read_frame,
 )
 from lacewinggw.wire.network import Listener, Network, Stream
+from lacewinggw.wire.readturns import ReadTurns
 
 HANDSHAKE_TIMEOUT_S = 5.0
 HANDSHAKE_LIMIT_BYTES = 4096
@@ -43,6 +44,7 @@
 NO_CALL = 0  # call number of a frame that expects no reply
 MAX_FOLLOW_UPS = 1024
 READ_BYTES = 1 << 16
+FRAMES_PER_TURN = 32  # handled on a link before other links get their turn
 
 log = get_logger(__name__)
 
@@ -268,8 +270,10 @@
         try:
             splitter = FrameSplitter()
             while data := await self._stream.read(READ_BYTES):
-                for frame in splitter.feed(data):
+                for number, frame in enumerate(splitter.feed(data), 1):
                     self._dispatch(frame)
+                    if number % FRAMES_PER_TURN == 0:
+                        await self._node.turns.wait()
                 if len(data) == READ_BYTES:
                     await asyncio.sleep(0)  # more data is waiting: let handlers run first
         except (OSError, EOFError, TimeoutError):
@@ -389,6 +393,7 @@
         self.handler = handler
         self.revision = revision
         self.on_notification = on_notification
+        self.turns = ReadTurns()
         self._network = network
         self._key = fleet_key.encode()
         self._on_revision = on_revision
--- a/tests/fleet/raw_targets.py
+++ b/tests/fleet/raw_targets.py
@@ -35,6 +35,7 @@
     name: str
     answer: Answer
     requests: list[RawRequest] = field(default_factory=list)
+    sent_bytes: list[int] = field(default_factory=list)  # noted by `answer`
     _listener: Listener | None = None
 
     async def start(self, fleet: DeclaredFleet, service: str, ip: str) -> None:
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -178,7 +178,7 @@
     def __init__(self, schedule: Schedule, run: Run, idle_s: float, streams: bool) -> None:
         self._schedule, self._run, self._idle_s, self._streams = schedule, run, idle_s, streams
 
-    async def pieces(self):
+    async def pieces(self, limit_bytes=None):
         rng = self._schedule.rng
         numbers = list(range(self._run.first, EVENTS + 1))
         while numbers:
@@ -417,7 +417,7 @@
 class SteadyBody:
     ends_with_connection = False
 
-    async def pieces(self):
+    async def pieces(self, limit_bytes=None):
         for number in range(1, EVENTS + 1):
             await asyncio.sleep(0.05)
             yield event(number, 1)
@@ -432,7 +432,7 @@
     def __init__(self, is_sound: bool) -> None:
         self._is_sound = is_sound
 
-    async def pieces(self):
+    async def pieces(self, limit_bytes=None):
         if not self._is_sound:
             yield event(5, 1)
             return
--- a/tests/fleet/test_callers_without_answer.py
+++ b/tests/fleet/test_callers_without_answer.py
@@ -183,7 +183,7 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(0.1):
                 await caller.wait_for_disconnect()
-        buffered.append(len(caller._http.trailing_data[0]))
+        buffered.append(len(caller._reader.unread))
         await caller.answer(200, [], b"ok")
 
     entry = ListeningEntry(answer)
--- a/tests/test_service_calls.py
+++ b/tests/test_service_calls.py
@@ -8,10 +8,12 @@
 
 import pytest
 
+from lacewinggw.clients.calls import decode_json
 from lacewinggw.clients.objects import ObjectClient
-from lacewinggw.errors import PlatformUnavailable
+from lacewinggw.errors import BadPlatformAnswer, PlatformUnavailable
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.lab.objects import ObjectStandIn
+from lacewinggw.wire.http import Response
 
 pytestmark = pytest.mark.looptime
 
@@ -54,3 +56,9 @@
     assert asyncio.get_running_loop().time() - began < TIMEOUT_S + 0.1
     await client.close()
     await service.close()
+
+
+# Guards against JSON that is nested too deeply, whose error nothing handled.
+def test_json_that_is_nested_too_deeply_is_a_malformed_response() -> None:
+    with pytest.raises(BadPlatformAnswer):
+        decode_json(Response(200, {}, b"[" * 100_000), "store", lambda value: value)
