--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -32,9 +32,8 @@
 # A timer that fires this late shows that the event loop was busy, and nothing about the peer.
 LATE_TIMER_S = 0.02
 LAST_READ_S = 0.05  # then, for bytes that arrived meanwhile and are not read yet
-MAX_HEAD_S = (
-    5.0  # from the first byte of a response's head to its end; a sound peer may pause in it
-)
+# From the first byte of a response's head to its end; a sound peer may pause in it.
+MAX_HEAD_S = 5.0
 BAD_GATEWAY = 502
 HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 JSON_TYPE = "application/json"
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -274,6 +274,8 @@
                     self._dispatch(frame)
                     if number % FRAMES_PER_TURN == 0:
                         await self._node.turns.wait()
+                        if self.closed.is_set():
+                            return
                 if len(data) == READ_BYTES:
                     await asyncio.sleep(0)  # more data is waiting: let handlers run first
         except (OSError, EOFError, TimeoutError):
