--- a/src/lacewinggw/wire/httpreader.py
+++ b/src/lacewinggw/wire/httpreader.py
@@ -58,6 +58,7 @@
         self._begin_message()
 
     def _begin_message(self) -> None:
+        self._needs_data = False  # all that was passed to the connection is parsed
         self._in_head = True
         self._is_chunked = False
         self._length: int | None = None  # of the body, if its head states it
@@ -124,17 +125,22 @@
                 self._pass_slice()
             elif self._has_ended and not self._connection.trailing_data[1]:
                 self._connection.receive_data(b"")
+                self._needs_data = False
             else:
                 break
         return h11.NEED_DATA
 
     def _parse(self) -> Any:
+        if self._needs_data:
+            return h11.NEED_DATA
         try:
-            return self._connection.next_event()
+            event = self._connection.next_event()
         except h11.RemoteProtocolError as error:
             if self._connection.trailing_data[1]:
                 raise ConnectionResetError("the connection closed inside a message") from error
             raise self._error(str(error), error.error_status_hint) from error
+        self._needs_data = event is h11.NEED_DATA
+        return event
 
     def _pass_slice(self) -> None:
         """Pass the next received bytes to the connection, unless the message exceeds a limit."""
@@ -149,6 +155,7 @@
             if self._is_chunked:
                 self._check_unparsed()
         self._connection.receive_data(data)
+        self._needs_data = False
 
     def _check_head(self, data: bytes) -> None:
         self._turn_parts += self._head.add(data) // LINES_PER_PART
@@ -173,6 +180,11 @@
         """Add the cost of an event; raise an error if the message has cost too much."""
         self._unparsed_bytes = 0
         match event:
+            case h11.Data(data=data):
+                self._turn_parts += 1
+                self._parts += 1
+                self._content_bytes += len(data)
+                self._check_body()
             case h11.InformationalResponse():
                 self._turn_parts += HEAD_PARTS
                 self._head = _HeadLimit()
@@ -182,11 +194,6 @@
             case h11.Request() | h11.Response():
                 self._turn_parts += HEAD_PARTS
                 self._begin_body(event)
-            case h11.Data(data=data):
-                self._turn_parts += 1
-                self._parts += 1
-                self._content_bytes += len(data)
-                self._check_body()
 
     def _begin_body(self, event: "h11.Request | h11.Response") -> None:
         self._in_head = False
@@ -197,8 +204,8 @@
         self._body_bytes = len(self._connection.trailing_data[0])
 
     def _check_body(self) -> None:
-        limit: float = MAX_PARTS + self._content_bytes // CONTENT_BYTES_PER_PART
-        if self._parts > limit:
+        if self._parts > MAX_PARTS:
+            limit: float = MAX_PARTS + self._content_bytes // CONTENT_BYTES_PER_PART
             took_s = asyncio.get_running_loop().time() - self._body_began_at
             if self._parts > limit + PARTS_PER_S * took_s:
                 raise self._error(f"a body of {self._parts} parts within {took_s:.1f} s")
