--- a/review/4/standins.py
+++ b/review/4/standins.py
@@ -808,6 +808,7 @@
 
 def main(play: Callable[[Record, bool], Awaitable[int]], folder: Path) -> None:
     """Play a case within its time; exit with 1 if the rule broke, 0 if it held, else 2."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # ends the processes, too
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.note(f"trouble: {trouble}")
