--- a/review/4/standins.py
+++ b/review/4/standins.py
@@ -685,8 +685,9 @@
 
 
 def free_base(ips: list[str]) -> int:
-    """Return the first of 20 ports that are free on all addresses."""
-    for base in range(21000, 30000, 20):
+    """Return the first of 20 ports that are free on all addresses; scripts may run side by side."""
+    first = os.getpid() % 400
+    for base in (21000 + 20 * ((first + step) % 400) for step in range(400)):
         held = []
         try:
             for ip in ips:
