Order a load only while the checks of all staged pieces are recent

Cause: an agent read all pieces back one after the other and ordered the load after the last one, however long that took. The age of a check was kept nowhere, and an order may be accepted later still, by a target or host that pauses.

StagedChecks owns the age of each check, from the sending of its read. An order goes out only while all checks are at most 2 s old, which is asked again when its connection is open. A pass reads only outdated pieces, and more of them at once where one after the other takes too long. LoadProof keeps a target from requests while it may have accepted an order later than that, until its pieces were read back.

--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -184,7 +184,7 @@
             check_named_manifest,
             self._staged,
         )
-        self._loader = TargetLoader(adapter.target, self.spreader, self.metrics)
+        self._loader = TargetLoader(adapter.target, self.spreader, self.metrics, clock)
         self._cold = OwnColdTarget(settings.fleet.first_start, clock)
         self._slots = AgentSlotService(self.metrics, self._cold.limiter)
         self._progress = ProgressLog(self.spreader)
@@ -465,6 +465,7 @@
                 if self._staged.read_failed:
                     # The target was not up yet. Pieces staged there need not be downloaded.
                     await self.spreader.add_local_chunks()
+                await self._loader.read_back_loaded(model, report.weights.get(model))
                 await self._advance(model, report)
             except TargetUnreachable as error:
                 log.info("load_step_failed", error=error)
@@ -483,7 +484,8 @@
         )
         if switch is SwitchMode.FINISH and not self._is_drained(report, upgrade.load_deadline):
             return
-        await self._loader.load(model, upgrade.load, switch, report)
+        if not await self._loader.load(model, upgrade.load, switch, report):
+            return
         self._draining_since = None
         self._notify_entries()
 
@@ -541,8 +543,11 @@
 
     @property
     def _is_changing_weights(self) -> bool:
-        """Whether the target loads weights, or is being drained to load them."""
-        return self._loader.is_loading or self._draining_since is not None
+        """Whether the target loads weights, is drained to load them, or may hold bad ones."""
+        if self._loader.is_loading or self._draining_since is not None:
+            return True
+        model = self.assignment.model
+        return model is not None and not self._loader.is_usable(self._current_version(model))
 
     # ---- entries --------------------------------------------------------------------------
 
--- a/src/lacewinggw/loader/target.py
+++ b/src/lacewinggw/loader/target.py
@@ -1,6 +1,6 @@
 """Interface between the loader and its target, independent of the target's protocol."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -55,6 +55,7 @@
     BEGUN = "begun"
     DONE = "done"  # already in effect
     REFUSED = "refused"  # its state differs from what the order expects: read it again
+    OUTDATED = "outdated"  # not sent, as what it relies on is outdated
 
 
 class LoadableTarget(Protocol):
@@ -75,5 +76,8 @@
     async def stage_piece(self, model: ModelName, index: int, data: bytes) -> None:
         """Stage a piece, replacing what was stored at its index."""
 
-    async def order(self, order: StagedLoadOrder) -> OrderOutcome:
-        """Give an order, and return the target's response."""
+    async def order(self, order: StagedLoadOrder, may_send: Callable[[], bool]) -> OrderOutcome:
+        """Give an order, and return the target's response.
+
+        `may_send` is called immediately before the order is sent, once a connection is open.
+        """
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -87,6 +87,10 @@
     ),
     "slots_taken": _gauge("agent", "Slots of the target that are taken, by leases and its report."),
     "slots_waited_for": _gauge("agent", "Requests of all entries that wait for a slot."),
+    "spoilt_loads": _counter("agent", "Loads in which a target may have taken a spoilt piece."),
+    "staged_checks_outdated": _counter(
+        "agent", "Orders put off as checks of pieces were outdated."
+    ),
     "staged_pieces_replaced": _counter("agent", "Staged pieces found spoilt before an order."),
     "store_entries_unreadable": _counter(
         "both", "Entries of the operators' store that cannot be read, by topic."
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -502,11 +502,13 @@
         max_pause_s: float | None = None,
         connect_s: float | None = None,
         body_limit_bytes: int | None = None,
+        on_connected: Callable[[float], None] | None = None,
     ) -> Response:
         """Make a request and return its complete response within `timeout_s` seconds.
 
         Connecting takes at most `connect_s`, by default `CONNECT_SHARE` of `timeout_s`. The body of
         the response may have `body_limit_bytes`, by default those of the client's limits.
+        `on_connected` is called as in `stream`.
 
         With `max_pause_s` the response must begin within `timeout_s`, may continue while no pause
         between its pieces exceeds `max_pause_s`, and must end within `timeout_s + MAX_RESPONSE_S`.
@@ -525,6 +527,7 @@
                 read_s,
                 connect_s=connect_s or timeout_s * CONNECT_SHARE,
                 head_s=timeout_s,
+                on_connected=on_connected,
             )
             try:
                 content = await reply.read(body_limit_bytes or self._limits.body_bytes)
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -274,6 +274,7 @@
     crashes_on: frozenset[bytes] = frozenset()  # bodies whose first event crashes it
     crashes_on_parts: frozenset[str] = frozenset()  # ids of prompt parts, likewise
     back_s: float = 2.5  # time until it returns under another id
+    read_s: float = 0.0  # time to answer each read of a staged piece
 
 
 class TargetStandIn(StandIn):
@@ -291,6 +292,11 @@
         self.turned_away: list[tuple[float, str]] = []  # time, and entry that it came from
         self._rng = random.Random(target_id)
         self.on_start: Callable[[], None] = lambda: None
+        self.on_read: Callable[[int], None] = lambda _: None  # a staged piece is read
+        self.reads = asyncio.Semaphore(1000)  # reads of staged pieces that are served at once
+        self.on_order_received: Callable[[], None] = lambda: None
+        self.on_order: Callable[[], None] = lambda: None  # an order is accepted
+        self.order_delay_s = 0.0  # the next order is accepted so late, and gets no response
         self._ending: asyncio.Task[None] | None = None
         self.abandoned = 0
         self.running = 0
@@ -352,9 +358,14 @@
                 self.staged[int(request.query["ItemCount"])] = request.body
                 return Response(200)
             case ["stage-get", _]:
-                return self._staged(request)
+                response = self._staged(request)
+                if "ItemCount" in request.query:
+                    self.on_read(int(request.query["ItemCount"]))
+                    async with self.reads:
+                        await asyncio.sleep(self.behaviour.read_s)
+                return response
             case ["order"]:
-                return self._order(json.loads(request.body))
+                return await self._receive_order(json.loads(request.body))
         self.seen.append(request)
         self.seen_at.append(asyncio.get_running_loop().time())
         self._at_once += 1
@@ -462,9 +473,19 @@
         data = self.staged.get(int(request.query["ItemCount"]))
         return Response(404) if data is None else Response(200, {}, data)
 
+    async def _receive_order(self, order: dict) -> Response:
+        if not self.order_delay_s:
+            return self._order(order)
+        self.on_order_received()
+        delay_s, self.order_delay_s = self.order_delay_s, 0.0
+        asyncio.get_running_loop().call_later(delay_s, self._order, order)
+        await asyncio.sleep(3600)
+        raise AssertionError("the caller waits for an hour")
+
     def _order(self, order: dict) -> Response:
         if order["Precondition"] != len(self.orders):
             return Response(409)
+        self.on_order()
         self.orders.append(order)
         self.loaded = [self.staged.get(index, b"") for index in range(CHUNKS)]
         self.busy = True
