Take only a run as long as those before the crashes for proof of survival

Cause: events for 0.3 s were told to all entries as "served" and dropped the earlier crashes of the request and its parts, in each run before it crashed the next target.

A run that a target survived now has a length, and clears a content only if it lasted as long as the content's runs before crashes. Complete answers clear at once; runs that were left, resumed or still go on count against one crash each. Crashes 0.5 s apart count separately, as late crashes come from runs at the same time.

--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -14,13 +14,13 @@
 """
 
 import math
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
 from lacewinggw.decisions.contents import is_part, scope_of
-from lacewinggw.decisions.crashrecords import ContentCrash, Crash, CrashRecords
+from lacewinggw.decisions.crashrecords import MAX_CONTENTS, ContentCrash, Crash, CrashRecords
 from lacewinggw.ids import ContentId, TargetId
 
 # Crashes after which a content is quarantined. Two may be chance: a request that ran next to the
@@ -41,6 +41,8 @@
 # which each entry collects crashes into one report. A decision on part of the reports may
 # quarantine a request that merely shared the targets.
 SETTLE_S = 0.5
+# Crashes of targets within this time may come from one failure, of a host or a place.
+SAME_FAILURE_S = 0.5
 # A content crashes targets until their operators have changed them, which takes some hours at most.
 QUARANTINE_S = 3600.0
 MAX_SERVICES = 64  # recently served requests that are remembered
@@ -54,6 +56,19 @@
     QUARANTINED = "quarantined"  # crashes targets, and is sent to none
 
 
+@dataclass(frozen=True)
+class SurvivedRun:
+    """A run of a request that a target survived, from its first event on, in seconds.
+
+    `is_whole` if it ran from its first event to its last one; otherwise its caller left, or it
+    continued the answer of another run, or it is still going on.
+    """
+
+    lasted_s: float
+    at: float
+    is_whole: bool
+
+
 @dataclass(frozen=True)
 class _Service:
     """A request that a target served, by its contents."""
@@ -69,12 +84,13 @@
     if tracker.note_crash(Crash(request, target, sent_at, now), now): ...  # new: send it to peers
     for content in tracker.quarantine_culprits(now): ...  # newly quarantined
     if tracker.status(content, now) is CrashStatus.QUARANTINED: ...
-    if tracker.note_served(content, now): ...  # cleared of crashes: send it to peers
+    if tracker.note_survived(content, run): ...  # cleared of crashes: send it to peers
     """
 
     records: CrashRecords = field(default_factory=CrashRecords)
     _check_at: float = math.inf  # when `quarantine_culprits` may find something new
     _quarantined: dict[ContentId, float] = field(default_factory=dict)
+    _survivals: Counter[ContentId] = field(default_factory=Counter)  # since they were cleared
     _services: "deque[_Service]" = field(default_factory=lambda: deque(maxlen=MAX_SERVICES))
 
     @property
@@ -96,24 +112,42 @@
         """Return on how many targets a content was when they crashed, whichever content did it."""
         return len(self.records.crashes_of(content))
 
-    def sequential_targets(self, content: ContentId) -> list[TargetId]:
-        """Return the targets that crashed under a content one after the other.
+    def independent_targets(self, content: ContentId) -> list[TargetId]:
+        """Return the targets that crashed under a content, without those of the same failure.
 
         A target that crashed under a quarantined content counts only for that content.
         """
         known = self.records.crashes_of(content)
         counted = known if content in self._quarantined else self._unexplained(content)
-        return [crash.target for crash in _sequential(known[each] for each in counted)]
+        return [crash.target for crash in _independent(known[each] for each in counted)]
 
     def note_crash(self, crash: Crash, now: float) -> bool:
         """Record a crash; return whether it is new and counts."""
         if not self.records.note_crash(crash, now):
             return False
         self._check_at = min(self._check_at, now + SETTLE_S)
+        if len(self._survivals) > MAX_CONTENTS:
+            kept = [each for each in self._survivals if self.records.crashes_of(each)]
+            self._survivals = Counter({each: self._survivals[each] for each in kept})
         return True
 
+    def note_survived(self, content: ContentId, run: SurvivedRun) -> bool:
+        """Record that a target survived a content; return whether this clears it of its crashes.
+
+        A target may crash at any time of a run, so a run proves nothing if it was shorter than
+        those that targets crashed under. One that did not reach its end counts against one crash.
+        """
+        known = self.records.crashes_of(content)
+        if not known or run.lasted_s < self.records.run_before_crash_s(content):
+            return False
+        self._survivals[content] += 1
+        if not run.is_whole and self._survivals[content] < len(known):
+            return False
+        return self.note_served(content, run.at)
+
     def note_served(self, content: ContentId, at: float) -> bool:
-        """Record that a target served a content; return whether this adds to what is known."""
+        """Record that a content was cleared; return whether this adds to what is known."""
+        self._survivals.pop(content, None)
         return content not in self._quarantined and self.records.note_served(content, at)
 
     def note_service(self, contents: Iterable[ContentId], at: float) -> None:
@@ -239,7 +273,7 @@
         """
         known = self.records.crashes_of(content)
         settled = [known[each] for each in targets if known[each].received_at + SETTLE_S <= now]
-        crashes = len(_sequential(settled))
+        crashes = len(_independent(settled))
         if not self._is_in_use(content):
             return crashes >= QUARANTINE_CRASHES
         return crashes >= TIED_CRASHES and self._are_others_served(content)
@@ -281,7 +315,7 @@
     def _covers(self, general: ContentId, content: ContentId, targets: Iterable[TargetId]) -> bool:
         """Return whether all requests with `content` on these targets had `general` as well."""
         wide, narrow = self.records.crashes_of(general), self.records.crashes_of(content)
-        return all(narrow[each].requests <= wide[each].requests for each in targets)
+        return all(narrow[each].requests.keys() <= wide[each].requests.keys() for each in targets)
 
     def _is_in_use(self, content: ContentId) -> bool:
         """Return whether a content is a part that was served, or that many requests have."""
@@ -329,14 +363,15 @@
         ]
 
 
-def _sequential(crashes: Iterable[ContentCrash]) -> list[ContentCrash]:
-    """Return the crashes of targets to which a content was sent after the previous one crashed.
+def _independent(crashes: Iterable[ContentCrash]) -> list[ContentCrash]:
+    """Return the crashes that do not come from the same failure as the previous one.
 
     Targets that crash together because their host or place fails count once: a frequently repeated
-    lookup may be running on all of them.
+    lookup may be running on all of them. A request that crashes its target after a while may run
+    on several at a time, which then crash one after the other.
     """
     found: list[ContentCrash] = []
     for crash in sorted(crashes, key=lambda each: each.at):
-        if not found or crash.began_at >= found[-1].at:
+        if not found or crash.began_at >= found[-1].at or crash.at >= found[-1].at + SAME_FAILURE_S:
             found.append(crash)
     return found
--- a/src/lacewinggw/decisions/crashrecords.py
+++ b/src/lacewinggw/decisions/crashrecords.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from statistics import median_high, median_low
 
 from lacewinggw.decisions.contents import is_part
 from lacewinggw.ids import ContentId, TargetId
@@ -37,13 +38,22 @@
 
 @dataclass
 class ContentCrash:
-    """A content on a crashed target: the requests with it, and when the last of them was sent."""
+    """A content on a crashed target: when each request with it was sent there."""
 
     target: TargetId
-    began_at: float
     at: float
     received_at: float
-    requests: set[ContentId]
+    requests: dict[ContentId, float]
+
+    @property
+    def began_at(self) -> float:
+        """When the last request with the content was sent to the target."""
+        return max(self.requests.values())
+
+    @property
+    def ran_s(self) -> float:
+        """How long a request with the content had been on the target: the upper median."""
+        return self.at - median_low(self.requests.values())
 
 
 @dataclass
@@ -73,6 +83,11 @@
         """Return the crashes of a content, by target."""
         return self._crashes.get(content, {})
 
+    def run_before_crash_s(self, content: ContentId) -> float:
+        """Return how long a content usually was on a target before that crashed; 0 without one."""
+        known = self.crashes_of(content).values()
+        return median_high([crash.ran_s for crash in known]) if known else 0.0
+
     def reports(self) -> Iterator[Crash]:
         """Yield every recorded crash of a request."""
         yield from self._reports.values()
@@ -101,12 +116,10 @@
             known = self._crashes.setdefault(content, {})
             recorded = known.get(crash.target)
             if recorded is None:
-                known[crash.target] = ContentCrash(
-                    crash.target, crash.began_at, crash.at, now, {crash.request}
-                )
+                requests = {crash.request: crash.began_at}
+                known[crash.target] = ContentCrash(crash.target, crash.at, now, requests)
             else:
-                recorded.began_at = max(recorded.began_at, crash.began_at)
-                recorded.requests.add(crash.request)
+                recorded.requests[crash.request] = crash.began_at
         self._prune(now)
         return True
 
@@ -171,7 +184,7 @@
         recorded = known.get(report.target)
         if recorded is None:
             return
-        recorded.requests.discard(report.request)
+        recorded.requests.pop(report.request, None)
         if not recorded.requests:
             del known[report.target]
         if not known:
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -56,9 +56,9 @@
 RETRY_AFTER_MS = 400  # used when it is unknown when a target will have a free slot
 BUDGET_RETRY_AFTER_MS = 500
 MAX_LOOP_LAG_S = 0.1  # a timer that fires later than this says nothing about a target
-# A target that still sends events this long after the first one does not crash on the request:
-# it would as it begins to write the answer.
-SURVIVAL_S = 0.3
+# After this time, and each time that it has doubled, a run counts as evidence that its target does
+# not crash under it.
+LONG_RUN_S = 10.0
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 
@@ -144,9 +144,20 @@
     offered_at: float = 0.0
     data_at: float = 0.0  # when part of the answer arrived last
     first_event_at: float | None = None
+    last_event_at: float = 0.0
+    long_run_s: float = LONG_RUN_S  # when the run counts next while it goes on
+    is_from_start: bool = True  # it does not continue the answer of another attempt
+    is_over: bool = False  # what came of it is known
     task: "asyncio.Task[None] | None" = None
     is_released: bool = False
 
+    @property
+    def lasted_s(self) -> float:
+        """How long its run is known to have lasted: without events, from the offer on."""
+        if self.first_event_at is None:
+            return self.data_at - self.offered_at
+        return self.last_event_at - self.first_event_at
+
     @property
     def load(self) -> TargetLoad:
         """The target; available once it is claimed."""
@@ -236,7 +247,7 @@
 
     def _take_end(self, attempt: _Attempt, answer: Answer, body: bytes) -> WholeAnswer | StreamPart:
         self._deps.pool.note_success(attempt.load)
-        self._deps.crashes.note_answered(self._progress.admitted, attempt.load.entry)
+        self._note_survived(attempt, is_whole=attempt.is_from_start)
         if self._is_stream(answer):
             return StreamPart(answer.status, answer.headers, b"", is_last=True)
         return WholeAnswer(answer.status, answer.headers, body)
@@ -390,6 +401,7 @@
         progress, placer = self._progress, self._deps.placer
         attempt.offered_at = _now()
         options = placer.offer_options(progress)
+        attempt.is_from_start = options.resume_after is None
         timeouts = placer.offer_timeouts(progress, attempt.load)
         progress.offers += 1
         progress.runs += 1
@@ -474,8 +486,10 @@
         load.note_data(now)
         if attempt.first_event_at is None:
             attempt.first_event_at = now
-        elif now - attempt.first_event_at >= SURVIVAL_S:
-            self._deps.crashes.note_served(self._progress.admitted)
+        attempt.last_event_at = now
+        if attempt.lasted_s >= attempt.long_run_s:
+            attempt.long_run_s *= 2
+            self._deps.crashes.note_running(self._progress.admitted, attempt.lasted_s)
         gap_s = stream_speed.note_events(count, now, load.link_delay(now))
         if gap_s is not None:
             self._deps.report_gap(load, gap_s, stream_speed.declared_s)
@@ -506,8 +520,16 @@
         if tasks:
             await asyncio.wait(tasks)
         for attempt in opened:
+            if attempt.first_event_at is not None and not attempt.is_over:
+                self._note_survived(attempt, is_whole=False)
             self._release(attempt)  # a task that was cancelled before it began has not done so
 
+    def _note_survived(self, attempt: _Attempt, is_whole: bool) -> None:
+        attempt.is_over = True
+        self._deps.crashes.note_survived(
+            self._progress.admitted, attempt.load.entry, attempt.lasted_s, is_whole
+        )
+
     def _release(self, attempt: _Attempt) -> None:
         if attempt.claim is None or attempt.is_released:
             return
@@ -546,6 +568,7 @@
         self._deps.metrics.count("invalid_answers", fault=fault.value)
 
     def _note_failed(self, attempt: _Attempt, reason: str) -> None:
+        attempt.is_over = True
         load, now = attempt.load, _now()
         if load.loading_until <= now:
             self._deps.pool.note_failure(load, now)
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -14,7 +14,7 @@
 from lacewinggw.background import Background
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.contents import is_part
-from lacewinggw.decisions.crashes import CrashStatus, CrashTracker
+from lacewinggw.decisions.crashes import CrashStatus, CrashTracker, SurvivedRun
 from lacewinggw.decisions.crashrecords import Crash
 from lacewinggw.decisions.dispatch import Suspicion
 from lacewinggw.decisions.servedparts import ServedParts
@@ -41,9 +41,9 @@
 COALESCE_S = 0.05
 ASSUMED_INTERVAL_S = 0.1  # between listed crashes, whose times are not stored
 MAX_ENDED_TARGETS = 256  # remembered, so that each is probed once for all its broken connections
-# How long a target must run on after the end of an answer before that counts as served: one that
-# crashes on a request may send all of a short answer first.
-SERVED_CONFIRMATION_S = 0.2
+# How long a target must run on after the end of a run to have survived it: one that crashes on a
+# request may send all of a short answer first.
+SURVIVAL_CONFIRMATION_S = 0.2
 GROUP_BYTES = 12
 MIN_WAIT_S = 0.001  # resolution of the event loop's timers
 MAX_SETTLING_WAIT_S = 1.0  # of a suspected request, while further crashes under it are reported
@@ -60,8 +60,7 @@
 
         monitor.require_not_quarantined(admitted)  # raises `RequestQuarantined`
         await monitor.note_connection_lost(admitted, entry, began_at)
-        monitor.note_served(admitted)
-        monitor.note_answered(admitted, entry)
+        monitor.note_survived(admitted, entry, lasted_s, is_whole=True)
     """
 
     def __init__(
@@ -163,35 +162,52 @@
         """Return whether this incarnation of a target has ended; takes a connection attempt."""
         return await asyncio.shield(self._start_probe(entry))
 
-    def note_served(self, admitted: AdmittedRequest) -> None:
-        """Record that a target has served a request long enough not to crash on it."""
-        self._note_served(admitted, self._clock())
+    def note_survived(
+        self, admitted: AdmittedRequest, entry: TargetEntry, lasted_s: float, is_whole: bool
+    ) -> None:
+        """Record that a run of a request ended before its target, once that has run on for a while.
 
-    def note_answered(self, admitted: AdmittedRequest, entry: TargetEntry) -> None:
-        """Record that a target answered a request, once it has run on for a while."""
+        The run lasted `lasted_s` from its first event on; `is_whole` if it was a complete answer.
+        """
         if self._tracker.is_empty and not admitted.parts:
             return
+        run = SurvivedRun(lasted_s, self._clock(), is_whole)
         asyncio.get_running_loop().call_later(
-            SERVED_CONFIRMATION_S, self._confirm_served, admitted, entry.target, self._clock()
+            SURVIVAL_CONFIRMATION_S, self._confirm_survived, admitted, entry.target, run
         )
 
-    def _confirm_served(self, admitted: AdmittedRequest, target: TargetId, at: float) -> None:
-        if target not in self._ended_targets:
-            self._note_served(admitted, at)
+    def note_running(self, admitted: AdmittedRequest, lasted_s: float) -> None:
+        """Record that a run has gone on for `lasted_s`; its target may crash under it later."""
+        if self._tracker.is_empty:
+            return
+        run = SurvivedRun(lasted_s, self._clock(), is_whole=False)
+        for content in admitted.contents:
+            self._note_evidence(content, run)
 
-    def _note_served(self, admitted: AdmittedRequest, at: float) -> None:
-        self._served_parts.note(admitted.parts, at)
+    def _confirm_survived(
+        self, admitted: AdmittedRequest, target: TargetId, run: SurvivedRun
+    ) -> None:
+        if target in self._ended_targets:
+            return
+        self._served_parts.note(admitted.parts, run)
         if self._tracker.is_empty:
             return
-        self._tracker.note_service(admitted.contents, at)
+        self._tracker.note_service(admitted.contents, run.at)
         for content in admitted.contents:
-            self._note_evidence(content, at)
+            self._note_evidence(content, run)
 
-    def _note_evidence(self, content: ContentId, served_at: float) -> None:
-        """Record that a content was served; tell other entries if it is suspected there."""
-        if self._tracker.note_served(content, served_at):
-            self._pending.served.append(Served(content, served_at))
-            self._changed.set()
+    def _note_evidence(self, content: ContentId, run: SurvivedRun) -> None:
+        """Record that a target survived a content; tell other entries if this clears it."""
+        if not self._tracker.note_survived(content, run):
+            return
+        log.info(
+            "crash_suspicion_cleared",
+            ran_s=round(run.lasted_s, 1),
+            is_whole=run.is_whole,
+            **_log_fields(content),
+        )
+        self._pending.served.append(Served(content, run.at))
+        self._changed.set()
 
     def _with_status(self, admitted: AdmittedRequest, status: CrashStatus) -> list[ContentId]:
         """Return the contents of a request that have a status."""
@@ -243,11 +259,11 @@
         self._changed.set()
 
     def _add_served_before(self, crashes: Iterable[Crash]) -> None:
-        """Add when this entry last saw the parts of crashed requests served."""
+        """Add the runs of parts of crashed requests that this entry saw targets survive."""
         for part in dict.fromkeys(part for crash in crashes for part in crash.parts):
-            served_at = self._served_parts.last_at(part)
-            if served_at is not None:
-                self._note_evidence(part, served_at)
+            run = self._served_parts.last_run(part)
+            if run is not None:
+                self._note_evidence(part, run)
 
     # ---- other entries, and the store -----------------------------------------------------
 
@@ -295,7 +311,7 @@
         log.warning(
             "part_quarantined" if is_part(content) else "request_quarantined",
             crashes=self._tracker.crash_count(content),
-            targets=self._tracker.sequential_targets(content),
+            targets=self._tracker.independent_targets(content),
             source=source,
             **_log_fields(content),
         )
--- a/src/lacewinggw/frontend/crashrows.py
+++ b/src/lacewinggw/frontend/crashrows.py
@@ -88,7 +88,7 @@
         is_quarantined = content in self._tracker.quarantined
         if is_quarantined and before is not None and before.is_quarantined:
             return before  # later crashes of attempts already in progress add nothing
-        targets = tuple(self._tracker.sequential_targets(content))
+        targets = tuple(self._tracker.independent_targets(content))
         if not is_quarantined and not self._tracker.is_suspect(content, len(targets)):
             return None
         return CrashingContent(content, service, targets, is_quarantined)
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -168,8 +168,10 @@
     ) -> None:
         """Take no note."""
 
-    def note_served(self, admitted: AdmittedRequest) -> None:
+    def note_survived(
+        self, admitted: AdmittedRequest, entry: TargetEntry, lasted_s: float, is_whole: bool
+    ) -> None:
         """Take no note."""
 
-    def note_answered(self, admitted: AdmittedRequest, entry: TargetEntry) -> None:
+    def note_running(self, admitted: AdmittedRequest, lasted_s: float) -> None:
         """Take no note."""
--- a/tests/fleet/crashing.py
+++ b/tests/fleet/crashing.py
@@ -43,11 +43,13 @@
     seed: int = 1,
     part_at: int | None = None,
     part: str = CRASHING_PART,
+    leave_after_s: float | None = None,
 ) -> Played:
     """Send requests for some seconds to entries drawn from the seed; return when all have ended.
 
     A refused request is retried once with the same body, as callers do. With `part_at`, each
     crashing request has a body of its own, and the crashing `part` at that place of its prompt.
+    With `leave_after_s`, callers of the others leave then, and count as served if an answer began.
     """
     played = Played()
     rng = random.Random(seed)
@@ -66,7 +68,14 @@
     await asyncio.gather(
         _send_at_rate(fleet, seconds, crashing_per_s, rng, crashing_request, played.crashing, []),
         _send_at_rate(
-            fleet, seconds, others_per_s, rng, other_request, played.others, played.first_attempts
+            fleet,
+            seconds,
+            others_per_s,
+            rng,
+            other_request,
+            played.others,
+            played.first_attempts,
+            leave_after_s,
         ),
     )
     return played
@@ -85,6 +94,7 @@
     make_request: Callable[[], tuple[bytes, str]],
     replies: list[Reply],
     first_attempts: list[FirstAttempt],
+    leave_after_s: float | None = None,
 ) -> None:
     async def ask(body: bytes, prompt: str) -> None:
         for number in range(ATTEMPTS):
@@ -95,6 +105,7 @@
                     "/report/1",
                     entry=entry,
                     body=body,
+                    leave_after_s=leave_after_s,
                     X_Model="market",
                     X_Prompt_Prefix=prompt,
                     X_Token_Counts="730,100" if prompt else "",
@@ -102,10 +113,11 @@
             except OSError:
                 continue  # that entry is down
             replies.append(reply)
-            is_served = reply.whole and reply.status == 200
+            is_left = leave_after_s is not None and reply.status == 200
+            is_served = is_left or (reply.whole and reply.status == 200)
             if number == 0:
                 first_attempts.append(FirstAttempt(at, is_served))
-            if reply.whole and reply.status < 500:
+            if is_left or (reply.whole and reply.status < 500):
                 return
             await asyncio.sleep(rng.uniform(0.1, 1.0))
 
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -8,6 +8,7 @@
 import base64
 import hashlib
 import json
+import math
 import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -273,6 +274,7 @@
     room: int = 1000  # concurrent requests; more are refused
     crashes_on: frozenset[bytes] = frozenset()  # bodies whose first event crashes it
     crashes_on_parts: frozenset[str] = frozenset()  # ids of prompt parts, likewise
+    crash_after_s: float = 0.0  # time from that event to the crash, while the request runs
     back_s: float = 2.5  # time until it returns under another id
     read_s: float = 0.0  # time to answer each read of a staged piece
 
@@ -433,9 +435,13 @@
     async def _stream(self, first: int, crashes: bool) -> AsyncIterator[bytes]:
         behaviour = self.behaviour
         self.running += 1
+        loop = asyncio.get_running_loop()
+        crash_at = math.inf
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
-                if sent and crashes:
+                if sent == 1 and crashes:
+                    crash_at = loop.time() + behaviour.crash_after_s
+                if loop.time() >= crash_at:
                     self.crash()
                 if behaviour.cut_after == sent:
                     behaviour.cut_after = None
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -81,10 +81,10 @@
     async def note_connection_lost(self, admitted, entry, began_at):
         await asyncio.sleep(0.03)
 
-    def note_served(self, admitted):
+    def note_survived(self, admitted, entry, lasted_s, is_whole):
         pass
 
-    def note_answered(self, admitted, entry):
+    def note_running(self, admitted, lasted_s):
         pass
 
 
--- a/tests/fleet/test_crashes.py
+++ b/tests/fleet/test_crashes.py
@@ -265,4 +265,4 @@
     tracker = part_tracker(*({f"r{number}": (CRASHING,)} for number in range(2)))
     for number in range(2):
         assert not tracker.note_crash(Crash(CRASHING, f"t{number}", 8.0, 8.1), 9.0)
-    assert tracker.records.crashes_of(CRASHING)["t0"].requests == {"r0"}
+    assert tracker.records.crashes_of(CRASHING)["t0"].requests.keys() == {"r0"}
