End requests that have not begun when their weights are superseded

Cause: the deadline of a start limited only the wait for the head of the answer. A target that sends the head first and then pauses, queues or reads a long prompt begins whenever it likes.

The request moves on if its route allows it, and gets 502 otherwise. Offers are sent only as long as they are likely to begin in time, for requests that may run once only a second earlier.

--- a/src/lacewinggw/decisions/routingview.py
+++ b/src/lacewinggw/decisions/routingview.py
@@ -304,9 +304,12 @@
         """All named versions, each with its model."""
         return [(model, due) for model, named in self._required.items() for due in named]
 
-    def min_version(self, model: ModelName, now: float) -> int:
-        """Return the oldest version on which a request may still start; 0 for any."""
-        bound_s = self.rules.version_s - self.rules.begin_s
+    def min_version(self, model: ModelName, now: float, begin_s: float = 0.0) -> int:
+        """Return the oldest version on which a request may still start; 0 for any.
+
+        The request starts within `begin_s`, or within that of the rules if it is longer.
+        """
+        bound_s = self.rules.version_s - max(begin_s, self.rules.begin_s)
         overdue = [
             each.version
             for each in self.required_versions(model)
@@ -314,10 +317,14 @@
         ]
         return max(overdue, default=0)
 
-    def start_deadline(self, target: TargetId, model: ModelName) -> float:
-        """Return the time until which a request may start on the known weights of a target."""
+    def start_deadline(self, target: TargetId, model: ModelName, held: int | None = None) -> float:
+        """Return the time until which a request may start on the weights of a target.
+
+        `held` is the version that the target stated itself; otherwise the last known one counts.
+        """
         entry = self._targets.get(target)
-        held = entry.weights.get(model, 0) if entry else 0
+        if held is None:
+            held = entry.weights.get(model, 0) if entry else 0
         newer = [each.received_at for each in self.required_versions(model) if each.version > held]
         return min(newer, default=math.inf) + self.rules.version_s - self.rules.slack_s
 
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -59,6 +59,9 @@
 # After this time, and each time that it has doubled, a run counts as evidence that its target does
 # not crash under it.
 LONG_RUN_S = 10.0
+# Between checks of the start deadline, as a version may be named while an attempt is waiting.
+START_CHECK_INTERVAL_S = 1.0
+TIMER_RESOLUTION_S = 0.001  # of the event loop
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 
@@ -143,6 +146,8 @@
     claim: InFlightRequest | None = None
     offered_at: float = 0.0
     data_at: float = 0.0  # when part of the answer arrived last
+    has_begun: bool = False  # part of the answer arrived, other than its head
+    weights_version: int | None = None  # that its target stated in the head of the answer
     first_event_at: float | None = None
     last_event_at: float = 0.0
     long_run_s: float = LONG_RUN_S  # when the run counts next while it goes on
@@ -223,12 +228,22 @@
     # ---- results --------------------------------------------------------------------------
 
     async def _next_result(self) -> tuple[_Attempt, _Result]:
-        """Return the next result of an open attempt; make a backup attempt after a silence."""
+        """Return the next result of an open attempt.
+
+        Make a backup attempt after a silence, and end an attempt that does not begin in time.
+        """
         while True:
+            wake_at = self._wake_at()
             try:
-                async with asyncio.timeout_at(self._backup_at()):
+                async with asyncio.timeout_at(wake_at):
                     attempt, result = await self._results.get()
             except TimeoutError:
+                assert wake_at is not None
+                late = await self._find_late_start(wake_at)
+                if late is not None:
+                    return late, await self._end_late_start(late)
+                if not self._is_backup_due():
+                    continue
                 if _now() - self._backup_due_at > MAX_LOOP_LAG_S:
                     # This process stood still, and has yet to read what arrived meanwhile.
                     self._backup_due_at = _now() + MAX_LOOP_LAG_S
@@ -238,6 +253,46 @@
             if attempt is self._current or attempt is self._backup:
                 return attempt, result
 
+    def _wake_at(self) -> float | None:
+        """Return when to act without a result, by the loop's clock; None for never."""
+        times = [self._start_deadline(each) for each in self._unbegun()]
+        if times:
+            times.append(_now() + START_CHECK_INTERVAL_S)
+        backup_at = self._backup_at()
+        if backup_at is not None:
+            times.append(backup_at)
+        return min(times, default=None)
+
+    def _is_backup_due(self) -> bool:
+        backup_at = self._backup_at()
+        return backup_at is not None and backup_at <= _now() + TIMER_RESOLUTION_S
+
+    def _unbegun(self) -> list[_Attempt]:
+        """Return the open attempts that were offered and have not begun."""
+        opened = [each for each in (self._current, self._backup) if each is not None]
+        return [each for each in opened if each.claim is not None and not each.has_begun]
+
+    def _start_deadline(self, attempt: _Attempt) -> float:
+        placer, progress = self._deps.placer, self._progress
+        return placer.start_deadline(progress, attempt.load, attempt.weights_version)
+
+    async def _find_late_start(self, wake_at: float) -> _Attempt | None:
+        """Return an open attempt that has not begun by the deadline of its weights."""
+        if _now() - wake_at > MAX_LOOP_LAG_S and self._unbegun():
+            # This process stood still, and has yet to read what arrived meanwhile.
+            await asyncio.sleep(MAX_LOOP_LAG_S)
+        until = _now() + TIMER_RESOLUTION_S
+        late = (each for each in self._unbegun() if self._start_deadline(each) <= until)
+        return next(late, None)
+
+    async def _end_late_start(self, attempt: _Attempt) -> _Failed:
+        """Reset the connection of an attempt that could begin on superseded weights."""
+        self._deps.pool.note_timeout(attempt.load, _now())
+        self._deps.metrics.retry(RetryReason.TARGET_SILENT)
+        self._log_offer(attempt.load, "failed", "not begun before its weights are superseded")
+        await self._close(attempt)
+        return _Failed()
+
     def _to_part(self, attempt: _Attempt, answer: Answer, data: bytes) -> StreamPart:
         progress = self._progress
         if not progress.has_started_answer:
@@ -400,9 +455,9 @@
         """Count an offer that is about to be made; return its options and timeouts."""
         progress, placer = self._progress, self._deps.placer
         attempt.offered_at = _now()
-        options = placer.offer_options(progress)
+        options = placer.offer_options(progress, attempt.load)
         attempt.is_from_start = options.resume_after is None
-        timeouts = placer.offer_timeouts(progress, attempt.load)
+        timeouts = placer.offer_timeouts(progress)
         progress.offers += 1
         progress.runs += 1
         progress.tried_targets.add(attempt.load.entry.target)
@@ -436,6 +491,8 @@
             case Answer() as answer:
                 deps.pool.note_accepted(load, attempt.offered_at)
                 attempt.data_at = _now()
+                attempt.weights_version = answer.facts.version
+                attempt.has_begun = not answer.is_success
                 try:
                     await self._receive(attempt, answer)
                 except AnswerIncomplete as error:
@@ -478,12 +535,14 @@
             raise AnswerIncomplete("the answer ended with its target")
 
     def _note_data(self, attempt: _Attempt) -> None:
+        attempt.has_begun = True
         attempt.data_at = _now()
         attempt.load.note_data(attempt.data_at)
 
     def _note_events(self, attempt: _Attempt, stream_speed: StreamSpeed, count: int) -> None:
         load, now = attempt.load, _now()
         load.note_data(now)
+        attempt.has_begun = True
         if attempt.first_event_at is None:
             attempt.first_event_at = now
         attempt.last_event_at = now
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterator
 from contextlib import aclosing, asynccontextmanager, contextmanager
 from dataclasses import dataclass, field
@@ -156,12 +157,16 @@
 
 @dataclass(frozen=True)
 class OfferOptions:
-    """What differs between the offers of one request; `homes` returns where it may run."""
+    """What differs between the offers of one request.
+
+    `homes` returns where it may run. It is not sent later than at `send_by`, by the loop's clock.
+    """
 
     version: int | None = None
     resume_after: int | None = None
     urgency: int = DEFAULT_URGENCY
     homes: Callable[[], Homes] = field(default=anywhere, compare=False)
+    send_by: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -238,10 +243,10 @@
     def _check_open(
         self, load: TargetLoad, options: OfferOptions, took_s: float, now: float
     ) -> None:
-        """Check again whether the target accepts the request, once the connection is open."""
+        """Check again whether the target may get the request, once the connection is open."""
         load.note_connect(took_s, now)
         is_home = self._pool.is_home(load, options.homes())
-        if not (is_home and self._pool.may_send(load, now)):
+        if not (is_home and self._pool.may_send(load, now)) or now > options.send_by:
             raise _TargetClosed
 
     async def _classify(
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -1,6 +1,7 @@
 """Choose the target of a request, how long to wait for it, and the options of the offer."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
@@ -36,6 +37,10 @@
 # targets are full: a third of that is left for offers to targets that turn out to be full.
 MAX_ONCE_WAIT_S = 0.02
 MIN_TIMEOUT_S = 0.001  # with a timeout of 0 the request would not be sent at all
+MAX_PAUSE_S = 1.0  # of a sound target
+# A request must start this long before its weights are overdue: the version may have been named
+# that long before this process received it, and a reset takes a moment to arrive.
+VERSION_SLACK_S = 0.5
 MAX_RESUME_WAIT_S = 1.5  # callers give a stream up after a gap of at least 2 s
 # Callers give a stream up after the longest of these gaps without an event, as the operators state:
 # a fixed time, a multiple of the route's objective, and a multiple of the route's usual gap.
@@ -68,7 +73,7 @@
     fleet's extra retries.
 
     claim = await placer.claim(state)
-    options, timeouts = placer.offer_options(state), placer.offer_timeouts(state, claim.load)
+    options, timeouts = placer.offer_options(state, claim.load), placer.offer_timeouts(state)
     """
 
     def __init__(
@@ -244,7 +249,8 @@
         model = progress.admitted.facts.model
         if model is None:
             return 0
-        return self._view.min_version(model, self._clock())
+        begin_s = VERSION_SLACK_S + self._begin_s(progress.admitted)
+        return self._view.min_version(model, self._clock(), begin_s)
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         limits = self._retries()
@@ -261,7 +267,7 @@
             return 0.0
         return limits.extra / entries
 
-    def offer_options(self, progress: RequestProgress) -> OfferOptions:
+    def offer_options(self, progress: RequestProgress, load: TargetLoad) -> OfferOptions:
         """Return what the next offer of a request adds to the caller's own headers."""
         facts = progress.admitted.facts
         resume_after = progress.last_event if progress.last_event is not None else facts.last_event
@@ -273,21 +279,39 @@
         )
         usual = min(LEAST_URGENT, URGENCY_BASE + progress.admitted.priority)
         urgency = MOST_URGENT if progress.runs else usual
-        return OfferOptions(version, resume_after, urgency, self._homes_of(progress.admitted))
+        send_by = self.start_deadline(progress, load) - self._begin_s(progress.admitted)
+        homes = self._homes_of(progress.admitted)
+        return OfferOptions(version, resume_after, urgency, homes, send_by)
 
-    def offer_timeouts(self, progress: RequestProgress, load: TargetLoad) -> OfferTimeouts:
-        """Return the timeouts of an offer to a target.
+    def start_deadline(
+        self, progress: RequestProgress, load: TargetLoad, held: int | None = None
+    ) -> float:
+        """Return when a request must have started at a target, by the loop's clock.
 
-        Silence does not end an offer before the deadline. Only the answer must start before the
-        weights of the target become too old to start on.
+        `held` is the version of the weights that the target stated in its answer.
         """
-        remaining_s = max(MIN_TIMEOUT_S, progress.admitted.deadline - _now())
-        head_s = remaining_s
         model = progress.admitted.facts.model
-        if model is not None:
-            left_s = self._view.start_deadline(load.entry.target, model) - self._clock()
-            head_s = max(MIN_TIMEOUT_S, min(remaining_s, left_s))
-        return OfferTimeouts(head_s, remaining_s)
+        if model is None:
+            return math.inf
+        deadline = self._view.start_deadline(load.entry.target, model, held)
+        return _now() + deadline - self._clock()
+
+    def _begin_s(self, admitted: AdmittedRequest) -> float:
+        """Return how long before its start deadline a request must be sent.
+
+        One that may run once only cannot be moved if its target pauses before it starts.
+        """
+        service = self._service(admitted.service)
+        engine = service.engine if service else None
+        begin_s = first_part_s(admitted.route, engine, admitted.facts.prompt_tokens)
+        if admitted.route.retry_policy is RetryPolicy.NEVER:
+            begin_s += MAX_PAUSE_S
+        return begin_s
+
+    def offer_timeouts(self, progress: RequestProgress) -> OfferTimeouts:
+        """Return the timeouts of an offer: silence does not end it before the deadline."""
+        remaining_s = max(MIN_TIMEOUT_S, progress.admitted.deadline - _now())
+        return OfferTimeouts(remaining_s, remaining_s)
 
 
 def idle_timeout_s(route: Route) -> float:
--- a/tests/fleet/platform_standins.py
+++ b/tests/fleet/platform_standins.py
@@ -259,6 +259,7 @@
 
     shed: int = 0  # number of requests to refuse as not run
     errors: int = 0  # number of requests to answer with 500
+    first_s: float = 0.0  # time from the head of a stream to the run's start, its first event
     cut_after: int | None = None  # number of events after which a stream breaks
     silent_after: int | None = None  # number of events after which a stream stalls and stays open
     silent: int = 0  # number of requests to leave unanswered
@@ -304,6 +305,7 @@
         self.running = 0
         self.weights: dict[str, int] = {MODEL: 1}
         self.staged: dict[int, bytes] = {}
+        self.begun: list[tuple[float, int]] = []  # streams: when they started, on which version
         self.orders: list[dict] = []
         self.loaded: list[bytes] = []
         self.busy = False
@@ -438,6 +440,7 @@
         loop = asyncio.get_running_loop()
         crash_at = math.inf
         try:
+            await asyncio.sleep(behaviour.first_s)
             for sent, number in enumerate(range(first, behaviour.events + 1)):
                 if sent == 1 and crashes:
                     crash_at = loop.time() + behaviour.crash_after_s
@@ -452,7 +455,10 @@
                     await asyncio.sleep(3600)
                 await asyncio.sleep(behaviour.pause_s)
                 await self._wait_while_paused()
+                begun = (loop.time(), self.weights.get(MODEL, 0))
                 yield f"id: {number}\ndata: piece {number}\n\n".encode()
+                if not sent:  # the connection was open
+                    self.begun.append(begun)
         except (asyncio.CancelledError, GeneratorExit):
             self.abandoned += 1
             raise
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -55,10 +55,10 @@
     def __init__(self, start_deadline: float) -> None:
         self._start_deadline = start_deadline
 
-    def min_version(self, model, now):
+    def min_version(self, model, now, begin_s=0.0):
         return 0
 
-    def start_deadline(self, target, model):
+    def start_deadline(self, target, model, held=None):
         return self._start_deadline
 
 
