--- a/tests/fleet/test_late_starts.py
+++ b/tests/fleet/test_late_starts.py
@@ -25,7 +25,7 @@
 async def play(
     fleet: DeclaredFleet, first_s: float, pause_at_s: float, pause_s: float
 ) -> list[Reply]:
-    """Name a version that no engine gets in time, and pause all engines shortly before its bound."""
+    """Name a version that no engine gets in time, and pause all engines near its bound."""
     engines = await start_agents(fleet)
     for engine in engines:
         engine.behaviour.first_s, engine.behaviour.pause_s = first_s, 0.05
