Heed a cancellation that comes as a connection is established

Cause: asyncio.wait_for of Python 3.11 returns the result of a wait that ends in the same turn as it is cancelled, so the cancellation is lost. asyncio.timeout passes it on. The links of proofs of the routes waited in the same way; the two other uses, in the lab, wait for processes and have nothing to release.

Evidence: the new test in test_abort.py cancels connects of the real network after 0 to 11 turns of the loop; a cancelled one returned a connection before, none does now.

--- a/src/lacewinggw/frontend/freshness.py
+++ b/src/lacewinggw/frontend/freshness.py
@@ -164,7 +164,8 @@
         )
         sent_at = self._clock()
         try:
-            link = await asyncio.wait_for(self._node.link(entry.address), ANSWER_TIMEOUT_S)
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                link = await self._node.link(entry.address)
             update = await link.call(question, ANSWER_TIMEOUT_S)
             apply_answer(self._view, update, sent_at)
         except (LacewingError, TimeoutError, OSError) as error:
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -198,6 +198,7 @@
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when the connection is refused or times out."""
         ip, port = split_address(address)
-        opening = asyncio.open_connection(ip, port, limit=READ_BUFFER_BYTES)
-        reader, writer = await asyncio.wait_for(opening, self._connect_timeout_s)
+        # `asyncio.wait_for` ignores a cancellation that comes as the connection is established.
+        async with asyncio.timeout(self._connect_timeout_s):
+            reader, writer = await asyncio.open_connection(ip, port, limit=READ_BUFFER_BYTES)
         return TcpStream(reader, writer)
--- a/tests/test_abort.py
+++ b/tests/test_abort.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from lacewinggw.wire.network import TcpNetwork
 
 
@@ -64,3 +66,28 @@
     stream.abort()
     stream.abort()
     await listener.close()
+
+
+# Guards against an attempt that goes on after its caller has left: a cancellation that came as the
+# connection was established had no effect.
+async def test_a_connect_that_is_cancelled_as_it_succeeds_is_cancelled():
+    network = TcpNetwork()
+    accepted = []
+
+    async def accept(stream):
+        accepted.append(stream)
+        await stream.read(1)
+
+    listener = await network.listen("127.0.0.1:0", accept)
+    try:
+        for turns in [*range(12)] * 20:
+            connecting = asyncio.create_task(network.connect(listener.address))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            if connecting.cancel():
+                with pytest.raises(asyncio.CancelledError):
+                    await connecting
+            else:
+                (await connecting).close()
+    finally:
+        await listener.close()
