Compare runs that targets survived with crashes from the same moment on

A run was measured from its first event and a crash from the sending of its request, so parts with long prompts or queues and short answers were never cleared by answers that were complete. Both count from the sending now. The slack before superseded weights stands in one place.

--- a/src/lacewinggw/decisions/crashes.py
+++ b/src/lacewinggw/decisions/crashes.py
@@ -58,10 +58,10 @@
 
 @dataclass(frozen=True)
 class SurvivedRun:
-    """A run of a request that a target survived, from its first event on, in seconds.
+    """A run of a request that a target survived, in seconds from its sending on, as for crashes.
 
-    `is_whole` if it ran from its first event to its last one; otherwise its caller left, or it
-    continued the answer of another run, or it is still going on.
+    `is_whole` if its answer is complete; otherwise its caller left, or it continued the answer of
+    another run, or it is still going on.
     """
 
     lasted_s: float
--- a/src/lacewinggw/decisions/routingview.py
+++ b/src/lacewinggw/decisions/routingview.py
@@ -307,9 +307,10 @@
     def min_version(self, model: ModelName, now: float, begin_s: float = 0.0) -> int:
         """Return the oldest version on which a request may still start; 0 for any.
 
-        The request starts within `begin_s`, or within that of the rules if it is longer.
+        The request is expected to start within `begin_s`.
         """
-        bound_s = self.rules.version_s - max(begin_s, self.rules.begin_s)
+        rules = self.rules
+        bound_s = rules.version_s - max(rules.begin_s, begin_s + rules.slack_s)
         overdue = [
             each.version
             for each in self.required_versions(model)
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -148,8 +148,6 @@
     data_at: float = 0.0  # when part of the answer arrived last
     has_begun: bool = False  # part of the answer arrived, other than its head
     weights_version: int | None = None  # that its target stated in the head of the answer
-    first_event_at: float | None = None
-    last_event_at: float = 0.0
     long_run_s: float = LONG_RUN_S  # when the run counts next while it goes on
     is_from_start: bool = True  # it does not continue the answer of another attempt
     is_over: bool = False  # what came of it is known
@@ -158,10 +156,8 @@
 
     @property
     def lasted_s(self) -> float:
-        """How long its run is known to have lasted: without events, from the offer on."""
-        if self.first_event_at is None:
-            return self.data_at - self.offered_at
-        return self.last_event_at - self.first_event_at
+        """How long its run is known to have lasted, from the offer on."""
+        return self.data_at - self.offered_at
 
     @property
     def load(self) -> TargetLoad:
@@ -541,11 +537,7 @@
 
     def _note_events(self, attempt: _Attempt, stream_speed: StreamSpeed, count: int) -> None:
         load, now = attempt.load, _now()
-        load.note_data(now)
-        attempt.has_begun = True
-        if attempt.first_event_at is None:
-            attempt.first_event_at = now
-        attempt.last_event_at = now
+        self._note_data(attempt)
         if attempt.lasted_s >= attempt.long_run_s:
             attempt.long_run_s *= 2
             self._deps.crashes.note_running(self._progress.admitted, attempt.lasted_s)
@@ -579,7 +571,7 @@
         if tasks:
             await asyncio.wait(tasks)
         for attempt in opened:
-            if attempt.first_event_at is not None and not attempt.is_over:
+            if attempt.has_begun and not attempt.is_over:
                 self._note_survived(attempt, is_whole=False)
             self._release(attempt)  # a task that was cancelled before it began has not done so
 
--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -167,7 +167,7 @@
     ) -> None:
         """Record that a run of a request ended before its target, once that has run on for a while.
 
-        The run lasted `lasted_s` from its first event on; `is_whole` if it was a complete answer.
+        The run lasted `lasted_s` from its sending on; `is_whole` if it was a complete answer.
         """
         if self._tracker.is_empty and not admitted.parts:
             return
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -38,9 +38,6 @@
 MAX_ONCE_WAIT_S = 0.02
 MIN_TIMEOUT_S = 0.001  # with a timeout of 0 the request would not be sent at all
 MAX_PAUSE_S = 1.0  # of a sound target
-# A request must start this long before its weights are overdue: the version may have been named
-# that long before this process received it, and a reset takes a moment to arrive.
-VERSION_SLACK_S = 0.5
 MAX_RESUME_WAIT_S = 1.5  # callers give a stream up after a gap of at least 2 s
 # Callers give a stream up after the longest of these gaps without an event, as the operators state:
 # a fixed time, a multiple of the route's objective, and a multiple of the route's usual gap.
@@ -249,8 +246,7 @@
         model = progress.admitted.facts.model
         if model is None:
             return 0
-        begin_s = VERSION_SLACK_S + self._begin_s(progress.admitted)
-        return self._view.min_version(model, self._clock(), begin_s)
+        return self._view.min_version(model, self._clock(), self._begin_s(progress.admitted))
 
     def _budget(self, service: ServiceName) -> RetryBudget:
         limits = self._retries()
