Watch the start of backup attempts as well

A backup attempt gets its target while the entry waits for results of the other one, and the wait was not cut short for its start deadline.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -59,8 +59,9 @@
 # After this time, and each time that it has doubled, a run counts as evidence that its target does
 # not crash under it.
 LONG_RUN_S = 10.0
-# Between checks of the start deadline, as a version may be named while an attempt is waiting.
-START_CHECK_INTERVAL_S = 1.0
+# Between checks of the start deadline: a version may be named while an attempt is waiting, and a
+# backup attempt gets its target then.
+START_CHECK_INTERVAL_S = 0.25
 TIMER_RESOLUTION_S = 0.001  # of the event loop
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
@@ -252,7 +253,7 @@
     def _wake_at(self) -> float | None:
         """Return when to act without a result, by the loop's clock; None for never."""
         times = [self._start_deadline(each) for each in self._unbegun()]
-        if times:
+        if times or self._backup is not None:
             times.append(_now() + START_CHECK_INTERVAL_S)
         backup_at = self._backup_at()
         if backup_at is not None:
--- a/tests/fleet/test_late_starts.py
+++ b/tests/fleet/test_late_starts.py
@@ -77,6 +77,28 @@
         assert any(reply.status == 200 and reply.whole for reply in replies)
 
 
+# Guards against a backup attempt that begins late, as it gets its target while the entry waits.
+async def test_no_backup_attempt_begins_on_superseded_weights():
+    async with running_fleet(engines=4, entries=1) as fleet:
+        engines = await start_agents(fleet)
+        for engine in engines:
+            engine.behaviour.silent_after, engine.behaviour.events = 3, 100
+        fleet.origin.faults.outage = Outage.REFUSE
+        name_version(fleet, 2)
+        named_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(5.6)
+        asks = [asyncio.ensure_future(fleet.ask("/report/1", X_Model=MODEL)) for _ in range(2)]
+        await asyncio.sleep(0.6)
+        begun = sum(len(engine.begun) for engine in engines)
+        for engine in engines:
+            engine.behaviour.first_s, engine.behaviour.silent_after = 1.5, None
+        await asyncio.sleep(4.0)
+        assert begun == 2
+        assert sum(len(engine.seen) for engine in engines) > 2, "there is a backup attempt"
+        assert [at for engine in engines for at, _ in engine.begun if at > named_at + 8.0] == []
+        await asyncio.gather(*asks)
+
+
 # Guards against runs that are ended although they began in time, or on the new weights.
 async def test_runs_that_began_in_time_end_complete():
     async with running_fleet(engines=4, entries=2) as fleet:
