--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -96,6 +96,7 @@
     version: int
     first: int
     is_open: bool = True
+    began_at: float | None = None  # its first event
 
 
 class Slot:
@@ -133,6 +134,8 @@
         rng, call_id = self.rng, admitted.facts.call_id
         assert (options.resume_after or 0) == self.received[call_id]
         await asyncio.sleep(rng.choice([0.0, 0.002, 0.05]))
+        if now() > options.send_by:
+            return NotExecuted("it would begin too late", has_reached_target=False, is_closed=True)
         if not self.is_sound and rng.random() < 0.05:
             return NotExecuted("cannot connect", has_reached_target=False)
         self.arrivals[call_id] += 1
@@ -183,6 +186,8 @@
         numbers = list(range(self._run.first, EVENTS + 1))
         while numbers:
             await self._wait()
+            if self._run.began_at is None:
+                self._run.began_at = now()
             count = rng.choice([1, 1, 2, 3])
             sent, numbers = numbers[:count], numbers[count:]
             if len(numbers) > 1 and self._schedule.breaks():  # a faulty target omits an event
@@ -259,6 +264,7 @@
         metrics = Metrics()
         self.queue = DispatchQueue(self.pool, metrics, self._ask_slot, rng)
         old_at = now() + rng.choice([1e9, 1e9, 0.5, 2.0]) if not is_sound else 1e9
+        self.start_deadline = old_at
         view = View(old_at)
         self.placer = RequestPlacer(view, self.queue, now, lambda: LIMITS, lambda: 1, -math.inf)
         is_clear = is_sound or rng.random() < 0.7
@@ -350,6 +356,12 @@
     assert not outcome.is_whole or outcome.body == whole
 
 
+def check_starts(world: World) -> None:
+    """Check that no stream began on weights that are too old, up to the resolution of timers."""
+    began = [each.began_at for each in world.schedule.runs if each.began_at is not None]
+    assert all(each <= world.start_deadline + 0.01 for each in began), world.start_deadline
+
+
 def check_nothing_is_left(world: World) -> None:
     assert all(not each.is_open for each in world.schedule.runs), "a run goes on"
     for load in world.pool.loads.values():
@@ -375,6 +387,7 @@
         if is_sound and not outcome.has_left and not outcome.is_out_of_time:
             is_refused = isinstance(outcome.error, RequestRefused)
             assert outcome.is_whole or is_refused, outcome
+    check_starts(world)
     check_nothing_is_left(world)
     check_budget(world, len(outcomes))
     assert asyncio.all_tasks() <= others, "a task is left"
