--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -163,7 +163,7 @@
         is_failed = not self.is_sound and self.rng.random() < 0.15
         is_sealed = self.is_sound or self.rng.random() < 0.95
         facts = AnswerFacts(run.call_id, not_run=False, sealed=is_sealed, version=run.version)
-        response = Response(self, run, idle_s, self.streams and not is_failed)
+        response = Response(self, run, idle_s, self.streams, is_failed)
         return Answer(500 if is_failed else 200, {"version": str(run.version)}, facts, response)
 
     def _gap(self) -> float:
@@ -178,8 +178,11 @@
 
     ends_with_connection = False
 
-    def __init__(self, schedule: Schedule, run: Run, idle_s: float, streams: bool) -> None:
-        self._schedule, self._run, self._idle_s, self._streams = schedule, run, idle_s, streams
+    def __init__(
+        self, schedule: Schedule, run: Run, idle_s: float, streams: bool, is_failed: bool
+    ) -> None:
+        self._schedule, self._run, self._idle_s = schedule, run, idle_s
+        self._streams, self._is_failed = streams and not is_failed, is_failed
 
     async def pieces(self, limit_bytes=None):
         rng = self._schedule.rng
@@ -202,6 +205,9 @@
 
     async def read(self, limit, on_data):
         await self._wait()
+        if not self._is_failed:  # else it ran before its head came
+            self._run.began_at = now()
+        on_data(5)
         if self._schedule.breaks():
             raise ConnectionResetError("reset")
         self._run.is_open = False
@@ -295,8 +301,7 @@
         rng = self.rng
         await asyncio.sleep(rng.choice([0.0, 0.0, 0.01, 0.5, rng.random()]))
         call = Call("POST", f"/{number}", "notes", [], b"", now())
-        model = "market" if self.route.streams else None
-        facts = CallFacts(f"call-{number}", 6.0, model=model)
+        facts = CallFacts(f"call-{number}", 6.0, model="market")
         time_left_s = 6.0 if self.is_sound else rng.choice([6.0, 6.0, 1.5, 0.3])
         admitted = AdmittedRequest(call, facts, self.route, SERVICE, None, 3, now() + time_left_s)
         outcome = Outcome(facts.call_id)
@@ -357,7 +362,7 @@
 
 
 def check_starts(world: World) -> None:
-    """Check that no stream began on weights that are too old, up to the resolution of timers."""
+    """Check that no run began on weights that are too old, up to the resolution of timers."""
     began = [each.began_at for each in world.schedule.runs if each.began_at is not None]
     assert all(each <= world.start_deadline + 0.01 for each in began), world.start_deadline
 
