Wake the wait for results when a backup attempt has its target

The wait was cut short four times a second for each attempt that had not begun, so that a new backup attempt was seen. It is announced as a result now, and the interval is that of newly named versions, 1 s. Without the announcement the test of backup attempts fails.

One timeout is left of an offer, as the start deadline is no longer its own. Tests of late crashes draw random times anew in each case, and not across the cases of a process.

--- a/src/lacewinggw/decisions/stagedchecks.py
+++ b/src/lacewinggw/decisions/stagedchecks.py
@@ -8,8 +8,8 @@
 A check is as old as the sending of its read. An order may be given only while every check will
 still be valid when a paused target accepts it. A pass reads only the pieces whose checks would be
 outdated by then. Pieces are read one after the other unless the pass would take too long for that;
-then ever more of them are read at once, up to all. Fewer are after a read that got no response: a
-target may serve one read after the other.
+then ever more of them are read at once, up to all. After a read without a response fewer are read
+at once, as the target may serve one read after the other.
 """
 
 import math
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -1,6 +1,7 @@
 """The attempts at one request: the parts of its answer, from whichever attempt delivers next.
 
-A sound target may pause, so silence ends no attempt. Once the current attempt has been silent for
+A sound target may pause, so silence ends no attempt, but for one that could otherwise begin on
+superseded weights. Once the current attempt has been silent for
 the idle timeout, a backup attempt is made at another target, if the route, the retry budget and the
 load allow one. Whichever of the two delivers first continues the answer, and the other is closed.
 """
@@ -37,7 +38,6 @@
     NotExecuted,
     OfferOptions,
     Offers,
-    OfferTimeouts,
     OutcomeUnknown,
     read_events,
     read_whole,
@@ -59,9 +59,8 @@
 # After this time, and each time that it has doubled, a run counts as evidence that its target does
 # not crash under it.
 LONG_RUN_S = 10.0
-# Between checks of the start deadline: a version may be named while an attempt is waiting, and a
-# backup attempt gets its target then.
-START_CHECK_INTERVAL_S = 0.25
+# Between checks of the start deadline, as a version may be named while an attempt is waiting.
+START_CHECK_INTERVAL_S = 1.0
 TIMER_RESOLUTION_S = 0.001  # of the event loop
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
@@ -137,7 +136,12 @@
     has_run: bool = True
 
 
-_Result = _Events | _Ended | _Failed | Exception
+@dataclass(frozen=True)
+class _Claimed:
+    """A backup attempt has its target, so its start has a deadline from now on."""
+
+
+_Result = _Events | _Ended | _Failed | _Claimed | Exception
 
 
 @dataclass(eq=False)
@@ -219,6 +223,8 @@
                 return self._take_end(attempt, answer, body)
             case _Failed():
                 return await self._replace(attempt, result)
+            case _Claimed():
+                return None
             case Exception():
                 raise result
 
@@ -253,7 +259,7 @@
     def _wake_at(self) -> float | None:
         """Return when to act without a result, by the loop's clock; None for never."""
         times = [self._start_deadline(each) for each in self._unbegun()]
-        if times or self._backup is not None:
+        if times:
             times.append(_now() + START_CHECK_INTERVAL_S)
         backup_at = self._backup_at()
         if backup_at is not None:
@@ -367,8 +373,8 @@
         attempt = self._current = _Attempt(await deps.placer.claim(progress))
         self._require_not_quarantined(attempt)
         self._note_progress()
-        options, timeouts = self._note_offer(attempt)
-        self._begin(attempt, lambda: self._offer(attempt, options, timeouts))
+        options, timeout_s = self._note_offer(attempt)
+        self._begin(attempt, lambda: self._offer(attempt, options, timeout_s))
 
     def _begin(self, attempt: _Attempt, work: Callable[[], Awaitable[None]]) -> None:
         attempt.task = asyncio.get_running_loop().create_task(self._run(attempt, work))
@@ -445,27 +451,26 @@
         except RequestRefused as error:
             await self._put(attempt, _Failed(error, has_reached_target=False))
             return
+        await self._put(attempt, _Claimed())
         self._deps.metrics.retry(RetryReason.TARGET_SILENT)
-        await self._offer(attempt, *self._note_offer(attempt))
+        options, timeout_s = self._note_offer(attempt)
+        await self._offer(attempt, options, timeout_s)
 
-    def _note_offer(self, attempt: _Attempt) -> tuple[OfferOptions, OfferTimeouts]:
-        """Count an offer that is about to be made; return its options and timeouts."""
+    def _note_offer(self, attempt: _Attempt) -> tuple[OfferOptions, float]:
+        """Count an offer that is about to be made; return its options and timeout."""
         progress, placer = self._progress, self._deps.placer
         attempt.offered_at = _now()
         options = placer.offer_options(progress, attempt.load)
         attempt.is_from_start = options.resume_after is None
-        timeouts = placer.offer_timeouts(progress)
         progress.offers += 1
         progress.runs += 1
         progress.tried_targets.add(attempt.load.entry.target)
-        return options, timeouts
+        return options, placer.offer_timeout_s(progress)
 
-    async def _offer(
-        self, attempt: _Attempt, options: OfferOptions, timeouts: OfferTimeouts
-    ) -> None:
+    async def _offer(self, attempt: _Attempt, options: OfferOptions, timeout_s: float) -> None:
         """Offer the request to the target of an attempt and pass on what comes of it."""
         deps, progress, load = self._deps, self._progress, attempt.load
-        outcome = await deps.offers.send(progress.admitted, load, options, timeouts)
+        outcome = await deps.offers.send(progress.admitted, load, options, timeout_s)
         assert attempt.claim is not None
         deps.pool.note_prompt_read(attempt.claim)
         match outcome:
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -3,7 +3,7 @@
 `Offers.send` sends the request and returns once the head of the answer has arrived. The kind of the
 outcome states what is proved, so that the caller can decide whether a retry is safe:
 
-    match await offers.send(admitted, load, options, timeouts):
+    match await offers.send(admitted, load, options, timeout_s):
         case NotExecuted(): ...     # proved: the target did not run it
         case Answer(): ...          # the head; the body is still to come
         case OutcomeUnknown(): ...  # it may have run
@@ -169,14 +169,6 @@
     send_by: float = math.inf
 
 
-@dataclass(frozen=True)
-class OfferTimeouts:
-    """Timeouts in seconds: for the head of the answer, and between parts of its body."""
-
-    head_s: float
-    idle_s: float
-
-
 class Offers:
     """Sends requests to targets, each on a connection of its own.
 
@@ -198,9 +190,12 @@
         admitted: AdmittedRequest,
         load: TargetLoad,
         options: OfferOptions,
-        timeouts: OfferTimeouts,
+        timeout_s: float,
     ) -> Answer | NotExecuted | OutcomeUnknown:
-        """Offer the request; return once the head of the answer arrived or the offer failed."""
+        """Offer the request; return once the head of the answer arrived or the offer failed.
+
+        The head, and each part of the body, may take `timeout_s` seconds.
+        """
         now = asyncio.get_running_loop().time()
         dispatch = DispatchFacts(
             target=load.entry.name,
@@ -219,10 +214,9 @@
                 admitted.call.target,
                 headers,
                 admitted.call.body,
-                timeouts.idle_s,
+                timeout_s,
                 CONNECT_TIMEOUT_S,
-                timeouts.head_s,
-                lambda took_s: self._check_open(load, options, took_s, now + took_s),
+                on_connected=lambda took_s: self._check_open(load, options, took_s, now + took_s),
             )
         except _TargetClosed:
             return NotExecuted(
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -25,7 +25,7 @@
 from lacewinggw.errors import DeadlineTooNear, RetryBudgetSpent
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
-from lacewinggw.frontend.offers import OfferOptions, OfferTimeouts
+from lacewinggw.frontend.offers import OfferOptions
 from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.ids import ServiceName
 from lacewinggw.log import get_logger
@@ -70,7 +70,7 @@
     fleet's extra retries.
 
     claim = await placer.claim(state)
-    options, timeouts = placer.offer_options(state, claim.load), placer.offer_timeouts(state)
+    options, timeout_s = placer.offer_options(state, claim.load), placer.offer_timeout_s(state)
     """
 
     def __init__(
@@ -304,10 +304,9 @@
             begin_s += MAX_PAUSE_S
         return begin_s
 
-    def offer_timeouts(self, progress: RequestProgress) -> OfferTimeouts:
-        """Return the timeouts of an offer: silence does not end it before the deadline."""
-        remaining_s = max(MIN_TIMEOUT_S, progress.admitted.deadline - _now())
-        return OfferTimeouts(remaining_s, remaining_s)
+    def offer_timeout_s(self, progress: RequestProgress) -> float:
+        """Return how long a target may be silent: until the deadline of the request."""
+        return max(MIN_TIMEOUT_S, progress.admitted.deadline - _now())
 
 
 def idle_timeout_s(route: Route) -> float:
--- a/src/lacewinggw/lab/fleetmodel/offers.py
+++ b/src/lacewinggw/lab/fleetmodel/offers.py
@@ -13,7 +13,6 @@
     Answer,
     NotExecuted,
     OfferOptions,
-    OfferTimeouts,
     OutcomeUnknown,
 )
 from lacewinggw.ids import TargetId
@@ -95,7 +94,7 @@
         self.far = 0
 
     async def send(
-        self, job: AdmittedRequest, load: TargetLoad, sending: OfferOptions, limits: OfferTimeouts
+        self, job: AdmittedRequest, load: TargetLoad, sending: OfferOptions, timeout_s: float
     ) -> Answer | NotExecuted | OutcomeUnknown:
         """Offer a request; return once its first event is there, or will not come."""
         is_far = load.entry.place != self._place
@@ -114,18 +113,18 @@
         )
         if accepted is None:
             return NotExecuted("the engine is full", is_full=True)
-        return await self._await_first(engine, accepted, load, limits, hop_s)
+        return await self._await_first(engine, accepted, load, timeout_s, hop_s)
 
     async def _await_first(
         self,
         engine: ModelEngine,
         accepted: EngineJob,
         load: TargetLoad,
-        limits: OfferTimeouts,
+        timeout_s: float,
         hop_s: float,
     ) -> Answer | OutcomeUnknown:
         try:
-            async with asyncio.timeout(limits.head_s):
+            async with asyncio.timeout(timeout_s):
                 first = await accepted.events.get()
                 await asyncio.sleep(hop_s)
         except TimeoutError:
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -130,7 +130,7 @@
     arrivals: Counter = field(default_factory=Counter)
     received: Counter = field(default_factory=Counter)  # the last event of each caller
 
-    async def send(self, admitted, load, options, timeouts):
+    async def send(self, admitted, load, options, timeout_s):
         rng, call_id = self.rng, admitted.facts.call_id
         assert (options.resume_after or 0) == self.received[call_id]
         await asyncio.sleep(rng.choice([0.0, 0.002, 0.05]))
@@ -147,8 +147,8 @@
         self.runs.append(run)
         try:
             wait_s = self._gap()
-            await asyncio.sleep(min(wait_s, timeouts.head_s))
-            if wait_s > timeouts.head_s:
+            await asyncio.sleep(min(wait_s, timeout_s))
+            if wait_s > timeout_s:
                 run.is_open = False
                 return OutcomeUnknown("no answer in time", has_timed_out=True)
             if not self.is_sound and rng.random() < 0.1:
@@ -157,7 +157,7 @@
         except asyncio.CancelledError:
             run.is_open = False
             raise
-        return self._answer(admitted, run, timeouts.idle_s)
+        return self._answer(admitted, run, timeout_s)
 
     def _answer(self, admitted, run, idle_s):
         is_failed = not self.is_sound and self.rng.random() < 0.15
@@ -418,7 +418,7 @@
     def __init__(self) -> None:
         self.offers = 0
 
-    async def send(self, admitted, load, options, timeouts):
+    async def send(self, admitted, load, options, timeout_s):
         self.offers += 1
         facts = AnswerFacts(admitted.facts.call_id, not_run=False, sealed=True, version=1)
         return Answer(200, {"version": "1"}, facts, ScriptedBody(self.offers == 1))
@@ -427,7 +427,7 @@
 class SteadyTarget:
     """A target that sends an event every 0.05 s."""
 
-    async def send(self, admitted, load, options, timeouts):
+    async def send(self, admitted, load, options, timeout_s):
         facts = AnswerFacts(admitted.facts.call_id, not_run=False, sealed=True, version=1)
         return Answer(200, {"version": "1"}, facts, SteadyBody())
 
--- a/tests/fleet/test_late_crashes.py
+++ b/tests/fleet/test_late_crashes.py
@@ -40,18 +40,23 @@
 class RandomTime:
     """A time in seconds that is drawn anew each time that it is added to another one."""
 
-    def __init__(self, low: float, high: float) -> None:
-        self._low, self._high = low, high
+    def __init__(self, low_s: float, high_s: float) -> None:
+        self._low_s, self._high_s = low_s, high_s
         self._rng = random.Random(2)
 
     def __radd__(self, other: float) -> float:
-        return other + self._rng.uniform(self._low, self._high)
+        return other + self._rng.uniform(self._low_s, self._high_s)
 
 
-def set_up(fleet: DeclaredFleet, crash_after_s: float | RandomTime, events: int = EVENTS) -> None:
+def set_up(
+    fleet: DeclaredFleet, crash_after_s: float | tuple[float, float], events: int = EVENTS
+) -> None:
+    """Set the length of answers, and when targets crash: after a time, or drawn from a range."""
+    is_random = isinstance(crash_after_s, tuple)
+    after_s = RandomTime(*crash_after_s) if is_random else crash_after_s
     for target in fleet.targets.values():
         target.behaviour.events, target.behaviour.pause_s = events, EVENT_S
-        target.behaviour.crash_after_s = crash_after_s
+        target.behaviour.crash_after_s = after_s
 
 
 def assert_others_served(fleet: DeclaredFleet, played: Played) -> None:
@@ -60,8 +65,12 @@
     assert not any(b"quarantined" in reply.body for reply in played.others)
 
 
-@pytest.mark.parametrize(("entries", "engines"), [(2, 6), (6, 9)])
-@pytest.mark.parametrize("crash_after_s", [0.5, 1.3, 3.4, RandomTime(0.2, 3.8)])
+fleet_sizes = pytest.mark.parametrize(("entries", "engines"), [(2, 6), (6, 9)])
+crash_times_after = pytest.mark.parametrize("crash_after_s", [0.5, 1.3, 3.4, (0.2, 3.8)])
+
+
+@fleet_sizes
+@crash_times_after
 async def test_a_request_that_crashes_targets_late_is_quarantined(entries, engines, crash_after_s):
     async with running_fleet(desks=0, engines=0, entries=entries) as fleet:
         await add_engines(fleet, engines)
@@ -72,8 +81,8 @@
         assert_others_served(fleet, played)
 
 
-@pytest.mark.parametrize(("entries", "engines"), [(2, 6), (6, 9)])
-@pytest.mark.parametrize("crash_after_s", [0.5, 1.3, 3.4, RandomTime(0.2, 3.8)])
+@fleet_sizes
+@crash_times_after
 async def test_a_part_that_crashes_targets_late_is_quarantined(entries, engines, crash_after_s):
     async with running_fleet(desks=0, engines=0, entries=entries) as fleet:
         await add_engines(fleet, engines)
--- a/tests/fleet/test_late_starts.py
+++ b/tests/fleet/test_late_starts.py
@@ -99,6 +99,13 @@
         await asyncio.gather(*asks)
 
 
+async def assert_all_complete(fleet: DeclaredFleet, count: int) -> None:
+    """Send `count` requests at once, and check that each gets its complete answer."""
+    asks = [fleet.ask("/report/1", entry=number % 2, X_Model=MODEL) for number in range(count)]
+    replies = await asyncio.gather(*asks)
+    assert Counter((reply.status, reply.whole) for reply in replies) == {(200, True): count}
+
+
 # Guards against runs that are ended although they began in time, or on the new weights.
 async def test_runs_that_began_in_time_end_complete():
     async with running_fleet(engines=4, entries=2) as fleet:
@@ -108,9 +115,7 @@
         fleet.origin.faults.outage = Outage.REFUSE
         name_version(fleet, 2)
         await asyncio.sleep(6.0)
-        asks = [fleet.ask("/report/1", entry=number % 2, X_Model=MODEL) for number in range(8)]
-        replies = await asyncio.gather(*asks)
-        assert Counter((reply.status, reply.whole) for reply in replies) == {(200, True): 8}
+        await assert_all_complete(fleet, 8)
 
 
 # Guards against a deadline that ends requests where all targets serve the new version.
@@ -122,9 +127,7 @@
         assert [engine.weights[MODEL] for engine in engines] == [2] * 4
         for engine in engines:
             engine.behaviour.first_s = 1.5
-        asks = [fleet.ask("/report/1", entry=number % 2, X_Model=MODEL) for number in range(4)]
-        replies = await asyncio.gather(*asks)
-        assert Counter((reply.status, reply.whole) for reply in replies) == {(200, True): 4}
+        await assert_all_complete(fleet, 4)
 
 
 def test_the_version_that_a_target_states_itself_decides_when_a_run_must_start():
