Log the status of each answer that is passed on

What reaches a caller as the target's own error was not told from a success: `offer_ended` has the target's status, `request_answered` had none. Whether an error went out as it was, or was replaced, could not be read from the logs.

The tests of requests, attempts, stories and docs pass (109).

--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -121,6 +121,7 @@
             "request_answered",
             request_id=progress.admitted.facts.call_id,
             route=progress.admitted.route.name,
+            status=progress.answer_status,
             target=progress.target,
             weights=progress.weights_version,
             took_ms=_to_ms(now - progress.admitted.call.arrived_at),
@@ -189,6 +190,7 @@
         async with aclosing(RequestAttempts(self._deps, progress).parts()) as parts:
             async for part in parts:
                 headers = _headers_to_caller(part.headers)
+                progress.answer_status = part.status
                 match part:
                     case WholeAnswer(status, _, body):
                         await caller.answer(status, headers, body)
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -37,6 +37,7 @@
     requests_ahead: float = 0.0  # at the last target, as reported
     first_part_s: float | None = None  # from the offer to the first part of the answer
     failure: FailedAnswer | None = None
+    answer_status: int | None = None  # of the target's answer that was passed on to the caller
 
     @property
     def has_started_answer(self) -> bool:
