Pass on a target's status only where what it promises is proved

What callers saw: a server that ran a request that may run once only and failed it with 503, without stating that it had not run it, had its 503 passed on.

Cause: whether "not run" is true was decided where the gateway makes an error of its own; a target's error went out as it was. `Offers` knew that the answer proved nothing, the way to the caller did not ask.

Change: `RequestProgress.may_have_run` is the one fact, counted from the moment at which a request is sent, and `RequestRelay` the one way to the caller that asks it, for errors of targets and its own: what is not proved goes out as 502. Where it is proved the promise stays: a request that was not sent yet when its deadline passed or its entry stopped gets 503 now, 504 or 502 before. Routes that may be repeated get the target's error unchanged. Back-off, load and liveness of targets are learnt from such an answer as before. Metric `unproved_refusals_total`.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
 from contextlib import aclosing
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lacewinggw.clock import Clock
 from lacewinggw.decisions.dispatch import TargetPool
@@ -150,6 +150,7 @@
 
     claim: InFlightRequest | None = None
     offered_at: float = 0.0
+    is_sent: bool = False
     data_at: float = 0.0  # when part of the answer arrived last
     has_begun: bool = False  # part of the answer arrived, other than its head
     weights_version: int | None = None  # that its target stated in the head of the answer
@@ -341,7 +342,7 @@
         try:
             await self._start()
         except RequestRefused:
-            if progress.runs == 0:
+            if not progress.may_have_run:
                 raise
             return self._give_up()
         finally:
@@ -354,7 +355,7 @@
         if progress.failure is not None and not progress.has_started_answer:
             failure = progress.failure
             return WholeAnswer(failure.status, failure.headers, failure.body)
-        if progress.runs:
+        if progress.may_have_run:
             raise TargetFailed("the target failed the request", remedy=REPEAT_REMEDY)
         self._deps.crashes.require_not_quarantined(progress.admitted)
         if progress.can_retry:
@@ -461,12 +462,18 @@
         progress, placer = self._progress, self._deps.placer
         attempt.offered_at = _now()
         options = placer.offer_options(progress, attempt.load)
+        options = replace(options, on_send=lambda: self._note_sent(attempt))
         attempt.is_from_start = options.resume_after is None
         progress.offers += 1
         progress.runs += 1
+        progress.unsent += 1
         progress.tried_targets.add(attempt.load.entry.target)
         return options, placer.offer_timeout_s(progress)
 
+    def _note_sent(self, attempt: _Attempt) -> None:
+        attempt.is_sent = True
+        self._progress.unsent -= 1
+
     async def _offer(self, attempt: _Attempt, options: OfferOptions, timeout_s: float) -> None:
         """Offer the request to the target of an attempt and pass on what comes of it."""
         deps, progress, load = self._deps, self._progress, attempt.load
@@ -476,6 +483,7 @@
         match outcome:
             case NotExecuted() as proof:
                 progress.runs -= 1
+                progress.unsent -= not attempt.is_sent
                 self._note_not_executed(attempt, proof)
                 failure = _Failed(has_reached_target=proof.has_reached_target, has_run=False)
                 await self._put(attempt, failure)
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -160,6 +160,7 @@
     """What differs between the offers of one request.
 
     `homes` returns where it may run. It is not sent later than at `send_by`, by the loop's clock.
+    `on_send` is called right before it is sent: from then on the target may run it.
     """
 
     version: int | None = None
@@ -167,6 +168,7 @@
     urgency: int = DEFAULT_URGENCY
     homes: Callable[[], Homes] = field(default=anywhere, compare=False)
     send_by: float = math.inf
+    on_send: Callable[[], None] = field(default=lambda: None, compare=False)
 
 
 class Offers:
@@ -237,11 +239,15 @@
     def _check_open(
         self, load: TargetLoad, options: OfferOptions, took_s: float, now: float
     ) -> None:
-        """Check again whether the target may get the request, once the connection is open."""
+        """Check again whether the target may get the request, once the connection is open.
+
+        The request is sent right after this.
+        """
         load.note_connect(took_s, now)
         is_home = self._pool.is_home(load, options.homes())
         if not (is_home and self._pool.may_send(load, now)) or now > options.send_by:
             raise _TargetClosed
+        options.on_send()
 
     async def _classify(
         self,
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -1,7 +1,8 @@
 """Serve one caller request: admit it, forward the answer that its attempts yield, end it.
 
 Every request ends in this module. A caller is sent a "not run" error only if the request was never
-offered to a target, or if every target it was offered to proved that it did not run it.
+sent to a target, or if every target it was sent to proved that it did not run it. This holds for
+errors of the gateway, and for those of targets where a request may run once only.
 """
 
 import asyncio
@@ -13,6 +14,7 @@
     DeadlineTooNear,
     Draining,
     LacewingError,
+    Outcome,
     RequestRefused,
     RoutesSuperseded,
     TargetFailed,
@@ -31,7 +33,7 @@
     CallerDisconnected,
 )
 from lacewinggw.frontend.calls import Call, CallFacts
-from lacewinggw.frontend.requeststate import RequestProgress
+from lacewinggw.frontend.requeststate import NOT_RUN_STATUSES, RequestProgress
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import Headers
 
@@ -85,7 +87,7 @@
             assert progress is not None
             await self._end_timed_out(progress, caller)
         except LacewingError as error:
-            await self._refuse(call, call_id, error, caller)
+            await self._refuse(call, call_id, _provable(progress, error), caller)
         except CallerDisconnected:
             self._log_abandoned(call, call_id, caller)
             raise
@@ -153,7 +155,7 @@
             log.info("stream_out_of_time", request_id=call_id, last_event=progress.last_event)
             caller.close()
             raise CallerDisconnected
-        if progress.runs:
+        if progress.may_have_run:
             reason = "the target did not answer in time"
             error: LacewingError = DeadlinePassed(reason, remedy=REPEAT_REMEDY)
         else:
@@ -192,6 +194,9 @@
                 headers = _headers_to_caller(part.headers)
                 progress.answer_status = part.status
                 match part:
+                    case WholeAnswer(status) if not progress.may_pass_on(status):
+                        self._deps.metrics.count("unproved_refusals", status=str(status))
+                        raise _unproved_refusal(status)
                     case WholeAnswer(status, _, body):
                         await caller.answer(status, headers, body)
                     case StreamPart(status, _, data, is_last):
@@ -209,9 +214,27 @@
     return [(name, value) for name, value in headers.items() if name not in CONNECTION_HEADERS]
 
 
+def _unproved_refusal(status: int) -> TargetFailed:
+    """Return the error that replaces a target's own one, which a caller would take for "not run".
+
+    Only a target that refuses a request states that it did not run it. One that has run it may
+    answer with the same status, as a service whose own resources have failed.
+    """
+    reason = f"the target answered {status} and does not state that it did not run the request"
+    return TargetFailed(reason, remedy=REPEAT_REMEDY)
+
+
+def _provable(progress: RequestProgress | None, error: LacewingError) -> LacewingError:
+    """Return the error to send; it states "not run" only if this is proved."""
+    states_not_run = error.outcome is Outcome.NOT_RUN or error.http_status in NOT_RUN_STATUSES
+    if progress is None or not progress.may_have_run or not states_not_run:
+        return error
+    return TargetFailed(f"an attempt may have run it; then: {error.reason}", remedy=REPEAT_REMEDY)
+
+
 def _stopped_error(progress: RequestProgress | None) -> LacewingError:
     """Return the error for a request that is unfinished when the entry stops."""
-    if progress is None or progress.runs == 0:
+    if progress is None or not progress.may_have_run:
         return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
     return TargetFailed("the entry stops before the target has answered", remedy=REPEAT_REMEDY)
 
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -1,4 +1,8 @@
-"""The state of one request across its offers to targets."""
+"""The state of one request across its offers to targets, and what its caller may be told of it.
+
+A request may run at a target from the moment at which it is sent there, until the target states
+that it did not run it.
+"""
 
 from dataclasses import dataclass, field
 
@@ -8,6 +12,8 @@
 from lacewinggw.wire.http import Headers
 
 MAX_OFFERS = 4  # per request, including offers that proved not to have run
+# Callers repeat any request after these, as each promises that it has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
@@ -25,7 +31,8 @@
 
     admitted: AdmittedRequest
     offers: int = 0
-    runs: int = 0  # offers that may have run the request
+    runs: int = 0  # offers that may have run the request, or may still run it
+    unsent: int = 0  # of these, the ones whose connection is not open yet
     has_reached_target: bool = True  # of the last offer, whether it ran or not
     has_reserved_retry: bool = False  # in the retry budget, for the next offer
     tried_targets: set[TargetId] = field(default_factory=set)
@@ -44,6 +51,23 @@
         """Whether part of a stream has been passed on to the caller."""
         return self.first_part_s is not None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the request was sent to a target that has not proved that it did not run it."""
+        return self.runs > self.unsent
+
+    @property
+    def runs_once(self) -> bool:
+        """Whether the request must not be repeated once it may have run."""
+        return self.admitted.route.retry_policy is RetryPolicy.NEVER
+
+    def may_pass_on(self, status: int) -> bool:
+        """Return whether a target's answer with this status may reach the caller.
+
+        Callers repeat requests of other routes after any failure, so they may get it in any case.
+        """
+        return status not in NOT_RUN_STATUSES or not (self.runs_once and self.may_have_run)
+
     @property
     def may_back_up(self) -> bool:
         """Whether the route allows another attempt beside one that may have run the request."""
@@ -54,5 +78,4 @@
         """Whether the route allows another offer of the request."""
         if self.runs == 0:
             return self.offers < MAX_OFFERS
-        route = self.admitted.route
-        return route.retry_policy is not RetryPolicy.NEVER and self.runs < route.attempts
+        return not self.runs_once and self.runs < self.admitted.route.attempts
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -113,6 +113,9 @@
     "targets_left": _counter("entry", "Targets found to be leaving, by who said so."),
     "targets_slow": _gauge("entry", "Targets that take longer than declared, by their streams."),
     "targets_limited": _gauge("entry", "Targets that name a limit of requests a second."),
+    "unproved_refusals": _counter(
+        "entry", 'Errors of targets replaced by 502, as they would say "not run", by status.'
+    ),
     "uploads_stuck": _counter("agent", "Uploads given up because the receiver took nothing."),
     "vouching": _counter("entry", "Questions to other entries for the routes, by outcome."),
     "weights_bytes": _counter("agent", "Bytes of verified chunks received, by kind of source."),
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -138,6 +138,7 @@
             return NotExecuted("it would begin too late", has_reached_target=False, is_closed=True)
         if not self.is_sound and rng.random() < 0.05:
             return NotExecuted("cannot connect", has_reached_target=False)
+        options.on_send()
         self.arrivals[call_id] += 1
         if rng.random() < (0.02 if self.is_sound else 0.15):
             await asyncio.sleep(rng.choice([0.0, 0.01, 1.5]))
@@ -419,6 +420,7 @@
         self.offers = 0
 
     async def send(self, admitted, load, options, timeout_s):
+        options.on_send()
         self.offers += 1
         facts = AnswerFacts(admitted.facts.call_id, not_run=False, sealed=True, version=1)
         return Answer(200, {"version": "1"}, facts, ScriptedBody(self.offers == 1))
@@ -428,6 +430,7 @@
     """A target that sends an event every 0.05 s."""
 
     async def send(self, admitted, load, options, timeout_s):
+        options.on_send()
         facts = AnswerFacts(admitted.facts.call_id, not_run=False, sealed=True, version=1)
         return Answer(200, {"version": "1"}, facts, SteadyBody())
 
