Take only a target's own statement for proof that it did not run a call

What callers saw: on the product's own way a plain service that had run a call and failed it with 429 or 503 was recorded as not having run it. A call that must not be repeated was then run again at the next target, or its caller was told "not run".

`refusal_error` took the status for the proof.

Change: a target that refuses a call says so (`outcome: not-run`); without it 408, 421, 429 and 503 are errors of unknown outcome, and a service's own 409 goes to the caller. The stand-ins state it. `NOT_RUN_STATUSES` moves to the errors.

--- a/src/lacewinggw/clients/targets.py
+++ b/src/lacewinggw/clients/targets.py
@@ -1,15 +1,17 @@
 """Headers and errors shared by the clients of all targets.
 
-Errors say whether a call may have run. A failure to connect or a refusal by status is
-`TargetRefused`: the call did not run. Any other failure after the call was sent is `TargetFailed`
-or `AnswerIncomplete`: it may have run.
+Errors say whether a call may have run. After a failure to connect, or a refusal in which the target
+states that it did not run the call, it is `TargetRefused`: the call did not run. Any other failure
+after the call was sent is `TargetFailed` or `AnswerIncomplete`: it may have run.
 """
 
 from lacewinggw.clients.calls import retry_after_ms
 from lacewinggw.errors import (
+    NOT_RUN_STATUSES,
     AnswerIncomplete,
     LacewingError,
     MalformedHttp,
+    Outcome,
     TargetFailed,
     TargetRefused,
 )
@@ -19,7 +21,9 @@
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"
 PRIORITY_HEADER = "x-priority"
 RESUME_HEADER = "x-resume-from"
-REFUSAL_STATUSES = frozenset({409, 429, 503})
+OUTCOME_HEADER = "outcome"  # with the value "not-run" in refusals
+CONFLICT = 409
+REFUSAL_STATUSES = NOT_RUN_STATUSES | {CONFLICT}
 
 
 def lost_before_answer(error: Exception) -> LacewingError:
@@ -35,12 +39,21 @@
 
 
 def refusal_error(status: int, headers: Headers) -> LacewingError | None:
-    """Return the error for a status that refuses a call, or None for any other status."""
-    if status in REFUSAL_STATUSES:
+    """Return the error for an answer that refuses a call, or None for any other answer.
+
+    A status alone proves nothing: a service whose own resources fail may answer 503 to a call that
+    it has run. Callers would take it for a promise, so it becomes an error of unknown outcome.
+    """
+    is_not_run = headers.get(OUTCOME_HEADER) == Outcome.NOT_RUN.value
+    if is_not_run and status in REFUSAL_STATUSES:
         wait_ms = retry_after_ms(Response(status, headers))
         return TargetRefused(
             f"the target refused the call with status {status}", retry_after_ms=wait_ms
         )
+    if status in NOT_RUN_STATUSES:
+        return TargetFailed(
+            f"the target answered {status} and does not state that it did not run the call"
+        )
     return None
 
 
--- a/src/lacewinggw/errors.py
+++ b/src/lacewinggw/errors.py
@@ -28,6 +28,10 @@
     UNKNOWN = "unknown"  # it may have run
 
 
+# Callers repeat any request after these, as each promises that it has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
+
 class Refusal(Enum):
     """Why a request was refused without being run; each reason has its own counter."""
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -10,6 +10,7 @@
 from contextlib import aclosing, suppress
 
 from lacewinggw.errors import (
+    NOT_RUN_STATUSES,
     DeadlinePassed,
     DeadlineTooNear,
     Draining,
@@ -33,7 +34,7 @@
     CallerDisconnected,
 )
 from lacewinggw.frontend.calls import Call, CallFacts
-from lacewinggw.frontend.requeststate import NOT_RUN_STATUSES, RequestProgress
+from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import Headers
 
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -7,13 +7,12 @@
 from dataclasses import dataclass, field
 
 from lacewinggw.decisions.routes import RetryPolicy
+from lacewinggw.errors import NOT_RUN_STATUSES
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.ids import TargetId
 from lacewinggw.wire.http import Headers
 
 MAX_OFFERS = 4  # per request, including offers that proved not to have run
-# Callers repeat any request after these, as each promises that it has not run and never will.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @dataclass(frozen=True)
--- a/src/lacewinggw/lab/plain.py
+++ b/src/lacewinggw/lab/plain.py
@@ -17,12 +17,14 @@
 class PlainFaults(Faults):
     """Faults of a plain service: seconds that a call takes, and shares that fail.
 
-    `refuse_share` is refused with 503 before it runs; `fail_share` runs and then answers 500.
+    `refuse_share` is refused with 503 before it runs; `fail_share` runs and then answers
+    `fail_status`, without the statement that it was not run.
     """
 
     latency_s: float = 0.005
     refuse_share: float = 0.0
     fail_share: float = 0.0
+    fail_status: int = 500
 
 
 class PlainStandIn(StandIn):
@@ -69,7 +71,7 @@
         run = self.records.begin(request_id, mark, key=key, path=request.path)
         await asyncio.sleep(self.faults.latency_s)
         if self.happens(self.faults.fail_share):
-            return refused(500, "failed after it ran")
+            return json_response(self.faults.fail_status, {"reason": "failed after it ran"})
         answer = {"mark": mark, "path": run.path, "body_digest": text_digest(request.body)}
         response = json_response(200, answer)
         run.end(text_digest(response.content))
--- a/src/lacewinggw/lab/standin.py
+++ b/src/lacewinggw/lab/standin.py
@@ -144,8 +144,10 @@
 
 
 def refused(status: int, reason: str, retry_after_s: float = 0.0) -> Response:
-    """Return a refusal as JSON, with a retry-after header when one is due."""
-    headers = {"retry-after": f"{retry_after_s:g}"} if retry_after_s else None
+    """Return a refusal of a call that was not run, with a retry-after header when one is due."""
+    headers = {"outcome": "not-run"}
+    if retry_after_s:
+        headers["retry-after"] = f"{retry_after_s:g}"
     return json_response(status, {"reason": reason}, headers)
 
 
--- a/tests/fleet/test_unproved_refusals.py
+++ b/tests/fleet/test_unproved_refusals.py
@@ -16,9 +16,15 @@
 from raw_targets import RawRequest, RawTarget
 from structlog.testing import capture_logs
 
-from lacewinggw.errors import DeadlineTooNear, LacewingError, PlatformUnavailable, TargetFailed
+from lacewinggw.errors import (
+    NOT_RUN_STATUSES,
+    DeadlineTooNear,
+    LacewingError,
+    PlatformUnavailable,
+    TargetFailed,
+)
 from lacewinggw.frontend.relay import _provable
-from lacewinggw.frontend.requeststate import NOT_RUN_STATUSES, RequestProgress
+from lacewinggw.frontend.requeststate import RequestProgress
 from lacewinggw.settings import default_settings
 from lacewinggw.wire.network import Stream
 
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -36,6 +36,31 @@
     assert response.json()["path"] == "/sheets/7"
 
 
+# Guards against a call that a service has run and failed with a status of a refusal: it was run
+# again at another target, or its caller was told that it had not run.
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_failed_call_of_a_plain_service_is_no_refusal(status: int) -> None:
+    @fleet_test(engines=0, plains=2)
+    async def play(fleet: RequestFleet) -> None:
+        for agent in fleet.agents:
+            agent.plain.faults.fail_share = 1.0
+            agent.plain.faults.fail_status = status
+        response = await fleet.entries[0].ask(b"{}", PLAIN, "/sheets/7")
+        assert (response.status, response.headers["outcome"]) == (502, "unknown")
+        assert len(fleet.runs()) == 1
+
+    play()
+
+
+@fleet_test(engines=0, plains=2)
+async def test_a_refused_call_of_a_plain_service_may_be_repeated(fleet: RequestFleet) -> None:
+    for agent in fleet.agents:
+        agent.plain.faults.refuse_share = 1.0
+    response = await fleet.entries[0].ask(b"{}", PLAIN, "/sheets/7")
+    assert (response.status, response.headers["outcome"]) == (503, "not-run")
+    assert not fleet.runs()
+
+
 @fleet_test()
 async def test_requests_that_cannot_run_are_refused_as_not_run(fleet: RequestFleet) -> None:
     entry = fleet.entries[0]
