Give each field of an entry a range, and fail only connections to odd addresses

What callers saw: one odd row among those of the targets, written by another writer, broke the processes that read it. With `ColdRemainingMs` of 400 digits the loop that follows the targets failed again and again, and an entry that started beside it served nothing; with such `Slots` requests of that service failed; with a `born` over 64 bits updates between processes stopped; a port over 65535 raised an error that no reader takes for a failed connection.

Cause: what is decoded was checked for its type, not for what it is used for: sums, 64-bit integers of messages, headers, connections.

Texts must be valid in UTF-8 and ids fit a header. Numbers in heads of answers have a range; a limit of 1e308 raised in the request that read it. `TcpNetwork.connect` raises `OSError` for addresses that do not exist, and `MemoryNetwork` does the same. A prompt that exceeds the memory of its targets is refused at once, and its reading counts until the deadline at most: 1e18 tokens gave 500 before. One odd host of the membership list is skipped.

Tests changed: `test_adapter.py` used `x:1` and `x` as addresses of sound rows, which nothing can connect to; they are numeric now, all checks are the same.

--- a/src/lacewinggw/clients/calls.py
+++ b/src/lacewinggw/clients/calls.py
@@ -14,11 +14,13 @@
 
 from lacewinggw.errors import (
     BadPlatformAnswer,
+    EntryUnreadable,
     PlatformError,
     PlatformThrottled,
     PlatformUnavailable,
     WriteUnknown,
 )
+from lacewinggw.wire.headervalues import read_float
 from lacewinggw.wire.http import (
     CONNECT_SHARE,
     JSON_TYPE,
@@ -33,6 +35,7 @@
 TOO_MANY_REQUESTS = 429
 SERVICE_UNAVAILABLE = 503
 MIN_SERVER_ERROR = 500
+MAX_RETRY_AFTER_S = 86_400.0  # milliseconds are sent on as a 32-bit integer
 # Timeouts of the first connection attempts. A service whose accept queue is full, such as when a
 # whole fleet starts at once, drops SYN packets, and the kernel resends one only after 1 s. The last
 # attempt gets the remaining connect time, for slow links.
@@ -52,10 +55,8 @@
 
 def retry_after_ms(response: Response) -> int:
     """Return the response's Retry-After in milliseconds, 0 if it is missing or not a number."""
-    try:
-        return int(float(response.headers.get("retry-after", "0")) * MS_PER_S)
-    except ValueError:
-        return 0
+    delay_s = read_float(response.headers.get("retry-after"))
+    return int(min(delay_s or 0.0, MAX_RETRY_AFTER_S) * MS_PER_S)
 
 
 def check_status(response: Response, service: str) -> Response:
@@ -77,7 +78,17 @@
     """Return `build` of the parsed JSON body; raise `BadPlatformAnswer` if it is malformed."""
     try:
         return build(json.loads(response.content))
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+    except EntryUnreadable as error:
+        reason = f"the {service} sent a malformed response: {error.reason}"
+        raise BadPlatformAnswer(reason) from None
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         raise BadPlatformAnswer(f"the {service} sent a malformed response: {error!r}") from None
 
 
--- a/src/lacewinggw/clients/membership.py
+++ b/src/lacewinggw/clients/membership.py
@@ -8,10 +8,14 @@
 from lacewinggw.clients.calls import MS_PER_S, ServiceCalls, decode_json
 from lacewinggw.generated.settings.ttypes import PlatformSettings
 from lacewinggw.ids import Address, HostId, Place, ServiceName
+from lacewinggw.log import get_logger
 from lacewinggw.wire.http import HttpClient
 from lacewinggw.wire.network import Network
 
 SERVICE = "membership list"
+MAX_LOGGED = 300  # characters of a member that cannot be decoded
+
+log = get_logger(__name__)
 
 
 class MemberRole(Enum):
@@ -59,8 +63,8 @@
 def member_from_json(value: Mapping[str, Any]) -> Member:
     """Parse a member from a JSON object; raise `KeyError` or `ValueError` if it is malformed."""
     return Member(
-        host=HostId(str(value["host"])),
-        place=Place(str(value["place"])),
+        host=HostId(_read_name(value["host"])),
+        place=Place(_read_name(value["place"])),
         role=MemberRole(value["role"]),
         address=Address(str(value["address"])),
         operator_address=Address(str(value.get("operator_address", ""))),
@@ -70,6 +74,13 @@
     )
 
 
+def _read_name(value: object) -> str:
+    """Return a name that can be sent to other processes; raise `ValueError` for any other."""
+    name = str(value)
+    name.encode()  # JSON may contain halves of surrogate pairs
+    return name
+
+
 class MembershipClient:
     """Polls the membership list. A poll that finds it unchanged transfers only a few bytes.
 
@@ -110,4 +121,11 @@
 
 
 def _decode_members(value: dict[str, Any]) -> list[Member]:
-    return [member_from_json(member) for member in value["hosts"]]
+    """Return the members of a list; one that cannot be decoded does not affect the others."""
+    members = []
+    for each in value["hosts"]:
+        try:
+            members.append(member_from_json(each))
+        except (KeyError, ValueError, TypeError, AttributeError) as error:
+            log.warning("member_unreadable", member=repr(each)[:MAX_LOGGED], reason=repr(error))
+    return members
--- a/src/lacewinggw/fleet/fields.py
+++ b/src/lacewinggw/fleet/fields.py
@@ -1,7 +1,9 @@
-"""Decode entries from other writers, checking the type of each field.
+"""Decode entries from other writers, checking the type and the range of each field.
 
 An entry in the store may come from any writer, so its bytes may not be JSON, and fields may be
-missing or of the wrong type. Any such error raises `EntryUnreadable` with the field and the reason.
+missing, of the wrong type, or out of range. Any such error raises `EntryUnreadable` with the field
+and the reason, so that whatever is decoded can be used: calculated with, sent to other processes,
+written into a header, and connected to.
 """
 
 import base64
@@ -10,11 +12,17 @@
 from typing import Any, TypeVar
 
 from lacewinggw.errors import EntryUnreadable
-from lacewinggw.ids import split_address
+from lacewinggw.ids import parse_ip_address
 
 T = TypeVar("T")
 Fields = Mapping[str, Any]
 
+MAX_INT64 = (1 << 63) - 1  # of integers that are sent to other processes as they are
+# Of what is counted: sums of two are sent to other processes as 32-bit integers.
+MAX_COUNT = 1_000_000_000
+# Of times and rates: also in microseconds or bytes, they are far below `MAX_INT64`.
+MAX_NUMBER = 1e12
+
 
 def read_object(source: bytes) -> Fields:
     """Return the fields of a JSON object."""
@@ -43,41 +51,75 @@
 
 
 def read_text(fields: Fields, name: str) -> str:
-    """Return a field that must be a non-empty string."""
-    value = fields.get(name)
+    """Return a field that must be a non-empty string, and valid in UTF-8."""
+    return check_text(fields.get(name), name)
+
+
+def check_text(value: object, what: str) -> str:
+    """Return `value` if it is such a string, else raise `EntryUnreadable` that names `what`.
+
+    JSON may contain halves of surrogate pairs, which cannot be encoded.
+    """
     if not isinstance(value, str) or not value:
-        raise EntryUnreadable(f"{name} is not a non-empty string")
+        raise EntryUnreadable(f"{what} is not a non-empty string")
+    if not value.isascii() and any("\ud800" <= each <= "\udfff" for each in value):
+        raise EntryUnreadable(f"{what} is not valid in UTF-8")
     return value
 
 
+def check_header_text(value: object, what: str) -> str:
+    """Return `value` if it can be the value of a header, else raise `EntryUnreadable`."""
+    text = check_text(value, what)
+    if not text.isascii() or not text.isprintable() or text != text.strip():
+        raise EntryUnreadable(f"{what} cannot be sent in a header: {text!a}")
+    return text
+
+
 def read_address(fields: Fields, name: str) -> str:
-    """Return a field that must be an address of the form ip:port."""
+    """Return a field that must be an address of the form ip:port, with a port to connect to."""
     value = read_text(fields, name)
     try:
-        split_address(value)
+        parse_ip_address(value)
     except ValueError as error:
         raise EntryUnreadable(f"{name}: {error}") from None
     return value
 
 
-def read_uint(fields: Fields, name: str, default: int | None = None) -> int:
-    """Return a field that must be a non-negative integer; `default` if it is missing."""
+def read_uint(
+    fields: Fields, name: str, default: int | None = None, most: int = MAX_INT64, least: int = 0
+) -> int:
+    """Return a field that must be an integer from `least` to `most`; `default` if it is missing."""
     value = fields.get(name, default)
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise EntryUnreadable(f"{name} is not a non-negative integer")
+    if isinstance(value, float) and value.is_integer():
+        value = int(value)
+    if not isinstance(value, int) or isinstance(value, bool) or not least <= value <= most:
+        raise EntryUnreadable(f"{name} is not an integer from {least} to {most}")
     return value
 
 
+def read_count(fields: Fields, name: str, default: int | None = None) -> int:
+    """Return a field that must be a number of things; `default` if it is missing."""
+    return read_uint(fields, name, default, MAX_COUNT)
+
+
 def read_number(fields: Fields, name: str, default: float | None = None) -> float:
-    """Return a field that must be a finite non-negative number; `default` if it is missing."""
+    """Return a field that must be a number from 0 to `MAX_NUMBER`; `default` if it is missing."""
     value = fields.get(name, default)
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise EntryUnreadable(f"{name} is not a number")
-    if not 0 <= value < float("inf"):
-        raise EntryUnreadable(f"{name} is {value}, not a finite non-negative number")
+    if not 0 <= value <= MAX_NUMBER:
+        raise EntryUnreadable(f"{name} is not a number from 0 to {MAX_NUMBER:g}")
     return float(value)
 
 
+def read_positive(fields: Fields, name: str) -> float:
+    """Return a field that must be a number above 0, as it divides others."""
+    value = read_number(fields, name)
+    if not value:
+        raise EntryUnreadable(f"{name} is 0")
+    return value
+
+
 def read_list(fields: Fields, name: str) -> Sequence[Any]:
     """Return a field that must be a list; an empty sequence if it is missing or null."""
     value = fields.get(name)
@@ -88,6 +130,11 @@
     return value
 
 
+def read_objects(fields: Fields, name: str) -> Sequence[Fields]:
+    """Return a field that must be a list of objects; an empty one if it is missing or null."""
+    return [as_object(each, f"an item of {name}") for each in read_list(fields, name)]
+
+
 def decode_object(source: bytes, build: Callable[[Fields], T]) -> T:
     """Parse a JSON object and return the result of `build` on its fields.
 
--- a/src/lacewinggw/fleet/ownrows.py
+++ b/src/lacewinggw/fleet/ownrows.py
@@ -9,6 +9,7 @@
 
 from lacewinggw.clients.membership import Member, member_from_json, member_to_json
 from lacewinggw.fleet.feed import CrashingContent, MemberEntry
+from lacewinggw.fleet.fields import check_text, read_address, read_text
 from lacewinggw.ids import ContentId, ServiceName, TargetId
 
 CRASHING_PREFIX = "crashing/"  # names of hosts have no slash, so keys of processes differ
@@ -60,16 +61,27 @@
 
 
 def decode_own_row(key: str, value: Mapping[str, Any]) -> MemberEntry | CrashingContent:
-    """Return the item of a row; raise `KeyError` or `ValueError` if it is invalid."""
-    content = parse_crashing_key(key)
+    """Return the item of a row; raise an error if it is invalid."""
+    content = parse_crashing_key(check_text(key, "the key"))
     if content is None:
-        return MemberEntry(member_from_json(value))
+        return MemberEntry(_decode_member(value))
     targets = value["targets"]
     if not isinstance(targets, list):
         raise ValueError("`targets` is not a list")
     return CrashingContent(
         content,
-        ServiceName(str(value["service"])),
-        tuple(TargetId(str(target)) for target in targets),
+        ServiceName(read_text(value, "service")),
+        tuple(TargetId(check_text(target, "a target")) for target in targets),
         bool(value["quarantined"]),
     )
+
+
+def _decode_member(value: Mapping[str, Any]) -> Member:
+    """Return a process, which others connect to and, if it is an entry, send callers to."""
+    for name in ("host", "place"):
+        read_text(value, name)
+    read_address(value, "address")
+    for name in ("operator_address", "caller_address"):
+        if value.get(name):
+            read_address(value, name)
+    return member_from_json(value)
--- a/src/lacewinggw/frontend/agentslots.py
+++ b/src/lacewinggw/frontend/agentslots.py
@@ -11,6 +11,7 @@
 
 MS_PER_S = 1000
 US_PER_S = 1_000_000
+MAX_INT32 = (1 << 31) - 1
 ANSWERS: dict[int, SlotAnswer] = {
     SlotState.GRANTED: SlotAnswer.GRANTED,
     SlotState.QUEUED: SlotAnswer.QUEUED,
@@ -41,22 +42,27 @@
             slots=load.entry.slots,
             rank=request.rank,
             late=request.is_late,
-            wait_ms=max(0, round(request.wait_s * MS_PER_S)),
-            reading_us=round(request.prefill_s * US_PER_S),
+            wait_ms=_to_int32(request.wait_s * MS_PER_S),
+            reading_us=_to_int32(request.prefill_s * US_PER_S),
             suspect=request.suspect or "",
-            waited_us=round(request.waited_s * US_PER_S),
+            waited_us=_to_int32(request.waited_s * US_PER_S),
             account=request.account,
-            service_us=round(request.service_s * US_PER_S),
+            service_us=_to_int32(request.service_s * US_PER_S),
         )
         return AgentSlotCall(link.start_call(question))
 
     def report_gap(self, load: TargetLoad, gap_s: float, declared_s: float) -> None:
         """Report a long gap between two events of a target to its agent, if there is a link."""
         host = load.entry.address.rpartition(":")[0]
-        gap = messages.TargetGap(round(gap_s * US_PER_S), round(declared_s * US_PER_S))
+        gap = messages.TargetGap(_to_int32(gap_s * US_PER_S), _to_int32(declared_s * US_PER_S))
         self._node.notify_if_open(Address(f"{host}:{self._port}"), gap)
 
 
+def _to_int32(amount: float) -> int:
+    """Return an amount as a message holds it; callers' headers may lead to larger estimates."""
+    return round(min(max(0.0, amount), MAX_INT32))
+
+
 class AgentSlotCall:
     """One pending request for a slot at an agent."""
 
--- a/src/lacewinggw/frontend/requestplacer.py
+++ b/src/lacewinggw/frontend/requestplacer.py
@@ -22,7 +22,7 @@
     wait_budget,
 )
 from lacewinggw.decisions.waitqueue import NO_ACCOUNT, RETRY_PRIORITY
-from lacewinggw.errors import DeadlineTooNear, RetryBudgetSpent
+from lacewinggw.errors import DeadlineTooNear, RetryBudgetSpent, TargetRefused
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.dispatchqueue import DispatchQueue
 from lacewinggw.frontend.offers import OfferOptions
@@ -98,8 +98,10 @@
     async def claim(self, progress: RequestProgress) -> InFlightRequest:
         """Return a claim on a target that accepts the request, waiting in the queue for one.
 
-        Raise `DeadlineTooNear` if the caller is about to give up.
+        Raise `DeadlineTooNear` if the caller is about to give up, and `TargetRefused` if the prompt
+        exceeds the memory of the targets.
         """
+        self._require_memory(progress.admitted)
         try:
             claim = await self._claim(progress, self._requirements(progress))
         finally:
@@ -219,7 +221,12 @@
                 homes=self._homes_of(admitted),
             )
         min_version = self._min_version(progress)
-        prefill_s = prefill_time(service.engine, facts.prompt_tokens)
+        # A target stops at the deadline, however long the prompt would take.
+        left_s = max(0.0, admitted.deadline - _now())
+        prefill_s = min(left_s, prefill_time(service.engine, facts.prompt_tokens))
+        service_s = service_time(
+            service.engine, facts.prompt_tokens, facts.output_tokens, facts.expected_tokens
+        )
         suspicion = self._suspicion_of(admitted)
         ended = suspicion.ended_targets if suspicion else frozenset()
         return TargetRequirements(
@@ -231,12 +238,17 @@
             prefill_s,
             suspicion.group if suspicion else None,
             account,
-            service_time(
-                service.engine, facts.prompt_tokens, facts.output_tokens, facts.expected_tokens
-            ),
+            min(left_s, service_s),
             self._homes_of(admitted),
         )
 
+    def _require_memory(self, admitted: AdmittedRequest) -> None:
+        """Raise `TargetRefused` for a prompt that no target of the service has memory for."""
+        service, tokens = self._service(admitted.service), admitted.facts.prompt_tokens
+        engine = service.engine if service else None
+        if engine is not None and tokens > engine.memory_tokens:
+            raise TargetRefused(f"no target has memory for a prompt of {tokens} tokens")
+
     def _service(self, name: ServiceName) -> Service | None:
         table = self._view.routes
         return table.services.get(name) if table else None
--- a/src/lacewinggw/ids.py
+++ b/src/lacewinggw/ids.py
@@ -1,6 +1,7 @@
 """Identifiers: one `NewType` each, so that mypy distinguishes a host from a place."""
 
 import random
+from ipaddress import ip_address
 from typing import NewType
 
 HostId = NewType("HostId", str)
@@ -26,6 +27,7 @@
 Nonce = NewType("Nonce", bytes)
 LeaseId = NewType("LeaseId", int)  # of a slot at one target, numbered by the target's agent
 
+MAX_PORT = 65535
 ID_BITS = 96
 NONCE_BYTES = 16
 
@@ -65,14 +67,28 @@
     >>> split_address("127.0.0.1:8080")
     ('127.0.0.1', 8080)
 
-    An IPv6 address is enclosed in brackets. Raise `ValueError` when there is no port number.
+    An IPv6 address is enclosed in brackets. Raise `ValueError` when there is no port number, or one
+    that does not exist. Port 0 is for listeners, and lets the system choose one.
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not port.isdecimal():
+    is_number = port.isascii() and port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    if not separator or not is_number or int(port) > MAX_PORT:
         raise ValueError(f"{address!r} is not an address; write ip:port, as in 127.0.0.1:8080")
     return host.removeprefix("[").removesuffix("]"), int(port)
 
 
+def parse_ip_address(address: Address | str) -> tuple[str, int]:
+    """Split an address that can be connected to: a numeric IP address, and a port above 0.
+
+    Raise `ValueError` for any other address. Names are not looked up.
+    """
+    host, port = split_address(address)
+    if not port:
+        raise ValueError(f"{address!r} has no port to connect to")
+    ip_address(host)
+    return host, port
+
+
 def join_address(host: str, port: int) -> Address:
     """Join an IP address and a port into "ip:port"."""
     return Address(f"[{host}]:{port}" if ":" in host else f"{host}:{port}")
--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -12,8 +12,9 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from lacewinggw.ids import split_address
 from lacewinggw.lab.border import SLICE_BYTES, Border
-from lacewinggw.wire.network import Accept, Listener, Stream, split_address
+from lacewinggw.wire.network import Accept, Listener, Stream, parse_destination
 
 WINDOW_BYTES = 1 << 20
 FIRST_PORT = 20000
@@ -261,16 +262,16 @@
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when nobody listens there or the two hosts are cut apart."""
         fabric = self._fabric
-        ends = frozenset((self._ip, split_address(address)[0]))
+        remote, _ = parse_destination(address)
+        ends = frozenset((self._ip, remote))
         await asyncio.sleep(self.latency_s)
         while not fabric.held.isdisjoint(ends):  # noqa: ASYNC110
             await asyncio.sleep(HOLD_STEP_S)
         accept = fabric.accepts.get(address)
         if accept is None or ends in fabric.cuts or not fabric.lost.isdisjoint(ends):
             raise ConnectionRefusedError(f"nobody answers at {address}")
-        here, remote = self._ip, split_address(address)[0]
-        there = _Pipe(self.latency_s, ends, fabric.held, self._border(here, remote))
-        back = _Pipe(self.latency_s, ends, fabric.held, self._border(remote, here))
+        there = _Pipe(self.latency_s, ends, fabric.held, self._border(self._ip, remote))
+        back = _Pipe(self.latency_s, ends, fabric.held, self._border(remote, self._ip))
         near, far = MemoryStream(back, there, ends), MemoryStream(there, back, ends)
         self._keep_open(near, far)
         task = asyncio.get_running_loop().create_task(self._run(accept, far))
--- a/src/lacewinggw/wire/headervalues.py
+++ b/src/lacewinggw/wire/headervalues.py
@@ -10,6 +10,8 @@
 from lacewinggw.wire.http import Headers
 
 MAX_INT_DIGITS = 18
+# Of times and rates: also in microseconds, they fit the integers that processes exchange.
+MAX_FLOAT = 1e12
 
 
 def read_int(text: str | None) -> int | None:
@@ -23,16 +25,16 @@
 
 
 def read_float(text: str | None) -> float | None:
-    """Return a finite non-negative number, or None for any other text.
+    """Return a number from 0 to `MAX_FLOAT`, or None for any other text.
 
-    >>> read_float("1.5"), read_float("inf"), read_float("-1")
-    (1.5, None, None)
+    >>> read_float("1.5"), read_float("inf"), read_float("-1"), read_float("1e300")
+    (1.5, None, None, None)
     """
     try:
         amount = float(text) if text is not None else math.nan
     except ValueError:
         return None
-    return amount if math.isfinite(amount) and amount >= 0 else None
+    return amount if 0 <= amount <= MAX_FLOAT else None
 
 
 def read_retry_after(headers: Headers) -> float | None:
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -12,6 +13,7 @@
 from typing import Protocol
 
 from lacewinggw.errors import ListenFailed
+from lacewinggw.ids import parse_ip_address, split_address
 
 READ_BUFFER_BYTES = 1 << 18
 CONNECT_TIMEOUT_S = 3.0
@@ -77,13 +79,18 @@
         """
 
     async def connect(self, address: str) -> Stream:
-        """Connect; raise `OSError` when the connection is refused or times out."""
+        """Connect; raise `OSError` when the connection is refused or times out.
+
+        This includes an address that does not exist, such as one with a port over 65535.
+        """
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split "ip:port" into its parts."""
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
+def parse_destination(address: str) -> tuple[str, int]:
+    """Return the IP address and the port to connect to; raise `OSError` if it has none."""
+    try:
+        return parse_ip_address(address)
+    except ValueError as error:
+        raise OSError(errno.EINVAL, f"cannot connect: {error}") from error
 
 
 class TcpStream:
@@ -197,7 +204,7 @@
 
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when the connection is refused or times out."""
-        ip, port = split_address(address)
+        ip, port = parse_destination(address)
         # `asyncio.wait_for` ignores a cancellation that comes as the connection is established.
         async with asyncio.timeout(self._connect_timeout_s):
             reader, writer = await asyncio.open_connection(ip, port, limit=READ_BUFFER_BYTES)
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -170,11 +170,19 @@
     pages = PagedStore(
         json_response(
             200,
-            {"Rows": [row("a", target_row(LLM, "x:1"), 3)], "HasMore": True, "SchemaVersion": 9},
+            {
+                "Rows": [row("a", target_row(LLM, "10.2.0.1:1"), 3)],
+                "HasMore": True,
+                "SchemaVersion": 9,
+            },
         ),
         json_response(
             200,
-            {"Rows": [row("b", target_row(LLM, "x:2"), 4)], "HasMore": False, "SchemaVersion": 11},
+            {
+                "Rows": [row("b", target_row(LLM, "10.2.0.2:2"), 4)],
+                "HasMore": False,
+                "SchemaVersion": 11,
+            },
         ),
     )
     async with pages as store:
@@ -187,7 +195,7 @@
 @pytest.mark.looptime
 async def test_changes_and_removals_are_returned_in_order():
     gone = {"Table": "servers", "part": "", "Key": "b", "SchemaVersion": 5, "Deleted": True}
-    rows = [row("a", target_row(LLM, "x:1"), 4), gone]
+    rows = [row("a", target_row(LLM, "10.2.0.1:1"), 4), gone]
     async with PagedStore(json_response(200, {"Rows": rows, "SchemaVersion": 5})) as store:
         update = await store.changes(Topic.TARGETS, StorePosition(0, 3), 1.0)
     assert [type(change) for change in update.changes] == [ItemChanged, ItemRemoved]
@@ -242,7 +250,9 @@
     good = {
         Topic.TARGETS: row("b", GOOD, 5),
         Topic.CONFIGURATION: row("version/m", {"Model": "m", "Version": 2}, 5),
-        Topic.MEMBERS: row("h", {"host": "h", "place": "p", "role": "entry", "address": "x"}, 5),
+        Topic.MEMBERS: row(
+            "h", {"host": "h", "place": "p", "role": "entry", "address": "10.1.0.1:7700"}, 5
+        ),
     }[topic]
     key = {Topic.TARGETS: "a", Topic.CONFIGURATION: "config", Topic.MEMBERS: "a"}[topic]
     bad = {"Table": "t", "part": "", "Key": key, "Value": BAD_VALUES[kind], "SchemaVersion": 4}
@@ -257,7 +267,7 @@
 async def test_quarantined_requests_and_processes_share_one_list():
     rows = [
         row("crashing/ab12", {"service": "writer", "targets": ["i-1"], "quarantined": True}, 4),
-        row("h", {"host": "h", "place": "p", "role": "entry", "address": "x"}, 5),
+        row("h", {"host": "h", "place": "p", "role": "entry", "address": "10.1.0.1:7700"}, 5),
         row("crashing/cd34", {"service": "writer", "targets": "i-1", "quarantined": True}, 6),
         {**row("crashing/ef56", {}, 7), "Deleted": True},
     ]
--- a/tests/test_memory_network.py
+++ b/tests/test_memory_network.py
@@ -5,7 +5,8 @@
 import pytest
 
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.network import Stream
+from lacewinggw.wire.http import HttpClient, NotConnectedError
+from lacewinggw.wire.network import Stream, TcpNetwork
 
 pytestmark = pytest.mark.looptime
 
@@ -70,3 +71,22 @@
     other = await network.view("10.0.0.2").connect(listener.address)
     await other.readexactly(100_000)
     assert asyncio.get_running_loop().time() - began < 1.2
+
+
+# Guards against errors that no reader takes for a failed connection, and against an in-memory
+# network that connects where the real one does not.
+@pytest.mark.parametrize(
+    "address",
+    [
+        *["10.3.0.77:99999", "10.3.0.77:65536", "10.3.0.77:0", "10.3.0.77", ":80", "a\0b:80"],
+        *["10.3.0.777:80", f"{'x' * 64}.example:80", "host.example:80", "10.3.0.77:1e3"],
+    ],
+)
+@pytest.mark.parametrize("network", [TcpNetwork(), MemoryNetwork()], ids=["tcp", "memory"])
+async def test_an_address_that_does_not_exist_is_a_failed_connection(network, address):
+    with pytest.raises(OSError, match="cannot connect"):
+        await network.connect(address)
+    client = HttpClient(network)
+    with pytest.raises(NotConnectedError):
+        await client.request(address, "GET", "/")
+    assert not await client.refuses_connections(address, 1.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,7 @@
     MembershipClient,
     MemberState,
     Unchanged,
+    _decode_members,
 )
 from lacewinggw.clients.objects import ObjectClient
 from lacewinggw.clients.table import Accepted, Conflict, Put, Row, TableClient
@@ -224,3 +225,11 @@
         with pytest.raises(ConnectionResetError):
             await http.request(fixture.platform.table.address, "GET", "/rows/key")
         await http.close()
+
+
+# Guards against a list of hosts that is not followed any more as one of its members is odd.
+def test_a_member_that_cannot_be_decoded_does_not_affect_the_others() -> None:
+    good = {"host": "h", "place": "p", "role": "entry", "address": "10.0.0.1:7000"}
+    odd = [7, None, [], {}, {**good, "role": "none"}, {**good, "host": "\ud800"}]
+    members = _decode_members({"hosts": [*odd, good]})
+    assert [member.host for member in members] == ["h"]
