Refuse requests that end late in the grace period and may be cut by its end

What callers saw: a request whose head came within 3 s of a SIGTERM and whose body ended seconds later was passed on although its time limit was after the end of the grace period. It was cut there: streams in the middle, requests that may run once with 502 after they had run.

Cause: whether a request comes too late was decided by the time of its head.

Change: `Call.received_at` is the time of the last byte. A request sent later than the limit may only be passed on if its deadline is within the grace; the relay decides this once the route's timeout is known, before any attempt, and refuses others at once as not run, with Retry-After. The grace counts from the signal: a busy event loop made the listener close later, and the process could be killed with its requests.

--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -8,6 +8,7 @@
 import math
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import replace
 from typing import Any, TypeVar
 
 import h11
@@ -30,7 +31,8 @@
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
-# While the entry closes; requests that arrive later could be cut by the end of the grace period.
+# From the start of closing. Requests whose last byte is sent later must not be cut by the end of
+# the grace period.
 SERVE_WHILE_CLOSING_S = 0.5
 CLOSING_RETRY_AFTER_MS = 200  # the remaining entries are available at once
 CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
@@ -210,7 +212,7 @@
         method = event.method.decode("ascii")
         domain = next(iter(header_values(headers, "host")), "")
         target = event.target.decode("latin-1")
-        return Call(method, target, domain, headers, body, arrived_at)
+        return Call(method, target, domain, headers, body, arrived_at, _now())
 
     async def _await_head(self) -> Any:
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
@@ -393,6 +395,7 @@
         self._busy: set[asyncio.Task[None]] = set()
         self._is_leaving = False
         self._closing_at = math.inf
+        self._closed_by = math.inf  # the end of the grace period
 
     @property
     def address(self) -> str:
@@ -415,23 +418,27 @@
         for caller in self._open.values():
             caller.close_after_answer()
 
-    async def close(self, grace_s: float = 0.0) -> None:
+    async def close(self, grace_s: float = 0.0, since: float | None = None) -> None:
         """Stop accepting, let requests in progress finish within the grace, then end the others.
 
-        Requests that arrive later on connections whose close was not announced are refused. Those
-        without an answer at the end of the grace are refused too, or get an error if they may have
-        run; this takes `STOP_S` at most.
+        The grace counts from `since`, by the loop's clock, or from now. Requests that arrive later
+        on connections whose close was not announced are refused. One of which only the rest arrives
+        later is served if its deadline is within the grace. Those without an answer at the end of
+        the grace are refused too, or get an error if they may have run; this takes `STOP_S` at
+        most.
         """
         self.disable_keep_alive()
-        self._closing_at = min(self._closing_at, _now())
-        until = _now() + grace_s
+        began_at = _now() if since is None else since
+        until = began_at + grace_s
+        self._closing_at = min(self._closing_at, began_at)
+        self._closed_by = min(self._closed_by, until)
         if self._listener is not None:
             await self._listener.close()
         for caller in self._open.values():
             caller.stop_waiting()
         if grace_s > 0:
             # Connections that were accepted in this turn of the event loop are not open yet.
-            await asyncio.sleep(min(grace_s, LAST_READ_S))
+            await asyncio.sleep(min(max(0.0, until - _now()), LAST_READ_S))
         while self._open and _now() < until:
             await asyncio.wait(set(self._open), timeout=until - _now())
         for task, caller in self._open.items():
@@ -513,11 +520,14 @@
             if call is None:
                 return
             self._busy.add(task)
-            if call.arrived_at > self._closing_at + SERVE_WHILE_CLOSING_S:
+            serve_until = self._closing_at + SERVE_WHILE_CLOSING_S
+            if call.arrived_at > serve_until:
                 log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
                 await caller.refuse(_stopping())
             else:
-                await self._serve_one(call, caller)
+                is_late = call.received_at > serve_until
+                limited = replace(call, must_end_by=self._closed_by) if is_late else call
+                await self._serve_one(limited, caller)
             self._busy.discard(task)
             if not caller.can_be_reused:
                 await self._finish(caller)
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -4,6 +4,7 @@
 to a target, and reads the head of an answer.
 """
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -33,7 +34,11 @@
 
 @dataclass(frozen=True)
 class Call:
-    """A request as received: `target` is the path with its query, unmodified."""
+    """A request as received: `target` is the path with its query, unmodified.
+
+    Its head arrived at `arrived_at` and its last byte at `received_at`. It may only be sent to a
+    target if its deadline is not after `must_end_by`. All times are by the loop's clock.
+    """
 
     method: str
     target: str
@@ -41,6 +46,8 @@
     headers: HeaderList
     body: bytes
     arrived_at: float
+    received_at: float = -math.inf
+    must_end_by: float = math.inf
 
     @property
     def path(self) -> str:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -391,11 +391,13 @@
         self._is_leaving = True
         self._neighbours.schedule_update()
         self._callers.disable_keep_alive()
+        began_at = asyncio.get_running_loop().time()
         grace_s = self._settings.fleet.grace_ms / MS_PER_S
         accept_s = min(ACCEPT_WHILE_LEAVING_S, ACCEPT_SHARE * grace_s)
         margin_s = min(CLOSE_MARGIN_S, CLOSE_SHARE * grace_s)
         await asyncio.sleep(accept_s)
-        await self._callers.close(grace_s - accept_s - margin_s)
+        # The wait above takes longer if the event loop is busy; the grace period does not.
+        await self._callers.close(grace_s - accept_s - margin_s, began_at + accept_s)
 
     async def close(self) -> None:
         """Stop immediately."""
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -82,6 +82,8 @@
             facts = deps.codec.read_call(call.headers)
             call_id = facts.call_id
             progress = RequestProgress(await self._admit(call, facts))
+            if progress.admitted.deadline > call.must_end_by:
+                raise _draining("the entry stops before the request has to end")
             async with asyncio.timeout_at(progress.admitted.deadline):
                 await self._run(progress, caller)
         except TimeoutError:
@@ -236,10 +238,14 @@
 def _stopped_error(progress: RequestProgress | None) -> LacewingError:
     """Return the error for a request that is unfinished when the entry stops."""
     if progress is None or not progress.may_have_run:
-        return Draining("the entry stops", retry_after_ms=CLOSING_RETRY_AFTER_MS)
+        return _draining("the entry stops")
     return TargetFailed("the entry stops before the target has answered", remedy=REPEAT_REMEDY)
 
 
+def _draining(reason: str) -> Draining:
+    return Draining(reason, retry_after_ms=CLOSING_RETRY_AFTER_MS)
+
+
 def _is_cancelled() -> bool:
     """Return whether this task was cancelled, as opposed to a future that it waited for."""
     task = asyncio.current_task()
--- a/tests/fleet/declared_fleet.py
+++ b/tests/fleet/declared_fleet.py
@@ -30,7 +30,7 @@
 from lacewinggw.loader.process import LoaderAdapter, LoaderProcess
 from lacewinggw.settings import default_settings
 from lacewinggw.wire.http import HttpClient
-from lacewinggw.wire.network import Network
+from lacewinggw.wire.network import Network, Stream
 
 SETTLE_S = 1.0
 LINK_BYTES_PER_S = 475_000
@@ -184,12 +184,16 @@
         """Send bytes to an entry and return the answer, complete or not."""
         address = f"10.1.0.{entry + 1}:8005"
         stream = await self.network.view("10.200.0.1").connect(address)
+        stream.write(sent)
+        return await self.receive(stream, leave_after_s)
+
+    async def receive(self, stream: Stream, leave_after_s: float | None = None) -> Reply:
+        """Return the answer to a request that was sent, complete or not, and disconnect."""
         connection = h11.Connection(h11.CLIENT)
         connection.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
         connection.send(h11.EndOfMessage())
         reply = Reply(0)
         try:
-            stream.write(sent)
             async with asyncio.timeout(leave_after_s):
                 await _read_reply(stream, connection, reply)
         except (TimeoutError, OSError, h11.RemoteProtocolError):
