--- a/src/lacewinggw/fleet/fields.py
+++ b/src/lacewinggw/fleet/fields.py
@@ -70,7 +70,8 @@
 def check_header_text(value: object, what: str) -> str:
     """Return `value` if it can be the value of a header, else raise `EntryUnreadable`."""
     text = check_text(value, what)
-    if not text.isascii() or not text.isprintable() or text != text.strip():
+    is_latin = all(each <= "\xff" for each in text)
+    if not is_latin or not text.isprintable() or text != text.strip():
         raise EntryUnreadable(f"{what} cannot be sent in a header: {text!a}")
     return text
 
@@ -102,13 +103,15 @@
     return read_uint(fields, name, default, MAX_COUNT)
 
 
-def read_number(fields: Fields, name: str, default: float | None = None) -> float:
-    """Return a field that must be a number from 0 to `MAX_NUMBER`; `default` if it is missing."""
+def read_number(
+    fields: Fields, name: str, default: float | None = None, most: float = MAX_NUMBER
+) -> float:
+    """Return a field that must be a number from 0 to `most`; `default` if it is missing."""
     value = fields.get(name, default)
     if not isinstance(value, int | float) or isinstance(value, bool):
         raise EntryUnreadable(f"{name} is not a number")
-    if not 0 <= value <= MAX_NUMBER:
-        raise EntryUnreadable(f"{name} is not a number from 0 to {MAX_NUMBER:g}")
+    if not 0 <= value <= most:
+        raise EntryUnreadable(f"{name} is not a number from 0 to {most:g}")
     return float(value)
 
 
@@ -135,6 +138,18 @@
     return [as_object(each, f"an item of {name}") for each in read_list(fields, name)]
 
 
+def require_list(fields: Fields, name: str) -> Sequence[Any]:
+    """Return a field that must be a list and must not be missing."""
+    if fields.get(name) is None:
+        raise EntryUnreadable(f"{name} is missing")
+    return read_list(fields, name)
+
+
+def require_objects(fields: Fields, name: str) -> Sequence[Fields]:
+    """Return a field that must be a list of objects and must not be missing."""
+    return [as_object(each, f"an item of {name}") for each in require_list(fields, name)]
+
+
 def decode_object(source: bytes, build: Callable[[Fields], T]) -> T:
     """Parse a JSON object and return the result of `build` on its fields.
 
--- a/tests/fleet/test_odd_rows.py
+++ b/tests/fleet/test_odd_rows.py
@@ -150,6 +150,12 @@
     assert await play(lambda fleet: fleet.store.put("op", "config", routes)) == 1
 
 
+@pytest.mark.parametrize("name", ["Routes", "Services", "Limits", "Version"])
+async def test_routes_without_a_part_leave_the_last_ones_in_force(name):
+    routes = {key: value for key, value in manifest(3).items() if key != name}
+    assert await play(lambda fleet: fleet.store.put("op", "config", routes)) == 1
+
+
 async def test_a_version_out_of_range_is_one_unreadable_row():
     row = {"Model": "other", "Version": HUGE}
     assert await play(lambda fleet: fleet.store.put("op", "version/other", row)) == 1
