--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -55,6 +55,11 @@
     gap_s: float = 0.0
     homes: frozenset[Region] = frozenset()
 
+    def __post_init__(self) -> None:
+        """Raise `ValueError` if no service has a weight, as requests could go nowhere."""
+        if not any(share.weight > 0 for share in self.shares):
+            raise ValueError(f"no service of the route {self.name} has a weight above 0")
+
 
 @dataclass(frozen=True)
 class EngineProfile:
--- a/src/lacewinggw/fleet/fields.py
+++ b/src/lacewinggw/fleet/fields.py
@@ -22,6 +22,8 @@
 MAX_COUNT = 1_000_000_000
 # Of times and rates: also in microseconds or bytes, they are far below `MAX_INT64`.
 MAX_NUMBER = 1e12
+HASH_BYTES = 32  # of SHA-256
+MS_PER_S = 1000.0
 
 
 def read_object(source: bytes) -> Fields:
@@ -98,9 +100,14 @@
     return value
 
 
-def read_count(fields: Fields, name: str, default: int | None = None) -> int:
+def read_count(fields: Fields, name: str, default: int | None = None, least: int = 0) -> int:
     """Return a field that must be a number of things; `default` if it is missing."""
-    return read_uint(fields, name, default, MAX_COUNT)
+    return read_uint(fields, name, default, MAX_COUNT, least)
+
+
+def read_optional_count(fields: Fields, name: str) -> int | None:
+    """Return a field that must be a number of things; None if it is missing or null."""
+    return None if fields.get(name) is None else read_count(fields, name)
 
 
 def read_number(
@@ -115,6 +122,13 @@
     return float(value)
 
 
+def read_clock_s(fields: Fields, name: str) -> float | None:
+    """Return a reading of a clock in milliseconds, in seconds; None if it is missing or 0."""
+    if not fields.get(name):
+        return None
+    return read_number(fields, name, most=MAX_INT64) / MS_PER_S
+
+
 def read_positive(fields: Fields, name: str) -> float:
     """Return a field that must be a number above 0, as it divides others."""
     value = read_number(fields, name)
@@ -138,16 +152,36 @@
     return [as_object(each, f"an item of {name}") for each in read_list(fields, name)]
 
 
-def require_list(fields: Fields, name: str) -> Sequence[Any]:
-    """Return a field that must be a list and must not be missing."""
+def require_objects(fields: Fields, name: str) -> Sequence[Fields]:
+    """Return a field that must be a list of objects and must not be missing."""
+    _require(fields, name)
+    return read_objects(fields, name)
+
+
+def _require(fields: Fields, name: str) -> None:
     if fields.get(name) is None:
         raise EntryUnreadable(f"{name} is missing")
-    return read_list(fields, name)
 
 
-def require_objects(fields: Fields, name: str) -> Sequence[Fields]:
-    """Return a field that must be a list of objects and must not be missing."""
-    return [as_object(each, f"an item of {name}") for each in require_list(fields, name)]
+def read_names(
+    fields: Fields, name: str, make: Callable[[str], T], is_required: bool = False
+) -> frozenset[T]:
+    """Return a field that must be a list of non-empty strings.
+
+    It is empty if the field is missing or null, which raises `EntryUnreadable` if `is_required`.
+    """
+    if is_required:
+        _require(fields, name)
+    names = read_list(fields, name)
+    return frozenset(make(check_text(each, f"an item of {name}")) for each in names)
+
+
+def read_hashes(fields: Fields, name: str) -> list[bytes]:
+    """Return a field that must be a list of SHA-256 hashes in hexadecimal."""
+    hashes = [bytes.fromhex(check_text(each, name)) for each in fields[name]]
+    if any(len(each) != HASH_BYTES for each in hashes):
+        raise EntryUnreadable(f"an item of {name} does not have {HASH_BYTES} bytes")
+    return hashes
 
 
 def decode_object(source: bytes, build: Callable[[Fields], T]) -> T:
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -36,6 +36,7 @@
 SERVE_WHILE_CLOSING_S = 0.5
 CLOSING_RETRY_AFTER_MS = 200  # the remaining entries are available at once
 CLOSING_IDLE_S = 0.2  # while the entry closes, for a request that follows an answer
+TIMER_RESOLUTION_S = 0.001  # of the event loop
 CLOSE_READ_S = 1.0  # time for the caller to receive the last answer before the connection is closed
 
 log = get_logger(__name__)
@@ -439,7 +440,7 @@
         if grace_s > 0:
             # Connections that were accepted in this turn of the event loop are not open yet.
             await asyncio.sleep(min(max(0.0, until - _now()), LAST_READ_S))
-        while self._open and _now() < until:
+        while self._open and until - _now() > TIMER_RESOLUTION_S:
             await asyncio.wait(set(self._open), timeout=until - _now())
         for task, caller in self._open.items():
             caller.stop()
