--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -7,7 +7,7 @@
     table.account_of("key-of-a-caller")
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -55,11 +55,6 @@
     gap_s: float = 0.0
     homes: frozenset[Region] = frozenset()
 
-    def __post_init__(self) -> None:
-        """Raise `ValueError` if no service has a weight, as requests could go nowhere."""
-        if not any(share.weight > 0 for share in self.shares):
-            raise ValueError(f"no service of the route {self.name} has a weight above 0")
-
 
 @dataclass(frozen=True)
 class EngineProfile:
@@ -171,6 +166,14 @@
         return self.accounts.get(key)
 
 
+def require_weight(shares: Iterable[ServiceShare]) -> tuple[ServiceShare, ...]:
+    """Return the services of a route; raise `ValueError` if none of them has a weight."""
+    weighted = tuple(shares)
+    if not any(share.weight > 0 for share in weighted):
+        raise ValueError("no service of a route has a weight above 0")
+    return weighted
+
+
 def pick_service(shares: Sequence[ServiceShare], draw: float) -> ServiceName:
     """Return the service selected by `draw`, a number from 0 to 1, in proportion to the weights."""
     total = sum(share.weight for share in shares)
