--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,10 @@
 PYTHON ?= $(shell command -v python3.11 || command -v python3)
 VENV ?= .venv
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.made
+# An environment that was kept serves only this version of Python on this kind of machine, and this
+# folder, whose sources it links to.
+PYTHON_ABI := $(shell $(PYTHON) -c 'import sysconfig; print(sysconfig.get_config_var("SOABI"))')
+STAMP := $(VENV)/.made-$(PYTHON_ABI)-$(shell pwd | cksum | cut -d ' ' -f 1)
 CHECKED := src platform tests tools
 TEST_PROCESSES ?= 8
 
@@ -11,7 +14,7 @@
 venv: $(STAMP)
 
 $(STAMP): pyproject.toml constraints.txt
-	$(PYTHON) -m venv $(VENV)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $(STAMP)
 
