Take no sealed 421 for proof that a request was not run

Callers were told 503, "not run", for a request that a target had run and then failed with its own 421 (REFUSED, and an order carried out twice once they come back). Cause: any 421 counted as proof, although only X-Not-Executed states it, or another target that answers in place of the one that was meant. A target's own answer, errors included, has its seal, and a refusal has none, so a 421 with a seal of the target that was meant is an error of unknown outcome now. Refusals of another target or for other weights are proofs as before, with a seal or not.

--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -49,6 +49,7 @@
 EVENTS_PER_TURN = 64  # parsed before other connections are read
 OK = 200
 BUSY = 503  # status of a target without a free slot
+MISDIRECTED = 421  # status of a target that is not the one that was meant
 FIRST_ERROR = 400
 
 
@@ -265,7 +266,7 @@
         is_gone = facts.answered_by not in (None, load.entry.name)
         if not is_gone:
             self._answers.apply_facts(load, facts, asked_at)
-        if facts.not_run:
+        if facts.not_run or (is_gone and response.status == MISDIRECTED):
             await response.aclose()
             return NotExecuted(
                 f"the target answered {response.status}",
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -126,6 +126,8 @@
     [
         (503, {"x-not-executed": "1"}, True),
         (421, {}, True),
+        (421, {"x-instance-id": "i-1"}, True),
+        (421, {"x-response-seal": "s"}, False),
         (503, {}, False),
         (500, {"x-response-seal": "s"}, False),
     ],
--- a/tests/fleet/test_unproved_refusals.py
+++ b/tests/fleet/test_unproved_refusals.py
@@ -74,7 +74,7 @@
 
 
 @pytest.mark.parametrize("retry_after", ["", "Retry-After: 0.2\r\n"])
-@pytest.mark.parametrize("status", [408, 429, 503])
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
 @pytest.mark.parametrize("path", [ONCE, STREAM])
 async def test_an_error_that_proves_nothing_is_no_promise(path, status, retry_after):
     async with running_fleet(desks=0, engines=0) as fleet:
@@ -109,11 +109,22 @@
         assert reply.headers["retry-after"] == "0.2"
 
 
-@pytest.mark.parametrize("status", [421, 429, 503])
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [
+        (421, NOT_RUN),
+        (429, NOT_RUN),
+        (503, NOT_RUN),
+        (421, ""),
+        (421, "X-Instance-Id: i-failing\r\n"),
+        (421, "X-Instance-Id: i-other\r\n"),
+        (421, SEAL + "X-Instance-Id: i-other\r\n"),
+    ],
+)
 @pytest.mark.parametrize("path", [ONCE, STREAM])
-async def test_a_proved_refusal_is_a_promise(path, status):
+async def test_a_proved_refusal_is_a_promise(path, status, extra):
     async with running_fleet(desks=0, engines=0) as fleet:
-        reply = await ask_failing(fleet, path, failing(status, NOT_RUN))
+        reply = await ask_failing(fleet, path, failing(status, extra))
         assert reply.status == 503 and json.loads(reply.body)["outcome"] == "not-run"
         assert float(reply.headers["retry-after"]) > 0
 
@@ -175,7 +186,7 @@
                 stream.write(error_head(status, request, NOT_RUN) + b"failed")
                 self.open.discard(attempt)
             case "error":
-                status = rng.choice([408, 429, 500, 503, 503, 504])
+                status = rng.choice([408, 421, 429, 500, 503, 503, 504])
                 self.given[attempt].add(status)
                 extra = SEAL + rng.choice(["", "Retry-After: 0.1\r\n"])
                 stream.write(error_head(status, request, extra) + b"failed")
