Log what proves each promise that a request was not run

From the id of a caller's attempt the log did not tell why a 408, 429 or 503 was true: refusals of targets that were full or closed have no line, and refusals before a request was served had no id. request_refused has the status, the proof and the targets that stated it now; call_refused and call_malformed have the id.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -484,6 +484,8 @@
             case NotExecuted() as proof:
                 progress.runs -= 1
                 progress.unsent -= not attempt.is_sent
+                if attempt.is_sent:
+                    progress.refused_by.append(load.entry.target)
                 self._note_not_executed(attempt, proof)
                 failure = _Failed(has_reached_target=proof.has_reached_target, has_run=False)
                 await self._put(attempt, failure)
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -119,6 +119,7 @@
         self._http = _http_server(self._limits)
         self._reader = HttpReader(self._http, turns)
         self._is_head_only = False  # the method of the request is HEAD
+        self._request_head: HeaderList = ()  # of the request that is read or served
         self._close_after = False  # once all requests that have been received are answered
         self._must_close = False  # after the next answer in any case
         self._is_stopping = False  # the entry closes: wait briefly for another request
@@ -142,6 +143,11 @@
         """Whether the entry stops, so that the request in progress needs an answer at once."""
         return self._is_stopped
 
+    @property
+    def head(self) -> HeaderList:
+        """The headers of the current request; empty if its head has not been read."""
+        return self._request_head
+
     @property
     def has_pending_request(self) -> bool:
         """Whether a request, or part of one, was received that has no complete answer."""
@@ -196,14 +202,14 @@
         """
         if self._http.our_state is h11.DONE:
             self._reader.start_next_cycle()
-        self._is_head_only = False
+        self._is_head_only, self._request_head = False, ()
         try:
             event = await self._await_head()
             if not isinstance(event, h11.Request):
                 return None
             self._is_head_only = event.method == b"HEAD"
             arrived_at = _now()
-            headers = _decode_headers(event)
+            headers = self._request_head = _decode_headers(event)
             _check_framing(headers)
             body = await self._read_body()
         except h11.RemoteProtocolError as error:
@@ -380,16 +386,23 @@
 class CallerListener:
     """Accepts connections of callers and passes each request to `serve`.
 
-    `limits` returns the current limits. `close(grace_s)` lets requests in progress finish.
+    `limits` returns the current limits, and `read_id` the id of a request from its headers, for the
+    log. `close(grace_s)` lets requests in progress finish.
     """
 
     def __init__(
-        self, network: Network, address: str, serve: Serve, limits: Callable[[], CallerLimits]
+        self,
+        network: Network,
+        address: str,
+        serve: Serve,
+        limits: Callable[[], CallerLimits],
+        read_id: Callable[[HeaderList], str] = lambda headers: "",
     ) -> None:
         self._network = network
         self._address = address
         self._serve = serve
         self._limits = limits
+        self._read_id = read_id
         self._turns = ReadTurns()
         self._listener: Listener | None = None
         self._open: dict[asyncio.Task[None], CallerConnection] = {}
@@ -501,7 +514,13 @@
         """End a connection after the grace period."""
         with suppress(CallerDisconnected):
             if caller.has_pending_request and not is_read:
-                log.info("call_refused", reason="stopped", domain="", path="")
+                request_id = self._read_id(caller.head)
+                log.info(
+                    "call_refused",
+                    request_id=request_id,
+                    reason="stopped",
+                    status=Draining.http_status,
+                )
                 await caller.refuse(_stopping())
             if caller.has_started_answer:
                 await caller.finish()
@@ -511,7 +530,10 @@
             try:
                 call = await caller.next_call()
             except HttpError as error:
-                log.info("call_malformed", status=error.status, reason=str(error))
+                request_id, reason = self._read_id(caller.head), str(error)
+                log.info(
+                    "call_malformed", request_id=request_id, status=error.status, reason=reason
+                )
                 await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
                 await caller.finish()
                 return
@@ -523,7 +545,14 @@
             self._busy.add(task)
             serve_until = self._closing_at + SERVE_WHILE_CLOSING_S
             if call.arrived_at > serve_until:
-                log.info("call_refused", reason="closing", domain=call.domain, path=call.path)
+                log.info(
+                    "call_refused",
+                    request_id=self._read_id(call.headers),
+                    reason="closing",
+                    status=Draining.http_status,
+                    domain=call.domain,
+                    path=call.path,
+                )
                 await caller.refuse(_stopping())
             else:
                 is_late = call.received_at > serve_until
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -15,6 +15,7 @@
 from lacewinggw.decisions.routes import CallerLimits
 from lacewinggw.decisions.routingview import RoutingView
 from lacewinggw.decisions.storeposition import StorePosition
+from lacewinggw.errors import MalformedHttp
 from lacewinggw.fleet.announcer import Announcer
 from lacewinggw.fleet.bounds import cold_tolerance, knowledge_rules
 from lacewinggw.fleet.feed import FleetFeed
@@ -58,7 +59,7 @@
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.frames import Message
-from lacewinggw.wire.http import PAGE_LIMITS, Handler, HttpClient, HttpServer
+from lacewinggw.wire.http import PAGE_LIMITS, Handler, HeaderList, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
 from lacewinggw.wire.validation import require_valid
@@ -188,7 +189,9 @@
         self._http = HttpClient(network, idle_connections=0)
         self._crashes = self._make_crashes()
         self.relay = self._make_relay()
-        self._callers = CallerListener(network, entry.caller_listen, self._serve, self._limits)
+        self._callers = CallerListener(
+            network, entry.caller_listen, self._serve, self._limits, self._read_id
+        )
         self._servers = self._make_servers()
         self._announcer = Announcer(adapter.rows, self._member(), rng)
         self._register_gauges()
@@ -559,6 +562,13 @@
     async def _serve(self, call: Call, caller: CallerConnection) -> None:
         await self.relay.serve(call, caller)
 
+    def _read_id(self, headers: HeaderList) -> str:
+        """Return the id of a request; empty if its head has none, or has not been read."""
+        try:
+            return self._adapter.codec.read_call(headers).call_id
+        except MalformedHttp:
+            return ""
+
     def _address_ttl_s(self) -> float:
         return self._settings.entry.address_ttl_ms / MS_PER_S
 
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import math
+from collections.abc import Sequence
 from contextlib import aclosing, suppress
 
 from lacewinggw.errors import (
@@ -34,7 +35,8 @@
     CallerDisconnected,
 )
 from lacewinggw.frontend.calls import Call, CallFacts
-from lacewinggw.frontend.requeststate import RequestProgress
+from lacewinggw.frontend.requeststate import NotRunProof, RequestProgress
+from lacewinggw.ids import TargetId
 from lacewinggw.log import get_logger
 from lacewinggw.wire.http import Headers
 
@@ -90,20 +92,21 @@
             assert progress is not None
             await self._end_timed_out(progress, caller)
         except LacewingError as error:
-            await self._refuse(call, call_id, _provable(progress, error), caller)
+            await self._refuse(call, call_id, _provable(progress, error), caller, progress)
         except CallerDisconnected:
             self._log_abandoned(call, call_id, caller)
             raise
         except (Exception, asyncio.CancelledError):
             if caller.is_stopped:
                 with suppress(CallerDisconnected):
-                    await self._refuse(call, call_id, _stopped_error(progress), caller)
+                    await self._refuse(call, call_id, _stopped_error(progress), caller, progress)
                 raise
             if _is_cancelled():
                 self._log_abandoned(call, call_id, caller)
                 raise
             log.exception("request_broke", request_id=call_id)
-            await self._refuse(call, call_id, LacewingError("internal error"), caller)
+            internal = LacewingError("internal error")
+            await self._refuse(call, call_id, internal, caller, progress)
         else:
             self._answered.add()
             self._log_answered(progress)
@@ -163,10 +166,15 @@
             error: LacewingError = DeadlinePassed(reason, remedy=REPEAT_REMEDY)
         else:
             error = DeadlineTooNear("no target could start the request in time")
-        await self._refuse(call, call_id, error, caller)
+        await self._refuse(call, call_id, error, caller, progress)
 
     async def _refuse(
-        self, call: Call, call_id: str, error: LacewingError, caller: CallerConnection
+        self,
+        call: Call,
+        call_id: str,
+        error: LacewingError,
+        caller: CallerConnection,
+        progress: RequestProgress | None,
     ) -> None:
         self._deps.metrics.count_refusal_error(error)
         log.info(
@@ -174,6 +182,8 @@
             request_id=call_id,
             domain=call.domain,
             error=error,
+            status=error.http_status,
+            **_describe_proof(error, progress),
             held_ms=_to_ms(_now() - call.arrived_at),
             cut=caller.has_started_answer,
             routes=self._routes_version,
@@ -227,10 +237,25 @@
     return TargetFailed(reason, remedy=REPEAT_REMEDY)
 
 
+def _states_not_run(error: LacewingError) -> bool:
+    return error.outcome is Outcome.NOT_RUN or error.http_status in NOT_RUN_STATUSES
+
+
+def _describe_proof(
+    error: LacewingError, progress: RequestProgress | None
+) -> dict[str, str | Sequence[TargetId] | None]:
+    """Return what the log tells of an error that states "not run": what proves it."""
+    if not _states_not_run(error):
+        return {}
+    if progress is None:
+        return {"proof": NotRunProof.NOT_OFFERED.value}
+    proof = progress.not_run_proof
+    return {"proof": proof.value if proof else None, "refused_by": progress.refused_by}
+
+
 def _provable(progress: RequestProgress | None, error: LacewingError) -> LacewingError:
     """Return the error to send; it states "not run" only if this is proved."""
-    states_not_run = error.outcome is Outcome.NOT_RUN or error.http_status in NOT_RUN_STATUSES
-    if progress is None or not progress.may_have_run or not states_not_run:
+    if progress is None or not progress.may_have_run or not _states_not_run(error):
         return error
     return TargetFailed(f"an attempt may have run it; then: {error.reason}", remedy=REPEAT_REMEDY)
 
--- a/src/lacewinggw/frontend/requeststate.py
+++ b/src/lacewinggw/frontend/requeststate.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass, field
+from enum import Enum
 
 from lacewinggw.decisions.routes import RetryPolicy
 from lacewinggw.errors import NOT_RUN_STATUSES
@@ -15,6 +16,14 @@
 MAX_OFFERS = 4  # per request, including offers that proved not to have run
 
 
+class NotRunProof(Enum):
+    """What proves that a request has not run."""
+
+    NOT_OFFERED = "not-offered"
+    NOT_SENT = "not-sent"  # no connection to a target was open before the request was given up
+    REFUSED = "refused"  # each target that it was sent to stated that it did not run it
+
+
 @dataclass(frozen=True)
 class FailedAnswer:
     """A target's own error answer; sent to the caller if no retry succeeds."""
@@ -32,6 +41,7 @@
     offers: int = 0
     runs: int = 0  # offers that may have run the request, or may still run it
     unsent: int = 0  # of these, the ones whose connection is not open yet
+    refused_by: list[TargetId] = field(default_factory=list)  # targets that stated "not run"
     has_reached_target: bool = True  # of the last offer, whether it ran or not
     has_reserved_retry: bool = False  # in the retry budget, for the next offer
     tried_targets: set[TargetId] = field(default_factory=set)
@@ -55,6 +65,15 @@
         """Whether the request was sent to a target that has not proved that it did not run it."""
         return self.runs > self.unsent
 
+    @property
+    def not_run_proof(self) -> NotRunProof | None:
+        """What proves that the request has not run; None if it may have run."""
+        if self.may_have_run:
+            return None
+        if not self.offers:
+            return NotRunProof.NOT_OFFERED
+        return NotRunProof.REFUSED if self.refused_by else NotRunProof.NOT_SENT
+
     @property
     def runs_once(self) -> bool:
         """Whether the request must not be repeated once it may have run."""
--- a/tests/fleet/test_unproved_refusals.py
+++ b/tests/fleet/test_unproved_refusals.py
@@ -159,6 +159,36 @@
     assert _provable(None, error) is error
 
 
+# ---- logs -------------------------------------------------------------------------------------
+
+
+async def refused_line(fleet: DeclaredFleet, left_ms: int = 6000) -> dict:
+    """Return the log line of a request that is refused as not run."""
+    with capture_logs() as logs:
+        reply = await fleet.ask(ONCE, left_ms=left_ms, X_Attempt_Id="r2")
+    assert reply.status == 503
+    (line,) = [each for each in logs if each["event"] == "request_refused"]
+    assert (line["request_id"], line["status"]) == ("r2", 503)
+    return line
+
+
+async def test_a_refusal_is_logged_with_what_proves_that_the_request_did_not_run():
+    async with running_fleet(desks=0, engines=0) as fleet:
+        assert (await refused_line(fleet))["proof"] == "not-offered"
+        await ask_failing(fleet, ONCE, failing(503, NOT_RUN))
+        line = await refused_line(fleet)
+        assert line["proof"] == "refused"
+        assert [str(each).partition("/")[0] for each in line["refused_by"]] == ["i-failing"]
+
+
+async def test_a_refusal_of_a_request_that_was_not_sent_is_logged_as_such():
+    async with running_fleet(desks=0, engines=0) as fleet:
+        await ask_failing(fleet, ONCE, failing(500))
+        fleet.network.hold("10.4.0.1")  # connections to it hang until they time out
+        line = await refused_line(fleet, left_ms=100)
+        assert (line["proof"], line["refused_by"]) == ("not-sent", [])
+
+
 # ---- random schedules ----------------------------------------------------------------------
 
 
