Take no empty or unchanged answer for whole whose end its target did not state

Cause: the end of a connection counted as the end of a whole answer as long as its target lived, and the entry then stated a length or a last chunk that the target never had.

An answer whose end is not stated and that adds nothing is incomplete now: it is repeated where the route allows it, and fails with 502 elsewhere. What it adds goes out as the target sent it, without a length or chunks, and ends with the connection. 204, 304, answers to HEAD and a length of 0 are whole as before.

--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -90,21 +90,29 @@
 
 @dataclass(frozen=True)
 class WholeAnswer:
-    """A complete answer that is not a stream."""
+    """A complete answer that is not a stream.
+
+    `ends_with_connection`: its target stated the end of it by closing the connection only.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    ends_with_connection: bool = False
 
 
 @dataclass(frozen=True)
 class StreamPart:
-    """New events of a stream, with the head of their answer; the last part has no events."""
+    """New events of a stream, with the head of their answer; the last part has no events.
+
+    `ends_with_connection` is as in `WholeAnswer`, for the answer of the attempt.
+    """
 
     status: int
     headers: Headers
     data: bytes
     is_last: bool = False
+    ends_with_connection: bool = False
 
 
 @dataclass(frozen=True)
@@ -153,6 +161,7 @@
     is_sent: bool = False
     data_at: float = 0.0  # when part of the answer arrived last
     has_begun: bool = False  # part of the answer arrived, other than its head
+    has_delivered: bool = False  # events that the caller did not have yet
     weights_version: int | None = None  # that its target stated in the head of the answer
     long_run_s: float = LONG_RUN_S  # when the run counts next while it goes on
     is_from_start: bool = True  # it does not continue the answer of another attempt
@@ -217,9 +226,11 @@
                 data = _take_new(self._progress, events)
                 if not data:
                     return None
+                attempt.has_delivered = True
                 await self._prefer(attempt)
                 return self._to_part(attempt, answer, data)
             case _Ended(answer, body):
+                _require_content(answer, body, attempt.has_delivered)
                 await self._prefer(attempt)
                 return self._take_end(attempt, answer, body)
             case _Failed():
@@ -302,14 +313,16 @@
         if not progress.has_started_answer:
             progress.weights_version = answer.facts.version
             progress.first_part_s = _now() - attempt.offered_at
-        return StreamPart(answer.status, answer.headers, data)
+        ends_with_connection = answer.response.ends_with_connection
+        return StreamPart(answer.status, answer.headers, data, False, ends_with_connection)
 
     def _take_end(self, attempt: _Attempt, answer: Answer, body: bytes) -> WholeAnswer | StreamPart:
         self._deps.pool.note_success(attempt.load)
         self._note_survived(attempt, is_whole=attempt.is_from_start)
         if self._is_stream(answer):
             return StreamPart(answer.status, answer.headers, b"", is_last=True)
-        return WholeAnswer(answer.status, answer.headers, body)
+        ends_with_connection = answer.response.ends_with_connection
+        return WholeAnswer(answer.status, answer.headers, body, ends_with_connection)
 
     async def _prefer(self, attempt: _Attempt) -> None:
         """Continue the answer with this attempt and close the other one."""
@@ -660,6 +673,15 @@
         )
 
 
+def _require_content(answer: Answer, body: bytes, has_delivered: bool) -> None:
+    """Raise `AnswerIncomplete` if an answer without a stated end adds nothing to the head.
+
+    Its target may have stopped before the rest of it.
+    """
+    if answer.response.ends_with_connection and not (body or has_delivered):
+        raise AnswerIncomplete("the connection closed after the head, which states no end")
+
+
 def _take_new(progress: RequestProgress, events: Sequence[StreamEvent]) -> bytes:
     """Return the events that the caller still needs, and record the last of them as sent.
 
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -17,7 +17,7 @@
 from lacewinggw.errors import Draining, LacewingError, MalformedHttp
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
-from lacewinggw.wire.http import READ_BYTES, HeaderList, HttpError
+from lacewinggw.wire.http import BODYLESS_STATUSES, READ_BYTES, HeaderList, HttpError
 from lacewinggw.wire.httpreader import HttpReader
 from lacewinggw.wire.network import Listener, Network, Stream
 from lacewinggw.wire.problems import problem_body, problem_headers
@@ -26,8 +26,8 @@
 BAD_REQUEST = 400
 REQUEST_TIMEOUT = 408
 CONTENT_TOO_LARGE = 413
-BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 FIRST_CHUNKED_VERSION = b"1.1"  # before it, answers without a length end with the connection
+UNCHUNKED_REQUEST = b"GET / HTTP/1.0\r\n\r\n"  # whose answer h11 sends without chunks
 PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
 STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
@@ -303,11 +303,15 @@
 
     # ---- answers --------------------------------------------------------------------------
 
-    async def answer(self, status: int, headers: HeaderList, body: bytes) -> None:
+    async def answer(
+        self, status: int, headers: HeaderList, body: bytes, ends_with_connection: bool = False
+    ) -> None:
         """Send a complete answer, without its body where HTTP allows none."""
         fields = list(headers)
         has_body = status not in BODYLESS_STATUSES
-        if has_body:
+        if ends_with_connection:
+            self._end_with_connection()
+        elif has_body:
             fields.append(("content-length", str(len(body))))
         data = self._head(status, fields)
         if body and has_body and not self._is_head_only:
@@ -315,8 +319,16 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._write(data)
 
-    async def begin(self, status: int, headers: HeaderList, first: bytes = b"") -> None:
+    async def begin(
+        self,
+        status: int,
+        headers: HeaderList,
+        first: bytes = b"",
+        ends_with_connection: bool = False,
+    ) -> None:
         """Send the head of a streamed answer, and its first bytes with it."""
+        if ends_with_connection:
+            self._end_with_connection()
         data = self._head(status, [*headers, ("transfer-encoding", "chunked")])
         if first:
             data += self._http.send(h11.Data(data=first)) or b""
@@ -344,6 +356,17 @@
         body = problem_body(error, status=status)
         await self.answer(status or error.http_status, list(headers.items()), body)
 
+    def _end_with_connection(self) -> None:
+        """Send the next answer with neither a length nor chunks, and close the connection after it.
+
+        The end of its target's answer was not stated, so that of the caller's answer is not either.
+        """
+        self._must_close = True
+        self._http = _http_server(self._limits)
+        self._http.receive_data(UNCHUNKED_REQUEST)
+        while self._http.their_state is not h11.MUST_CLOSE:
+            self._http.next_event()
+
     def _head(self, status: int, headers: HeaderList) -> bytes:
         # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
         fields = [(name.encode("ascii"), value.encode("latin-1")) for name, value in headers]
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -210,13 +210,13 @@
                     case WholeAnswer(status) if not progress.may_pass_on(status):
                         self._deps.metrics.count("unproved_refusals", status=str(status))
                         raise _unproved_refusal(status)
-                    case WholeAnswer(status, _, body):
-                        await caller.answer(status, headers, body)
-                    case StreamPart(status, _, data, is_last):
+                    case WholeAnswer(status, _, body, ends_with_connection):
+                        await caller.answer(status, headers, body, ends_with_connection)
+                    case StreamPart(status, _, data, is_last, ends_with_connection):
                         if not caller.has_started_answer:
                             if progress.first_part_s is not None:
                                 self._first_part.record(progress.first_part_s)
-                            await caller.begin(status, headers, data)
+                            await caller.begin(status, headers, data, ends_with_connection)
                         elif data:
                             await caller.send(data)
                         if is_last:
--- a/src/lacewinggw/lab/fleetmodel/callers.py
+++ b/src/lacewinggw/lab/fleetmodel/callers.py
@@ -92,7 +92,9 @@
     def close(self) -> None:
         """Close the connection."""
 
-    async def begin(self, status: int, headers: object, data: bytes = b"") -> None:
+    async def begin(
+        self, status: int, headers: object, data: bytes = b"", ends_with_connection: bool = False
+    ) -> None:
         """Take the head of a stream, with its first events."""
         self.has_started_answer = True
         await self.send(data)
@@ -111,7 +113,9 @@
         """Take the end of a stream."""
         self.whole = True
 
-    async def answer(self, status: int, headers: object, body: bytes) -> None:
+    async def answer(
+        self, status: int, headers: object, body: bytes, ends_with_connection: bool = False
+    ) -> None:
         """Take a whole answer."""
 
     async def refuse(self, error: LacewingError) -> None:
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -35,6 +35,7 @@
 # From the first byte of a response's head to its end; a sound peer may pause in it.
 MAX_HEAD_S = 5.0
 BAD_GATEWAY = 502
+BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 JSON_TYPE = "application/json"
 
@@ -343,9 +344,11 @@
         connection: "_Connection",
         read_timeout_s: float,
         release: Callable[["_Connection"], None],
+        has_body: bool = True,
     ) -> None:
         self.status = status
         self.headers = headers
+        self._has_body = has_body
         self._connection = connection
         self._read_timeout_s = read_timeout_s
         self._release = release
@@ -354,7 +357,7 @@
     @property
     def ends_with_connection(self) -> bool:
         """Whether the body has neither a length nor chunks, so that only its connection ends it."""
-        return not self.headers.keys() & {"content-length", "transfer-encoding"}
+        return self._has_body and not self.headers.keys() & {"content-length", "transfer-encoding"}
 
     async def pieces(self, limit_bytes: int = MAX_BODY_BYTES) -> AsyncGenerator[bytes, None]:
         """Yield the body as it arrives.
@@ -584,7 +587,10 @@
         def release(connection: _Connection) -> None:
             self._return_connection(address, connection)
 
-        return StreamedResponse(event.status_code, received, connection, timeout_s, release)
+        has_body = method != "HEAD" and event.status_code not in BODYLESS_STATUSES
+        return StreamedResponse(
+            event.status_code, received, connection, timeout_s, release, has_body
+        )
 
     def _send_request(
         self,
--- a/tests/fleet/test_unframed_answers.py
+++ b/tests/fleet/test_unframed_answers.py
@@ -1,14 +1,15 @@
 """Answers with neither a length nor chunks, which end with their connection.
 
 Guards against taking the end of such an answer for complete when its target crashed: its last
-events were missing, and what it had run was cleared of crashing targets.
+events were missing, and what it had run was cleared of crashing targets. Guards as well against an
+empty or short success, framed as whole, of a target that stops after the head of its answer.
 """
 
 import asyncio
 from dataclasses import dataclass
 
 import pytest
-from declared_fleet import DeclaredFleet, running_fleet
+from declared_fleet import DeclaredFleet, Reply, running_fleet
 from platform_standins import DESK, LLM, target_row
 
 from lacewinggw.wire.network import Listener, Stream
@@ -17,6 +18,7 @@
 
 EVENTS = [f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, 6)]
 PAUSE_S = 0.01
+ANSWER_S = 0.2  # so that a sound target is listed by the time of a faulty answer
 
 
 @dataclass
@@ -25,7 +27,11 @@
 
     name: str
     pieces: list[bytes]
-    crashes: bool
+    crashes: bool = False
+    status: str = "200 OK"
+    framing: str = "Connection: close\r\n"
+    head_share: float = 1.0  # of the head; nothing follows a part of it
+    resets: bool = False
     requests: int = 0
     _listener: Listener | None = None
 
@@ -44,26 +50,34 @@
         self.requests += 1
         head = received.decode().lower()
         attempt = head.partition("x-attempt-id: ")[2].partition("\r\n")[0]
-        stream.write(
-            "HTTP/1.1 200 OK\r\nX-Response-Seal: seal\r\nX-Weight-Versions: 1\r\n"
-            f"X-Attempt-Id: {attempt}\r\nConnection: close\r\n\r\n".encode()
+        answer = (
+            f"HTTP/1.1 {self.status}\r\nX-Response-Seal: seal\r\nX-Weight-Versions: 1\r\n"
+            f"X-Attempt-Id: {attempt}\r\n{self.framing}\r\n".encode()
         )
-        for piece in self.pieces:
+        await asyncio.sleep(ANSWER_S)
+        stream.write(answer[: int(self.head_share * len(answer))])
+        for piece in self.pieces if self.head_share == 1.0 else []:
             await asyncio.sleep(PAUSE_S)
             stream.write(piece)
         if self.crashes:
             assert self._listener is not None
             await self._listener.close()
+        if self.resets:
+            stream.abort()
         stream.close()
 
 
-async def ask(path: str, service: str, pieces: list[bytes], crashes: bool):
+async def ask(path: str, service: str, pieces: list[bytes], crashes: bool) -> Reply:
     """Return the reply of a fleet whose first target for the request is an unframed one."""
+    return await ask_first(path, service, UnframedTarget("i-unframed", pieces, crashes))
+
+
+async def ask_first(path: str, service: str, target: UnframedTarget, method: str = "POST") -> Reply:
+    """Return the reply of a fleet whose first target for the request is `target`."""
     async with running_fleet(desks=0, engines=0) as fleet:
-        target = UnframedTarget("i-unframed", pieces, crashes)
         await target.start(fleet, service, "10.4.0.1")
         await asyncio.sleep(2.0)
-        asked = asyncio.ensure_future(fleet.ask(path, X_Model="market", left_ms=3000))
+        asked = asyncio.ensure_future(fleet.ask(path, method, X_Model="market", left_ms=3000))
         while not target.requests:  # noqa: ASYNC110
             await asyncio.sleep(0.001)
         await fleet.add_target("framed", service, "10.4.0.2")
@@ -98,3 +112,69 @@
 async def test_an_answer_of_a_target_that_runs_on_is_complete():
     reply = await ask("/sheet/1", DESK, [b"all"], crashes=False)
     assert (reply.status, reply.body, reply.whole) == (200, b"all", True)
+
+
+ROUTES = [("/report/1", LLM), ("/tally/1", DESK), ("/sheet/1", DESK)]
+FRAMINGS = ["Connection: close\r\n", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"]
+
+
+def assert_sound(path: str, reply: Reply) -> None:
+    """Check that a reply is the answer of the sound target, or an error if it may not repeat."""
+    if path == "/sheet/1":
+        assert (reply.status, reply.whole) == (502, True)
+    else:
+        assert (reply.status, reply.whole) == (200, True)
+        assert reply.body == (b"".join(EVENTS) if path == "/report/1" else b"answer of i-framed")
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("head_share", [0.01, 0.1, 0.3, 0.5, 0.7, 0.9, 0.97, 0.995])
+@pytest.mark.parametrize(("path", "service"), ROUTES)
+async def test_a_head_that_is_cut_is_no_answer(path, service, head_share, framing, resets):
+    target = UnframedTarget("i-cut", [], framing=framing, head_share=head_share, resets=resets)
+    assert_sound(path, await ask_first(path, service, target))
+
+
+@pytest.mark.parametrize(("path", "service"), ROUTES)
+async def test_a_head_without_a_length_and_nothing_after_it_is_no_whole_answer(path, service):
+    assert_sound(path, await ask(path, service, [], crashes=False))
+
+
+@pytest.mark.parametrize("pieces", [[], EVENTS[:2], [EVENTS[1]]])
+async def test_a_stream_does_not_end_with_an_attempt_that_adds_nothing(pieces):
+    async with running_fleet(desks=0, engines=1) as fleet:
+        fleet.targets["engine0"].behaviour.cut_after = 2
+        fleet.targets["engine0"].behaviour.pause_s = 0.1
+        second = UnframedTarget("i-unframed", pieces)
+        asked = asyncio.ensure_future(fleet.ask("/report/1", X_Model="market"))
+        await asyncio.sleep(0.1)
+        await second.start(fleet, LLM, "10.4.0.1")
+        reply = await asked
+        assert second.requests
+        assert not reply.whole or reply.body == b"".join(EVENTS)
+
+
+@pytest.mark.parametrize(("path", "service"), ROUTES)
+async def test_an_answer_without_a_length_ends_as_its_target_ended_it(path, service):
+    pieces = EVENTS if service == LLM else [b"all"]
+    reply = await ask(path, service, pieces, crashes=False)
+    assert (reply.status, reply.whole, reply.body) == (200, True, b"".join(pieces))
+    assert not {"content-length", "transfer-encoding"} & reply.headers.keys()
+    assert reply.headers["connection"] == "close"
+
+
+@pytest.mark.parametrize("framing", ["", "Content-Length: 0\r\n"])
+@pytest.mark.parametrize("path", ["/tally/1", "/sheet/1"])
+async def test_an_answer_that_has_no_body_is_whole(path, framing):
+    is_framed = bool(framing)
+    status = "200 OK" if is_framed else "204 No Content"
+    target = UnframedTarget("i-empty", [], status=status, framing=framing)
+    reply = await ask_first(path, DESK, target)
+    assert (reply.status, reply.whole, reply.body) == (int(status[:3]), True, b"")
+    assert reply.headers["x-response-seal"] == "seal"
+
+
+async def test_an_answer_to_head_has_no_body_to_miss():
+    reply = await ask_first("/sheet/1", DESK, UnframedTarget("i-empty", []), method="HEAD")
+    assert reply.status == 200 and reply.headers["x-response-seal"] == "seal"
