--- a/tests/fleet/test_unanswered_processes.py
+++ b/tests/fleet/test_unanswered_processes.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
-import json
 import os
 import random
 import signal
-import sys
 from collections import Counter
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 from pathlib import Path
 
+from entry_processes import GRACE_S, EntryProcess, wait_until_ready
 from kept_callers import KeptCaller, Outcome
 from platform_standins import DESK, LLM, StoreStandIn, target_row
 from soak_checks import SoakChecker
@@ -24,104 +23,15 @@
 from lacewinggw.lab.standin import Outage
 from lacewinggw.wire.network import Stream, TcpNetwork
 
-ROOT = Path(__file__).resolve().parents[2]
 PLAY_S = float(os.environ.get("UNANSWERED_PROCESS_S", "8"))
 SEED = int(os.environ.get("UNANSWERED_PROCESS_SEED", "1"))
 ENTRIES = int(os.environ.get("UNANSWERED_PROCESS_ENTRIES", "3"))
 CALLERS = 20
 EVENTS = 8
 EVENTS_PER_S = 1.5
-READY_S = 15.0
-READY_STEP_S = 0.1
-GRACE_S = 8.0
 LOSS_SLACK_S = 0.15  # after the last byte of a request, within which a close has crossed it
 MAX_ATTEMPTS = 3  # of any route; the routes that an entry had are not known here
 MAX_DESCRIBED = 4
-SETTINGS = """
-[process]
-host = entry-{number}
-place = hall
-fleet_key = soak
-[fleet]
-store = {store}
-regions = hall:north
-grace = 8s
-extra_retries = {extra_retries}
-[entry]
-caller_listen = {ip}:8005
-ready_listen = {ip}:8002
-directory_listen = {ip}:8009
-peer_listen = {ip}:7700
-operator_listen = {ip}:7715
-address_ttl = 2s
-"""
-
-
-class EntryProcess:
-    """One entry, restarted at the same address after each SIGTERM."""
-
-    def __init__(self, number: int, ip: str, store: str, folder: Path) -> None:
-        self.ip = ip
-        self.log_path = folder / f"entry-{number}.log"
-        self._number = number
-        self._store = store
-        self._settings_path = folder / f"entry-{number}.ini"
-        self._process: asyncio.subprocess.Process | None = None
-        self.crashes: list[int] = []
-        self.write_settings(100)
-
-    def write_settings(self, extra_retries: int) -> None:
-        text = SETTINGS.format(
-            number=self._number, ip=self.ip, store=self._store, extra_retries=extra_retries
-        )
-        self._settings_path.write_text(text)
-
-    async def start(self) -> None:
-        path = os.pathsep.join([str(ROOT / "platform"), str(ROOT / "src")])
-        with self.log_path.open("ab") as log_file:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *("-m", "lacewinggw_platform", "entry"),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log_file,
-                stderr=log_file,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": path,
-                    "LACEWINGGW_BOOT": str(self._settings_path),
-                },
-            )
-
-    def signal(self, number: signal.Signals) -> None:
-        assert self._process is not None, "call start() first"
-        with suppress(ProcessLookupError):
-            self._process.send_signal(number)
-
-    async def stop(self) -> None:
-        """Send SIGTERM, and SIGKILL after the grace period as the platform does."""
-        assert self._process is not None, "call start() first"
-        self.signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(GRACE_S):
-                status = await self._process.wait()
-        except TimeoutError:
-            self._process.kill()
-            status = await self._process.wait()
-        if status != 0:
-            self.crashes.append(status)
-
-    async def kill(self) -> None:
-        if self._process is not None and self._process.returncode is None:
-            self._process.kill()
-            await self._process.wait()
-
-    def lines(self) -> list[dict]:
-        """Return the log lines of all its starts."""
-        lines = []
-        for text in self.log_path.read_text().splitlines():
-            with suppress(ValueError):
-                lines.append(json.loads(text))
-        return lines
 
 
 class ProcessFleet:
@@ -168,24 +78,6 @@
     async def connect(self, entry: int) -> Stream:
         return await self.network.connect(f"{self.entries[entry].ip}:8005")
 
-    async def wait_until_ready(self) -> None:
-        """Wait until all entries accept callers and have the routes."""
-        async with asyncio.timeout(READY_S):
-            for entry in self.entries:
-                while not await self._is_ready(entry):  # noqa: ASYNC110 - it is a request
-                    await asyncio.sleep(READY_STEP_S)
-
-    async def _is_ready(self, entry: EntryProcess) -> bool:
-        try:
-            stream = await self.network.connect(f"{entry.ip}:8002")
-        except OSError:
-            return False
-        try:
-            stream.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-            return (await stream.read(1000)).startswith(b"HTTP/1.1 200")
-        finally:
-            stream.close()
-
     def read_logs(self, callers: list[KeptCaller], timeout_s: dict[str, float]) -> list[dict]:
         """Note the requests that entries have read: by a log line, by a run, or by the time.
 
@@ -280,7 +172,7 @@
             target.behaviour.pause_s = rng.choice([0.05, 0.1, 0.2])
         for entry in fleet.entries:
             await entry.start()
-        await fleet.wait_until_ready()
+        await wait_until_ready(fleet.network, fleet.entries)
         yield fleet, declared
     finally:
         for entry in fleet.entries:
