--- a/src/lacewinggw/service.py
+++ b/src/lacewinggw/service.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import signal
+import sys
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 from lacewinggw.log import get_logger
 
 Step = Callable[[], Awaitable[None]]
 LEAVE_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+CODE_PATH = Path(__file__).resolve().parent  # a build is named after its sources
+PYTHON_VERSION = sys.version.partition(" ")[0]
 
 
 async def run_until_signalled(start: Step, drain: Step, close: Step) -> None:
@@ -33,7 +37,7 @@
     if not await _finish_unless(start, leaving):
         log.info("start_given_up")
         return
-    log.info("started")
+    log.info("started", code=str(CODE_PATH), python=PYTHON_VERSION)
     await leaving.wait()
     leaving.clear()
     log.info("draining")
