Ask a second time whether a target ended with an answer without a length

One cause: the kernel ends the connections of a killed process some moments before its listening socket, and a probe between the two was accepted, so the target counted as alive. The probe is repeated after 20 ms now; only the end of an answer that states none waits for it.

test_a_stream_that_ends_shortly_before_its_target_is_resumed_elsewhere failed before. A successor at the same address still answers the probe.

--- a/src/lacewinggw/frontend/crashes.py
+++ b/src/lacewinggw/frontend/crashes.py
@@ -36,6 +36,8 @@
 # How long a broken request waits for the probe before it is retried or fails. A refused connection
 # takes a few ms.
 PROBE_WAIT_S = 0.05
+# The kernel ends the connections of a killed process some moments before its listening socket.
+EXIT_S = 0.02
 # Crashes within this time are reported in one update. When a host or many targets fail at once,
 # each entry has several crashes to report and forwards those of others.
 COALESCE_S = 0.05
@@ -159,7 +161,10 @@
         await asyncio.wait((probe,), timeout=PROBE_WAIT_S)
 
     async def has_ended(self, entry: TargetEntry) -> bool:
-        """Return whether this incarnation of a target has ended; takes a connection attempt."""
+        """Return whether this incarnation of a target has ended; takes two connection attempts."""
+        if await asyncio.shield(self._start_probe(entry)):
+            return True
+        await asyncio.sleep(EXIT_S)
         return await asyncio.shield(self._start_probe(entry))
 
     def note_survived(
--- a/tests/fleet/test_unframed_answers.py
+++ b/tests/fleet/test_unframed_answers.py
@@ -28,6 +28,7 @@
     name: str
     pieces: list[bytes]
     crashes: bool = False
+    listens_on_s: float = 0.0  # after its connections have ended, if it crashes
     status: str = "200 OK"
     framing: str = "Connection: close\r\n"
     head_share: float = 1.0  # of the head; nothing follows a part of it
@@ -59,11 +60,14 @@
         for piece in self.pieces if self.head_share == 1.0 else []:
             await asyncio.sleep(PAUSE_S)
             stream.write(piece)
+        if self.resets:
+            stream.abort()
+        if self.crashes and self.listens_on_s:
+            stream.close()
+            await asyncio.sleep(self.listens_on_s)
         if self.crashes:
             assert self._listener is not None
             await self._listener.close()
-        if self.resets:
-            stream.abort()
         stream.close()
 
 
@@ -89,6 +93,13 @@
     assert not reply.whole or reply.body == b"".join(EVENTS)
 
 
+# The kernel ends the connections of a killed process some moments before its listening socket.
+async def test_a_stream_that_ends_shortly_before_its_target_is_resumed_elsewhere():
+    target = UnframedTarget("i-unframed", EVENTS[:3], crashes=True, listens_on_s=0.01)
+    reply = await ask_first("/report/1", LLM, target)
+    assert not reply.whole or reply.body == b"".join(EVENTS)
+
+
 async def test_a_stream_that_ends_inside_an_event_is_not_complete():
     reply = await ask("/report/1", LLM, [*EVENTS[:3], EVENTS[3][:6]], crashes=False)
     assert not reply.whole or reply.body == b"".join(EVENTS)
