Ask a target for its name where an answer without a length ended after a silence

Cause: an accepted connection was taken for proof that the same start lives. After a silence in which a target may have returned, its liveness check is asked now; another name shows that the answer broke off, and a stream is resumed elsewhere. No answer proves nothing, so sound answers stay whole.

--- a/src/lacewinggw/decisions/routes.py
+++ b/src/lacewinggw/decisions/routes.py
@@ -93,6 +93,7 @@
 class Service:
     """A service; `connection_limit` limits the connections to one target from all callers.
 
+    A target answers at `liveness_path` with its name; empty if the service has none.
     `origin` is the address of the origin of weights, set for the one service that provides it. A
     target is cold for `cold_start_s` seconds after its start, and accepts `cold_per_s` requests a
     second while it is; 0 means no limit.
@@ -100,6 +101,7 @@
 
     name: ServiceName
     connection_limit: int = 0
+    liveness_path: str = ""
     engine: EngineProfile | None = None
     models: tuple[ModelName, ...] = ()
     weights: WeightsProfile | None = None
--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import AsyncGenerator, Awaitable, Callable, Sequence
 from contextlib import aclosing
@@ -62,6 +63,7 @@
 # Between checks of the start deadline, as a version may be named while an attempt is waiting.
 START_CHECK_INTERVAL_S = 1.0
 TIMER_RESOLUTION_S = 0.001  # of the event loop
+RESTART_S = 0.5  # a target that ends takes longer to listen again
 BACKUP_PAUSE_S = 0.3  # until a backup attempt is tried again that no target or budget allowed
 REPEAT_REMEDY = "it may have run: repeat it only if it is idempotent"
 
@@ -160,6 +162,7 @@
     offered_at: float = 0.0
     is_sent: bool = False
     data_at: float = 0.0  # when part of the answer arrived last
+    silent_until: float = -math.inf  # the end of its last silence of `RESTART_S` or more
     has_begun: bool = False  # part of the answer arrived, other than its head
     has_delivered: bool = False  # events that the caller did not have yet
     weights_version: int | None = None  # that its target stated in the head of the answer
@@ -174,6 +177,16 @@
         """How long its run is known to have lasted, from the offer on."""
         return self.data_at - self.offered_at
 
+    def note_data(self, now: float) -> None:
+        """Record that part of the answer arrived."""
+        if now - max(self.data_at, self.offered_at) >= RESTART_S:
+            self.silent_until = now
+        self.data_at = now
+
+    def was_silent(self, now: float) -> bool:
+        """Return whether its target may have been replaced shortly before, unseen by this entry."""
+        return now - self.data_at >= RESTART_S or now - self.silent_until < RESTART_S
+
     @property
     def load(self) -> TargetLoad:
         """The target; available once it is claimed."""
@@ -515,7 +528,7 @@
                 await self._put(attempt, _Failed())
             case Answer() as answer:
                 deps.pool.note_accepted(load, attempt.offered_at)
-                attempt.data_at = _now()
+                attempt.note_data(_now())
                 attempt.weights_version = answer.facts.version
                 attempt.has_begun = not answer.is_success
                 try:
@@ -552,16 +565,25 @@
     async def _require_alive(self, attempt: _Attempt, answer: Answer) -> None:
         """Raise `AnswerIncomplete` if an answer ended because its target did.
 
-        An answer with neither a length nor chunks ends with its connection in either case.
+        An answer with neither a length nor chunks ends with its connection in either case. Another
+        start of the target may listen by now if this process stood still meanwhile.
         """
         if not answer.response.ends_with_connection:
             return
         if await self._deps.crashes.has_ended(attempt.load.entry):
             raise AnswerIncomplete("the answer ended with its target")
+        if not attempt.was_silent(_now()):
+            return
+        table = self._deps.knowledge.routes
+        service = table.services.get(self._progress.admitted.service) if table else None
+        if service is None or not service.liveness_path:
+            return
+        if await self._deps.offers.is_replaced(attempt.load, service.liveness_path):
+            raise AnswerIncomplete("the answer ended with its target, which has been replaced")
 
     def _note_data(self, attempt: _Attempt) -> None:
         attempt.has_begun = True
-        attempt.data_at = _now()
+        attempt.note_data(_now())
         attempt.load.note_data(attempt.data_at)
 
     def _note_events(self, attempt: _Attempt, stream_speed: StreamSpeed, count: int) -> None:
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from lacewinggw.clients.calls import join_path
 from lacewinggw.decisions.deadlines import time_left_ms
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.homeregions import Homes, anywhere
@@ -40,6 +41,7 @@
 )
 
 CONNECT_TIMEOUT_S = 0.25  # takes a few ms; a link with a queue of a second is unusable
+LIVENESS_TIMEOUT_S = 0.25
 BODY_LIMIT_BYTES = 16 << 20
 BUFFERED_LIMIT_BYTES = 48 << 20  # of all answers that are buffered until they are complete
 SMALL_ANSWER_BYTES = 1 << 20  # accepted beyond that limit as well
@@ -237,6 +239,19 @@
             return OutcomeUnknown(f"no answer: {error}")
         return await self._classify(admitted, load, response, asked_at)
 
+    async def is_replaced(self, load: TargetLoad, liveness_path: str) -> bool:
+        """Return whether another target states that it has the address of this one.
+
+        A target may make a liveness check wait for a slot, so no answer proves nothing.
+        """
+        path, address = join_path(liveness_path), load.entry.address
+        try:
+            response = await self._http.request(address, "GET", path, timeout_s=LIVENESS_TIMEOUT_S)
+        except (OSError, TimeoutError, HttpError):
+            return False
+        facts = self._codec.read_answer(response.status, response.headers)
+        return facts.answered_by not in (None, load.entry.name)
+
     def _check_open(
         self, load: TargetLoad, options: OfferOptions, took_s: float, now: float
     ) -> None:
--- a/tests/fleet/test_unframed_answers.py
+++ b/tests/fleet/test_unframed_answers.py
@@ -29,11 +29,14 @@
     pieces: list[bytes]
     crashes: bool = False
     listens_on_s: float = 0.0  # after its connections have ended, if it crashes
+    silent_s: float = 0.0  # before the end of its answer
+    successor: str = ""  # the name of another target that has its address by then
     status: str = "200 OK"
     framing: str = "Connection: close\r\n"
     head_share: float = 1.0  # of the head; nothing follows a part of it
     resets: bool = False
     requests: int = 0
+    liveness_checks: int = 0
     _listener: Listener | None = None
 
     async def start(self, fleet: DeclaredFleet, service: str, ip: str) -> None:
@@ -48,6 +51,12 @@
             if not data:
                 return  # a probe
             received += data
+        if received.startswith(b"GET /health"):
+            self.liveness_checks += 1
+            name = self.successor or self.name
+            stream.write(f"HTTP/1.1 200 OK\r\nX-Instance-Id: {name}\r\n\r\n".encode())
+            stream.close()
+            return
         self.requests += 1
         head = received.decode().lower()
         attempt = head.partition("x-attempt-id: ")[2].partition("\r\n")[0]
@@ -60,6 +69,7 @@
         for piece in self.pieces if self.head_share == 1.0 else []:
             await asyncio.sleep(PAUSE_S)
             stream.write(piece)
+        await asyncio.sleep(self.silent_s)
         if self.resets:
             stream.abort()
         if self.crashes and self.listens_on_s:
@@ -100,6 +110,16 @@
     assert not reply.whole or reply.body == b"".join(EVENTS)
 
 
+# An entry that stood still, or whose target did, may find a later start at the address.
+@pytest.mark.parametrize(("successor", "sent"), [("i-successor", EVENTS[:3]), ("", EVENTS)])
+async def test_a_stream_that_ends_after_a_silence_is_not_taken_for_whole(successor, sent):
+    target = UnframedTarget("i-unframed", sent, silent_s=0.8, successor=successor)
+    reply = await ask_first("/report/1", LLM, target)
+    assert not reply.whole or reply.body == b"".join(EVENTS)
+    assert reply.whole or successor
+    assert target.liveness_checks == 1
+
+
 async def test_a_stream_that_ends_inside_an_event_is_not_complete():
     reply = await ask("/report/1", LLM, [*EVENTS[:3], EVENTS[3][:6]], crashes=False)
     assert not reply.whole or reply.body == b"".join(EVENTS)
