--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -177,9 +177,12 @@
     for name in ("pyproject.toml", "constraints.txt"):
         (tmp_path / name).write_text("")
 
+    # The tests run under make themselves, whose flags and level its children get.
+    env = {name: value for name, value in os.environ.items() if not name.startswith("MAKE")}
+
     def commands(**variables):
         command = ["make", "--dry-run", "venv", "VENV=.venv", *map("=".join, variables.items())]
-        return subprocess.run(command, cwd=tmp_path, capture_output=True, text=True).stdout
+        return subprocess.run(command, cwd=tmp_path, env=env, capture_output=True, text=True).stdout
 
     first = commands()
     assert "venv --clear .venv" in first
