Close the connections of the tests of targets beside a busy loop

The warning of each run of the suite, on a stream that is collected after its loop has ended, came from here and showed up in whichever test ran then: the responses and the stand-ins' connections were never closed. With a collection after each test it names this file; with this change there is none in it.

--- a/tests/fleet/test_targets_busy_loop.py
+++ b/tests/fleet/test_targets_busy_loop.py
@@ -4,10 +4,11 @@
 import socket
 import threading
 import time
+from contextlib import suppress
 
 import pytest
 
-from lacewinggw.wire.http import HttpClient, NotConnectedError
+from lacewinggw.wire.http import HttpClient, NotConnectedError, StreamedResponse
 from lacewinggw.wire.network import TcpNetwork
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -22,7 +23,7 @@
 def answer_late(server: socket.socket) -> None:
     """Answer one request while the event loop of the test is busy."""
     connection, _ = server.accept()
-    with connection:
+    with connection, suppress(OSError):
         connection.recv(1 << 16)
         time.sleep(TIMEOUT_S / 2)
         connection.sendall(ANSWER)
@@ -34,6 +35,7 @@
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await reader.read(1 << 16)
         writer.write(ANSWER)
+        writer.close()
 
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     ip, port = server.sockets[0].getsockname()
@@ -50,7 +52,14 @@
     for _ in range(busy_after_turns):
         await asyncio.sleep(0)
     keep_busy()
-    return (await asked).status
+    return await finish(asked)
+
+
+async def finish(asked: "asyncio.Future[StreamedResponse]") -> int:
+    """Return the status of a response, and close its connection."""
+    response = await asked
+    await response.aclose()
+    return response.status
 
 
 async def test_a_target_that_accepted_a_connection_meanwhile_counts_as_connected(address):
@@ -68,17 +77,23 @@
         )
         await asyncio.sleep(TIMEOUT_S / 4)
         keep_busy()
-        assert (await asked).status == 200
+        assert await finish(asked) == 200
 
 
 async def test_a_target_that_does_not_answer_still_times_out():
+    ended = asyncio.Event()
+
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(2.0)
+        with suppress(OSError):
+            await reader.read()
+        writer.close()
+        ended.set()
 
     server = await asyncio.start_server(accept, "127.0.0.1", 0)
     ip, port = server.sockets[0].getsockname()
     with pytest.raises(TimeoutError):
         await ask(f"{ip}:{port}", 6, connect_s=5.0, head_s=TIMEOUT_S)
+    await ended.wait()
     server.close()
 
 
