--- a/src/lacewinggw/lab/memory.py
+++ b/src/lacewinggw/lab/memory.py
@@ -140,6 +140,11 @@
         """Whether either side has already closed it."""
         return self.closed or self._incoming.ended
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes wait to be sent: none, as what is written is on its way."""
+        return 0
+
     @property
     def has_late_bytes(self) -> bool:
         """Whether something for this end is held back."""
--- a/src/lacewinggw/lab/slopeplatform.py
+++ b/src/lacewinggw/lab/slopeplatform.py
@@ -33,6 +33,11 @@
         """Whether either side has already closed it."""
         return self._stream.ended
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many queued bytes the system has not taken yet."""
+        return self._stream.unsent_bytes
+
     async def read(self, limit: int) -> bytes:
         """Return up to `limit` bytes, counted."""
         return self._count(await self._stream.read(limit))
--- a/src/lacewinggw/wire/network.py
+++ b/src/lacewinggw/wire/network.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import errno
+import math
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -14,14 +15,25 @@
 
 from lacewinggw.errors import ListenFailed
 from lacewinggw.ids import parse_ip_address, split_address
+from lacewinggw.log import get_logger
 
-READ_BUFFER_BYTES = 1 << 18
+READ_BUFFER_BYTES = 1 << 16
+# Of accepted connections, of which a process may have thousands.
+ACCEPTED_BUFFER_BYTES = 1 << 14
 CONNECT_TIMEOUT_S = 3.0
+BACKLOG = 1024  # connections that wait to be accepted
+# Connections that one listener has accepted and not served yet: a flood of them neither occupies
+# the event loop nor takes the descriptors of other connections.
+MAX_OPENING = 8
 ACCEPT_TURNS = 2  # of the event loop: to notice that connections wait, and to accept them
+ACCEPT_PAUSE_S = 0.1  # when there is no descriptor or memory for a connection
+PAUSE_LOG_INTERVAL_S = 5.0
 ZERO_LINGER = struct.pack(
     "ii", 1, 0
 )  # linger on, 0 s: close resets the connection, drops unsent data
 
+log = get_logger(__name__)
+
 
 class Stream(Protocol):
     """An ordered, bidirectional byte stream."""
@@ -30,6 +42,10 @@
     def ended(self) -> bool:
         """Whether either side has already closed it."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many queued bytes the system has not taken yet."""
+
     async def read(self, limit: int) -> bytes:
         """Return up to `limit` bytes, or `b""` at the end of the stream."""
 
@@ -93,6 +109,21 @@
         raise OSError(errno.EINVAL, f"cannot connect: {error}") from error
 
 
+async def discard_rest(stream: Stream, read_bytes: int, limit_s: float) -> int:
+    """End the sending side, and discard what the peer still sends until it closes too.
+
+    Closing while bytes arrive resets the connection, and both hosts discard what they have not sent
+    or read yet, so what was sent last would be lost. Return the number of bytes discarded.
+    """
+    discarded = 0
+    stream.end_sending()
+    with suppress(TimeoutError, OSError):
+        async with asyncio.timeout(limit_s):
+            while data := await stream.read(read_bytes):
+                discarded += len(data)
+    return discarded
+
+
 class TcpStream:
     """A `Stream` over one TCP connection."""
 
@@ -105,6 +136,11 @@
         """Whether either side has already closed it."""
         return self._reader.at_eof() or self._writer.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """How many queued bytes the system has not taken yet."""
+        return self._writer.transport.get_write_buffer_size()
+
     async def read(self, limit: int) -> bytes:
         """Return up to `limit` bytes, or `b""` at the end of the stream."""
         return await self._reader.read(limit)
@@ -149,25 +185,99 @@
 
 
 class TcpListener:
-    """A `Listener` over one listening socket."""
+    """A `Listener` over one listening socket.
 
-    def __init__(self, server: asyncio.Server) -> None:
-        self._server = server
+    It accepts a few connections in each turn of the event loop. While the process has no descriptor
+    for another one, it pauses, and connections wait in the queue of the system.
+    """
+
+    def __init__(self, listening: socket.socket, accept: Accept) -> None:
+        self._socket = listening
+        self._accept = accept
+        self._loop = asyncio.get_running_loop()
+        self._pause: asyncio.TimerHandle | None = None
+        self._paused = 0  # times since the last line of the log
+        self._log_at = -math.inf
+        self._opening: set[asyncio.Task[None]] = set()
 
     @property
     def address(self) -> str:
         """The bound address."""
-        ip, port = self._server.sockets[0].getsockname()[:2]
+        ip, port = self._socket.getsockname()[:2]
         return f"{ip}:{port}"
 
+    def start(self) -> None:
+        """Accept connections from now on."""
+        self._pause = None
+        self._loop.add_reader(self._socket.fileno(), self._accept_some, MAX_OPENING)
+
     async def close(self) -> None:
         """Stop accepting; streams already accepted stay open.
 
         Accept the connections that peers have opened already: closing would reset them.
         """
+        if self._socket.fileno() < 0:
+            return
         for _ in range(ACCEPT_TURNS):
             await asyncio.sleep(0)
-        self._server.close()
+        self._loop.remove_reader(self._socket.fileno())
+        self._accept_some(BACKLOG)
+        if self._pause is not None:
+            self._pause.cancel()
+        self._socket.close()
+        if self._opening:
+            await asyncio.wait(set(self._opening))
+
+    def _accept_some(self, max_opening: int) -> None:
+        while len(self._opening) < max_opening:
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                self._pause_accepting(error)
+                return
+            connection.setblocking(False)
+            task = self._loop.create_task(self._open(connection))
+            self._opening.add(task)
+            task.add_done_callback(self._opening.discard)
+
+    def _pause_accepting(self, error: OSError) -> None:
+        """Accept nothing for a moment, as the same error would follow at once."""
+        self._loop.remove_reader(self._socket.fileno())
+        if self._pause is None:
+            self._pause = self._loop.call_later(ACCEPT_PAUSE_S, self.start)
+        self._paused += 1
+        if self._loop.time() >= self._log_at:
+            reason = error.strerror or str(error)
+            log.warning("accept_paused", address=self.address, reason=reason, count=self._paused)
+            self._paused, self._log_at = 0, self._loop.time() + PAUSE_LOG_INTERVAL_S
+
+    async def _open(self, connection: socket.socket) -> None:
+        """Run `accept` for a connection in a task of its own."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            stream = TcpStream(reader, writer)
+            try:
+                await self._accept(stream)
+            finally:
+                stream.close()
+
+        reader = asyncio.StreamReader(ACCEPTED_BUFFER_BYTES)
+        try:
+            transport, _ = await self._loop.connect_accepted_socket(
+                lambda: asyncio.StreamReaderProtocol(reader, serve), connection
+            )
+        except OSError:
+            connection.close()  # the peer has closed it already
+            return
+        _limit_reads(transport, ACCEPTED_BUFFER_BYTES)
+
+
+def _limit_reads(transport: asyncio.BaseTransport, size: int) -> None:
+    """Read at most `size` bytes at once, as a paused reader keeps all of what was read last."""
+    if hasattr(transport, "max_size"):
+        transport.max_size = size
 
 
 class TcpNetwork:
@@ -185,22 +295,16 @@
         Raises `ListenFailed` when the address is in use or does not belong to this host.
         """
         ip, port = split_address(address)
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            stream = TcpStream(reader, writer)
-            try:
-                await accept(stream)
-            finally:
-                stream.close()
-
         try:
-            server = await asyncio.start_server(
-                serve, ip, port, limit=READ_BUFFER_BYTES, backlog=1024
-            )
-        except OSError as error:
-            reason = error.strerror or str(error)
+            family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+            listening = socket.create_server((ip, port), family=family, backlog=BACKLOG)
+        except (OSError, OverflowError) as error:
+            reason = getattr(error, "strerror", None) or str(error)
             raise ListenFailed(f"cannot listen on {address}: {reason}") from error
-        return TcpListener(server)
+        listening.setblocking(False)
+        listener = TcpListener(listening, accept)
+        listener.start()
+        return listener
 
     async def connect(self, address: str) -> Stream:
         """Connect; raise `OSError` when the connection is refused or times out."""
@@ -208,4 +312,5 @@
         # `asyncio.wait_for` ignores a cancellation that comes as the connection is established.
         async with asyncio.timeout(self._connect_timeout_s):
             reader, writer = await asyncio.open_connection(ip, port, limit=READ_BUFFER_BYTES)
+        _limit_reads(writer.transport, READ_BUFFER_BYTES)
         return TcpStream(reader, writer)
