--- a/src/lacewinggw/frontend/attempts.py
+++ b/src/lacewinggw/frontend/attempts.py
@@ -464,6 +464,7 @@
             await self._put(attempt, error)
         finally:
             self._release(attempt)
+            del task  # a task that is cancelled refers to its frames, which would keep the request
 
     async def _put(self, attempt: _Attempt, result: _Result) -> None:
         await self._results.put((attempt, result))
@@ -622,6 +623,7 @@
         if tasks:
             await asyncio.wait(tasks)
         for attempt in opened:
+            attempt.task = None  # its error refers to frames, and these to the attempt
             if attempt.has_begun and not attempt.is_over:
                 self._note_survived(attempt, is_whole=False)
             self._release(attempt)  # a task that was cancelled before it began has not done so
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -74,6 +74,8 @@
             work.result()
         finally:
             await _end(work, watch)
+            # An error in `work` refers to this frame, and would keep the request in a cycle.
+            del work, watch
 
     async def _serve(self, call: Call, caller: CallerConnection) -> None:
         began = _now()
