--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,12 @@
 demo: venv
 	$(BIN)/lacewinggw-lab demo
 
-# The order of sets of strings is fixed too, so that every run gives the same verdict.
+# The order of sets of strings is fixed too, so that every run gives the same verdict. Tests that
+# measure a process under a crowd of clients run one by one, apart from the others.
 test: export PYTHONHASHSEED = 0
 test: venv
-	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist load --maxschedchunk 1
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist load --maxschedchunk 1 -m "not crowd"
+	$(BIN)/python -m pytest -m crowd
 
 lint: venv
 	$(BIN)/black --check --quiet $(CHECKED) || $(BIN)/black --check $(CHECKED)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -10,6 +10,8 @@
   3: required string fleet_key                 // shared by all processes of the fleet
   4: string log_format = "json"                // how a line is written
   5: string log_level = "info"                 // least that is logged
+  6: i64 memory_bytes = 150000000              // of this process's machine; bounds what clients make it hold
+  7: i32 descriptors = 1024                    // of this process, 200 of them for files; bounds connections of clients
 }
 
 struct PlatformSettings {
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -13,13 +13,21 @@
 
 import h11
 
+from lacewinggw.decisions.clientload import SMALL_BODY_BYTES, ClientState, next_room
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.errors import Draining, LacewingError, MalformedHttp
+from lacewinggw.errors import Draining, LacewingError, MalformedHttp, Overloaded
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
+from lacewinggw.wire.clients import (
+    EVICTED_RETRY_AFTER_MS,
+    WRITE_BYTES,
+    ClientDoor,
+    ClientHold,
+    Clients,
+)
 from lacewinggw.wire.http import BODYLESS_STATUSES, READ_BYTES, HeaderList, HttpError
 from lacewinggw.wire.httpreader import HttpReader
-from lacewinggw.wire.network import Listener, Network, Stream
+from lacewinggw.wire.network import Listener, Network, Stream, discard_rest
 from lacewinggw.wire.problems import problem_body, problem_headers
 from lacewinggw.wire.readturns import ReadTurns
 
@@ -28,7 +36,7 @@
 CONTENT_TOO_LARGE = 413
 FIRST_CHUNKED_VERSION = b"1.1"  # before it, answers without a length end with the connection
 UNCHUNKED_REQUEST = b"GET / HTTP/1.0\r\n\r\n"  # whose answer h11 sends without chunks
-PIPELINED_BYTES = 1 << 16  # buffered of further requests while one is in progress
+PIPELINED_BYTES = 1 << 14  # buffered of further requests while one is in progress
 STOP_S = 0.3  # after the grace period, to send refusals
 LAST_READ_S = 0.05  # after a limit has passed, for bytes that the busy event loop has not read yet
 # From the start of closing. Requests whose last byte is sent later must not be cut by the end of
@@ -43,6 +51,9 @@
 
 T = TypeVar("T")
 
+# Returns why a request is refused, by its head; None if it may be served.
+FindRefusal = Callable[[Call], LacewingError | None]
+
 
 class CallerDisconnected(Exception):
     """The caller closed its connection, or the connection broke."""
@@ -106,13 +117,24 @@
 
     `limits` returns the current limits. Each request is read within the limits at its first byte.
     The connection may stay idle for the limit at the last answer, or the current one if that is
-    longer: callers go by the newest limit that they know.
+    longer: callers go by the newest limit that they know. `hold` accounts for what it takes, and
+    `find_refusal` returns why a request is refused whose large body is still to come.
     """
 
     def __init__(
-        self, stream: Stream, limits: Callable[[], CallerLimits], turns: ReadTurns
+        self,
+        stream: Stream,
+        limits: Callable[[], CallerLimits],
+        turns: ReadTurns,
+        hold: ClientHold,
+        find_refusal: FindRefusal,
     ) -> None:
         self._stream = stream
+        self._hold = hold
+        self._find_refusal = find_refusal
+        self._body = bytearray()  # of the request that is read
+        self._room = 0  # for it, in bytes
+        self._is_evicted = False
         self._read_limits = limits
         self._limits = limits()
         self._turns = turns
@@ -127,6 +149,7 @@
         self._idle_since = _now()
         self._idle_s = self._limits.idle_s  # allowed by the limits at that time
         self._idle_timer = ReadTimer(self._idle_until)
+        self._has_answered = False
 
     @property
     def can_be_reused(self) -> bool:
@@ -143,6 +166,16 @@
         """Whether the entry stops, so that the request in progress needs an answer at once."""
         return self._is_stopped
 
+    @property
+    def is_evicted(self) -> bool:
+        """Whether the connection is closed for others, for want of memory or connections."""
+        return self._is_evicted
+
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether part of the body of a request is still to come."""
+        return self._http.their_state is h11.SEND_BODY
+
     @property
     def head(self) -> HeaderList:
         """The headers of the current request; empty if its head has not been read."""
@@ -156,11 +189,24 @@
 
     def close(self) -> None:
         """Close the connection; reset it if its end would mark an incomplete answer as complete."""
+        self._body = bytearray()
         is_incomplete = self._http.our_state in (h11.SEND_BODY, h11.ERROR)
         if is_incomplete and (self._http.their_http_version or b"") < FIRST_CHUNKED_VERSION:
             self._stream.abort()
         self._stream.close()
 
+    def evict(self) -> None:
+        """Discard what has been received of a body; close the connection if there is none."""
+        self._is_evicted = True
+        self._body = bytearray()
+        match self._hold.use.state:
+            case ClientState.KEPT:
+                self._stream.close()
+            case ClientState.ARRIVING if self.is_reading_body:
+                return
+            case _:
+                self._stream.abort()
+
     def stop_waiting(self) -> None:
         """Wait only briefly for the next request; continue with one that is arriving."""
         self._is_stopping = True
@@ -171,18 +217,12 @@
         self._is_stopped = self._must_close = True
 
     async def finish(self) -> int:
-        """End the answers, and read and discard what the caller still sends until it closes too.
+        """End the answers, and discard what the caller still sends until it closes too.
 
-        Closing while bytes arrive resets the connection, and both hosts discard what they have not
-        sent or read yet, so the last answer would be cut. Return the number of bytes discarded.
+        Return the number of bytes discarded.
         """
-        discarded = len(self._reader.unread)
-        self._stream.end_sending()
-        with suppress(TimeoutError, OSError):
-            async with asyncio.timeout(CLOSE_READ_S):
-                while data := await self._stream.read(READ_BYTES):
-                    discarded += len(data)
-        return discarded
+        unread = len(self._reader.unread)
+        return unread + await discard_rest(self._stream, READ_BYTES, CLOSE_READ_S)
 
     def close_after_answer(self) -> None:
         """Send `connection: close` with the next answer and close the connection after it.
@@ -201,8 +241,11 @@
         `TimeoutError` if no request arrives within the idle limit.
         """
         if self._http.our_state is h11.DONE:
+            self._has_answered = True
             self._reader.start_next_cycle()
         self._is_head_only, self._request_head = False, ()
+        self._hold.release()
+        self._hold.add(len(self._reader.unread))
         try:
             event = await self._await_head()
             if not isinstance(event, h11.Request):
@@ -211,21 +254,27 @@
             arrived_at = _now()
             headers = self._request_head = _decode_headers(event)
             _check_framing(headers)
-            body = await self._read_body()
+            await self._hold.reserve_head(len(headers))
+            method = event.method.decode("ascii")
+            domain = next(iter(header_values(headers, "host")), "")
+            target = event.target.decode("latin-1")
+            call = Call(method, target, domain, headers, b"", arrived_at, hold=self._hold)
+            body = await self._read_body(call)
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, f"invalid HTTP: {error}") from error
         except ConnectionResetError as error:
             raise HttpError(BAD_REQUEST, f"invalid HTTP: {error}") from error
-        method = event.method.decode("ascii")
-        domain = next(iter(header_values(headers, "host")), "")
-        target = event.target.decode("latin-1")
-        return Call(method, target, domain, headers, body, arrived_at, _now())
+        self._hold.enter(ClientState.SERVED)
+        return replace(call, body=body, received_at=_now())
 
     async def _await_head(self) -> Any:
         """Wait for the first byte within the idle limit, then for the head within its own limit."""
         if not self._reader.has_unread:
             self._idle_since, self._idle_s = _now(), self._read_limits().idle_s
+            if self._has_answered:
+                self._hold.enter(ClientState.KEPT)
             self._reader.receive(await self._idle_timer.run(self._read))
+        self._hold.enter(ClientState.ARRIVING)
         self._apply_limits()
         event = self._reader.next_buffered()
         if event is not h11.NEED_DATA:
@@ -256,48 +305,79 @@
     async def _read_head(self) -> Any:
         return await self._reader.next_event(self._read)
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, call: Call) -> bytes:
+        """Return the body of a request; refuse it as early as its size allows to."""
+        self._body, self._room = bytearray(), 0
+        length = _stated_length(call.headers)
+        if length is not None:
+            await self._make_room(call, length)
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.write(self._http.send(interim) or b"")
-        body = bytearray()
-        limit_s = self._limits.head_s + self._limits.idle_s
+        until = _now() + self._limits.head_s + self._limits.idle_s
+        timer = ReadTimer(lambda: until)
         try:
-            await _finish_within(limit_s, lambda: self._append_body(body))
+            while not await timer.run(self._append_body):
+                # How much follows in chunks is unknown.
+                await self._make_room(call, next_room(len(self._body), self._limits.body_bytes))
         except TimeoutError as error:
             raise HttpError(REQUEST_TIMEOUT, "the body arrives too slowly") from error
-        return bytes(body)
-
-    async def _append_body(self, body: bytearray) -> None:
-        """Append the rest of the body; continue where a cancelled call stopped."""
-        while True:
+        body, self._body = bytes(self._body), bytearray()
+        return body
+
+    async def _make_room(self, call: Call, size: int) -> None:
+        """Take memory for a body, or raise why it is refused."""
+        limit = self._limits.body_bytes
+        if size > limit:
+            raise HttpError(CONTENT_TOO_LARGE, f"the body is over {limit} bytes")
+        if size > SMALL_BODY_BYTES:
+            refusal = self._find_refusal(call)
+            if refusal is not None:
+                raise refusal
+        await self._hold.reserve_body(size - self._room)
+        self._room = size
+
+    async def _append_body(self) -> bool:
+        """Append the rest of the body, or as much as there is room for; return whether it ended.
+
+        Continue where a cancelled call stopped.
+        """
+        limit = self._limits.body_bytes
+        while len(self._body) <= self._room:
             event = await self._reader.next_event(self._read)
             match event:
                 case h11.EndOfMessage():
-                    return
+                    return True
                 case h11.Data():
-                    body.extend(event.data)
-                    if len(body) > self._limits.body_bytes:
-                        limit = self._limits.body_bytes
+                    self._body.extend(event.data)
+                    if len(self._body) > limit:
+                        self._body = bytearray()
                         raise HttpError(CONTENT_TOO_LARGE, f"the body is over {limit} bytes")
                 case _:
                     raise CallerDisconnected
+        return False
 
     async def _read(self) -> bytes:
+        limit = READ_BYTES if self.is_reading_body else PIPELINED_BYTES
         try:
-            return await self._stream.read(READ_BYTES)
+            data = await self._stream.read(limit)
         except OSError as error:
             raise CallerDisconnected from error
+        self._hold.note_bytes(len(data))
+        if not self.is_reading_body:
+            self._hold.add(len(data))
+        return data
 
     async def wait_for_disconnect(self) -> None:
         """Return once the caller has disconnected; buffer what else it sends."""
         while len(self._reader.unread) < PIPELINED_BYTES:
             try:
-                data = await self._stream.read(READ_BYTES)
+                data = await self._stream.read(PIPELINED_BYTES)
             except OSError:
                 return
             if not data:
                 return
+            self._hold.add(len(data))
             self._reader.receive(data)
         await asyncio.Event().wait()
 
@@ -315,9 +395,14 @@
             fields.append(("content-length", str(len(body))))
         data = self._head(status, fields)
         if body and has_body and not self._is_head_only:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        await self._write(data)
+            content = self._http.send(h11.Data(data=body)) or b""
+            if len(content) <= WRITE_BYTES:
+                data += content
+            else:
+                await self._write(data)
+                data = content
+        end = self._http.send(h11.EndOfMessage()) or b""
+        await self._write(data + end)
 
     async def begin(
         self,
@@ -375,13 +460,21 @@
         return self._http.send(h11.Response(status_code=status, headers=fields)) or b""
 
     async def _write(self, data: bytes) -> None:
+        """Send bytes, as fast as the caller reads them."""
         try:
-            self._stream.write(data)
-            await self._stream.drain()
+            await self._hold.send(self._stream, data)
         except OSError as error:
             raise CallerDisconnected from error
 
 
+def _stated_length(headers: HeaderList) -> int | None:
+    """Return the length of a body as its head states it; None if it comes in chunks."""
+    if header_values(headers, "transfer-encoding"):
+        return None
+    lengths = header_values(headers, "content-length")
+    return int(lengths[0]) if lengths else 0
+
+
 def _http_server(limits: CallerLimits) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
 
@@ -406,11 +499,16 @@
 Serve = Callable[[Call, CallerConnection], Awaitable[None]]
 
 
+def _refuse_nothing(call: Call) -> LacewingError | None:
+    return None
+
+
 class CallerListener:
     """Accepts connections of callers and passes each request to `serve`.
 
     `limits` returns the current limits, and `read_id` the id of a request from its headers, for the
-    log. `close(grace_s)` lets requests in progress finish.
+    log. `find_refusal` is asked before a large body is read, and `door` limits the connections.
+    `close(grace_s)` lets requests in progress finish.
     """
 
     def __init__(
@@ -420,12 +518,16 @@
         serve: Serve,
         limits: Callable[[], CallerLimits],
         read_id: Callable[[HeaderList], str] = lambda headers: "",
+        find_refusal: FindRefusal = _refuse_nothing,
+        door: ClientDoor | None = None,
     ) -> None:
         self._network = network
         self._address = address
         self._serve = serve
         self._limits = limits
         self._read_id = read_id
+        self._find_refusal = find_refusal
+        self._door = door or Clients.unlimited().caller_door("callers")
         self._turns = ReadTurns()
         self._listener: Listener | None = None
         self._open: dict[asyncio.Task[None], CallerConnection] = {}
@@ -491,7 +593,11 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        caller = CallerConnection(stream, self._limits, self._turns)
+        hold = self._door.admit(lambda _: self._evict(caller, task))
+        if hold is None:
+            stream.abort()
+            return
+        caller = CallerConnection(stream, self._limits, self._turns, hold, self._find_refusal)
         self._open[task] = caller
         if self._is_leaving:
             caller.close_after_answer()
@@ -506,13 +612,24 @@
                 is_read = task in self._busy
                 log.warning("call_unanswered", reason=repr(error), is_read=is_read)
         except asyncio.CancelledError:
-            if not caller.is_stopped:
+            if caller.is_stopped:
+                await self._end_stopped(caller, is_read=task in self._busy)
+            elif caller.is_evicted:
+                await self._end_evicted(caller)
+            else:
                 raise
-            await self._end_stopped(caller, is_read=task in self._busy)
         finally:
             self._open.pop(task, None)
             self._busy.discard(task)
             caller.close()
+            self._door.leave(hold, stream)
+
+    def _evict(self, caller: CallerConnection, task: "asyncio.Task[None]") -> None:
+        """Close a connection for others; a caller whose body is read is told that it is refused."""
+        is_reading_body = caller.is_reading_body and task not in self._busy
+        caller.evict()
+        if is_reading_body:
+            task.cancel()
 
     async def _serve_one(self, call: Call, caller: CallerConnection) -> None:
         """Serve a request; answer and log an error that `serve` did not handle."""
@@ -533,6 +650,23 @@
         if discarded:
             log.info("call_discarded", bytes=discarded)
 
+    async def _end_evicted(self, caller: CallerConnection) -> None:
+        """Refuse a request whose body was discarded for others."""
+        error = Overloaded("others need the memory", retry_after_ms=EVICTED_RETRY_AFTER_MS)
+        with suppress(CallerDisconnected):
+            await self._refuse_unread(caller, error)
+
+    async def _refuse_unread(self, caller: CallerConnection, error: LacewingError) -> None:
+        """Refuse a request that is not read completely, and close its connection."""
+        log.info(
+            "call_refused",
+            request_id=self._read_id(caller.head),
+            error=error,
+            status=error.http_status,
+        )
+        await caller.refuse(error, keep=False)
+        await caller.finish()
+
     async def _end_stopped(self, caller: CallerConnection, is_read: bool) -> None:
         """End a connection after the grace period."""
         with suppress(CallerDisconnected):
@@ -549,42 +683,50 @@
                 await caller.finish()
 
     async def _serve_all(self, caller: CallerConnection, task: "asyncio.Task[None]") -> None:
-        while True:
-            try:
-                call = await caller.next_call()
-            except HttpError as error:
-                request_id, reason = self._read_id(caller.head), str(error)
-                log.info(
-                    "call_malformed", request_id=request_id, status=error.status, reason=reason
-                )
-                await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
-                await caller.finish()
-                return
-            except TimeoutError:
-                await self._finish(caller)
-                return
-            if call is None:
-                return
-            self._busy.add(task)
-            serve_until = self._closing_at + SERVE_WHILE_CLOSING_S
-            if call.arrived_at > serve_until:
-                log.info(
-                    "call_refused",
-                    request_id=self._read_id(call.headers),
-                    reason="closing",
-                    status=Draining.http_status,
-                    domain=call.domain,
-                    path=call.path,
-                )
-                await caller.refuse(_stopping())
-            else:
-                is_late = call.received_at > serve_until
-                limited = replace(call, must_end_by=self._closed_by) if is_late else call
-                await self._serve_one(limited, caller)
-            self._busy.discard(task)
-            if not caller.can_be_reused:
-                await self._finish(caller)
+        try:
+            while await self._serve_next(caller, task):
+                pass
+        except TimeoutError:
+            await self._finish(caller)
+        except LacewingError as error:
+            await self._refuse_unread(caller, error)
+        except HttpError as error:
+            if caller.is_evicted:
                 return
+            request_id, reason = self._read_id(caller.head), str(error)
+            log.info("call_malformed", request_id=request_id, status=error.status, reason=reason)
+            await caller.refuse(MalformedHttp(str(error)), error.status, keep=False)
+            await caller.finish()
+
+    async def _serve_next(self, caller: CallerConnection, task: "asyncio.Task[None]") -> bool:
+        """Serve the next request; return whether another may follow.
+
+        The request is not kept while the connection waits for another one.
+        """
+        call = await caller.next_call()
+        if call is None:
+            return False
+        self._busy.add(task)
+        serve_until = self._closing_at + SERVE_WHILE_CLOSING_S
+        if call.arrived_at > serve_until:
+            log.info(
+                "call_refused",
+                request_id=self._read_id(call.headers),
+                reason="closing",
+                status=Draining.http_status,
+                domain=call.domain,
+                path=call.path,
+            )
+            await caller.refuse(_stopping())
+        else:
+            is_late = call.received_at > serve_until
+            limited = replace(call, must_end_by=self._closed_by) if is_late else call
+            await self._serve_one(limited, caller)
+        self._busy.discard(task)
+        if caller.can_be_reused:
+            return True
+        await self._finish(caller)
+        return False
 
 
 def _now() -> float:
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -12,7 +12,7 @@
 import asyncio
 import math
 from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterator
-from contextlib import aclosing, asynccontextmanager, contextmanager
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -21,7 +21,7 @@
 from lacewinggw.decisions.dispatch import TargetPool
 from lacewinggw.decisions.homeregions import Homes, anywhere
 from lacewinggw.decisions.targetload import TargetLoad
-from lacewinggw.errors import AnswerIncomplete, AnswerMalformed
+from lacewinggw.errors import AnswerIncomplete, AnswerMalformed, Overloaded
 from lacewinggw.frontend.admission import AdmittedRequest
 from lacewinggw.frontend.calls import (
     DEFAULT_URGENCY,
@@ -31,6 +31,7 @@
     end_to_end_headers,
 )
 from lacewinggw.frontend.targetanswers import TargetAnswers
+from lacewinggw.wire.clients import ClientHold
 from lacewinggw.wire.events import EVENT_END, EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
@@ -43,8 +44,8 @@
 CONNECT_TIMEOUT_S = 0.25  # takes a few ms; a link with a queue of a second is unusable
 LIVENESS_TIMEOUT_S = 0.25
 BODY_LIMIT_BYTES = 16 << 20
-BUFFERED_LIMIT_BYTES = 48 << 20  # of all answers that are buffered until they are complete
-SMALL_ANSWER_BYTES = 1 << 20  # accepted beyond that limit as well
+RESERVED_BYTES = 1 << 14  # of memory at first, for an answer whose length is not stated
+SMALL_ANSWER_BYTES = 1 << 20  # waits for memory; a larger one does if its length is stated
 # Events that an answer may have, and more for each second that it takes.
 MAX_EVENTS = 16_000
 EVENTS_PER_S = 1000.0
@@ -101,43 +102,6 @@
     fault: AnswerFault | None = None
 
 
-class AnswerBuffers:
-    """The answers that are buffered until they are complete, within a limit for all of them."""
-
-    def __init__(self, limit_bytes: int = BUFFERED_LIMIT_BYTES) -> None:
-        self._limit_bytes = limit_bytes
-        self._size = 0
-
-    @contextmanager
-    def open(self) -> Iterator["AnswerBuffer"]:
-        """Provide the account of one answer's memory, and release it at the end."""
-        buffer = AnswerBuffer(self)
-        try:
-            yield buffer
-        finally:
-            self._size -= buffer.size
-
-    def reserve(self, size: int) -> bool:
-        """Add to the size of all buffers; return whether it is within the limit."""
-        self._size += size
-        return self._size <= self._limit_bytes
-
-
-class AnswerBuffer:
-    """The memory that the received part of one answer takes, in bytes."""
-
-    def __init__(self, buffers: AnswerBuffers) -> None:
-        self._buffers = buffers
-        self.size = 0
-
-    def add(self, size: int) -> None:
-        """Add received bytes; raise `AnswerMalformed` if a large answer exceeds the limit."""
-        self.size += size
-        is_within_limit = self._buffers.reserve(size)
-        if not is_within_limit and self.size > SMALL_ANSWER_BYTES:
-            raise AnswerMalformed(f"no memory for an answer of over {self.size} bytes")
-
-
 @dataclass(frozen=True)
 class Answer:
     """The head of an answer that belongs to the request; a success has the response seal."""
@@ -146,7 +110,7 @@
     headers: Headers
     facts: AnswerFacts
     response: StreamedResponse
-    buffers: AnswerBuffers = field(default_factory=AnswerBuffers, compare=False)
+    hold: ClientHold | None = field(default=None, compare=False)  # of the caller
 
     @property
     def is_success(self) -> bool:
@@ -188,7 +152,6 @@
         self._codec = codec
         self._pool = pool
         self._answers = answers
-        self._buffers = AnswerBuffers()
 
     async def send(
         self,
@@ -288,7 +251,7 @@
                 is_full=response.status == BUSY,
                 is_replaced=is_gone,
             )
-        return Answer(response.status, response.headers, facts, response, self._buffers)
+        return Answer(response.status, response.headers, facts, response, admitted.call.hold)
 
 
 def _find_fault(admitted: AdmittedRequest, status: int, facts: AnswerFacts) -> AnswerFault | None:
@@ -306,16 +269,39 @@
 async def read_whole(answer: Answer, on_data: Callable[[], None]) -> bytes:
     """Return the complete body of an answer; raise `AnswerIncomplete` if it ends early.
 
-    `on_data` is called each time a part of it arrives.
+    `on_data` is called each time a part of it arrives. The caller's account holds the memory until
+    the request ends.
     """
-    with answer.buffers.open() as buffer:
-
-        def note_data(size: int) -> None:
+    parts: list[bytes] = []
+    size = room = 0
+    async with (
+        _receiving(answer),
+        aclosing(answer.response.pieces(BODY_LIMIT_BYTES)) as pieces,
+    ):
+        async for piece in pieces:
             on_data()
-            buffer.add(size)
+            size += len(piece)
+            if size > room:
+                room += await _make_room(answer, size - room, room)
+            parts.append(piece)
+    return b"".join(parts)
 
-        async with _receiving(answer):
-            return await answer.response.read(BODY_LIMIT_BYTES, note_data)
+
+async def _make_room(answer: Answer, size: int, room: int) -> int:
+    """Take memory for `size` bytes more of an answer than there is room for; return how much.
+
+    Raise `AnswerMalformed` if there is none.
+    """
+    length = answer.headers.get("content-length", "")
+    expected = int(length) if length.isdigit() else max(RESERVED_BYTES, room)
+    taken = max(size, min(expected, BODY_LIMIT_BYTES))
+    may_wait = bool(length) or room + taken <= SMALL_ANSWER_BYTES
+    if answer.hold is not None:
+        try:
+            await answer.hold.reserve(taken, is_answer=True, may_wait=may_wait)
+        except Overloaded as error:
+            raise AnswerMalformed(f"no memory for {taken} bytes of an answer") from error
+    return taken
 
 
 async def read_events(answer: Answer) -> AsyncGenerator[list[StreamEvent], None]:
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -58,6 +58,7 @@
 from lacewinggw.ids import Address, HostId, Place, ServiceName, TargetId, new_incarnation
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
+from lacewinggw.wire.clients import Clients
 from lacewinggw.wire.frames import Message
 from lacewinggw.wire.http import PAGE_LIMITS, Handler, HeaderList, HttpClient, HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
@@ -116,6 +117,7 @@
     ) -> None:
         fleet, process, entry = settings.fleet, settings.process, settings.entry
         self.metrics = Metrics()
+        self._clients = Clients.from_config(process, self.metrics)
         self.knowledge = RoutingView(knowledge_rules(settings), clock())
         self._settings = settings
         self._adapter = adapter
@@ -190,7 +192,13 @@
         self._crashes = self._make_crashes()
         self.relay = self._make_relay()
         self._callers = CallerListener(
-            network, entry.caller_listen, self._serve, self._limits, self._read_id
+            network,
+            entry.caller_listen,
+            self._serve,
+            self._limits,
+            self._read_id,
+            self.relay.find_refusal,
+            self._clients.caller_door("callers"),
         )
         self._servers = self._make_servers()
         self._announcer = Announcer(adapter.rows, self._member(), rng)
--- a/src/lacewinggw/frontend/relay.py
+++ b/src/lacewinggw/frontend/relay.py
@@ -77,6 +77,21 @@
             # An error in `work` refers to this frame, and would keep the request in a cycle.
             del work, watch
 
+    def find_refusal(self, call: Call) -> LacewingError | None:
+        """Return why a request is refused by its head; None if this needs more than the head.
+
+        The refusal counts as made.
+        """
+        deps = self._deps
+        try:
+            admit(call, deps.codec.read_call(call.headers), deps.knowledge, deps.clock(), deps.rng)
+        except RoutesSuperseded:
+            return None
+        except LacewingError as error:
+            deps.metrics.count_refusal_error(error)
+            return error
+        return None
+
     async def _serve(self, call: Call, caller: CallerConnection) -> None:
         began = _now()
         progress: RequestProgress | None = None
--- a/src/lacewinggw/metricnames.py
+++ b/src/lacewinggw/metricnames.py
@@ -39,6 +39,12 @@
 
 METRICS: Mapping[str, MetricFacts] = {
     "claim_writes": _counter("entry", "Writes of claims, each for one or more keyed requests."),
+    "client_connections": _gauge("both", "Connections of clients, by listener."),
+    "client_memory": _gauge("both", "Bytes that clients make this process hold."),
+    "client_memory_limit": _gauge("both", "The most bytes that clients may make it hold."),
+    "client_memory_refusals": _counter("both", "Requests refused for want of memory."),
+    "clients_evicted": _counter("both", "Connections of clients closed for others, by reason."),
+    "clients_refused": _counter("both", "Connections refused as none gave way, by listener."),
     "configuration_news": _counter("both", "Log entries received from peers."),
     "configuration_news_sent_bytes": _counter("both", "Bytes of log entries sent on to peers."),
     "configuration_revision": _gauge("both", "Highest revision applied."),
--- a/tests/fleet/test_attempts_properties.py
+++ b/tests/fleet/test_attempts_properties.py
@@ -186,6 +186,9 @@
         self._streams, self._is_failed = streams and not is_failed, is_failed
 
     async def pieces(self, limit_bytes=None):
+        if not self._streams:
+            yield await self._read_whole()
+            return
         rng = self._schedule.rng
         numbers = list(range(self._run.first, EVENTS + 1))
         while numbers:
@@ -204,11 +207,10 @@
         await self._wait()
         self._run.is_open = False
 
-    async def read(self, limit, on_data):
+    async def _read_whole(self):
         await self._wait()
         if not self._is_failed:  # else it ran before its head came
             self._run.began_at = now()
-        on_data(5)
         if self._schedule.breaks():
             raise ConnectionResetError("reset")
         self._run.is_open = False
--- a/tests/fleet/test_endless_targets.py
+++ b/tests/fleet/test_endless_targets.py
@@ -12,8 +12,7 @@
 from platform_standins import DESK, LLM
 from raw_targets import RawRequest, RawTarget
 
-from lacewinggw.errors import AnswerMalformed
-from lacewinggw.frontend.offers import SMALL_ANSWER_BYTES, AnswerBuffers
+from lacewinggw.decisions.clientload import SMALL_BYTES, ClientUse, MemoryLimit
 from lacewinggw.wire.network import Stream
 
 pytestmark = pytest.mark.looptime
@@ -117,13 +116,15 @@
 
 # Guards against answers that fill the memory of an entry together, each within its own limit.
 def test_large_answers_share_a_limit():
-    buffers = AnswerBuffers(limit_bytes=3 * SMALL_ANSWER_BYTES)
-    with buffers.open() as first:
-        first.add(2 * SMALL_ANSWER_BYTES)
-        with buffers.open() as second, pytest.raises(AnswerMalformed):
-            second.add(SMALL_ANSWER_BYTES)
-            second.add(1)
-        with buffers.open() as small:
-            small.add(SMALL_ANSWER_BYTES)
-    with buffers.open() as third:
-        third.add(3 * SMALL_ANSWER_BYTES)
+    limit = MemoryLimit(8 * SMALL_BYTES)
+    first, second, small = ClientUse(), ClientUse(), ClientUse()
+    assert limit.take(first, 5 * SMALL_BYTES)
+    assert limit.take(second, SMALL_BYTES)
+    assert not limit.take(second, 1)
+    assert limit.take(small, SMALL_BYTES)
+    limit.release(first)
+    assert limit.take(second, 4 * SMALL_BYTES)
+    limit.release(small)
+    limit.release(second)
+    assert limit.used_bytes == 0
+    assert limit.take(second, 10 * SMALL_BYTES)  # the only large one
--- a/tests/test_endless_services.py
+++ b/tests/test_endless_services.py
@@ -13,19 +13,16 @@
 from lacewinggw_platform.origin import PlatformOrigin
 from lacewinggw_platform.store import PlatformStore
 
+from lacewinggw.decisions.clientload import ClientState
 from lacewinggw.decisions.storeposition import StorePosition
 from lacewinggw.errors import LacewingError, TargetUnreachable
 from lacewinggw.fleet.feed import Topic
 from lacewinggw.frontend.calls import AnswerFacts
-from lacewinggw.frontend.offers import (
-    BUFFERED_LIMIT_BYTES,
-    SMALL_ANSWER_BYTES,
-    Answer,
-    AnswerBuffers,
-    read_whole,
-)
+from lacewinggw.frontend.offers import Answer, read_whole
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.loader.target import StagedLoadOrder, SwitchMode
+from lacewinggw.metrics import Metrics
+from lacewinggw.wire.clients import ClientLimits, Clients
 from lacewinggw.wire.http import HttpClient, HttpError
 from lacewinggw.wire.network import TcpNetwork
 
@@ -35,6 +32,8 @@
 MANIFEST = Manifest("market@2", "market@2", [b"h" * 32], [1024])
 ORDER = StagedLoadOrder("market", 2, SwitchMode.FINISH, 1, 0)
 AFTER = StorePosition(0, 1)
+HELD_BYTES = 48 << 20
+CONNECTION_BYTES = 512 << 10  # of a connection, for what is received and not read
 
 READERS = {
     "report": lambda http, at: PlatformEngine(http, at).report(),
@@ -71,23 +70,27 @@
 # Guards against many faulty targets at once whose answers fill the memory of an entry together.
 async def test_endless_answers_of_many_targets_take_a_limited_amount_of_memory():
     answers_at_once = 64
-    buffers = AnswerBuffers()
+    clients = Clients(ClientLimits(HELD_BYTES, answers_at_once, 1), Metrics())
+    door = clients.caller_door("callers")
     facts = AnswerFacts("call", not_run=False, sealed=True)
     async with socket_peer(*ENDLESS_ANSWERS["a body"]) as peer:
         client = HttpClient(TcpNetwork(), idle_connections=0)
 
         async def read() -> str:
             response = await client.stream(peer.address, "GET", "/", timeout_s=CALL_S)
-            answer = Answer(response.status, response.headers, facts, response, buffers)
+            hold = door.admit(lambda _: None)
+            hold.enter(ClientState.SERVED)
+            answer = Answer(response.status, response.headers, facts, response, hold)
             try:
                 await read_whole(answer, lambda: None)
             except (LacewingError, HttpError) as error:
+                hold.release()
                 return str(error)
             return "complete"
 
         before = peak_bytes()
         endings = await asyncio.gather(*(read() for _ in range(answers_at_once)))
         await client.close()
-        limit = BUFFERED_LIMIT_BYTES + answers_at_once * SMALL_ANSWER_BYTES
+        limit = HELD_BYTES + answers_at_once * CONNECTION_BYTES
         assert "complete" not in endings
         assert peak_bytes() - before < limit
