--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -26,7 +26,7 @@
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
-from lacewinggw.wire.http import HttpServer
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -23,7 +23,8 @@
 from lacewinggw.log import configure_process_log, get_logger
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
-from lacewinggw.wire.http import HttpLimits, HttpServer, Request, Response
+from lacewinggw.wire.http import HttpLimits, Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -60,7 +60,8 @@
 from lacewinggw.metrics import Metrics
 from lacewinggw.wire.clients import Clients
 from lacewinggw.wire.frames import Message
-from lacewinggw.wire.http import PAGE_LIMITS, Handler, HeaderList, HttpClient, HttpServer
+from lacewinggw.wire.http import PAGE_LIMITS, Handler, HeaderList, HttpClient
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
 from lacewinggw.wire.validation import require_valid
@@ -135,7 +136,12 @@
         self.incarnation = new_incarnation(rng)
         identity = Identity(process.host, messages.Role.ENTRY, process.place, self.incarnation)
         self._node = PeerNode(
-            network, identity, process.fleet_key, self._handle, on_notification=self._handle_notice
+            network,
+            identity,
+            process.fleet_key,
+            self._handle,
+            on_notification=self._handle_notice,
+            door=self._clients.page_door("peers"),
         )
         self._neighbours = self._make_neighbours()
         self._leaving_targets = LeavingTargets(
@@ -369,14 +375,15 @@
         ready = self._adapter.ready_page(lambda: self.is_ready)
         directory = self._adapter.directory_page(self.resolve, self._address_ttl_s)
         pages = OperatorPages(Health(self.metrics, self._readiness), self._evacuations)
+        entry = self._settings.entry
+        listeners = [
+            ("ready", entry.ready_listen, ready),
+            ("directory", entry.directory_listen, directory),
+            ("operators", entry.operator_listen, pages.handle),
+        ]
         return [
-            HttpServer(self._network, self._settings.entry.ready_listen, ready, PAGE_LIMITS),
-            HttpServer(
-                self._network, self._settings.entry.directory_listen, directory, PAGE_LIMITS
-            ),
-            HttpServer(
-                self._network, self._settings.entry.operator_listen, pages.handle, PAGE_LIMITS
-            ),
+            HttpServer(self._network, address, handler, PAGE_LIMITS, self._clients.page_door(name))
+            for name, address, handler in listeners
         ]
 
     # ---- life cycle -----------------------------------------------------------------------------
--- a/src/lacewinggw/lab/standin.py
+++ b/src/lacewinggw/lab/standin.py
@@ -20,7 +20,8 @@
 from random import Random
 from typing import Any, Generic, TypeVar
 
-from lacewinggw.wire.http import HttpServer, Request, Response, json_response
+from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network
 
 LOOPBACK = "127.0.0.1:0"
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -56,8 +56,10 @@
 from lacewinggw.loader.targetloader import StagedChunks, TargetLoader
 from lacewinggw.log import get_logger
 from lacewinggw.metrics import Metrics
+from lacewinggw.wire.clients import Clients
 from lacewinggw.wire.frames import Message
-from lacewinggw.wire.http import PAGE_LIMITS, HttpServer
+from lacewinggw.wire.http import PAGE_LIMITS
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
 from lacewinggw.wire.peers import Exchange, Identity, PeerLink, PeerNode
@@ -157,6 +159,7 @@
     ) -> None:
         process, agent = settings.process, settings.agent
         self.metrics = Metrics()
+        clients = Clients.from_config(process, self.metrics)
         self.assignment = Assignment(
             ServiceName(agent.service_name),
             Address(agent.target),
@@ -171,7 +174,12 @@
         self._origin = _ConfiguredOrigin(adapter.make_origin)
         identity = Identity(process.host, messages.Role.AGENT, process.place, self.incarnation)
         self._node = PeerNode(
-            network, identity, process.fleet_key, self._handle, on_notification=self._handle_notice
+            network,
+            identity,
+            process.fleet_key,
+            self._handle,
+            on_notification=self._handle_notice,
+            door=clients.page_door("peers"),
         )
         self._staged = StagedChunks(adapter.target)
         self.spreader = Spreader.from_config(
@@ -201,7 +209,13 @@
         self._spread_inputs: _SpreadInputs | None = None
         self._plan: tuple[UpgradeRules, frozenset[HostId], UpgradePlanner] | None = None
         pages = HealthPages(Health(self.metrics, self._readiness))
-        self._server = HttpServer(network, agent.operator_listen, pages.handle, PAGE_LIMITS)
+        self._server = HttpServer(
+            network,
+            agent.operator_listen,
+            pages.handle,
+            PAGE_LIMITS,
+            clients.page_door("operators"),
+        )
         assignment = self.assignment
         self._store_clock = StoreClock()
         self._access = StoreAccess()
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -1,9 +1,6 @@
-"""HTTP/1.1 client and server over any `Network`, based on h11.
+"""HTTP/1.1 client over any `Network`, based on h11, and what it shares with the server.
 
-Every read has a size and a time limit. A handler turns a `Request` into a `Response`, whose body is
-bytes or an asynchronous iterator of pieces, which are sent chunked as they are produced. When such
-an iterator fails, the connection is closed before the final chunk, so that the caller can
-distinguish a truncated body from a complete one.
+Every read has a size and a time limit.
 """
 
 import asyncio
@@ -11,15 +8,12 @@
 from collections.abc import AsyncGenerator, AsyncIterable, Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qsl, unquote, urlsplit
 
 import h11
 
-from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp
 from lacewinggw.log import get_logger
 from lacewinggw.wire.httpreader import HttpReader
-from lacewinggw.wire.network import Listener, Network, Stream
-from lacewinggw.wire.problems import problem_body, problem_headers
+from lacewinggw.wire.network import Network, Stream
 from lacewinggw.wire.readturns import ReadTurns
 
 READ_BYTES = 1 << 16
@@ -109,17 +103,19 @@
     return Response(status, {"content-type": JSON_TYPE, **(headers or {})}, body)
 
 
-def _decode_headers(raw: Any) -> Headers:
+def decode_headers(raw: Any) -> Headers:
+    """Return headers as h11 has them as text; of a name that is repeated, the last."""
     return {name.decode("ascii"): value.decode("latin-1") for name, value in raw}
 
 
-def _encode_headers(headers: Headers | HeaderList) -> list[tuple[bytes, bytes]]:
+def encode_headers(headers: Headers | HeaderList) -> list[tuple[bytes, bytes]]:
+    """Return headers as h11 takes them."""
     pairs = headers.items() if isinstance(headers, dict) else headers
     # Values were decoded as latin-1, which restores bytes beyond ASCII unchanged.
     return [(name.encode("ascii"), value.encode("latin-1")) for name, value in pairs]
 
 
-class _HeadTimer:
+class HeadTimer:
     """Limits the time of a head: until its first byte, and from there to its end."""
 
     def __init__(self, stream: Stream, first_byte_s: float, head_s: float) -> None:
@@ -132,14 +128,14 @@
         """Read more of the head; raise `TimeoutError` once it takes too long."""
         if self._has_begun and _now() > self._until:
             raise TimeoutError
-        data = await _read(self._stream, self._until - _now())
+        data = await read_within(self._stream, self._until - _now())
         if not self._has_begun:
             self._has_begun = True
             self._until = _now() + self._head_s
         return data
 
 
-async def _read(stream: Stream, timeout_s: float) -> bytes:
+async def read_within(stream: Stream, timeout_s: float) -> bytes:
     """Read from a stream; raise `TimeoutError` if nothing arrives in time.
 
     If the event loop is busy until after the timeout, the timer cancels the read although bytes
@@ -160,180 +156,6 @@
     return asyncio.get_running_loop().time()
 
 
-async def _read_body(reader: HttpReader, stream: Stream, limits: HttpLimits) -> bytes:
-    """Read a complete body; raise `BodyTooLarge` once it exceeds the limit."""
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        event = await reader.next_event(lambda: _read(stream, limits.read_s))
-        if isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
-        if not isinstance(event, h11.Data):
-            raise ConnectionResetError("the connection closed before the end of the body")
-        size += len(event.data)
-        if size > limits.body_bytes:
-            raise BodyTooLarge(f"the body exceeds {limits.body_bytes} bytes")
-        parts.append(bytes(event.data))
-
-
-async def _end_body(body: AsyncIterable[bytes]) -> None:
-    """Close a body iterator now; an exception may keep it alive until garbage collection."""
-    close = getattr(body, "aclose", None)
-    if close is not None:
-        await close()
-
-
-class HttpServer:
-    """Serves one handler at one address.
-
-    `close(grace_s)` stops accepting, waits up to `grace_s` seconds for requests in progress, then
-    closes the remaining connections.
-    """
-
-    def __init__(
-        self, network: Network, address: str, handler: Handler, limits: HttpLimits | None = None
-    ) -> None:
-        self._network = network
-        self._requested_address = address
-        self._handler = handler
-        self._limits = limits or HttpLimits()
-        self._turns = ReadTurns()
-        self._listener: Listener | None = None
-        self._connections: dict[asyncio.Task[Any], Stream] = {}
-        self._busy: set[asyncio.Task[Any]] = set()
-        self._closing = False
-
-    @property
-    def address(self) -> str:
-        """The bound address; `start` must have completed."""
-        assert self._listener is not None, "call start() first"
-        return self._listener.address
-
-    async def start(self) -> None:
-        """Bind the address and start to accept connections."""
-        self._listener = await self._network.listen(self._requested_address, self._accept)
-
-    async def close(self, grace_s: float = 0.0) -> None:
-        """Stop accepting, wait up to `grace_s` for requests in progress, then close the rest."""
-        self._closing = True
-        if self._listener is not None:
-            await self._listener.close()
-        for task in [task for task in self._connections if task not in self._busy]:
-            task.cancel()
-        if self._busy and grace_s > 0:
-            await asyncio.wait(set(self._busy), timeout=grace_s)
-        remaining = list(self._connections)
-        for task in remaining:
-            task.cancel()
-        if remaining:
-            await asyncio.wait(remaining)
-
-    async def _accept(self, stream: Stream) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        self._connections[task] = stream
-        try:
-            await self._serve(stream, task)
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, h11.LocalProtocolError):
-            return
-        except asyncio.CancelledError:
-            if not self._closing:
-                raise
-        finally:
-            self._connections.pop(task, None)
-            self._busy.discard(task)
-            stream.close()
-
-    async def _serve(self, stream: Stream, task: "asyncio.Task[Any]") -> None:
-        limits = self._limits
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
-        reader = HttpReader(connection, self._turns)
-        while not self._closing:
-            try:
-                timer = _HeadTimer(stream, limits.idle_s, limits.read_s)
-                event = await reader.next_event(timer.read)
-                if not isinstance(event, h11.Request):
-                    return
-                self._busy.add(task)
-                request = await self._read_request(connection, reader, stream, event)
-            except h11.RemoteProtocolError as error:
-                refusal = MalformedHttp(f"malformed HTTP: {error}")
-                await self._refuse(connection, stream, refusal, error.error_status_hint)
-                return
-            except BodyTooLarge as error:
-                await self._refuse(connection, stream, error, error.http_status)
-                return
-            response = await self._answer(request)
-            await self._send(connection, stream, request, response)
-            self._busy.discard(task)
-            if connection.our_state is not h11.DONE or connection.their_state is not h11.DONE:
-                return
-            reader.start_next_cycle()
-
-    async def _answer(self, request: Request) -> Response:
-        """Return the handler's response, or status 500 when it raises an unexpected exception.
-
-        An `OSError` is passed on: a handler raises it to drop the connection without a response.
-        """
-        try:
-            return await self._handler(request)
-        except OSError:
-            raise
-        except Exception:
-            log.exception("http_handler_failed", method=request.method, path=request.path)
-            error = LacewingError("the request handler failed")
-            return Response(error.http_status, problem_headers(error), problem_body(error))
-
-    async def _read_request(
-        self, connection: h11.Connection, reader: HttpReader, stream: Stream, event: h11.Request
-    ) -> Request:
-        headers = _decode_headers(event.headers)
-        if connection.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(status_code=100, headers=[])
-            stream.write(connection.send(continue_response) or b"")
-        body = await _read_body(reader, stream, self._limits)
-        parts = urlsplit(event.target.decode("latin-1"))
-        query = dict(parse_qsl(parts.query, keep_blank_values=True))
-        return Request(event.method.decode("ascii"), unquote(parts.path), query, headers, body)
-
-    async def _refuse(
-        self, connection: h11.Connection, stream: Stream, error: LacewingError, status: int
-    ) -> None:
-        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
-        headers = {**problem_headers(error), "connection": "close"}
-        problem = Response(status, headers, problem_body(error, status=status))
-        await self._send(connection, stream, Request("GET", "/"), problem)
-
-    async def _send(
-        self, connection: h11.Connection, stream: Stream, request: Request, response: Response
-    ) -> None:
-        headers = dict(response.headers)
-        if self._closing:
-            headers["connection"] = "close"
-        if isinstance(response.body, bytes):
-            headers["content-length"] = str(len(response.body))
-            head = h11.Response(status_code=response.status, headers=_encode_headers(headers))
-            data = connection.send(head) or b""
-            if response.body and request.method != "HEAD":
-                data += connection.send(h11.Data(data=response.body)) or b""
-            data += connection.send(h11.EndOfMessage()) or b""
-            stream.write(data)
-            await stream.drain()
-            return
-        headers["transfer-encoding"] = "chunked"
-        head = h11.Response(status_code=response.status, headers=_encode_headers(headers))
-        try:
-            stream.write(connection.send(head) or b"")
-            async for piece in response.body:
-                stream.write(connection.send(h11.Data(data=piece)) or b"")
-                await stream.drain()
-        finally:
-            await _end_body(response.body)
-        stream.write(connection.send(h11.EndOfMessage()) or b"")
-        await stream.drain()
-
-
 class StreamedResponse:
     """A response whose body is still arriving; `aclose` abandons it."""
 
@@ -400,21 +222,13 @@
     async def _next_event(self) -> Any:
         stream, timeout_s = self._connection.stream, self._read_timeout_s
         try:
-            return await self._connection.reader.next_event(lambda: _read(stream, timeout_s))
+            return await self._connection.reader.next_event(lambda: read_within(stream, timeout_s))
         except h11.RemoteProtocolError as error:
             raise _violation_in_body(error) from error
 
-    async def read(self, limit_bytes: int, on_data: Callable[[int], None] | None = None) -> bytes:
-        """Return the complete body; raise `HttpError` 413 when it exceeds `limit_bytes`.
-
-        `on_data` is called with the size of each part that arrives.
-        """
-        parts: list[bytes] = []
-        async for piece in self.pieces(limit_bytes):
-            if on_data is not None:
-                on_data(len(piece))
-            parts.append(piece)
-        return b"".join(parts)
+    async def read(self, limit_bytes: int) -> bytes:
+        """Return the complete body; raise `HttpError` 413 when it exceeds `limit_bytes`."""
+        return b"".join([piece async for piece in self.pieces(limit_bytes)])
 
     async def aclose(self) -> None:
         """Reset the connection unless the body was read completely."""
@@ -567,7 +381,7 @@
                 on_connected(asyncio.get_running_loop().time() - began)
             self._send_request(connection, address, method, path, headers, body)
             wait_s = timeout_s if head_s is None else head_s
-            timer = _HeadTimer(stream, wait_s, min(wait_s, MAX_HEAD_S))
+            timer = HeadTimer(stream, wait_s, min(wait_s, MAX_HEAD_S))
             event = await connection.reader.next_event(timer.read)
             while isinstance(event, h11.InformationalResponse):
                 event = await connection.reader.next_event(timer.read)
@@ -582,7 +396,7 @@
             # Reset, so that queued bytes of the abandoned request are not delivered later.
             stream.abort()
             raise
-        received = _decode_headers(event.headers)
+        received = decode_headers(event.headers)
 
         def release(connection: _Connection) -> None:
             self._return_connection(address, connection)
@@ -601,7 +415,7 @@
         headers: Headers | HeaderList | None,
         body: bytes,
     ) -> None:
-        fields = _encode_headers(headers or {})
+        fields = encode_headers(headers or {})
         if all(name.lower() != b"host" for name, _ in fields):
             fields.insert(0, (b"host", address.encode("ascii")))
         if body or method in ("POST", "PUT"):
--- a/tests/fleet/test_adapter.py
+++ b/tests/fleet/test_adapter.py
@@ -24,7 +24,8 @@
 from lacewinggw.fleet.ownrows import crashing_key, crashing_row, parse_crashing_key
 from lacewinggw.frontend.calls import DispatchFacts
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import HttpClient, HttpServer, Response, json_response
+from lacewinggw.wire.http import HttpClient, Response, json_response
+from lacewinggw.wire.httpserver import HttpServer
 
 HEAD = [
     ("Host", "notes.example"),
--- a/tests/fuzz/test_fuzz_http.py
+++ b/tests/fuzz/test_fuzz_http.py
@@ -8,14 +8,8 @@
 from virtual import run_virtual
 
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import (
-    HttpClient,
-    HttpLimits,
-    HttpServer,
-    Request,
-    Response,
-    json_response,
-)
+from lacewinggw.wire.http import HttpClient, HttpLimits, Request, Response, json_response
+from lacewinggw.wire.httpserver import HttpServer
 
 ADDRESS = "10.0.0.1:8000"
 LIMITS = HttpLimits(body_bytes=1000, head_bytes=2000, idle_s=20.0, read_s=5.0)
--- a/tests/fuzz/test_fuzz_manifests.py
+++ b/tests/fuzz/test_fuzz_manifests.py
@@ -17,7 +17,8 @@
 from lacewinggw.generated.messages.ttypes import Manifest
 from lacewinggw.ids import Digest, ReleaseName
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import HttpServer, Request, Response
+from lacewinggw.wire.http import Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 
 IP = "10.0.0.1"
 HASHES = [hashlib.sha256(bytes([number])).digest() for number in range(3)]
--- a/tests/operator_desk.py
+++ b/tests/operator_desk.py
@@ -19,7 +19,7 @@
 from lacewinggw.lab.releases import SyntheticRelease
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.view import HeardHeartbeat
-from lacewinggw.wire.http import HttpServer
+from lacewinggw.wire.httpserver import HttpServer
 
 TOKENS = ["alice:secret-a", "bob:secret-b"]
 
--- a/tests/request_fleet.py
+++ b/tests/request_fleet.py
@@ -37,7 +37,8 @@
 from lacewinggw.lab.plain import PlainStandIn
 from lacewinggw.lab.standins import PlatformStandIns
 from lacewinggw.metrics import Metrics
-from lacewinggw.wire.http import HttpServer, Request, Response
+from lacewinggw.wire.http import Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.peers import Exchange, Identity, PeerNode
 
 FLEET_KEY = "key"
--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -14,7 +14,8 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import FrameKind
 from lacewinggw.wire.frames import encode_frame
-from lacewinggw.wire.http import PAGE_LIMITS, HttpServer, Response
+from lacewinggw.wire.http import PAGE_LIMITS, Response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import TcpNetwork
 from lacewinggw.wire.peers import Identity, PeerNode
 
--- a/tests/test_entry_client.py
+++ b/tests/test_entry_client.py
@@ -9,7 +9,8 @@
 from lacewinggw.ids import Address
 from lacewinggw.lab.memory import MemoryNetwork
 from lacewinggw.operators.client import EntryClient
-from lacewinggw.wire.http import HttpServer, Request, Response, json_response
+from lacewinggw.wire.http import Request, Response, json_response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Stream
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_http_problems.py
+++ b/tests/test_http_problems.py
@@ -6,7 +6,8 @@
 
 from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import HttpClient, HttpLimits, HttpServer, Request, Response
+from lacewinggw.wire.http import HttpClient, HttpLimits, Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Stream
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -24,7 +24,8 @@
 from lacewinggw.operators import shell
 from lacewinggw.operators.client import EntryClient
 from lacewinggw.operators.declarations import read_declarations
-from lacewinggw.wire.http import HttpClient, HttpServer, Request, Response
+from lacewinggw.wire.http import HttpClient, Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.problems import problem_body, problem_headers
 
 pytestmark = pytest.mark.looptime
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -8,7 +8,8 @@
 from lacewinggw.frontend.calls import AnswerFacts
 from lacewinggw.frontend.offers import Answer, read_events, read_whole
 from lacewinggw.lab.memory import MemoryNetwork
-from lacewinggw.wire.http import MAX_HEAD_S, HttpClient, HttpLimits, HttpServer, Response
+from lacewinggw.wire.http import MAX_HEAD_S, HttpClient, HttpLimits, Response
+from lacewinggw.wire.httpserver import HttpServer
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -37,7 +37,8 @@
 from lacewinggw.lab.plain import PlainStandIn
 from lacewinggw.lab.prompts import piece_text
 from lacewinggw.lab.runs import run_events
-from lacewinggw.wire.http import HttpServer, Request, Response
+from lacewinggw.wire.http import Request, Response
+from lacewinggw.wire.httpserver import HttpServer
 
 pytestmark = pytest.mark.looptime
 
