--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -29,6 +29,7 @@
 # From the first byte of a response's head to its end; a sound peer may pause in it.
 MAX_HEAD_S = 5.0
 BAD_GATEWAY = 502
+LAST_STATUS = 599  # of the classes that HTTP defines (RFC 9110, section 15)
 BODYLESS_STATUSES = frozenset({204, 304})  # their answers end with the head (RFC 9110, section 6.4)
 HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
 JSON_TYPE = "application/json"
@@ -389,6 +390,8 @@
                 raise ConnectionResetError(f"{address} closed the connection without a response")
             if event.http_version not in HTTP_VERSIONS:
                 raise h11.RemoteProtocolError("unknown version of the protocol")
+            if event.status_code > LAST_STATUS:  # h11 refuses those below 100
+                raise h11.RemoteProtocolError(f"the status {event.status_code} is not defined")
         except h11.RemoteProtocolError as error:
             stream.close()
             raise HttpError(BAD_GATEWAY, f"{address} violated HTTP: {error}") from error
