--- a/src/lacewinggw/agent/requests.py
+++ b/src/lacewinggw/agent/requests.py
@@ -40,6 +40,7 @@
 from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.ids import Incarnation
 from lacewinggw.metrics import Metrics
+from lacewinggw.wire.clients import BODY_COPIES, ClientLimits
 from lacewinggw.wire.peers import Exchange, Identity
 
 MS_PER_S = 1000.0
@@ -70,6 +71,9 @@
         rng: random.Random,
         plain: PlainClient | None,
     ) -> None:
+        held_bytes = ClientLimits.from_config(settings.process).held_bytes
+        self._body_limit_bytes = held_bytes // BODY_COPIES
+        self._body_bytes = 0  # of the runs in progress
         self._target_status = target_status
         self._identity = identity
         self._window = settings.requests.piece_window
@@ -235,9 +239,11 @@
         self._check_serving(head)
         deadline = now + min(head.deadline_ms / MS_PER_S, MAX_DEADLINE_S)
         self._executor.check_capacity(head, deadline)
+        self._check_memory(body)
         self._registry.take(name, now, bool(nonce))
         run = Run(name, head, body, digest, deadline)
         self._runs[name] = run
+        self._body_bytes += len(body)
         self._all_done.clear()
         self._executor.submit(run)
         return run
@@ -253,12 +259,20 @@
         if head.digest and head.digest != self._target_status.active_digest:
             raise ReleaseMoved("the target serves other weights")
 
+    def _check_memory(self, body: bytes) -> None:
+        """Refuse a body that exceeds the limit of all together, unless it is the only one."""
+        if self._body_bytes and self._body_bytes + len(body) > self._body_limit_bytes:
+            reason = "no memory at the target for a request of this size now"
+            raise Overloaded(reason, retry_after_ms=NOT_SERVING_RETRY_MS)
+
     def _count_held_pieces(self) -> int:
         """Return the number of pieces of requests in progress that are in memory."""
         return sum(len(run.pieces) for run in self._runs.values())
 
     def _on_run_ended(self, run: Run) -> None:
         self._runs.pop(run.id, None)
+        self._body_bytes -= len(run.body)
+        run.body = b""  # its digest is all that a retained run needs
         if run.finish is not None and not run.head.repeatable:
             self._retained.add(run, self._now())
         self._check_all_done()
--- a/src/lacewinggw/wire/http.py
+++ b/src/lacewinggw/wire/http.py
@@ -18,6 +18,7 @@
 
 READ_BYTES = 1 << 16
 MAX_BODY_BYTES = 64 << 20
+LARGE_BODY_BYTES = 1 << 16  # written apart from its head, which would copy it
 MAX_IDLE_CONNECTIONS = 32
 CONNECT_SHARE = 0.5
 # Time added to the timeout for a response that keeps arriving: 20 s transfer 0.5 MB at 200 kbit/s.
@@ -426,6 +427,9 @@
         head = h11.Request(method=method, target=path, headers=fields)
         http = connection.http
         data = http.send(head) or b""
+        if len(body) > LARGE_BODY_BYTES:
+            connection.stream.write(data)
+            data = b""
         if body:
             data += http.send(h11.Data(data=body)) or b""
         data += http.send(h11.EndOfMessage()) or b""
