--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -24,8 +24,11 @@
 from lacewinggw.health import Health, Readiness
 from lacewinggw.ids import Digest, HostId, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.logstream import LogStream
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
+from lacewinggw.wire.clients import Clients
+from lacewinggw.wire.http import PAGE_LIMITS
 from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
 from lacewinggw.wire.pages import HealthPages
@@ -95,6 +98,7 @@
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
         agent, process = settings.agent, settings.process
         self.metrics = Metrics()
+        clients = Clients.from_config(process, self.metrics)
         self._settings = settings
         self._platform = platform = PlatformClients.from_settings(network, settings.platform)
         self._engine = EngineClient(network, agent.target)
@@ -111,6 +115,7 @@
             self._handle,
             revision=lambda: self.follower.revision,
             on_revision=lambda link, revision: self.follower.catch_up_if_behind(link, revision),
+            door=clients.page_door("peers"),
         )
         self.follower = ConfigurationFollower.from_config(
             settings.configuration,
@@ -147,7 +152,13 @@
             metrics=self.metrics,
         )
         pages = HealthPages(Health(self.metrics, self._readiness))
-        self._operator_server = HttpServer(network, agent.operator_listen, pages.handle)
+        self._operator_server = HttpServer(
+            network,
+            agent.operator_listen,
+            pages.handle,
+            PAGE_LIMITS,
+            clients.page_door("operators"),
+        )
         self.draining = False
         self._listed_as_leaving = False  # only a drain for this reason can be undone
 
@@ -299,5 +310,7 @@
 async def run_agent(settings: Settings) -> None:
     """Run an agent until a signal asks it to leave, then drain it."""
     agent = AgentProcess.from_config(settings)
-    configure_process_log(settings.process, "agent", agent.incarnation)
+    stream = LogStream.for_stderr()
+    configure_process_log(settings.process, "agent", agent.incarnation, stream)
+    agent.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
     await run_until_signalled(agent.start, agent.drain, agent.close)
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -21,8 +21,10 @@
 from lacewinggw.health import Health, Readiness
 from lacewinggw.ids import new_command_id, new_incarnation
 from lacewinggw.log import configure_process_log, get_logger
+from lacewinggw.logstream import LogStream
 from lacewinggw.metrics import Metrics
 from lacewinggw.service import run_until_signalled
+from lacewinggw.wire.clients import Clients
 from lacewinggw.wire.http import HttpLimits, Request, Response
 from lacewinggw.wire.httpserver import HttpServer
 from lacewinggw.wire.network import Network, TcpNetwork
@@ -47,6 +49,7 @@
     def __init__(self, settings: Settings, network: Network, rng: random.Random) -> None:
         process = settings.process
         self.metrics = Metrics()
+        clients = Clients.from_config(settings.process, self.metrics)
         self._settings = settings
         self._platform = platform = PlatformClients.from_settings(network, settings.platform)
         self.watch = MemberWatch.from_config(
@@ -61,6 +64,7 @@
             self._handle,
             revision=lambda: self.ledger.revision,
             on_revision=lambda link, revision: self.ledger.catch_up_if_behind(link, revision),
+            door=clients.page_door("peers"),
         )
         self.ledger = Ledger.from_config(
             settings.configuration,
@@ -110,10 +114,18 @@
         self._pages = HealthPages(Health(self.metrics, self._readiness))
         limits = HttpLimits(body_bytes=settings.entry.body_limit_bytes)
         self._caller_server = HttpServer(
-            network, settings.entry.caller_listen, self.callers.handle, limits
+            network,
+            settings.entry.caller_listen,
+            self.callers.handle,
+            limits,
+            clients.caller_door("callers"),
         )
         self._operator_server = HttpServer(
-            network, settings.entry.operator_listen, self._answer_operator, limits
+            network,
+            settings.entry.operator_listen,
+            self._answer_operator,
+            limits,
+            clients.page_door("operators"),
         )
 
     @classmethod
@@ -228,5 +240,7 @@
 async def run_entry(settings: Settings) -> None:
     """Run an entry until a signal requests its shutdown, then drain it."""
     entry = EntryProcess.from_config(settings)
-    configure_process_log(settings.process, "entry", entry.incarnation)
+    stream = LogStream.for_stderr()
+    configure_process_log(settings.process, "entry", entry.incarnation, stream)
+    entry.metrics.read_gauge("log_lines_dropped", lambda: stream.dropped)
     await run_until_signalled(entry.start, entry.drain, entry.close)
--- a/src/lacewinggw/logstream.py
+++ b/src/lacewinggw/logstream.py
@@ -43,8 +43,18 @@
     @classmethod
     def for_stdout(cls) -> "LogStream":
         """Return the stream of this process's standard output."""
-        os.set_blocking(1, False)
-        return cls(1)
+        return cls._for_descriptor(1)
+
+    @classmethod
+    def for_stderr(cls) -> "LogStream":
+        """Return the stream of this process's standard error."""
+        return cls._for_descriptor(2)
+
+    @classmethod
+    def _for_descriptor(cls, descriptor: int) -> "LogStream":
+        if not os.isatty(descriptor):  # a terminal is shared with the shell
+            os.set_blocking(descriptor, False)
+        return cls(descriptor)
 
     def write(self, text: str) -> int:
         """Write a line, or drop it and count it."""
--- a/tests/test_process_start.py
+++ b/tests/test_process_start.py
@@ -51,7 +51,7 @@
 def test_signal_ends_a_start_that_waits_for_the_platform(
     tmp_path: Path,
     monkeypatch: pytest.MonkeyPatch,
-    capsys: pytest.CaptureFixture[str],
+    capfd: pytest.CaptureFixture[str],
 ) -> None:
     start = EntryProcess.start
 
@@ -62,4 +62,4 @@
     monkeypatch.setattr(EntryProcess, "start", start_signalled)
     file = write_entry_settings(tmp_path / "entry.ini", "127.0.0.1:0")
     assert main(["entry", "--settings", file]) == ExitCode.OK
-    assert "start_given_up" in capsys.readouterr().err
+    assert "start_given_up" in capfd.readouterr().err
