--- a/src/lacewinggw/decisions/clientload.py
+++ b/src/lacewinggw/decisions/clientload.py
@@ -6,15 +6,14 @@
 may be running.
 """
 
-import itertools
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
-# Of the connections: clients that are sending a request take more only while there is room, so that
-# they do not displace clients that keep a connection between two requests.
-ARRIVING_SHARE = 0.5
+# Of the connections: clients that send a request, or do not read an answer, take more only while
+# there is room, so that they do not displace clients that keep a connection between two requests.
+CROWD_SHARE = 0.5
 # A client that made no progress for so long gives way if others need the memory that it holds.
 STALL_S = 1.0
 PROGRESS_BYTES = 16 << 10  # received or sent within that time, it counts as progress
@@ -30,7 +29,8 @@
 
     ARRIVING = "arriving"  # the end of a request, or the first request of a new connection
     KEPT = "kept"  # another request, after an answer
-    SERVED = "served"  # an answer, or for the client to read it
+    SERVED = "served"  # an answer
+    UNREAD = "unread"  # for the client to read part of an answer
     CLOSING = "closing"  # for the client to read what is left to send
 
 
@@ -41,24 +41,23 @@
     state: ClientState = ClientState.ARRIVING
     held_bytes: int = 0
     progressed_at: float = -math.inf
-    is_sending: bool = False  # an answer that the client has to read
-    _received: int = 0  # since `progressed_at`
+    _moved_bytes: int = 0  # received or sent since `progressed_at`
 
     def note_bytes(self, count: int, now: float) -> bool:
         """Record bytes received or sent; return whether they are enough to count as progress."""
-        self._received += count
-        if self._received < PROGRESS_BYTES:
+        self._moved_bytes += count
+        if self._moved_bytes < PROGRESS_BYTES:
             return False
         self.note_progress(now)
         return True
 
     def note_progress(self, now: float) -> None:
         """Record that the client did its part."""
-        self.progressed_at, self._received = now, 0
+        self.progressed_at, self._moved_bytes = now, 0
 
     def stalled_s(self, now: float) -> float:
         """Return for how long the client has not done its part; 0 if it need not do anything."""
-        if self.state is ClientState.SERVED and not self.is_sending:
+        if self.state is ClientState.SERVED:
             return 0.0
         return max(0.0, now - self.progressed_at)
 
@@ -96,13 +95,25 @@
         """Whether a new connection needs the place of another one."""
         return len(self) >= self.limit
 
-    def choose(self) -> ClientUse | None:
+    def choose(self, now: float) -> ClientUse | None:
         """Return the connection to close for a new one; None if none gives way."""
-        arriving = self._by_state[ClientState.ARRIVING]
-        groups = [self._by_state[ClientState.CLOSING], self._by_state[ClientState.KEPT], arriving]
-        if len(arriving) > ARRIVING_SHARE * self.limit:
-            groups = [groups[0], arriving]
-        return next(itertools.chain(*groups), None)
+        crowd = CROWD_SHARE * self.limit
+        crowded = [
+            state
+            for state in (ClientState.ARRIVING, ClientState.UNREAD)
+            if len(self._by_state[state]) > crowd
+        ]
+        order = (ClientState.KEPT, ClientState.ARRIVING, ClientState.UNREAD)
+        for state in (ClientState.CLOSING, *crowded, *order):
+            oldest = next(iter(self._by_state[state]), None)
+            if oldest is not None and _may_close(oldest, now):
+                return oldest
+        return None
+
+
+def _may_close(use: ClientUse, now: float) -> bool:
+    """Return whether a connection may be closed: not in an answer that its client reads."""
+    return use.state is not ClientState.UNREAD or use.stalled_s(now) >= STALL_S
 
 
 class MemoryLimit:
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -24,6 +24,7 @@
     ClientDoor,
     ClientHold,
     Clients,
+    Eviction,
 )
 from lacewinggw.wire.http import BODYLESS_STATUSES, READ_BYTES, HeaderList, HttpError
 from lacewinggw.wire.httpreader import HttpReader
@@ -196,16 +197,18 @@
         self._stream.close()
 
     def evict(self) -> None:
-        """Discard what has been received of a body; close the connection if there is none."""
+        """Close the connection for others."""
+        self._is_evicted = True
+        self._body = bytearray()
+        if self._hold.use.state is ClientState.KEPT:
+            self._stream.close()
+        else:
+            self._stream.abort()
+
+    def discard_body(self) -> None:
+        """Discard what has been received of a body, for a refusal."""
         self._is_evicted = True
         self._body = bytearray()
-        match self._hold.use.state:
-            case ClientState.KEPT:
-                self._stream.close()
-            case ClientState.ARRIVING if self.is_reading_body:
-                return
-            case _:
-                self._stream.abort()
 
     def stop_waiting(self) -> None:
         """Wait only briefly for the next request; continue with one that is arriving."""
@@ -593,7 +596,7 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        hold = self._door.admit(lambda _: self._evict(caller, task))
+        hold = self._door.admit(lambda reason: self._evict(caller, task, reason))
         if hold is None:
             stream.abort()
             return
@@ -624,12 +627,16 @@
             caller.close()
             self._door.leave(hold, stream)
 
-    def _evict(self, caller: CallerConnection, task: "asyncio.Task[None]") -> None:
-        """Close a connection for others; a caller whose body is read is told that it is refused."""
+    def _evict(
+        self, caller: CallerConnection, task: "asyncio.Task[None]", reason: Eviction
+    ) -> None:
+        """Close a connection for others; refuse a body whose memory they need."""
         is_reading_body = caller.is_reading_body and task not in self._busy
-        caller.evict()
-        if is_reading_body:
+        if reason is Eviction.MEMORY and is_reading_body:
+            caller.discard_body()
             task.cancel()
+        else:
+            caller.evict()
 
     async def _serve_one(self, call: Call, caller: CallerConnection) -> None:
         """Serve a request; answer and log an error that `serve` did not handle."""
--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -117,14 +117,16 @@
 
     async def send(self, stream: Stream, data: bytes) -> None:
         """Send part of an answer, as fast as the client reads it."""
-        self.use.note_progress(_now())
-        self.use.is_sending = True
+        state = self.use.state
         for begin in range(0, len(data), WRITE_BYTES):
             part = data[begin : begin + WRITE_BYTES]
             stream.write(part)
+            if stream.unsent_bytes and self.use.state is not ClientState.UNREAD:
+                self.enter(ClientState.UNREAD)
             await stream.drain()
             self.note_bytes(len(part))
-        self.use.is_sending = False
+        if self.use.state is not state:
+            self.enter(state)
 
     async def reserve_head(self, lines: int) -> None:
         """Take memory for the decoded head of a request; raise `Overloaded` if there is none."""
@@ -324,7 +326,7 @@
     def admit(self, close: Close) -> ClientHold | None:
         """Add a connection; close another one for it, or return None if all are in use."""
         if self._limit.is_reached:
-            use = self._limit.choose()
+            use = self._limit.choose(_now())
             if use is None:
                 self._clients.count_refused(self._name)
                 return None
--- a/src/lacewinggw/wire/httpserver.py
+++ b/src/lacewinggw/wire/httpserver.py
@@ -16,7 +16,13 @@
 from lacewinggw.decisions.clientload import ClientState, next_room
 from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp, Overloaded
 from lacewinggw.log import get_logger
-from lacewinggw.wire.clients import EVICTED_RETRY_AFTER_MS, ClientDoor, ClientHold, Clients
+from lacewinggw.wire.clients import (
+    EVICTED_RETRY_AFTER_MS,
+    ClientDoor,
+    ClientHold,
+    Clients,
+    Eviction,
+)
 from lacewinggw.wire.http import (
     READ_BYTES,
     Handler,
@@ -92,7 +98,7 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        hold = self._door.admit(lambda _: client.evict(task))
+        hold = self._door.admit(lambda reason: client.evict(task, reason))
         if hold is None:
             stream.abort()
             return
@@ -140,11 +146,11 @@
         self._is_reading_body = False
         self._body: list[bytes] = []
 
-    def evict(self, task: "asyncio.Task[Any]") -> None:
-        """Close the connection for others; a client whose body is read is told that it is."""
+    def evict(self, task: "asyncio.Task[Any]", reason: Eviction) -> None:
+        """Close the connection for others; refuse a body whose memory they need."""
         self.is_evicted = True
         self._body.clear()
-        if self._is_reading_body:
+        if self._is_reading_body and reason is Eviction.MEMORY:
             task.cancel()
         else:
             self._stream.abort()
--- a/tests/crowds/test_crowds_at_doors.py
+++ b/tests/crowds/test_crowds_at_doors.py
@@ -52,6 +52,16 @@
         fleet.require_bounds()
 
 
+@pytest.mark.parametrize("kind", MEMBERS)
+async def test_the_page_of_operators_is_served_beside_a_crowd(kind, tmp_path):
+    async with (
+        crowded_entry(tmp_path) as fleet,
+        crowd_of(CONNECTIONS, MEMBERS[kind], fleet.operators),
+    ):
+        await fleet.require_page()
+        fleet.require_bounds()
+
+
 @pytest.mark.parametrize("door", DOORS)
 async def test_a_crowd_that_returns_leaves_an_entry_that_serves(door, tmp_path):
     async with crowded_entry(tmp_path) as fleet:
--- a/tests/crowds/test_crowds_of_callers.py
+++ b/tests/crowds/test_crowds_of_callers.py
@@ -49,6 +49,7 @@
     "bodies of prompts": (64, Member(body_request("/report/1", BODY_BYTES)[:-1])),
     "bodies without a route": (64, Member(body_request("/unknown/1", BODY_BYTES)[:-1])),
     "bodies without a key": (64, Member(body_request("/tally/1", BODY_BYTES, "none")[:-1])),
+    "small bodies one byte short": (800, Member(body_request("/tally/1", 30_000)[:-1])),
     "half megabytes one byte short": (450, Member(body_request("/tally/1", HALF_MB)[:-1])),
     "whole bodies": (64, Member(body_request("/tally/1", BODY_BYTES))),
     "whole bodies that return": (64, Member(body_request("/tally/1", BODY_BYTES), returns=True)),
@@ -63,6 +64,7 @@
     "answers of 1 MiB unread": (200, answers_ahead(1 << 20)),
     "small answers unread": (450, answers_ahead(2000)),
     "streams unread": (200, answers_ahead(1 << 20, route="report")),
+    "refusals unread": (450, Member(request("/unknown/1") * 8000, reads=False)),
     "heads without end": (
         450,
         Member(FIRST_LINE + b"Host: notes.example\r\n" + b"a: b\r\n" * 2500),
--- a/tests/test_clientload.py
+++ b/tests/test_clientload.py
@@ -18,6 +18,7 @@
 )
 
 LIMIT = 8
+NOW = 100.0
 MEMORY = 64 * SMALL_BYTES
 
 
@@ -38,7 +39,7 @@
     limit = limit_of(kept, crowd)
     assert limit.is_reached
     for use in crowd:
-        assert limit.choose() is use
+        assert limit.choose(NOW) is use
         limit.remove(use)
         limit.add(ClientUse())
 
@@ -46,18 +47,28 @@
 # A crowd asks once and keeps its connections, and an ordinary caller connects.
 def test_kept_connections_give_way_to_few_that_arrive():
     kept, arriving = uses_of(ClientState.KEPT, 7), uses_of(ClientState.ARRIVING, 1)
-    assert limit_of(arriving, kept).choose() is kept[0]
+    assert limit_of(arriving, kept).choose(NOW) is kept[0]
 
 
 def test_connections_that_wait_for_the_client_to_read_give_way_first():
     closing = uses_of(ClientState.CLOSING, 1)
     limit = limit_of(uses_of(ClientState.ARRIVING, 4), uses_of(ClientState.KEPT, 3), closing)
-    assert limit.choose() is closing[0]
+    assert limit.choose(NOW) is closing[0]
 
 
 def test_complete_requests_never_give_way():
     limit = limit_of(uses_of(ClientState.SERVED, LIMIT))
-    assert limit.is_reached and limit.choose() is None
+    assert limit.is_reached and limit.choose(NOW) is None
+
+
+# A crowd reads none of its answers, beside a client whose answer is on its way.
+def test_clients_that_do_not_read_give_way_once_they_stall():
+    unread = uses_of(ClientState.UNREAD, 7)
+    limit = limit_of(unread, uses_of(ClientState.KEPT, 1))
+    assert limit.choose(NOW) is unread[0]
+    for use in unread:
+        use.note_progress(NOW - STALL_S / 2)
+    assert limit.choose(NOW).state is ClientState.KEPT
 
 
 def test_progress_moves_a_connection_behind_the_others():
@@ -65,7 +76,7 @@
     limit = limit_of(crowd)
     assert crowd[0].note_bytes(PROGRESS_BYTES, 1.0)
     limit.move(crowd[0], ClientState.ARRIVING)
-    assert limit.choose() is crowd[1]
+    assert limit.choose(NOW) is crowd[1]
 
 
 def test_a_connection_that_was_removed_stays_removed():
@@ -108,7 +119,7 @@
     uploading = ClientUse(held_bytes=8 << 20, progressed_at=now - STALL_S / 2)
     waiting = ClientUse(ClientState.SERVED, held_bytes=8 << 20, progressed_at=0.0)
     assert choose_for_memory([uploading, waiting], now) is None
-    waiting.is_sending = True
+    waiting.state = ClientState.UNREAD
     assert choose_for_memory([uploading, waiting], now) is waiting
 
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -103,7 +103,8 @@
         hold = crowd.connect(str(number))
         hold.enter(ClientState.SERVED)
         await hold.reserve(LARGE, is_answer=True)
-        hold.use.is_sending = number == 1
+        if number == 1:
+            hold.enter(ClientState.UNREAD)
     await asyncio.sleep(STALL_S)
     await crowd.connect("new").reserve(LARGE)
     assert crowd.closed == [("1", "memory")]
