--- a/src/lacewinggw/agent/process.py
+++ b/src/lacewinggw/agent/process.py
@@ -115,7 +115,7 @@
             self._handle,
             revision=lambda: self.follower.revision,
             on_revision=lambda link, revision: self.follower.catch_up_if_behind(link, revision),
-            door=clients.page_door("peers"),
+            admission=clients.page_admission("peers"),
         )
         self.follower = ConfigurationFollower.from_config(
             settings.configuration,
@@ -157,7 +157,7 @@
             agent.operator_listen,
             pages.handle,
             PAGE_LIMITS,
-            clients.page_door("operators"),
+            clients.page_admission("operators"),
         )
         self.draining = False
         self._listed_as_leaving = False  # only a drain for this reason can be undone
--- a/src/lacewinggw/decisions/clientload.py
+++ b/src/lacewinggw/decisions/clientload.py
@@ -13,7 +13,7 @@
 
 # Of the connections: clients that send a request, or do not read an answer, take more only while
 # there is room, so that they do not displace clients that keep a connection between two requests.
-CROWD_SHARE = 0.5
+UNPRODUCTIVE_SHARE = 0.5
 # A client that made no progress for so long gives way if others need the memory that it holds.
 STALL_S = 1.0
 PROGRESS_BYTES = 16 << 10  # received or sent within that time, it counts as progress
@@ -97,11 +97,11 @@
 
     def choose(self, now: float) -> ClientUse | None:
         """Return the connection to close for a new one; None if none gives way."""
-        crowd = CROWD_SHARE * self.limit
+        share = UNPRODUCTIVE_SHARE * self.limit
         crowded = [
             state
             for state in (ClientState.ARRIVING, ClientState.UNREAD)
-            if len(self._by_state[state]) > crowd
+            if len(self._by_state[state]) > share
         ]
         order = (ClientState.KEPT, ClientState.ARRIVING, ClientState.UNREAD)
         for state in (ClientState.CLOSING, *crowded, *order):
--- a/src/lacewinggw/entry/process.py
+++ b/src/lacewinggw/entry/process.py
@@ -64,7 +64,7 @@
             self._handle,
             revision=lambda: self.ledger.revision,
             on_revision=lambda link, revision: self.ledger.catch_up_if_behind(link, revision),
-            door=clients.page_door("peers"),
+            admission=clients.page_admission("peers"),
         )
         self.ledger = Ledger.from_config(
             settings.configuration,
@@ -118,14 +118,14 @@
             settings.entry.caller_listen,
             self.callers.handle,
             limits,
-            clients.caller_door("callers"),
+            clients.caller_admission("callers"),
         )
         self._operator_server = HttpServer(
             network,
             settings.entry.operator_listen,
             self._answer_operator,
             limits,
-            clients.page_door("operators"),
+            clients.page_admission("operators"),
         )
 
     @classmethod
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -21,8 +21,8 @@
 from lacewinggw.wire.clients import (
     EVICTED_RETRY_AFTER_MS,
     WRITE_BYTES,
-    ClientDoor,
-    ClientHold,
+    ClientAdmission,
+    ClientConnection,
     Clients,
     Eviction,
 )
@@ -118,7 +118,7 @@
 
     `limits` returns the current limits. Each request is read within the limits at its first byte.
     The connection may stay idle for the limit at the last answer, or the current one if that is
-    longer: callers go by the newest limit that they know. `hold` accounts for what it takes, and
+    longer: callers go by the newest limit that they know. `client` accounts for what it takes, and
     `find_refusal` returns why a request is refused whose large body is still to come.
     """
 
@@ -127,11 +127,11 @@
         stream: Stream,
         limits: Callable[[], CallerLimits],
         turns: ReadTurns,
-        hold: ClientHold,
+        client: ClientConnection,
         find_refusal: FindRefusal,
     ) -> None:
         self._stream = stream
-        self._hold = hold
+        self._client = client
         self._find_refusal = find_refusal
         self._body = bytearray()  # of the request that is read
         self._room = 0  # for it, in bytes
@@ -200,7 +200,7 @@
         """Close the connection for others."""
         self._is_evicted = True
         self._body = bytearray()
-        if self._hold.use.state is ClientState.KEPT:
+        if self._client.use.state is ClientState.KEPT:
             self._stream.close()
         else:
             self._stream.abort()
@@ -247,8 +247,8 @@
             self._has_answered = True
             self._reader.start_next_cycle()
         self._is_head_only, self._request_head = False, ()
-        self._hold.release()
-        self._hold.add(len(self._reader.unread))
+        self._client.release()
+        self._client.add(len(self._reader.unread))
         try:
             event = await self._await_head()
             if not isinstance(event, h11.Request):
@@ -257,17 +257,17 @@
             arrived_at = _now()
             headers = self._request_head = _decode_headers(event)
             _check_framing(headers)
-            await self._hold.reserve_head(len(headers))
+            await self._client.reserve_head(len(headers))
             method = event.method.decode("ascii")
             domain = next(iter(header_values(headers, "host")), "")
             target = event.target.decode("latin-1")
-            call = Call(method, target, domain, headers, b"", arrived_at, hold=self._hold)
+            call = Call(method, target, domain, headers, b"", arrived_at, client=self._client)
             body = await self._read_body(call)
         except h11.RemoteProtocolError as error:
             raise HttpError(error.error_status_hint, f"invalid HTTP: {error}") from error
         except ConnectionResetError as error:
             raise HttpError(BAD_REQUEST, f"invalid HTTP: {error}") from error
-        self._hold.enter(ClientState.SERVED)
+        self._client.enter(ClientState.SERVED)
         return replace(call, body=body, received_at=_now())
 
     async def _await_head(self) -> Any:
@@ -275,9 +275,9 @@
         if not self._reader.has_unread:
             self._idle_since, self._idle_s = _now(), self._read_limits().idle_s
             if self._has_answered:
-                self._hold.enter(ClientState.KEPT)
+                self._client.enter(ClientState.KEPT)
             self._reader.receive(await self._idle_timer.run(self._read))
-        self._hold.enter(ClientState.ARRIVING)
+        self._client.enter(ClientState.ARRIVING)
         self._apply_limits()
         event = self._reader.next_buffered()
         if event is not h11.NEED_DATA:
@@ -337,7 +337,7 @@
             refusal = self._find_refusal(call)
             if refusal is not None:
                 raise refusal
-        await self._hold.reserve_body(size - self._room)
+        await self._client.reserve_body(size - self._room)
         self._room = size
 
     async def _append_body(self) -> bool:
@@ -366,9 +366,9 @@
             data = await self._stream.read(limit)
         except OSError as error:
             raise CallerDisconnected from error
-        self._hold.note_bytes(len(data))
+        self._client.note_bytes(len(data))
         if not self.is_reading_body:
-            self._hold.add(len(data))
+            self._client.add(len(data))
         return data
 
     async def wait_for_disconnect(self) -> None:
@@ -380,7 +380,7 @@
                 return
             if not data:
                 return
-            self._hold.add(len(data))
+            self._client.add(len(data))
             self._reader.receive(data)
         await asyncio.Event().wait()
 
@@ -465,7 +465,7 @@
     async def _write(self, data: bytes) -> None:
         """Send bytes, as fast as the caller reads them."""
         try:
-            await self._hold.send(self._stream, data)
+            await self._client.send(self._stream, data)
         except OSError as error:
             raise CallerDisconnected from error
 
@@ -510,7 +510,7 @@
     """Accepts connections of callers and passes each request to `serve`.
 
     `limits` returns the current limits, and `read_id` the id of a request from its headers, for the
-    log. `find_refusal` is asked before a large body is read, and `door` limits the connections.
+    log. `find_refusal` is asked before a large body is read. `admission` limits the connections.
     `close(grace_s)` lets requests in progress finish.
     """
 
@@ -522,7 +522,7 @@
         limits: Callable[[], CallerLimits],
         read_id: Callable[[HeaderList], str] = lambda headers: "",
         find_refusal: FindRefusal = _refuse_nothing,
-        door: ClientDoor | None = None,
+        admission: ClientAdmission | None = None,
     ) -> None:
         self._network = network
         self._address = address
@@ -530,7 +530,7 @@
         self._limits = limits
         self._read_id = read_id
         self._find_refusal = find_refusal
-        self._door = door or Clients.unlimited().caller_door("callers")
+        self._admission = admission or Clients.unlimited().caller_admission("callers")
         self._turns = ReadTurns()
         self._listener: Listener | None = None
         self._open: dict[asyncio.Task[None], CallerConnection] = {}
@@ -596,11 +596,11 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        hold = self._door.admit(lambda reason: self._evict(caller, task, reason))
-        if hold is None:
+        client = self._admission.admit(lambda reason: self._evict(caller, task, reason))
+        if client is None:
             stream.abort()
             return
-        caller = CallerConnection(stream, self._limits, self._turns, hold, self._find_refusal)
+        caller = CallerConnection(stream, self._limits, self._turns, client, self._find_refusal)
         self._open[task] = caller
         if self._is_leaving:
             caller.close_after_answer()
@@ -625,7 +625,7 @@
             self._open.pop(task, None)
             self._busy.discard(task)
             caller.close()
-            self._door.leave(hold, stream)
+            self._admission.leave(client, stream)
 
     def _evict(
         self, caller: CallerConnection, task: "asyncio.Task[None]", reason: Eviction
--- a/src/lacewinggw/frontend/calls.py
+++ b/src/lacewinggw/frontend/calls.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from lacewinggw.ids import Account, ModelName, PromptPartId, TargetName
-from lacewinggw.wire.clients import ClientHold
+from lacewinggw.wire.clients import ClientConnection
 from lacewinggw.wire.http import HeaderList, Headers
 
 DEFAULT_URGENCY = 5  # of requests without one; 0 is the most urgent, 9 the least
@@ -38,7 +38,7 @@
     """A request as received: `target` is the path with its query, unmodified.
 
     Its head arrived at `arrived_at` and its last byte at `received_at`. It may only be sent to a
-    target if its deadline is not after `must_end_by`. All times are by the loop's clock. `hold`
+    target if its deadline is not after `must_end_by`. All times are by the loop's clock. `client`
     accounts for the memory that the request and its answer take.
     """
 
@@ -50,7 +50,7 @@
     arrived_at: float
     received_at: float = -math.inf
     must_end_by: float = math.inf
-    hold: ClientHold | None = field(default=None, compare=False)
+    client: ClientConnection | None = field(default=None, compare=False)
 
     @property
     def path(self) -> str:
--- a/src/lacewinggw/frontend/offers.py
+++ b/src/lacewinggw/frontend/offers.py
@@ -31,7 +31,7 @@
     end_to_end_headers,
 )
 from lacewinggw.frontend.targetanswers import TargetAnswers
-from lacewinggw.wire.clients import ClientHold
+from lacewinggw.wire.clients import ClientConnection
 from lacewinggw.wire.events import EVENT_END, EventSplitter, StreamEvent
 from lacewinggw.wire.http import (
     Headers,
@@ -110,7 +110,7 @@
     headers: Headers
     facts: AnswerFacts
     response: StreamedResponse
-    hold: ClientHold | None = field(default=None, compare=False)  # of the caller
+    client: ClientConnection | None = field(default=None, compare=False)  # of the caller
 
     @property
     def is_success(self) -> bool:
@@ -251,7 +251,7 @@
                 is_full=response.status == BUSY,
                 is_replaced=is_gone,
             )
-        return Answer(response.status, response.headers, facts, response, admitted.call.hold)
+        return Answer(response.status, response.headers, facts, response, admitted.call.client)
 
 
 def _find_fault(admitted: AdmittedRequest, status: int, facts: AnswerFacts) -> AnswerFault | None:
@@ -296,9 +296,9 @@
     expected = int(length) if length.isdigit() else max(RESERVED_BYTES, room)
     taken = max(size, min(expected, BODY_LIMIT_BYTES))
     may_wait = bool(length) or room + taken <= SMALL_ANSWER_BYTES
-    if answer.hold is not None:
+    if answer.client is not None:
         try:
-            await answer.hold.reserve(taken, is_answer=True, may_wait=may_wait)
+            await answer.client.reserve(taken, is_answer=True, may_wait=may_wait)
         except Overloaded as error:
             raise AnswerMalformed(f"no memory for {taken} bytes of an answer") from error
     return taken
--- a/src/lacewinggw/frontend/process.py
+++ b/src/lacewinggw/frontend/process.py
@@ -141,7 +141,7 @@
             process.fleet_key,
             self._handle,
             on_notification=self._handle_notice,
-            door=self._clients.page_door("peers"),
+            admission=self._clients.page_admission("peers"),
         )
         self._neighbours = self._make_neighbours()
         self._leaving_targets = LeavingTargets(
@@ -204,7 +204,7 @@
             self._limits,
             self._read_id,
             self.relay.find_refusal,
-            self._clients.caller_door("callers"),
+            self._clients.caller_admission("callers"),
         )
         self._servers = self._make_servers()
         self._announcer = Announcer(adapter.rows, self._member(), rng)
@@ -382,7 +382,9 @@
             ("operators", entry.operator_listen, pages.handle),
         ]
         return [
-            HttpServer(self._network, address, handler, PAGE_LIMITS, self._clients.page_door(name))
+            HttpServer(
+                self._network, address, handler, PAGE_LIMITS, self._clients.page_admission(name)
+            )
             for name, address, handler in listeners
         ]
 
--- a/src/lacewinggw/loader/process.py
+++ b/src/lacewinggw/loader/process.py
@@ -179,7 +179,7 @@
             process.fleet_key,
             self._handle,
             on_notification=self._handle_notice,
-            door=clients.page_door("peers"),
+            admission=clients.page_admission("peers"),
         )
         self._staged = StagedChunks(adapter.target)
         self.spreader = Spreader.from_config(
@@ -214,7 +214,7 @@
             agent.operator_listen,
             pages.handle,
             PAGE_LIMITS,
-            clients.page_door("operators"),
+            clients.page_admission("operators"),
         )
         assignment = self.assignment
         self._store_clock = StoreClock()
@@ -382,7 +382,7 @@
     def _next_step(self, model: ModelName) -> UpgradeStep:
         """Return the next step; nothing is fetched before the report of a target that has weights.
 
-        At the first start of a fleet the targets already hold weights, so wait for their report.
+        At the first start of a fleet the targets already client weights, so wait for their report.
         """
         if self._settings.fleet.first_start and not self._has_answered:
             return UpgradeStep()
@@ -557,7 +557,7 @@
 
     @property
     def _is_changing_weights(self) -> bool:
-        """Whether the target loads weights, is drained to load them, or may hold bad ones."""
+        """Whether the target loads weights, is drained to load them, or may client bad ones."""
         if self._loader.is_loading or self._draining_since is not None:
             return True
         model = self.assignment.model
--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -1,13 +1,13 @@
 """Limit what clients make a process hold: connections per listener, and memory in all.
 
-Each accepted connection has a `ClientHold`, which knows what its client waits for and accounts for
+Each accepted connection has a `ClientConnection`, which knows what it waits for and accounts for
 the memory that it takes:
 
-    hold = door.admit(close)        # may close another connection; None if there is no room
-    if hold is not None:
-        await hold.reserve(size)    # waits for memory, and raises `Overloaded` if there is none
+    client = admission.admit(close)  # may close another connection; None if there is no room
+    if client is not None:
+        await client.reserve(size)  # waits for memory; raises `Overloaded` if there is none
         ...
-        door.leave(hold, stream)
+        admission.leave(client, stream)
 """
 
 import asyncio
@@ -96,7 +96,7 @@
 Close = Callable[[Eviction], None]
 
 
-class ClientHold:
+class ClientConnection:
     """What one connection holds; `close` is called when it has to give way."""
 
     def __init__(self, clients: "Clients", limit: ConnectionLimit, close: Close) -> None:
@@ -157,7 +157,7 @@
 class _Waiting:
     """A client that waits for memory."""
 
-    hold: ClientHold
+    client: ClientConnection
     size: int
     granted: "asyncio.Future[None]"
 
@@ -166,14 +166,14 @@
     """The clients of one process, at all its listeners.
 
     clients = Clients.from_config(settings.process, metrics)
-    door = clients.caller_door("callers")
+    admission = clients.caller_admission("callers")
     """
 
     def __init__(self, limits: ClientLimits, metrics: Metrics) -> None:
         self._limits = limits
         self._metrics = metrics
         self._memory = MemoryLimit(limits.held_bytes)
-        self._holds: dict[ClientUse, ClientHold] = {}
+        self._connections: dict[ClientUse, ClientConnection] = {}
         self._waiting: deque[_Waiting] = deque()
         self._timer: asyncio.TimerHandle | None = None
         self._unlogged: dict[Eviction, int] = {}
@@ -191,35 +191,35 @@
         """Return an account without limits."""
         return cls(ClientLimits.unlimited(), Metrics())
 
-    def caller_door(self, name: str) -> "ClientDoor":
-        """Return the door of a listener for callers."""
-        return self._door(name, self._limits.callers)
+    def caller_admission(self, name: str) -> "ClientAdmission":
+        """Return the admission of a listener for callers."""
+        return self._admission(name, self._limits.callers)
 
-    def page_door(self, name: str) -> "ClientDoor":
-        """Return the door of a listener that few clients use."""
-        return self._door(name, self._limits.page_clients)
+    def page_admission(self, name: str) -> "ClientAdmission":
+        """Return the admission of a listener that few clients use."""
+        return self._admission(name, self._limits.page_clients)
 
-    def _door(self, name: str, connections: int) -> "ClientDoor":
+    def _admission(self, name: str, connections: int) -> "ClientAdmission":
         limit = ConnectionLimit(connections)
         self._metrics.read_gauge("client_connections", lambda: len(limit), listener=name)
-        return ClientDoor(self, limit, name)
+        return ClientAdmission(self, limit, name)
 
-    def register(self, hold: ClientHold) -> None:
+    def register(self, client: ClientConnection) -> None:
         """Add a connection."""
-        self._holds[hold.use] = hold
+        self._connections[client.use] = client
 
-    def remove(self, hold: ClientHold) -> None:
+    def remove(self, client: ClientConnection) -> None:
         """Remove a connection, with all that it holds."""
-        self._holds.pop(hold.use, None)
-        self.release(hold)
+        self._connections.pop(client.use, None)
+        self.release(client)
 
     def evict(self, use: ClientUse, reason: Eviction) -> None:
         """Close a connection for others, and give its memory back."""
-        hold = self._holds.pop(use)
+        client = self._connections.pop(use)
         self._metrics.count("clients_evicted", reason=reason.value)
         self._note_evicted(reason)
-        hold.release()
-        hold.close(reason)
+        client.release()
+        client.close(reason)
 
     def count_refused(self, listener: str) -> None:
         """Count a connection for which no other one gave way."""
@@ -239,15 +239,15 @@
     # ---- memory ---------------------------------------------------------------------------
 
     async def reserve(
-        self, hold: ClientHold, size: int, is_answer: bool, may_wait: bool = True
+        self, client: ClientConnection, size: int, is_answer: bool, may_wait: bool = True
     ) -> None:
         """Take memory for a client, in the order of asking but for answers, which go first."""
-        is_small = hold.use.held_bytes + size <= SMALL_BYTES
-        if (is_small or is_answer or not self._waiting) and self._memory.take(hold.use, size):
+        is_small = client.use.held_bytes + size <= SMALL_BYTES
+        if (is_small or is_answer or not self._waiting) and self._memory.take(client.use, size):
             return
         if not may_wait or (len(self._waiting) >= MAX_WAITING and not is_answer):
             raise self._overloaded()
-        waiting = _Waiting(hold, size, asyncio.get_running_loop().create_future())
+        waiting = _Waiting(client, size, asyncio.get_running_loop().create_future())
         if is_answer or is_small:
             self._waiting.appendleft(waiting)
         else:
@@ -260,21 +260,21 @@
             raise self._overloaded() from error
         except asyncio.CancelledError:
             if waiting.granted.done() and not waiting.granted.cancelled():
-                self.release(hold, size)
+                self.release(client, size)
             raise
         finally:
             with suppress(ValueError):
                 self._waiting.remove(waiting)
 
-    def add(self, hold: ClientHold, size: int) -> None:
+    def add(self, client: ClientConnection, size: int) -> None:
         """Take memory that is used already; others give way for it if they can."""
-        self._memory.add(hold.use, size)
+        self._memory.add(client.use, size)
         if self._memory.is_exceeded:
             self._start_timer()
 
-    def release(self, hold: ClientHold, size: int | None = None) -> None:
+    def release(self, client: ClientConnection, size: int | None = None) -> None:
         """Give memory back, and serve those that wait for it."""
-        self._memory.release(hold.use, size)
+        self._memory.release(client.use, size)
         if self._waiting:
             self._start_timer(0.0)
 
@@ -285,7 +285,7 @@
             waiting = self._waiting[0]
             if waiting.granted.done():
                 self._waiting.popleft()
-            elif self._memory.take(waiting.hold.use, waiting.size):
+            elif self._memory.take(waiting.client.use, waiting.size):
                 self._waiting.popleft()
                 waiting.granted.set_result(None)
             elif not self._evict_for_memory():
@@ -296,7 +296,7 @@
             self._start_timer()
 
     def _evict_for_memory(self) -> bool:
-        use = choose_for_memory(self._holds, _now())
+        use = choose_for_memory(self._connections, _now())
         if use is None:
             return False
         self.evict(use, Eviction.MEMORY)
@@ -315,7 +315,7 @@
         return Overloaded("no memory for a request of this size now", retry_after_ms=RETRY_AFTER_MS)
 
 
-class ClientDoor:
+class ClientAdmission:
     """The connections of one listener, within a limit."""
 
     def __init__(self, clients: Clients, limit: ConnectionLimit, name: str) -> None:
@@ -323,7 +323,7 @@
         self._limit = limit
         self._name = name
 
-    def admit(self, close: Close) -> ClientHold | None:
+    def admit(self, close: Close) -> ClientConnection | None:
         """Add a connection; close another one for it, or return None if all are in use."""
         if self._limit.is_reached:
             use = self._limit.choose(_now())
@@ -332,30 +332,30 @@
                 return None
             self._limit.remove(use)
             self._clients.evict(use, Eviction.CONNECTIONS)
-        hold = ClientHold(self._clients, self._limit, close)
-        self._limit.add(hold.use)
-        self._clients.register(hold)
-        return hold
+        client = ClientConnection(self._clients, self._limit, close)
+        self._limit.add(client.use)
+        self._clients.register(client)
+        return client
 
-    def leave(self, hold: ClientHold, stream: Stream) -> None:
+    def leave(self, client: ClientConnection, stream: Stream) -> None:
         """Remove a closed connection, once what is left to send is sent or takes too long."""
-        hold.release()
-        hold.close = lambda _: stream.abort()  # the previous one keeps the connection's state
+        client.release()
+        client.close = lambda _: stream.abort()  # the previous one keeps the connection's state
         if not stream.unsent_bytes:
-            self.remove(hold)
+            self.remove(client)
             return
-        hold.add(stream.unsent_bytes)
-        hold.enter(ClientState.CLOSING)
-        asyncio.get_running_loop().call_later(SEND_REST_S, self._end, hold, stream)
+        client.add(stream.unsent_bytes)
+        client.enter(ClientState.CLOSING)
+        asyncio.get_running_loop().call_later(SEND_REST_S, self._end, client, stream)
 
-    def _end(self, hold: ClientHold, stream: Stream) -> None:
+    def _end(self, client: ClientConnection, stream: Stream) -> None:
         stream.abort()
-        self.remove(hold)
+        self.remove(client)
 
-    def remove(self, hold: ClientHold) -> None:
+    def remove(self, client: ClientConnection) -> None:
         """Remove a connection, which need not be closed."""
-        self._limit.remove(hold.use)
-        self._clients.remove(hold)
+        self._limit.remove(client.use)
+        self._clients.remove(client)
 
 
 def _now() -> float:
--- a/src/lacewinggw/wire/httpserver.py
+++ b/src/lacewinggw/wire/httpserver.py
@@ -18,8 +18,8 @@
 from lacewinggw.log import get_logger
 from lacewinggw.wire.clients import (
     EVICTED_RETRY_AFTER_MS,
-    ClientDoor,
-    ClientHold,
+    ClientAdmission,
+    ClientConnection,
     Clients,
     Eviction,
 )
@@ -45,7 +45,7 @@
 
 
 class HttpServer:
-    """Serves one handler at one address; `door` limits what its clients hold.
+    """Serves one handler at one address; `admission` limits what its clients hold.
 
     `close(grace_s)` stops accepting, waits up to `grace_s` seconds for requests in progress, then
     closes the remaining connections.
@@ -57,16 +57,16 @@
         address: str,
         handler: Handler,
         limits: HttpLimits | None = None,
-        door: ClientDoor | None = None,
+        admission: ClientAdmission | None = None,
     ) -> None:
         self._network = network
         self._requested_address = address
         self._handler = handler
         self._limits = limits or HttpLimits()
-        self._door = door or Clients.unlimited().page_door("pages")
+        self._admission = admission or Clients.unlimited().page_admission("pages")
         self._turns = ReadTurns()
         self._listener: Listener | None = None
-        self._open: dict[asyncio.Task[Any], _ClientConnection] = {}
+        self._open: dict[asyncio.Task[Any], _ServerConnection] = {}
         self._closing = False
 
     @property
@@ -84,7 +84,7 @@
         self._closing = True
         if self._listener is not None:
             await self._listener.close()
-        busy = {task for task, client in self._open.items() if client.is_busy}
+        busy = {task for task, connection in self._open.items() if connection.is_busy}
         for task in self._open.keys() - busy:
             task.cancel()
         if busy and grace_s > 0:
@@ -98,37 +98,37 @@
     async def _accept(self, stream: Stream) -> None:
         task = asyncio.current_task()
         assert task is not None
-        hold = self._door.admit(lambda reason: client.evict(task, reason))
-        if hold is None:
+        client = self._admission.admit(lambda reason: connection.evict(task, reason))
+        if client is None:
             stream.abort()
             return
-        client = _ClientConnection(
-            stream, hold, self._limits, self._turns, self._handler, lambda: self._closing
+        connection = _ServerConnection(
+            stream, client, self._limits, self._turns, self._handler, lambda: self._closing
         )
-        self._open[task] = client
+        self._open[task] = connection
         try:
-            while not self._closing and await client.serve_next():
+            while not self._closing and await connection.serve_next():
                 pass
         except (OSError, TimeoutError, asyncio.IncompleteReadError, h11.LocalProtocolError):
             return
         except asyncio.CancelledError:
-            if client.is_evicted:
-                await client.refuse_evicted()
+            if connection.is_evicted:
+                await connection.refuse_evicted()
             elif not self._closing:
                 raise
         finally:
             self._open.pop(task, None)
             stream.close()
-            self._door.leave(hold, stream)
+            self._admission.leave(client, stream)
 
 
-class _ClientConnection:
+class _ServerConnection:
     """One connection of a client, with its successive requests and responses."""
 
     def __init__(
         self,
         stream: Stream,
-        hold: ClientHold,
+        client: ClientConnection,
         limits: HttpLimits,
         turns: ReadTurns,
         handler: Handler,
@@ -137,7 +137,7 @@
         self.is_busy = False  # a request is being read or answered
         self.is_evicted = False
         self._stream = stream
-        self._hold = hold
+        self._client = client
         self._limits = limits
         self._handler = handler
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.head_bytes)
@@ -178,12 +178,12 @@
             return False
         response = await self._answer(request)
         await self._send(request, response)
-        self._hold.release()
+        self._client.release()
         self.is_busy = False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._reader.start_next_cycle()
-        self._hold.enter(ClientState.KEPT)
+        self._client.enter(ClientState.KEPT)
         return True
 
     async def _read_request(self) -> Request | None:
@@ -194,24 +194,24 @@
             return None
         self.is_busy = True
         headers = decode_headers(event.headers)
-        await self._hold.reserve_head(len(headers))
+        await self._client.reserve_head(len(headers))
         self._is_reading_body = True
         try:
             body = await self._read_body(headers)
         finally:
             self._is_reading_body = False
             self._body = []
-        self._hold.enter(ClientState.SERVED)
+        self._client.enter(ClientState.SERVED)
         parts = urlsplit(event.target.decode("latin-1"))
         query = dict(parse_qsl(parts.query, keep_blank_values=True))
         return Request(event.method.decode("ascii"), unquote(parts.path), query, headers, body)
 
     async def _read_head(self, timer: HeadTimer) -> bytes:
         data = await timer.read()
-        if self._hold.use.state is ClientState.KEPT:
-            self._hold.enter(ClientState.ARRIVING)
-        self._hold.note_bytes(len(data))
-        self._hold.add(len(data))
+        if self._client.use.state is ClientState.KEPT:
+            self._client.enter(ClientState.ARRIVING)
+        self._client.note_bytes(len(data))
+        self._client.add(len(data))
         return data
 
     async def _read_body(self, headers: dict[str, str]) -> bytes:
@@ -220,7 +220,7 @@
         if "content-length" in headers:
             room = int(headers["content-length"])
             self._require_size(room)
-            await self._hold.reserve_body(room)
+            await self._client.reserve_body(room)
         if self._http.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             self._stream.write(self._http.send(interim) or b"")
@@ -235,12 +235,12 @@
             self._require_size(size)
             if size > room:
                 previous, room = room, next_room(size, limit)
-                await self._hold.reserve_body(room - previous)
+                await self._client.reserve_body(room - previous)
             self._body.append(bytes(event.data))
 
     async def _read_more(self) -> bytes:
         data = await read_within(self._stream, self._limits.read_s)
-        self._hold.note_bytes(len(data))
+        self._client.note_bytes(len(data))
         return data
 
     def _require_size(self, size: int) -> None:
@@ -286,21 +286,21 @@
         if response.body and request.method != "HEAD":
             data += self._http.send(h11.Data(data=response.body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        self._hold.add(len(data))
-        await self._hold.send(self._stream, data)
+        self._client.add(len(data))
+        await self._client.send(self._stream, data)
 
     async def _send_stream(
         self, status: int, headers: dict[str, str], body: AsyncIterable[bytes]
     ) -> None:
         headers["transfer-encoding"] = "chunked"
         try:
-            await self._hold.send(self._stream, self._head(status, headers))
+            await self._client.send(self._stream, self._head(status, headers))
             async for piece in body:
                 data = self._http.send(h11.Data(data=piece)) or b""
-                await self._hold.send(self._stream, data)
+                await self._client.send(self._stream, data)
         finally:
             await _end_body(body)
-        await self._hold.send(self._stream, self._http.send(h11.EndOfMessage()) or b"")
+        await self._client.send(self._stream, self._http.send(h11.EndOfMessage()) or b"")
 
     def _head(self, status: int, headers: dict[str, str]) -> bytes:
         head = h11.Response(status_code=status, headers=encode_headers(headers))
--- a/src/lacewinggw/wire/peers.py
+++ b/src/lacewinggw/wire/peers.py
@@ -27,7 +27,7 @@
 from lacewinggw.generated.messages import ttypes as messages
 from lacewinggw.generated.messages.ttypes import FrameKind
 from lacewinggw.log import get_logger
-from lacewinggw.wire.clients import ClientDoor, Clients
+from lacewinggw.wire.clients import ClientAdmission, Clients
 from lacewinggw.wire.frames import (
     FrameSplitter,
     Message,
@@ -377,7 +377,8 @@
     reply = await link.call(messages.FetchLog(0, 100), timeout_s=2.0)
 
     `on_notification` handles notifications synchronously, and returns False for those that it
-    leaves to `handler`. `door` limits the incoming connections that have not shown the fleet's key.
+    leaves to `handler`. `admission` limits the incoming
+    connections that have not shown the fleet's key.
     """
 
     def __init__(
@@ -390,7 +391,7 @@
         on_revision: Callable[[PeerLink, int], None] | None = None,
         on_link: Callable[[PeerLink], None] | None = None,
         on_notification: Callable[[PeerLink, Message], bool] | None = None,
-        door: ClientDoor | None = None,
+        admission: ClientAdmission | None = None,
     ) -> None:
         self.identity = identity
         self.sent_bytes = 0
@@ -399,7 +400,7 @@
         self.on_notification = on_notification
         self.turns = ReadTurns()
         self._network = network
-        self._door = door or Clients.unlimited().page_door("peers")
+        self._admission = admission or Clients.unlimited().page_admission("peers")
         self._key = fleet_key.encode()
         self._on_revision = on_revision
         self._on_link = on_link
@@ -503,8 +504,8 @@
         return self._run_link(stream, remote)
 
     async def _accept(self, stream: Stream) -> None:
-        hold = self._door.admit(lambda _: stream.abort())
-        if hold is None:
+        client = self._admission.admit(lambda _: stream.abort())
+        if client is None:
             stream.abort()
             return
         try:
@@ -513,7 +514,7 @@
             log.warning("peer_refused", code=error.code, reason=error.reason)
             return
         finally:
-            self._door.remove(hold)
+            self._admission.remove(client)
         link = self._run_link(stream, remote)
         await link.closed.wait()
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -18,15 +18,15 @@
 
 
 class Crowd:
-    """Connections at one door, and which of them were closed for others."""
+    """Connections at one admission, and which of them were closed for others."""
 
     def __init__(self, limits: ClientLimits = LIMITS) -> None:
         self.clients = Clients(limits, Metrics())
-        self.door = self.clients.caller_door("callers")
+        self.admission = self.clients.caller_admission("callers")
         self.closed = []
 
     def connect(self, name: str = ""):
-        return self.door.admit(lambda reason: self.closed.append((name, reason.value)))
+        return self.admission.admit(lambda reason: self.closed.append((name, reason.value)))
 
     @property
     def used(self) -> int:
@@ -36,9 +36,9 @@
 async def test_a_client_waits_until_memory_is_given_back():
     crowd = Crowd()
     first = [crowd.connect() for _ in range(3)]
-    for hold in first:
-        hold.enter(ClientState.SERVED)
-        await hold.reserve(LARGE)
+    for client in first:
+        client.enter(ClientState.SERVED)
+        await client.reserve(LARGE)
     waiting = asyncio.ensure_future(crowd.connect().reserve(LARGE))
     await asyncio.sleep(WAIT_S / 2)
     assert not waiting.done()
@@ -50,9 +50,9 @@
 async def test_a_client_is_refused_if_no_memory_is_given_back():
     crowd = Crowd()
     for _ in range(3):
-        hold = crowd.connect()
-        hold.enter(ClientState.SERVED)
-        await hold.reserve(LARGE)
+        client = crowd.connect()
+        client.enter(ClientState.SERVED)
+        await client.reserve(LARGE)
     with pytest.raises(Overloaded) as refused:
         await crowd.connect().reserve(LARGE)
     assert refused.value.retry_after_ms
@@ -85,14 +85,14 @@
 async def test_a_client_that_leaves_while_it_waits_takes_nothing():
     crowd = Crowd()
     first = [crowd.connect() for _ in range(3)]
-    for hold in first:
-        await hold.reserve(LARGE)
+    for client in first:
+        await client.reserve(LARGE)
     waiting = asyncio.ensure_future(crowd.connect().reserve(LARGE))
     await asyncio.sleep(0)
     waiting.cancel()
     await asyncio.wait([waiting])
-    for hold in first:
-        hold.release()
+    for client in first:
+        client.release()
     await asyncio.sleep(2 * WAIT_S)
     assert crowd.used == 0
 
@@ -100,11 +100,11 @@
 async def test_answers_that_nobody_reads_give_way():
     crowd = Crowd()
     for number in range(3):
-        hold = crowd.connect(str(number))
-        hold.enter(ClientState.SERVED)
-        await hold.reserve(LARGE, is_answer=True)
+        client = crowd.connect(str(number))
+        client.enter(ClientState.SERVED)
+        await client.reserve(LARGE, is_answer=True)
         if number == 1:
-            hold.enter(ClientState.UNREAD)
+            client.enter(ClientState.UNREAD)
     await asyncio.sleep(STALL_S)
     await crowd.connect("new").reserve(LARGE)
     assert crowd.closed == [("1", "memory")]
@@ -130,7 +130,7 @@
     ("memory_mb", "descriptors"), [(152, 1535), (168, 1124), (200, 4100), (300, 4100), (552, 8192)]
 )
 def test_limits_leave_room_on_each_machine(memory_mb, descriptors):
-    """What clients may hold at most, with the process itself, is within the machine."""
+    """What clients may client at most, with the process itself, is within the machine."""
     settings = ProcessSettings("host", "hall", "key")
     settings.memory_bytes, settings.descriptors = memory_mb * MB, descriptors
     limits = ClientLimits.from_config(settings)
--- a/tests/test_endless_services.py
+++ b/tests/test_endless_services.py
@@ -71,20 +71,20 @@
 async def test_endless_answers_of_many_targets_take_a_limited_amount_of_memory():
     answers_at_once = 64
     clients = Clients(ClientLimits(HELD_BYTES, answers_at_once, 1), Metrics())
-    door = clients.caller_door("callers")
+    admission = clients.caller_admission("callers")
     facts = AnswerFacts("call", not_run=False, sealed=True)
     async with socket_peer(*ENDLESS_ANSWERS["a body"]) as peer:
         client = HttpClient(TcpNetwork(), idle_connections=0)
 
         async def read() -> str:
             response = await client.stream(peer.address, "GET", "/", timeout_s=CALL_S)
-            hold = door.admit(lambda _: None)
-            hold.enter(ClientState.SERVED)
-            answer = Answer(response.status, response.headers, facts, response, hold)
+            caller = admission.admit(lambda _: None)
+            caller.enter(ClientState.SERVED)
+            answer = Answer(response.status, response.headers, facts, response, caller)
             try:
                 await read_whole(answer, lambda: None)
             except (LacewingError, HttpError) as error:
-                hold.release()
+                caller.release()
                 return str(error)
             return "complete"
 
