--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -215,7 +215,7 @@
 
     def evict(self, use: ClientUse, reason: Eviction) -> None:
         """Close a connection for others, and give its memory back."""
-        client = self._connections.pop(use)
+        client = self._connections[use]
         self._metrics.count("clients_evicted", reason=reason.value)
         self._note_evicted(reason)
         client.release()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -138,3 +138,14 @@
     assert 80 * MB + limits.held_bytes + 48_000 * connections <= memory_mb * MB
     assert connections <= 0.75 * (descriptors - 200)
     assert limits.held_bytes >= 2 * 2 * (4 << 20)  # two bodies of the longest length
+
+
+# A connection that gave way for memory is told so, and keeps its place until it has read that.
+async def test_a_connection_may_give_way_for_memory_and_then_for_another():
+    crowd = Crowd(ClientLimits(40 * MB, callers=4, page_clients=1))
+    for number in range(3):
+        await crowd.connect(str(number)).reserve(LARGE)
+    await asyncio.sleep(STALL_S)
+    await crowd.connect("new").reserve(LARGE)
+    assert crowd.connect("last") is not None
+    assert crowd.closed == [("0", "memory"), ("0", "connections")]
