--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -280,7 +280,9 @@
 
     def _serve_waiting(self) -> None:
         """Grant memory to the clients that wait, as far as others give way."""
-        self._timer = None
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         while self._waiting:
             waiting = self._waiting[0]
             if waiting.granted.done():
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -8,7 +8,7 @@
 from lacewinggw.errors import Overloaded
 from lacewinggw.generated.settings.ttypes import ProcessSettings
 from lacewinggw.metrics import Metrics
-from lacewinggw.wire.clients import WAIT_S, ClientLimits, Clients
+from lacewinggw.wire.clients import WAIT_S, WAIT_STEP_S, ClientLimits, Clients
 
 pytestmark = pytest.mark.looptime
 
@@ -149,3 +149,26 @@
     await crowd.connect("new").reserve(LARGE)
     assert crowd.connect("last") is not None
     assert crowd.closed == [("0", "memory"), ("0", "connections")]
+
+
+# Each client that waits had all connections searched for stalled ones again and again, apart from
+# the others.
+async def test_many_clients_that_wait_are_served_by_one_timer():
+    crowd = Crowd()
+    for _ in range(3):
+        await crowd.connect().reserve(LARGE)
+    served, serve_waiting = 0, crowd.clients._serve_waiting
+
+    def count() -> None:
+        nonlocal served
+        served += 1
+        serve_waiting()
+
+    crowd.clients._serve_waiting = count
+    clients = [crowd.connect() for _ in range(30)]
+    waiting = [asyncio.ensure_future(client.reserve(LARGE)) for client in clients]
+    await asyncio.sleep(WAIT_S / 2)
+    assert served <= len(clients) + WAIT_S / 2 / WAIT_STEP_S + 1
+    for task in waiting:
+        task.cancel()
+    await asyncio.wait(waiting)
