--- a/tests/crowds/fleets.py
+++ b/tests/crowds/fleets.py
@@ -64,7 +64,7 @@
         return f"{self.ip}:{LISTENERS['Frontend']}"
 
     @property
-    def doors(self) -> dict[str, str]:
+    def listeners(self) -> dict[str, str]:
         """All addresses at which an entry listens, by what is served there."""
         named = {name.lower(): f"{self.ip}:{port}" for name, port in LISTENERS.items()}
         return {**named, "operators": self.operators, "peers": f"{self.ip}:{PEER_PORT}"}
--- a/tests/crowds/test_crowds_at_doors.py
+++ b/tests/crowds/test_crowds_at_listeners.py
@@ -1,4 +1,4 @@
-"""Clients that stay inside no limits, at each door of an entry and of an agent.
+"""Clients that stay inside no limits, at each listener of an entry and of an agent.
 
 Guards against connections that take all descriptors, so that the process reaches neither its
 targets nor its store, and against a log that grows with each of them.
@@ -15,8 +15,8 @@
 CONNECTIONS = 800  # more than the process may have descriptors
 PAGE_BODY_BYTES = 64 << 10
 RETURNING_S = 10.0
-DOORS = ("frontend", "ready", "directory", "operators", "peers")
-AGENT_DOORS = ("operators", "peers")
+LISTENERS = ("frontend", "ready", "directory", "operators", "peers")
+AGENT_LISTENERS = ("operators", "peers")
 POST = f"POST /resolve HTTP/1.1\r\nHost: x\r\nContent-Length: {PAGE_BODY_BYTES}\r\n\r\n".encode()
 
 MEMBERS = {
@@ -30,10 +30,10 @@
 
 
 @pytest.mark.parametrize("kind", MEMBERS)
-@pytest.mark.parametrize("door", DOORS)
-async def test_a_crowd_at_a_door_of_an_entry_stays_within_the_machine(door, kind, tmp_path):
+@pytest.mark.parametrize("listener", LISTENERS)
+async def test_a_crowd_at_a_listener_of_an_entry_stays_within_the_machine(listener, kind, tmp_path):
     async with crowded_entry(tmp_path) as fleet:
-        async with crowd_of(CONNECTIONS, MEMBERS[kind], fleet.doors[door]):
+        async with crowd_of(CONNECTIONS, MEMBERS[kind], fleet.listeners[listener]):
             await fleet.require_service()
             fleet.require_bounds()
         await fleet.require_service()
@@ -42,10 +42,10 @@
 
 
 @pytest.mark.parametrize("kind", MEMBERS)
-@pytest.mark.parametrize("door", AGENT_DOORS)
-async def test_a_crowd_at_a_door_of_an_agent_stays_within_the_machine(door, kind, tmp_path):
+@pytest.mark.parametrize("listener", AGENT_LISTENERS)
+async def test_a_crowd_at_a_listener_of_an_agent_stays_within_the_machine(listener, kind, tmp_path):
     async with crowded_agent(tmp_path) as fleet:
-        async with crowd_of(CONNECTIONS, MEMBERS[kind], fleet.doors[door]):
+        async with crowd_of(CONNECTIONS, MEMBERS[kind], fleet.listeners[listener]):
             await asyncio.sleep(0)
             fleet.require_bounds()
         await fleet.require_page()
@@ -62,10 +62,10 @@
         fleet.require_bounds()
 
 
-@pytest.mark.parametrize("door", DOORS)
-async def test_a_crowd_that_returns_leaves_an_entry_that_serves(door, tmp_path):
+@pytest.mark.parametrize("listener", LISTENERS)
+async def test_a_crowd_that_returns_leaves_an_entry_that_serves(listener, tmp_path):
     async with crowded_entry(tmp_path) as fleet:
-        async with crowd_of(CONNECTIONS, RETURNING, fleet.doors[door]):
+        async with crowd_of(CONNECTIONS, RETURNING, fleet.listeners[listener]):
             await asyncio.sleep(RETURNING_S)
             fleet.require_bounds()
         await fleet.require_service()
@@ -73,9 +73,11 @@
         fleet.require_bounds()
 
 
-async def test_crowds_at_all_doors_at_once_leave_an_entry_that_serves(tmp_path):
+async def test_crowds_at_all_listeners_at_once_leave_an_entry_that_serves(tmp_path):
     async with crowded_entry(tmp_path) as fleet:
-        crowds = [crowd_of(CONNECTIONS // 2, RETURNING, door) for door in fleet.doors.values()]
+        crowds = [
+            crowd_of(CONNECTIONS // 2, RETURNING, listener) for listener in fleet.listeners.values()
+        ]
         for crowd in crowds:
             await crowd.__aenter__()
         await asyncio.sleep(RETURNING_S)
--- a/tests/crowds/test_crowds_of_callers.py
+++ b/tests/crowds/test_crowds_of_callers.py
@@ -1,4 +1,4 @@
-"""Callers that stay inside no limits, at the door for callers of an entry.
+"""Callers that stay inside no limits, at the listener for callers of an entry.
 
 Guards against a process that ends or hangs, or exceeds the memory or the descriptors of its
 machine, and against ordinary callers that get no answer beside or after such a crowd.
--- a/tests/crowds/test_crowds_of_own_fleet.py
+++ b/tests/crowds/test_crowds_of_own_fleet.py
@@ -1,4 +1,4 @@
-"""Clients that stay inside no limits, at the doors of an entry and an agent of our own fleet.
+"""Clients that stay inside no limits, at the listeners of an entry and an agent of our own fleet.
 
 Guards against a process that ends or hangs, or exceeds the memory or the descriptors of its
 machine, and against ordinary callers that get no answer beside or after such a crowd.
@@ -58,12 +58,12 @@
     "first lines of heads": (CONNECTIONS, Member(FIRST_LINE)),
     "first lines of heads again": (CONNECTIONS, Member(FIRST_LINE, returns=True)),
 }
-DOORS = ("operators", "peers")
+LISTENERS = ("operators", "peers")
 
 
-def address_of(host: FleetHost, door: str) -> str:
+def address_of(host: FleetHost, listener: str) -> str:
     """Return the address of a host at which operators or peers are served."""
-    return host.member.operator_address if door == "operators" else host.member.address
+    return host.member.operator_address if listener == "operators" else host.member.address
 
 
 def is_served(reply: Reply) -> bool:
@@ -134,13 +134,13 @@
 
 
 @pytest.mark.parametrize("role", ["entry", "agent"])
-@pytest.mark.parametrize("door", DOORS)
-async def test_a_crowd_at_a_door_stays_within_the_machines(door, role):
+@pytest.mark.parametrize("listener", LISTENERS)
+async def test_a_crowd_at_a_listener_stays_within_the_machines(listener, role):
     async with own_fleet() as fleet:
         host = fleet.entries[0] if role == "entry" else fleet.agents[0]
         for kind in ("first lines of heads", "first lines of heads again", "bodies one byte short"):
             size, member = CROWDS[kind]
-            async with crowd_of(size, member, address_of(host, door)):
+            async with crowd_of(size, member, address_of(host, listener)):
                 await require_service(fleet)
                 require_bounds(fleet)
         await require_service(fleet)
