--- a/tests/crowds/fleets.py
+++ b/tests/crowds/fleets.py
@@ -105,10 +105,7 @@
 async def crowded_entry(folder: Path) -> AsyncIterator[CrowdedFleet]:
     """Run an entry with a plain service and an engine within the block."""
     prefix = f"127.{1 + os.getpid() % 200}"
-    store = StoreStandIn(TcpNetwork())
-    store._address = f"{prefix}.9.1:8007"
-    await store.start()
-    store.put("op", "config", manifest(2, Limits=CALLER_LIMITS))
+    store = await _start_store(prefix)
     targets = [
         SizedTarget("i-desk", f"{prefix}.2.1:8080"),
         SizedTarget("i-writer", f"{prefix}.2.2:8080", streams=True),
@@ -130,6 +127,14 @@
         await store.close()
 
 
+async def _start_store(prefix: str) -> StoreStandIn:
+    store = StoreStandIn(TcpNetwork())
+    store._address = f"{prefix}.9.1:8007"
+    await store.start()
+    store.put("op", "config", manifest(2, Limits=CALLER_LIMITS))
+    return store
+
+
 async def _wait_until_served(fleet: CrowdedFleet) -> None:
     async with asyncio.timeout(READY_S):
         while True:
@@ -146,10 +151,7 @@
 async def crowded_agent(folder: Path) -> AsyncIterator[CrowdedFleet]:
     """Run an agent within the block; its target is away."""
     prefix = f"127.{1 + os.getpid() % 200}"
-    store = StoreStandIn(TcpNetwork())
-    store._address = f"{prefix}.9.1:8007"
-    await store.start()
-    store.put("op", "config", manifest(2, Limits=CALLER_LIMITS))
+    store = await _start_store(prefix)
     ip = f"{prefix}.3.1"
     target = f"{prefix}.3.1:8001"
     process = fleet_process("agent", ip, store.address, AGENT_LIMITS, folder, target)
--- a/tests/crowds/machines.py
+++ b/tests/crowds/machines.py
@@ -5,16 +5,15 @@
 """
 
 import asyncio
-import os
 import re
 import resource
-import sys
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+from entry_processes import ROOT, launch
+
 FILE_DESCRIPTORS = 200  # of a machine's, reserved for files; sockets share the remainder
 MB = 1_000_000
 PLACEHOLDER = re.compile(r"\{\{([\w.]+)\}\}")
@@ -156,20 +155,7 @@
 
     async def start(self) -> None:
         """Start the process."""
-        path = os.pathsep.join([str(ROOT / "platform"), str(ROOT / "src")])
-        with self.log_path.open("ab") as log_file:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *self._arguments,
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log_file,
-                stderr=log_file,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": path,
-                    "LACEWINGGW_BOOT": str(self._settings),
-                },
-            )
+        self._process = await launch(self._arguments, self._settings, self.log_path)
         limit_descriptors(self.pid, self.limits)
 
     async def close(self) -> None:
--- a/tests/fleet/entry_processes.py
+++ b/tests/fleet/entry_processes.py
@@ -35,6 +35,22 @@
 """
 
 
+async def launch(
+    arguments: Sequence[str], settings_path: Path, log_path: Path
+) -> asyncio.subprocess.Process:
+    """Start a process of the product, whose log is appended to a file."""
+    path = os.pathsep.join([str(ROOT / "platform"), str(ROOT / "src")])
+    with log_path.open("ab") as log_file:
+        return await asyncio.create_subprocess_exec(
+            sys.executable,
+            *arguments,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=log_file,
+            stderr=log_file,
+            env={**os.environ, "PYTHONPATH": path, "LACEWINGGW_BOOT": str(settings_path)},
+        )
+
+
 class EntryProcess:
     """One entry, restarted at the same address after each SIGTERM."""
 
@@ -55,20 +71,8 @@
         self._settings_path.write_text(text)
 
     async def start(self) -> None:
-        path = os.pathsep.join([str(ROOT / "platform"), str(ROOT / "src")])
-        with self.log_path.open("ab") as log_file:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                *("-m", "lacewinggw_platform", "entry"),
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=log_file,
-                stderr=log_file,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": path,
-                    "LACEWINGGW_BOOT": str(self._settings_path),
-                },
-            )
+        arguments = ("-m", "lacewinggw_platform", "entry")
+        self._process = await launch(arguments, self._settings_path, self.log_path)
 
     def signal(self, number: signal.Signals) -> None:
         assert self._process is not None, "call start() first"
