--- a/tests/crowds/test_crowds_of_callers.py
+++ b/tests/crowds/test_crowds_of_callers.py
@@ -4,8 +4,11 @@
 machine, and against ordinary callers that get no answer beside or after such a crowd.
 """
 
+import asyncio
+from collections import Counter
+
 import pytest
-from crowd import Member, crowd_of
+from crowd import Member, ask_until_answered, crowd_of
 from fleets import BODY_BYTES, crowded_entry, request
 
 pytestmark = pytest.mark.crowd
@@ -113,3 +116,22 @@
                 pass
         assert [target.served for target in fleet.targets] == [3, 1]
         fleet.require_bounds()
+
+
+async def test_a_burst_of_sound_callers_with_large_bodies_is_served(tmp_path):
+    """They exceed the memory together; each returns when it is told to."""
+    size = 2 << 20
+    asked = body_request("/tally/300", size)
+
+    def is_served(reply) -> bool:
+        return reply.status == 200 and reply.whole
+
+    async with crowded_entry(tmp_path) as fleet:
+        replies = await asyncio.gather(
+            *(ask_until_answered(fleet.callers, asked, is_served) for _ in range(60))
+        )
+        assert all(is_served(tries[-1]) for tries in replies)
+        statuses = Counter(each.status for tries in replies for each in tries)
+        print(dict(statuses))
+        assert statuses.keys() <= {200, 503}
+        fleet.require_bounds()
