--- a/src/lacewinggw/settingsvalues.py
+++ b/src/lacewinggw/settingsvalues.py
@@ -29,11 +29,13 @@
 # Values computed and filled in by a platform, which may have a fraction. They are rounded down: a
 # bound becomes slightly stricter, and a link is used slightly less.
 FILLED_IN_SECTION = "fleet"
-FILLED_IN_FIELDS = {"link_bytes_per_s"}
+FILLED_IN_FIELDS = {"link_bytes_per_s", "memory_bytes", "descriptors"}
 NUMBER = re.compile(r"-?\d+(\.\d+)?([eE][+-]?\d{1,2})?")
 PERCENT_MAXIMUM = 100
 RATIO_FIELDS = {"cold_overshoot_percent"}  # multiples, which may exceed 100 percent
 RATIO_MAXIMUM = 1000
+# Below these a process cannot work: what it holds itself, and its descriptors for files.
+MINIMUM = {"memory_bytes": 64_000_000, "descriptors": 256}
 MAXIMUM = {TType.I32: 2**31 - 1, TType.I64: 2**63 - 1}
 PORT_MAXIMUM = 65535
 # Allowed numbers of parts in items such as "a:b"; the comments in the schema define the parts.
@@ -164,7 +166,7 @@
 
 def _check_range(raw: RawValue, number: int) -> None:
     key = raw.key
-    least = 0 if key.field in MAY_BE_ZERO else 1
+    least = 0 if key.field in MAY_BE_ZERO else MINIMUM.get(key.field, 1)
     most = _maximum(key)
     if not least <= number <= most:
         remedy = f"write a value from {least} to {most}"
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,11 +6,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from machines import ENTRY_LIMITS, fill_in, platform_fields
 from syrupy.assertion import SnapshotAssertion
 from thrift.Thrift import TType
 
 from lacewinggw.cli import ExitCode, main
 from lacewinggw.errors import LacewingError, SettingsError
+from lacewinggw.generated.settings.ttypes import Settings
 from lacewinggw.settings import (
     default_settings,
     detect_process_kind,
@@ -154,3 +156,48 @@
 def test_operator_set_count_with_a_fraction_is_rejected() -> None:
     with pytest.raises(SettingsError, match="whole number"):
         parse_settings("[spread]\ngateways = 2.5\n", "agent.ini", ("spread",))
+
+
+MACHINE = """
+[process]
+host = entry-1
+place = hall
+fleet_key = fleet
+{key} = {text}
+"""
+
+
+def read_process(key: str, text: str) -> Settings:
+    return parse_settings(MACHINE.format(key=key, text=text), "entry.ini", ("process",))
+
+
+# The platform fills in the limits of the machine, which may have a fraction.
+@pytest.mark.parametrize("text", ["300.5MB", "168.33333333333334MB", "552MB"])
+def test_memory_filled_in_by_a_platform_may_have_a_fraction(text: str) -> None:
+    megabytes = Decimal(text.removesuffix("MB"))
+    assert read_process("memory", text).process.memory_bytes == int(megabytes * 1_000_000)
+
+
+def test_descriptors_filled_in_by_a_platform_may_have_a_fraction() -> None:
+    assert read_process("descriptors", "4100.5").process.descriptors == 4100
+
+
+@pytest.mark.parametrize(
+    ("key", "text"),
+    [("memory", "63MB"), ("memory", "0MB"), ("memory", "300"), ("descriptors", "255")],
+)
+def test_limits_of_a_machine_that_no_process_can_keep_are_rejected(key: str, text: str) -> None:
+    with pytest.raises(SettingsError, match=rf"\[process\] {key}"):
+        read_process(key, text)
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+@pytest.mark.parametrize("limits", [{}, {"MemoryMb": 300.5, "FileDescriptors": 4100.0}])
+def test_limits_that_a_platform_does_not_give_have_defaults(role: str, limits: dict) -> None:
+    fields = platform_fields("10.0.0.1", "10.9.0.1:8007", ENTRY_LIMITS, "10.0.0.1:8001")
+    fields["Limits"] = {"LinkMbps": 1000.0, **limits}
+    text = fill_in((ROOT / "deploy" / f"{role}.ini").read_text(), fields)
+    process = parse_settings(text, f"{role}.ini", ("process", "fleet", role)).process
+    default = default_settings().process
+    assert process.memory_bytes == (300_500_000 if limits else default.memory_bytes)
+    assert process.descriptors == (4100 if limits else default.descriptors)
