--- a/src/lacewinggw/decisions/clientload.py
+++ b/src/lacewinggw/decisions/clientload.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 from enum import Enum
 
@@ -146,23 +146,35 @@
         """Whether clients use more than the limit."""
         return self.used_bytes > self.limit_bytes
 
+    @property
+    def small_limit_bytes(self) -> float:
+        """What clients that use little may use together, whatever the others do."""
+        return (1.0 - LARGE_SHARE) * self.limit_bytes
+
     def _fits(self, use: ClientUse, size: int) -> bool:
         total = self.used_bytes + size
         held = use.held_bytes + size
         if held <= SMALL_BYTES:
             return total <= self.limit_bytes
         others = self.used_bytes - use.held_bytes
-        is_only = others <= (1.0 - LARGE_SHARE) * self.limit_bytes
+        is_only = others <= self.small_limit_bytes
         return total <= LARGE_SHARE * self.limit_bytes or is_only
 
 
-def choose_for_memory(uses: Iterable[ClientUse], now: float) -> ClientUse | None:
+def choose_for_memory(
+    uses: Collection[ClientUse], now: float, small_limit_bytes: float = 0.0
+) -> ClientUse | None:
     """Return the client that gives way if others need memory; None if all of them make progress.
 
-    It is the one whose memory has been of no use for longest, by bytes and time.
+    It is the one whose memory has been of no use for longest, by bytes and time. Clients that use
+    little do not give way while they use no more than `small_limit_bytes` together: closing them
+    would not make room for a large request.
     """
     stalled = [use for use in uses if use.held_bytes and use.stalled_s(now) >= STALL_S]
-    return max(stalled, key=lambda use: use.held_bytes * use.stalled_s(now), default=None)
+    large = [use for use in stalled if use.held_bytes > SMALL_BYTES]
+    small_bytes = sum(use.held_bytes for use in uses if use.held_bytes <= SMALL_BYTES)
+    candidates = stalled if small_bytes > small_limit_bytes else large
+    return max(candidates, key=lambda use: use.held_bytes * use.stalled_s(now), default=None)
 
 
 def next_room(received_bytes: int, limit_bytes: int) -> int:
--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -161,6 +161,11 @@
     size: int
     granted: "asyncio.Future[None]"
 
+    @property
+    def is_small(self) -> bool:
+        """Whether the client uses little with what it waits for."""
+        return self.client.use.held_bytes + self.size <= SMALL_BYTES
+
 
 class Clients:
     """The clients of one process, at all its listeners.
@@ -248,7 +253,7 @@
         if not may_wait or (len(self._waiting) >= MAX_WAITING and not is_answer):
             raise self._overloaded()
         waiting = _Waiting(client, size, asyncio.get_running_loop().create_future())
-        if is_answer or is_small:
+        if is_answer or waiting.is_small:
             self._waiting.appendleft(waiting)
         else:
             self._waiting.append(waiting)
@@ -290,15 +295,17 @@
             elif self._memory.take(waiting.client.use, waiting.size):
                 self._waiting.popleft()
                 waiting.granted.set_result(None)
-            elif not self._evict_for_memory():
+            elif not self._evict_for_memory(waiting.is_small):
                 break
-        while self._memory.is_exceeded and self._evict_for_memory():
+        while self._memory.is_exceeded and self._evict_for_memory(for_small=True):
             pass
         if self._waiting or self._memory.is_exceeded:
             self._start_timer()
 
-    def _evict_for_memory(self) -> bool:
-        use = choose_for_memory(self._connections, _now())
+    def _evict_for_memory(self, for_small: bool) -> bool:
+        """Have a stalled client give way; return whether there is one."""
+        small_limit_bytes = 0.0 if for_small else self._memory.small_limit_bytes
+        use = choose_for_memory(self._connections, _now(), small_limit_bytes)
         if use is None:
             return False
         self.evict(use, Eviction.MEMORY)
--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -16,6 +16,7 @@
 ORDINARY_TRIES = 20
 ORDINARY_S = 5.0  # for one try; only a process that hangs takes longer
 MIN_PAUSE_S = 0.2
+SLOW_PARTS = 20
 
 
 @dataclass(frozen=True)
@@ -131,6 +132,16 @@
     return replies
 
 
+async def ask_slowly(address: str, request: bytes, seconds: float) -> Reply:
+    """Return the reply to a request that is sent in equal parts over a time."""
+    stream = await TcpNetwork().connect(address)
+    size = -(-len(request) // SLOW_PARTS)
+    for begin in range(0, len(request), size):
+        stream.write(request[begin : begin + size])
+        await asyncio.sleep(seconds / SLOW_PARTS)
+    return await receive_reply(stream, ORDINARY_S)
+
+
 async def _ask(address: str, request: bytes) -> Reply:
     try:
         async with asyncio.timeout(ORDINARY_S):
--- a/tests/crowds/test_crowds_of_callers.py
+++ b/tests/crowds/test_crowds_of_callers.py
@@ -8,7 +8,7 @@
 from collections import Counter
 
 import pytest
-from crowd import Member, ask_until_answered, crowd_of
+from crowd import Member, ask_slowly, ask_until_answered, crowd_of
 from fleets import BODY_BYTES, crowded_entry, request
 
 pytestmark = pytest.mark.crowd
@@ -86,23 +86,19 @@
         fleet.require_bounds()
 
 
-async def test_bodies_that_a_target_does_not_read_stay_within_the_machine(tmp_path):
-    member = Member(body_request("/tally/1", BODY_BYTES))
-    async with crowded_entry(tmp_path) as fleet:
-        fleet.targets[0].is_deaf = True
-        async with crowd_of(64, member, fleet.callers):
-            fleet.targets[0].is_deaf = False
-            await fleet.require_service()
-        await fleet.require_service()
-        fleet.require_bounds()
+# While their target neither reads nor answers. Decoded, a head takes many times its size.
+WAITING_CROWDS = {
+    "bodies": (64, Member(body_request("/tally/1", BODY_BYTES))),
+    "heads of many lines": (450, Member(request("/tally/1", fields="a:b\r\n" * 900))),
+}
 
 
-async def test_heads_of_many_lines_that_wait_stay_within_the_machine(tmp_path):
-    """Decoded, a head takes many times its size."""
-    member = Member(request("/tally/1", fields="a:b\r\n" * 900))
+@pytest.mark.parametrize("kind", WAITING_CROWDS)
+async def test_a_crowd_that_waits_for_a_target_stays_within_the_machine(kind, tmp_path):
+    size, member = WAITING_CROWDS[kind]
     async with crowded_entry(tmp_path) as fleet:
         fleet.targets[0].is_deaf = True
-        async with crowd_of(450, member, fleet.callers):
+        async with crowd_of(size, member, fleet.callers):
             fleet.targets[0].is_deaf = False
             await fleet.require_service()
         await fleet.require_service()
@@ -135,3 +131,22 @@
         print(dict(statuses))
         assert statuses.keys() <= {200, 503}
         fleet.require_bounds()
+
+
+SLOW_S = 4.0  # within the time limit of the route
+
+
+@pytest.mark.parametrize("size", [8 << 10, 1 << 20])
+async def test_a_slow_sound_caller_is_served_in_calm(size, tmp_path):
+    async with crowded_entry(tmp_path) as fleet:
+        reply = await ask_slowly(fleet.callers, body_request("/report/1", size), SLOW_S)
+        assert reply.status == 200 and reply.whole
+        fleet.require_bounds()
+
+
+async def test_a_slow_sound_caller_is_served_beside_a_crowd(tmp_path):
+    size, member = CROWDS["bodies one byte short that return"]
+    async with crowded_entry(tmp_path) as fleet, crowd_of(size, member, fleet.callers):
+        reply = await ask_slowly(fleet.callers, body_request("/report/1", 8 << 10), SLOW_S)
+        assert reply.status == 200 and reply.whole
+        fleet.require_bounds()
--- a/tests/test_clientload.py
+++ b/tests/test_clientload.py
@@ -114,6 +114,18 @@
     assert chosen == [*crowd, slow]
 
 
+# A crowd waits for memory, beside a slow caller that is the only one stalled for now.
+def test_little_memory_does_not_give_way_for_a_large_request():
+    memory = MemoryLimit(MEMORY)
+    slow = ClientUse(held_bytes=4000, progressed_at=0.0)
+    uploading = ClientUse(held_bytes=8 << 20, progressed_at=4.5)
+    uses = [slow, uploading]
+    assert choose_for_memory(uses, 5.0, memory.small_limit_bytes) is None
+    assert choose_for_memory(uses, 5.0) is slow
+    small = [ClientUse(held_bytes=SMALL_BYTES, progressed_at=0.0) for _ in range(20)]
+    assert choose_for_memory([*uses, *small], 5.0, memory.small_limit_bytes) is small[0]
+
+
 def test_clients_that_make_progress_do_not_give_way():
     now = 10.0
     uploading = ClientUse(held_bytes=8 << 20, progressed_at=now - STALL_S / 2)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -97,6 +97,18 @@
     assert crowd.used == 0
 
 
+async def test_a_slow_small_request_does_not_give_way_to_a_large_one():
+    crowd = Crowd()
+    await crowd.connect("slow").reserve(4000)
+    await asyncio.sleep(STALL_S)
+    served = crowd.connect()
+    served.enter(ClientState.SERVED)
+    await served.reserve(2 * LARGE)
+    with pytest.raises(Overloaded):
+        await crowd.connect().reserve(2 * LARGE)
+    assert ("slow", "memory") not in crowd.closed
+
+
 async def test_answers_that_nobody_reads_give_way():
     crowd = Crowd()
     for number in range(3):
