--- a/tests/crowds/test_crowds_at_listeners.py
+++ b/tests/crowds/test_crowds_at_listeners.py
@@ -17,12 +17,27 @@
 RETURNING_S = 10.0
 LISTENERS = ("frontend", "ready", "directory", "operators", "peers")
 AGENT_LISTENERS = ("operators", "peers")
-POST = f"POST /resolve HTTP/1.1\r\nHost: x\r\nContent-Length: {PAGE_BODY_BYTES}\r\n\r\n".encode()
+TOO_LONG_BYTES = 1 << 30
+BODY = b"x" * PAGE_BODY_BYTES
+CHUNK = b"%x\r\n%s\r\n" % (len(BODY), BODY)
+
+
+def post(framing: str) -> bytes:
+    """Return the head of a request whose body is framed so."""
+    return f"POST /resolve HTTP/1.1\r\nHost: x\r\n{framing}\r\n\r\n".encode()
+
+
+POST = post(f"Content-Length: {PAGE_BODY_BYTES}")
+POST_CHUNKS = post("Transfer-Encoding: chunked")
 
 MEMBERS = {
     "idle": Member(b""),
     "the first line of a head": Member(b"GET /resolve HTTP/1.1\r\n"),
-    "a body one byte short": Member(POST + b"x" * (PAGE_BODY_BYTES - 1)),
+    "a body one byte short": Member(POST + BODY[:-1]),
+    "a whole body": Member(POST + BODY),
+    "a chunked body one byte short": Member(POST_CHUNKS + CHUNK[:-3]),
+    "a length over the limit": Member(post(f"Content-Length: {TOO_LONG_BYTES}"), BODY, 8),
+    "chunks without end": Member(POST_CHUNKS, CHUNK, 8),
     "answers unread": Member(PAGE * 500, reads=False),
     "endless bytes": Member(b"", b"x" * 4096, 64),
 }
--- a/tests/crowds/test_crowds_of_own_fleet.py
+++ b/tests/crowds/test_crowds_of_own_fleet.py
@@ -48,11 +48,16 @@
 ORDINARY = request(b"ordinary")
 WHOLE = request(b"x" * BODY_BYTES)
 CHUNKS = b"%x\r\n%s" % (BODY_BYTES, b"x" * (BODY_BYTES - 1))
+TOO_LONG = f"Content-Length: {1 << 30}\r\n"
+ENDLESS = b"x" * (1 << 18)
+ENDLESS_CHUNK = b"%x\r\n%s\r\n" % (len(ENDLESS), ENDLESS)
 FIRST_LINE = b"POST / HTTP/1.1\r\n"
 CROWDS = {
     "bodies one byte short": (64, Member(WHOLE[:-1])),
     "chunked bodies one byte short": (64, Member(request(CHUNKS, CHUNKED))),
     "whole bodies": (64, Member(WHOLE)),
+    "a length over the limit": (64, Member(request(fields=TOO_LONG), ENDLESS, 32)),
+    "chunks without end": (64, Member(request(fields=CHUNKED), ENDLESS_CHUNK, 32)),
     "whole bodies without a token": (64, Member(request(b"x" * BODY_BYTES, token="none"))),
     "answers unread": (200, Member(ORDINARY * 500, reads=False)),
     "first lines of heads": (CONNECTIONS, Member(FIRST_LINE)),
