--- a/src/lacewinggw/decisions/clientload.py
+++ b/src/lacewinggw/decisions/clientload.py
@@ -55,6 +55,10 @@
         """Record that the client did its part."""
         self.progressed_at, self._moved_bytes = now, 0
 
+    def is_small_with(self, size: int) -> bool:
+        """Return whether the connection uses little with so many bytes more."""
+        return self.held_bytes + size <= SMALL_BYTES
+
     def stalled_s(self, now: float) -> float:
         """Return for how long the client has not done its part; 0 if it need not do anything."""
         if self.state is ClientState.SERVED:
@@ -153,8 +157,7 @@
 
     def _fits(self, use: ClientUse, size: int) -> bool:
         total = self.used_bytes + size
-        held = use.held_bytes + size
-        if held <= SMALL_BYTES:
+        if use.is_small_with(size):
             return total <= self.limit_bytes
         others = self.used_bytes - use.held_bytes
         is_only = others <= self.small_limit_bytes
@@ -171,8 +174,8 @@
     would not make room for a large request.
     """
     stalled = [use for use in uses if use.held_bytes and use.stalled_s(now) >= STALL_S]
-    large = [use for use in stalled if use.held_bytes > SMALL_BYTES]
-    small_bytes = sum(use.held_bytes for use in uses if use.held_bytes <= SMALL_BYTES)
+    large = [use for use in stalled if not use.is_small_with(0)]
+    small_bytes = sum(use.held_bytes for use in uses if use.is_small_with(0))
     candidates = stalled if small_bytes > small_limit_bytes else large
     return max(candidates, key=lambda use: use.held_bytes * use.stalled_s(now), default=None)
 
--- a/src/lacewinggw/frontend/callers.py
+++ b/src/lacewinggw/frontend/callers.py
@@ -15,16 +15,16 @@
 
 from lacewinggw.decisions.clientload import SMALL_BODY_BYTES, ClientState, next_room
 from lacewinggw.decisions.routes import CallerLimits
-from lacewinggw.errors import Draining, LacewingError, MalformedHttp, Overloaded
+from lacewinggw.errors import Draining, LacewingError, MalformedHttp
 from lacewinggw.frontend.calls import Call, header_values
 from lacewinggw.log import get_logger
 from lacewinggw.wire.clients import (
-    EVICTED_RETRY_AFTER_MS,
     WRITE_BYTES,
     ClientAdmission,
     ClientConnection,
     Clients,
     Eviction,
+    overloaded,
 )
 from lacewinggw.wire.http import BODYLESS_STATUSES, READ_BYTES, HeaderList, HttpError
 from lacewinggw.wire.httpreader import HttpReader
@@ -659,9 +659,8 @@
 
     async def _end_evicted(self, caller: CallerConnection) -> None:
         """Refuse a request whose body was discarded for others."""
-        error = Overloaded("others need the memory", retry_after_ms=EVICTED_RETRY_AFTER_MS)
         with suppress(CallerDisconnected):
-            await self._refuse_unread(caller, error)
+            await self._refuse_unread(caller, overloaded())
 
     async def _refuse_unread(self, caller: CallerConnection, error: LacewingError) -> None:
         """Refuse a request that is not read completely, and close its connection."""
--- a/src/lacewinggw/wire/clients.py
+++ b/src/lacewinggw/wire/clients.py
@@ -19,7 +19,6 @@
 from enum import Enum
 
 from lacewinggw.decisions.clientload import (
-    SMALL_BYTES,
     ClientState,
     ClientUse,
     ConnectionLimit,
@@ -49,7 +48,6 @@
 WAIT_STEP_S = 0.1
 MAX_WAITING = 64
 RETRY_AFTER_MS = 1000
-EVICTED_RETRY_AFTER_MS = 1000
 LOG_INTERVAL_S = 1.0
 # What a request takes in memory: its body is copied once, and each line of its head is decoded.
 BODY_COPIES = 2
@@ -161,11 +159,6 @@
     size: int
     granted: "asyncio.Future[None]"
 
-    @property
-    def is_small(self) -> bool:
-        """Whether the client uses little with what it waits for."""
-        return self.client.use.held_bytes + self.size <= SMALL_BYTES
-
 
 class Clients:
     """The clients of one process, at all its listeners.
@@ -247,13 +240,13 @@
         self, client: ClientConnection, size: int, is_answer: bool, may_wait: bool = True
     ) -> None:
         """Take memory for a client, in the order of asking but for answers, which go first."""
-        is_small = client.use.held_bytes + size <= SMALL_BYTES
-        if (is_small or is_answer or not self._waiting) and self._memory.take(client.use, size):
+        goes_first = is_answer or client.use.is_small_with(size)
+        if (goes_first or not self._waiting) and self._memory.take(client.use, size):
             return
         if not may_wait or (len(self._waiting) >= MAX_WAITING and not is_answer):
             raise self._overloaded()
         waiting = _Waiting(client, size, asyncio.get_running_loop().create_future())
-        if is_answer or waiting.is_small:
+        if goes_first:
             self._waiting.appendleft(waiting)
         else:
             self._waiting.append(waiting)
@@ -295,7 +288,7 @@
             elif self._memory.take(waiting.client.use, waiting.size):
                 self._waiting.popleft()
                 waiting.granted.set_result(None)
-            elif not self._evict_for_memory(waiting.is_small):
+            elif not self._evict_for_memory(waiting.client.use.is_small_with(waiting.size)):
                 break
         while self._memory.is_exceeded and self._evict_for_memory(for_small=True):
             pass
@@ -321,7 +314,7 @@
 
     def _overloaded(self) -> Overloaded:
         self._metrics.count("client_memory_refusals")
-        return Overloaded("no memory for a request of this size now", retry_after_ms=RETRY_AFTER_MS)
+        return overloaded("no memory for a request of this size now")
 
 
 class ClientAdmission:
@@ -367,5 +360,10 @@
         self._clients.remove(client)
 
 
+def overloaded(reason: str = "others need the memory") -> Overloaded:
+    """Return the refusal of a request that was not read completely, so it has not run."""
+    return Overloaded(reason, retry_after_ms=RETRY_AFTER_MS)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/src/lacewinggw/wire/httpserver.py
+++ b/src/lacewinggw/wire/httpserver.py
@@ -17,11 +17,11 @@
 from lacewinggw.errors import BodyTooLarge, LacewingError, MalformedHttp, Overloaded
 from lacewinggw.log import get_logger
 from lacewinggw.wire.clients import (
-    EVICTED_RETRY_AFTER_MS,
     ClientAdmission,
     ClientConnection,
     Clients,
     Eviction,
+    overloaded,
 )
 from lacewinggw.wire.http import (
     READ_BYTES,
@@ -157,7 +157,7 @@
 
     async def refuse_evicted(self) -> None:
         """Refuse the request whose body was discarded."""
-        error = Overloaded("others need the memory", retry_after_ms=EVICTED_RETRY_AFTER_MS)
+        error = overloaded()
         await self._refuse(error, error.http_status)
 
     async def serve_next(self) -> bool:
